--- /dev/null
+++ b/pistachiowell/__init__.py
@@ -0,0 +1,3 @@
+"""A router fleet for prepaid token budgets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/pistachiowell/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of the router fleet."""
--- /dev/null
+++ b/pistachiowell/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent of the router fleet."""
--- /dev/null
+++ b/pistachiowell/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of the router fleet."""
--- /dev/null
+++ b/pistachiowell/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets of the router fleet."""
--- /dev/null
+++ b/pistachiowell/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of the router fleet."""
--- /dev/null
+++ b/pistachiowell/core/events.py
@@ -0,0 +1,59 @@
+"""Ring of the latest events of one process."""
+
+from collections import deque
+
+from pistachiowell.schema.generated.events import Event, EventKind
+
+__all__ = ["EventKind", "EventRing"]
+
+
+class EventRing:
+    """Keeps the latest events of one process.
+
+    Args:
+        process: Name of the process.
+        clock: A ``HybridClock``.
+        size: Number of events kept.
+
+    Examples:
+        >>> from pistachiowell.core.clock import HybridClock
+        >>> ring = EventRing("router-1", HybridClock(lambda: 1), 10)
+        >>> ring.add(EventKind.request_received, request="r1")
+        >>> [event.request for event in ring.latest(5)]
+        ['r1']
+    """
+
+    __slots__ = ("_clock", "_events", "_process")
+
+    def __init__(self, process, clock, size):
+        self._process = process
+        self._clock = clock
+        self._events = deque(maxlen=size)
+
+    @property
+    def clock(self):
+        """The clock that stamps the events."""
+        return self._clock
+
+    def add(self, kind, **fields):
+        """Appends an event with the present stamp.
+
+        Args:
+            kind: An ``EventKind``.
+            **fields: Further fields of ``Event``.
+        """
+        stamp = self._clock.tick()
+        self._events.append(
+            Event(
+                kind=kind,
+                process=self._process,
+                wall_ns=stamp.wall_ns,
+                logical=stamp.logical,
+                **fields,
+            )
+        )
+
+    def latest(self, limit):
+        """Returns up to ``limit`` events, oldest first."""
+        events = list(self._events)
+        return events[-limit:] if limit else []
--- /dev/null
+++ b/pistachiowell/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Ctl of the router fleet."""
--- /dev/null
+++ b/pistachiowell/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Engines of the router fleet."""
--- /dev/null
+++ b/pistachiowell/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of the router fleet."""
--- /dev/null
+++ b/pistachiowell/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of the router fleet."""
--- /dev/null
+++ b/pistachiowell/router/__init__.py
@@ -0,0 +1,1 @@
+"""Router of the router fleet."""
--- /dev/null
+++ b/pistachiowell/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing of the router fleet."""
--- /dev/null
+++ b/pistachiowell/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Schemas of messages, settings, table rows, stored objects and events."""
--- /dev/null
+++ b/pistachiowell/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Standins of the router fleet."""
--- /dev/null
+++ b/pistachiowell/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of the router fleet."""
--- /dev/null
+++ b/pistachiowell/wire/__init__.py
@@ -0,0 +1,14 @@
+"""Links between the processes: msgpack messages over TCP streams."""
+
+from pistachiowell.wire.codec import Frame, FrameReader, encode_frame
+from pistachiowell.wire.link import Handlers, Link, connect, serve
+
+__all__ = [
+    "Frame",
+    "FrameReader",
+    "Handlers",
+    "Link",
+    "connect",
+    "encode_frame",
+    "serve",
+]
