--- /dev/null
+++ b/pistachiowell/agent/main.py
@@ -0,0 +1,155 @@
+"""The program ``pistachiowell-agent``."""
+
+import anyio
+
+from pistachiowell.agent.claiming import Claiming
+from pistachiowell.agent.gate import Gate
+from pistachiowell.agent.runner import Runner
+from pistachiowell.core.events import EventKind
+from pistachiowell.core.logs import part_logger
+from pistachiowell.core.program import run_program, wait_for_signal
+from pistachiowell.core.runtime import Runtime
+from pistachiowell.engines import HttpBackend
+from pistachiowell.platform.http import HttpStore
+from pistachiowell.platform.registration import register_process, unregister_process
+from pistachiowell.router.rows import Rows
+from pistachiowell.schema.generated.messages_requests import LoadReport
+from pistachiowell.schema.generated.objects_membership import AgentRecord
+from pistachiowell.schema.generated.settings import AgentSettings
+from pistachiowell.wire import Handlers, serve
+from pistachiowell.wire.status import register_status_handlers
+
+LOAD_INTERVAL_S = 0.2
+ROW_POLL_S = 0.1
+
+_log = part_logger("agent")
+
+
+class Agent:
+    """All parts of one agent.
+
+    Args:
+        settings: The ``AgentSettings``.
+        store: The platform's store.
+    """
+
+    __slots__ = ("_gate", "_handlers", "_links", "_rows", "_runner", "_runtime")
+
+    def __init__(self, settings, store):
+        self._runtime = Runtime("agent", settings, store)
+        self._handlers = Handlers()
+        register_status_handlers(self._handlers, self._runtime)
+        self._rows = Rows(self._runtime, self._handlers)
+        self._links = set()
+        self._gate = None
+        self._runner = None
+
+    async def run(self):
+        """Runs until a signal comes and the requests in progress have ended."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._rows.run)
+            row = await self._server_row()
+            backend = HttpBackend(row.url)
+            self._gate = Gate(self._runtime, row.slots)
+            self._runner = Runner(
+                self._runtime,
+                self._handlers,
+                self._gate,
+                Claiming(self._runtime),
+                backend,
+                self._version,
+            )
+            await group.start(self._runner.run)
+            await group.start(self._serve_routers)
+            group.start_soon(self._push_load)
+            record = self._record()
+            await register_process(self._runtime.store, "agents", record)
+            _log.info("Agent {} serves backend server {}.", record.id, record.server)
+            await wait_for_signal()
+            await self._leave(record)
+            await backend.aclose()
+            group.cancel_scope.cancel()
+
+    async def _leave(self, record):
+        _log.info("Leaving; requests in progress go on.")
+        self._runtime.start_leaving()
+        self._send_load()
+        settings = self._runtime.settings
+        await unregister_process(self._runtime.store, "agents", record)
+        await anyio.sleep(settings.leaving_notice_s)
+        with anyio.move_on_after(settings.shutdown_timeout_s):
+            await self._runner.wait_idle()
+        self._runtime.events.add(EventKind.process_stopped)
+
+    async def _server_row(self):
+        name = self._runtime.settings.server
+        while self._rows.table.server(name) is None:
+            await anyio.sleep(ROW_POLL_S)
+        return self._rows.table.server(name)
+
+    def _version(self):
+        row = self._rows.table.server(self._runtime.settings.server)
+        return row.version if row else ""
+
+    async def _serve_routers(self, *, task_status):
+        settings = self._runtime.settings
+        await serve(
+            settings.host,
+            settings.port,
+            self._runtime.hello,
+            self._handlers,
+            self._runtime.clock,
+            on_link=self._add_link,
+            task_status=task_status,
+        )
+
+    def _add_link(self, link):
+        self._links.add(link)
+        link.add_close_listener(lambda: self._links.discard(link))
+
+    async def _push_load(self):
+        while True:
+            self._send_load()
+            await anyio.sleep(LOAD_INTERVAL_S)
+
+    def _send_load(self):
+        report = LoadReport(
+            server=self._runtime.settings.server,
+            version=self._version(),
+            running=self._gate.running,
+            waiting=self._gate.waiting,
+            slots=self._gate.slots,
+            leaving=self._runtime.leaving,
+            table_revision=self._runtime.table_revision(),
+        )
+        for link in list(self._links):
+            if not link.closed:
+                link.send(report)
+
+    def _record(self):
+        settings = self._runtime.settings
+        return AgentRecord(
+            id=settings.id,
+            incarnation=self._runtime.incarnation,
+            data_centre=settings.data_centre,
+            host=settings.host,
+            port=settings.port,
+            server=settings.server,
+        )
+
+
+async def _run_agent(settings):
+    store = HttpStore(settings.store_url)
+    try:
+        await Agent(settings, store).run()
+    finally:
+        await store.aclose()
+
+
+def run():
+    """Starts the agent from the command line."""
+    run_program(AgentSettings, _run_agent)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/pistachiowell/agent/runner.py
@@ -0,0 +1,288 @@
+"""Runs the requests of routers at the backend server."""
+
+import anyio
+
+from pistachiowell.agent.claiming import KeptAnswer
+from pistachiowell.agent.sse import UsageReader, usage_of_document
+from pistachiowell.core.errors import (
+    MAY_HAVE_RUN,
+    AnswerBroken,
+    DeadlineExceeded,
+    Leaving,
+    NoServer,
+    PistachiowellError,
+    ServerFailed,
+)
+from pistachiowell.core.logs import part_logger
+from pistachiowell.schema.generated.messages_requests import (
+    AnswerChunk,
+    AnswerCredit,
+    AnswerEnd,
+    AnswerFailed,
+    AnswerStart,
+    CancelRequest,
+    RunRequest,
+)
+
+FIRST_SERVER_FAULT = 500
+EVENT_STREAM = "text/event-stream"
+
+_log = part_logger("runner")
+
+
+class Run:
+    """One attempt in progress.
+
+    Args:
+        link: Link to the router.
+        request: The ``RunRequest``.
+    """
+
+    __slots__ = ("_credit_bytes", "_offset", "_wake", "link", "request", "scope")
+
+    def __init__(self, link, request):
+        self.link = link
+        self.request = request
+        self.scope = anyio.CancelScope()
+        self._credit_bytes = request.credit_bytes
+        self._offset = 0
+        self._wake = anyio.Event()
+
+    @property
+    def key(self):
+        """Request id and attempt number."""
+        return (self.request.request_id, self.request.attempt)
+
+    @property
+    def offset(self):
+        """Bytes of the body sent so far."""
+        return self._offset
+
+    def add_credit(self, size_bytes):
+        """Allows more bytes to be sent."""
+        self._credit_bytes += size_bytes
+        self._wake.set()
+
+    def send(self, message):
+        """Sends a message to the router unless the link is lost."""
+        if not self.link.closed:
+            self.link.send(message)
+
+    async def send_body(self, data):
+        """Sends a part of the body once there is credit for it."""
+        while self._credit_bytes <= 0:
+            self._wake = anyio.Event()
+            await self._wake.wait()
+        self._credit_bytes -= len(data)
+        self.send(AnswerChunk(*self.key, self._offset, data))
+        self._offset += len(data)
+
+
+class Runner:
+    """Takes ``RunRequest`` messages and runs them at the backend server.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        handlers: Handlers of the links from routers; this adds its own.
+        gate: The ``Gate``.
+        claiming: The ``Claiming``.
+        backend: The ``Backend``.
+        version: Function that returns the version the backend server runs.
+    """
+
+    __slots__ = (
+        "_backend",
+        "_claiming",
+        "_gate",
+        "_group",
+        "_idle",
+        "_runs",
+        "_runtime",
+        "_version",
+    )
+
+    def __init__(self, runtime, handlers, gate, claiming, backend, version):
+        self._runtime = runtime
+        self._gate = gate
+        self._claiming = claiming
+        self._backend = backend
+        self._version = version
+        self._runs = {}
+        self._group = None
+        self._idle = anyio.Event()
+        handlers.on(RunRequest)(self._take)
+        handlers.on(AnswerCredit)(self._take_credit)
+        handlers.on(CancelRequest)(self._take_cancel)
+
+    @property
+    def in_progress(self):
+        """Number of attempts in progress."""
+        return len(self._runs)
+
+    async def run(self, *, task_status):
+        """Runs attempts until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            task_status.started()
+            await anyio.sleep_forever()
+
+    async def wait_idle(self):
+        """Waits until no attempt is in progress."""
+        while self._runs:
+            self._idle = anyio.Event()
+            await self._idle.wait()
+
+    async def _take(self, link, request):
+        run = Run(link, request)
+        key = (id(link), *run.key)
+        if key not in self._runs:
+            self._runs[key] = run
+            self._group.start_soon(self._run, key, run)
+
+    async def _take_credit(self, link, message):
+        run = self._runs.get((id(link), message.request_id, message.attempt))
+        if run is not None:
+            run.add_credit(message.size_bytes)
+
+    async def _take_cancel(self, link, message):
+        run = self._runs.get((id(link), message.request_id, message.attempt))
+        if run is not None and run.request.repeatable:
+            run.scope.cancel()
+
+    async def _run(self, key, run):
+        def cancel():
+            if run.request.repeatable:
+                run.scope.cancel()
+
+        run.link.add_close_listener(cancel)
+        try:
+            with run.scope:
+                await self._serve(run)
+        finally:
+            run.link.remove_close_listener(cancel)
+            del self._runs[key]
+            if not self._runs:
+                self._idle.set()
+
+    async def _serve(self, run):
+        started = Progress()
+        try:
+            with anyio.fail_after(run.request.timeout_s):
+                await self._admit(run, started)
+        except TimeoutError:
+            self._fail(run, started, DeadlineExceeded("The time is over."))
+        except PistachiowellError as error:
+            self._fail(run, started, error)
+        except Exception:
+            _log.exception("An attempt failed by a fault of the agent.")
+            self._fail(run, started, ServerFailed("Internal fault of the agent."))
+
+    def _fail(self, run, started, error):
+        ran = error.ran if started.sent else "no"
+        if started.claimed:
+            ran = MAY_HAVE_RUN
+        run.send(
+            AnswerFailed(
+                *run.key,
+                code=str(error.code),
+                ran=ran,
+                message=error.message,
+                retry_after_s=error.retry_after_s,
+                prompt_tokens=started.prompt_tokens,
+                completion_tokens=started.completion_tokens,
+            )
+        )
+
+    async def _admit(self, run, started):
+        request = run.request
+        if self._runtime.leaving:
+            raise Leaving("The backend server is leaving.")
+        if request.version != self._version():
+            raise NoServer(f"The backend server does not run {request.version}.")
+        async with self._gate.slot(request):
+            if request.repeatable:
+                await self._exchange(run, started, [])
+                return
+            claim = await self._claiming.claim(request)
+            if isinstance(claim, KeptAnswer):
+                await self._send_kept(run, claim)
+                return
+            started.claimed = True
+            await self._exchange_once(run, started)
+
+    async def _exchange_once(self, run, started):
+        parts = []
+        status, content_type = await self._exchange(run, started, parts)
+        answer = KeptAnswer(status, content_type, b"".join(parts))
+        self._claiming.finish(run.request, answer)
+
+    async def _send_kept(self, run, answer):
+        run.send(AnswerStart(*run.key, answer.status, answer.content_type, kept=True))
+        await run.send_body(answer.body)
+        run.send(AnswerEnd(*run.key, run.offset))
+
+    async def _exchange(self, run, started, kept_parts):
+        request = run.request
+        headers = {"content-type": request.content_type}
+        if request.idempotency_key:
+            headers["idempotency-key"] = request.idempotency_key
+        started.sent = True
+        manager = self._backend.request(
+            request.method, request.path, headers, request.body
+        )
+        async with manager as response:
+            if request.repeatable and response.status >= FIRST_SERVER_FAULT:
+                raise ServerFailed(f"The backend server answered {response.status}.")
+            run.send(AnswerStart(*run.key, response.status, response.content_type))
+            if response.content_type.startswith(EVENT_STREAM):
+                await self._pass_events(run, started, response)
+            else:
+                await self._pass_body(run, started, response, kept_parts)
+        run.send(
+            AnswerEnd(
+                *run.key,
+                run.offset,
+                prompt_tokens=started.prompt_tokens,
+                completion_tokens=started.completion_tokens,
+            )
+        )
+        return response.status, response.content_type
+
+    async def _pass_events(self, run, started, response):
+        reader = UsageReader(run.request.include_usage)
+        async for data in response.chunks():
+            passed = reader.feed(data)
+            started.prompt_tokens = reader.prompt_tokens
+            started.completion_tokens = reader.completion_tokens
+            if passed:
+                await run.send_body(passed)
+        if not reader.done:
+            raise AnswerBroken("The engine's stream ended early.")
+
+    async def _pass_body(self, run, started, response, kept_parts):
+        parts = kept_parts
+        async for data in response.chunks():
+            parts.append(data)
+            await run.send_body(data)
+        if run.request.token_limit:
+            usage = usage_of_document(b"".join(parts))
+            started.prompt_tokens, started.completion_tokens = usage
+
+
+class Progress:
+    """How far an attempt has come.
+
+    Attributes:
+        claimed: Whether its key is claimed.
+        sent: Whether its request may have reached the backend server.
+        prompt_tokens: Tokens of the prompt that the server has told.
+        completion_tokens: Tokens generated so far.
+    """
+
+    __slots__ = ("claimed", "completion_tokens", "prompt_tokens", "sent")
+
+    def __init__(self):
+        self.claimed = False
+        self.sent = False
+        self.prompt_tokens = 0
+        self.completion_tokens = 0
--- /dev/null
+++ b/pistachiowell/core/runtime.py
@@ -0,0 +1,102 @@
+"""What every part of one running process shares."""
+
+import time
+
+from pistachiowell.core.clock import HybridClock
+from pistachiowell.core.events import EventKind, EventRing
+from pistachiowell.core.ids import new_id
+from pistachiowell.core.metrics import Metrics
+from pistachiowell.schema.generated.messages_requests import Hello
+
+
+class Runtime:
+    """Identity, clock, events and metrics of one run of a process.
+
+    Args:
+        role: ``router`` or ``agent``.
+        settings: The program's settings.
+        store: The platform's store; see ``pistachiowell.platform.Store``.
+
+    Attributes:
+        leaving: Whether the process has begun to leave.
+        table_revision: Function that returns the revision of the table in force.
+    """
+
+    __slots__ = (
+        "_events",
+        "_hello",
+        "_metrics",
+        "_role",
+        "_settings",
+        "_store",
+        "leaving",
+        "table_revision",
+    )
+
+    def __init__(self, role, settings, store):
+        self._role = role
+        self._settings = settings
+        self._store = store
+        clock = HybridClock(time.time_ns)
+        self._events = EventRing(settings.id, clock, settings.event_ring_size)
+        self._metrics = Metrics(settings)
+        self._hello = Hello(
+            role=role,
+            id=settings.id,
+            incarnation=new_id(role),
+            data_centre=settings.data_centre,
+        )
+        self.leaving = False
+        self.table_revision = lambda: 0
+        self._events.add(EventKind.process_started, text=self.incarnation)
+
+    @property
+    def role(self):
+        """The program's role."""
+        return self._role
+
+    @property
+    def settings(self):
+        """The program's settings."""
+        return self._settings
+
+    @property
+    def store(self):
+        """The platform's store."""
+        return self._store
+
+    @property
+    def events(self):
+        """The ring of the latest events."""
+        return self._events
+
+    @property
+    def clock(self):
+        """The hybrid logical clock."""
+        return self._events.clock
+
+    @property
+    def metrics(self):
+        """The metrics of this process."""
+        return self._metrics
+
+    @property
+    def hello(self):
+        """The first message on every link."""
+        return self._hello
+
+    @property
+    def incarnation(self):
+        """Unique id of this run."""
+        return self._hello.incarnation
+
+    @staticmethod
+    def now():
+        """Returns the monotonic time in seconds."""
+        return time.monotonic()
+
+    def start_leaving(self):
+        """Marks the process as leaving."""
+        if not self.leaving:
+            self.leaving = True
+            self._events.add(EventKind.process_leaving)
--- /dev/null
+++ b/pistachiowell/router/main.py
@@ -0,0 +1,148 @@
+"""The program ``pistachiowell-router``."""
+
+import random
+from contextlib import nullcontext
+
+import anyio
+import uvicorn
+
+from pistachiowell.core.events import EventKind
+from pistachiowell.core.logs import part_logger
+from pistachiowell.core.program import run_program, wait_for_signal
+from pistachiowell.core.runtime import Runtime
+from pistachiowell.platform.http import HttpStore
+from pistachiowell.platform.registration import register_process, unregister_process
+from pistachiowell.router.api import Api
+from pistachiowell.router.dispatch import Dispatch
+from pistachiowell.router.fleet import Fleet
+from pistachiowell.router.journal import Journal
+from pistachiowell.router.rows import Rows
+from pistachiowell.router.service import RequestService
+from pistachiowell.router.spending import Spending
+from pistachiowell.schema.generated.objects_membership import RouterRecord
+from pistachiowell.schema.generated.settings import RouterSettings
+from pistachiowell.wire import Handlers, serve
+from pistachiowell.wire.status import register_status_handlers
+
+_log = part_logger("router")
+
+
+class _HttpServer(uvicorn.Server):
+    """A uvicorn server that leaves the signals to the program."""
+
+    def capture_signals(self):
+        """Returns a context that captures nothing."""
+        return nullcontext()
+
+
+class Router:
+    """All parts of one router.
+
+    Args:
+        settings: The ``RouterSettings``.
+        store: The platform's store.
+    """
+
+    __slots__ = (
+        "_api",
+        "_fleet",
+        "_handlers",
+        "_http",
+        "_journal",
+        "_rows",
+        "_runtime",
+    )
+
+    def __init__(self, settings, store):
+        self._runtime = Runtime("router", settings, store)
+        self._handlers = Handlers()
+        register_status_handlers(self._handlers, self._runtime)
+        self._fleet = Fleet(self._runtime, self._handlers)
+        self._rows = Rows(self._runtime, self._handlers)
+        self._journal = Journal(self._runtime)
+        dispatch = Dispatch(
+            self._runtime, self._fleet, self._rows, self._handlers, random.Random()
+        )
+        service = RequestService(
+            self._runtime, self._rows, Spending(self._runtime), dispatch, self._journal
+        )
+        self._api = Api(self._runtime, self._rows, service)
+        self._http = _HttpServer(self._http_config(settings))
+
+    def _http_config(self, settings):
+        return uvicorn.Config(
+            self._api,
+            host=settings.http_host,
+            port=settings.http_port,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            timeout_graceful_shutdown=settings.shutdown_timeout_s,
+        )
+
+    async def run(self):
+        """Runs until a signal comes and the requests in progress have ended."""
+        async with anyio.create_task_group() as group:
+            await group.start(self._serve_peers)
+            group.start_soon(self._rows.run)
+            group.start_soon(self._fleet.run)
+            group.start_soon(self._journal.run)
+            record = self._record()
+            await register_process(self._runtime.store, "routers", record)
+            group.start_soon(self._leave_on_signal)
+            _log.info("Router {} serves.", record.id)
+            await self._http.serve()
+            await self._journal.flush()
+            await unregister_process(self._runtime.store, "routers", record)
+            self._runtime.events.add(EventKind.process_stopped)
+            group.cancel_scope.cancel()
+
+    async def _serve_peers(self, *, task_status):
+        settings = self._runtime.settings
+        await serve(
+            settings.peer_host,
+            settings.peer_port,
+            self._runtime.hello,
+            self._handlers,
+            self._runtime.clock,
+            task_status=task_status,
+        )
+
+    async def _leave_on_signal(self):
+        await wait_for_signal()
+        self._runtime.start_leaving()
+        _log.info("Leaving; requests in progress go on.")
+        await anyio.sleep(self._runtime.settings.leaving_notice_s)
+        self._http.should_exit = True
+
+    def _record(self):
+        settings = self._runtime.settings
+        return RouterRecord(
+            id=settings.id,
+            incarnation=self._runtime.incarnation,
+            data_centre=settings.data_centre,
+            peer_host=settings.peer_host,
+            peer_port=settings.peer_port,
+            http_host=settings.http_host,
+            http_port=settings.http_port,
+        )
+
+
+async def _run_router(settings):
+    store = HttpStore(settings.store_url)
+    try:
+        await Router(settings, store).run()
+    finally:
+        await store.aclose()
+
+
+def run():
+    """Starts the router from the command line."""
+    run_program(RouterSettings, _run_router)
+
+
+if __name__ == "__main__":
+    run()
--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -58,6 +58,7 @@
     __slots__ = (
         "_calls",
         "_clock",
+        "_close_listeners",
         "_closed",
         "_handlers",
         "_numbers",
@@ -74,6 +75,7 @@
         self._handlers = handlers
         self._clock = clock
         self._calls = {}
+        self._close_listeners = set()
         self._numbers = itertools.count(1)
         self._queue = []
         self._queued_bytes = 0
@@ -141,9 +143,21 @@
             raise LinkLost("The link was lost before the reply.")
         raise LinkTimeout(f"No reply within {timeout_s} s.")
 
+    def add_close_listener(self, function):
+        """Has a function called without arguments when the link is lost."""
+        self._close_listeners.add(function)
+
+    def remove_close_listener(self, function):
+        """Forgets a function given to ``add_close_listener``."""
+        self._close_listeners.discard(function)
+
     def close(self):
         """Marks the link lost; ``run`` then ends."""
+        if self.closed:
+            return
         self._closed.set()
+        for listener in list(self._close_listeners):
+            listener()
         self._wake.set()
         for waiter in self._calls.values():
             waiter.event.set()
--- /dev/null
+++ b/pistachiowell/wire/status.py
@@ -0,0 +1,46 @@
+"""Handlers that answer every peer: liveness, status and events."""
+
+import dataclasses
+
+from pistachiowell.schema.generated.messages_control import (
+    EventsQuery,
+    EventsReport,
+    StatusQuery,
+    StatusReport,
+)
+from pistachiowell.schema.generated.messages_requests import Ping, Pong
+
+
+def register_status_handlers(handlers, runtime):
+    """Registers the handlers of ``Ping``, ``StatusQuery`` and ``EventsQuery``.
+
+    Args:
+        handlers: A ``Handlers``.
+        runtime: The process's ``Runtime``.
+    """
+
+    @handlers.on(Ping)
+    async def answer_ping(link, message):
+        return Pong(table_revision=runtime.table_revision(), leaving=runtime.leaving)
+
+    @handlers.on(StatusQuery)
+    async def answer_status(link, message):
+        return status_report(runtime)
+
+    @handlers.on(EventsQuery)
+    async def answer_events(link, message):
+        events = runtime.events.latest(message.limit)
+        return EventsReport(events=[dataclasses.asdict(event) for event in events])
+
+
+def status_report(runtime):
+    """Returns the ``StatusReport`` of this process."""
+    return StatusReport(
+        id=runtime.settings.id,
+        role=runtime.role,
+        incarnation=runtime.incarnation,
+        data_centre=runtime.settings.data_centre,
+        table_revision=runtime.table_revision(),
+        leaving=runtime.leaving,
+        values=runtime.metrics.values,
+    )
