--- a/pistachiowell/router/api.py
+++ b/pistachiowell/router/api.py
@@ -144,7 +144,7 @@
     async def _list_models(self, scope, responder):
         if scope["method"] != "GET":
             raise MethodNotAllowed("/v1/models takes GET.")
-        routes = self._rows.table.routes()
+        routes = self._rows.table.rows("route")
         models = [
             {"id": row.name, "object": "model", "created": 0, "owned_by": "fleet"}
             for row in routes
@@ -204,14 +204,14 @@
         An answer that has begun and is no event stream ends without its last part,
         so that the caller's HTTP client sees it broken.
         """
-        document = {"error": error_body(error)}
+        data = error_document(error)
         if not self._started:
             headers = [("x-request-ran", error.ran)]
             if error.retry_after_s:
                 headers.append(("retry-after", f"{max(1, round(error.retry_after_s))}"))
-            await self.send_json(error.http_status, document, headers)
+            await self.send_whole(error.http_status, "application/json", data, headers)
         elif self._content_type.startswith(EVENT_STREAM):
-            await self.write(b"data: " + json.dumps(document).encode() + b"\n\n")
+            await self.write(b"data: " + data + b"\n\n")
             await self.end()
 
 
@@ -238,6 +238,11 @@
     }
 
 
+def error_document(error):
+    """Returns the JSON body of an error's HTTP answer as bytes."""
+    return json.dumps({"error": error_body(error)}).encode()
+
+
 class _InFlight:
     __slots__ = ("_counts", "_name")
 
--- /dev/null
+++ b/pistachiowell/router/http_protocol.py
@@ -0,0 +1,56 @@
+"""HTTP protocol class for uvicorn with a bound on unread headers."""
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-type: application/json\r\n"
+    b"connection: close\r\n"
+    b"content-length: %d\r\n\r\n%b"
+)
+
+
+def bounded_protocol(max_header_bytes, body):
+    """Makes a protocol class that refuses endless headers.
+
+    uvicorn's httptools protocol itself collects headers without a bound.
+
+    Args:
+        max_header_bytes: Largest head of a request in bytes.
+        body: JSON body of the refusal as bytes.
+
+    Returns:
+        A class for ``uvicorn.Config(http=...)``.
+    """
+
+    class BoundedProtocol(HttpToolsProtocol):
+        """Counts the bytes of a request's head until it is complete."""
+
+        def __init__(self, *args, **kwargs):
+            super().__init__(*args, **kwargs)
+            self._head_bytes = 0
+
+        def on_message_begin(self):
+            """Begins the count of a request."""
+            self._in_head = True
+            super().on_message_begin()
+
+        def on_headers_complete(self):
+            """Ends the count of a request."""
+            self._in_head = False
+            self._head_bytes = 0
+            super().on_headers_complete()
+
+        def data_received(self, data):
+            """Takes bytes of the caller; refuses a head that is too large."""
+            super().data_received(data)
+            if not self._in_head:
+                return
+            self._head_bytes += len(data)
+            if self._head_bytes > max_header_bytes and not self.transport.is_closing():
+                self.transport.write(_TOO_LARGE % (len(body), body))
+                self.transport.close()
+
+        _in_head = True
+
+    return BoundedProtocol
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -6,15 +6,17 @@
 import anyio
 import uvicorn
 
+from pistachiowell.core.errors import HeadersTooLarge
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.program import run_program, wait_for_signal
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.platform.http import HttpStore
 from pistachiowell.platform.registration import register_process, unregister_process
-from pistachiowell.router.api import Api
+from pistachiowell.router.api import Api, error_document
 from pistachiowell.router.dispatch import Dispatch
 from pistachiowell.router.fleet import Fleet
+from pistachiowell.router.http_protocol import bounded_protocol
 from pistachiowell.router.journal import Journal
 from pistachiowell.router.rows import Rows
 from pistachiowell.router.service import RequestService
@@ -70,12 +72,15 @@
         self._http = _HttpServer(self._http_config(settings))
 
     def _http_config(self, settings):
+        refusal = error_document(
+            HeadersTooLarge(f"The headers exceed {settings.max_header_bytes} bytes.")
+        )
         return uvicorn.Config(
             self._api,
             host=settings.http_host,
             port=settings.http_port,
             loop="asyncio",
-            http="httptools",
+            http=bounded_protocol(settings.max_header_bytes, refusal),
             ws="none",
             lifespan="off",
             log_config=None,
