Keep each program's flags apart; refuse an answer bound above the route's

The flags of two programs clashed when one process imported both. A request with max_tokens above the route's bound passed because only the smaller of the two fields was checked.

--- a/pistachiowell/agent/sse.py
+++ b/pistachiowell/agent/sse.py
@@ -23,8 +23,8 @@
     Examples:
         >>> reader = UsageReader(False)
         >>> usage = b'data: {"choices": [], "usage": {"prompt_tokens": 2, '
-        >>> reader.feed(usage + b'"completion_tokens": 3}}\\n\\ndata: [DONE]\\n\\n')
-        b'data: [DONE]\\n\\n'
+        >>> reader.feed(usage + b'"completion_tokens": 3}}\n\ndata: [DONE]\n\n')
+        b'data: [DONE]\n\n'
         >>> reader.prompt_tokens, reader.completion_tokens, reader.done
         (2, 3, True)
     """
--- /dev/null
+++ b/pistachiowell/core/commandline.py
@@ -0,0 +1,39 @@
+"""Command-line flags of the programs, apart from absl's global ones."""
+
+import sys
+
+from absl import flags
+
+EXIT_USAGE = 2
+
+
+def parse_flags(values, argv, usage):
+    """Parses a command line.
+
+    Args:
+        values: ``flags.FlagValues`` with the program's flags.
+        argv: The command line, program name first.
+        usage: Sentence that tells how to call the program.
+
+    Returns:
+        The arguments that are no flags. A wrong command line or ``--help`` ends
+        the program with a usage text.
+
+    Examples:
+        >>> values = flags.FlagValues()
+        >>> _ = flags.DEFINE_bool("check", False, "Check.", flag_values=values)
+        >>> parse_flags(values, ["tool", "--check", "file"], "Give a file.")
+        ['file']
+        >>> values.check
+        True
+    """
+    flags.DEFINE_bool("help", False, "Show this help.", flag_values=values)
+    try:
+        rest = values(argv)[1:]
+    except flags.Error as error:
+        print(f"{error}\n{usage}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    if values.help:
+        print(f"{usage}\n{values.get_help()}")
+        sys.exit(0)
+    return rest
--- a/pistachiowell/core/program.py
+++ b/pistachiowell/core/program.py
@@ -1,20 +1,17 @@
 """Start of the long-running programs from the command line."""
 
-import functools
 import signal
 import sys
 
 import anyio
-from absl import app, flags
+from absl import flags
 
+from pistachiowell.core.commandline import EXIT_USAGE, parse_flags
 from pistachiowell.core.errors import SettingsInvalid
 from pistachiowell.core.logs import configure_logs
 from pistachiowell.schema.settings import read_settings
 
-_SETTINGS = flags.DEFINE_string("settings", None, "Path of the YAML settings file.")
-_CHECK = flags.DEFINE_bool("check", False, "Check the settings file and exit.")
-
-EXIT_SETTINGS = 2
+_USAGE = "Usage: --settings FILE [--check]"
 
 
 def run_program(settings_class, serve):
@@ -25,23 +22,29 @@
         serve: Async function that is given the settings and runs until the
             process shall end.
     """
-    app.run(functools.partial(_main, settings_class, serve))
+    settings = _read_command_line(settings_class)
+    configure_logs(settings)
+    anyio.run(serve, settings)
 
 
-def _main(settings_class, serve, argv):
-    if len(argv) > 1 or not _SETTINGS.value:
-        print("Usage: give --settings FILE [--check].", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
+def _read_command_line(settings_class):
+    values = flags.FlagValues()
+    define = {"flag_values": values}
+    flags.DEFINE_string("settings", None, "YAML settings file.", **define)
+    flags.DEFINE_bool("check", False, "Check the settings and exit.", **define)
+    rest = parse_flags(values, sys.argv, _USAGE)
+    if rest or not values.settings:
+        print(_USAGE, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
     try:
-        settings = read_settings(_SETTINGS.value, settings_class)
+        settings = read_settings(values.settings, settings_class)
     except SettingsInvalid as error:
         print(error, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    if _CHECK.value:
-        print(f"{_SETTINGS.value}: valid.")
-        return
-    configure_logs(settings)
-    anyio.run(serve, settings)
+        sys.exit(EXIT_USAGE)
+    if values.check:
+        print(f"{values.settings}: valid.")
+        sys.exit(0)
+    return settings
 
 
 async def wait_for_signal():
--- a/pistachiowell/router/callers.py
+++ b/pistachiowell/router/callers.py
@@ -272,9 +272,8 @@
         _typed(document, name, int, limit)
         for name in ("max_tokens", "max_completion_tokens")
     ]
-    tokens = min(asked)
-    if tokens < 1:
+    if min(asked) < 1:
         raise InvalidRequest("The largest answer must be one token or more.")
-    if tokens > limit:
+    if max(asked) > limit:
         raise InvalidRequest(f"The largest answer of {route.name} is {limit} tokens.")
-    return tokens
+    return min(asked)
--- a/pistachiowell/schema/generate.py
+++ b/pistachiowell/schema/generate.py
@@ -8,12 +8,14 @@
 import tempfile
 from pathlib import Path
 
-from absl import app, flags
+from absl import flags
+
+from pistachiowell.core.commandline import parse_flags
 
 SCHEMA_DIR = Path(__file__).parent
 GENERATED_DIR = SCHEMA_DIR / "generated"
 
-_CHECK = flags.DEFINE_bool("check", False, "Compare only; exit 1 on a difference.")
+_USAGE = "Usage: python -m pistachiowell.schema.generate [--check]"
 
 
 def schema_files():
@@ -74,10 +76,12 @@
     return path.read_text(encoding="utf-8") if path.exists() else None
 
 
-def main(argv):
+def main():
     """Runs the generator from the command line."""
-    del argv
-    if not _CHECK.value:
+    values = flags.FlagValues()
+    flags.DEFINE_bool("check", False, "Compare only.", flag_values=values)
+    parse_flags(values, sys.argv, _USAGE)
+    if not values.check:
         generate(GENERATED_DIR)
         return
     with tempfile.TemporaryDirectory() as name:
@@ -90,4 +94,4 @@
 
 
 if __name__ == "__main__":
-    app.run(main)
+    main()
