--- a/pistachiowell/core/errors.py
+++ b/pistachiowell/core/errors.py
@@ -193,3 +193,5 @@
 MessageInvalid = _define(
     "message_invalid", 400, "Run versions of the programs that fit together."
 )
+
+STORE_ERRORS = (StoreConflict, StoreUnavailable, StoreAnswerLost, StoreThrottled)
--- a/pistachiowell/ctl/__init__.py
+++ b/pistachiowell/ctl/__init__.py
@@ -1,1 +1,1 @@
-"""Ctl of the router fleet."""
+"""The operators' command line tool."""
--- /dev/null
+++ b/pistachiowell/ctl/command.py
@@ -0,0 +1,250 @@
+"""Registry of the commands of ``pistachiowell-ctl``.
+
+A command is an async function in a module of ``pistachiowell.ctl.commands``; the
+tool imports all modules there. It takes the ``Context`` and the positional arguments
+and returns a ``Result``; it raises ``PistachiowellError`` to fail::
+
+    @command("get", usage="get [KIND [NAME]]", example="get route chat")
+    async def get(context, args):
+        '''Prints rows of the table.'''
+        ...
+        return Result(document={"rows": rows}, text=yaml_text)
+
+The first line of the docstring is the help text. Flags of one command are defined
+with ``absl.flags`` in its module and read from ``context.flags``.
+"""
+
+import datetime
+import importlib
+import pkgutil
+from dataclasses import dataclass
+
+import anyio
+
+from pistachiowell.core.clock import HybridClock
+from pistachiowell.core.errors import InvalidRequest
+from pistachiowell.core.ids import new_id
+from pistachiowell.platform.http import HttpStore
+from pistachiowell.platform.table_writer import TableWriter
+from pistachiowell.schema.generated.messages_requests import Hello
+from pistachiowell.wire import Handlers, connect
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_REJECTED = 3
+EXIT_CONFLICT = 4
+EXIT_UNAVAILABLE = 5
+
+_EXIT_BY_CODE = {
+    "row_invalid": EXIT_REJECTED,
+    "settings_invalid": EXIT_USAGE,
+    "invalid_request": EXIT_USAGE,
+    "row_conflict": EXIT_CONFLICT,
+    "store_conflict": EXIT_CONFLICT,
+    "store_unavailable": EXIT_UNAVAILABLE,
+    "store_throttled": EXIT_UNAVAILABLE,
+    "store_answer_lost": EXIT_UNAVAILABLE,
+    "outcome_unresolved": EXIT_UNAVAILABLE,
+}
+
+_COMMANDS = {}
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What a command prints.
+
+    Attributes:
+        document: JSON document, printed with ``--json``.
+        text: Text, printed otherwise.
+        exit_code: Exit code of the process.
+    """
+
+    document: object
+    text: str
+    exit_code: int = EXIT_OK
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A registered command.
+
+    Attributes:
+        name: First words of the command line, such as ``move start``.
+        usage: Positional arguments and flags.
+        example: One command line.
+        run: The async function.
+    """
+
+    name: str
+    usage: str
+    example: str
+    run: object
+
+    @property
+    def summary(self):
+        """First line of the function's docstring."""
+        return (self.run.__doc__ or "").strip().splitlines()[0]
+
+
+class Context:
+    """What a command works with.
+
+    Args:
+        settings: The ``CtlSettings``.
+        flags: The parsed ``absl`` flag values.
+        store: The platform's store; None for the HTTP store of the settings.
+    """
+
+    __slots__ = ("_flags", "_settings", "_store", "_writer")
+
+    def __init__(self, settings, flags, store=None):
+        self._settings = settings
+        self._flags = flags
+        self._store = HttpStore(settings.store_url) if store is None else store
+        self._writer = TableWriter(self._store, settings.retry_timeout_s)
+
+    @property
+    def settings(self):
+        """The ``CtlSettings``."""
+        return self._settings
+
+    @property
+    def flags(self):
+        """The parsed flag values."""
+        return self._flags
+
+    @property
+    def store(self):
+        """The platform's store."""
+        return self._store
+
+    @property
+    def writer(self):
+        """The ``TableWriter``."""
+        return self._writer
+
+    async def call(self, host, port, message, timeout_s=2.0):
+        """Connects to a process of the fleet, makes one call and returns the reply.
+
+        Args:
+            host: IP address.
+            port: TCP port for peers.
+            message: Instance of a message class.
+            timeout_s: Longest wait in seconds.
+
+        Raises:
+            LinkLost: The process could not be reached.
+            LinkTimeout: No reply came in time.
+        """
+        hello = Hello("ctl", self._settings.operator, new_id("ctl"), "")
+        clock = HybridClock(_wall_ns)
+        async with connect(
+            host, port, hello, Handlers(), clock, timeout_s=timeout_s
+        ) as link:
+            return await link.call(message, timeout_s)
+
+
+def _wall_ns():
+    return int(now_utc().timestamp() * 1e9)
+
+
+def now_utc():
+    """Returns the present time."""
+    return datetime.datetime.now(datetime.timezone.utc)
+
+
+def time_text(moment):
+    """Returns a time in ISO 8601, UTC.
+
+    Examples:
+        >>> time_text(datetime.datetime(2026, 1, 2, tzinfo=datetime.timezone.utc))
+        '2026-01-02T00:00:00Z'
+    """
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def command(name, *, usage, example):
+    """Registers a command.
+
+    Args:
+        name: First words of the command line.
+        usage: Command line with its arguments.
+        example: An example without the program's name.
+
+    Returns:
+        A decorator.
+    """
+
+    def decorate(function):
+        _COMMANDS[name] = Command(name, usage, example, function)
+        return function
+
+    return decorate
+
+
+def load_commands():
+    """Imports all command modules.
+
+    Returns:
+        The registry: ``Command`` by name.
+    """
+    package = importlib.import_module("pistachiowell.ctl.commands")
+    for module in pkgutil.iter_modules(package.__path__):
+        if not module.ispkg:
+            importlib.import_module(f"{package.__name__}.{module.name}")
+    return _COMMANDS
+
+
+def find_command(words):
+    """Finds the command that a command line names.
+
+    Args:
+        words: Positional words of the command line.
+
+    Returns:
+        ``(command, args)``.
+
+    Raises:
+        InvalidRequest: There is no such command.
+    """
+    for count in (2, 1):
+        found = _COMMANDS.get(" ".join(words[:count]))
+        if found is not None and len(words) >= count:
+            return found, words[count:]
+    names = ", ".join(sorted(_COMMANDS))
+    raise InvalidRequest(f"Unknown command {' '.join(words[:2])!r}; there are {names}.")
+
+
+def exit_code(error):
+    """Returns the exit code of an error.
+
+    Args:
+        error: A ``PistachiowellError``.
+    """
+    return _EXIT_BY_CODE.get(str(error.code), EXIT_FAILED)
+
+
+async def gather(function, items, limit=32):
+    """Calls an async function for many items at once.
+
+    Args:
+        function: Async function of one item.
+        items: The items.
+        limit: Calls at once.
+
+    Returns:
+        The results in the order of the items.
+    """
+    results = [None] * len(items)
+    limiter = anyio.CapacityLimiter(limit)
+
+    async def run(index, item):
+        async with limiter:
+            results[index] = await function(item)
+
+    async with anyio.create_task_group() as group:
+        for index, item in enumerate(items):
+            group.start_soon(run, index, item)
+    return results
--- /dev/null
+++ b/pistachiowell/ctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of ``pistachiowell-ctl``, one module each."""
--- /dev/null
+++ b/pistachiowell/platform/table_writer.py
@@ -0,0 +1,172 @@
+"""Reads and changes the operators' table in the platform's store.
+
+The object ``rows/head`` carries the latest change whole; its conditional update is
+what accepts a change. The row objects follow: each writer first completes the row
+objects of the change before its own. Readers take the rows from the head at once.
+"""
+
+from dataclasses import dataclass
+
+import anyio
+
+from pistachiowell.core.errors import (
+    STORE_ERRORS,
+    OutcomeUnresolved,
+    StoreAnswerLost,
+    StoreConflict,
+)
+from pistachiowell.core.logs import part_logger
+from pistachiowell.platform.store import ABSENT
+from pistachiowell.tables import HEAD_NAME, ROWS, build_change, object_name, row_key
+from pistachiowell.tables.changes import make_snapshot
+from pistachiowell.tables.rows import decode_head, decode_row, encode, head_rows
+
+RETRY_DELAY_S = 0.2
+
+_log = part_logger("table")
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of a change.
+
+    Attributes:
+        revision: Table revision that holds the change.
+        changed: Keys of the rows that it altered.
+    """
+
+    revision: int
+    changed: list
+
+
+@dataclass(frozen=True, slots=True)
+class _Read:
+    snapshot: object
+    head_version: int
+    row_versions: dict
+    row_revisions: dict
+
+
+class TableWriter:
+    """Applies changes; knows for each whether it was accepted.
+
+    Args:
+        store: The platform's store.
+        retry_timeout_s: Longest time to retry while the store fails, in seconds.
+    """
+
+    __slots__ = ("_retry_timeout_s", "_store")
+
+    def __init__(self, store, retry_timeout_s):
+        self._store = store
+        self._retry_timeout_s = retry_timeout_s
+
+    async def read(self):
+        """Returns the table as a ``Snapshot``."""
+        return (await self._read()).snapshot
+
+    async def commit(self, change):
+        """Applies a change.
+
+        Args:
+            change: The ``Change``; its id makes a repeat harmless.
+
+        Returns:
+            An ``Outcome``.
+
+        Raises:
+            RowInvalid: The change was rejected and altered nothing.
+            RowConflict: Another operator was first; the change altered nothing.
+            OutcomeUnresolved: The store did not answer in time after a write.
+            StoreUnavailable: The store did not answer; nothing was written.
+        """
+        attempt = _Attempt(self, change)
+        with anyio.move_on_after(self._retry_timeout_s):
+            while True:
+                try:
+                    return await attempt.run()
+                except STORE_ERRORS as error:
+                    attempt.last_error = error
+                    _log.debug("Change {}: {}", change.change_id, error)
+                await anyio.sleep(RETRY_DELAY_S)
+        if attempt.in_doubt:
+            raise OutcomeUnresolved(
+                f"The write of change {change.change_id} got no answer and the store "
+                "does not answer reads."
+            )
+        raise attempt.last_error
+
+    async def _read(self):
+        entries, _ = await self._store.list(ROWS)
+        head, head_version = None, ABSENT
+        rows, versions, revisions = [], {}, {}
+        for entry in entries:
+            if entry.name == HEAD_NAME:
+                head, head_version = decode_head(entry.value), entry.version
+                continue
+            row = decode_row(entry.value)
+            rows.append(row)
+            versions[row_key(row.row)] = entry.version
+            revisions[row_key(row.row)] = row.revision
+        return _Read(make_snapshot(head, rows), head_version, versions, revisions)
+
+    async def _write_rows(self, read, rows):
+        for row in rows:
+            key = row_key(row.row)
+            if read.row_revisions.get(key, -1) >= row.revision:
+                continue
+            version = read.row_versions.get(key, ABSENT)
+            try:
+                await self._store.put(ROWS, object_name(key), encode(row), version)
+            except StoreConflict:
+                _log.debug("Another writer wrote row {} first.", key)
+
+
+class _Attempt:
+    __slots__ = ("_change", "_first_seen", "_writer", "in_doubt", "last_error")
+
+    def __init__(self, writer, change):
+        self._writer = writer
+        self._change = change
+        self._first_seen = None
+        self.in_doubt = False
+        self.last_error = None
+
+    async def run(self):
+        writer = self._writer
+        read = await writer._read()
+        snapshot = read.snapshot
+        if self._first_seen is None:
+            self._first_seen = snapshot
+        accepted = self._find_accepted(snapshot)
+        if accepted is not None:
+            return accepted
+        head = build_change(self._change, snapshot, self._first_seen)
+        if head is None:
+            return Outcome(snapshot.head.revision, [])
+        await writer._write_rows(read, head_rows(snapshot.head))
+        await self._put_head(head, read.head_version)
+        rows = head_rows(head)
+        await self._finish(read, rows)
+        return Outcome(head.revision, [row_key(row.row) for row in rows])
+
+    async def _put_head(self, head, version):
+        try:
+            await self._writer._store.put(ROWS, HEAD_NAME, encode(head), version)
+        except StoreAnswerLost:
+            self.in_doubt = True
+            raise
+
+    async def _finish(self, read, rows):
+        try:
+            await self._writer._write_rows(read, rows)
+        except STORE_ERRORS as error:
+            _log.debug("The next writer completes the row objects: {}", error)
+
+    def _find_accepted(self, snapshot):
+        change_id = self._change.change_id
+        if change_id not in snapshot.head.recent_change_ids:
+            return None
+        stored = snapshot.stored.values()
+        changed = [row_key(row.row) for row in stored if row.change_id == change_id]
+        return Outcome(snapshot.head.revision, changed)
