--- a/pistachiowell/agent/runner.py
+++ b/pistachiowell/agent/runner.py
@@ -8,6 +8,7 @@
     MAY_HAVE_RUN,
     AnswerBroken,
     DeadlineExceeded,
+    InternalFault,
     Leaving,
     NoServer,
     PistachiowellError,
@@ -175,7 +176,7 @@
             self._fail(run, started, error)
         except Exception:
             _log.exception("An attempt failed by a fault of the agent.")
-            self._fail(run, started, ServerFailed("Internal fault of the agent."))
+            self._fail(run, started, InternalFault("The agent met a fault."))
 
     def _fail(self, run, started, error):
         ran = error.ran if started.sent else "no"
--- a/pistachiowell/core/errors.py
+++ b/pistachiowell/core/errors.py
@@ -28,7 +28,7 @@
 
     code = None
     http_status = 500
-    default_ran = NOT_RUN
+    default_ran = MAY_HAVE_RUN
     remedy = "Report this to the operators of the fleet."
     default_retry_after_s = 0.0
 
@@ -98,6 +98,9 @@
     return register(ErrorCode(code))(cls)
 
 
+InternalFault = _define(
+    "internal_fault", 500, PistachiowellError.remedy, ran=MAY_HAVE_RUN
+)
 InvalidRequest = _define("invalid_request", 400, "Correct the request.")
 BodyTooLarge = _define("body_too_large", 413, "Send a smaller body.")
 HeadersTooLarge = _define("headers_too_large", 431, "Send smaller headers.")
--- a/pistachiowell/core/logs.py
+++ b/pistachiowell/core/logs.py
@@ -20,6 +20,9 @@
         level=settings.log_level,
         format=_TEXT_FORMAT,
         serialize=settings.log_json,
+        backtrace=False,
+        # Values of variables in a traceback could be API keys.
+        diagnose=False,
     )
 
 
--- a/pistachiowell/router/api.py
+++ b/pistachiowell/router/api.py
@@ -9,6 +9,7 @@
     AccountLimit,
     AnswerBroken,
     BodyTooLarge,
+    InternalFault,
     Leaving,
     MethodNotAllowed,
     PistachiowellError,
@@ -61,7 +62,7 @@
             await self._refuse(responder, error)
         except Exception:
             _log.exception("A request failed by a fault of the router.")
-            await self._refuse(responder, PistachiowellError("Internal fault."))
+            await self._refuse(responder, InternalFault("The router met a fault."))
 
     async def _refuse(self, responder, error):
         self._runtime.metrics.count(f"refused.{error.code}")
@@ -144,7 +145,7 @@
     async def _list_models(self, scope, responder):
         if scope["method"] != "GET":
             raise MethodNotAllowed("/v1/models takes GET.")
-        routes = self._rows.table.rows("route")
+        routes = self._rows.table.routes()
         models = [
             {"id": row.name, "object": "model", "created": 0, "owned_by": "fleet"}
             for row in routes
@@ -231,7 +232,7 @@
         "message": f"{error.message} {error.remedy}".strip(),
         "type": kind,
         "param": None,
-        "code": str(error.code or "internal"),
+        "code": str(error.code),
         "ran": error.ran,
         "remedy": error.remedy,
         "retry_after_s": error.retry_after_s,
--- a/pistachiowell/router/callers.py
+++ b/pistachiowell/router/callers.py
@@ -105,7 +105,7 @@
     if scheme.lower() != "bearer" or not key:
         raise Unauthorized("No API key was sent.")
     digest = hashlib.sha256(key.strip().encode("latin-1")).hexdigest()
-    account = table.account_by_key_hash(digest)
+    account = table.account_of_key(digest)
     if account is None:
         raise Unauthorized("The API key is not known.")
     return account
--- a/pistachiowell/router/dispatch.py
+++ b/pistachiowell/router/dispatch.py
@@ -117,7 +117,7 @@
         Raises:
             NoServer: There is none.
         """
-        servers = {row.name for row in self._rows.table.servers(version)}
+        servers = {row.name for row in self._rows.table.servers_of(version)}
         peers = [
             peer
             for peer in self._fleet.agents.values()
--- a/pistachiowell/router/tests/test_callers.py
+++ b/pistachiowell/router/tests/test_callers.py
@@ -41,7 +41,7 @@
     def route(self, name):
         return ROUTES.get(name)
 
-    def account_by_key_hash(self, digest):
+    def account_of_key(self, digest):
         return ACCOUNT if digest == KEY_HASH else None
 
 
--- a/pistachiowell/schema/generate.py
+++ b/pistachiowell/schema/generate.py
@@ -1,7 +1,8 @@
 """Generates the dataclasses of ``schema/generated`` from the YAML schema files.
 
 Run ``python -m pistachiowell.schema.generate`` after a change of the schema.
-With ``--check`` nothing is written and a difference is an error.
+With ``--check`` nothing is written and a difference is an error. This module imports
+nothing of the package, since the rest of it needs the generated code.
 """
 
 import sys
@@ -10,13 +11,9 @@
 
 from absl import flags
 
-from pistachiowell.core.commandline import parse_flags
-
 SCHEMA_DIR = Path(__file__).parent
 GENERATED_DIR = SCHEMA_DIR / "generated"
 
-_USAGE = "Usage: python -m pistachiowell.schema.generate [--check]"
-
 
 def schema_files():
     """Returns the schema files in the order of their names.
@@ -80,7 +77,7 @@
     """Runs the generator from the command line."""
     values = flags.FlagValues()
     flags.DEFINE_bool("check", False, "Compare only.", flag_values=values)
-    parse_flags(values, sys.argv, _USAGE)
+    values(sys.argv)
     if not values.check:
         generate(GENERATED_DIR)
         return
