--- a/pistachiowell/ctl/command.py
+++ b/pistachiowell/ctl/command.py
@@ -11,7 +11,8 @@
         return Result(document={"rows": rows}, text=yaml_text)
 
 The first line of the docstring is the help text. Flags of one command are defined
-with ``absl.flags`` in its module and read from ``context.flags``.
+in its module by ``flags.DEFINE_...(..., flag_values=FLAGS)`` and read from
+``context.flags``; the tool's flags are apart from those of the other programs.
 """
 
 import datetime
@@ -20,6 +21,7 @@
 from dataclasses import dataclass
 
 import anyio
+from absl import flags
 
 from pistachiowell.core.clock import HybridClock
 from pistachiowell.core.errors import InvalidRequest
@@ -48,6 +50,8 @@
     "outcome_unresolved": EXIT_UNAVAILABLE,
 }
 
+FLAGS = flags.FlagValues()
+
 _COMMANDS = {}
 
 
--- a/pistachiowell/ctl/commands/apply.py
+++ b/pistachiowell/ctl/commands/apply.py
@@ -5,6 +5,7 @@
 from pistachiowell.core.ids import new_id
 from pistachiowell.ctl.command import (
     EXIT_UNAVAILABLE,
+    FLAGS,
     Result,
     command,
     now_utc,
@@ -16,7 +17,12 @@
 
 USAGE = "apply FILE [--wait]"
 
-flags.DEFINE_bool("wait", False, "apply: wait until the change is in force everywhere.")
+flags.DEFINE_bool(
+    "wait",
+    False,
+    "apply: wait until the change is in force everywhere.",
+    flag_values=FLAGS,
+)
 
 
 @command("apply", usage=USAGE, example="apply examples/kwabena.yaml --wait")
--- a/pistachiowell/ctl/commands/get.py
+++ b/pistachiowell/ctl/commands/get.py
@@ -3,13 +3,15 @@
 from absl import flags
 
 from pistachiowell.core.errors import NotFound
-from pistachiowell.ctl.command import Result, command
+from pistachiowell.ctl.command import FLAGS, Result, command
 from pistachiowell.ctl.table_files import require_args
 from pistachiowell.tables import write_rows
 
 USAGE = "get [KIND [NAME]] [--format yaml|csv]"
 
-flags.DEFINE_enum("format", "yaml", ["yaml", "csv"], "get: format of the rows.")
+flags.DEFINE_enum(
+    "format", "yaml", ["yaml", "csv"], "get: format of the rows.", flag_values=FLAGS
+)
 
 
 @command("get", usage=USAGE, example="get route chat")
--- a/pistachiowell/ctl/main.py
+++ b/pistachiowell/ctl/main.py
@@ -1,16 +1,16 @@
 """The program ``pistachiowell-ctl``."""
 
-import functools
 import json
 import sys
 
 import anyio
-from absl import app, flags
+from absl import flags
 from loguru import logger
 
+from pistachiowell.core.commandline import EXIT_USAGE, parse_flags
 from pistachiowell.core.errors import PistachiowellError
 from pistachiowell.ctl.command import (
-    EXIT_USAGE,
+    FLAGS,
     Context,
     exit_code,
     find_command,
@@ -22,10 +22,12 @@
 DEFAULT_SETTINGS = "pistachiowell-ctl.yaml"
 
 _SETTINGS = flags.DEFINE_string(
-    "settings", DEFAULT_SETTINGS, "Path of the YAML settings file."
+    "settings", DEFAULT_SETTINGS, "Path of the YAML settings file.", flag_values=FLAGS
+)
+_JSON = flags.DEFINE_bool("json", False, "Print JSON.", flag_values=FLAGS)
+_VERBOSE = flags.DEFINE_bool(
+    "verbose", False, "Log the calls to standard error.", flag_values=FLAGS
 )
-_JSON = flags.DEFINE_bool("json", False, "Print JSON.")
-_VERBOSE = flags.DEFINE_bool("verbose", False, "Log the calls to standard error.")
 
 
 def help_text(commands):
@@ -59,7 +61,7 @@
 
 
 async def _run_with_store(words, settings):
-    context = Context(settings, flags.FLAGS)
+    context = Context(settings, FLAGS)
     try:
         return await execute(words, context)
     finally:
@@ -78,8 +80,7 @@
         print(error, file=sys.stderr)
 
 
-def _main(argv, commands):
-    words = argv[1:]
+def _main(words, commands):
     logger.remove()
     if _VERBOSE.value:
         logger.add(sys.stderr, level="DEBUG")
@@ -109,24 +110,12 @@
     return await _run_with_store(words, settings)
 
 
-def _parse_flags(argv):
-    flags.FLAGS.set_gnu_getopt(True)
-    return flags.FLAGS(argv)
-
-
 def run():
     """Starts the tool from the command line."""
     commands = load_commands()
-    try:
-        argv = _parse_flags(sys.argv)
-    except flags.Error as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-    app.run(
-        functools.partial(_main, commands=commands),
-        argv=argv[:1],
-        flags_parser=lambda _: argv,
-    )
+    FLAGS.set_gnu_getopt(True)
+    words = parse_flags(FLAGS, sys.argv, help_text(commands))
+    _main(words, commands)
 
 
 if __name__ == "__main__":
