Ask for an operator's key at /status and /events; survive faulty handlers

Events name client accounts and requests, and the HTTP port is the callers' one. A handler that raised an unforeseen error ended the task group of all links and so the process; it is now logged and answered with internal_fault. Retry-After is rounded up, so that nobody is told to come back too early.

--- a/pistachiowell/router/api.py
+++ b/pistachiowell/router/api.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import math
 
 import anyio
 
@@ -18,6 +19,7 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.router.callers import (
     HeaderMap,
+    check_operator,
     find_account,
     parse_request,
     read_body,
@@ -70,11 +72,15 @@
 
     async def _route(self, scope, receive, responder):
         path = scope["path"]
-        if path in ("/healthz", "/readyz", "/status", "/events"):
+        if path in ("/healthz", "/readyz"):
             await self._probe(path, responder)
             return
         settings = self._runtime.settings
         headers = HeaderMap(scope["headers"], settings.max_header_bytes)
+        if path in ("/status", "/events"):
+            check_operator(settings, headers)
+            await self._report(path, responder)
+            return
         account = find_account(self._rows.table, headers)
         if path == "/v1/models":
             await self._list_models(scope, responder)
@@ -128,13 +134,15 @@
     async def _probe(self, path, responder):
         if path == "/healthz":
             await responder.send_json(200, {"status": "ok"})
-        elif path == "/readyz":
-            if self._runtime.leaving:
-                raise Leaving("The router is leaving.")
-            if not self._rows.ready:
-                raise Leaving("The router has no table yet.")
-            await responder.send_json(200, {"status": "ready"})
-        elif path == "/status":
+            return
+        if self._runtime.leaving:
+            raise Leaving("The router is leaving.")
+        if not self._rows.ready:
+            raise Leaving("The router has no table yet.")
+        await responder.send_json(200, {"status": "ready"})
+
+    async def _report(self, path, responder):
+        if path == "/status":
             report = dataclasses.asdict(status_report(self._runtime))
             await responder.send_json(200, report)
         else:
@@ -209,7 +217,7 @@
         if not self._started:
             headers = [("x-request-ran", error.ran)]
             if error.retry_after_s:
-                headers.append(("retry-after", f"{max(1, round(error.retry_after_s))}"))
+                headers.append(("retry-after", str(math.ceil(error.retry_after_s))))
             await self.send_whole(error.http_status, "application/json", data, headers)
         elif self._content_type.startswith(EVENT_STREAM):
             await self.write(b"data: " + data + b"\n\n")
--- a/pistachiowell/router/callers.py
+++ b/pistachiowell/router/callers.py
@@ -101,16 +101,33 @@
     Raises:
         Unauthorized: There is no such key.
     """
-    scheme, _, key = headers.get("authorization").partition(" ")
-    if scheme.lower() != "bearer" or not key:
-        raise Unauthorized("No API key was sent.")
-    digest = hashlib.sha256(key.strip().encode("latin-1")).hexdigest()
-    account = table.account_of_key(digest)
+    account = table.account_of_key(_key_hash(headers))
     if account is None:
         raise Unauthorized("The API key is not known.")
     return account
 
 
+def check_operator(settings, headers):
+    """Checks that a request bears an operator's key.
+
+    Args:
+        settings: Settings with ``operator_key_hashes``.
+        headers: A ``HeaderMap``.
+
+    Raises:
+        Unauthorized: The key is not one of an operator.
+    """
+    if _key_hash(headers) not in settings.operator_key_hashes:
+        raise Unauthorized("The key is not one of an operator.")
+
+
+def _key_hash(headers):
+    scheme, _, key = headers.get("authorization").partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        raise Unauthorized("No API key was sent.")
+    return hashlib.sha256(key.strip().encode("latin-1")).hexdigest()
+
+
 async def read_body(receive, max_bytes):
     """Reads the whole body.
 
--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -241,6 +241,10 @@
             return await handler(self, message)
         except PistachiowellError as error:
             return Failure(str(error.code), error.message)
+        except Exception:
+            # One faulty handler must not end the process and its other links.
+            _log.exception("The handler of {} failed.", type(message).__name__)
+            return Failure("internal_fault", "A handler failed.")
 
 
 class _Waiter:
--- a/pistachiowell/wire/tests/test_link.py
+++ b/pistachiowell/wire/tests/test_link.py
@@ -30,6 +30,8 @@
             return Pong(table_revision=7)
         if message.table_revision == 2:
             raise Overloaded("Full.")
+        if message.table_revision == 5:
+            raise ValueError("a fault")
         if message.table_revision == 3:
             link.close()
         await anyio.sleep_forever()
@@ -51,6 +53,7 @@
         async with connect("127.0.0.1", port, hello("a"), Handlers(), clock) as link:
             assert (await link.call(Ping(1), 5)).table_revision == 7
             assert await link.call(Ping(2), 5) == Failure("overloaded", "Full.")
+            assert (await link.call(Ping(5), 5)).code == "internal_fault"
             with pytest.raises(LinkTimeout):
                 await link.call(Ping(4), 0.01)
             with pytest.raises(LinkLost):
