--- a/pistachiowell/router/tests/test_api.py
+++ b/pistachiowell/router/tests/test_api.py
@@ -101,6 +101,7 @@
         2,
         "http://x",
         max_body_bytes=2000,
+        operator_key_hashes=[hashlib.sha256(b"operator").hexdigest()],
     )
     return Runtime("router", settings, None)
 
