--- a/conftest.py
+++ b/conftest.py
@@ -15,6 +15,8 @@
 )
 settings.load_profile("ci")
 
+pytest_plugins = ["pistachiowell.bench.fixtures"]
+
 _KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
 
 
--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -133,7 +133,7 @@
             incarnation=self._runtime.incarnation,
             data_centre=settings.data_centre,
             host=settings.host,
-            port=settings.port,
+            port=settings.advertised_port or settings.port,
             server=settings.server,
         )
 
--- a/pistachiowell/bench/__init__.py
+++ b/pistachiowell/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Bench of the router fleet."""
+"""Tools that run, load and measure the real programs on one machine."""
--- /dev/null
+++ b/pistachiowell/bench/processes.py
@@ -0,0 +1,97 @@
+"""Programs started as separate processes."""
+
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+STOP_TIMEOUT_S = 20.0
+LOG_TAIL_LINES = 40
+
+
+class Process:
+    """One program, started and ended by its process id.
+
+    Args:
+        name: Name of the process in the rig.
+        module: Module that is run.
+        arguments: Command line after the module.
+        log_path: File that receives standard output and error.
+    """
+
+    __slots__ = ("_arguments", "_child", "_frozen", "_module", "log_path", "name")
+
+    def __init__(self, name, module, arguments, log_path):
+        self.name = name
+        self.log_path = Path(log_path)
+        self._module = module
+        self._arguments = [str(argument) for argument in arguments]
+        self._child = None
+        self._frozen = False
+
+    @property
+    def pid(self):
+        """Process id, or None before the start."""
+        return self._child.pid if self._child else None
+
+    @property
+    def running(self):
+        """Whether the process has been started and has not ended."""
+        return self._child is not None and self._child.poll() is None
+
+    @property
+    def exit_code(self):
+        """Exit code, or None while it runs."""
+        return self._child.poll() if self._child else None
+
+    def start(self):
+        """Starts the program."""
+        command = [sys.executable, "-m", self._module, *self._arguments]
+        with self.log_path.open("ab") as log:
+            self._child = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+        self._frozen = False
+
+    def freeze(self):
+        """Pauses the process with SIGSTOP."""
+        self._child.send_signal(signal.SIGSTOP)
+        self._frozen = True
+
+    def thaw(self):
+        """Lets a paused process go on."""
+        self._child.send_signal(signal.SIGCONT)
+        self._frozen = False
+
+    def kill(self):
+        """Ends the process at once, also a paused one."""
+        if self.running:
+            self._child.kill()
+            self._child.wait()
+
+    def terminate(self):
+        """Asks the process to shut down gracefully, and returns at once."""
+        if self.running:
+            self._child.terminate()
+
+    def stop(self, timeout_s=STOP_TIMEOUT_S):
+        """Shuts the process down and kills it if that takes too long.
+
+        Returns:
+            The exit code.
+        """
+        if self._frozen:
+            self.kill()
+        self.terminate()
+        try:
+            self._child.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+        return self._child.returncode
+
+    def log_tail(self, lines=LOG_TAIL_LINES):
+        """Returns the last lines of the log."""
+        if not self.log_path.exists():
+            return ""
+        text = self.log_path.read_text(encoding="utf-8", errors="replace")
+        return "\n".join(text.splitlines()[-lines:])
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -130,7 +130,7 @@
             incarnation=self._runtime.incarnation,
             data_centre=settings.data_centre,
             peer_host=settings.peer_host,
-            peer_port=settings.peer_port,
+            peer_port=settings.advertised_port or settings.peer_port,
             http_host=settings.http_host,
             http_port=settings.http_port,
         )
--- a/pistachiowell/standins/relay.py
+++ b/pistachiowell/standins/relay.py
@@ -1,6 +1,7 @@
 """Link stand-in: passes TCP connections on, with delays, cuts and stalls.
 
-``POST /control`` on the control port sets the ``LinkState``. A one-way drop holds
+``POST /control/<link>`` on the control port sets the ``LinkState`` of one link; the
+link of ``--listen`` and ``--target`` is called ``main``. A one-way drop holds
 the bytes of that direction back until it ends, as TCP would retransmit them.
 
 Examples:
@@ -20,6 +21,7 @@
 from pistachiowell.standins import asgi
 from pistachiowell.wire.codec import FrameReader
 
+MAIN_LINK = "main"
 READ_BYTES = 65536
 _ENDS = (
     anyio.EndOfStream,
@@ -91,15 +93,18 @@
         self._changed = anyio.Event()
         self._connections = set()
 
-    async def __call__(self, scope, receive, send):
-        """Answers a request on the control port."""
-        body = await asgi.read_body(receive)
-        if scope["method"] == "POST":
-            self._set(msgspec.json.decode(body, type=LinkState))
-        document = {"state": self._state, "connections": len(self._connections)}
-        await asgi.send_json(send, 200, document)
+    @property
+    def state(self):
+        """The ``LinkState``."""
+        return self._state
 
-    def _set(self, state):
+    @property
+    def connections(self):
+        """Number of connections."""
+        return len(self._connections)
+
+    def set_state(self, state):
+        """Sets the ``LinkState``, also of the connections that are open."""
         self._state = state
         self._changed.set()
         self._changed = anyio.Event()
@@ -162,30 +167,84 @@
         return self._state.drop_up if up else self._state.drop_down
 
 
+class RelayControl:
+    """The ASGI application of the control port.
+
+    Args:
+        relays: ``Relay`` by name of the link.
+    """
+
+    __slots__ = ("_relays",)
+
+    def __init__(self, relays):
+        self._relays = relays
+
+    async def __call__(self, scope, receive, send):
+        """Answers one HTTP request."""
+        name = scope["path"].removeprefix("/control").strip("/") or MAIN_LINK
+        body = await asgi.read_body(receive)
+        relay = self._relays.get(name)
+        if relay is None:
+            await asgi.send_error(send, 404, f"No link {name}.")
+            return
+        if scope["method"] == "POST":
+            relay.set_state(msgspec.json.decode(body, type=LinkState))
+        document = {"state": relay.state, "connections": relay.connections}
+        await asgi.send_json(send, 200, document)
+
+
 def define_flags():
     """Returns the flags of the program."""
     values = flags.FlagValues()
-    define = {"flag_values": values, "required": True}
+    define = {"flag_values": values}
     flags.DEFINE_integer("listen", None, "TCP port to listen on.", **define)
-    flags.DEFINE_integer("control", None, "TCP port of the control API.", **define)
     flags.DEFINE_string("target", None, "HOST:PORT to pass on to.", **define)
+    flags.DEFINE_multi_string(
+        "link", [], "Further link as NAME=LISTEN:HOST:PORT.", **define
+    )
+    flags.DEFINE_integer(
+        "control", None, "TCP port of the control API.", required=True, **define
+    )
     return values
 
 
+def read_links(settings):
+    """Returns ``(listen, host, port)`` by name of the link.
+
+    Args:
+        settings: Flag values; see ``define_flags``.
+
+    Examples:
+        >>> settings = define_flags()
+        >>> command = ["relay", "--control=1", "--listen=2", "--target=127.0.0.1:3"]
+        >>> _ = settings([*command, "--link=a=4:127.0.0.1:5"])
+        >>> read_links(settings)
+        {'main': (2, '127.0.0.1', 3), 'a': (4, '127.0.0.1', 5)}
+    """
+    texts = [f"{MAIN_LINK}={settings.listen}:{settings.target}"]
+    links = {}
+    for text in [*(texts if settings.target else []), *settings.link]:
+        name, address = text.split("=")
+        listen, host, port = address.split(":")
+        links[name] = (int(listen), host, int(port))
+    return links
+
+
 async def serve(settings):
     """Runs the relay until a signal ends it.
 
     Args:
         settings: Flag values; see ``define_flags``.
     """
-    host, port = settings.target.rsplit(":", 1)
-    relay = Relay(host, int(port))
-    listener = await anyio.create_tcp_listener(
-        local_host="127.0.0.1", local_port=settings.listen
-    )
+    relays = {}
     async with anyio.create_task_group() as group:
-        group.start_soon(listener.serve, relay.accept)
-        await asgi.serve_app(relay, settings.control)
+        for name, (listen, host, port) in read_links(settings).items():
+            relays[name] = Relay(host, port)
+            listener = await anyio.create_tcp_listener(
+                local_host="127.0.0.1", local_port=listen
+            )
+            group.start_soon(listener.serve, relays[name].accept)
+        await asgi.serve_app(RelayControl(relays), settings.control)
         group.cancel_scope.cancel()
 
 
