--- a/pistachiowell/bench/rig.py
+++ b/pistachiowell/bench/rig.py
@@ -4,10 +4,13 @@
 """
 
 import itertools
+import subprocess
+import sys
 import tempfile
 import time
 from pathlib import Path
 
+import msgspec
 import yaml
 
 from pistachiowell.bench.client import call
@@ -27,9 +30,14 @@
 STORE = "store"
 RELAY = "relay"
 OPERATOR = "rig"
+CTL_TIMEOUT_S = 60.0
 
 
-class RigTimeoutError(AssertionError):
+class RigError(AssertionError):
+    """A step of the rig failed."""
+
+
+class RigTimeoutError(RigError):
     """A state that was waited for did not come."""
 
 
@@ -289,16 +297,42 @@
         urls = {spec.name: self.url(spec.name) for spec in self.plan.servers}
         return server_rows(self.plan, urls)
 
-    def apply(self, rows):
-        """Writes rows into the store as accepted rows.
+    def ctl(self, *words):
+        """Runs ``pistachiowell-ctl`` with JSON output.
+
+        Args:
+            *words: Command line after the settings.
+
+        Returns:
+            ``(exit code, document)``; the document is None without output.
+        """
+        module = "pistachiowell.ctl.main"
+        settings = self.directory / "ctl.yaml"
+        head = [sys.executable, "-m", module, f"--settings={settings}", "--json"]
+        command = [*head, *[str(word) for word in words]]
+        done = subprocess.run(command, capture_output=True, timeout=CTL_TIMEOUT_S)
+        with (self.directory / "ctl.log").open("ab") as log:
+            log.write(b" ".join(word.encode() for word in command[5:]) + b"\n")
+            log.write(done.stdout + done.stderr)
+        document = msgspec.json.decode(done.stdout) if done.stdout.strip() else None
+        return done.returncode, document
+
+    def apply(self, rows, *, wait=False):
+        """Applies rows of the operators' table with ``ctl apply``.
 
         Args:
             rows: Rows as mappings.
+            wait: Whether to wait until they are in force everywhere.
+
+        Returns:
+            The document that ``ctl`` printed.
         """
-        for row in rows:
-            name = f"{row['kind']}-{row['name']}"
-            stored = {"row_version": 1, "row": row, "author": OPERATOR}
-            self._put_object("rows", name, lambda old, new=stored: _bumped(old, new))
+        path = self.directory / f"table-{next(self._numbers)}.yaml"
+        path.write_text(yaml.safe_dump({"rows": list(rows)}), encoding="utf-8")
+        code, document = self.ctl("apply", path, *(["--wait"] if wait else []))
+        if code:
+            raise RigError(f"ctl apply ended with {code}: {document}\n{self.logs()}")
+        return document
 
     def credit(self, account, tokens):
         """Adds tokens to the budget of a client account."""
@@ -424,9 +458,3 @@
             parts.append(f"--- {process.name} ({state}, {process.log_path})")
             parts.append(process.log_tail())
         return "\n".join(parts)
-
-
-def _bumped(old, new):
-    if old is None:
-        return new
-    return {**new, "row_version": old["row_version"] + 1}
