--- a/pistachiowell/bench/plan.py
+++ b/pistachiowell/bench/plan.py
@@ -85,7 +85,8 @@
 
 
 def _versions(plan):
-    names = {spec.version: spec.service for spec in plan.servers}
+    names = {"chat-1": MODEL, "chat-2": MODEL, "stock-1": PLAIN}
+    names.update({spec.version: spec.service for spec in plan.servers})
     return [
         {
             "kind": "version",
--- a/pistachiowell/bench/rig.py
+++ b/pistachiowell/bench/rig.py
@@ -13,7 +13,7 @@
 import msgspec
 import yaml
 
-from pistachiowell.bench.client import call
+from pistachiowell.bench.client import TIMEOUT_S, call
 from pistachiowell.bench.plan import (
     MODEL,
     RigPlan,
@@ -382,7 +382,17 @@
         """Returns the status report of a router."""
         return call(self.url(router) + "/status", timeout_s=5.0).document
 
-    def chat(self, prompt, *, router=None, account=None, model="chat", **fields):
+    def chat(
+        self,
+        prompt,
+        *,
+        router=None,
+        account=None,
+        model="chat",
+        headers=None,
+        timeout_s=TIMEOUT_S,
+        **fields,
+    ):
         """Sends one chat request.
 
         Args:
@@ -391,6 +401,8 @@
             router: Name of the router; the first one if None.
             account: Client account; the first one if None.
             model: Name of the route.
+            headers: Mapping of further headers.
+            timeout_s: Longest silence of the router in seconds.
             **fields: Further fields of the request's body.
 
         Returns:
@@ -398,7 +410,8 @@
         """
         messages = [{"role": "user", "content": prompt}]
         document = {"model": model, "messages": messages, **fields}
-        return self.send("/v1/chat/completions", document, router, account)
+        path = "/v1/chat/completions"
+        return self.send(path, document, router, account, headers, timeout_s)
 
     def service(self, path, document, key="", *, router=None, account=None):
         """Calls a plain service.
@@ -416,12 +429,21 @@
         headers = {"idempotency-key": key} if key else {}
         return self.send(f"/services/{path}", document, router, account, headers)
 
-    def send(self, path, document, router=None, account=None, headers=None):
+    def send(
+        self,
+        path,
+        document,
+        router=None,
+        account=None,
+        headers=None,
+        timeout_s=TIMEOUT_S,
+    ):
         """Sends a caller's request to a router; see ``chat``."""
         account = account or self.plan.accounts[0][0]
         authorization = {"authorization": f"Bearer {api_key(account)}"}
         url = self.url(router or self.routers[0]) + path
-        return call(url, document, headers={**authorization, **(headers or {})})
+        all_headers = {**authorization, **(headers or {})}
+        return call(url, document, headers=all_headers, timeout_s=timeout_s)
 
     def runs(self, key):
         """Returns how often the plain services ran a call with a key."""
