--- a/pistachiowell/bench/rig.py
+++ b/pistachiowell/bench/rig.py
@@ -19,6 +19,7 @@
     RigPlan,
     api_key,
     default_rows,
+    key_hash,
     server_rows,
 )
 from pistachiowell.bench.ports import free_port
@@ -30,7 +31,9 @@
 STORE = "store"
 RELAY = "relay"
 OPERATOR = "rig"
+OPERATOR_KEY = "key-operator"
 CTL_TIMEOUT_S = 60.0
+REPORT_TIMEOUT_S = 5.0
 
 
 class RigError(AssertionError):
@@ -123,10 +126,14 @@
             process.kill()
 
     def wait_ready(self):
-        """Waits until each router that runs is linked to each agent that runs."""
+        """Waits until what runs serves, and each router is linked to each agent."""
         self.wait_until(self._ready, "All routers are linked to all agents.")
 
     def _ready(self):
+        servers = [spec.name for spec in self.plan.servers]
+        up = [name for name in servers if self.processes[name].running]
+        if any(call(self.url(name) + "/load").status != 200 for name in up):
+            return False
         running = [name for name in self.routers if self.processes[name].running]
         agents = {name for name in self.agents if self.processes[name].running}
         return all(self._router_ready(name, agents) for name in running)
@@ -163,6 +170,7 @@
                 "http_port": self._port(name),
                 "peer_host": "127.0.0.1",
                 "peer_port": self._port(f"{name}-peer"),
+                "operator_key_hashes": [key_hash(OPERATOR_KEY)],
                 **dict(self.plan.router_settings),
             }
             self._add_program(name, "router", data_centre, settings)
@@ -375,12 +383,17 @@
 
     def events(self, router):
         """Returns the latest events of a router, oldest first."""
-        reply = call(self.url(router) + "/events", timeout_s=5.0)
+        reply = self._report(router, "/events")
         return reply.document["events"] if reply.status == 200 else []
 
     def status(self, router):
         """Returns the status report of a router."""
-        return call(self.url(router) + "/status", timeout_s=5.0).document
+        return self._report(router, "/status").document
+
+    def _report(self, router, path):
+        headers = {"authorization": f"Bearer {OPERATOR_KEY}"}
+        url = self.url(router) + path
+        return call(url, headers=headers, timeout_s=REPORT_TIMEOUT_S)
 
     def chat(
         self,
