Offer mutual TLS on the links between processes

Without it anybody who reaches an agent's port can run requests past the budgets. The files are read again when they change. connect() no longer wraps what its body raises into an exception group; callers that catch LinkLost around it missed it.

--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -16,7 +16,7 @@
 from pistachiowell.schema.generated.messages_requests import LoadReport
 from pistachiowell.schema.generated.objects_membership import AgentRecord
 from pistachiowell.schema.generated.settings import AgentSettings
-from pistachiowell.wire import Handlers, serve
+from pistachiowell.wire import Handlers, LinkTls, serve
 from pistachiowell.wire.status import register_status_handlers
 
 LOAD_INTERVAL_S = 0.2
@@ -37,6 +37,7 @@
 
     def __init__(self, settings, store):
         self._runtime = Runtime("agent", settings, store)
+        self._runtime.tls = LinkTls.from_settings(settings)
         self._handlers = Handlers()
         register_status_handlers(self._handlers, self._runtime)
         self._rows = Rows(self._runtime, self._handlers)
@@ -48,6 +49,8 @@
         """Runs until a signal comes and the requests in progress have ended."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._rows.run)
+            if self._runtime.tls is not None:
+                group.start_soon(self._runtime.tls.keep_fresh)
             row = await self._server_row()
             backend = HttpBackend(row.url)
             self._gate = Gate(self._runtime, row.slots)
@@ -99,6 +102,7 @@
             self._runtime.hello,
             self._handlers,
             self._runtime.clock,
+            tls=self._runtime.tls,
             on_link=self._add_link,
             task_status=task_status,
         )
--- a/pistachiowell/core/runtime.py
+++ b/pistachiowell/core/runtime.py
@@ -18,6 +18,7 @@
         store: The platform's store; see ``pistachiowell.platform.Store``.
 
     Attributes:
+        tls: The ``LinkTls`` of the links; None without TLS.
         leaving: Whether the process has begun to leave.
         table_revision: Function that returns the revision of the table in force.
     """
@@ -31,6 +32,7 @@
         "_store",
         "leaving",
         "table_revision",
+        "tls",
     )
 
     def __init__(self, role, settings, store):
@@ -46,6 +48,7 @@
             incarnation=new_id(role),
             data_centre=settings.data_centre,
         )
+        self.tls = None
         self.leaving = False
         self.table_revision = lambda: 0
         self._events.add(EventKind.process_started, text=self.incarnation)
--- a/pistachiowell/ctl/command.py
+++ b/pistachiowell/ctl/command.py
@@ -29,7 +29,7 @@
 from pistachiowell.platform.http import HttpStore
 from pistachiowell.platform.table_writer import TableWriter
 from pistachiowell.schema.generated.messages_requests import Hello
-from pistachiowell.wire import Handlers, connect
+from pistachiowell.wire import Handlers, LinkTls, connect
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -145,7 +145,13 @@
         hello = Hello("ctl", self._settings.operator, new_id("ctl"), "")
         clock = HybridClock(_wall_ns)
         async with connect(
-            host, port, hello, Handlers(), clock, timeout_s=timeout_s
+            host,
+            port,
+            hello,
+            Handlers(),
+            clock,
+            tls=LinkTls.from_settings(self._settings),
+            timeout_s=timeout_s,
         ) as link:
             return await link.call(message, timeout_s)
 
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -110,7 +110,12 @@
         port = record.port if isinstance(record, AgentRecord) else record.peer_port
         runtime = self._runtime
         async with connect(
-            host, port, runtime.hello, self._handlers, runtime.clock
+            host,
+            port,
+            runtime.hello,
+            self._handlers,
+            runtime.clock,
+            tls=runtime.tls,
         ) as link:
             peer.link = link
             runtime.events.add(EventKind.peer_connected, text=record.id)
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -23,7 +23,7 @@
 from pistachiowell.router.spending import Spending
 from pistachiowell.schema.generated.objects_membership import RouterRecord
 from pistachiowell.schema.generated.settings import RouterSettings
-from pistachiowell.wire import Handlers, serve
+from pistachiowell.wire import Handlers, LinkTls, serve
 from pistachiowell.wire.status import register_status_handlers
 
 _log = part_logger("router")
@@ -57,6 +57,7 @@
 
     def __init__(self, settings, store):
         self._runtime = Runtime("router", settings, store)
+        self._runtime.tls = LinkTls.from_settings(settings)
         self._handlers = Handlers()
         register_status_handlers(self._handlers, self._runtime)
         self._fleet = Fleet(self._runtime, self._handlers)
@@ -93,6 +94,8 @@
         async with anyio.create_task_group() as group:
             await group.start(self._serve_peers)
             group.start_soon(self._rows.run)
+            if self._runtime.tls is not None:
+                group.start_soon(self._runtime.tls.keep_fresh)
             group.start_soon(self._fleet.run)
             group.start_soon(self._journal.run)
             record = self._record()
@@ -113,6 +116,7 @@
             self._runtime.hello,
             self._handlers,
             self._runtime.clock,
+            tls=self._runtime.tls,
             task_status=task_status,
         )
 
--- a/pistachiowell/wire/__init__.py
+++ b/pistachiowell/wire/__init__.py
@@ -2,12 +2,14 @@
 
 from pistachiowell.wire.codec import Frame, FrameReader, encode_frame
 from pistachiowell.wire.link import Handlers, Link, connect, serve
+from pistachiowell.wire.tls import LinkTls
 
 __all__ = [
     "Frame",
     "FrameReader",
     "Handlers",
     "Link",
+    "LinkTls",
     "connect",
     "encode_frame",
     "serve",
--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -1,9 +1,11 @@
 """Links: typed messages and calls over one TCP stream."""
 
 import itertools
+import ssl
 from contextlib import asynccontextmanager
 
 import anyio
+from anyio.streams.tls import TLSListener, TLSStream
 
 from pistachiowell.core.errors import LinkLost, LinkTimeout, PistachiowellError
 from pistachiowell.core.logs import part_logger
@@ -256,7 +258,7 @@
 
 
 @asynccontextmanager
-async def connect(host, port, hello, handlers, clock, *, timeout_s=2.0):
+async def connect(host, port, hello, handlers, clock, *, tls=None, timeout_s=2.0):
     """Opens a link to a peer and runs it inside the context.
 
     Args:
@@ -265,6 +267,7 @@
         hello: The ``Hello`` of this process.
         handlers: A ``Handlers``.
         clock: The process's ``HybridClock``.
+        tls: A ``LinkTls``; None for a link without TLS.
         timeout_s: Longest wait for the connection in seconds.
 
     Raises:
@@ -272,21 +275,38 @@
     """
     try:
         with anyio.fail_after(timeout_s):
-            stream = await anyio.connect_tcp(host, port)
-    except (OSError, TimeoutError) as error:
+            stream = await _open_stream(host, port, tls)
+    except (OSError, TimeoutError, ssl.SSLError, anyio.BrokenResourceError) as error:
         raise LinkLost(f"No connection to {host}:{port}: {error}.") from error
     link = Link(stream, handlers, clock)
     link.send(hello)
+    failure = None
     async with anyio.create_task_group() as group:
         group.start_soon(link.run)
         try:
             yield link
+        except Exception as error:
+            # Raised below, so that the group does not wrap it.
+            failure = error
         finally:
             link.close()
             group.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
 
 
-async def serve(host, port, hello, handlers, clock, *, on_link=None, task_status):
+async def _open_stream(host, port, tls):
+    stream = await anyio.connect_tcp(host, port)
+    if tls is None:
+        return stream
+    return await TLSStream.wrap(
+        stream, server_side=False, ssl_context=tls.client, standard_compatible=False
+    )
+
+
+async def serve(
+    host, port, hello, handlers, clock, *, tls=None, on_link=None, task_status
+):
     """Accepts links until cancelled.
 
     Args:
@@ -295,6 +315,7 @@
         hello: The ``Hello`` of this process, sent on every link.
         handlers: A ``Handlers``.
         clock: The process's ``HybridClock``.
+        tls: A ``LinkTls``; None for links without TLS.
         on_link: Function that is called with each new ``Link``.
         task_status: Tells anyio's ``TaskGroup.start`` that the port is open.
     """
@@ -307,5 +328,7 @@
         await link.run()
 
     listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    if tls is not None:
+        listener = TLSListener(listener, tls.server, standard_compatible=False)
     task_status.started()
     await listener.serve(accept)
