--- a/pistachiowell/platform/table_writer.py
+++ b/pistachiowell/platform/table_writer.py
@@ -80,7 +80,7 @@
             OutcomeUnresolved: The store did not answer in time after a write.
             StoreUnavailable: The store did not answer; nothing was written.
         """
-        attempt = _Attempt(self, change)
+        attempt = ChangeAttempt(self, change)
         with anyio.move_on_after(self._retry_timeout_s):
             while True:
                 try:
@@ -122,7 +122,18 @@
                 _log.debug("Another writer wrote row {} first.", key)
 
 
-class _Attempt:
+class ChangeAttempt:
+    """One change on its way into the store, over as many tries as it takes.
+
+    Args:
+        writer: The ``TableWriter``.
+        change: The ``Change``.
+
+    Attributes:
+        in_doubt: Whether a write of the head was left without an answer.
+        last_error: Latest error of the store.
+    """
+
     __slots__ = ("_change", "_first_seen", "_writer", "in_doubt", "last_error")
 
     def __init__(self, writer, change):
@@ -133,6 +144,16 @@
         self.last_error = None
 
     async def run(self):
+        """Tries once.
+
+        Returns:
+            An ``Outcome``.
+
+        Raises:
+            RowInvalid: The change was rejected and never takes effect.
+            RowConflict: Another operator was first; the change never takes effect.
+            PistachiowellError: One of ``STORE_ERRORS``; try again.
+        """
         writer = self._writer
         read = await writer._read()
         snapshot = read.snapshot
--- a/pistachiowell/tables/table.py
+++ b/pistachiowell/tables/table.py
@@ -2,8 +2,6 @@
 
 from pistachiowell.tables.rows import ROW_CLASSES, row_key, to_row
 
-MAX_REPORT_ROWS = 2000
-
 
 class Table:
     """Rows in memory, with lookups; each row only ever gets newer.
@@ -147,22 +145,17 @@
         """Returns the ``StoredRow`` of a key, deleted ones included, or None."""
         return self._stored.get(key)
 
-    def rows_after(self, revision, limit=MAX_REPORT_ROWS):
+    def rows_after(self, revision):
         """Returns the rows that changed after a revision.
 
-        Rows of one revision stay together, so that the receiver takes whole changes.
+        The answer is never cut: a part of it could miss rows that a later change has
+        overwritten, so that the receiver would hold a table that never was.
 
         Args:
             revision: Revision of the receiver.
-            limit: Number of rows after which no further revision is begun.
 
         Returns:
             ``(stored_rows, through)`` as ``take`` wants them.
         """
         newer = [s for s in self._stored.values() if s.revision > revision]
-        newer.sort(key=lambda stored: stored.revision)
-        if len(newer) <= limit:
-            return newer, self._revision
-        last = newer[limit - 1].revision
-        chosen = [stored for stored in newer if stored.revision <= last]
-        return chosen, min(last, self._revision)
+        return newer, self._revision
