--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -39,8 +39,13 @@
         self._runtime = Runtime("agent", settings, store)
         self._handlers = Handlers()
         register_status_handlers(self._handlers, self._runtime)
-        self._rows = Rows(self._runtime, self._handlers)
         self._links = set()
+        self._rows = Rows(
+            self._runtime,
+            self._handlers,
+            links=lambda: self._links,
+            watches=lambda: False,
+        )
         self._gate = None
         self._runner = None
 
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -1,5 +1,6 @@
 """The program ``pistachiowell-router``."""
 
+import functools
 import random
 from contextlib import nullcontext
 
@@ -18,7 +19,7 @@
 from pistachiowell.router.fleet import Fleet
 from pistachiowell.router.http_protocol import bounded_protocol
 from pistachiowell.router.journal import Journal
-from pistachiowell.router.rows import Rows
+from pistachiowell.router.rows import Rows, fleet_links, watches_for_data_centre
 from pistachiowell.router.service import RequestService
 from pistachiowell.router.spending import Spending
 from pistachiowell.schema.generated.objects_membership import RouterRecord
@@ -60,7 +61,14 @@
         self._handlers = Handlers()
         register_status_handlers(self._handlers, self._runtime)
         self._fleet = Fleet(self._runtime, self._handlers)
-        self._rows = Rows(self._runtime, self._handlers)
+        self._rows = Rows(
+            self._runtime,
+            self._handlers,
+            links=functools.partial(fleet_links, self._fleet),
+            watches=functools.partial(
+                watches_for_data_centre, self._runtime, self._fleet
+            ),
+        )
         self._journal = Journal(self._runtime)
         dispatch = Dispatch(
             self._runtime, self._fleet, self._rows, self._handlers, random.Random()
--- a/pistachiowell/router/rows.py
+++ b/pistachiowell/router/rows.py
@@ -14,7 +14,7 @@
     RowsReport,
 )
 from pistachiowell.schema.generated.table import StoredRow
-from pistachiowell.tables import HEAD_NAME, ROWS, Table
+from pistachiowell.tables import HEAD_NAME, ROWS, Table, is_watcher
 from pistachiowell.tables.rows import decode_head, decode_row, head_rows
 
 RETRY_DELAY_S = 0.3
@@ -26,6 +26,28 @@
 _log = part_logger("table")
 
 
+def fleet_links(fleet):
+    """Returns the links to all processes of a ``Fleet``."""
+    peers = [*fleet.agents.values(), *fleet.routers.values()]
+    return [peer.link for peer in peers if peer.link is not None]
+
+
+def watches_for_data_centre(runtime, fleet):
+    """Tells whether this router watches the table for its data centre.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        fleet: The ``Fleet``; its usable routers count as alive.
+    """
+    settings = runtime.settings
+    neighbours = [
+        name
+        for name, peer in fleet.routers.items()
+        if peer.usable and peer.record.data_centre == settings.data_centre
+    ]
+    return is_watcher(settings.id, neighbours)
+
+
 class Rows:
     """The table of one process, kept up to date.
 
@@ -96,6 +118,7 @@
                 self._ready = not self._table.behind
             except STORE_ERRORS as error:
                 _log.warning("The table is not available: {}", error)
+                self._ready = self._table.revision > 0 and not self._table.behind
             if not self._ready:
                 await anyio.sleep(RETRY_DELAY_S)
 
