--- a/pistachiowell/agent/runner.py
+++ b/pistachiowell/agent/runner.py
@@ -14,6 +14,7 @@
     PistachiowellError,
     ServerFailed,
 )
+from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
 from pistachiowell.schema.generated.messages_requests import (
     AnswerChunk,
@@ -138,6 +139,12 @@
         key = (id(link), *run.key)
         if key not in self._runs:
             self._runs[key] = run
+            self._runtime.events.add(
+                EventKind.request_received,
+                request=request.request_id,
+                account=request.account,
+                text=f"attempt {request.attempt}",
+            )
             self._group.start_soon(self._run, key, run)
 
     async def _take_credit(self, link, message):
--- a/pistachiowell/bench/plan.py
+++ b/pistachiowell/bench/plan.py
@@ -18,6 +18,7 @@
         service: ``model`` or ``plain``.
         slots: Requests at once.
         flags: Further flags of the stand-in.
+        model: Model that an engine has loaded; that of the version's name if empty.
     """
 
     name: str
@@ -26,6 +27,7 @@
     service: str = MODEL
     slots: int = 8
     flags: tuple = ()
+    model: str = ""
 
 
 DEFAULT_SERVERS = (
@@ -50,6 +52,9 @@
             a relay, so that they can be cut and delayed.
         router_settings: Further settings of all routers.
         agent_settings: Further settings of all agents.
+        rows: Rows of the table except those of the servers; the default ones if
+            empty.
+        api_key_prefix: The API key of an account is this and its name.
     """
 
     region: str = "gh-south"
@@ -59,11 +64,8 @@
     relays: bool = False
     router_settings: tuple = ()
     agent_settings: tuple = ()
-
-
-def api_key(account):
-    """Returns the API key of a client account of a rig."""
-    return f"key-{account}"
+    rows: tuple = ()
+    api_key_prefix: str = "key-"
 
 
 def key_hash(key):
@@ -78,7 +80,11 @@
         plan: A ``RigPlan``.
     """
     accounts = [
-        {"kind": "account", "name": name, "key_hashes": [key_hash(api_key(name))]}
+        {
+            "kind": "account",
+            "name": name,
+            "key_hashes": [key_hash(plan.api_key_prefix + name)],
+        }
         for name, _ in plan.accounts
     ]
     return [*accounts, *_versions(plan), *_ROUTES]
--- a/pistachiowell/bench/rig.py
+++ b/pistachiowell/bench/rig.py
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 
 import msgspec
@@ -17,7 +18,6 @@
 from pistachiowell.bench.plan import (
     MODEL,
     RigPlan,
-    api_key,
     default_rows,
     key_hash,
     server_rows,
@@ -89,6 +89,11 @@
         """Names of the agents."""
         return [f"agent-{spec.name}" for spec in self.plan.servers]
 
+    @property
+    def operator_key(self):
+        """Key that opens ``/status`` and ``/events`` of the routers."""
+        return OPERATOR_KEY
+
     @property
     def store_url(self):
         """URL of the store, past the relay."""
@@ -98,6 +103,10 @@
         """Returns the base URL of a router or of a backend server."""
         return f"http://127.0.0.1:{self._port(name)}"
 
+    def peer_port(self, name):
+        """Returns the port on which a router or agent listens for its peers."""
+        return self._port(f"{name}-peer")
+
     def _port(self, use):
         if use not in self._ports:
             self._ports[use] = free_port()
@@ -112,12 +121,12 @@
         self._write_ctl_settings()
         self.processes[STORE].start()
         self.wait_until(lambda: call(self.store_url + "/control").status == 200)
-        self.apply([*default_rows(self.plan), *self.server_rows()])
-        for account, tokens in self.plan.accounts:
-            self.credit(account, tokens)
         for process in self.processes.values():
             if process.name != STORE:
                 process.start()
+        self.apply([*(self.plan.rows or default_rows(self.plan)), *self.server_rows()])
+        for account, tokens in self.plan.accounts:
+            self.credit(account, tokens)
         self.wait_ready()
 
     def stop(self):
@@ -157,7 +166,11 @@
         for spec in self.plan.servers:
             port = f"--port={self._port(spec.name)}"
             if spec.service == MODEL:
-                flags = [port, f"--model={spec.version}", f"--slots={spec.slots}"]
+                flags = [
+                    port,
+                    f"--model={spec.model or spec.version}",
+                    f"--slots={spec.slots}",
+                ]
                 self._add(spec.name, "standins.engine", [*flags, *spec.flags])
             else:
                 self._add(spec.name, "standins.plain", [port, *spec.flags])
@@ -376,11 +389,26 @@
                 return
 
     def objects(self, collection):
-        """Returns the values of a collection of the store by name."""
+        """Returns the values of a collection of the store by name.
+
+        Args:
+            collection: Name of the collection.
+        """
         reply = call(f"{self.store_url}{BASE_PATH}/{collection}")
         items = reply.document["items"]
         return {item["metadata"]["name"]: item["spec"] for item in items}
 
+    def bill(self):
+        """Returns the journaled tokens by client account, each request once."""
+        entries = {}
+        for journal in self.objects("journals").values():
+            for entry in journal["entries"]:
+                entries[entry["request_id"]] = entry
+        tokens = Counter()
+        for entry in entries.values():
+            tokens[entry["account"]] += entry["tokens"]
+        return dict(tokens)
+
     def events(self, router):
         """Returns the latest events of a router, oldest first."""
         reply = self._report(router, "/events")
@@ -453,7 +481,8 @@
     ):
         """Sends a caller's request to a router; see ``chat``."""
         account = account or self.plan.accounts[0][0]
-        authorization = {"authorization": f"Bearer {api_key(account)}"}
+        key = self.plan.api_key_prefix + account
+        authorization = {"authorization": f"Bearer {key}"}
         url = self.url(router or self.routers[0]) + path
         all_headers = {**authorization, **(headers or {})}
         return call(url, document, headers=all_headers, timeout_s=timeout_s)
--- a/pistachiowell/core/events.py
+++ b/pistachiowell/core/events.py
@@ -53,7 +53,12 @@
             )
         )
 
-    def latest(self, limit):
-        """Returns up to ``limit`` events, oldest first."""
-        events = list(self._events)
-        return events[-limit:] if limit else []
+    def latest(self, limit, matches=None):
+        """Returns up to ``limit`` events, oldest first.
+
+        Args:
+            limit: Largest number of events.
+            matches: Function that tells whether an event is wanted; None for all.
+        """
+        events = [e for e in self._events if matches is None or matches(e)]
+        return events[-limit:] if limit > 0 else []
--- a/pistachiowell/ctl/command.py
+++ b/pistachiowell/ctl/command.py
@@ -143,17 +143,14 @@
             LinkTimeout: No reply came in time.
         """
         hello = Hello("ctl", self._settings.operator, new_id("ctl"), "")
-        clock = HybridClock(_wall_ns)
+        # An operator's desk may have a wrong clock; it must not push the fleet's.
+        clock = HybridClock(lambda: 0)
         async with connect(
             host, port, hello, Handlers(), clock, timeout_s=timeout_s
         ) as link:
             return await link.call(message, timeout_s)
 
 
-def _wall_ns():
-    return int(now_utc().timestamp() * 1e9)
-
-
 def now_utc():
     """Returns the present time."""
     return datetime.datetime.now(datetime.UTC)
--- a/pistachiowell/wire/status.py
+++ b/pistachiowell/wire/status.py
@@ -29,10 +29,19 @@
 
     @handlers.on(EventsQuery)
     async def answer_events(link, message):
-        events = runtime.events.latest(message.limit)
+        events = runtime.events.latest(message.limit, lambda e: _matches(e, message))
         return EventsReport(events=[dataclasses.asdict(event) for event in events])
 
 
+def _matches(event, query):
+    return (
+        query.request in ("", event.request)
+        and query.account in ("", event.account)
+        and query.move in ("", event.move)
+        and query.text in event.text
+    )
+
+
 def status_report(runtime):
     """Returns the ``StatusReport`` of this process."""
     return StatusReport(
