--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -45,7 +45,7 @@
             self._runtime,
             self._handlers,
             links=lambda: self._links,
-            watches=lambda: False,
+            watches=self._lacks_row,
         )
         self._gate = None
         self._runner = None
@@ -89,6 +89,11 @@
             await self._runner.wait_idle()
         self._runtime.events.add(EventKind.process_stopped)
 
+    def _lacks_row(self):
+        # Routers learn of this agent only once it has its row, so until then no
+        # peer can pass the table on.
+        return self._rows.table.server(self._runtime.settings.server) is None
+
     async def _server_row(self):
         name = self._runtime.settings.server
         while self._rows.table.server(name) is None:
