--- a/pistachiowell/moves/__init__.py
+++ b/pistachiowell/moves/__init__.py
@@ -1,1 +1,24 @@
-"""Moves of the router fleet."""
+"""Version moves: stages, judgement, brakes, leases and orders."""
+
+from pistachiowell.moves.brake import Brake
+from pistachiowell.moves.evidence import Answer, Evidence, latency_bucket
+from pistachiowell.moves.judges import find_judge
+from pistachiowell.moves.lease import Lease
+from pistachiowell.moves.mover import EndMove, Mover, MoveStage
+from pistachiowell.moves.orders import OrderGate
+from pistachiowell.moves.permits import Permit, shares
+
+__all__ = [
+    "Answer",
+    "Brake",
+    "EndMove",
+    "Evidence",
+    "Lease",
+    "MoveStage",
+    "Mover",
+    "OrderGate",
+    "Permit",
+    "find_judge",
+    "latency_bucket",
+    "shares",
+]
