--- /dev/null
+++ b/pistachiowell/moves/tracker.py
@@ -0,0 +1,150 @@
+"""One router's part in a move: its picks, its brake and what it has to report."""
+
+from collections import defaultdict
+
+from pistachiowell.moves.brake import Brake
+from pistachiowell.moves.evidence import Answer, latency_bucket
+from pistachiowell.moves.permits import Permit, shares
+
+BEGAN_STEP_S = 0.1
+
+
+class Tracker:
+    """Picks versions of the moving route and counts their answers.
+
+    Args:
+        row: The ``MoveRow``.
+
+    Examples:
+        >>> from pistachiowell.schema.generated.table import MoveRow
+        >>> row = MoveRow("move", "m", "chat", "v1", "v2", "2026-01-01T00:00:00Z")
+        >>> tracker = Tracker(row)
+        >>> tracker.permit_share(0.0)
+        0.0
+        >>> tracker.take_permit(fence=2, share=0.2, probes=0, valid_until=3.0, now=1.0)
+        >>> tracker.take_permit(fence=1, share=0.5, probes=0, valid_until=4.0, now=1.0)
+        >>> tracker.permit_share(2.0), tracker.permit_share(3.0)
+        (0.2, 0.0)
+    """
+
+    __slots__ = ("_brake", "_counts", "_permit", "_probes", "_row", "_urgent")
+
+    def __init__(self, row):
+        self._row = row
+        self._brake = Brake()
+        self._permit = None
+        self._probes = 0
+        self._counts = defaultdict(int)
+        self._urgent = False
+
+    @property
+    def row(self):
+        """The ``MoveRow``."""
+        return self._row
+
+    @property
+    def permit(self):
+        """The ``Permit`` taken last; None before the first."""
+        return self._permit
+
+    @property
+    def is_urgent(self):
+        """Whether an answer waits that the holder should learn of at once."""
+        return self._urgent
+
+    def permit_share(self, now):
+        """Returns the share that the new version may get now, probes apart."""
+        if self._permit is None or not self._permit.is_valid(now):
+            return 0.0
+        return self._permit.share if self._brake.is_open(now) else 0.0
+
+    def pick(self, route, rng, now):
+        """Picks a version for a request.
+
+        Args:
+            route: The ``RouteRow``.
+            rng: A ``Random``.
+            now: Time in seconds.
+
+        Returns:
+            The version's name.
+        """
+        permit = self._permit
+        is_valid = permit is not None and permit.is_valid(now)
+        if is_valid and self._probes > 0:
+            self._probes -= 1
+            return self._row.new
+        if not self._brake.is_open(now):
+            permit = None
+        weights = shares(route, permit, now)
+        return rng.choices(list(weights), list(weights.values()))[0]
+
+    def note(self, version, server, data_centre, failed, began, now):
+        """Counts an answer.
+
+        Args:
+            version: The version that gave it.
+            server: Name of the backend server.
+            data_centre: Data centre of the backend server.
+            failed: Whether it failed by a fault of the server or its version.
+            began: Time at which the request began, in seconds.
+            now: Time of its end.
+
+        Returns:
+            Whether the brake has tripped by it.
+        """
+        if version not in (self._row.old, self._row.new):
+            return False
+        is_new = version == self._row.new
+        bucket = 0 if failed else latency_bucket(now - began)
+        answer = Answer(is_new, server, data_centre, failed, bucket)
+        self.add(answer, began, 1)
+        return self._brake.note(is_new, failed, now)
+
+    def add(self, answer, began, count):
+        """Adds counts, also those of another router that reports through this one."""
+        step = round(began / BEGAN_STEP_S) * BEGAN_STEP_S
+        self._counts[answer, step] += count
+        if answer.is_new and (answer.failed or self._is_probing()):
+            self._urgent = True
+
+    def take_counts(self):
+        """Returns the unreported counts and forgets them.
+
+        Returns:
+            A mapping from ``(Answer, began)`` to the number of answers.
+        """
+        counts, self._counts = self._counts, defaultdict(int)
+        self._urgent = False
+        return counts
+
+    def restore_counts(self, counts):
+        """Takes counts back whose report was lost before it was sent."""
+        for (answer, began), count in counts.items():
+            self._counts[answer, began] += count
+
+    def take_permit(self, *, fence, share, probes, valid_until, now):
+        """Takes a permit unless it is of a holder that has been replaced.
+
+        Args:
+            fence: Fencing number of the holder.
+            share: Share of the old version's weight.
+            probes: Requests beyond the share.
+            valid_until: End of the permit on this router's clock.
+            now: Time in seconds.
+        """
+        if self._permit is not None and fence < self._permit.fence:
+            return
+        row = self._row
+        self._permit = Permit(row.name, row.old, row.new, fence, share, valid_until)
+        self._probes = probes
+        if share > 0 and not self._brake.is_open(now):
+            self._brake.release()
+
+    def lend_probes(self):
+        """Hands the probes of the permit to a router that reports through this one."""
+        probes, self._probes = self._probes, 0
+        return probes
+
+    def _is_probing(self):
+        return self._permit is not None and self._permit.share == 0.0
--- /dev/null
+++ b/pistachiowell/router/holding.py
@@ -0,0 +1,244 @@
+"""Holds the lease of one move and carries its decisions out."""
+
+import datetime
+import math
+
+import anyio
+
+from pistachiowell.core.errors import PistachiowellError, RowConflict
+from pistachiowell.core.events import EventKind
+from pistachiowell.core.ids import new_id
+from pistachiowell.core.logs import part_logger
+from pistachiowell.moves import EndMove, Mover, MoveStage
+from pistachiowell.platform.table_writer import TableWriter
+from pistachiowell.router.move_store import MoveStore
+from pistachiowell.schema.generated.messages_moves import (
+    EngineOrder,
+    EngineOrderReport,
+)
+from pistachiowell.tables import Change, RowKey
+
+ORDER_TIMEOUT_S = 60.0
+ORDER_SPACING_S = 1.0
+WRITE_TIMEOUT_S = 10.0
+AUTHOR = "fleet"
+
+_log = part_logger("moves")
+
+
+class Holding:
+    """What a candidate for the lease of one move does.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        fleet: The ``Fleet``.
+        rows: The ``Rows`` with the table in force.
+        row: The ``MoveRow``.
+    """
+
+    __slots__ = (
+        "_fleet",
+        "_loading",
+        "_mover",
+        "_row",
+        "_rows",
+        "_runtime",
+        "_store",
+    )
+
+    def __init__(self, runtime, fleet, rows, row):
+        self._runtime = runtime
+        self._fleet = fleet
+        self._rows = rows
+        self._row = row
+        self._store = MoveStore(runtime, row)
+        self._mover = None
+        self._loading = False
+
+    @property
+    def mover(self):
+        """The ``Mover`` while this router holds the lease, else None."""
+        return self._mover if self._mover and self._store.is_held else None
+
+    @property
+    def holder(self):
+        """Incarnation of the holder as last read; empty if unknown."""
+        return self._store.state.holder if self._store.state else ""
+
+    @property
+    def fence(self):
+        """Fencing number as last read."""
+        return self._store.state.fence if self._store.state else 0
+
+    def is_candidate_read_due(self):
+        """Whether a candidate without the lease should read the state."""
+        return not self._store.is_held
+
+    async def step(self, group):
+        """Does what is due now; call it often.
+
+        Args:
+            group: Task group for the orders to engines.
+
+        Raises:
+            StoreUnavailable: The store does not answer; call again later.
+        """
+        if not self._store.is_held:
+            self._mover = None
+            await self._try_to_hold()
+        if self._store.is_held:
+            await self._act(group)
+
+    async def _try_to_hold(self):
+        await self._store.read()
+        state = self._store.state
+        if state is not None and state.end:
+            await self._finish_table()
+        elif await self._store.take_over():
+            self._begin()
+
+    def _begin(self):
+        state = self._store.state
+        now = self._runtime.now()
+        deadline = now + seconds_until(self._row.deadline)
+        self._mover = Mover(now, deadline, self._row.soak_s, state.stage, state.judged)
+        _log.info("Holding move {} with fence {}.", self._row.name, state.fence)
+
+    async def _act(self, group):
+        row = self._rows.table.move(self._row.name)
+        if row is not None and row.aborted:
+            self._mover.abort("Aborted by an operator.")
+        if self._mover.stage < 0 and not self._loading:
+            self._loading = True
+            group.start_soon(self._load_servers)
+        action = self._mover.tick(self._runtime.now())
+        if isinstance(action, MoveStage):
+            await self._write_stage(action)
+        elif isinstance(action, EndMove):
+            await self._write_end(action)
+        elif self._store.needs_renewal:
+            await self._store.write(judged=self._mover.judged)
+
+    async def _write_stage(self, action):
+        written = await self._store.write(stage=action.stage, judged=self._mover.judged)
+        if written:
+            self._mover.confirm(action, self._runtime.now())
+            self._runtime.events.add(
+                EventKind.move_stage,
+                move=self._row.name,
+                text=f"stage {action.stage} fence {self.fence}",
+            )
+
+    async def _write_end(self, action):
+        if not self._store.state.end:
+            written = await self._store.write(
+                end=action.end,
+                reason=action.reason,
+                evidence=action.evidence,
+                judged=self._mover.judged,
+            )
+            if not written:
+                return
+            _log.info("Move {}: {}. {}", self._row.name, action.end, action.reason)
+            self._runtime.events.add(
+                EventKind.move_ended,
+                move=self._row.name,
+                text=f"{action.end} fence {self.fence}: {action.reason}",
+            )
+        elif self._store.needs_renewal:
+            await self._store.write()
+        await self._finish_table()
+
+    async def _finish_table(self):
+        """Writes the end into the table; any candidate may do so, more than once."""
+        state = self._store.state
+        writer = TableWriter(self._runtime.store, WRITE_TIMEOUT_S)
+        try:
+            snapshot = await writer.read()
+            edits = end_edits(snapshot.documents, state)
+            if edits:
+                change = Change(new_id("change"), AUTHOR, _now_text(), edits)
+                await writer.commit(change)
+        except RowConflict as error:
+            _log.debug("The end of move {} is written again: {}", state.move, error)
+        except PistachiowellError as error:
+            _log.warning(
+                "The end of move {} is not in the table: {}", state.move, error
+            )
+
+    async def _load_servers(self):
+        """Orders the new version's engines to load it, one after the other."""
+        try:
+            servers = self._rows.table.servers_of(self._row.new)
+            accepted = 0
+            for server in servers:
+                accepted += await self._order_load(server)
+                await anyio.sleep(ORDER_SPACING_S if len(servers) > 1 else 0)
+            if accepted and self._mover is not None:
+                self._mover.set_loaded()
+        finally:
+            self._loading = False
+
+    async def _order_load(self, server):
+        version = self._rows.table.version(self._row.new)
+        if version is None:
+            return False
+        if not version.model:
+            return True
+        link = self._find_link(server.name)
+        if link is None:
+            return False
+        order = EngineOrder(
+            action="load",
+            version=version.model,
+            fence=self.fence,
+            move=self._row.name,
+            holder=self._runtime.incarnation,
+        )
+        try:
+            report = await link.call(order, ORDER_TIMEOUT_S)
+        except PistachiowellError as error:
+            _log.warning("Load order to {} failed: {}", server.name, error)
+            return False
+        return isinstance(report, EngineOrderReport) and report.accepted
+
+    def _find_link(self, server):
+        for peer in self._fleet.agents.values():
+            if peer.usable and peer.record.server == server:
+                return peer.link
+        return None
+
+
+def end_edits(documents, state):
+    """Returns the row edits that write the end of a move into the table.
+
+    Args:
+        documents: Row documents by key.
+        state: The ``MoveState`` with its end.
+
+    Returns:
+        A list of row documents; empty if the table has the end already.
+    """
+    move = documents.get(RowKey("move", state.move))
+    if move is None or move.get("end"):
+        return []
+    edits = [{**move, "end": state.end, "end_reason": state.reason}]
+    route = documents.get(RowKey("route", state.route))
+    if state.end == "done" and route is not None:
+        weights = dict(route["weights"])
+        moved = weights.pop(state.old, 0)
+        weights[state.new] = weights.get(state.new, 0) + moved
+        edits.append({**route, "weights": weights})
+    return edits
+
+
+def seconds_until(deadline):
+    """Returns the seconds from now to a time in ISO 8601."""
+    moment = datetime.datetime.fromisoformat(deadline.replace("Z", "+00:00"))
+    left_s = (moment - datetime.datetime.now(datetime.UTC)).total_seconds()
+    return max(left_s, 0.0) if math.isfinite(left_s) else 0.0
+
+
+def _now_text():
+    moment = datetime.datetime.now(datetime.UTC)
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
--- /dev/null
+++ b/pistachiowell/router/move_store.py
@@ -0,0 +1,135 @@
+"""State of one move in the platform's store, under its lease."""
+
+import dataclasses
+
+import msgspec
+
+from pistachiowell.core.errors import (
+    STORE_ERRORS,
+    StoreAnswerLost,
+    StoreConflict,
+)
+from pistachiowell.core.logs import part_logger
+from pistachiowell.moves.lease import Lease
+from pistachiowell.platform.store import ABSENT
+from pistachiowell.schema.generated.objects_moves import MoveState
+
+MOVES = "moves"
+
+_log = part_logger("moves")
+
+
+class MoveStore:
+    """Reads and writes the state of one move.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        row: The ``MoveRow``.
+    """
+
+    __slots__ = ("_lease", "_row", "_runtime", "_state")
+
+    def __init__(self, runtime, row):
+        self._runtime = runtime
+        self._row = row
+        self._lease = Lease()
+        self._state = None
+
+    @property
+    def state(self):
+        """The ``MoveState`` read or written last; None before."""
+        return self._state
+
+    @property
+    def is_held(self):
+        """Whether this router holds the lease."""
+        return self._lease.is_held(self._runtime.now())
+
+    @property
+    def needs_renewal(self):
+        """Whether the lease should be renewed."""
+        return self._lease.needs_renewal(self._runtime.now())
+
+    async def read(self):
+        """Reads the state.
+
+        Raises:
+            StoreUnavailable: The store does not answer.
+        """
+        entry = await self._runtime.store.get(MOVES, self._row.name)
+        version = ABSENT if entry is None else entry.version
+        self._lease.observe(version, self._runtime.now())
+        self._state = None
+        if entry is not None:
+            self._state = msgspec.json.decode(entry.value, type=MoveState)
+        if not self._is_of_row(self._state):
+            self._state = None
+
+    async def take_over(self):
+        """Takes the lease if nobody holds it or its holder is silent.
+
+        Returns:
+            Whether this router now holds it.
+        """
+        state = self._state
+        if state is not None and not self._lease.may_take_over(self._runtime.now()):
+            return False
+        fence = state.fence if state is not None else 0
+        base = state or self._first_state()
+        return await self._put(
+            dataclasses.replace(base, holder=self._runtime.incarnation, fence=fence + 1)
+        )
+
+    async def write(self, **fields):
+        """Writes the state with changed fields, and renews the lease.
+
+        Returns:
+            Whether the write took effect and this router holds the lease.
+        """
+        if not self.is_held:
+            return False
+        heartbeat = self._state.heartbeat + 1
+        state = dataclasses.replace(self._state, heartbeat=heartbeat, **fields)
+        return await self._put(state)
+
+    async def _put(self, state):
+        sent_at = self._runtime.now()
+        store = self._runtime.store
+        value = msgspec.json.encode(state)
+        version = self._lease.version
+        try:
+            new_version = await store.put(MOVES, self._row.name, value, version)
+        except StoreConflict:
+            self._lease.lose()
+            return False
+        except StoreAnswerLost:
+            return await self._resolve(state, sent_at)
+        except STORE_ERRORS as error:
+            _log.debug("Move {}: {}", self._row.name, error)
+            return False
+        self._lease.renewed(new_version, sent_at)
+        self._state = state
+        return True
+
+    async def _resolve(self, state, sent_at):
+        """Finds out whether a write without an answer took effect."""
+        try:
+            entry = await self._runtime.store.get(MOVES, self._row.name)
+        except STORE_ERRORS:
+            return False
+        if entry is None or msgspec.json.decode(entry.value, type=MoveState) != state:
+            return False
+        self._lease.renewed(entry.version, sent_at)
+        self._state = state
+        return True
+
+    def _first_state(self):
+        row = self._row
+        return MoveState(row.name, row.route, row.old, row.new, row.deadline)
+
+    def _is_of_row(self, state):
+        if state is None:
+            return False
+        mine = self._first_state()
+        fields = ("move", "route", "old", "new", "deadline")
+        return all(getattr(state, f) == getattr(mine, f) for f in fields)
