Route moves in the running programs: picks, reports, lease, orders and end

An agent that started before the first apply waited for ever: it watched nothing, and no router connects to an unregistered agent. A process without peers now polls the store.

--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -4,6 +4,7 @@
 
 from pistachiowell.agent.claiming import Claiming
 from pistachiowell.agent.gate import Gate
+from pistachiowell.agent.orders import Orders
 from pistachiowell.agent.runner import Runner
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
@@ -67,6 +68,7 @@
                 backend,
                 self._version,
             )
+            Orders(self._runtime, self._handlers, backend)
             await group.start(self._runner.run)
             await group.start(self._serve_routers)
             group.start_soon(self._push_load)
--- a/pistachiowell/moves/tracker.py
+++ b/pistachiowell/moves/tracker.py
@@ -27,7 +27,15 @@
         (0.2, 0.0)
     """
 
-    __slots__ = ("_brake", "_counts", "_permit", "_probes", "_row", "_urgent")
+    __slots__ = (
+        "_brake",
+        "_counts",
+        "_permit",
+        "_probes",
+        "_row",
+        "_tripped",
+        "_urgent",
+    )
 
     def __init__(self, row):
         self._row = row
@@ -36,6 +44,7 @@
         self._probes = 0
         self._counts = defaultdict(int)
         self._urgent = False
+        self._tripped = False
 
     @property
     def row(self):
@@ -89,17 +98,20 @@
             failed: Whether it failed by a fault of the server or its version.
             began: Time at which the request began, in seconds.
             now: Time of its end.
-
-        Returns:
-            Whether the brake has tripped by it.
         """
         if version not in (self._row.old, self._row.new):
-            return False
+            return
         is_new = version == self._row.new
         bucket = 0 if failed else latency_bucket(now - began)
         answer = Answer(is_new, server, data_centre, failed, bucket)
         self.add(answer, began, 1)
-        return self._brake.note(is_new, failed, now)
+        if self._brake.note(is_new, failed, now):
+            self.trip()
+
+    def trip(self):
+        """Notes that a brake has tripped, here or at a router that reports here."""
+        self._tripped = True
+        self._urgent = True
 
     def add(self, answer, began, count):
         """Adds counts, also those of another router that reports through this one."""
@@ -108,20 +120,17 @@
         if answer.is_new and (answer.failed or self._is_probing()):
             self._urgent = True
 
-    def take_counts(self):
-        """Returns the unreported counts and forgets them.
+    def take_report(self):
+        """Returns what is unreported and forgets it.
 
         Returns:
-            A mapping from ``(Answer, began)`` to the number of answers.
+            ``(counts, tripped)``: a mapping from ``(Answer, began)`` to the number of
+            answers, and whether a brake has tripped.
         """
         counts, self._counts = self._counts, defaultdict(int)
+        tripped, self._tripped = self._tripped, False
         self._urgent = False
-        return counts
-
-    def restore_counts(self, counts):
-        """Takes counts back whose report was lost before it was sent."""
-        for (answer, began), count in counts.items():
-            self._counts[answer, began] += count
+        return counts, tripped
 
     def take_permit(self, *, fence, share, probes, valid_until, now):
         """Takes a permit unless it is of a holder that has been replaced.
--- a/pistachiowell/router/dispatch.py
+++ b/pistachiowell/router/dispatch.py
@@ -1,5 +1,6 @@
 """Sends requests to agents and receives their answers."""
 
+import functools
 import math
 
 import anyio
@@ -9,6 +10,7 @@
     DeadlineExceeded,
     LinkLost,
     NoServer,
+    PistachiowellError,
     ServerFailed,
     error_class,
 )
@@ -23,6 +25,8 @@
     LoadReport,
 )
 
+FIRST_SERVER_FAULT = 500
+
 
 class Attempt:
     """The receiving end of one attempt at one agent.
@@ -69,16 +73,18 @@
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet``.
         rows: The ``Rows`` with the table in force.
+        moves: The ``Moves``; picks the versions and counts the answers.
         handlers: Handlers of the links to agents; this adds its own.
         rng: A ``Random``.
     """
 
-    __slots__ = ("_attempts", "_fleet", "_rng", "_rows", "_runtime")
+    __slots__ = ("_attempts", "_fleet", "_moves", "_rng", "_rows", "_runtime")
 
-    def __init__(self, runtime, fleet, rows, handlers, rng):
+    def __init__(self, runtime, fleet, rows, moves, handlers, rng):
         self._runtime = runtime
         self._fleet = fleet
         self._rows = rows
+        self._moves = moves
         self._rng = rng
         self._attempts = {}
         for cls in (AnswerStart, AnswerChunk, AnswerEnd, AnswerFailed):
@@ -97,7 +103,7 @@
                 peer.leaving = message.leaving
 
     def pick_version(self, route):
-        """Picks a version of a route by its weights.
+        """Picks a version of a route by its weights and its open move.
 
         Args:
             route: The ``RouteRow``.
@@ -105,11 +111,9 @@
         Returns:
             The version's name.
         """
-        names = sorted(route.weights)
-        weights = [route.weights[name] for name in names]
-        if not any(weights):
+        if not any(route.weights.values()):
             raise NoServer(f"All weights of route {route.name} are zero.")
-        return self._rng.choices(names, weights)[0]
+        return self._moves.pick_version(route)
 
     def pick_agent(self, version):
         """Picks an agent whose backend server runs a version.
@@ -140,6 +144,25 @@
         Raises:
             PistachiowellError: The attempt failed; ``ran`` tells whether it ran.
         """
+        note = functools.partial(
+            self._moves.note, request.route, agent.record.server, self._runtime.now()
+        )
+        messages = self._run_attempt(request, agent)
+        status = 0
+        try:
+            async for message in messages:
+                if isinstance(message, AnswerStart):
+                    status = message.status
+                elif isinstance(message, AnswerEnd):
+                    note(None if status < FIRST_SERVER_FAULT else ServerFailed())
+                yield message
+        except PistachiowellError as error:
+            note(error)
+            raise
+        finally:
+            await messages.aclose()
+
+    async def _run_attempt(self, request, agent):
         attempt = Attempt(request, agent.link)
         self._attempts[attempt.key] = attempt
         self._runtime.events.add(
--- a/pistachiowell/router/holding.py
+++ b/pistachiowell/router/holding.py
@@ -70,10 +70,6 @@
         """Fencing number as last read."""
         return self._store.state.fence if self._store.state else 0
 
-    def is_candidate_read_due(self):
-        """Whether a candidate without the lease should read the state."""
-        return not self._store.is_held
-
     async def step(self, group):
         """Does what is due now; call it often.
 
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -19,6 +19,7 @@
 from pistachiowell.router.fleet import Fleet
 from pistachiowell.router.http_protocol import bounded_protocol
 from pistachiowell.router.journal import Journal
+from pistachiowell.router.mover import Moves
 from pistachiowell.router.rows import Rows, fleet_links, watches_for_data_centre
 from pistachiowell.router.service import RequestService
 from pistachiowell.router.spending import Spending
@@ -52,6 +53,7 @@
         "_handlers",
         "_http",
         "_journal",
+        "_moves",
         "_rows",
         "_runtime",
     )
@@ -71,8 +73,15 @@
             ),
         )
         self._journal = Journal(self._runtime)
+        rng = random.Random()
+        self._moves = Moves(self._runtime, self._fleet, self._rows, self._handlers, rng)
         dispatch = Dispatch(
-            self._runtime, self._fleet, self._rows, self._handlers, random.Random()
+            self._runtime,
+            self._fleet,
+            self._rows,
+            self._moves,
+            self._handlers,
+            rng,
         )
         service = RequestService(
             self._runtime, self._rows, Spending(self._runtime), dispatch, self._journal
@@ -106,6 +115,7 @@
                 group.start_soon(self._runtime.tls.keep_fresh)
             group.start_soon(self._fleet.run)
             group.start_soon(self._journal.run)
+            group.start_soon(self._moves.run)
             record = self._record()
             await register_process(self._runtime.store, "routers", record)
             group.start_soon(self._leave_on_signal)
--- a/pistachiowell/router/mover.py
+++ b/pistachiowell/router/mover.py
@@ -81,32 +81,33 @@
         names = list(route.weights)
         return self._rng.choices(names, [route.weights[name] for name in names])[0]
 
-    def note(self, route, server, began, error=None):
+    def note(self, route_name, server_name, began, error=None):
         """Counts an answer, or its failure, for the open move of a route.
 
         Refusals and lost links to agents do not count: they tell nothing about the
         version.
 
         Args:
-            route: The ``RouteRow``.
-            server: The ``ServerRow`` that ran the request.
+            route_name: Name of the route.
+            server_name: Name of the backend server that ran the request.
             began: Monotonic time at which the request was sent, in seconds.
             error: The ``PistachiowellError`` that ended it; None for an answer.
         """
-        tracker = self._trackers.get(route.name)
+        tracker = self._trackers.get(route_name)
+        server = self._rows.table.server(server_name)
         if tracker is None or server is None:
             return
         failed = isinstance(error, VERSION_FAULTS)
-        if error is not None and not failed:
+        if failed and isinstance(error.__cause__, LinkLost):
             return
-        if isinstance(error.__cause__ if error else None, LinkLost):
+        if error is not None and not failed:
             return
         now = self._runtime.now()
-        tripped = tracker.note(
+        tracker.note(
             server.version, server.name, server.data_centre, failed, began, now
         )
-        if self._group is not None and (tripped or tracker.is_urgent):
-            self._group.start_soon(self._report, tracker, tripped)
+        if self._group is not None and tracker.is_urgent:
+            self._group.start_soon(self._report, tracker)
 
     async def run(self):
         """Takes part in all open moves until cancelled."""
@@ -140,7 +141,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self._hold, route)
                 while True:
-                    await self._report(tracker, False)
+                    await self._report(tracker)
                     await anyio.sleep(STEP_S)
 
     async def _hold(self, route):
@@ -154,21 +155,18 @@
                         _log.debug("Move of route {}: {}", route, error)
                 await anyio.sleep(STEP_S if holding.mover else READ_INTERVAL_S)
 
-    async def _report(self, tracker, tripped):
+    async def _report(self, tracker):
         """Reports the counts and takes the permit that answers them."""
         sent_at = self._runtime.now()
         holding = self._holdings.get(tracker.row.route)
         if holding is not None and holding.mover is not None:
-            for (answer, began), count in tracker.take_counts().items():
-                holding.mover.take(answer, began, count, sent_at)
-            if tripped:
-                holding.mover.trip(sent_at)
+            self._feed_mover(tracker, holding.mover)
             self._take_own_permit(tracker, holding, sent_at)
             return
         link = self._find_reporting_link(holding)
         if link is None:
             return
-        counts = tracker.take_counts()
+        counts, tripped = tracker.take_report()
         message = MoveCounts(
             tracker.row.name, _count_messages(counts, sent_at), tripped
         )
@@ -186,6 +184,14 @@
                 now=self._runtime.now(),
             )
 
+    def _feed_mover(self, tracker, mover):
+        now = self._runtime.now()
+        counts, tripped = tracker.take_report()
+        for (answer, began), count in counts.items():
+            mover.take(answer, began, count, now)
+        if tripped:
+            mover.trip(now)
+
     def _take_own_permit(self, tracker, holding, now):
         tracker.take_permit(
             fence=holding.fence,
@@ -223,28 +229,29 @@
                 count.bucket,
             )
             tracker.add(answer, now - count.age_s, count.count)
-        if message.tripped or tracker.is_urgent:
-            await self._report_once(tracker, message.tripped)
+        if message.tripped:
+            tracker.trip()
+        if tracker.is_urgent:
+            await self._report_once(tracker)
         holding = self._holdings.get(tracker.row.route)
         if holding is not None and holding.mover is not None:
             return self._permit_of_holder(tracker, holding)
         return self._relayed_permit(tracker)
 
-    async def _report_once(self, tracker, tripped):
+    async def _report_once(self, tracker):
         """Reports unless a report of this move is on its way, so no loop can form."""
         name = tracker.row.name
         if name in self._reporting:
             return
         self._reporting.add(name)
         try:
-            await self._report(tracker, tripped)
+            await self._report(tracker)
         finally:
             self._reporting.discard(name)
 
     def _permit_of_holder(self, tracker, holding):
+        self._feed_mover(tracker, holding.mover)
         now = self._runtime.now()
-        for (answer, began), count in tracker.take_counts().items():
-            holding.mover.take(answer, began, count, now)
         return MovePermit(
             move=tracker.row.name,
             fence=holding.fence,
--- a/pistachiowell/router/rows.py
+++ b/pistachiowell/router/rows.py
@@ -51,7 +51,8 @@
 class Rows:
     """The table of one process, kept up to date.
 
-    The watchers of a data centre hold a watch on the store. Every process tells its
+    The watchers of a data centre hold a watch on the store; a process without any
+    peer, such as an agent that is not yet registered, polls it. Every process tells its
     revision to its peers, at once when it changes and then to a few at random, and
     fetches what it lacks from a peer that has it.
 
@@ -106,6 +107,7 @@
                 if self._watches():
                     await self._watch_while_chosen()
                 else:
+                    await self._poll_without_peers()
                     await anyio.sleep(ROLE_CHECK_INTERVAL_S)
 
     async def _load_first(self):
@@ -135,6 +137,15 @@
         self._take(rows, through)
         return version
 
+    async def _poll_without_peers(self):
+        """Reads the store, as nobody else could tell of a change."""
+        if self._open_links():
+            return
+        try:
+            await self._load()
+        except STORE_ERRORS as error:
+            _log.debug("The table is not available: {}", error)
+
     async def _watch_while_chosen(self):
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch)
