--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -1,1 +1,43 @@
-"""Routing of the router fleet."""
+"""Routing: pick, health, retries, answers, crashing requests, held bytes."""
+
+from pistachiowell.routing.assembly import ASSEMBLERS, Broken, Deliver, Finished
+from pistachiowell.routing.crashes import (
+    CRASH_LEDGERS,
+    Crash,
+    CrashLedger,
+    Standing,
+    fingerprint,
+)
+from pistachiowell.routing.credits import CREDIT_POOLS, CreditSettings, GiveUp
+from pistachiowell.routing.health import HealthBook
+from pistachiowell.routing.load import LoadBook
+from pistachiowell.routing.pick import PICKERS, Candidate, rendezvous, subset
+from pistachiowell.routing.retry import AttemptFailure, RequestRetries, RetryBudget
+from pistachiowell.routing.settings import RoutingSettings
+from pistachiowell.routing.split import SPLITTERS
+
+__all__ = [
+    "ASSEMBLERS",
+    "CRASH_LEDGERS",
+    "CREDIT_POOLS",
+    "PICKERS",
+    "SPLITTERS",
+    "AttemptFailure",
+    "Broken",
+    "Candidate",
+    "Crash",
+    "CrashLedger",
+    "CreditSettings",
+    "Deliver",
+    "Finished",
+    "GiveUp",
+    "HealthBook",
+    "LoadBook",
+    "RequestRetries",
+    "RetryBudget",
+    "RoutingSettings",
+    "Standing",
+    "fingerprint",
+    "rendezvous",
+    "subset",
+]
--- /dev/null
+++ b/pistachiowell/routing/load.py
@@ -0,0 +1,90 @@
+"""Estimate of each server's load from lagged reports and own requests."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class _Load:
+    reported: int = 0
+    slots: int = 1
+    reported_at: float = float("-inf")
+    in_flight: int = 0
+    sent_since: int = 0
+
+
+class LoadBook:
+    """Keeps the load of the servers that one router uses.
+
+    The estimate is the latest report plus own requests sent since, and never less
+    than own requests in flight; a report that has grown old counts for nothing.
+
+    Args:
+        settings: ``RoutingSettings``.
+
+    Examples:
+        >>> from pistachiowell.routing.settings import RoutingSettings
+        >>> book = LoadBook(RoutingSettings())
+        >>> book.report("s1", 3, 0, 8, 10.0)
+        >>> book.sent("s1")
+        >>> book.load("s1", 10.5)
+        4
+        >>> book.load("s1", 99.0)
+        1
+    """
+
+    __slots__ = ("_loads", "_settings")
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._loads = {}
+
+    def report(self, server, running, waiting, slots, now):
+        """Takes a load report.
+
+        Args:
+            server: Name of the server.
+            running: Requests that run.
+            waiting: Requests that wait.
+            slots: Requests that may run at once.
+            now: Present time in seconds.
+        """
+        load = self._loads.setdefault(server, _Load())
+        load.reported = running + waiting
+        load.slots = max(1, slots)
+        load.reported_at = now
+        load.sent_since = 0
+
+    def sent(self, server):
+        """Counts an attempt sent to a server."""
+        load = self._loads.setdefault(server, _Load())
+        load.in_flight += 1
+        load.sent_since += 1
+
+    def ended(self, server):
+        """Counts the end of an attempt."""
+        load = self._loads.get(server)
+        if load is not None and load.in_flight:
+            load.in_flight -= 1
+
+    def forget(self, server):
+        """Drops what is known of a server that is gone."""
+        self._loads.pop(server, None)
+
+    def in_flight(self, server):
+        """Returns own attempts in flight at a server."""
+        load = self._loads.get(server)
+        return load.in_flight if load else 0
+
+    def load(self, server, now):
+        """Returns the estimated number of requests at a server."""
+        load = self._loads.get(server)
+        if load is None:
+            return 0
+        if now - load.reported_at > self._settings.report_timeout_s:
+            return load.in_flight
+        return max(load.reported + load.sent_since, load.in_flight)
+
+    def load_by_slot(self, server, now):
+        """Returns the estimated load divided by the server's slots."""
+        load = self._loads.get(server)
+        return self.load(server, now) / load.slots if load else 0.0
--- /dev/null
+++ b/pistachiowell/routing/pick.py
@@ -0,0 +1,149 @@
+"""Choice of the backend server for one attempt."""
+
+from dataclasses import dataclass
+
+from pistachiowell.core.ids import stable_hash
+from pistachiowell.core.registry import Registry
+
+PICKERS = Registry("pick policy")
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A server that may take an attempt.
+
+    Attributes:
+        server: Name of the server.
+        data_centre: Its data centre.
+        distance: 0 in the same data centre, 1 in the same region, 2 beyond.
+    """
+
+    server: str
+    data_centre: str = ""
+    distance: int = 0
+
+
+class Picker:
+    """Base of the pick policies.
+
+    Args:
+        settings: ``RoutingSettings``.
+        loads: A ``LoadBook``.
+        rng: A ``Random``.
+    """
+
+    __slots__ = ("_loads", "_rng", "_settings")
+
+    def __init__(self, settings, loads, rng):
+        self._settings = settings
+        self._loads = loads
+        self._rng = rng
+
+    def pick(self, candidates, prefix, now):
+        """Returns one of the candidates, or None if there are none.
+
+        Args:
+            candidates: A list of ``Candidate``.
+            prefix: Text whose cached state a server may hold; empty for none.
+            now: Present time in seconds.
+        """
+        raise NotImplementedError
+
+
+@PICKERS.add("random")
+class RandomPicker(Picker):
+    """Picks any candidate with equal chance; the naive baseline."""
+
+    __slots__ = ()
+
+    def pick(self, candidates, prefix, now):
+        """Returns one of the candidates, or None if there are none."""
+        return self._rng.choice(candidates) if candidates else None
+
+
+@PICKERS.add("least_loaded")
+class LeastLoadedPicker(Picker):
+    """Picks the least load by the reports; herds when reports lag."""
+
+    __slots__ = ()
+
+    def pick(self, candidates, prefix, now):
+        """Returns one of the candidates, or None if there are none."""
+        return min(
+            candidates,
+            key=lambda c: self._loads.load_by_slot(c.server, now),
+            default=None,
+        )
+
+
+@PICKERS.add("two_choices")
+class TwoChoicesPicker(Picker):
+    """Keeps prefixes on their server while it is not loaded above the others.
+
+    Near servers go first. The server that ranks first for the prefix by rendezvous
+    hashing is taken unless its load passes the mean by the allowed share; then the
+    less loaded of two random candidates is.
+    """
+
+    __slots__ = ()
+
+    def pick(self, candidates, prefix, now):
+        """Returns one of the candidates, or None if there are none."""
+        if not candidates:
+            return None
+        near = self._near(candidates, now)
+        if prefix:
+            owner = rendezvous(near, prefix)
+            if self._keeps_prefix(owner, near, now):
+                return owner
+        pair = self._rng.sample(near, min(2, len(near)))
+        return min(pair, key=lambda c: self._loads.load_by_slot(c.server, now))
+
+    def _near(self, candidates, now):
+        for distance in sorted({c.distance for c in candidates}):
+            near = [c for c in candidates if c.distance <= distance]
+            if any(self._has_room(c, now) for c in near):
+                return near
+        return candidates
+
+    def _has_room(self, candidate, now):
+        load = self._loads.load_by_slot(candidate.server, now)
+        return load < self._settings.spill_load
+
+    def _keeps_prefix(self, owner, candidates, now):
+        loads = [self._loads.load(c.server, now) for c in candidates]
+        mean = sum(loads) / len(loads)
+        bound = (1.0 + self._settings.affinity_extra_load) * mean + 1.0
+        fits = self._loads.load(owner.server, now) <= bound
+        return fits and self._has_room(owner, now)
+
+
+def rendezvous(candidates, key):
+    """Returns the candidate that ranks first for a key, alike in every process.
+
+    Args:
+        candidates: A non-empty list of ``Candidate``.
+        key: Any text.
+    """
+    return max(candidates, key=lambda c: stable_hash(c.server, key))
+
+
+def subset(candidates, router, size):
+    """Returns the candidates that one router uses, ``size`` in each data centre.
+
+    Args:
+        candidates: A list of ``Candidate``.
+        router: Name of the router.
+        size: Most candidates of one data centre.
+
+    Examples:
+        >>> servers = [Candidate(f"s{n}", "osu") for n in range(9)]
+        >>> len(subset(servers, "router-1", 4))
+        4
+    """
+    chosen = []
+    for data_centre in sorted({c.data_centre for c in candidates}):
+        local = [c for c in candidates if c.data_centre == data_centre]
+        local.sort(key=lambda c: stable_hash(c.server, router), reverse=True)
+        chosen += local[:size]
+    return chosen
--- /dev/null
+++ b/pistachiowell/routing/settings.py
@@ -0,0 +1,49 @@
+"""Settings of routing."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingSettings:
+    """Settings of picks, health, retries and held bytes.
+
+    Attributes:
+        picker: Name of the pick policy in ``PICKERS``.
+        splitter: Name of the version split in ``SPLITTERS``.
+        affinity_extra_load: Share above the mean load up to which a server keeps
+            its prefixes.
+        spill_load: Load by slot of the near servers above which farther ones are
+            taken too.
+        report_timeout_s: Age in seconds above which a load report counts for
+            nothing.
+        subset_size: Servers of one version and data centre that a router uses.
+        eject_failures: Failures in a row that eject a server.
+        eject_silence_s: Seconds without any byte from a server with work in
+            progress that eject it.
+        eject_slow_factor: Latency against the median of its peers that ejects.
+        eject_s: First ejection in seconds; doubles on each further one.
+        eject_max_s: Longest ejection in seconds.
+        eject_max_share: Most servers of one set that may be ejected.
+        retry_share: Retries allowed by first attempt.
+        retry_burst: Retries allowed after a quiet time.
+        max_attempts: Most attempts of one request.
+        retry_min_left_s: Time to the deadline in seconds below which no retry is
+            made.
+    """
+
+    picker: str = "two_choices"
+    splitter: str = "smooth"
+    affinity_extra_load: float = 0.25
+    spill_load: float = 1.0
+    report_timeout_s: float = 3.0
+    subset_size: int = 20
+    eject_failures: int = 3
+    eject_silence_s: float = 3.0
+    eject_slow_factor: float = 4.0
+    eject_s: float = 2.0
+    eject_max_s: float = 60.0
+    eject_max_share: float = 0.5
+    retry_share: float = 0.1
+    retry_burst: float = 10.0
+    max_attempts: int = 3
+    retry_min_left_s: float = 0.05
