--- a/pistachiowell/schema/generate.py
+++ b/pistachiowell/schema/generate.py
@@ -1,20 +1,19 @@
 """Generates the dataclasses of ``schema/generated`` from the YAML schema files.
 
 Run ``python -m pistachiowell.schema.generate`` after a change of the schema.
-With ``--check`` nothing is written and a difference is an error.
+With ``--check`` nothing is written and a difference is an error. This module imports
+nothing of the package, since the rest of it needs the generated code.
 """
 
 import sys
 import tempfile
 from pathlib import Path
 
-from absl import app, flags
+from absl import flags
 
 SCHEMA_DIR = Path(__file__).parent
 GENERATED_DIR = SCHEMA_DIR / "generated"
 
-_CHECK = flags.DEFINE_bool("check", False, "Compare only; exit 1 on a difference.")
-
 
 def schema_files():
     """Returns the schema files in the order of their names.
@@ -74,10 +73,12 @@
     return path.read_text(encoding="utf-8") if path.exists() else None
 
 
-def main(argv):
+def main():
     """Runs the generator from the command line."""
-    del argv
-    if not _CHECK.value:
+    values = flags.FlagValues()
+    flags.DEFINE_bool("check", False, "Compare only.", flag_values=values)
+    values(sys.argv)
+    if not values.check:
         generate(GENERATED_DIR)
         return
     with tempfile.TemporaryDirectory() as name:
@@ -90,4 +91,4 @@
 
 
 if __name__ == "__main__":
-    app.run(main)
+    main()
