Prove routing and membership decisions; break an answer whose second attempt begins late

The stream machine found that OffsetAssembler.begin accepted a second attempt after bytes of the first had been delivered, so a caller could get a mix of two answers. begin now returns Broken.

--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -7,12 +7,18 @@
     CrashLedger,
     Standing,
     fingerprint,
+    place_suspect,
 )
 from pistachiowell.routing.credits import CREDIT_POOLS, CreditSettings, GiveUp
 from pistachiowell.routing.health import HealthBook
 from pistachiowell.routing.load import LoadBook
 from pistachiowell.routing.pick import PICKERS, Candidate, rendezvous, subset
-from pistachiowell.routing.retry import AttemptFailure, RequestRetries, RetryBudget
+from pistachiowell.routing.retry import (
+    RETRIES,
+    AttemptFailure,
+    RequestRetries,
+    RetryBudget,
+)
 from pistachiowell.routing.settings import RoutingSettings
 from pistachiowell.routing.split import SPLITTERS
 
@@ -21,6 +27,7 @@
     "CRASH_LEDGERS",
     "CREDIT_POOLS",
     "PICKERS",
+    "RETRIES",
     "SPLITTERS",
     "AttemptFailure",
     "Broken",
@@ -38,6 +45,7 @@
     "RoutingSettings",
     "Standing",
     "fingerprint",
+    "place_suspect",
     "rendezvous",
     "subset",
 ]
--- a/pistachiowell/routing/assembly.py
+++ b/pistachiowell/routing/assembly.py
@@ -44,6 +44,7 @@
 
     def begin(self, attempt):
         """Starts an attempt."""
+        return []
 
     def chunk(self, attempt, offset, data):
         """Takes a chunk."""
@@ -70,6 +71,7 @@
     Examples:
         >>> assembler = OffsetAssembler()
         >>> assembler.begin(2)
+        []
         >>> assembler.chunk(1, 0, b"old")
         []
         >>> assembler.chunk(2, 2, b"c")
@@ -100,11 +102,14 @@
 
         Args:
             attempt: Number of the attempt, greater than those before.
+
+        Returns:
+            ``[Broken]`` if bytes of an earlier attempt were delivered already.
         """
-        self._attempt = attempt
-        self._early.clear()
-        self._early_bytes = 0
-        self._length = None
+        self._abandon(attempt)
+        if self._over or not self._delivered:
+            return []
+        return self._break("another attempt began after the first byte")
 
     def chunk(self, attempt, offset, data):
         """Takes a chunk.
@@ -150,11 +155,17 @@
         """
         if self._over or attempt != self._attempt:
             return []
-        self.begin(attempt + 1)
+        self._abandon(attempt + 1)
         if not self._delivered:
             return []
         return self._break(reason)
 
+    def _abandon(self, attempt):
+        self._attempt = attempt
+        self._early.clear()
+        self._early_bytes = 0
+        self._length = None
+
     def _keep_early(self, offset, data):
         kept = self._early.get(offset, b"")
         if len(data) > len(kept):
--- a/pistachiowell/routing/crashes.py
+++ b/pistachiowell/routing/crashes.py
@@ -5,6 +5,7 @@
 
 from pistachiowell.core.ids import stable_hash
 from pistachiowell.core.registry import Registry
+from pistachiowell.routing.pick import rendezvous
 
 CRASH_LEDGERS = Registry("crash ledger")
 
@@ -55,6 +56,22 @@
     return f"{digest:016x}"
 
 
+def place_suspect(candidates, fingerprint, crashed):
+    """Returns the server that runs a suspect, the same from every router.
+
+    All routers choosing alike keeps copies of one request from taking down a server
+    each before the news of a crash has spread.
+
+    Args:
+        candidates: A non-empty list of ``Candidate``.
+        fingerprint: Fingerprint of the request.
+        crashed: Names of the servers that crashed while it ran; avoided if others
+            are left.
+    """
+    fresh = [c for c in candidates if c.server not in crashed]
+    return rendezvous(fresh or candidates, fingerprint)
+
+
 @CRASH_LEDGERS.add("none")
 class NoLedger:
     """Clears every request; the naive baseline."""
--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -2,6 +2,10 @@
 
 from dataclasses import dataclass
 
+from pistachiowell.core.registry import Registry
+
+RETRIES = Registry("retry policy")
+
 SERVER_CODES = frozenset(
     {"overloaded", "leaving", "link_lost", "link_timeout", "server_failed"}
     | {"router_unknown", "no_server", "answer_broken"}
@@ -57,6 +61,34 @@
         return True
 
 
+@RETRIES.add("always")
+class AlwaysRetry:
+    """Retries every failure until the deadline; the naive baseline."""
+
+    __slots__ = ("_attempts", "_deadline", "may_have_run")
+
+    def __init__(self, settings, budget, repeatable, deadline):
+        self._attempts = 0
+        self._deadline = deadline
+        self.may_have_run = False
+
+    @property
+    def attempts(self):
+        """Attempts started so far."""
+        return self._attempts
+
+    def start(self):
+        """Counts the start of an attempt and returns its number, from 1."""
+        self._attempts += 1
+        return self._attempts
+
+    def may_retry(self, failure, now):
+        """Tells whether another attempt may start."""
+        self.may_have_run = self.may_have_run or failure.ran != "no"
+        return now < self._deadline
+
+
+@RETRIES.add("budgeted")
 class RequestRetries:
     """Decides about the retries of one request and what its caller is told.
 
--- /dev/null
+++ b/pistachiowell/routing/tests/test_crashes.py
@@ -0,0 +1,106 @@
+"""A request that crashes servers takes down at most two, sent through all routers."""
+
+import heapq
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from pistachiowell.core.rng import Random
+from pistachiowell.routing import (
+    CRASH_LEDGERS,
+    Candidate,
+    Crash,
+    Standing,
+    place_suspect,
+    rendezvous,
+)
+
+SERVERS = [Candidate(f"s{number}") for number in range(8)]
+ROUTERS = 5
+SENDS = 20
+
+
+def play(name, seed, news_delay_s, crash_delay_s):
+    """Sends one request each second through the routers in turn."""
+    rng = Random(seed)
+    ledgers = [CRASH_LEDGERS.find(name)() for _ in range(ROUTERS)]
+    # The agent's own ledger is a peer like the routers', and hears at once.
+    agents = {c.server: CRASH_LEDGERS.find(name)() for c in SERVERS}
+    crashed, running, refused = [], {c.server: [] for c in SERVERS}, 0
+    queue = [(float(number), number, "send", None) for number in range(SENDS)]
+    count = SENDS
+    while queue:
+        now, number, kind, what = heapq.heappop(queue)
+        count += 1
+        if kind == "send":
+            ledger = ledgers[number % ROUTERS]
+            standing = ledger.standing("bad", now)
+            if standing is Standing.quarantined:
+                refused += 1
+                continue
+            chosen = rendezvous(SERVERS, f"prefix-{rng.random() < 0.2}")
+            if standing is Standing.suspect:
+                chosen = place_suspect(SERVERS, "bad", ledger.servers("bad"))
+            server = chosen.server
+            if agents[server].standing("bad", now) is Standing.quarantined:
+                refused += 1
+                continue
+            alone = agents[server].standing("bad", now) is Standing.suspect
+            companions = () if alone else (f"innocent-{now}",)
+            running[server].append("bad")
+            crash = (server, ("bad", *companions))
+            heapq.heappush(queue, (now + crash_delay_s, count, "crash", crash))
+        elif kind == "crash":
+            server, names = what
+            if "bad" not in running[server]:
+                continue
+            running[server].clear()
+            crashed.append(server)
+            crash = Crash(f"c{count}", server, names)
+            agents[server].take(crash, now)
+            for receiver in [*ledgers, *agents.values()]:
+                arrival = now + rng.uniform(0, news_delay_s)
+                heapq.heappush(queue, (arrival, count, "news", (receiver, crash)))
+                count += 1
+        else:
+            receiver, crash = what
+            receiver.take(crash, now)
+    innocents = [
+        name
+        for ledger in ledgers
+        for name in [f"innocent-{float(n)}" for n in range(SENDS)]
+        if ledger.standing(name, 100.0) is Standing.quarantined
+    ]
+    assert not innocents
+    assert len(crashed) <= 2, crashed
+    assert refused >= SENDS - 4
+
+
+@given(st.integers(0, 10**6), st.floats(0.0, 0.5), st.floats(0.0, 0.4))
+def test_two_servers_at_most(seed, news_delay_s, crash_delay_s):
+    play("count", seed, news_delay_s, crash_delay_s)
+
+
+def test_without_a_ledger_all_fall():
+    with pytest.raises(AssertionError):
+        play("none", 1, 0.1, 0.1)
+
+
+@hypothesis_settings(max_examples=50)
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=20))
+def test_cleared_and_repeated_reports_quarantine_nobody(steps):
+    ledger = CRASH_LEDGERS.find("count")()
+    count = dict.fromkeys("abc", 0)
+    for number, (name, clears) in enumerate(steps):
+        if clears:
+            ledger.clear(name)
+            count[name] = count[name] if count[name] >= 2 else 0
+            continue
+        crash = Crash(f"c{number}", "s", (name,))
+        count[name] += 1
+        for _ in range(2):
+            ledger.take(crash, float(number))
+        quarantined = ledger.standing(name, float(number)) is Standing.quarantined
+        assert quarantined == (count[name] >= 2)
--- /dev/null
+++ b/pistachiowell/routing/tests/test_credits.py
@@ -0,0 +1,116 @@
+"""Bytes held for slow readers stay within the bounds, whatever the agents send."""
+
+import pytest
+from hypothesis import Phase
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from pistachiowell.routing import CREDIT_POOLS, CreditSettings
+
+SETTINGS = CreditSettings(
+    process_bytes=1000,
+    account_share=0.6,
+    stream_min_bytes=100,
+    stream_max_bytes=400,
+    stall_s=5.0,
+)
+
+
+def machine_for(name):
+    class Machine(RuleBasedStateMachine):
+        def __init__(self):
+            super().__init__()
+            self.pool = CREDIT_POOLS.find(name)(SETTINGS)
+            self.now = 0.0
+            self.credit, self.held, self.accounts, self.took = {}, {}, {}, {}
+            self.count = 0
+
+        def streams(self):
+            return st.sampled_from(sorted(self.credit))
+
+        @rule(account=st.sampled_from("ab"), step=st.sampled_from([0.0, 1.0, 6.0]))
+        def open(self, account, step):
+            self.now += step
+            self.count += 1
+            stream = f"s{self.count}"
+            credit, victims = self.pool.open(stream, account, self.now)
+            for victim in victims:
+                assert self.held[victim.stream], "only those who hold bytes"
+                assert self.now - self.took[victim.stream] >= SETTINGS.stall_s
+                del self.credit[victim.stream], self.held[victim.stream]
+            if credit:
+                self.credit[stream], self.held[stream] = credit, 0
+                self.accounts[stream], self.took[stream] = account, self.now
+
+        @precondition(lambda self: self.credit)
+        @rule(data=st.data(), share=st.floats(0.0, 1.0))
+        def agent_sends(self, data, share):
+            stream = data.draw(self.streams())
+            size = int(self.credit[stream] * share)
+            self.credit[stream] -= size
+            self.held[stream] += size
+            self.pool.received(stream, size)
+
+        @precondition(lambda self: self.credit)
+        @rule(data=st.data(), share=st.sampled_from([0.5, 1.0]))
+        def caller_takes(self, data, share):
+            stream = data.draw(self.streams())
+            size = int(self.held[stream] * share)
+            if size:
+                self.held[stream] -= size
+                self.took[stream] = self.now
+                self.credit[stream] += self.pool.taken(stream, size, self.now)
+
+        @precondition(lambda self: self.credit)
+        @rule(data=st.data())
+        def close(self, data):
+            stream = data.draw(self.streams())
+            del self.credit[stream], self.held[stream]
+            self.pool.close(stream)
+
+        @invariant()
+        def bounds_hold(self):
+            assert self.pool.held_bytes == sum(self.held.values())
+            total = {
+                stream: self.held[stream] + self.credit[stream] for stream in self.held
+            }
+            assert sum(total.values()) <= SETTINGS.process_bytes
+            assert all(size <= SETTINGS.stream_max_bytes for size in total.values())
+            for account in "ab":
+                own = [n for s, n in total.items() if self.accounts[s] == account]
+                assert sum(own) <= SETTINGS.process_bytes * SETTINGS.account_share
+
+        @invariant()
+        def a_reader_that_keeps_up_always_has_credit(self):
+            for stream, credit in self.credit.items():
+                assert credit or self.held[stream]
+
+    return Machine
+
+
+def check(name):
+    run_state_machine_as_test(
+        machine_for(name),
+        settings=hypothesis_settings(
+            max_examples=100,
+            stateful_step_count=40,
+            report_multiple_bugs=False,
+            phases=[Phase.generate],
+        ),
+    )
+
+
+def test_bounded_pool_keeps_its_bounds():
+    check("bounded")
+
+
+def test_unbounded_pool_does_not():
+    with pytest.raises(AssertionError):
+        check("unbounded")
--- /dev/null
+++ b/pistachiowell/routing/tests/test_health.py
@@ -0,0 +1,79 @@
+"""Bad servers are found by the request path itself."""
+
+import pytest
+
+from pistachiowell.core.rng import Random
+from pistachiowell.routing import (
+    PICKERS,
+    Candidate,
+    HealthBook,
+    LoadBook,
+    RoutingSettings,
+)
+
+SERVERS = ["s1", "s2", "s3", "s4"]
+
+
+@pytest.fixture
+def book():
+    return HealthBook(RoutingSettings())
+
+
+def test_slow_server_is_ejected_and_comes_back_after_a_good_probe(book):
+    for server in SERVERS:
+        for _ in range(12):
+            book.succeeded(server, 2.0 if server == "s2" else 0.1, 0.0)
+    assert book.usable(SERVERS, 0.0) == ["s1", "s3", "s4"]
+    assert book.usable(SERVERS, 2.5) == SERVERS
+    book.started("s2", 2.5)
+    assert book.usable(SERVERS, 2.6) == ["s1", "s3", "s4"]
+    book.succeeded("s2", 0.1, 2.7)
+    assert book.usable(SERVERS, 2.8) == SERVERS
+
+
+def test_failed_probe_doubles_the_ejection(book):
+    for _ in range(3):
+        book.failed("s1", 0.0)
+    book.started("s1", 2.0)
+    book.failed("s1", 2.0)
+    assert "s1" not in book.usable(SERVERS, 5.9)
+    assert "s1" in book.usable(SERVERS, 6.0)
+
+
+def test_silent_server_with_work_is_found_and_an_idle_one_is_not(book):
+    book.started("s1", 0.0)
+    book.started("s2", 0.0)
+    book.heard("s2", 1.0, in_flight=0)
+    assert book.silent(4.0) == ["s1"]
+
+
+def test_at_most_half_are_ejected(book):
+    for server in SERVERS:
+        book.lost(server, 0.0)
+    assert len(book.usable(SERVERS, 1.0)) == 2
+
+
+def test_near_servers_go_first_until_they_are_full():
+    settings = RoutingSettings()
+    loads = LoadBook(settings)
+    candidates = [Candidate("near", "osu", 0), Candidate("far", "tema", 1)]
+    picker = PICKERS.find("two_choices")(settings, loads, Random(1))
+    loads.report("near", 7, 0, 8, 0.0)
+    loads.report("far", 0, 0, 8, 0.0)
+    assert picker.pick(candidates, "", 0.0).server == "near"
+    loads.sent("near")
+    assert picker.pick(candidates, "", 0.0).server == "far"
+
+
+def test_prefix_stays_on_its_server_within_the_bound():
+    settings = RoutingSettings()
+    loads = LoadBook(settings)
+    candidates = [Candidate(server) for server in SERVERS]
+    picker = PICKERS.find("two_choices")(settings, loads, Random(1))
+    for server in SERVERS:
+        loads.report(server, 0, 0, 8, 0.0)
+    owner = picker.pick(candidates, "prefix", 0.0).server
+    assert {picker.pick(candidates, "prefix", 0.0).server for _ in range(20)} == {owner}
+    for _ in range(4):
+        loads.sent(owner)
+    assert picker.pick(candidates, "prefix", 0.0).server != owner
