--- a/pistachiowell/budgets/__init__.py
+++ b/pistachiowell/budgets/__init__.py
@@ -1,1 +1,22 @@
-"""Budgets of the router fleet."""
+"""Prepaid budgets: pages, grants, receipts, sealing and bills.
+
+All classes are synchronous decisions; the drivers are ``router.spending``,
+``router.journal``, ``agent.receipts`` and the commands of ``ctl``.
+"""
+
+from pistachiowell.budgets.holder import Holder
+from pistachiowell.budgets.home import home_router
+from pistachiowell.budgets.journal import JournalBatches, bills
+from pistachiowell.budgets.receipts import ReceiptBook, Spend, Verdict
+from pistachiowell.budgets.sealing import SealReports
+
+__all__ = [
+    "Holder",
+    "JournalBatches",
+    "ReceiptBook",
+    "SealReports",
+    "Spend",
+    "Verdict",
+    "bills",
+    "home_router",
+]
--- /dev/null
+++ b/pistachiowell/budgets/holder.py
@@ -0,0 +1,271 @@
+"""Decisions of a router as holder of grants."""
+
+from collections import defaultdict
+from dataclasses import replace
+
+from pistachiowell.budgets.ledger import AccountLedger
+from pistachiowell.budgets.page import CloseGrant, FundGrant, LowerGrant, page_number
+from pistachiowell.core.ids import new_id
+
+RENEW_AFTER_S = 300.0
+REFILL_BELOW = 0.5
+GIVE_BACK_ABOVE = 4.0
+
+
+class Holder:
+    """Keeps the ledgers of one router incarnation and plans its page writes.
+
+    The driver calls ``plan`` and writes the changes; it hands every page that it
+    reads or has written to ``observe``. A write with a lost answer is repeated
+    with the changes of a new plan, after the page was read.
+
+    Args:
+        incarnation: Incarnation of the router.
+        pages: Number of budget pages.
+        policy: Name of the sizing policy.
+        make_id: Function that makes a grant id.
+
+    Examples:
+        >>> from pistachiowell.budgets.page import TopUp, apply_changes
+        >>> from pistachiowell.schema.generated.objects_budgets import BudgetPage
+        >>> page = apply_changes(BudgetPage(), [TopUp("shop", "t", 1000)])
+        >>> holder = Holder("router-1", 1)
+        >>> holder.reserve("shop", "a", "router-1", 10, 0.0) is None
+        True
+        >>> page = apply_changes(page, holder.plan(0, 0.0))
+        >>> holder.observe(0, 1, page, 0.0)
+        >>> holder.reserve("shop", "a", "router-1", 10, 0.0).tokens
+        10
+    """
+
+    __slots__ = (
+        "_by_page",
+        "_closing",
+        "_fenced",
+        "_incarnation",
+        "_ledgers",
+        "_make_id",
+        "_opening",
+        "_pages",
+        "_policy",
+        "_sealed_routers",
+        "_unresolved",
+        "_versions",
+    )
+
+    def __init__(
+        self, incarnation, pages, policy="adaptive", make_id=lambda: new_id("grant")
+    ):
+        self._incarnation = incarnation
+        self._pages = pages
+        self._policy = policy
+        self._make_id = make_id
+        self._ledgers = {}
+        self._by_page = defaultdict(set)
+        self._versions = {}
+        self._opening = {}
+        self._closing = {}
+        self._unresolved = {}
+        self._sealed_routers = set()
+        self._fenced = False
+
+    @property
+    def incarnation(self):
+        """Incarnation of the router."""
+        return self._incarnation
+
+    @property
+    def fenced(self):
+        """Whether another router has sealed this incarnation's grants."""
+        return self._fenced
+
+    @property
+    def page_numbers(self):
+        """Numbers of the pages with accounts of this holder."""
+        return sorted(self._by_page)
+
+    @property
+    def closing(self):
+        """Ids of grants whose closing is planned and not yet read back."""
+        return set(self._closing)
+
+    def page_of(self, account):
+        """Returns the number of an account's page."""
+        return page_number(account, self._pages)
+
+    def ledger(self, account):
+        """Returns the ``AccountLedger`` of an account."""
+        ledger = self._ledgers.get(account)
+        if ledger is None:
+            ledger = self._ledgers[account] = AccountLedger()
+            self._by_page[self.page_of(account)].add(account)
+        return ledger
+
+    def reserve(self, account, reservation_id, router, tokens, now):
+        """Reserves tokens; see ``AccountLedger.reserve``.
+
+        Nothing is reserved for a sealed router or once this holder is fenced.
+        """
+        if self._fenced or router in self._sealed_routers:
+            return None
+        return self.ledger(account).reserve(reservation_id, router, tokens, now)
+
+    def settle(self, account, reservation_id, router, tokens, now):
+        """Settles a reservation; see ``AccountLedger.settle``."""
+        return self.ledger(account).settle(reservation_id, router, tokens, now)
+
+    def router_sealed(self, router, reports):
+        """Ends all reservations of a dead router; see ``AccountLedger``."""
+        self._sealed_routers.add(router)
+        for ledger in self._ledgers.values():
+            ledger.router_sealed(router, reports)
+
+    def has_reservations_of(self, router):
+        """Tells whether a router has open reservations in any ledger."""
+        return any(x.has_reservations_of(router) for x in self._ledgers.values())
+
+    def recall(self, account):
+        """Stops reserving from the idle part of an account's grants.
+
+        The next plan gives the idle part back.
+        """
+        for grant in self.ledger(account).grants.values():
+            grant.ceiling = grant.committed_tokens
+
+    def plan(self, number, now):
+        """Plans the changes of one page.
+
+        Args:
+            number: Page number.
+            now: Time in seconds.
+
+        Returns:
+            A list of changes; empty if nothing is to be written.
+        """
+        if self._fenced:
+            return []
+        changes = []
+        for account in sorted(self._by_page[number]):
+            ledger = self._ledgers[account]
+            changes += self._plan_ends(account, ledger)
+            changes += self._plan_growth(account, ledger, now)
+        return changes
+
+    def answer_lost(self, number, base_version):
+        """Takes note that a write may or may not have taken effect.
+
+        Args:
+            number: Page number.
+            base_version: Version that the write was conditional on. Until a later
+                one is read the write may still take effect.
+        """
+        self._unresolved[number] = base_version
+
+    def not_written(self, number):
+        """Takes note that the last plan of a page certainly took no effect.
+
+        Planned reductions are withdrawn, so that an outage of the store leaves
+        all tokens of the grants usable; not so while the outcome of an earlier
+        write is unknown.
+        """
+        if number in self._unresolved:
+            return
+        for account in self._by_page[number]:
+            for grant_id, grant in self._ledgers[account].grants.items():
+                grant.ceiling = None
+                if grant_id in self._closing:
+                    del self._closing[grant_id]
+                    grant.draining = False
+
+    def observe(self, number, version, page, now):
+        """Takes a page as read or written; an older version is ignored.
+
+        Args:
+            number: Page number.
+            version: Version of the page in the store.
+            page: The ``BudgetPage``.
+            now: Time in seconds.
+        """
+        if version < self._versions.get(number, 0):
+            return
+        self._versions[number] = version
+        if version > self._unresolved.get(number, version):
+            del self._unresolved[number]
+        present = set()
+        for name, account in page.accounts.items():
+            for grant_id, grant in account.grants.items():
+                if grant.holder == self._incarnation:
+                    present.add(grant_id)
+                    self._fenced |= grant.sealing
+                    self._adopt(name, grant_id, grant.amount, now)
+        self._drop_absent(number, present)
+
+    def retire_idle(self, account, now):
+        """Plans the closing of what an account no longer needs.
+
+        Surplus beyond the demand is given back; a grant older than
+        ``RENEW_AFTER_S`` is replaced, so that few grants overlap a lost agent.
+        """
+        ledger = self.ledger(account)
+        demand = ledger.demand(now)
+        for grant in list(ledger.grants.values()):
+            if grant.draining or demand.need_tokens:
+                continue
+            surplus = grant.available_tokens - int(
+                GIVE_BACK_ABOVE * demand.target_tokens
+            )
+            if surplus > 0:
+                grant.ceiling = grant.committed_tokens + demand.target_tokens
+            elif now - grant.opened_at >= RENEW_AFTER_S:
+                grant.renewing = True
+
+    def _adopt(self, account, grant_id, amount, now):
+        ledger = self.ledger(account)
+        ledger.observe(grant_id, amount, now)
+        if self._opening.get(account) == grant_id:
+            del self._opening[account]
+            for other_id, grant in ledger.grants.items():
+                grant.draining |= grant.renewing and other_id != grant_id
+
+    def _drop_absent(self, number, present):
+        for account in self._by_page[number]:
+            grants = self._ledgers[account].grants
+            for grant_id in [g for g in grants if g not in present]:
+                del grants[grant_id]
+                if self._closing.pop(grant_id, None) is None:
+                    self._fenced = True
+
+    def _plan_ends(self, account, ledger):
+        changes = []
+        for grant_id, grant in ledger.grants.items():
+            if grant.draining:
+                grant.ceiling = grant.committed_tokens
+            emptied = grant.ceiling == grant.used_tokens and not grant.reservations
+            if emptied:
+                grant.draining = True
+                self._closing[grant_id] = grant.used_tokens
+                changes.append(CloseGrant(account, grant_id, grant.used_tokens))
+            elif grant.ceiling is not None and grant.ceiling < grant.amount:
+                changes.append(LowerGrant(account, grant_id, grant.ceiling))
+        return changes
+
+    def _plan_growth(self, account, ledger, now):
+        demand = ledger.demand(now)
+        low = demand.available_tokens < REFILL_BELOW * demand.target_tokens
+        renewing = any(g.renewing and not g.draining for g in ledger.grants.values())
+        if not (demand.need_tokens or low or renewing):
+            return []
+        if renewing:
+            demand = replace(demand, available_tokens=0)
+        grant_id, known = self._growing_grant(account, ledger)
+        fund = FundGrant(
+            account, grant_id, self._incarnation, known, demand, self._policy
+        )
+        return [fund]
+
+    def _growing_grant(self, account, ledger):
+        for grant_id, grant in ledger.grants.items():
+            if not grant.renewing and not grant.draining and grant.ceiling is None:
+                return grant_id, grant.amount
+        grant_id = self._opening.setdefault(account, self._make_id())
+        return grant_id, 0
--- /dev/null
+++ b/pistachiowell/budgets/home.py
@@ -0,0 +1,55 @@
+"""Choice of the home router of a budget page in a data centre."""
+
+from pistachiowell.core.ids import stable_hash
+
+
+def home_router(page, routers):
+    """Chooses by rendezvous hash, so that a lost router moves only its own pages.
+
+    All accounts of a page share a home: one write then carries the changes of all
+    of them.
+
+    Args:
+        page: Page number.
+        routers: Ids of the live routers of the data centre.
+
+    Returns:
+        One of the ids; None if there is none.
+
+    Examples:
+        >>> home_router(3, ["a", "b"]) == home_router(3, ["b", "a"])
+        True
+    """
+    return max(routers, key=lambda r: (stable_hash(str(page), r), r), default=None)
+
+
+def refusal_is_final(account, tokens, own_tokens, unreachable):
+    """Tells an exhausted budget from one that cannot be reached.
+
+    Args:
+        account: A ``BudgetAccount`` read after all homes were asked to give back.
+        tokens: Size of the request in tokens.
+        own_tokens: Unreserved tokens of the asking home.
+        unreachable: Incarnations of the homes that did not answer.
+
+    Returns:
+        True if the request does not fit; False if it may fit once unreachable or
+        sealing grants come back.
+
+    Examples:
+        >>> from pistachiowell.schema.generated.objects_budgets import (
+        ...     BudgetAccount, Grant)
+        >>> account = BudgetAccount(credited=9, grants={"g": Grant("r", 9)})
+        >>> refusal_is_final(account, 5, 0, set())
+        True
+        >>> refusal_is_final(account, 5, 0, {"r"})
+        False
+    """
+    away = sum(
+        grant.amount
+        for grant in account.grants.values()
+        if grant.sealing or grant.holder in unreachable
+    )
+    granted = sum(grant.amount for grant in account.grants.values())
+    free = account.credited + account.returned - account.closed - granted
+    return free + own_tokens + away < tokens
--- /dev/null
+++ b/pistachiowell/budgets/sizing.py
@@ -0,0 +1,94 @@
+"""Policies that size the growth of a grant."""
+
+from dataclasses import dataclass
+
+_POLICIES = {}
+
+HORIZON_S = 3600.0
+FREE_SHARE = 4
+FIRST_GRANT_REQUESTS = 16
+FIXED_GRANT_TOKENS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a holder knows about its demand for one account.
+
+    Attributes:
+        need_tokens: Missing for all requests that wait.
+        smallest_need_tokens: Missing for the smallest request that waits.
+        rate_tokens_per_s: Recent use.
+        available_tokens: Unreserved tokens of the holder's grant.
+    """
+
+    need_tokens: int = 0
+    smallest_need_tokens: int = 0
+    rate_tokens_per_s: float = 0.0
+    available_tokens: int = 0
+
+    @property
+    def target_tokens(self):
+        """Available tokens that the holder would like to have."""
+        forecast = int(self.rate_tokens_per_s * HORIZON_S)
+        return max(forecast, FIRST_GRANT_REQUESTS * self.need_tokens)
+
+
+def register_policy(name):
+    """Registers a sizing policy.
+
+    Args:
+        name: Name of the policy.
+
+    Returns:
+        A function decorator.
+    """
+
+    def decorate(function):
+        _POLICIES[name] = function
+        return function
+
+    return decorate
+
+
+def grant_growth(policy, demand, free_tokens):
+    """Decides by how much a grant grows.
+
+    Args:
+        policy: Name of a registered policy.
+        demand: A ``Demand``.
+        free_tokens: Tokens of the budget that no grant holds.
+
+    Returns:
+        Tokens, at most ``free_tokens``; 0 if not even the smallest request fits.
+
+    Examples:
+        >>> grant_growth("adaptive", Demand(100, 100), 1_000_000)
+        1600
+        >>> grant_growth("adaptive", Demand(100, 100), 150)
+        100
+        >>> grant_growth("adaptive", Demand(100, 100), 50)
+        0
+    """
+    if free_tokens < max(demand.smallest_need_tokens, 1):
+        return 0
+    wanted = _POLICIES[policy](demand, free_tokens)
+    return min(free_tokens, max(wanted, 0))
+
+
+@register_policy("adaptive")
+def _adaptive(demand, free_tokens):
+    missing = demand.target_tokens - demand.available_tokens
+    share = free_tokens // FREE_SHARE
+    return max(demand.need_tokens, min(missing, share))
+
+
+@register_policy("fixed")
+def _fixed(demand, free_tokens):
+    del free_tokens
+    return max(demand.need_tokens, FIXED_GRANT_TOKENS)
+
+
+@register_policy("exact")
+def _exact(demand, free_tokens):
+    del free_tokens
+    return demand.need_tokens
