--- /dev/null
+++ b/pistachiowell/core/program.py
@@ -0,0 +1,54 @@
+"""Start of the long-running programs from the command line."""
+
+import signal
+import sys
+
+import anyio
+from absl import flags
+
+from pistachiowell.core.commandline import EXIT_USAGE, parse_flags
+from pistachiowell.core.errors import SettingsInvalid
+from pistachiowell.core.logs import configure_logs
+from pistachiowell.schema.settings import read_settings
+
+_USAGE = "Usage: --settings FILE [--check]"
+
+
+def run_program(settings_class, serve):
+    """Reads the settings and runs a program's main function.
+
+    Args:
+        settings_class: Generated settings class.
+        serve: Async function that is given the settings and runs until the
+            process shall end.
+    """
+    settings = _read_command_line(settings_class)
+    configure_logs(settings)
+    anyio.run(serve, settings)
+
+
+def _read_command_line(settings_class):
+    values = flags.FlagValues()
+    define = {"flag_values": values}
+    flags.DEFINE_string("settings", None, "YAML settings file.", **define)
+    flags.DEFINE_bool("check", False, "Check the settings and exit.", **define)
+    rest = parse_flags(values, sys.argv, _USAGE)
+    if rest or not values.settings:
+        print(_USAGE, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    try:
+        settings = read_settings(values.settings, settings_class)
+    except SettingsInvalid as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    if values.check:
+        print(f"{values.settings}: valid.")
+        sys.exit(0)
+    return settings
+
+
+async def wait_for_signal():
+    """Waits for SIGTERM or SIGINT."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
