--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -10,6 +10,7 @@
 RENEW_AFTER_S = 300.0
 REFILL_BELOW = 0.5
 GIVE_BACK_ABOVE = 4.0
+RECALL_HOLD_S = 2.0
 
 
 class Holder:
@@ -48,6 +49,7 @@
         "_opening",
         "_pages",
         "_policy",
+        "_recalled_at",
         "_sealed_routers",
         "_unresolved",
         "_versions",
@@ -66,6 +68,7 @@
         self._opening = {}
         self._closing = {}
         self._unresolved = {}
+        self._recalled_at = {}
         self._sealed_routers = set()
         self._fenced = False
 
@@ -124,11 +127,13 @@
         """Tells whether a router has open reservations in any ledger."""
         return any(x.has_reservations_of(router) for x in self._ledgers.values())
 
-    def recall(self, account):
+    def recall(self, account, now):
         """Stops reserving from the idle part of an account's grants.
 
-        The next plan gives the idle part back.
+        The next plan gives the idle part back. For ``RECALL_HOLD_S`` the account
+        then gets no more than what waiting requests need.
         """
+        self._recalled_at[account] = now
         for grant in self.ledger(account).grants.values():
             grant.ceiling = grant.committed_tokens
 
@@ -197,7 +202,7 @@
                 if grant.holder == self._incarnation:
                     present.add(grant_id)
                     self._fenced |= grant.sealing
-                    self._adopt(name, grant_id, grant.amount, now)
+                    self._adopt(name, grant_id, grant, now)
         self._drop_absent(number, present)
 
     def retire_idle(self, account, now):
@@ -219,13 +224,13 @@
             elif now - grant.opened_at >= RENEW_AFTER_S:
                 grant.renewing = True
 
-    def _adopt(self, account, grant_id, amount, now):
+    def _adopt(self, account, grant_id, grant, now):
         ledger = self.ledger(account)
-        ledger.observe(grant_id, amount, now)
+        ledger.observe(grant_id, grant.amount, now, grant.page_version)
         if self._opening.get(account) == grant_id:
             del self._opening[account]
-            for other_id, grant in ledger.grants.items():
-                grant.draining |= grant.renewing and other_id != grant_id
+            for other_id, other in ledger.grants.items():
+                other.draining |= other.renewing and other_id != grant_id
 
     def _drop_absent(self, number, present):
         for account in self._by_page[number]:
@@ -251,6 +256,9 @@
 
     def _plan_growth(self, account, ledger, now):
         demand = ledger.demand(now)
+        policy = self._policy
+        if now - self._recalled_at.get(account, -RECALL_HOLD_S) < RECALL_HOLD_S:
+            policy = "exact"
         low = demand.available_tokens < REFILL_BELOW * demand.target_tokens
         renewing = any(g.renewing and not g.draining for g in ledger.grants.values())
         if not (demand.need_tokens or low or renewing):
@@ -258,8 +266,15 @@
         if renewing:
             demand = replace(demand, available_tokens=0)
         grant_id, known = self._growing_grant(account, ledger)
+        version = self._versions.get(self.page_of(account), 0)
         fund = FundGrant(
-            account, grant_id, self._incarnation, known, demand, self._policy
+            account,
+            grant_id,
+            self._incarnation,
+            known,
+            version,
+            demand,
+            policy,
         )
         return [fund]
 
--- a/pistachiowell/budgets/ledger.py
+++ b/pistachiowell/budgets/ledger.py
@@ -17,10 +17,12 @@
     Attributes:
         grant_id: The grant.
         tokens: Reserved tokens.
+        page_version: The grant's ``page_version``.
     """
 
     grant_id: str
     tokens: int
+    page_version: int = 0
 
 
 @dataclass(slots=True)
@@ -32,6 +34,7 @@
         ceiling: Limit below ``amount`` that a planned change will set; None if no
             such change is planned.
         opened_at: Time of opening in seconds.
+        page_version: Version of the page that was read when it was opened.
         used: Settled tokens by router incarnation.
         reservations: ``(router, tokens)`` by reservation id.
         renewing: Whether another grant is to take its place.
@@ -40,6 +43,7 @@
 
     amount: int
     opened_at: float
+    page_version: int = 0
     ceiling: int | None = None
     used: dict = field(default_factory=dict)
     reservations: dict = field(default_factory=dict)
@@ -106,7 +110,7 @@
         10
         >>> ledger.observe("g", 100, 0.0)
         >>> ledger.reserve("a", "router-1", 10, 0.0)
-        Reserved(grant_id='g', tokens=10)
+        Reserved(grant_id='g', tokens=10, page_version=0)
         >>> ledger.settle("a", "router-1", 4, 0.0)
         True
         >>> ledger.available_tokens
@@ -149,15 +153,16 @@
         """
         for grant_id, grant in self.grants.items():
             if reservation_id in grant.reservations:
-                return Reserved(grant_id, grant.reservations[reservation_id][1])
+                held = grant.reservations[reservation_id][1]
+                return Reserved(grant_id, held, grant.page_version)
         if reservation_id in self._ended:
             return None
         for grant_id, grant in self.grants.items():
             if not grant.draining and grant.available_tokens >= tokens:
                 grant.reservations[reservation_id] = (router, tokens)
                 self._waiting.pop(reservation_id, None)
-                return Reserved(grant_id, tokens)
-        self._waiting[reservation_id] = tokens
+                return Reserved(grant_id, tokens, grant.page_version)
+        self._waiting[reservation_id] = (router, tokens)
         return None
 
     def settle(self, reservation_id, router, tokens, now):
@@ -192,12 +197,15 @@
 
         Args:
             router: Its incarnation.
-            reports: Complete ``SealReports`` with nothing running.
+            reports: Complete ``SealReports`` with nothing running. Reservations
+                under a grant that a lost agent may have used stay as they are.
         """
+        for reservation_id in _owned(self._waiting, router):
+            del self._waiting[reservation_id]
         for grant_id, grant in self.grants.items():
-            held = [
-                r for r, (owner, _) in grant.reservations.items() if owner == router
-            ]
+            if not reports.resolves(grant.page_version):
+                continue
+            held = _owned(grant.reservations, router)
             for reservation_id in held:
                 del grant.reservations[reservation_id]
                 self._remember(reservation_id)
@@ -207,17 +215,14 @@
 
     def has_reservations_of(self, router):
         """Tells whether a router has open reservations."""
-        return any(
-            owner == router
-            for grant in self.grants.values()
-            for owner, _ in grant.reservations.values()
-        )
+        return any(_owned(grant.reservations, router) for grant in self.grants.values())
 
     def demand(self, now):
         """Returns the ``Demand`` of the account."""
         available = max(self.available_tokens, 0)
-        total = sum(self._waiting.values())
-        smallest = min(self._waiting.values(), default=0)
+        waiting = [tokens for _, tokens in self._waiting.values()]
+        total = sum(waiting)
+        smallest = min(waiting, default=0)
         return Demand(
             max(total - available, 0),
             max(smallest - available, 0),
@@ -225,11 +230,11 @@
             available,
         )
 
-    def observe(self, grant_id, amount, now):
+    def observe(self, grant_id, amount, now, page_version=0):
         """Takes the amount of a grant from the page as last read."""
         grant = self.grants.get(grant_id)
         if grant is None:
-            self.grants[grant_id] = HeldGrant(amount, now)
+            self.grants[grant_id] = HeldGrant(amount, now, page_version)
             return
         grant.amount = amount
         if grant.ceiling is not None and amount <= grant.ceiling:
@@ -242,3 +247,7 @@
         self._ended_order.append(reservation_id)
         if len(self._ended_order) > ENDED_IDS_KEPT:
             self._ended.discard(self._ended_order.popleft())
+
+
+def _owned(reservations, router):
+    return [name for name, (owner, _) in reservations.items() if owner == router]
--- a/pistachiowell/budgets/page.py
+++ b/pistachiowell/budgets/page.py
@@ -33,6 +33,7 @@
         holder: Incarnation of the holding router.
         known_tokens: Amount that the holder last read; 0 for a new grant. Another
             amount in the page shows that the change took effect already.
+        page_version: Version of the page that the change was planned for.
         demand: Demand that the growth is sized by.
         policy: Name of the sizing policy.
     """
@@ -41,6 +42,7 @@
     grant_id: str
     holder: str
     known_tokens: int
+    page_version: int
     demand: Demand
     policy: str = "adaptive"
 
@@ -124,7 +126,7 @@
 def _compact(account):
     document = msgspec.to_builtins(account)
     document["grants"] = {
-        grant_id: {key: value for key, value in grant.items() if value is not False}
+        grant_id: {key: value for key, value in grant.items() if value}
         for grant_id, grant in document["grants"].items()
     }
     return {key: value for key, value in document.items() if value}
@@ -199,7 +201,10 @@
     growth = grant_growth(change.policy, change.demand, free_tokens(account))
     if growth <= 0:
         return account
-    return _with_grant(account, change.grant_id, Grant(change.holder, present + growth))
+    if grant is None:
+        grant = Grant(change.holder, 0, page_version=change.page_version)
+    grown = replace(grant, amount=present + growth)
+    return _with_grant(account, change.grant_id, grown)
 
 
 @_changes_account(LowerGrant)
--- a/pistachiowell/budgets/receipts.py
+++ b/pistachiowell/budgets/receipts.py
@@ -8,6 +8,7 @@
     Receipt,
     SealReport,
 )
+from pistachiowell.schema.generated.objects_budgets import DepartedAgent, DepartedSum
 
 
 class Verdict(enum.Enum):
@@ -89,9 +90,19 @@
         self._receipts = {}
 
     @property
-    def receipt_count(self):
-        """Number of receipts that wait for their journal entry."""
-        return len(self._receipts)
+    def receipts(self):
+        """Receipts that wait for their journal entry."""
+        return list(self._receipts.values())
+
+    @property
+    def running(self):
+        """Running attempts as ``Spend`` by key."""
+        return dict(self._running)
+
+    @property
+    def grant_ids(self):
+        """Ids of the grants with sums."""
+        return set(self._grants)
 
     def unchecked(self, spend):
         """Returns the incarnations whose registration is still to be read."""
@@ -152,6 +163,25 @@
         """Returns the keys of the running attempts that a router sent."""
         return [key for key, spend in self._running.items() if spend.router == router]
 
+    def outcome(self, spend):
+        """Tells what became of an attempt, which then runs no more.
+
+        Args:
+            spend: The ``Spend`` as the router sent it.
+
+        Returns:
+            The tokens used; None while the attempt still runs. An attempt that
+            never came is refused from now on, so it used nothing.
+        """
+        if spend.key in self._running:
+            return None
+        receipt = self._receipts.get(spend.key)
+        if receipt is not None:
+            return receipt.tokens
+        record = self._grants.setdefault(spend.grant_id, _GrantRecord(spend.holder))
+        record.keys.add(spend.key)
+        return 0
+
     def seal(self, incarnation):
         """Refuses an incarnation for ever and reports its sums.
 
@@ -177,6 +207,15 @@
             receipts=[r for r in self._receipts.values() if r.router == incarnation],
         )
 
+    def farewell(self):
+        """Returns the ``DepartedAgent`` to leave behind once nothing runs."""
+        sums = [
+            DepartedSum(grant_id, router, tokens)
+            for grant_id, record in self._grants.items()
+            for router, tokens in record.used.items()
+        ]
+        return DepartedAgent(self._agent, complete=not self._running, sums=sums)
+
     def journaled(self, keys):
         """Drops the receipts of attempts whose bills are in the journal."""
         for key in keys:
--- a/pistachiowell/budgets/sealing.py
+++ b/pistachiowell/budgets/sealing.py
@@ -5,7 +5,45 @@
 sums. An agent that starts later reads no registration and refuses the incarnation.
 """
 
+from dataclasses import dataclass
+
+from pistachiowell.budgets.journal import entry_key
 from pistachiowell.budgets.page import CloseGrant, LowerGrant
+from pistachiowell.schema.generated.objects_budgets import DepartedAgent
+
+
+@dataclass(frozen=True, slots=True)
+class Departed:
+    """An agent incarnation that runs no more.
+
+    Attributes:
+        version: Version of the store object that tells so. A grant opened from a
+            page of this version or a later one was never used there.
+        record: The ``DepartedAgent``.
+    """
+
+    version: int
+    record: DepartedAgent
+
+
+def outcome_at_departed(departed, spend, page_version, entries):
+    """Tells what an attempt used at an agent that runs no more.
+
+    Args:
+        departed: The ``Departed`` agent.
+        spend: The ``Spend`` as the router sent it.
+        page_version: The ``page_version`` of its grant.
+        entries: Journal entries that the agent wrote when it left.
+
+    Returns:
+        Tokens; the whole reservation if the receipt may be lost.
+    """
+    if departed.record.complete:
+        used = {entry_key(entry): entry.tokens for entry in entries}
+        return used.get(spend.key, 0)
+    if departed.version <= page_version:
+        return 0
+    return spend.tokens
 
 
 class SealReports:
@@ -15,6 +53,7 @@
         incarnation: The router incarnation.
         agents: Incarnations of the agents, listed after the registration of the
             router was removed.
+        departed: ``Departed`` agents, listed after that.
 
     Examples:
         >>> from pistachiowell.schema.generated.messages_budgets import (
@@ -30,18 +69,24 @@
         7
     """
 
-    __slots__ = ("_agents", "_by_agent", "_incarnation")
+    __slots__ = ("_agents", "_by_agent", "_departed", "_incarnation")
 
-    def __init__(self, incarnation, agents):
+    def __init__(self, incarnation, agents, departed=()):
         self._incarnation = incarnation
         self._agents = frozenset(agents)
         self._by_agent = {}
+        self._departed = tuple(departed)
 
     @property
     def incarnation(self):
         """The router incarnation."""
         return self._incarnation
 
+    @property
+    def agents(self):
+        """The agents to ask."""
+        return sorted(self._agents)
+
     @property
     def missing(self):
         """Agents that have not answered."""
@@ -67,9 +112,22 @@
         if report.agent in self._agents and report.incarnation == self._incarnation:
             self._by_agent[report.agent] = report
 
+    def resolves(self, page_version):
+        """Tells whether no lost agent may have run requests under a grant.
+
+        Args:
+            page_version: The grant's ``page_version``.
+        """
+        return all(
+            agent.record.complete or agent.version <= page_version
+            for agent in self._departed
+        )
+
     def used_tokens(self, grant_id, router=None):
         """Returns what ended attempts used under a grant, of one router or all."""
-        return sum(s.used_tokens for s in self._sums(grant_id, router))
+        left = [s for agent in self._departed for s in agent.record.sums]
+        sums = [*self._sums(grant_id, router), *_select(left, grant_id, router)]
+        return sum(s.used_tokens for s in sums)
 
     def running_tokens(self, grant_id, router=None):
         """Returns what running attempts reserve under a grant."""
@@ -83,7 +141,8 @@
 
         Returns:
             ``CloseGrant`` for grants with nothing running, ``LowerGrant`` for the
-            others; none while an agent has not answered.
+            others; none while an agent has not answered, and none for a grant that
+            a lost agent may have used.
         """
         if not self.complete:
             return []
@@ -92,6 +151,7 @@
             for name, account in page.accounts.items()
             for grant_id, grant in account.grants.items()
             if grant.sealing and grant.holder == self._incarnation
+            if self.resolves(grant.page_version)
         ]
 
     def _change(self, account, grant_id):
@@ -102,10 +162,11 @@
         return CloseGrant(account, grant_id, used)
 
     def _sums(self, grant_id=None, router=None):
-        for report in self._by_agent.values():
-            for entry in report.sums:
-                if grant_id in (None, entry.grant_id) and router in (
-                    None,
-                    entry.router,
-                ):
-                    yield entry
+        sums = [s for report in self._by_agent.values() for s in report.sums]
+        return _select(sums, grant_id, router)
+
+
+def _select(sums, grant_id, router):
+    return [
+        s for s in sums if grant_id in (None, s.grant_id) and router in (None, s.router)
+    ]
--- /dev/null
+++ b/pistachiowell/budgets/tests/fleet.py
@@ -0,0 +1,322 @@
+"""A fleet of decisions with the messages, writes and faults between them."""
+
+from dataclasses import dataclass, field, replace
+
+from pistachiowell.budgets import Holder, JournalBatches, ReceiptBook, SealReports
+from pistachiowell.budgets.journal import collected_name, entry_of
+from pistachiowell.budgets.page import (
+    MarkSealing,
+    apply_changes,
+    decode_page,
+    encode_page,
+)
+from pistachiowell.budgets.receipts import Spend, Verdict
+from pistachiowell.budgets.sealing import Departed, outcome_at_departed
+from pistachiowell.core.errors import StoreConflict
+from pistachiowell.platform.memory import ObjectTable
+from pistachiowell.schema.generated.objects_budgets import DepartedAgent, JournalEntry
+
+ACCOUNT = "shop"
+PAGE = ("budgetpages", "page-0")
+
+
+@dataclass
+class Call:
+    """A request as its router knows it."""
+
+    spend: Spend
+    agent: str
+    reservation: str
+    state: str = "asking"
+    used: int = 0
+    acknowledged: bool = False
+    page_version: int = 0
+
+
+@dataclass
+class Router:
+    holder: Holder
+    batches: JournalBatches
+    alive: bool = True
+    frozen: bool = False
+    calls: dict = field(default_factory=dict)
+
+    @property
+    def name(self):
+        return self.holder.incarnation
+
+
+@dataclass
+class Agent:
+    book: ReceiptBook
+    reads: list = field(default_factory=list)
+    parked: list = field(default_factory=list)
+    frozen: bool = False
+
+
+@dataclass
+class Write:
+    """A conditional update that is under way."""
+
+    changes: list
+    version: int
+    page: object
+    holder: Holder = None
+
+
+class Fleet:
+    """Runs the decisions; the variants that must fail override parts of it."""
+
+    holder_class = Holder
+
+    def __init__(self):
+        self.table = ObjectTable()
+        self.routers = {}
+        self.agents = {}
+        self.departed = []
+        self.net = []
+        self.writes = []
+        self.seals = {}
+        self.journal = {}
+        self.generated = {}
+        self.now = 0.0
+        self._numbers = 0
+
+    def new_name(self, prefix):
+        self._numbers += 1
+        return f"{prefix}-{self._numbers}"
+
+    def add_router(self):
+        name = self.new_name("router")
+        holder = self.holder_class(name, 1, make_id=lambda: self.new_name("grant"))
+        self.routers[name] = Router(holder, JournalBatches(name))
+        self.table.put("routers", name, b"", 0)
+        return self.routers[name]
+
+    def add_agent(self):
+        name = self.new_name("agent")
+        self.agents[name] = Agent(ReceiptBook(name))
+        return self.agents[name]
+
+    def remove_agent(self, name, clean):
+        agent = self.agents.pop(name)
+        record = DepartedAgent(name)
+        if clean:
+            for key in agent.book.running:
+                self.finish(agent, key, 1)
+            record = agent.book.farewell()
+            self.journal[name] = [entry_of(r) for r in agent.book.receipts]
+        version = self.table.put("departed", name, b"", 0)
+        self.departed.append(Departed(version, record))
+
+    # Messages.
+
+    def send(self, name, handler, *args):
+        self.net.append((name, handler, args))
+
+    def deliver(self, index=0, repeat=False):
+        name, handler, args = self.net.pop(index)
+        target = self.routers.get(name) or self.agents.get(name)
+        if target is None or not getattr(target, "alive", True):
+            return
+        if target.frozen or repeat:
+            self.net.append((name, handler, args))
+        if not target.frozen:
+            handler(target, *args)
+
+    # Pages.
+
+    def page(self):
+        entry = self.table.get(*PAGE)
+        if entry is None:
+            return 0, decode_page(None)
+        return entry.version, decode_page(entry.value)
+
+    def start_write(self, holder=None, changes=None):
+        version, page = self.page()
+        if holder is not None:
+            holder.observe(0, version, page, self.now)
+            changes = holder.plan(0, self.now)
+        new = apply_changes(page, changes)
+        if new is not page:
+            self.writes.append(Write(changes, version, new, holder))
+
+    def end_write(self, index, outcome):
+        write = self.writes.pop(index)
+        holder = write.holder
+        if outcome == "down":
+            self._tell_not_written(holder)
+            return
+        if outcome == "late":
+            self.writes.append(replace(write, holder=None))
+        else:
+            try:
+                version = self.table.put(*PAGE, encode_page(write.page), write.version)
+            except StoreConflict:
+                if outcome == "ok":
+                    self._tell_not_written(holder)
+                    return
+        if holder is None:
+            return
+        if outcome == "ok":
+            holder.observe(0, version, write.page, self.now)
+        else:
+            holder.answer_lost(0, write.version)
+
+    def _tell_not_written(self, holder):
+        if holder is not None:
+            holder.not_written(0)
+
+    def writing(self, holder):
+        return any(write.holder is holder for write in self.writes)
+
+    # Requests.
+
+    def request(self, router, home, agent_name, request_id, tokens):
+        key = (router.name, request_id, len(router.calls) + 1)
+        spend = Spend(*key, ACCOUNT, "", home.name, tokens)
+        router.calls[key] = Call(spend, agent_name, self.new_name("reservation"))
+        self.ask(router.calls[key])
+
+    def ask(self, call):
+        args = (call.reservation, call.spend.key, call.spend.tokens)
+        self.send(call.spend.holder, self.on_reserve, *args)
+
+    def on_reserve(self, home, reservation, key, tokens):
+        held = home.holder.reserve(ACCOUNT, reservation, key[0], tokens, self.now)
+        if held is not None:
+            self.send(key[0], self.on_reserved, key, held)
+
+    def on_reserved(self, router, key, held):
+        call = router.calls[key]
+        if call.state == "asking":
+            call.state = "running"
+            call.spend = replace(call.spend, grant_id=held.grant_id)
+            call.page_version = held.page_version
+            self.send(call.agent, self.on_run, call.spend)
+
+    def on_run(self, agent, spend):
+        verdict = agent.book.admit(spend)
+        if verdict is Verdict.CHECK:
+            agent.parked.append(spend)
+            for name in agent.book.unchecked(spend):
+                registered = self.table.get("routers", name) is not None
+                agent.reads.append((name, registered))
+        elif verdict is Verdict.REFUSE:
+            self.send(spend.router, self.on_ended, spend.key, 0)
+
+    def end_read(self, agent):
+        if not agent.reads:
+            return
+        name, registered = agent.reads.pop(0)
+        agent.book.checked(name, registered)
+        parked, agent.parked = agent.parked, []
+        for spend in parked:
+            if not agent.book.unchecked(spend):
+                self.on_run(agent, spend)
+            elif agent.reads:
+                agent.parked.append(spend)
+
+    def finish(self, agent, key, tokens):
+        self.generated[key] = agent.book.finish(key, tokens)
+        self.send(key[0], self.on_ended, key, self.generated[key])
+
+    def on_ended(self, router, key, used):
+        call = router.calls[key]
+        if call.state in ("running", "unknown"):
+            self.settle(router, call, used)
+
+    def settle(self, router, call, used):
+        call.state = "done"
+        call.used = used
+        spend = call.spend
+        if used:
+            entry = JournalEntry(
+                spend.request_id,
+                ACCOUNT,
+                spend.grant_id,
+                used,
+                spend.router,
+                spend.attempt,
+            )
+            router.batches.add(entry)
+        self.send_settlement(call)
+
+    def send_settlement(self, call):
+        args = (call.reservation, call.spend.key, call.used)
+        self.send(call.spend.holder, self.on_settle, *args)
+
+    def on_settle(self, home, reservation, key, used):
+        home.holder.settle(ACCOUNT, reservation, key[0], used, self.now)
+        self.send(key[0], self.on_settled, key)
+
+    def on_settled(self, router, key):
+        router.calls[key].acknowledged = True
+
+    def time_out(self, router, call):
+        if call.state == "asking":
+            self.settle(router, call, 0)
+        elif call.state in ("running", "unknown"):
+            call.state = "unknown"
+            self.send(call.agent, self.on_outcome, call.spend)
+            for departed in self.departed:
+                if departed.record.agent == call.agent:
+                    entries = self.journal.get(call.agent, [])
+                    args = (departed, call.spend, call.page_version, entries)
+                    self.settle(router, call, outcome_at_departed(*args))
+
+    def on_outcome(self, agent, spend):
+        if spend.key in agent.book.running:
+            self.finish(agent, spend.key, spend.tokens // 2)
+        self.send(spend.router, self.on_ended, spend.key, agent.book.outcome(spend))
+
+    # Journals and sealing.
+
+    def write_journal(self, router, answered):
+        batch = router.batches.next_batch()
+        if batch is None:
+            return
+        name, entries = batch
+        assert self.journal.setdefault(name, entries) == entries
+        if answered:
+            keys = [(e.router, e.request_id, e.attempt) for e in entries]
+            router.batches.written()
+            for agent in self.agents.values():
+                agent.book.journaled(keys)
+
+    def agents_to_ask(self):
+        return list(self.agents)
+
+    def start_seal(self, name):
+        entry = self.table.get("routers", name)
+        if entry is not None:
+            self.table.delete("routers", name, entry.version)
+        self.seals[name] = None
+
+    def step_seal(self, name):
+        reports = self.seals[name]
+        if reports is None:
+            agents = self.agents_to_ask()
+            self.seals[name] = SealReports(name, agents, self.departed)
+            self.start_write(changes=[MarkSealing(name)])
+        elif not reports.complete or reports.still_running:
+            for agent in reports.agents:
+                self.send(agent, self.on_seal, name)
+            if not set(reports.missing) <= set(self.agents):
+                self.seals[name] = None
+        else:
+            self.start_write(changes=[MarkSealing(name)])
+            self.start_write(changes=reports.changes(self.page()[1]))
+            for router in self.routers.values():
+                if router.alive and not router.frozen:
+                    router.holder.router_sealed(name, reports)
+
+    def on_seal(self, agent, name):
+        for key in agent.book.running_of(name):
+            self.finish(agent, key, 1)
+        report = agent.book.seal(name)
+        if report.receipts:
+            entries = [entry_of(receipt) for receipt in report.receipts]
+            self.journal.setdefault(collected_name(name, report.agent), entries)
+        if self.seals.get(name) is not None:
+            self.seals[name].add(report)
--- a/pistachiowell/ctl/command.py
+++ b/pistachiowell/ctl/command.py
@@ -152,7 +152,7 @@
 
 def now_utc():
     """Returns the present time."""
-    return datetime.datetime.now(datetime.timezone.utc)
+    return datetime.datetime.now(datetime.UTC)
 
 
 def time_text(moment):
