Decide claims of requests that run at most once: buckets, pages, records

The open page of a bucket is one object; a claim is a conditional update of it. A state machine with lost, late and dropped calls, deaths and repeats rejects four naive variants.

--- a/pistachiowell/claims/__init__.py
+++ b/pistachiowell/claims/__init__.py
@@ -1,1 +1,25 @@
-"""Claims of the router fleet."""
+"""Claims of requests that may run at most once."""
+
+from pistachiowell.claims.book import ClaimBook, Decision, KeptAnswer, RecordState
+from pistachiowell.claims.bucket import Bucket, DeletePage, ReadPage, WritePage
+from pistachiowell.claims.keys import (
+    body_digest,
+    bucket_of,
+    key_digest,
+    preferred_agents,
+)
+
+__all__ = [
+    "Bucket",
+    "ClaimBook",
+    "Decision",
+    "DeletePage",
+    "KeptAnswer",
+    "ReadPage",
+    "RecordState",
+    "WritePage",
+    "body_digest",
+    "bucket_of",
+    "key_digest",
+    "preferred_agents",
+]
--- /dev/null
+++ b/pistachiowell/claims/book.py
@@ -0,0 +1,240 @@
+"""What one agent knows of the keys that it was asked to run."""
+
+import enum
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from pistachiowell.claims.bucket import Bucket, Granted
+from pistachiowell.claims.keys import bucket_of
+from pistachiowell.core.errors import (
+    InvalidRequest,
+    KeyInProgress,
+    OutcomeUnknown,
+    PistachiowellError,
+)
+from pistachiowell.schema.generated.objects_claims import Claim
+
+MAX_RECORDS = 20_000
+_CLAIM_ID_BITS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """Answer that a repeat of its key receives again.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Type of the body.
+        body: Whole body.
+        prompt_tokens: Tokens of the prompt.
+        completion_tokens: Tokens of the answer.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Outcome of a claim.
+
+    Attributes:
+        digest: Digest of the key.
+        error: None if the request may run.
+        claimed_by: Name of the agent that holds the key if another one does.
+    """
+
+    digest: str
+    error: PistachiowellError | None = None
+    claimed_by: str = ""
+
+
+class RecordState(enum.Enum):
+    """State of a key at this agent.
+
+    ``RELEASED`` means that a claim with this agent's id may be in the store, that
+    the request never ran under it, and that nobody else can run it.
+    """
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    ANSWERED = "answered"
+    FAILED = "failed"
+    RELEASED = "released"
+
+
+class _Record:
+    __slots__ = ("answer", "claim", "state")
+
+    def __init__(self, claim):
+        self.claim = claim
+        self.state = RecordState.WAITING
+        self.answer = None
+
+
+class ClaimBook:
+    """Decides which requests of one agent run, at most once for each key.
+
+    Args:
+        agent: Name of the agent.
+        buckets: Number of buckets that all agents use.
+        settings: Settings with ``claim_page_size``, ``claim_retention_s`` and
+            ``kept_answer_bytes``.
+        rng: A ``Random`` for claim ids and the jitter of retries. It must be seeded
+            apart in each run of an agent.
+        bucket_class: Class of the buckets.
+    """
+
+    __slots__ = (
+        "_agent",
+        "_bucket_class",
+        "_bucket_count",
+        "_buckets",
+        "_kept_bytes",
+        "_records",
+        "_rng",
+        "_settings",
+    )
+
+    def __init__(self, agent, buckets, settings, rng, bucket_class=Bucket):
+        self._agent = agent
+        self._bucket_count = buckets
+        self._settings = settings
+        self._rng = rng
+        self._bucket_class = bucket_class
+        self._buckets = {}
+        self._records = OrderedDict()
+        self._kept_bytes = 0
+
+    @property
+    def kept_bytes(self):
+        """Bytes of the answers kept for repeats."""
+        return self._kept_bytes
+
+    def bucket_index(self, digest):
+        """Returns the number of the bucket of a key."""
+        return bucket_of(digest, self._bucket_count)
+
+    def bucket(self, index):
+        """Returns the ``Bucket`` with a number."""
+        if index not in self._buckets:
+            bucket = self._bucket_class(index, self._settings, self._rng)
+            self._buckets[index] = bucket
+        return self._buckets[index]
+
+    def state(self, digest):
+        """Returns the ``RecordState`` of a key, or None."""
+        record = self._records.get(digest)
+        return None if record is None else record.state
+
+    def begin(self, digest, body):
+        """Starts to claim a key.
+
+        Args:
+            digest: Result of ``key_digest``.
+            body: Result of ``body_digest``.
+
+        Returns:
+            A ``KeptAnswer`` of an earlier run; None if the claim now waits for its
+            ``Decision``.
+
+        Raises:
+            InvalidRequest: The key was used for another request.
+            KeyInProgress: The key is being claimed or run here.
+            OutcomeUnknown: The key ran here and its answer was not kept.
+        """
+        record = self._records.get(digest)
+        if record is None:
+            claim_id = f"{self._rng.getrandbits(_CLAIM_ID_BITS):016x}"
+            record = _Record(Claim(claim_id, self._agent, body))
+            self._records[digest] = record
+            self._bucket_of(digest).submit(digest, record.claim)
+            return None
+        if record.claim.body != body:
+            raise _other_request()
+        if record.state in (RecordState.WAITING, RecordState.RUNNING):
+            raise KeyInProgress("The key is in progress.")
+        if record.state is RecordState.ANSWERED:
+            return record.answer
+        if record.state is RecordState.FAILED:
+            raise OutcomeUnknown("The request may have run without a whole answer.")
+        record.state = RecordState.WAITING
+        self._bucket_of(digest).submit(digest, record.claim, reused=True)
+        return None
+
+    def take_decisions(self, index):
+        """Returns the ``Decision`` list of a bucket since the last call."""
+        outcomes = self.bucket(index).take_outcomes()
+        return [self._decide(outcome) for outcome in outcomes]
+
+    def finish(self, digest, answer):
+        """Keeps the answer of a running request.
+
+        Args:
+            digest: Digest of the key.
+            answer: A ``KeptAnswer``.
+        """
+        record = self._records[digest]
+        record.state = RecordState.ANSWERED
+        record.answer = answer
+        self._kept_bytes += len(answer.body)
+        self._records.move_to_end(digest)
+        self._evict()
+
+    def fail(self, digest):
+        """Notes that a running request may have run without a whole answer."""
+        self._records[digest].state = RecordState.FAILED
+        self._evict()
+
+    def release(self, digest):
+        """Gives up a claim whose request has not begun to run.
+
+        Afterwards the request did not run, and only a repeat of its key at this
+        agent can run it.
+        """
+        record = self._records[digest]
+        was_running = record.state is RecordState.RUNNING
+        carried = self._bucket_of(digest).withdraw(digest)
+        if was_running or carried:
+            record.state = RecordState.RELEASED
+        else:
+            del self._records[digest]
+
+    def _bucket_of(self, digest):
+        return self.bucket(self.bucket_index(digest))
+
+    def _decide(self, outcome):
+        record = self._records[outcome.digest]
+        if isinstance(outcome, Granted):
+            record.state = RecordState.RUNNING
+            return Decision(outcome.digest)
+        del self._records[outcome.digest]
+        claim = outcome.claim
+        if claim.body != record.claim.body:
+            return Decision(outcome.digest, _other_request())
+        error = OutcomeUnknown(f"Agent {claim.agent} claimed the key earlier.")
+        claimed_by = "" if claim.agent == self._agent else claim.agent
+        return Decision(outcome.digest, error, claimed_by)
+
+    def _evict(self):
+        """Forgets ended requests; the pages still hold their claims."""
+        limit_bytes = self._settings.kept_answer_bytes
+        while self._kept_bytes > limit_bytes or len(self._records) > MAX_RECORDS:
+            ended = (
+                digest
+                for digest, record in self._records.items()
+                if record.state not in (RecordState.WAITING, RecordState.RUNNING)
+            )
+            digest = next(ended, None)
+            if digest is None:
+                return
+            record = self._records.pop(digest)
+            if record.answer is not None:
+                self._kept_bytes -= len(record.answer.body)
+
+
+def _other_request():
+    return InvalidRequest("The idempotency key was used for another request.")
--- /dev/null
+++ b/pistachiowell/claims/pages.py
@@ -0,0 +1,88 @@
+"""Claim pages: names, encoding and the steps from one page to the next."""
+
+import dataclasses
+
+import msgspec
+
+from pistachiowell.core.errors import StoreUnavailable
+from pistachiowell.schema.generated.objects_claims import ClaimLayout, ClaimPage
+
+COLLECTION = "claimpages"
+LAYOUT_NAME = "layout"
+MAX_PAGE_CLAIMS = 4096
+
+
+def open_page_name(bucket):
+    """Names the object that holds a bucket's open page.
+
+    Examples:
+        >>> open_page_name(7)
+        'bucket-00007'
+    """
+    return f"bucket-{bucket:05d}"
+
+
+def archive_name(bucket, sequence):
+    """Names the object that holds a sealed page.
+
+    Examples:
+        >>> archive_name(7, 2)
+        'bucket-00007-0000000002'
+    """
+    return f"{open_page_name(bucket)}-{sequence:010d}"
+
+
+def decode_page(value):
+    """Reads a claim page.
+
+    Raises:
+        StoreUnavailable: The value is no claim page.
+    """
+    return _decode(value, ClaimPage)
+
+
+def decode_layout(value):
+    """Reads the layout.
+
+    Raises:
+        StoreUnavailable: The value is no layout.
+    """
+    layout = _decode(value, ClaimLayout)
+    if layout.buckets < 1:
+        raise StoreUnavailable(f"The claim layout has {layout.buckets} buckets.")
+    return layout
+
+
+def _decode(value, cls):
+    try:
+        return msgspec.json.decode(value, type=cls)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise StoreUnavailable(f"A {cls.__name__} is unreadable: {error}.") from error
+
+
+def add_claims(page, claims, page_size, wall_s):
+    """Adds claims to an open page and seals it once it is full.
+
+    Args:
+        page: The ``ClaimPage``.
+        claims: New ``Claim`` by digest.
+        page_size: Claims after which a page is sealed.
+        wall_s: Wall time in seconds since 1970.
+
+    Returns:
+        The new page.
+    """
+    merged = page.claims | claims
+    if len(merged) < page_size:
+        return dataclasses.replace(page, claims=merged)
+    return dataclasses.replace(page, claims=merged, sealed=True, sealed_at_s=wall_s)
+
+
+def next_page(page, oldest):
+    """Returns the empty page after a sealed one.
+
+    Args:
+        page: The sealed ``ClaimPage``.
+        oldest: Number of the oldest archived page that still counts.
+    """
+    return ClaimPage(sequence=page.sequence + 1, oldest=oldest)
--- /dev/null
+++ b/pistachiowell/claims/tests/test_claims.py
@@ -0,0 +1,313 @@
+"""State machine of several agents and a faulty store against a dict of keys."""
+
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
+
+from pistachiowell.claims import ClaimBook, DeletePage, KeptAnswer, ReadPage
+from pistachiowell.claims.book import RecordState
+from pistachiowell.claims.naive import VARIANTS
+from pistachiowell.claims.pages import COLLECTION
+from pistachiowell.core.errors import PistachiowellError, StoreConflict
+from pistachiowell.core.rng import Random
+from pistachiowell.platform.memory import ObjectTable
+
+KEYS = ("k1", "k2", "k3", "k4")
+AGENTS = ("a", "b")
+BUCKETS = 1
+STEP_S = 100.0
+INDEX = st.integers(0, 63)
+
+
+class Attempt:
+    def __init__(self, agent, key, body, step):
+        self.agent, self.key, self.body, self.step = agent, key, body, step
+
+
+class Call:
+    """A call of the store under way; it may take effect late or never."""
+
+    def __init__(self, agent, bucket, action):
+        self.agent, self.bucket, self.action = agent, bucket, action
+        self.answer = None
+        self.awaited = True
+
+
+class Agent:
+    """One run of an agent with its books and granted attempts."""
+
+    def __init__(self, name, page_size, bucket_class, seed):
+        limits = SimpleNamespace(
+            claim_page_size=page_size, claim_retention_s=1e9, kept_answer_bytes=60
+        )
+        self.book = ClaimBook(name, BUCKETS, limits, Random(seed), bucket_class)
+        self.waiting = {}
+        self.granted = []
+        self.running = []
+        self.alive = True
+
+    def take_decisions(self, index):
+        for decision in self.book.take_decisions(index):
+            attempt = self.waiting.pop(decision.digest)
+            if decision.error is None:
+                self.granted.append(attempt)
+
+
+def apply_to(table, action):
+    """Performs an action on the store and returns what the store answers."""
+    try:
+        if isinstance(action, ReadPage):
+            return ("read", table.get(COLLECTION, action.name))
+        if isinstance(action, DeletePage):
+            table.delete(COLLECTION, action.name, action.expected_version)
+            return ("deleted", None)
+        value = msgspec.json.encode(action.page)
+        version = action.expected_version
+        return ("written", table.put(COLLECTION, action.name, value, version))
+    except StoreConflict:
+        return ("conflict", None)
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Interleaves requests, store calls, faults and deaths of agents.
+
+    A frozen agent is one whose steps do not come; nothing here depends on time.
+    """
+
+    bucket_class = VARIANTS["group_commit"]
+
+    def __init__(self):
+        super().__init__()
+        self.table = ObjectTable()
+        self.step = 0
+        self.agents = {}
+        for name in AGENTS:
+            self.start(name)
+        self.calls = []
+        self.runs = dict.fromkeys(KEYS, 0)
+        self.answers = {}
+        self.told_not_run = dict.fromkeys(KEYS, -1)
+        self.tainted = set()
+
+    def start(self, name):
+        self.step += 1
+        page_size = 2 + AGENTS.index(name)
+        seed = f"{name} {self.step}"
+        self.agents[name] = Agent(name, page_size, self.bucket_class, seed)
+
+    @rule(
+        name=st.sampled_from(AGENTS),
+        key=st.sampled_from(KEYS),
+        body=st.sampled_from("xxxxy"),
+    )
+    def submit(self, name, key, body):
+        self.step += 1
+        agent = self.agents[name]
+        try:
+            kept = agent.book.begin(key, body)
+        except PistachiowellError:
+            return
+        if kept is None:
+            agent.waiting[key] = Attempt(name, key, body, self.step)
+        else:
+            assert kept.body == self.answers[key]
+
+    @rule(index=INDEX)
+    def advance(self, index):
+        """Takes one of the steps that are possible when nothing fails."""
+        self.step += 1
+        steps = [
+            (self.call_store, agent, bucket)
+            for agent in self.agents.values()
+            for bucket in range(BUCKETS)
+            if agent.book.bucket(bucket).waiting
+        ]
+        for call in self.calls:
+            step = self.reach_store if call.answer is None else self.answer_call
+            steps.append((step, call))
+        for agent in self.agents.values():
+            steps += [(self.run, agent, attempt) for attempt in agent.granted]
+            steps += [(self.end_run, agent, attempt) for attempt in agent.running]
+        self.take_step(steps, index)
+
+    @rule(index=INDEX)
+    def fault(self, index):
+        """Loses an answer or a call, or gives a request up."""
+        self.step += 1
+        steps = []
+        for call in self.calls:
+            steps.append((self.lose_answer, call))
+            steps += [(self.drop_call, call)] * (call.answer is None)
+        for agent in self.agents.values():
+            steps += [(self.refuse, agent, attempt) for attempt in agent.granted]
+            steps += [(self.give_up, agent, key) for key in agent.waiting]
+        self.take_step(steps, index)
+
+    def take_step(self, steps, index):
+        if steps:
+            function, *args = steps[index % len(steps)]
+            function(*args)
+
+    def call_store(self, agent, index):
+        action = agent.book.bucket(index).next_action(self.step * STEP_S, 1.0)
+        agent.take_decisions(index)
+        if action is not None:
+            self.calls.append(Call(agent, index, action))
+
+    def reach_store(self, call):
+        call.answer = apply_to(self.table, call.action)
+        if not call.awaited:
+            self.calls.remove(call)
+
+    def answer_call(self, call):
+        self.calls.remove(call)
+        if call.agent.alive:
+            self.report(call, call.answer)
+
+    def lose_answer(self, call):
+        """The agent stops waiting; a call that is under way may still arrive."""
+        if call.answer is not None:
+            self.calls.remove(call)
+        if call.awaited and call.agent.alive:
+            self.report(call, None)
+        call.awaited = False
+
+    def drop_call(self, call):
+        self.calls.remove(call)
+        if call.awaited and call.agent.alive:
+            self.report(call, None)
+
+    def report(self, call, answer):
+        bucket = call.agent.book.bucket(call.bucket)
+        now = self.step * STEP_S
+        if isinstance(call.action, DeletePage):
+            bucket.on_deleted()
+        elif answer is None and isinstance(call.action, ReadPage):
+            bucket.on_unavailable(now)
+        elif answer is None:
+            bucket.on_lost(now)
+        elif answer[0] == "read":
+            bucket.on_read(answer[1], now)
+        elif answer[0] == "written":
+            bucket.on_written(answer[1])
+        else:
+            bucket.on_conflict(now)
+        call.agent.take_decisions(call.bucket)
+
+    def run(self, agent, attempt):
+        agent.granted.remove(attempt)
+        agent.running.append(attempt)
+        self.count_run(attempt)
+
+    def count_run(self, attempt):
+        assert attempt.step > self.told_not_run[attempt.key], "ran after 'not run'"
+        self.runs[attempt.key] += 1
+        assert self.runs[attempt.key] <= 1, "ran twice"
+
+    def end_run(self, agent, attempt):
+        agent.running.remove(attempt)
+        size = self.step % 3 * 20
+        if not size:
+            agent.book.fail(attempt.key)
+            return
+        body = attempt.key.encode() * size
+        self.answers[attempt.key] = body
+        agent.book.finish(attempt.key, KeptAnswer(200, "text/plain", body))
+
+    def refuse(self, agent, attempt):
+        agent.granted.remove(attempt)
+        agent.book.release(attempt.key)
+        assert self.runs[attempt.key] == 0, "'not run' said of a run"
+        self.told_not_run[attempt.key] = self.step
+
+    def give_up(self, agent, key):
+        del agent.waiting[key]
+        agent.book.release(key)
+
+    @rule(name=st.sampled_from(AGENTS))
+    def restart(self, name):
+        agent = self.agents[name]
+        agent.alive = False
+        self.tainted.update(k for k in KEYS if agent.book.state(k) is not None)
+        self.start(name)
+
+    def pump(self, agent, index):
+        """Lets one agent finish its calls with a store in order."""
+        for _ in range(40):
+            self.step += 1
+            action = agent.book.bucket(index).next_action(self.step * STEP_S, 1.0)
+            agent.take_decisions(index)
+            if action is None:
+                return
+            call = Call(agent, index, action)
+            self.report(call, apply_to(self.table, action))
+        raise AssertionError("the bucket does not come to rest")
+
+    def teardown(self):
+        """Once the store is well, a key that never ran must be able to run."""
+        for call in self.calls:
+            if call.awaited and call.agent.alive:
+                self.report(call, call.answer)
+        for agent in self.agents.values():
+            for attempt in [*agent.granted, *agent.waiting.values()]:
+                agent.book.release(attempt.key)
+            agent.granted.clear()
+            agent.waiting.clear()
+        for key in KEYS:
+            if self.runs[key] == 0 and key not in self.tainted:
+                assert any(self.can_run(a, key) for a in self.agents.values()), (
+                    "a key that never ran is lost"
+                )
+
+    def can_run(self, agent, key):
+        for body in ("x", "y"):
+            try:
+                agent.book.begin(key, body)
+            except PistachiowellError:
+                continue
+            agent.waiting[key] = Attempt("", key, body, self.step + 1)
+            self.pump(agent, agent.book.bucket_index(key))
+            if agent.book.state(key) is RecordState.RUNNING:
+                self.count_run(agent.granted.pop())
+                return True
+        return False
+
+
+def run_machine(name, max_examples):
+    class Machine(ClaimMachine):
+        bucket_class = VARIANTS[name]
+
+    run_state_machine_as_test(
+        Machine,
+        settings=settings(
+            max_examples=max_examples,
+            stateful_step_count=60,
+            phases=[Phase.generate],
+        ),
+    )
+
+
+def test_a_key_runs_at_most_once_and_is_not_lost():
+    run_machine("group_commit", 60)
+
+
+@pytest.mark.parametrize(
+    ("name", "message"),
+    [
+        ("memory_only", "ran twice"),
+        ("assume_failure", "never ran is lost"),
+        ("assume_success", "ran twice"),
+        ("unsealed", "ran twice"),
+    ],
+)
+def test_the_same_machine_rejects_naive_variants(name, message):
+    with pytest.raises(AssertionError, match=message):
+        run_machine(name, 2000)
--- a/pistachiowell/core/errors.py
+++ b/pistachiowell/core/errors.py
@@ -154,6 +154,7 @@
     "claim_unavailable",
     503,
     "Send the request with the same key again later.",
+    ran=MAY_HAVE_RUN,
     retry_after_s=2.0,
 )
 Quarantined = _define(
