--- a/pistachiowell/claims/tests/test_claims.py
+++ b/pistachiowell/claims/tests/test_claims.py
@@ -296,7 +296,7 @@
 
 
 def test_a_key_runs_at_most_once_and_is_not_lost():
-    run_machine("group_commit", 60)
+    run_machine("group_commit", 1500)
 
 
 @pytest.mark.parametrize(
