--- a/pistachiowell/bench/load.py
+++ b/pistachiowell/bench/load.py
@@ -130,7 +130,7 @@
     started = anyio.current_time()
 
     async def send(number, at, account, route, words):
-        await anyio.sleep(started + at - anyio.current_time())
+        await anyio.sleep_until(started + at)
         url = rig.url(rig.routers[number % len(rig.routers)])
         key = rig.plan.api_key_prefix + account
         prompt = f"request {plan.seed} {number} words={words}"
--- /dev/null
+++ b/pistachiowell/bench/slopes_state.py
@@ -0,0 +1,138 @@
+"""Slopes of the state that the programs keep: rows, bills, events."""
+
+import time
+
+import msgspec
+
+from pistachiowell.bench.slopes import Slope, cpu_us, measurement, memory_bytes
+from pistachiowell.core.clock import HybridClock
+from pistachiowell.core.events import EventKind, EventRing
+from pistachiowell.schema.generated.objects_budgets import (
+    BudgetAccount,
+    BudgetPage,
+    Grant,
+    JournalEntry,
+    JournalObject,
+)
+from pistachiowell.schema.generated.table import StoredRow
+from pistachiowell.tables import Table
+
+ACCOUNTS = 6900
+SERVERS = 600
+CHANGES = 50
+EVENTS = 20_000
+ENTRIES = 1000
+PAGE_ACCOUNTS = 200
+
+_HASH = "0123456789abcdef" * 4
+
+
+def _account_row(number, revision):
+    name = f"account-{number}"
+    row = {"kind": "account", "name": name, "key_hashes": [f"{number:064x}"]}
+    return StoredRow(1, row, "operator", "2026-01-01T00:00:00Z", revision=revision)
+
+
+def _server_row(number, revision):
+    row = {
+        "kind": "server",
+        "name": f"server-{number}",
+        "data_centre": "osu",
+        "version": f"model-{number % 4}",
+        "url": f"http://10.0.{number // 256}.{number % 256}:8000",
+    }
+    return StoredRow(1, row, "operator", "2026-01-01T00:00:00Z", revision=revision)
+
+
+def _full_table(count):
+    table = Table()
+    rows = [_account_row(number, 1) for number in range(count - SERVERS)]
+    rows += [_server_row(number, 1) for number in range(SERVERS)]
+    table.take(rows, 1)
+    return table
+
+
+@measurement("table")
+def measure_table():
+    """Holds the table at full size and takes changes of one row."""
+    count = ACCOUNTS + SERVERS
+    table = _full_table(count)
+    revisions = iter(range(2, 2 + 1000 * CHANGES))
+
+    def take(changes):
+        for _ in range(changes):
+            revision = next(revisions)
+            table.take([_account_row(revision % ACCOUNTS, revision)], revision)
+
+    stored = msgspec.json.encode(_account_row(1, 1))
+    return [
+        Slope(
+            "table row held",
+            count,
+            size_bytes=len(stored),
+            memory_bytes=memory_bytes(_full_table, count),
+        ),
+        Slope(f"table change, {count} rows", CHANGES, cpu_us(take, CHANGES)),
+    ]
+
+
+@measurement("journal")
+def measure_journal():
+    """Encodes journal objects and a budget page."""
+    entries = [
+        JournalEntry(f"request-{n:032x}", "shop-kumasi", f"grant-{n:032x}", 400)
+        for n in range(ENTRIES)
+    ]
+    size = len(msgspec.json.encode(JournalObject(entries)))
+    per_entry = cpu_us(
+        lambda n: msgspec.json.encode(JournalObject(entries[:n])), ENTRIES
+    )
+    page = BudgetPage({f"account-{n}": _budget(n) for n in range(PAGE_ACCOUNTS)})
+    value = msgspec.json.encode(page)
+    return [
+        Slope("journal entry encoded", ENTRIES, per_entry, round(size / ENTRIES, 1)),
+        Slope(
+            "budget in a page, 5 grants",
+            PAGE_ACCOUNTS,
+            cpu_us(lambda n: _rewrite(value), PAGE_ACCOUNTS),
+            round(len(value) / PAGE_ACCOUNTS, 1),
+        ),
+    ]
+
+
+def _budget(number):
+    holder = f"router-{number:032x}"
+    grants = {f"grant-{number:031x}{n}": Grant(holder, 20_000) for n in range(5)}
+    top_ups = [f"topup-{number:032x}"]
+    return BudgetAccount(credited=10_000_000, top_ups=top_ups, grants=grants)
+
+
+def _rewrite(value):
+    msgspec.json.encode(msgspec.json.decode(value, type=BudgetPage))
+
+
+@measurement("events")
+def measure_events():
+    """Adds events to a full ring."""
+    ring = EventRing("router-1", HybridClock(time.time_ns), EVENTS)
+
+    def add(count, target=ring):
+        for number in range(count):
+            target.add(
+                EventKind.request_received,
+                request=f"request-{number:032x}",
+                account="shop-kumasi",
+            )
+        return target
+
+    def fill(count):
+        return add(count, EventRing("router-1", HybridClock(time.time_ns), count))
+
+    return [
+        Slope(
+            "event in the ring",
+            EVENTS,
+            cpu_us(add, EVENTS),
+            memory_bytes=memory_bytes(fill, EVENTS),
+        )
+    ]
