--- a/pistachiowell/agent/runner.py
+++ b/pistachiowell/agent/runner.py
@@ -8,11 +8,13 @@
     MAY_HAVE_RUN,
     AnswerBroken,
     DeadlineExceeded,
+    InternalFault,
     Leaving,
     NoServer,
     PistachiowellError,
     ServerFailed,
 )
+from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
 from pistachiowell.schema.generated.messages_requests import (
     AnswerChunk,
@@ -137,6 +139,12 @@
         key = (id(link), *run.key)
         if key not in self._runs:
             self._runs[key] = run
+            self._runtime.events.add(
+                EventKind.request_received,
+                request=request.request_id,
+                account=request.account,
+                text=f"attempt {request.attempt}",
+            )
             self._group.start_soon(self._run, key, run)
 
     async def _take_credit(self, link, message):
@@ -175,7 +183,7 @@
             self._fail(run, started, error)
         except Exception:
             _log.exception("An attempt failed by a fault of the agent.")
-            self._fail(run, started, ServerFailed("Internal fault of the agent."))
+            self._fail(run, started, InternalFault("The agent met a fault."))
 
     def _fail(self, run, started, error):
         ran = error.ran if started.sent else "no"
