--- a/pistachiowell/budgets/tests/test_budget_machine.py
+++ b/pistachiowell/budgets/tests/test_budget_machine.py
@@ -114,8 +114,8 @@
             outcome = "late"
         self.fleet.end_write(self.fleet.writes.index(write), outcome)
 
-    @rule()
-    def run_calmly(self):
+    @rule(outcome=st.sampled_from(["ok", "ok", "lost"]))
+    def run_on(self, outcome):
         fleet = self.fleet
         for _ in range(2):
             for router in fleet.routers.values():
@@ -123,7 +123,7 @@
                 if router.alive and not router.frozen and free:
                     fleet.start_write(router.holder)
                     if fleet.writing(router.holder):
-                        fleet.end_write(len(fleet.writes) - 1, "ok")
+                        fleet.end_write(len(fleet.writes) - 1, outcome)
                 for call in router.calls.values():
                     if call.state == "asking" and not router.frozen:
                         fleet.ask(call)
@@ -157,6 +157,12 @@
         if key and not agent.frozen:
             self.fleet.finish(agent, key, amount)
 
+    @rule()
+    def finish_all(self):
+        for agent in self.fleet.agents.values():
+            for key in [] if agent.frozen else agent.book.running:
+                self.fleet.finish(agent, key, 1000)
+
     @rule(agent=index)
     def end_read(self, agent):
         agent = self.pick(self.fleet.agents.values(), agent)
@@ -296,10 +302,19 @@
 class AddingHolder(Holder):
     """Adds what it reads after a lost answer to what it has."""
 
+    extra = 0
+    lost = False
+
     def answer_lost(self, number, base_version):
         super().answer_lost(number, base_version)
+        self.lost = True
+
+    def observe(self, number, version, page, now):
+        super().observe(number, version, page, now)
         for grant in self.ledger(ACCOUNT).grants.values():
-            grant.amount += grant.amount
+            self.extra += grant.amount if self.lost else 0
+            self.lost = False
+            grant.amount += self.extra
 
 
 class AddsAfterLostAnswer(Fleet):
