--- a/pistachiowell/budgets/tests/test_budget_machine.py
+++ b/pistachiowell/budgets/tests/test_budget_machine.py
@@ -1,7 +1,7 @@
 """Budgets under lost, late and repeated messages and writes, deaths and freezes."""
 
 import pytest
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -13,7 +13,12 @@
 
 from pistachiowell.budgets import Holder, bills
 from pistachiowell.budgets.journal import charges, returns
-from pistachiowell.budgets.page import TopUp, apply_changes, free_tokens
+from pistachiowell.budgets.page import (
+    TopUp,
+    apply_changes,
+    free_tokens,
+    granted_tokens,
+)
 from pistachiowell.budgets.tests.fleet import ACCOUNT, PAGE, Fleet
 from pistachiowell.schema.generated.objects_budgets import BudgetAccount
 
@@ -109,6 +114,25 @@
             outcome = "late"
         self.fleet.end_write(self.fleet.writes.index(write), outcome)
 
+    @rule(outcome=st.sampled_from(["ok", "ok", "lost"]))
+    def run_on(self, outcome):
+        fleet = self.fleet
+        for _ in range(2):
+            for router in fleet.routers.values():
+                free = not fleet.writing(router.holder)
+                if router.alive and not router.frozen and free:
+                    fleet.start_write(router.holder)
+                    if fleet.writing(router.holder):
+                        fleet.end_write(len(fleet.writes) - 1, outcome)
+                for call in router.calls.values():
+                    if call.state == "asking" and not router.frozen:
+                        fleet.ask(call)
+            for _ in range(3):
+                self.deliver_all()
+                for agent in fleet.agents.values():
+                    for _ in range(len(agent.reads)):
+                        fleet.end_read(agent)
+
     @rule(number=index)
     def read_page(self, number):
         router = self.router(number)
@@ -133,6 +157,12 @@
         if key and not agent.frozen:
             self.fleet.finish(agent, key, amount)
 
+    @rule()
+    def finish_all(self):
+        for agent in self.fleet.agents.values():
+            for key in [] if agent.frozen else agent.book.running:
+                self.fleet.finish(agent, key, 1000)
+
     @rule(agent=index)
     def end_read(self, agent):
         agent = self.pick(self.fleet.agents.values(), agent)
@@ -244,6 +274,8 @@
 
     def everything_left_is_spendable(self):
         account = self.account()
+        charged = account.closed + granted_tokens(account)
+        assert sum(self.fleet.generated.values()) <= charged
         billed = sum(bills(self.entries()).values())
         lost = [d.version for d in self.fleet.departed if not d.record.complete]
         for grant in account.grants.values():
@@ -270,10 +302,19 @@
 class AddingHolder(Holder):
     """Adds what it reads after a lost answer to what it has."""
 
+    extra = 0
+    lost = False
+
     def answer_lost(self, number, base_version):
         super().answer_lost(number, base_version)
+        self.lost = True
+
+    def observe(self, number, version, page, now):
+        super().observe(number, version, page, now)
         for grant in self.ledger(ACCOUNT).grants.values():
-            grant.amount += grant.amount
+            self.extra += grant.amount if self.lost else 0
+            self.lost = False
+            grant.amount += self.extra
 
 
 class AddsAfterLostAnswer(Fleet):
@@ -285,7 +326,7 @@
         return []
 
 
-def run_machine(fleet, examples):
+def run_machine(fleet, examples, phases=tuple(Phase)):
     machine = type(fleet.__name__, (BudgetMachine,), {"fleet_class": fleet})
     run_state_machine_as_test(
         machine,
@@ -293,7 +334,7 @@
             max_examples=examples,
             stateful_step_count=60,
             suppress_health_check=list(HealthCheck),
-            report_multiple_bugs=False,
+            phases=phases,
         ),
     )
 
@@ -307,4 +348,4 @@
 )
 def test_naive_variant_is_rejected(fleet):
     with pytest.raises(AssertionError):
-        run_machine(fleet, 1000)
+        run_machine(fleet, 1000, [Phase.generate])
