Fix two losses of released claims that the state machine found

A claim given up twice was forgotten (its mark 'may be in the store' was cleared when it was first granted), and released claims were evicted to free bytes that they do not hold. Both made a repeat of a key that never ran end in outcome_unknown for ever. Found by 'pytest pistachiowell/claims' with 1500 and 250 examples; passes now with 250.

--- a/pistachiowell/claims/book.py
+++ b/pistachiowell/claims/book.py
@@ -66,6 +66,9 @@
     RELEASED = "released"
 
 
+_ENDED_STATES = (RecordState.ANSWERED, RecordState.FAILED, RecordState.RELEASED)
+
+
 class _Record:
     __slots__ = ("answer", "claim", "state")
 
@@ -221,19 +224,21 @@
 
     def _evict(self):
         """Forgets ended requests; the pages still hold their claims."""
-        limit_bytes = self._settings.kept_answer_bytes
-        while self._kept_bytes > limit_bytes or len(self._records) > MAX_RECORDS:
-            ended = (
-                digest
-                for digest, record in self._records.items()
-                if record.state not in (RecordState.WAITING, RecordState.RUNNING)
-            )
-            digest = next(ended, None)
-            if digest is None:
+        while self._kept_bytes > self._settings.kept_answer_bytes:
+            self._forget_oldest(RecordState.ANSWERED)
+        while len(self._records) > MAX_RECORDS:
+            if not self._forget_oldest(*_ENDED_STATES):
                 return
-            record = self._records.pop(digest)
-            if record.answer is not None:
-                self._kept_bytes -= len(record.answer.body)
+
+    def _forget_oldest(self, *states):
+        records = self._records.items()
+        digest = next((key for key, r in records if r.state in states), None)
+        if digest is None:
+            return False
+        answer = self._records.pop(digest).answer
+        if answer is not None:
+            self._kept_bytes -= len(answer.body)
+        return True
 
 
 def _other_request():
--- a/pistachiowell/claims/bucket.py
+++ b/pistachiowell/claims/bucket.py
@@ -137,6 +137,7 @@
         """
         self._waiting[digest] = claim
         if reused:
+            self._carried.add(digest)
             self._page = None
             self._stale_read = self._action is not None
 
