--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -58,12 +58,14 @@
                 group.start_soon(self._runtime.tls.keep_fresh)
             row = await self._server_row()
             backend = HttpBackend(row.url)
+            claiming = Claiming(self._runtime)
+            await group.start(claiming.run)
             self._gate = Gate(self._runtime, row.slots)
             self._runner = Runner(
                 self._runtime,
                 self._handlers,
                 self._gate,
-                Claiming(self._runtime),
+                claiming,
                 backend,
                 self._version,
             )
--- a/pistachiowell/agent/runner.py
+++ b/pistachiowell/agent/runner.py
@@ -1,12 +1,14 @@
 """Runs the requests of routers at the backend server."""
 
+import sys
+
 import anyio
 
 from pistachiowell.agent.claiming import KeptAnswer
 from pistachiowell.agent.sse import UsageReader, usage_of_document
 from pistachiowell.core.errors import (
-    MAY_HAVE_RUN,
     AnswerBroken,
+    ClaimUnavailable,
     DeadlineExceeded,
     InternalFault,
     Leaving,
@@ -161,6 +163,8 @@
         def cancel():
             if run.request.repeatable:
                 run.scope.cancel()
+            else:
+                run.add_credit(sys.maxsize)
 
         run.link.add_close_listener(cancel)
         try:
@@ -186,9 +190,7 @@
             self._fail(run, started, InternalFault("The agent met a fault."))
 
     def _fail(self, run, started, error):
-        ran = error.ran if started.sent else "no"
-        if started.claimed:
-            ran = MAY_HAVE_RUN
+        ran = error.ran if started.sent or started.decided else "no"
         run.send(
             AnswerFailed(
                 *run.key,
@@ -211,18 +213,24 @@
             if request.repeatable:
                 await self._exchange(run, started, [])
                 return
-            claim = await self._claiming.claim(request)
-            if isinstance(claim, KeptAnswer):
-                await self._send_kept(run, claim)
-                return
-            started.claimed = True
-            await self._exchange_once(run, started)
+            await self._run_once(run, started)
 
-    async def _exchange_once(self, run, started):
-        parts = []
-        status, content_type = await self._exchange(run, started, parts)
-        answer = KeptAnswer(status, content_type, b"".join(parts))
-        self._claiming.finish(run.request, answer)
+    async def _run_once(self, run, started):
+        try:
+            claim = await self._claiming.claim(run.request)
+        except ClaimUnavailable:
+            raise
+        except PistachiowellError:
+            started.decided = True
+            raise
+        if isinstance(claim, KeptAnswer):
+            await self._send_kept(run, claim)
+            return
+        with self._claiming.ended(run.request):
+            parts = []
+            status, content_type = await self._exchange(run, started, parts)
+            answer = KeptAnswer(status, content_type, b"".join(parts))
+            self._claiming.finish(run.request, answer)
 
     async def _send_kept(self, run, answer):
         run.send(AnswerStart(*run.key, answer.status, answer.content_type, kept=True))
@@ -281,16 +289,16 @@
     """How far an attempt has come.
 
     Attributes:
-        claimed: Whether its key is claimed.
+        decided: Whether the claims have refused its key.
         sent: Whether its request may have reached the backend server.
         prompt_tokens: Tokens of the prompt that the server has told.
         completion_tokens: Tokens generated so far.
     """
 
-    __slots__ = ("claimed", "completion_tokens", "prompt_tokens", "sent")
+    __slots__ = ("completion_tokens", "decided", "prompt_tokens", "sent")
 
     def __init__(self):
-        self.claimed = False
+        self.decided = False
         self.sent = False
         self.prompt_tokens = 0
         self.completion_tokens = 0
--- /dev/null
+++ b/pistachiowell/agent/tests/test_claiming.py
@@ -0,0 +1,125 @@
+"""Process tests: a request that may not be repeated runs at most once."""
+
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+
+import pytest
+
+PATH = "reserve/belts"
+SLOW_FACTOR = 100.0
+SERVERS = ("desk-1", "desk-2")
+
+
+@pytest.fixture
+def pool():
+    with ThreadPoolExecutor(8) as executor:
+        yield executor
+
+
+@pytest.fixture
+def slow_desks(rig):
+    """Makes a call of the plain services last a second."""
+    for server in SERVERS:
+        rig.server_faults(server, slow_factor=SLOW_FACTOR)
+    yield
+    for server in SERVERS:
+        rig.server_faults(server)
+
+
+def reserve(rig, key, router="router-1", document=None):
+    return rig.service(PATH, document or {"belt": "b-12"}, key, router=router)
+
+
+def wait_ended(rig, key, router):
+    """Repeats a key until it is no longer in progress."""
+
+    def ended():
+        reply = reserve(rig, key, router)
+        return reply if reply.error_code != "key_in_progress" else None
+
+    return rig.wait_until(ended, f"The key {key} is no longer in progress.")
+
+
+def test_racing_repeats_through_all_routers_run_once(rig, pool):
+    routers = ["router-1", "router-2"] * 4
+    replies = list(pool.map(partial(reserve, rig, "race"), routers))
+    assert rig.runs("race") == 1
+    answers = {reply.body for reply in replies if reply.status == 200}
+    assert len(answers) == 1
+    refused = {reply.error_code for reply in replies if reply.status != 200}
+    assert refused <= {"key_in_progress", "outcome_unknown"}
+
+
+def test_other_body_under_a_used_key_is_refused(rig):
+    assert reserve(rig, "body").status == 200
+    reply = reserve(rig, "body", document={"belt": "b-13"})
+    assert reply.error_code == "invalid_request"
+    assert rig.runs("body") == 1
+
+
+def test_lost_answers_of_the_store_are_resolved_by_reading(rig):
+    rig.store_faults(lose_answers=3, drop_writes=1)
+    replies = [reserve(rig, f"lost-{number}") for number in range(4)]
+    assert [reply.status for reply in replies] == [200] * 4, replies
+    assert [rig.runs(f"lost-{number}") for number in range(4)] == [1] * 4
+    rig.heal()
+
+
+def test_repeat_after_the_first_router_was_killed(rig, pool, slow_desks):
+    first = pool.submit(reserve, rig, "kill", "router-1")
+    rig.wait_until(lambda: rig.runs("kill") == 1, "The reservation runs.")
+    rig.kill("router-1")
+    assert first.result().status == 0
+    reply = wait_ended(rig, "kill", "router-2")
+    assert reply.status == 200, reply
+    assert reply.document["run"] == 1
+    assert rig.runs("kill") == 1
+    rig.restart("router-1")
+    rig.wait_ready()
+
+
+def test_restarted_agents_answer_outcome_unknown(rig):
+    assert reserve(rig, "restart").status == 200
+    for server in SERVERS:
+        rig.restart(f"agent-{server}")
+    rig.wait_ready()
+    for router in rig.routers:
+        reply = reserve(rig, "restart", router)
+        assert reply.error_code == "outcome_unknown", reply
+        assert reply.document["error"]["ran"] == "unknown"
+    assert rig.runs("restart") == 1
+
+
+def test_store_outage_refuses_and_the_key_runs_later(rig):
+    rig.store_faults(down=True)
+    reply = reserve(rig, "outage")
+    assert reply.error_code == "claim_unavailable", reply
+    assert reply.document["error"]["ran"] == "unknown"
+    assert rig.runs("outage") == 0
+    rig.heal()
+    reply = rig.wait_until(lambda: accepted(reserve(rig, "outage")), "It runs.")
+    assert reply.document["run"] == 1
+    assert rig.runs("outage") == 1
+
+
+def accepted(reply):
+    return reply if reply.status == 200 else None
+
+
+def test_frozen_agent_runs_its_claim_at_most_once(rig, pool, slow_desks):
+    first = pool.submit(reserve, rig, "freeze", "router-1")
+    rig.wait_until(lambda: rig.runs("freeze") == 1, "The reservation runs.")
+    for server in SERVERS:
+        rig.freeze(f"agent-{server}")
+    second = pool.submit(reserve, rig, "freeze", "router-2")
+    rig.wait_until(lambda: not rig.linked_peers("router-2") & agents(), "Links lost.")
+    for server in SERVERS:
+        rig.thaw(f"agent-{server}")
+    assert {first.result().status, second.result().status} <= {200, 409, 502, 503}
+    rig.wait_ready()
+    wait_ended(rig, "freeze", "router-2")
+    assert rig.runs("freeze") == 1
+
+
+def agents():
+    return {f"agent-{server}" for server in SERVERS}
