Moves: stop all routers at once on a trip, count probes by router, ask for two places

The three wrong take-backs were moves with a fault of one server: all probes met that server. Now a judgement needs answers of two servers and two data centres where the version has them.

--- a/pistachiowell/bench/moves.py
+++ b/pistachiowell/bench/moves.py
@@ -114,6 +114,7 @@
         judge = "naive" if naive else "sequential"
         self._mover = Mover(0.0, duration_s, duration_s, judge=judge)
         self._mover.set_loaded()
+        self._mover.set_spread(SERVERS_EACH, SERVERS_EACH)
         self._brakes = [Brake() for _ in range(routers)]
         self._permits = [None] * routers
         self._probes = [0] * routers
@@ -219,14 +220,21 @@
             self._mover.take(answer, began, 1, now)
         self._unsent[router].clear()
         if tripped and not self._naive:
-            self._mover.trip(now)
+            self._trip(now)
         self._decide(now)
         permit = Permit(
             "move", "old", "new", 1, self._mover.share(), sent_at + PERMIT_S
         )
-        probes = self._mover.probes(now)
+        probes = self._mover.probes(router, self._probes[router], now)
         self._at(now + LINK_S, self._take_permit, router, permit, probes)
 
+    def _trip(self, now):
+        if not self._mover.is_suspect:
+            self._mover.trip(now)
+            stop = Permit("move", "old", "new", 1, 0.0, now + PERMIT_S)
+            for router in range(len(self._permits)):
+                self._at(now + LINK_S, self._take_permit, router, stop, 0)
+
     def _take_permit(self, now, router, permit, probes):
         if permit.share > 0 and not self._brakes[router].is_open(now):
             self._brakes[router].release()
--- a/pistachiowell/moves/judges.py
+++ b/pistachiowell/moves/judges.py
@@ -11,6 +11,7 @@
     1995.
 """
 
+import dataclasses
 import math
 from dataclasses import dataclass
 
@@ -34,11 +35,13 @@
         failure_score: Logarithm of the Bayes factor on failures.
         latency_score: Logarithm of the Bayes factor on latency.
         sums: The ``Sums`` of the span with the highest score.
+        raw_score: The score before faults of one place were left out.
     """
 
     failure_score: float
     latency_score: float
     sums: object
+    raw_score: float = 0.0
 
     @property
     def score(self):
@@ -56,6 +59,19 @@
         return self.score >= SUSPECT_SCORE
 
 
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """Where the new version runs.
+
+    Attributes:
+        servers: Number of its backend servers.
+        centres: Number of their data centres.
+    """
+
+    servers: int = 1
+    centres: int = 1
+
+
 def judge(name):
     """Returns a decorator that registers a judge by name."""
 
@@ -67,7 +83,11 @@
 
 
 def find_judge(name):
-    """Returns a judge: a function of ``Evidence`` and ``now`` giving a ``Verdict``."""
+    """Returns a judge by name.
+
+    Returns:
+        A function of ``Evidence``, ``now`` and ``Spread`` that gives a ``Verdict``.
+    """
     return _JUDGES[name]
 
 
@@ -143,22 +163,35 @@
 
 
 @judge("sequential")
-def judge_sequentially(evidence, now):
+def judge_sequentially(evidence, now, spread):
     """Scores several spans; faults of one place alone do not count."""
-    verdicts = [_judge_span(evidence, now - span_s) for span_s in SPANS_S]
-    return max(verdicts, key=lambda verdict: verdict.score)
+    spans = [_judge_span(evidence, now - span_s, spread) for span_s in SPANS_S]
+    worst = max(spans, key=lambda verdict: verdict.score)
+    raw_score = max(verdict.raw_score for verdict in spans)
+    return dataclasses.replace(worst, raw_score=raw_score)
 
 
-def _judge_span(evidence, since):
+def _judge_span(evidence, since, spread):
     verdict = _score(evidence.sums(since))
     if not verdict.is_suspect:
         return verdict
+    if not _covers(evidence, spread):
+        return Verdict(0.0, 0.0, verdict.sums, verdict.score)
     others = [_score(evidence.sums(since, rule)) for rule in _exclusions(evidence)]
-    return min([verdict, *others], key=lambda each: each.score)
+    lowest = min([verdict, *others], key=lambda each: each.score)
+    return dataclasses.replace(lowest, raw_score=verdict.score)
+
+
+def _covers(evidence, spread):
+    """Tells whether the new version has answered from more than one place."""
+    servers, centres = evidence.places()
+    enough_servers = len(servers) >= min(2, spread.servers)
+    return enough_servers and len(centres) >= min(2, spread.centres)
 
 
 def _score(sums):
-    return Verdict(failure_score(sums), latency_score(sums), sums)
+    failures, latency = failure_score(sums), latency_score(sums)
+    return Verdict(failures, latency, sums, max(failures, latency))
 
 
 def _exclusions(evidence):
@@ -173,6 +206,7 @@
 
 
 @judge("naive")
-def judge_naively(evidence, now):
+def judge_naively(evidence, now, spread):
     """Finds every version good."""
+    del spread
     return Verdict(0.0, 0.0, evidence.sums(now))
--- a/pistachiowell/moves/mover.py
+++ b/pistachiowell/moves/mover.py
@@ -3,8 +3,7 @@
 from dataclasses import dataclass
 
 from pistachiowell.moves.evidence import Evidence
-from pistachiowell.moves.judges import BAD_SCORE, SUSPECT_SCORE, find_judge
-from pistachiowell.moves.permits import PERMIT_S
+from pistachiowell.moves.judges import BAD_SCORE, SUSPECT_SCORE, Spread, find_judge
 from pistachiowell.moves.plan import CONTROL_SHARE, LAST_STAGE, STAGES, MovePlan
 from pistachiowell.schema.generated.objects_moves import MoveEvidence
 
@@ -13,7 +12,9 @@
 LOADING = -1
 
 MIN_JUDGED = 30
-PROBES = 3
+PROBES = 4
+MIN_PROBES = 2
+MAX_STAGE_SCORE = 5.0
 PROBE_TIMEOUT_S = 1.0
 CLEAR_FAILED_SHARE = 0.25
 EPOCH_COST = 1.0
@@ -67,7 +68,9 @@
         "_loaded",
         "_pending",
         "_plan",
+        "_probe_grants",
         "_probe_expiries",
+        "_spread",
         "_stage",
         "_stage_started",
         "_suspect",
@@ -85,6 +88,8 @@
         self._ending = None
         self._suspect = None
         self._probe_expiries = []
+        self._probe_grants = {}
+        self._spread = Spread()
         self._carried = 0.0
         self._begin_stage(stage, now)
 
@@ -129,6 +134,8 @@
             self._judged += count
         if self._suspect is not None and began >= self._suspect.started:
             self._suspect.add(answer, began, count)
+            if answer.is_new:
+                del self._probe_expiries[:count]
         else:
             self._evidence.add(answer, began, count)
 
@@ -137,25 +144,39 @@
         if self._suspect is None and self._stage > LOADING and self._ending is None:
             self._suspect = Evidence(now)
             self._probe_expiries = []
+            self._probe_grants = {}
 
-    def probes(self, now):
-        """Returns the probes that the router which asks now may send."""
+    def probes(self, router, left, now):
+        """Returns the probes that a router which reports now may send.
+
+        The answer replaces what the router had left. Probes that it has sent count
+        until they are answered or ``PROBE_TIMEOUT_S`` has passed.
+
+        Args:
+            router: Name of the router.
+            left: Probes of its last permit that it has not sent.
+            now: Time in seconds.
+        """
         if self._suspect is None or self._ending is not None:
             return 0
+        granted, _ = self._probe_grants.pop(router, (0, now))
+        sent = max(0, granted - left)
+        self._probe_expiries += [now + PROBE_TIMEOUT_S] * sent
         self._probe_expiries = [at for at in self._probe_expiries if at > now]
+        unsent = [n for n, until in self._probe_grants.values() if until > now]
         answered = self._suspect.sums(0.0).answers[1]
-        wanted = max(1, PROBES - answered) - len(self._probe_expiries)
-        granted = max(0, wanted)
-        self._probe_expiries += [now + PROBE_TIMEOUT_S] * granted
+        wanted = max(MIN_PROBES, PROBES - answered)
+        granted = max(0, wanted - len(self._probe_expiries) - sum(unsent))
+        self._probe_grants[router] = (granted, now + PROBE_TIMEOUT_S)
         return granted
 
-    def permit_s(self):
-        """Returns the validity of a permit in seconds."""
-        return PERMIT_S
+    def set_spread(self, servers, centres):
+        """Notes on how many backend servers and data centres the new version runs."""
+        self._spread = Spread(servers, centres)
 
     def abort(self, reason):
         """Takes the move back on an operator's order."""
-        self._end(TAKEN_BACK, reason, self._judge(self._evidence, 0.0))
+        self._end(TAKEN_BACK, reason, self._judge(self._evidence, 0.0, self._spread))
 
     def tick(self, now):
         """Decides.
@@ -173,13 +194,13 @@
         if self._stage == LOADING:
             return self._tick_loading(now)
         if self._suspect is not None:
-            verdict = self._judge(self._evidence, now)
+            verdict = self._judge(self._evidence, now, self._spread)
             return self._tick_suspect(verdict, now)
         if now < self._judged_at + JUDGE_INTERVAL_S:
             return None
         self._judged_at = now
         self._evidence.trim(now)
-        verdict = self._judge(self._evidence, now)
+        verdict = self._judge(self._evidence, now, self._spread)
         if verdict.score + self._carried >= BAD_SCORE:
             return self._end(TAKEN_BACK, _reason(verdict), verdict)
         return self._tick_running(verdict, now)
@@ -203,8 +224,9 @@
         return self._raise_to(0) if self._loaded else None
 
     def _tick_suspect(self, stage_verdict, now):
-        verdict = self._judge(self._suspect, now)
-        score = verdict.score + stage_verdict.failure_score + self._carried
+        verdict = self._judge(self._suspect, now, self._spread)
+        stage_score = min(MAX_STAGE_SCORE, stage_verdict.raw_score)
+        score = verdict.score + stage_score + self._carried
         if verdict.is_bad or (verdict.is_suspect and score >= BAD_SCORE):
             return self._end(TAKEN_BACK, _reason(verdict), verdict)
         if self._plan.is_over(now):
--- a/pistachiowell/moves/tracker.py
+++ b/pistachiowell/moves/tracker.py
@@ -1,5 +1,6 @@
 """One router's part in a move: its picks, its brake and what it has to report."""
 
+import dataclasses
 from collections import defaultdict
 
 from pistachiowell.moves.brake import Brake
@@ -56,6 +57,11 @@
         """The ``Permit`` taken last; None before the first."""
         return self._permit
 
+    @property
+    def probes_left(self):
+        """Probes of the permit that are not sent."""
+        return self._probes
+
     @property
     def is_urgent(self):
         """Whether an answer waits that the holder should learn of at once."""
@@ -150,6 +156,12 @@
         if share > 0 and not self._brake.is_open(now):
             self._brake.release()
 
+    def stop(self, fence):
+        """Ends the permit of a holder, or of an earlier one, at once."""
+        if self._permit is not None and fence >= self._permit.fence:
+            self._permit = dataclasses.replace(self._permit, fence=fence, share=0.0)
+            self._probes = 0
+
     def lend_probes(self):
         """Hands the probes of the permit to a router that reports through this one."""
         probes, self._probes = self._probes, 0
--- a/pistachiowell/router/holding.py
+++ b/pistachiowell/router/holding.py
@@ -107,6 +107,9 @@
         if self._mover.stage < 0 and not self._loading:
             self._loading = True
             group.start_soon(self._load_servers)
+        servers = self._rows.table.servers_of(self._row.new)
+        centres = {server.data_centre for server in servers}
+        self._mover.set_spread(len(servers), len(centres))
         action = self._mover.tick(self._runtime.now())
         if isinstance(action, MoveStage):
             await self._write_stage(action)
--- a/pistachiowell/router/mover.py
+++ b/pistachiowell/router/mover.py
@@ -20,6 +20,7 @@
     AnswerCount,
     MoveCounts,
     MovePermit,
+    MoveStop,
 )
 from pistachiowell.tables.watchers import ranked
 
@@ -46,6 +47,7 @@
         "_fleet",
         "_group",
         "_holdings",
+        "_reporters",
         "_reporting",
         "_rng",
         "_rows",
@@ -61,10 +63,12 @@
         self._rng = rng
         self._trackers = {}
         self._holdings = {}
+        self._reporters = {}
         self._reporting = set()
         self._steps = {}
         self._group = None
         handlers.on(MoveCounts)(self._take_counts)
+        handlers.on(MoveStop)(self._take_stop)
 
     def pick_version(self, route):
         """Picks a version of a route by its weights and its open move.
@@ -160,7 +164,7 @@
         sent_at = self._runtime.now()
         holding = self._holdings.get(tracker.row.route)
         if holding is not None and holding.mover is not None:
-            self._feed_mover(tracker, holding.mover)
+            self._feed_mover(tracker, holding)
             self._take_own_permit(tracker, holding, sent_at)
             return
         link = self._find_reporting_link(holding)
@@ -168,7 +172,10 @@
             return
         counts, tripped = tracker.take_report()
         message = MoveCounts(
-            tracker.row.name, _count_messages(counts, sent_at), tripped
+            move=tracker.row.name,
+            counts=_count_messages(counts, sent_at),
+            tripped=tripped,
+            probes_left=tracker.probes_left,
         )
         try:
             permit = await link.call(message, REPORT_TIMEOUT_S)
@@ -184,19 +191,35 @@
                 now=self._runtime.now(),
             )
 
-    def _feed_mover(self, tracker, mover):
+    def _feed_mover(self, tracker, holding):
         now = self._runtime.now()
+        mover = holding.mover
         counts, tripped = tracker.take_report()
         for (answer, began), count in counts.items():
             mover.take(answer, began, count, now)
-        if tripped:
+        if tripped and not mover.is_suspect:
             mover.trip(now)
+            self._send_stop(MoveStop(tracker.row.name, holding.fence))
+
+    def _send_stop(self, message):
+        for link in self._reporters.pop(message.move, ()):
+            if not link.closed:
+                link.send(message)
+
+    async def _take_stop(self, link, message):
+        del link
+        tracker = self._find_tracker(message.move)
+        if tracker is not None:
+            tracker.stop(message.fence)
+            self._send_stop(message)
 
     def _take_own_permit(self, tracker, holding, now):
         tracker.take_permit(
             fence=holding.fence,
             share=holding.mover.share(),
-            probes=holding.mover.probes(now),
+            probes=holding.mover.probes(
+                self._runtime.settings.id, tracker.probes_left, now
+            ),
             valid_until=now + PERMIT_S,
             now=now,
         )
@@ -220,6 +243,7 @@
         if tracker is None:
             return None
         now = self._runtime.now()
+        self._reporters.setdefault(message.move, set()).add(link)
         for count in message.counts:
             answer = Answer(
                 count.is_new,
@@ -235,7 +259,7 @@
             await self._report_once(tracker)
         holding = self._holdings.get(tracker.row.route)
         if holding is not None and holding.mover is not None:
-            return self._permit_of_holder(tracker, holding)
+            return self._permit_of_holder(tracker, holding, link, message)
         return self._relayed_permit(tracker)
 
     async def _report_once(self, tracker):
@@ -249,14 +273,15 @@
         finally:
             self._reporting.discard(name)
 
-    def _permit_of_holder(self, tracker, holding):
-        self._feed_mover(tracker, holding.mover)
+    def _permit_of_holder(self, tracker, holding, link, message):
+        self._feed_mover(tracker, holding)
+        reporter = link.hello.id if link.hello else ""
         now = self._runtime.now()
         return MovePermit(
             move=tracker.row.name,
             fence=holding.fence,
             share=holding.mover.share(),
-            probes=holding.mover.probes(now),
+            probes=holding.mover.probes(reporter, message.probes_left, now),
             valid_s=PERMIT_S,
         )
 
