Put admission, routing, retries, credits, crash news and membership to use

Agent: the gate asks AdmissionQueue, chunks are split by credit, and a lost connection whose server refuses new ones is a crash with the requests in progress as suspects. Router: dispatch picks by two choices with prefix affinity and health, retries within the budget, assembles by offsets and holds bytes within the credit pool. Fleet: a removed registration no longer closes the link, as that cut the requests in progress of a leaving agent; peers need a heartbeat and a present incarnation.

--- a/pistachiowell/admission/limits.py
+++ b/pistachiowell/admission/limits.py
@@ -6,8 +6,9 @@
 LIMITS = Registry("concurrency limit")
 
 OVERLOAD_FACTOR = 0.7
-CRASH_FACTOR = 0.5
-CRASH_MEMORY_S = 300.0
+CRASH_FACTOR = 0.75
+CRASH_MIN_SHARE = 0.5
+CRASH_MEMORY_S = 120.0
 COOLDOWN_S = 1.0
 RECOVERY_PER_ROUND = 1.0
 SLOW_FACTOR = 4.0
@@ -57,9 +58,9 @@
     """Falls by a factor on signs of overload and rises by one per full round.
 
     Signs are the server's own refusals, crashes, and service times that are
-    ``SLOW_FACTOR`` above their slow average. Below a crash the limit stays for
-    ``CRASH_MEMORY_S``. It never passes the configured number, as some servers
-    give no sign before they fall over.
+    ``SLOW_FACTOR`` above their slow average. The limit stays below the load of a
+    crash for ``CRASH_MEMORY_S``; a crash at little load is no sign. It never passes
+    the configured number, as some servers give no sign before they fall over.
 
     Args:
         settings: ``AdmissionSettings``.
@@ -108,14 +109,20 @@
             now: Present time in seconds.
         """
         if outcome is Outcome.crashed:
-            self._crash_ceiling = max(1.0, running * CRASH_FACTOR)
-            self._crash_until = now + CRASH_MEMORY_S
-            self._cut(CRASH_FACTOR, now)
+            self._observe_crash(running, now)
         elif outcome is Outcome.overloaded:
             self._cut(OVERLOAD_FACTOR, now)
         elif outcome is Outcome.ok:
             self._observe_time(service_s, running, now)
 
+    def _observe_crash(self, running, now):
+        # One crash ends all requests in progress; the first of them counts.
+        if now - self._cut_at < COOLDOWN_S or running < CRASH_MIN_SHARE * self._max:
+            return
+        self._crash_ceiling = max(1.0, running * CRASH_FACTOR)
+        self._crash_until = now + CRASH_MEMORY_S
+        self._cut(CRASH_FACTOR, now)
+
     def _observe_time(self, service_s, running, now):
         self._samples += 1
         if self._samples == 1:
--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -3,6 +3,7 @@
 import anyio
 
 from pistachiowell.agent.claiming import Claiming
+from pistachiowell.agent.crashes import CrashWatch
 from pistachiowell.agent.gate import Gate
 from pistachiowell.agent.runner import Runner
 from pistachiowell.core.events import EventKind
@@ -59,15 +60,20 @@
             row = await self._server_row()
             backend = HttpBackend(row.url)
             self._gate = Gate(self._runtime, row.slots)
+            crashes = CrashWatch(
+                self._runtime, self._handlers, lambda: self._links, backend, self._gate
+            )
             self._runner = Runner(
                 self._runtime,
                 self._handlers,
                 self._gate,
                 Claiming(self._runtime),
+                crashes,
                 backend,
                 self._version,
             )
             await group.start(self._runner.run)
+            group.start_soon(self._gate.run)
             await group.start(self._serve_routers)
             group.start_soon(self._push_load)
             record = self._record()
--- a/pistachiowell/agent/runner.py
+++ b/pistachiowell/agent/runner.py
@@ -1,16 +1,21 @@
 """Runs the requests of routers at the backend server."""
 
+from contextlib import asynccontextmanager
+
 import anyio
 
+from pistachiowell.admission import Outcome
 from pistachiowell.agent.claiming import KeptAnswer
 from pistachiowell.agent.sse import UsageReader, usage_of_document
 from pistachiowell.core.errors import (
     MAY_HAVE_RUN,
+    NOT_RUN,
     AnswerBroken,
     DeadlineExceeded,
     InternalFault,
     Leaving,
     NoServer,
+    Overloaded,
     PistachiowellError,
     ServerFailed,
 )
@@ -27,6 +32,7 @@
 )
 
 FIRST_SERVER_FAULT = 500
+SERVICE_UNAVAILABLE = 503
 EVENT_STREAM = "text/event-stream"
 
 _log = part_logger("runner")
@@ -38,14 +44,26 @@
     Args:
         link: Link to the router.
         request: The ``RunRequest``.
+
+    Attributes:
+        slot: The ``Slot`` that it holds at the backend server.
     """
 
-    __slots__ = ("_credit_bytes", "_offset", "_wake", "link", "request", "scope")
+    __slots__ = (
+        "_credit_bytes",
+        "_offset",
+        "_wake",
+        "link",
+        "request",
+        "scope",
+        "slot",
+    )
 
     def __init__(self, link, request):
         self.link = link
         self.request = request
         self.scope = anyio.CancelScope()
+        self.slot = None
         self._credit_bytes = request.credit_bytes
         self._offset = 0
         self._wake = anyio.Event()
@@ -71,13 +89,15 @@
             self.link.send(message)
 
     async def send_body(self, data):
-        """Sends a part of the body once there is credit for it."""
-        while self._credit_bytes <= 0:
-            self._wake = anyio.Event()
-            await self._wake.wait()
-        self._credit_bytes -= len(data)
-        self.send(AnswerChunk(*self.key, self._offset, data))
-        self._offset += len(data)
+        """Sends a part of the body as credit comes for it."""
+        while data:
+            while self._credit_bytes <= 0:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            part, data = data[: self._credit_bytes], data[self._credit_bytes :]
+            self._credit_bytes -= len(part)
+            self.send(AnswerChunk(*self.key, self._offset, part))
+            self._offset += len(part)
 
 
 class Runner:
@@ -88,6 +108,7 @@
         handlers: Handlers of the links from routers; this adds its own.
         gate: The ``Gate``.
         claiming: The ``Claiming``.
+        crashes: The ``CrashWatch``.
         backend: The ``Backend``.
         version: Function that returns the version the backend server runs.
     """
@@ -95,6 +116,7 @@
     __slots__ = (
         "_backend",
         "_claiming",
+        "_crashes",
         "_gate",
         "_group",
         "_idle",
@@ -103,10 +125,11 @@
         "_version",
     )
 
-    def __init__(self, runtime, handlers, gate, claiming, backend, version):
+    def __init__(self, runtime, handlers, gate, claiming, crashes, backend, version):
         self._runtime = runtime
         self._gate = gate
         self._claiming = claiming
+        self._crashes = crashes
         self._backend = backend
         self._version = version
         self._runs = {}
@@ -207,7 +230,9 @@
             raise Leaving("The backend server is leaving.")
         if request.version != self._version():
             raise NoServer(f"The backend server does not run {request.version}.")
-        async with self._gate.slot(request):
+        solo = self._crashes.check(request.fingerprint) or request.solo
+        key = f"{id(run.link)}/{request.request_id}/{request.attempt}"
+        async with self._gate.slot(request, key=key, solo=solo) as run.slot:
             if request.repeatable:
                 await self._exchange(run, started, [])
                 return
@@ -238,9 +263,27 @@
         manager = self._backend.request(
             request.method, request.path, headers, request.body
         )
+        async with self._watched(run):
+            return await self._pass_answer(run, started, manager, kept_parts)
+
+    @asynccontextmanager
+    async def _watched(self, run):
+        whole = False
+        self._crashes.started(id(run), run.request.fingerprint)
+        try:
+            yield
+            whole = True
+        except ServerFailed as error:
+            if error.ran != NOT_RUN and await self._crashes.judge():
+                run.slot.outcome = Outcome.crashed
+            raise
+        finally:
+            self._crashes.ended(id(run), whole=whole)
+
+    async def _pass_answer(self, run, started, manager, kept_parts):
+        request = run.request
         async with manager as response:
-            if request.repeatable and response.status >= FIRST_SERVER_FAULT:
-                raise ServerFailed(f"The backend server answered {response.status}.")
+            _check_status(request, response.status)
             run.send(AnswerStart(*run.key, response.status, response.content_type))
             if response.content_type.startswith(EVENT_STREAM):
                 await self._pass_events(run, started, response)
@@ -277,6 +320,14 @@
             started.prompt_tokens, started.completion_tokens = usage
 
 
+def _check_status(request, status):
+    if not request.repeatable or status < FIRST_SERVER_FAULT:
+        return
+    if status == SERVICE_UNAVAILABLE:
+        raise Overloaded("The backend server refused the request.", ran=MAY_HAVE_RUN)
+    raise ServerFailed(f"The backend server answered {status}.")
+
+
 class Progress:
     """How far an attempt has come.
 
--- a/pistachiowell/router/api.py
+++ b/pistachiowell/router/api.py
@@ -108,7 +108,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(_watch_disconnect, receive, group.cancel_scope)
             try:
-                await self._answer(request, responder)
+                await self._answer(request, responder, group.cancel_scope.cancel)
             except PistachiowellError as error:
                 self._runtime.events.add(
                     EventKind.request_refused
@@ -121,8 +121,8 @@
                 await self._refuse(responder, error)
             group.cancel_scope.cancel()
 
-    async def _answer(self, request, responder):
-        messages = self._service.run(request)
+    async def _answer(self, request, responder, give_up):
+        messages = self._service.run(request, give_up)
         try:
             if request.stream:
                 await _stream_answer(messages, responder)
--- /dev/null
+++ b/pistachiowell/router/attempts.py
@@ -0,0 +1,148 @@
+"""The router's end of the attempts that agents run."""
+
+import math
+
+import anyio
+
+from pistachiowell.core.errors import (
+    DeadlineExceeded,
+    LinkLost,
+    ServerFailed,
+    error_class,
+)
+from pistachiowell.schema.generated.messages_requests import (
+    AnswerChunk,
+    AnswerCredit,
+    AnswerEnd,
+    AnswerFailed,
+    AnswerStart,
+    CancelRequest,
+)
+
+
+class Attempt:
+    """One attempt at one agent; leaving its context cancels it.
+
+    Args:
+        attempts: The ``Attempts`` that it belongs to.
+        request: The ``RunRequest``.
+        link: The link to the agent.
+        deadline: Time of the caller's deadline.
+    """
+
+    __slots__ = (
+        "_attempts",
+        "_deadline",
+        "_ended",
+        "_receive",
+        "_send",
+        "link",
+        "request",
+    )
+
+    def __init__(self, attempts, request, link, deadline):
+        self._attempts = attempts
+        self._deadline = deadline
+        self._ended = False
+        self._send, self._receive = anyio.create_memory_object_stream(math.inf)
+        self.request = request
+        self.link = link
+
+    @property
+    def key(self):
+        """Request id and attempt number."""
+        return (self.request.request_id, self.request.attempt)
+
+    def __enter__(self):
+        self._attempts.add(self)
+        self.link.add_close_listener(self._lose)
+        return self
+
+    def __exit__(self, *exc_info):
+        self._attempts.remove(self)
+        self.link.remove_close_listener(self._lose)
+        if not self._ended and not self.link.closed:
+            self.link.send(CancelRequest(*self.key))
+        self._send.close()
+        self._receive.close()
+
+    def start(self):
+        """Sends the request to the agent.
+
+        Raises:
+            ServerFailed: The link was lost before; the request did not run.
+        """
+        try:
+            self.link.send(self.request)
+        except LinkLost as error:
+            self._ended = True
+            raise ServerFailed("The link to the agent is lost.", ran="no") from error
+
+    def deliver(self, message):
+        """Takes a message of the agent."""
+        self._send.send_nowait(message)
+
+    async def receive(self):
+        """Waits for the next message of the answer.
+
+        Raises:
+            DeadlineExceeded: The caller's time is over.
+            ServerFailed: The link was lost.
+            PistachiowellError: The agent tells of a failure.
+        """
+        left_s = self._deadline - self._attempts.now()
+        message = None
+        with anyio.move_on_after(max(0.0, left_s)) as scope:
+            message = await self._receive.receive()
+        if scope.cancelled_caught:
+            raise DeadlineExceeded("The request's time is over.")
+        if message is None:
+            raise ServerFailed("The link to the agent was lost.")
+        self._ended = isinstance(message, AnswerEnd | AnswerFailed)
+        if isinstance(message, AnswerFailed):
+            raise error_class(message.code)(
+                message.message,
+                ran=str(message.ran),
+                retry_after_s=message.retry_after_s,
+            )
+        return message
+
+    def grant(self, size_bytes):
+        """Allows the agent to send more bytes."""
+        if size_bytes > 0 and not self.link.closed:
+            self.link.send(AnswerCredit(*self.key, size_bytes))
+
+    def _lose(self):
+        self._send.send_nowait(None)
+
+
+class Attempts:
+    """Hands the messages of agents to the attempts in progress.
+
+    Messages of attempts that were given up find nobody and are dropped.
+
+    Args:
+        handlers: Handlers of the links to agents; this adds its own.
+        now: Function that returns the monotonic time in seconds.
+    """
+
+    __slots__ = ("_by_key", "now")
+
+    def __init__(self, handlers, now):
+        self._by_key = {}
+        self.now = now
+        for cls in (AnswerStart, AnswerChunk, AnswerEnd, AnswerFailed):
+            handlers.on(cls)(self._deliver)
+
+    def add(self, attempt):
+        """Registers an attempt."""
+        self._by_key[attempt.key] = attempt
+
+    def remove(self, attempt):
+        """Forgets an attempt."""
+        self._by_key.pop(attempt.key, None)
+
+    async def _deliver(self, link, message):
+        attempt = self._by_key.get((message.request_id, message.attempt))
+        if attempt is not None and attempt.link is link:
+            attempt.deliver(message)
--- a/pistachiowell/router/dispatch.py
+++ b/pistachiowell/router/dispatch.py
@@ -1,65 +1,44 @@
-"""Sends requests to agents and receives their answers."""
+"""Runs requests at agents, with retries, and puts their answers together."""
 
-import math
+from contextlib import aclosing, contextmanager
+from dataclasses import dataclass, replace
 
-import anyio
-
-from pistachiowell.core.errors import (
-    AnswerBroken,
-    DeadlineExceeded,
-    LinkLost,
-    NoServer,
-    ServerFailed,
-    error_class,
-)
+from pistachiowell.core.errors import MAY_HAVE_RUN, NOT_RUN, PistachiowellError
 from pistachiowell.core.events import EventKind
-from pistachiowell.schema.generated.messages_requests import (
-    AnswerChunk,
-    AnswerCredit,
-    AnswerEnd,
-    AnswerFailed,
-    AnswerStart,
-    CancelRequest,
-    LoadReport,
+from pistachiowell.router.answers import Answer, StreamCredit
+from pistachiowell.router.attempts import Attempt, Attempts
+from pistachiowell.router.selection import Selection
+from pistachiowell.routing import (
+    CREDIT_POOLS,
+    RETRIES,
+    AttemptFailure,
+    CreditSettings,
+    RetryBudget,
+    RoutingSettings,
 )
+from pistachiowell.schema.generated.messages_requests import LoadReport
 
 
-class Attempt:
-    """The receiving end of one attempt at one agent.
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """What one attempt showed of a version.
 
-    Messages come out of ``receive`` in the order of the link; None means that the
-    link was lost.
+    Attributes:
+        route: Name of the route.
+        version: Name of the version.
+        server: Name of the backend server.
+        error: The ``PistachiowellError``, or None for a whole answer.
+        latency_s: Seconds to the first part of the answer; None if none came.
+        suspect: Whether the request was suspected of crashing servers, so that a
+            failure says nothing about the version.
     """
 
-    __slots__ = ("_receive", "_send", "link", "request")
-
-    def __init__(self, request, link):
-        self.request = request
-        self.link = link
-        self._send, self._receive = anyio.create_memory_object_stream(math.inf)
-        link.add_close_listener(self._lose)
-
-    def _lose(self):
-        self._send.send_nowait(None)
-
-    @property
-    def key(self):
-        """Request id and attempt number."""
-        return (self.request.request_id, self.request.attempt)
-
-    def deliver(self, message):
-        """Takes a message of the agent."""
-        self._send.send_nowait(message)
-
-    async def receive(self):
-        """Waits for the next message."""
-        return await self._receive.receive()
-
-    def close(self):
-        """Frees the streams."""
-        self.link.remove_close_listener(self._lose)
-        self._send.close()
-        self._receive.close()
+    route: str
+    version: str
+    server: str
+    error: object
+    latency_s: float | None
+    suspect: bool
 
 
 class Dispatch:
@@ -70,121 +49,174 @@
         fleet: The ``Fleet``.
         rows: The ``Rows`` with the table in force.
         handlers: Handlers of the links to agents; this adds its own.
+        suspects: The ``Suspects``.
         rng: A ``Random``.
-    """
 
-    __slots__ = ("_attempts", "_fleet", "_rng", "_rows", "_runtime")
+    Attributes:
+        observers: Functions that are called with each ``AttemptResult``.
+    """
 
-    def __init__(self, runtime, fleet, rows, handlers, rng):
+    __slots__ = (
+        "_attempts",
+        "_budget",
+        "_fleet",
+        "_give_ups",
+        "_pool",
+        "_runtime",
+        "_selection",
+        "_settings",
+        "_suspects",
+        "observers",
+    )
+
+    def __init__(self, runtime, fleet, rows, handlers, suspects, rng):
         self._runtime = runtime
         self._fleet = fleet
-        self._rows = rows
-        self._rng = rng
-        self._attempts = {}
-        for cls in (AnswerStart, AnswerChunk, AnswerEnd, AnswerFailed):
-            handlers.on(cls)(self._deliver)
+        self._suspects = suspects
+        self._settings = RoutingSettings()
+        self._attempts = Attempts(handlers, runtime.now)
+        self._selection = Selection(runtime, fleet, rows, self._settings, rng)
+        self._budget = RetryBudget(self._settings)
+        self._pool = CREDIT_POOLS.find("bounded")(
+            CreditSettings(process_bytes=runtime.settings.max_held_bytes)
+        )
+        self._give_ups = {}
+        self.observers = []
         handlers.on(LoadReport)(self._take_load)
 
-    async def _deliver(self, link, message):
-        attempt = self._attempts.get((message.request_id, message.attempt))
-        if attempt is not None and attempt.link is link:
-            attempt.deliver(message)
-
     async def _take_load(self, link, message):
-        for peer in self._fleet.agents.values():
-            if peer.link is link:
-                peer.load = message
-                peer.leaving = message.leaving
+        if self._fleet.heard(link, leaving=message.leaving) is not None:
+            self._selection.take_load(message)
 
-    def pick_version(self, route):
-        """Picks a version of a route by its weights.
+    async def run(self, route, build, give_up=None):
+        """Runs one request and yields its answer.
 
         Args:
             route: The ``RouteRow``.
+            build: Function that returns the ``RunRequest`` of an attempt, given
+                its version, number and seconds to the deadline.
+            give_up: Function that ends a stream whose caller reads too slowly;
+                None if it cannot be ended.
 
-        Returns:
-            The version's name.
-        """
-        names = sorted(route.weights)
-        weights = [route.weights[name] for name in names]
-        if not any(weights):
-            raise NoServer(f"All weights of route {route.name} are zero.")
-        return self._rng.choices(names, weights)[0]
-
-    def pick_agent(self, version):
-        """Picks an agent whose backend server runs a version.
+        Yields:
+            One ``AnswerStart``, then ``AnswerChunk`` messages, then ``AnswerEnd``.
 
         Raises:
-            NoServer: There is none.
+            PistachiowellError: The request failed; ``ran`` tells whether it ran.
         """
-        servers = {row.name for row in self._rows.table.servers_of(version)}
-        peers = [
-            peer
-            for peer in self._fleet.agents.values()
-            if peer.usable and peer.record.server in servers
-        ]
-        if not peers:
-            raise NoServer(f"No backend server of version {version} is reachable.")
-        return self._rng.choice(peers)
-
-    async def run(self, request, agent):
-        """Runs one attempt and yields the agent's messages.
-
-        Args:
-            request: The ``RunRequest``.
-            agent: The ``Peer`` to run it at.
+        deadline = self._runtime.now() + route.timeout_s
+        version = self._selection.pick_version(route)
+        retries = RETRIES.find("budgeted")(
+            self._settings, self._budget, route.repeatable, deadline
+        )
+        tried = set()
+        while True:
+            number = retries.start()
+            request = build(version, number, deadline - self._runtime.now())
+            answer = Answer(request)
+            try:
+                messages = self._attempt(request, deadline, answer, tried, give_up)
+                async with aclosing(messages):
+                    async for message in messages:
+                        yield message
+                return
+            except PistachiowellError as error:
+                self._check_retry(error, answer, retries)
+                self._note_retry(request, error)
 
-        Yields:
-            ``AnswerStart``, then ``AnswerChunk`` messages, then ``AnswerEnd``.
+    def _check_retry(self, error, answer, retries):
+        failure = AttemptFailure(
+            str(error.code), error.ran, error.retry_after_s, answer.shown_bytes
+        )
+        if retries.may_retry(failure, self._runtime.now()):
+            return
+        if retries.may_have_run and error.ran == NOT_RUN:
+            error.ran = MAY_HAVE_RUN
+        raise error
+
+    def _note_retry(self, request, error):
+        self._runtime.metrics.count("attempts.retried")
+        self._runtime.events.add(
+            EventKind.attempt_retried,
+            request=request.request_id,
+            account=request.account,
+            text=str(error.code),
+        )
 
-        Raises:
-            PistachiowellError: The attempt failed; ``ran`` tells whether it ran.
-        """
-        attempt = Attempt(request, agent.link)
-        self._attempts[attempt.key] = attempt
+    async def _attempt(self, request, deadline, answer, tried, give_up):
+        crashed = self._suspects.check(request.fingerprint)
+        peer = self._selection.pick_agent(request, tried, crashed)
+        tried.add(peer.record.server)
+        key = f"{request.request_id}/{request.attempt}"
+        credit = StreamCredit(self._pool, key, request.account, self._runtime.now)
+        self._give_up(credit.victims)
+        with credit, self._observed(request, peer, bool(crashed)) as progress:
+            self._give_ups[key] = give_up
+            request = replace(
+                request, credit_bytes=credit.first_bytes, solo=bool(crashed)
+            )
+            try:
+                with Attempt(self._attempts, request, peer.link, deadline) as attempt:
+                    attempt.start()
+                    while not answer.ended:
+                        message = await attempt.receive()
+                        progress.note()
+                        size = credit.received(message)
+                        for shown in answer.take(message):
+                            yield shown
+                        attempt.grant(credit.passed(size))
+            finally:
+                del self._give_ups[key]
+        self._suspects.clear(request.fingerprint)
+
+    def _give_up(self, victims):
+        for victim in victims:
+            give_up = self._give_ups.get(victim.stream)
+            if give_up is not None:
+                self._runtime.metrics.count("streams.given_up")
+                give_up()
+
+    @contextmanager
+    def _observed(self, request, peer, suspect):
+        server = peer.record.server
+        self._selection.sent(server)
         self._runtime.events.add(
             EventKind.request_sent,
             request=request.request_id,
             account=request.account,
-            text=agent.record.server,
+            text=server,
         )
-        ended = False
+        progress = _Progress(self._runtime.now)
+        failure = None
         try:
-            attempt.link.send(request)
-            with anyio.fail_after(request.timeout_s):
-                async for message in self._messages(attempt):
-                    ended = isinstance(message, AnswerEnd)
-                    yield message
-        except TimeoutError as error:
-            raise DeadlineExceeded("The request's time is over.") from error
-        except LinkLost as error:
-            raise ServerFailed("The link to the agent was lost.") from error
+            yield progress
+        except PistachiowellError as error:
+            failure = error
+            raise
         finally:
-            del self._attempts[attempt.key]
-            if not ended and not attempt.link.closed:
-                attempt.link.send(CancelRequest(*attempt.key))
-            attempt.close()
-
-    async def _messages(self, attempt):
-        offset = 0
-        while True:
-            message = await attempt.receive()
-            if message is None:
-                raise LinkLost("The link to the agent was lost.")
-            if isinstance(message, AnswerFailed):
-                raise error_class(message.code)(
-                    message.message,
-                    ran=message.ran,
-                    retry_after_s=message.retry_after_s,
-                )
-            if isinstance(message, AnswerChunk):
-                if message.offset != offset:
-                    raise AnswerBroken("A part of the answer is missing.")
-                offset += len(message.data)
-            if isinstance(message, AnswerEnd) and message.length != offset:
-                raise AnswerBroken("The answer is not whole.")
-            yield message
-            if isinstance(message, AnswerEnd):
-                return
-            if isinstance(message, AnswerChunk):
-                attempt.link.send(AnswerCredit(*attempt.key, len(message.data)))
+            self._selection.ended(server, failure, progress.latency_s)
+            result = AttemptResult(
+                request.route,
+                request.version,
+                server,
+                failure,
+                progress.latency_s,
+                suspect,
+            )
+            for observe in self.observers:
+                observe(result)
+
+
+class _Progress:
+    """Measures the time to the first message of an attempt."""
+
+    __slots__ = ("_now", "_started_at", "latency_s")
+
+    def __init__(self, now):
+        self._now = now
+        self._started_at = now()
+        self.latency_s = None
+
+    def note(self):
+        if self.latency_s is None:
+            self.latency_s = self._now() - self._started_at
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -5,39 +5,57 @@
 import anyio
 import msgspec
 
-from pistachiowell.core.errors import LinkLost
+from pistachiowell.core.errors import STORE_ERRORS, LinkLost, LinkTimeout
 from pistachiowell.core.events import EventKind
+from pistachiowell.membership import MembershipSettings, PeerBook
 from pistachiowell.platform.follow import follow_collection
+from pistachiowell.schema.generated.messages_requests import Ping
 from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
 from pistachiowell.wire import connect
 
 RECONNECT_DELAY_S = 0.3
+CHECK_INTERVAL_S = 0.25
+VM_LIST_INTERVAL_S = 5.0
+AGENT_MEMBERSHIP = MembershipSettings()
+ROUTER_MEMBERSHIP = MembershipSettings(heartbeat_s=2.0, silence_s=5.0, drop_s=7.0)
 
 
 class Peer:
     """A registered process and the link to it.
 
-    Attributes:
+    Args:
         record: The ``AgentRecord`` or ``RouterRecord``.
+        book: The ``PeerBook`` of its role.
+        now: Function that returns the monotonic time in seconds.
+
+    Attributes:
         link: The ``Link``; None while there is none.
-        load: Latest ``LoadReport`` of an agent; None before the first.
-        leaving: Whether the process has said that it leaves.
-        scope: Cancel scope of the task that keeps the link.
+        registered: Whether the registration is still there. Afterwards the link
+            stays until the process closes it, so that its work can end.
     """
 
-    __slots__ = ("leaving", "link", "load", "record", "scope")
+    __slots__ = ("_book", "_now", "link", "record", "registered")
 
-    def __init__(self, record):
+    def __init__(self, record, book, now):
         self.record = record
+        self._book = book
+        self._now = now
         self.link = None
-        self.load = None
-        self.leaving = False
-        self.scope = anyio.CancelScope()
+        self.registered = True
 
     @property
     def usable(self):
         """Whether there is a link and the process takes new work."""
-        return self.link is not None and not self.link.closed and not self.leaving
+        linked = self.link is not None and not self.link.closed
+        return linked and self._book.usable(self.record.id, self._now())
+
+    @property
+    def address(self):
+        """IP address and TCP port of the process."""
+        record = self.record
+        if isinstance(record, AgentRecord):
+            return record.host, record.port
+        return record.peer_host, record.peer_port
 
 
 class Fleet:
@@ -48,24 +66,34 @@
         handlers: Handlers of messages that come over the links.
     """
 
-    __slots__ = ("_agents", "_handlers", "_routers", "_runtime")
+    __slots__ = ("_agents", "_books", "_by_link", "_handlers", "_routers", "_runtime")
 
     def __init__(self, runtime, handlers):
         self._runtime = runtime
         self._handlers = handlers
         self._agents = {}
         self._routers = {}
+        self._by_link = {}
+        self._books = {
+            AgentRecord: PeerBook(AGENT_MEMBERSHIP),
+            RouterRecord: PeerBook(ROUTER_MEMBERSHIP),
+        }
 
     @property
     def agents(self):
-        """The agents as ``Peer`` by name."""
+        """The registered agents as ``Peer`` by name."""
         return self._agents
 
     @property
     def routers(self):
-        """The other routers as ``Peer`` by name."""
+        """The other registered routers as ``Peer`` by name."""
         return self._routers
 
+    @property
+    def links(self):
+        """All open links."""
+        return list(self._by_link)
+
     async def run(self):
         """Follows the registrations and keeps the links until cancelled."""
         async with anyio.create_task_group() as group:
@@ -73,6 +101,35 @@
             group.start_soon(
                 self._follow, group, "routers", RouterRecord, self._routers
             )
+            group.start_soon(self._drop_silent)
+            group.start_soon(self._ping_routers)
+            group.start_soon(self._follow_vm_list)
+
+    def heard(self, link, *, leaving=False):
+        """Takes a sign of life of a peer.
+
+        Args:
+            link: The link that it came over.
+            leaving: Whether the peer says that it leaves.
+
+        Returns:
+            The ``Peer``, or None if the link is not one of the fleet's own.
+        """
+        peer = self._by_link.get(link)
+        if peer is None or link.hello is None:
+            return peer
+        book = self._books[type(peer.record)]
+        name, incarnation = peer.record.id, link.hello.incarnation
+        book.connected(name, incarnation, self._runtime.now())
+        if leaving:
+            book.says_leaving(name, incarnation)
+        return peer
+
+    def broadcast(self, message):
+        """Sends a message over all open links."""
+        for link in self.links:
+            with contextlib.suppress(LinkLost):
+                link.send(message)
 
     async def _follow(self, group, collection, record_class, peers):
         async for values in follow_collection(self._runtime.store, collection):
@@ -90,34 +147,78 @@
     def _update(self, group, records, peers):
         for name in list(peers):
             if records.get(name) != peers[name].record:
-                peers.pop(name).scope.cancel()
+                peers.pop(name).registered = False
         for name, record in records.items():
             if name not in peers:
-                peers[name] = Peer(record)
+                book = self._books[type(record)]
+                peers[name] = Peer(record, book, self._runtime.now)
                 group.start_soon(self._keep_link, peers[name])
 
     async def _keep_link(self, peer):
-        with peer.scope:
-            while True:
-                with contextlib.suppress(LinkLost):
-                    await self._hold_link(peer)
-                peer.link = None
-                await anyio.sleep(RECONNECT_DELAY_S)
+        while peer.registered:
+            with contextlib.suppress(LinkLost):
+                await self._hold_link(peer)
+            peer.link = None
+            await anyio.sleep(RECONNECT_DELAY_S)
 
     async def _hold_link(self, peer):
-        record = peer.record
-        host = record.host if isinstance(record, AgentRecord) else record.peer_host
-        port = record.port if isinstance(record, AgentRecord) else record.peer_port
         runtime = self._runtime
+        host, port = peer.address
         async with connect(
-            host,
-            port,
-            runtime.hello,
-            self._handlers,
-            runtime.clock,
-            tls=runtime.tls,
+            host, port, runtime.hello, self._handlers, runtime.clock, tls=runtime.tls
         ) as link:
             peer.link = link
-            runtime.events.add(EventKind.peer_connected, text=record.id)
-            await link.wait_closed()
-        runtime.events.add(EventKind.peer_lost, text=record.id)
+            self._by_link[link] = peer
+            runtime.events.add(EventKind.peer_connected, text=peer.record.id)
+            try:
+                await link.wait_closed()
+            finally:
+                del self._by_link[link]
+                if link.hello is not None:
+                    book = self._books[type(peer.record)]
+                    book.disconnected(peer.record.id, link.hello.incarnation)
+        runtime.events.add(EventKind.peer_lost, text=peer.record.id)
+
+    async def _drop_silent(self):
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_S)
+            now = self._runtime.now()
+            silent = {
+                name for book in self._books.values() for name in book.to_drop(now)
+            }
+            for link, peer in list(self._by_link.items()):
+                if peer.record.id in silent:
+                    link.close()
+
+    async def _ping_routers(self):
+        while True:
+            async with anyio.create_task_group() as group:
+                for peer in self._routers.values():
+                    if peer.link is not None:
+                        group.start_soon(self._ping, peer.link)
+                await anyio.sleep(ROUTER_MEMBERSHIP.heartbeat_s)
+
+    async def _ping(self, link):
+        message = Ping(table_revision=self._runtime.table_revision())
+        with contextlib.suppress(LinkLost, LinkTimeout):
+            pong = await link.call(message, ROUTER_MEMBERSHIP.heartbeat_s)
+            self.heard(link, leaving=getattr(pong, "leaving", False))
+
+    async def _follow_vm_list(self):
+        while True:
+            with contextlib.suppress(*STORE_ERRORS):
+                self._take_vms(await self._runtime.store.vms())
+            await anyio.sleep(VM_LIST_INTERVAL_S)
+
+    def _take_vms(self, vms):
+        names = {vm.name for vm in vms}
+        leaving = {part for vm in vms if vm.leaving for part in (vm.name, vm.host)}
+        for peers, record_class in (
+            (self._agents, AgentRecord),
+            (self._routers, RouterRecord),
+        ):
+            hosts = {
+                name: name if name in names else peer.address[0]
+                for name, peer in peers.items()
+            }
+            self._books[record_class].take_vm_list(leaving, hosts)
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -22,6 +22,7 @@
 from pistachiowell.router.rows import Rows, fleet_links, watches_for_data_centre
 from pistachiowell.router.service import RequestService
 from pistachiowell.router.spending import Spending
+from pistachiowell.router.suspects import Suspects
 from pistachiowell.schema.generated.objects_membership import RouterRecord
 from pistachiowell.schema.generated.settings import RouterSettings
 from pistachiowell.wire import Handlers, LinkTls, serve
@@ -54,6 +55,7 @@
         "_journal",
         "_rows",
         "_runtime",
+        "_suspects",
     )
 
     def __init__(self, settings, store):
@@ -71,8 +73,14 @@
             ),
         )
         self._journal = Journal(self._runtime)
+        self._suspects = Suspects(self._runtime, self._fleet, self._handlers)
         dispatch = Dispatch(
-            self._runtime, self._fleet, self._rows, self._handlers, random.Random()
+            self._runtime,
+            self._fleet,
+            self._rows,
+            self._handlers,
+            self._suspects,
+            random.Random(),
         )
         service = RequestService(
             self._runtime, self._rows, Spending(self._runtime), dispatch, self._journal
@@ -105,6 +113,7 @@
             if self._runtime.tls is not None:
                 group.start_soon(self._runtime.tls.keep_fresh)
             group.start_soon(self._fleet.run)
+            group.start_soon(self._suspects.run)
             group.start_soon(self._journal.run)
             record = self._record()
             await register_process(self._runtime.store, "routers", record)
--- /dev/null
+++ b/pistachiowell/router/selection.py
@@ -0,0 +1,153 @@
+"""Chooses the version and the agent of each attempt."""
+
+from pistachiowell.core.errors import NoServer
+from pistachiowell.core.ids import stable_hash
+from pistachiowell.routing import (
+    PICKERS,
+    SPLITTERS,
+    Candidate,
+    HealthBook,
+    LoadBook,
+    place_suspect,
+    rendezvous,
+)
+
+PREFIX_BYTES = 320
+KEY_BUCKETS = 64
+HEALTH_FAILURES = frozenset(
+    {"server_failed", "answer_broken", "link_lost", "link_timeout", "deadline_exceeded"}
+)
+
+
+class Selection:
+    """Picks by weights, load, health, nearness and prefix.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        fleet: The ``Fleet``.
+        rows: The ``Rows`` with the table in force.
+        settings: ``RoutingSettings``.
+        rng: A ``Random``.
+    """
+
+    __slots__ = (
+        "_fleet",
+        "_health",
+        "_loads",
+        "_picker",
+        "_rows",
+        "_runtime",
+        "_split",
+    )
+
+    def __init__(self, runtime, fleet, rows, settings, rng):
+        self._runtime = runtime
+        self._fleet = fleet
+        self._rows = rows
+        self._loads = LoadBook(settings)
+        self._health = HealthBook(settings)
+        self._picker = PICKERS.find(settings.picker)(settings, self._loads, rng)
+        self._split = SPLITTERS.find(settings.splitter)(rng)
+
+    def take_load(self, report):
+        """Takes a ``LoadReport``."""
+        self._loads.report(
+            report.server,
+            report.running,
+            report.waiting,
+            report.slots,
+            self._runtime.now(),
+        )
+
+    def pick_version(self, route):
+        """Picks a version of a route by its weights.
+
+        Args:
+            route: The ``RouteRow``.
+
+        Raises:
+            NoServer: All weights are zero.
+        """
+        weights = {name: route.weights[name] for name in sorted(route.weights)}
+        version = self._split.choose(route.name, weights)
+        if version is None:
+            raise NoServer(f"All weights of route {route.name} are zero.")
+        return version
+
+    def pick_agent(self, request, tried, crashed):
+        """Picks the agent of an attempt.
+
+        Args:
+            request: The ``RunRequest``.
+            tried: Names of the servers of earlier attempts; avoided if others are
+                left.
+            crashed: Servers that crashed while the request ran.
+
+        Returns:
+            A ``Peer``.
+
+        Raises:
+            NoServer: No server of the version is reachable.
+        """
+        peers = self._peers(request.version)
+        if not peers:
+            message = f"No backend server of version {request.version} is reachable."
+            raise NoServer(message)
+        candidates = [self._candidate(peer) for peer in peers.values()]
+        fresh = [c for c in candidates if c.server not in tried] or candidates
+        return peers[self._choose(request, fresh, crashed).server]
+
+    def sent(self, server):
+        """Counts an attempt sent to a server."""
+        self._loads.sent(server)
+        self._health.started(server, self._runtime.now())
+
+    def ended(self, server, error, latency_s):
+        """Takes the end of an attempt.
+
+        Args:
+            server: Name of the server.
+            error: The ``PistachiowellError``, or None.
+            latency_s: Seconds to the first part of the answer; None if none came.
+        """
+        now = self._runtime.now()
+        self._loads.ended(server)
+        if error is None:
+            if latency_s is not None:
+                self._health.succeeded(server, latency_s, now)
+        elif str(error.code) == "overloaded":
+            self._loads.refused(server, now)
+        elif str(error.code) in HEALTH_FAILURES:
+            self._health.failed(server, now)
+
+    def _peers(self, version):
+        servers = {row.name for row in self._rows.table.servers_of(version)}
+        return {
+            peer.record.server: peer
+            for peer in self._fleet.agents.values()
+            if peer.usable and peer.record.server in servers
+        }
+
+    def _candidate(self, peer):
+        record = peer.record
+        local = record.data_centre == self._runtime.settings.data_centre
+        return Candidate(record.server, record.data_centre, 0 if local else 1)
+
+    def _choose(self, request, candidates, crashed):
+        if crashed:
+            return place_suspect(candidates, request.fingerprint, crashed)
+        if not request.repeatable:
+            # All routers send a key to one agent, whose claims then do not race.
+            bucket = stable_hash(request.idempotency_key) % KEY_BUCKETS
+            return rendezvous(candidates, f"claims-{bucket}")
+        names = [c.server for c in candidates]
+        usable = set(self._health.usable(names, self._runtime.now()))
+        healthy = [c for c in candidates if c.server in usable]
+        prefix = self._prefix(request)
+        return self._picker.pick(healthy or candidates, prefix, self._runtime.now())
+
+    @staticmethod
+    def _prefix(request):
+        if not request.token_limit:
+            return ""
+        return f"{request.route}:{request.body[:PREFIX_BYTES].hex()}"
--- a/pistachiowell/router/service.py
+++ b/pistachiowell/router/service.py
@@ -2,6 +2,8 @@
 
 import hashlib
 import json
+from contextlib import aclosing
+from dataclasses import replace
 
 from pistachiowell.core.errors import PistachiowellError
 from pistachiowell.core.events import EventKind
@@ -28,11 +30,13 @@
         self._dispatch = dispatch
         self._journal = journal
 
-    async def run(self, caller):
+    async def run(self, caller, give_up=None):
         """Runs one request.
 
         Args:
             caller: The ``CallerRequest``.
+            give_up: Function that ends the stream of a caller who reads too slowly;
+                None if it cannot be ended.
 
         Yields:
             ``AnswerStart``, ``AnswerChunk`` messages and ``AnswerEnd``.
@@ -45,7 +49,7 @@
         )
         used_tokens = reservation.tokens
         try:
-            async for message in self._attempt(caller, reservation):
+            async for message in self._attempt(caller, reservation, give_up):
                 if isinstance(message, AnswerEnd):
                     used_tokens = billed_tokens(caller, message)
                     self._note_answered(caller, used_tokens)
@@ -69,16 +73,15 @@
             text=f"{used_tokens} tokens",
         )
 
-    async def _attempt(self, caller, reservation):
-        version = self._dispatch.pick_version(caller.route)
-        agent = self._dispatch.pick_agent(version)
-        request = self._run_request(caller, reservation, version)
-        messages = self._dispatch.run(request, agent)
-        try:
+    async def _attempt(self, caller, reservation, give_up):
+        def build(version, number, timeout_s):
+            request = self._run_request(caller, reservation, version)
+            return replace(request, attempt=number, timeout_s=timeout_s)
+
+        messages = self._dispatch.run(caller.route, build, give_up)
+        async with aclosing(messages):
             async for message in messages:
                 yield message
-        finally:
-            await messages.aclose()
 
     def _run_request(self, caller, reservation, version):
         body = backend_body(caller, self._rows.table.version(version))
@@ -89,6 +92,7 @@
             route=caller.route.name,
             version=version,
             priority=str(caller.route.priority),
+            weight=caller.account.weight,
             method=caller.method,
             path=caller.path,
             body=body,
--- a/pistachiowell/routing/credits.py
+++ b/pistachiowell/routing/credits.py
@@ -22,7 +22,7 @@
 
     process_bytes: int = 16 * 1024 * 1024
     account_share: float = 0.5
-    stream_min_bytes: int = 16 * 1024
+    stream_min_bytes: int = 4 * 1024
     stream_max_bytes: int = 256 * 1024
     stall_s: float = 10.0
 
@@ -92,9 +92,9 @@
         settings: ``CreditSettings``.
 
     Examples:
-        >>> pool = CreditPool(CreditSettings(process_bytes=20000, account_share=1.0))
+        >>> pool = CreditPool(CreditSettings(process_bytes=6000, account_share=1.0))
         >>> pool.open("a", "acme", 0.0)
-        (16384, [])
+        (4096, [])
         >>> pool.received("a", 1000)
         >>> pool.taken("a", 1000, 0.1)
         1000
--- a/pistachiowell/routing/health.py
+++ b/pistachiowell/routing/health.py
@@ -16,11 +16,10 @@
     ejected_until: float = float("-inf")
     ejections: int = 0
     probing: bool = False
-    waiting_since: float | None = None
 
 
 class HealthBook:
-    """Ejects servers that fail, stall or answer far slower than their peers.
+    """Ejects servers that fail or answer far slower than their peers.
 
     After an ejection one request probes the server; others follow if it succeeds.
     At most the allowed share of a set is ejected; the rest are used all the same.
@@ -46,22 +45,9 @@
     def started(self, server, now):
         """Counts an attempt sent to a server."""
         health = self._servers.setdefault(server, _Health())
-        if health.waiting_since is None:
-            health.waiting_since = now
         if health.ejections and now >= health.ejected_until:
             health.probing = True
 
-    def heard(self, server, now, in_flight):
-        """Counts a sign of progress: a byte of an answer or its end.
-
-        Args:
-            server: Name of the server.
-            now: Present time in seconds.
-            in_flight: Own attempts that are still in flight there.
-        """
-        health = self._servers.setdefault(server, _Health())
-        health.waiting_since = now if in_flight else None
-
     def succeeded(self, server, latency_s, now):
         """Takes an attempt that went well.
 
@@ -95,15 +81,6 @@
         """Drops what is known of a server, as after a new incarnation."""
         self._servers.pop(server, None)
 
-    def silent(self, now):
-        """Returns servers with work in progress and no byte for too long."""
-        return [
-            server
-            for server, health in self._servers.items()
-            if health.waiting_since is not None
-            and now - health.waiting_since > self._settings.eject_silence_s
-        ]
-
     def usable(self, servers, now):
         """Returns the servers that may take a request.
 
@@ -153,4 +130,3 @@
         health.probing = False
         health.failures = 0
         health.samples = 0
-        health.waiting_since = None
--- a/pistachiowell/routing/load.py
+++ b/pistachiowell/routing/load.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+FULL_LOAD = 2
+
 
 @dataclass(slots=True)
 class _Load:
@@ -10,6 +12,7 @@
     reported_at: float = float("-inf")
     in_flight: int = 0
     sent_since: int = 0
+    full_until: float = float("-inf")
 
 
 class LoadBook:
@@ -66,6 +69,11 @@
         if load is not None and load.in_flight:
             load.in_flight -= 1
 
+    def refused(self, server, now):
+        """Takes a server's refusal, which counts more than its reports."""
+        load = self._loads.setdefault(server, _Load())
+        load.full_until = now + self._settings.refusal_s
+
     def forget(self, server):
         """Drops what is known of a server that is gone."""
         self._loads.pop(server, None)
@@ -80,9 +88,10 @@
         load = self._loads.get(server)
         if load is None:
             return 0
+        floor = FULL_LOAD * load.slots if now < load.full_until else load.in_flight
         if now - load.reported_at > self._settings.report_timeout_s:
-            return load.in_flight
-        return max(load.reported + load.sent_since, load.in_flight)
+            return floor
+        return max(load.reported + load.sent_since, floor)
 
     def load_by_slot(self, server, now):
         """Returns the estimated load divided by the server's slots."""
--- a/pistachiowell/routing/settings.py
+++ b/pistachiowell/routing/settings.py
@@ -16,10 +16,10 @@
             taken too.
         report_timeout_s: Age in seconds above which a load report counts for
             nothing.
+        refusal_s: Seconds for which a server that refused counts as full, whatever
+            it reports.
         subset_size: Servers of one version and data centre that a router uses.
         eject_failures: Failures in a row that eject a server.
-        eject_silence_s: Seconds without any byte from a server with work in
-            progress that eject it.
         eject_slow_factor: Latency against the median of its peers that ejects.
         eject_s: First ejection in seconds; doubles on each further one.
         eject_max_s: Longest ejection in seconds.
@@ -36,9 +36,9 @@
     affinity_extra_load: float = 0.25
     spill_load: float = 1.0
     report_timeout_s: float = 3.0
+    refusal_s: float = 0.5
     subset_size: int = 20
     eject_failures: int = 3
-    eject_silence_s: float = 3.0
     eject_slow_factor: float = 4.0
     eject_s: float = 2.0
     eject_max_s: float = 60.0
