--- a/pistachiowell/router/dispatch.py
+++ b/pistachiowell/router/dispatch.py
@@ -87,6 +87,7 @@
     async def _take_load(self, link, message):
         if self._fleet.heard(link, leaving=message.leaving) is not None:
             self._selection.take_load(message)
+        self._runtime.metrics.gauge("streams.reserved_bytes", self._pool.reserved_bytes)
 
     async def run(self, route, build, give_up=None):
         """Runs one request and yields its answer.
--- a/pistachiowell/router/http_protocol.py
+++ b/pistachiowell/router/http_protocol.py
@@ -2,6 +2,8 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+WRITE_BUFFER_BYTES = 4096
+
 _TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-type: application/json\r\n"
@@ -30,6 +32,11 @@
             super().__init__(*args, **kwargs)
             self._head_bytes = 0
 
+        def connection_made(self, transport):
+            """Bounds the bytes that wait in the connection's write buffer."""
+            transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+            super().connection_made(transport)
+
         def on_message_begin(self):
             """Begins the count of a request."""
             self._in_head = True
--- /dev/null
+++ b/pistachiowell/router/tests/test_faults.py
@@ -0,0 +1,174 @@
+"""Requests through the real programs while servers, agents and routers fail."""
+
+import itertools
+import socket
+
+import httpcore
+import msgspec
+import pytest
+
+from pistachiowell.bench.plan import RigPlan, ServerSpec
+
+ENGINES = tuple(
+    ServerSpec(f"engine-{n}", centre, "chat-1", slots=24)
+    for n, centre in enumerate(("osu", "tema", "osu", "tema", "osu"), start=1)
+)
+ROUTERS = (("router-1", "osu"), ("router-2", "tema"), ("router-3", "osu"))
+HELD_BYTES = 256 * 1024
+
+
+class Stream:
+    """A streamed chat that the test reads step by step."""
+
+    def __init__(self, rig, prompt, router="router-1", account="belt-north"):
+        body = {"model": "reports", "stream": True, "max_tokens": 4000}
+        body["messages"] = [{"role": "user", "content": prompt}]
+        self.pool = httpcore.ConnectionPool()
+        self.response = self.pool.handle_request(
+            httpcore.Request(
+                "POST",
+                rig.url(router) + "/v1/chat/completions",
+                headers={
+                    "host": "router",
+                    "authorization": f"Bearer key-{account}",
+                    "content-length": str(len(msgspec.json.encode(body))),
+                },
+                content=msgspec.json.encode(body),
+                extensions={"timeout": {"read": 30.0, "connect": 5.0}},
+            )
+        )
+        self.parts = self.response.iter_stream()
+        self.text = next(self.parts)
+
+    def rest(self):
+        try:
+            self.text += b"".join(self.parts)
+        except httpcore.ProtocolError:
+            self.text += b"\nCUT"
+        self.pool.close()
+        return self.text
+
+    @property
+    def whole(self):
+        return self.text.rstrip().endswith(b"data: [DONE]")
+
+
+@pytest.fixture(scope="module")
+def fleet(start_rig):
+    settings = (("max_held_bytes", HELD_BYTES),)
+    plan = RigPlan(servers=ENGINES, routers=ROUTERS, router_settings=settings)
+    return start_rig(plan)
+
+
+@pytest.fixture
+def rig(fleet):
+    yield fleet
+    for process in fleet.processes.values():
+        if not process.running:
+            process.start()
+        process.thaw()
+    fleet.heal()
+    fleet.wait_ready()
+
+
+def server_of(rig, prompt):
+    """Returns the name of the server that runs the latest request."""
+    sent = [e for e in rig.events("router-1") if e["kind"] == "request_sent"]
+    return sent[-1]["text"]
+
+
+def answers(rig, router, **fields):
+    return rig.chat("hello words=3", router=router, **fields).status == 200
+
+
+def test_half_the_servers_leave_at_once_without_the_store(rig):
+    streams = [Stream(rig, f"{n} words=400") for n in range(10)]
+    rig.store_faults(down=True)
+    leaving = ("engine-1", "engine-2", "engine-3")
+    for name in leaving:
+        rig.processes[f"agent-{name}"].terminate()
+    rig.wait_until(
+        lambda: all(
+            any(e["kind"] == "process_leaving" for e in rig.events(r))
+            or answers(rig, r)
+            for r in rig.routers
+        )
+    )
+    left = ("engine-4", "engine-5")
+    rig.wait_until(
+        lambda: all(
+            answers(rig, "router-1") and server_of(rig, "") in left for _ in range(8)
+        ),
+        "New work goes to the servers that stay.",
+        timeout_s=2.0,
+    )
+    for stream in streams:
+        stream.rest()
+        assert stream.whole, stream.text[-300:]
+
+
+def test_frozen_agent_breaks_its_streams_clearly_and_gets_no_new_work(rig):
+    stream = Stream(rig, "long words=2000")
+    frozen = server_of(rig, "")
+    rig.freeze(f"agent-{frozen}")
+    stream.rest()
+    assert not stream.whole
+    assert b"answer_broken" in stream.text or b"server_failed" in stream.text
+    for router in rig.routers:
+        assert answers(rig, router, timeout_s=5.0)
+    assert server_of(rig, "") != frozen
+
+
+def test_caller_of_a_killed_router_gets_its_answer_from_another(rig):
+    stream = Stream(rig, "long words=1000")
+    rig.kill("router-1")
+    stream.rest()
+    assert not stream.whole
+    again = Stream(rig, "long words=100", router="router-2")
+    again.rest()
+    assert again.whole
+
+
+def test_crashing_request_takes_down_two_servers_at_most(rig):
+    for spec in ENGINES:
+        rig.server_faults(spec.name, crash_marker="poison")
+    companions = [Stream(rig, f"{n} words=300") for n in range(6)]
+    codes = [
+        rig.chat("poison", router=router).error_code
+        for router in itertools.islice(itertools.cycle(rig.routers), 9)
+    ]
+    down = [s.name for s in ENGINES if not rig.processes[s.name].running]
+    assert len(down) == 2, (down, codes)
+    assert set(codes[1:]) == {"quarantined"}, codes
+    for stream in companions:
+        stream.rest()
+        assert stream.whole or b'"code":' in stream.text
+    assert any(stream.whole for stream in companions)
+    assert all(answers(rig, router) for router in rig.routers)
+
+
+def test_callers_that_read_nothing_hold_a_bounded_number_of_bytes(rig):
+    sockets, statuses = [], []
+    body = {"model": "reports", "stream": True, "max_tokens": 4000}
+    body["messages"] = [{"role": "user", "content": "long words=3000"}]
+    data = msgspec.json.encode(body)
+    for _ in range(40):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        sock.connect(("127.0.0.1", int(rig.url("router-1").rsplit(":", 1)[1])))
+        head = (
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: r\r\n"
+            "authorization: Bearer key-belt-north\r\n"
+            f"content-length: {len(data)}\r\n\r\n"
+        )
+        sock.sendall(head.encode() + data)
+        sockets.append(sock)
+    for sock in sockets:
+        sock.settimeout(20.0)
+        statuses.append(sock.recv(12)[-3:])
+    assert set(statuses) == {b"200", b"503"}
+    assert answers(rig, "router-1", account="belt-south")
+    held = rig.status("router-1")["values"]["streams.reserved_bytes"]
+    assert HELD_BYTES / 4 < held <= HELD_BYTES
+    for sock in sockets:
+        sock.close()
--- a/pistachiowell/routing/credits.py
+++ b/pistachiowell/routing/credits.py
@@ -16,6 +16,8 @@
         account_share: Largest part of them for one client account.
         stream_min_bytes: First credit of a stream.
         stream_max_bytes: Largest credit of a stream.
+        stream_overhead_bytes: Bytes that each stream may hold below the pool, in
+            the write buffer of its connection.
         stall_s: Seconds without a byte taken after which a reader may be given up
             to make room for another.
     """
@@ -24,6 +26,7 @@
     account_share: float = 0.5
     stream_min_bytes: int = 4 * 1024
     stream_max_bytes: int = 256 * 1024
+    stream_overhead_bytes: int = 8 * 1024
     stall_s: float = 10.0
 
 
@@ -92,7 +95,7 @@
         settings: ``CreditSettings``.
 
     Examples:
-        >>> pool = CreditPool(CreditSettings(process_bytes=6000, account_share=1.0))
+        >>> pool = CreditPool(CreditSettings(process_bytes=20000, account_share=1.0))
         >>> pool.open("a", "acme", 0.0)
         (4096, [])
         >>> pool.received("a", 1000)
@@ -134,14 +137,14 @@
         """
         size = self._settings.stream_min_bytes
         victims = []
-        while self._room(account) < size:
+        while self._room(account) < size + self._settings.stream_overhead_bytes:
             victim = self._stalled(account, now)
             if victim is None:
                 return 0, victims
             self.close(victim)
             victims.append(GiveUp(victim))
-        self._streams[stream] = _Stream(account, 0, 0, now)
-        self._reserve(stream, size)
+        self._streams[stream] = _Stream(account, size, 0, now)
+        self._reserve(account, size + self._settings.stream_overhead_bytes)
         return size, victims
 
     def received(self, stream, size):
@@ -166,18 +169,20 @@
             return 0
         entry.held -= size
         entry.taken_at = now
-        self._reserve(stream, -size)
+        entry.reserved -= size
+        self._reserve(entry.account, -size)
         credit = max(0, self._target(entry) - entry.reserved)
         credit = min(credit, self._room(entry.account))
-        self._reserve(stream, credit)
+        entry.reserved += credit
+        self._reserve(entry.account, credit)
         return credit
 
     def close(self, stream):
         """Frees what the stream held."""
-        entry = self._streams.get(stream)
+        entry = self._streams.pop(stream, None)
         if entry is not None:
-            self._reserve(stream, -entry.reserved)
-            del self._streams[stream]
+            size = entry.reserved + self._settings.stream_overhead_bytes
+            self._reserve(entry.account, -size)
 
     def _target(self, entry):
         settings = self._settings
@@ -210,14 +215,14 @@
     def _account_is_full(self, account):
         bound = int(self._settings.process_bytes * self._settings.account_share)
         used = self._accounts.get(account, 0)
-        return bound - used < self._settings.stream_min_bytes
+        settings = self._settings
+        needed = settings.stream_min_bytes + settings.stream_overhead_bytes
+        return bound - used < needed
 
-    def _reserve(self, stream, size):
-        entry = self._streams[stream]
-        entry.reserved += size
+    def _reserve(self, account, size):
         self._reserved += size
-        total = self._accounts.get(entry.account, 0) + size
+        total = self._accounts.get(account, 0) + size
         if total:
-            self._accounts[entry.account] = total
+            self._accounts[account] = total
         else:
-            self._accounts.pop(entry.account, None)
+            self._accounts.pop(account, None)
--- a/pistachiowell/routing/tests/test_credits.py
+++ b/pistachiowell/routing/tests/test_credits.py
@@ -19,6 +19,7 @@
     account_share=0.6,
     stream_min_bytes=100,
     stream_max_bytes=400,
+    stream_overhead_bytes=50,
     stall_s=5.0,
 )
 
@@ -81,10 +82,12 @@
             total = {
                 stream: self.held[stream] + self.credit[stream] for stream in self.held
             }
-            assert sum(total.values()) <= SETTINGS.process_bytes
+            overhead = SETTINGS.stream_overhead_bytes
+            used = {s: size + overhead for s, size in total.items()}
+            assert sum(used.values()) <= SETTINGS.process_bytes
             assert all(size <= SETTINGS.stream_max_bytes for size in total.values())
             for account in "ab":
-                own = [n for s, n in total.items() if self.accounts[s] == account]
+                own = [n for s, n in used.items() if self.accounts[s] == account]
                 assert sum(own) <= SETTINGS.process_bytes * SETTINGS.account_share
 
         @invariant()
