--- a/pistachiowell/routing/credits.py
+++ b/pistachiowell/routing/credits.py
@@ -89,7 +89,8 @@
 
     A stream's reservation covers both the bytes held for it and the credit that its
     agent may still use, so the sum of reservations bounds the memory. Readers that
-    keep up get a larger one while half of the pool is free.
+    keep up get a larger one while half of the pool and of their account's part of it
+    is free, so that new streams find room.
 
     Args:
         settings: ``CreditSettings``.
@@ -186,9 +187,13 @@
 
     def _target(self, entry):
         settings = self._settings
-        if self._reserved * 2 > settings.process_bytes:
-            return settings.stream_min_bytes
-        if entry.held:
+        account_bytes = self._accounts.get(entry.account, 0)
+        account_bound = settings.process_bytes * settings.account_share
+        crowded = (
+            self._reserved * 2 > settings.process_bytes
+            or account_bytes * 2 > account_bound
+        )
+        if crowded or entry.held:
             return settings.stream_min_bytes
         return min(
             settings.stream_max_bytes,
