--- a/pistachiowell/router/mover.py
+++ b/pistachiowell/router/mover.py
@@ -27,6 +27,7 @@
 STEP_S = 0.5
 READ_INTERVAL_S = 2.0
 REPORT_TIMEOUT_S = 1.0
+FIRST_SERVER_FAULT = 500
 VERSION_FAULTS = (ServerFailed, AnswerBroken, DeadlineExceeded)
 
 _log = part_logger("moves")
@@ -70,8 +71,12 @@
         handlers.on(MoveCounts)(self._take_counts)
         handlers.on(MoveStop)(self._take_stop)
 
+    def is_moving(self, route):
+        """Tells whether a ``RouteRow`` has an open move."""
+        return route.name in self._trackers
+
     def pick_version(self, route):
-        """Picks a version of a route by its weights and its open move.
+        """Picks a version of a route that has an open move.
 
         Args:
             route: The ``RouteRow``.
@@ -79,36 +84,33 @@
         Returns:
             The version's name.
         """
-        tracker = self._trackers.get(route.name)
-        if tracker is not None:
-            return tracker.pick(route, self._rng, self._runtime.now())
-        names = list(route.weights)
-        return self._rng.choices(names, [route.weights[name] for name in names])[0]
+        tracker = self._trackers[route.name]
+        return tracker.pick(route, self._rng, self._runtime.now())
 
-    def note(self, route_name, server_name, began, error=None):
-        """Counts an answer, or its failure, for the open move of a route.
+    def observe(self, result):
+        """Counts what an attempt showed of a version.
 
-        Refusals and lost links to agents do not count: they tell nothing about the
+        Refusals, lost links to agents, requests suspected of crashing servers and
+        answers that the caller left do not count: they tell nothing about the
         version.
 
         Args:
-            route_name: Name of the route.
-            server_name: Name of the backend server that ran the request.
-            began: Monotonic time at which the request was sent, in seconds.
-            error: The ``PistachiowellError`` that ended it; None for an answer.
+            result: The ``AttemptResult``.
         """
-        tracker = self._trackers.get(route_name)
-        server = self._rows.table.server(server_name)
-        if tracker is None or server is None:
-            return
-        failed = isinstance(error, VERSION_FAULTS)
-        if failed and isinstance(error.__cause__, LinkLost):
+        tracker = self._trackers.get(result.route)
+        server = self._rows.table.server(result.server)
+        if tracker is None or server is None or result.suspect:
             return
-        if error is not None and not failed:
+        failed = _shows_fault(result)
+        if not failed and (result.error is not None or not result.status):
             return
-        now = self._runtime.now()
         tracker.note(
-            server.version, server.name, server.data_centre, failed, began, now
+            result.version,
+            server.name,
+            server.data_centre,
+            failed,
+            result.began_s,
+            self._runtime.now(),
         )
         if self._group is not None and tracker.is_urgent:
             self._group.start_soon(self._report, tracker)
@@ -305,6 +307,14 @@
         return None
 
 
+def _shows_fault(result):
+    if result.error is None:
+        return result.status >= FIRST_SERVER_FAULT
+    if isinstance(result.error.__cause__, LinkLost):
+        return False
+    return isinstance(result.error, VERSION_FAULTS)
+
+
 def _count_messages(counts, now):
     return [
         AnswerCount(
