Number attempts per router; announce a peer once it was heard

A repeat with the same idempotency key has the same request id, and both attempts were number 1: they took each other's place in the router's tables, one with a KeyError, and the agent ignored the second, which then waited for its deadline. peer_connected came before the peer could be used, so tests that waited for it met no_server.

--- a/pistachiowell/router/dispatch.py
+++ b/pistachiowell/router/dispatch.py
@@ -1,5 +1,6 @@
 """Runs requests at agents, with retries, and puts their answers together."""
 
+import itertools
 from contextlib import aclosing, contextmanager
 from dataclasses import dataclass, replace
 
@@ -66,6 +67,7 @@
         "_budget",
         "_fleet",
         "_give_ups",
+        "_numbers",
         "_pool",
         "_runtime",
         "_selection",
@@ -86,6 +88,9 @@
             CreditSettings(process_bytes=runtime.settings.max_held_bytes)
         )
         self._give_ups = {}
+        # One number for each attempt of this router, since a request id may be in
+        # progress twice: a repeat with the same idempotency key has the same id.
+        self._numbers = itertools.count(1)
         self.observers = [moves.observe]
         handlers.on(LoadReport)(self._take_load)
 
@@ -117,7 +122,8 @@
         )
         tried = set()
         while True:
-            number = retries.start()
+            retries.start()
+            number = next(self._numbers)
             request = build(version, number, deadline - self._runtime.now())
             answer = Answer(request)
             try:
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -66,7 +66,15 @@
         handlers: Handlers of messages that come over the links.
     """
 
-    __slots__ = ("_agents", "_books", "_by_link", "_handlers", "_routers", "_runtime")
+    __slots__ = (
+        "_agents",
+        "_announced",
+        "_books",
+        "_by_link",
+        "_handlers",
+        "_routers",
+        "_runtime",
+    )
 
     def __init__(self, runtime, handlers):
         self._runtime = runtime
@@ -74,6 +82,7 @@
         self._agents = {}
         self._routers = {}
         self._by_link = {}
+        self._announced = set()
         self._books = {
             AgentRecord: PeerBook(AGENT_MEMBERSHIP),
             RouterRecord: PeerBook(ROUTER_MEMBERSHIP),
@@ -120,6 +129,9 @@
             return peer
         book = self._books[type(peer.record)]
         name, incarnation = peer.record.id, link.hello.incarnation
+        if link not in self._announced:
+            self._announced.add(link)
+            self._runtime.events.add(EventKind.peer_connected, text=name)
         book.connected(name, incarnation, self._runtime.now())
         if leaving:
             book.says_leaving(name, incarnation)
@@ -169,11 +181,11 @@
         ) as link:
             peer.link = link
             self._by_link[link] = peer
-            runtime.events.add(EventKind.peer_connected, text=peer.record.id)
             try:
                 await link.wait_closed()
             finally:
                 del self._by_link[link]
+                self._announced.discard(link)
                 if link.hello is not None:
                     book = self._books[type(peer.record)]
                     book.disconnected(peer.record.id, link.hello.incarnation)
