--- a/pistachiowell/router/api.py
+++ b/pistachiowell/router/api.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from pistachiowell.claims.outcome import ran_under_key
 from pistachiowell.core.errors import (
     AccountLimit,
     AnswerBroken,
@@ -89,14 +90,15 @@
             _check_length(int(headers.get("content-length")), settings.max_body_bytes)
         body = await read_body(receive, settings.max_body_bytes)
         request = parse_request(self._rows.table, account, scope, headers, body)
-        with self._counted(account):
+        with self._counted(account, request):
             await self._serve(request, receive, responder)
 
-    def _counted(self, account):
+    def _counted(self, account, request):
         if self._in_flight.get(account.name, 0) >= account.max_in_flight:
-            raise AccountLimit(
+            error = AccountLimit(
                 f"Account {account.name} has {account.max_in_flight} in progress."
             )
+            raise _spoken_of_key(error, request)
         return _InFlight(self._in_flight, account.name)
 
     async def _serve(self, request, receive, responder):
@@ -110,6 +112,7 @@
             try:
                 await self._answer(request, responder)
             except PistachiowellError as error:
+                _spoken_of_key(error, request)
                 self._runtime.events.add(
                     EventKind.request_refused
                     if error.ran == "no"
@@ -224,6 +227,13 @@
             await self.end()
 
 
+def _spoken_of_key(error, request):
+    """Lets an error speak of all requests with the key; returns the error."""
+    repeatable = request.route.repeatable
+    error.ran = ran_under_key(str(error.code), error.ran, repeatable)
+    return error
+
+
 def error_body(error):
     """Returns the OpenAI error object of an error.
 
