Moves: judge data centres by the old version's health there; pace probes by answers

A data centre is now left out only if the old version does not answer well there. Probes are paced to one per four answers of the old version, and the holder decides as answers come instead of every half second.

--- a/pistachiowell/moves/evidence.py
+++ b/pistachiowell/moves/evidence.py
@@ -128,17 +128,21 @@
                     sums.add(answer, count)
         return sums
 
-    def places(self):
-        """Returns servers and data centres of the new version with their failures.
+    def servers(self):
+        """Returns the failures of the new version by its backend server."""
+        failures = defaultdict(int)
+        for answer, count in self._answers():
+            if answer.is_new:
+                failures[answer.server] += count if answer.failed else 0
+        return failures
+
+    def centres(self):
+        """Returns ``Sums`` by data centre."""
+        sums = defaultdict(Sums)
+        for answer, count in self._answers():
+            sums[answer.data_centre].add(answer, count)
+        return sums
 
-        Returns:
-            ``(servers, data_centres)``, two mappings from name to failures.
-        """
-        servers, centres = defaultdict(int), defaultdict(int)
+    def _answers(self):
         for answers in self._seconds.values():
-            for answer, count in answers.items():
-                if answer.is_new:
-                    failures = count if answer.failed else 0
-                    servers[answer.server] += failures
-                    centres[answer.data_centre] += failures
-        return servers, centres
+            yield from answers.items()
--- a/pistachiowell/moves/mover.py
+++ b/pistachiowell/moves/mover.py
@@ -13,7 +13,7 @@
 
 MIN_JUDGED = 30
 PROBES = 4
-MIN_PROBES = 2
+OLD_PER_PROBE = 4
 MAX_STAGE_SCORE = 5.0
 PROBE_TIMEOUT_S = 1.0
 CLEAR_FAILED_SHARE = 0.25
@@ -164,9 +164,10 @@
         self._probe_expiries += [now + PROBE_TIMEOUT_S] * sent
         self._probe_expiries = [at for at in self._probe_expiries if at > now]
         unsent = [n for n, until in self._probe_grants.values() if until > now]
-        answered = self._suspect.sums(0.0).answers[1]
-        wanted = max(MIN_PROBES, PROBES - answered)
-        granted = max(0, wanted - len(self._probe_expiries) - sum(unsent))
+        old_answers, answers = self._suspect.sums(0.0).answers
+        allowed = PROBES + old_answers // OLD_PER_PROBE - answers
+        wanted = min(PROBES, allowed) - len(self._probe_expiries) - sum(unsent)
+        granted = max(0, wanted)
         self._probe_grants[router] = (granted, now + PROBE_TIMEOUT_S)
         return granted
 
--- a/pistachiowell/router/holding.py
+++ b/pistachiowell/router/holding.py
@@ -44,6 +44,7 @@
         "_rows",
         "_runtime",
         "_store",
+        "_wake",
     )
 
     def __init__(self, runtime, fleet, rows, row):
@@ -54,6 +55,7 @@
         self._store = MoveStore(runtime, row)
         self._mover = None
         self._loading = False
+        self._wake = anyio.Event()
 
     @property
     def mover(self):
@@ -70,6 +72,20 @@
         """Fencing number as last read."""
         return self._store.state.fence if self._store.state else 0
 
+    def wake(self):
+        """Lets the next step begin at once."""
+        self._wake.set()
+
+    async def wait(self, timeout_s):
+        """Waits until the next step is due.
+
+        Args:
+            timeout_s: Longest wait in seconds.
+        """
+        with anyio.move_on_after(timeout_s):
+            await self._wake.wait()
+        self._wake = anyio.Event()
+
     async def step(self, group):
         """Does what is due now; call it often.
 
--- a/pistachiowell/router/mover.py
+++ b/pistachiowell/router/mover.py
@@ -157,7 +157,7 @@
                         await holding.step(group)
                     except STORE_ERRORS as error:
                         _log.debug("Move of route {}: {}", route, error)
-                await anyio.sleep(STEP_S if holding.mover else READ_INTERVAL_S)
+                await holding.wait(STEP_S if holding.mover else READ_INTERVAL_S)
 
     async def _report(self, tracker):
         """Reports the counts and takes the permit that answers them."""
@@ -200,6 +200,8 @@
         if tripped and not mover.is_suspect:
             mover.trip(now)
             self._send_stop(MoveStop(tracker.row.name, holding.fence))
+        if counts and mover.is_suspect:
+            holding.wake()
 
     def _send_stop(self, message):
         for link in self._reporters.pop(message.move, ()):
