--- a/pistachiowell/bench/slopes_live.py
+++ b/pistachiowell/bench/slopes_live.py
@@ -6,11 +6,14 @@
 
 from pistachiowell.bench.callers import Caller
 from pistachiowell.bench.load import load_plan
+from pistachiowell.bench.plan import PLAIN, RigPlan, ServerSpec
 from pistachiowell.bench.procfs import cpu_s, rss_bytes
 from pistachiowell.bench.rig import Rig
 from pistachiowell.bench.slopes import US_PER_S, Slope, measurement
 
-IDLE_S = 5.0
+IDLE_S = 8.0
+FEW_AGENTS = 2
+MANY_AGENTS = 14
 STREAMS = 40
 SHORT_WORDS = 1
 LONG_WORDS = 151
@@ -48,6 +51,56 @@
         return {role: after[role] - before[role] for role in after}
 
 
+@measurement("idle")
+def measure_idle():
+    """Measures idle programs with few and with many agents."""
+    few, few_rss = _idle_with(FEW_AGENTS)
+    many, many_rss = _idle_with(MANY_AGENTS)
+    more = MANY_AGENTS - FEW_AGENTS
+    per_agent = (many["router"] - few["router"]) / more
+    base = few["router"] - FEW_AGENTS * per_agent
+    per_agent_bytes = (many_rss["router"] - few_rss["router"]) / more
+    base_bytes = few_rss["router"] - FEW_AGENTS * per_agent_bytes
+    return [
+        Slope(
+            "router: idle second, no agents",
+            1,
+            round(base * US_PER_S),
+            memory_bytes=round(base_bytes),
+        ),
+        Slope(
+            "router: idle second, one more agent",
+            more,
+            round(per_agent * US_PER_S),
+            memory_bytes=round(per_agent_bytes),
+        ),
+        Slope(
+            "agent: idle second, two routers",
+            MANY_AGENTS,
+            round(many["agent"] * US_PER_S),
+            memory_bytes=round(many_rss["agent"]),
+        ),
+    ]
+
+
+def _idle_with(agents):
+    """Returns processor time for each second and memory, each for one process."""
+    desks = [
+        ServerSpec(f"desk-{number}", "osu", "stock-1", PLAIN)
+        for number in range(agents - 1)
+    ]
+    engine = ServerSpec("engine-1", "osu", "chat-1")
+    with Rig(RigPlan(servers=(engine, *desks))) as rig:
+        meter = _Meter(rig)
+        counts = {"router": len(rig.routers), "agent": len(rig.agents)}
+        seconds = _idle(rig, meter)
+        memory = meter.rss()
+        return (
+            {role: seconds[role] / count for role, count in counts.items()},
+            {role: memory[role] / count for role, count in counts.items()},
+        )
+
+
 @measurement("live")
 def measure_live():
     """Measures idle programs, requests, words and open streams in a rig."""
@@ -60,14 +113,10 @@
         memory = _open_memory(rig, meter)
     requests = ROUNDS * STREAMS
     slopes = []
-    for role, names in (("router", rig.routers), ("agent", rig.agents)):
+    for role in ("router", "agent"):
         per_request = short[role] / requests
         words = LONG_WORDS - SHORT_WORDS
         per_word = (long[role] - short[role]) / requests / words
-        one = Slope(
-            f"{role}: idle second", 1, round(idle[role] / len(names) * US_PER_S)
-        )
-        slopes.append(one)
         slopes.append(
             Slope(f"{role}: request", requests, round(per_request * US_PER_S))
         )
--- a/pistachiowell/bench/slopes_wire.py
+++ b/pistachiowell/bench/slopes_wire.py
@@ -1,6 +1,9 @@
 """Slopes of the messages between processes."""
 
+import gc
 import time
+import tracemalloc
+from contextlib import AsyncExitStack
 
 import anyio
 
@@ -29,6 +32,7 @@
 
 MESSAGE_COUNT = 5000
 CALL_COUNT = 2000
+LINK_COUNT = 100
 CHUNK_BYTES = 210
 BODY_BYTES = 600
 
@@ -142,13 +146,29 @@
                 await anyio.sleep(0)
             await complete.wait()
             sends_s = time.process_time() - started
+        held = await _held_links(port, hello, clock)
         group.cancel_scope.cancel()
     return [
+        Slope("link held, both ends", LINK_COUNT, memory_bytes=held),
         Slope("call Ping, both ends", CALL_COUNT, _us(calls_s, CALL_COUNT)),
         Slope("send LoadReport, both ends", CALL_COUNT, _us(sends_s, CALL_COUNT)),
     ]
 
 
+async def _held_links(port, hello, clock):
+    """Returns the memory of one idle link with both its ends."""
+    gc.collect()
+    tracemalloc.start()
+    async with AsyncExitStack() as stack:
+        for _ in range(LINK_COUNT):
+            context = connect("127.0.0.1", port, hello, Handlers(), clock)
+            link = await stack.enter_async_context(context)
+            await link.call(Ping(), 5.0)
+        held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return round(held / LINK_COUNT)
+
+
 async def _serve(port, hello, handlers, clock, *, task_status):
     await serve("127.0.0.1", port, hello, handlers, clock, task_status=task_status)
 
