--- /dev/null
+++ b/pistachiowell/bench/tests/test_measuring.py
@@ -0,0 +1,57 @@
+"""Tests of the load tool and of the capacity tables."""
+
+import pytest
+
+from pistachiowell.bench import capacity
+from pistachiowell.bench.capacity import FleetSize, Slopes
+from pistachiowell.bench.load import LoadPlan, draw_requests, run_load
+from pistachiowell.bench.slopes import Slope
+from pistachiowell.bench.slopes_state import measure_events, measure_journal
+from pistachiowell.bench.slopes_wire import measure_messages
+
+
+def test_load_is_seeded_and_bounded():
+    plan = LoadPlan(rate_per_s=100.0, duration_s=2.0)
+    first = draw_requests(plan, ["a", "b"])
+    assert first == draw_requests(plan, ["a", "b"])
+    assert first[-1][0] <= 2.0
+    assert max(words for _, _, _, words in first) <= plan.max_words
+
+
+def test_load_is_answered_whole_and_billed_as_counted(rig):
+    report = run_load(rig, LoadPlan(rate_per_s=20.0, duration_s=1.5, mean_words=5))
+    assert report.requests == report.answered > 10
+    assert report.counted_tokens == report.billed_tokens > 0
+    assert not report.broken
+
+
+@pytest.fixture
+def slopes():
+    found = [*measure_messages(), *measure_events(), *measure_journal()]
+    names = (
+        "call Ping, both ends",
+        "send LoadReport, both ends",
+        "link held, both ends",
+        "router: idle second, no agents",
+        "router: idle second, one more agent",
+        "agent: idle second, two routers",
+        "router: request",
+        "router: word",
+        "router: open stream",
+        "agent: request",
+        "agent: word",
+        "agent: open stream",
+        "table row held",
+        "table change, 7500 rows",
+    )
+    return Slopes([*found, *[Slope(n, 1, 100.0, 100.0, 1000.0) for n in names]])
+
+
+def test_capacity_grows_with_what_it_is_worked_out_from(slopes):
+    small = FleetSize(linked_agents=10, linked_routers=10)
+    loads = [capacity.router_control(size, slopes) for size in (small, FleetSize())]
+    sums = [sum(load.cpu_percent for load in one) for one in loads]
+    assert sums[0] < sums[1]
+    text = capacity.text(FleetSize(), slopes)
+    assert "| journals | 700 | 0 |" in text
+    assert text.count("| total |") == 5
