--- /dev/null
+++ b/pistachiowell/bench/rig_use.py
@@ -0,0 +1,206 @@
+"""Use of the fleet of a rig, as callers and operators use it."""
+
+import subprocess
+import sys
+from collections import Counter
+
+import msgspec
+import yaml
+
+from pistachiowell.bench.client import TIMEOUT_S, call
+from pistachiowell.bench.plan import MODEL, server_rows
+from pistachiowell.platform.resources import BASE_PATH
+
+OPERATOR = "rig"
+OPERATOR_KEY = "key-operator"
+CTL_TIMEOUT_S = 60.0
+REPORT_TIMEOUT_S = 5.0
+
+
+class RigError(AssertionError):
+    """A step of the rig failed."""
+
+
+class RigUse:
+    """The part of ``Rig`` that sends requests and reads state."""
+
+    def server_rows(self):
+        """Returns the table rows of the backend servers."""
+        urls = {spec.name: self.url(spec.name) for spec in self.plan.servers}
+        return server_rows(self.plan, urls)
+
+    def ctl(self, *words):
+        """Runs ``pistachiowell-ctl`` with JSON output.
+
+        Args:
+            *words: Command line after the settings.
+
+        Returns:
+            ``(exit code, document)``; the document is None without output.
+        """
+        module = "pistachiowell.ctl.main"
+        settings = self.directory / "ctl.yaml"
+        head = [sys.executable, "-m", module, f"--settings={settings}", "--json"]
+        command = [*head, *[str(word) for word in words]]
+        done = subprocess.run(command, capture_output=True, timeout=CTL_TIMEOUT_S)
+        with (self.directory / "ctl.log").open("ab") as log:
+            log.write(b" ".join(word.encode() for word in command[5:]) + b"\n")
+            log.write(done.stdout + done.stderr)
+        document = msgspec.json.decode(done.stdout) if done.stdout.strip() else None
+        return done.returncode, document
+
+    def apply(self, rows, *, wait=False):
+        """Applies rows of the operators' table with ``ctl apply``.
+
+        Args:
+            rows: Rows as mappings.
+            wait: Whether to wait until they are in force everywhere.
+
+        Returns:
+            The document that ``ctl`` printed.
+        """
+        path = self.directory / f"table-{next(self._numbers)}.yaml"
+        path.write_text(yaml.safe_dump({"rows": list(rows)}), encoding="utf-8")
+        code, document = self.ctl("apply", path, *(["--wait"] if wait else []))
+        if code:
+            raise RigError(f"ctl apply ended with {code}: {document}\n{self.logs()}")
+        return document
+
+    def credit(self, account, tokens):
+        """Adds tokens to the budget of a client account."""
+        from pistachiowell.router.spending import page_name
+
+        pages = dict(self.plan.router_settings).get("budget_pages", 16)
+
+        def add(page):
+            page = page or {"accounts": {}}
+            budget = page["accounts"].setdefault(account, {"credited": 0})
+            budget["credited"] += tokens
+            return page
+
+        self._put_object("budgetpages", page_name(account, pages), add)
+
+    def _put_object(self, collection, name, change):
+        url = f"{self.store_url}{BASE_PATH}/{collection}"
+        while True:
+            old = call(f"{url}/{name}")
+            spec = old.document["spec"] if old.status == 200 else None
+            metadata = {"name": name}
+            if old.status == 200:
+                metadata = old.document["metadata"]
+            document = {
+                "apiVersion": "pistachiowell.io/v1",
+                "kind": collection,
+                "metadata": metadata,
+                "spec": change(spec),
+            }
+            method = "POST" if spec is None else "PUT"
+            target = url if spec is None else f"{url}/{name}"
+            if call(target, document, method=method).status in (200, 201):
+                return
+
+    def objects(self, collection):
+        """Returns the values of a collection of the store by name.
+
+        Args:
+            collection: Name of the collection.
+        """
+        reply = call(f"{self.store_url}{BASE_PATH}/{collection}")
+        items = reply.document["items"]
+        return {item["metadata"]["name"]: item["spec"] for item in items}
+
+    def bill(self):
+        """Returns the journaled tokens by client account, each request once."""
+        entries = {}
+        for journal in self.objects("journals").values():
+            for entry in journal["entries"]:
+                entries[entry["request_id"]] = entry
+        tokens = Counter()
+        for entry in entries.values():
+            tokens[entry["account"]] += entry["tokens"]
+        return dict(tokens)
+
+    def events(self, router):
+        """Returns the latest events of a router, oldest first."""
+        reply = self._report(router, "/events")
+        return reply.document["events"] if reply.status == 200 else []
+
+    def status(self, router):
+        """Returns the status report of a router."""
+        return self._report(router, "/status").document
+
+    def _report(self, router, path):
+        headers = {"authorization": f"Bearer {OPERATOR_KEY}"}
+        url = self.url(router) + path
+        return call(url, headers=headers, timeout_s=REPORT_TIMEOUT_S)
+
+    def chat(
+        self,
+        prompt,
+        *,
+        router=None,
+        account=None,
+        model="chat",
+        headers=None,
+        timeout_s=TIMEOUT_S,
+        **fields,
+    ):
+        """Sends one chat request.
+
+        Args:
+            prompt: Content of the user's message; ``words=N`` in it sets the
+                length of the answer.
+            router: Name of the router; the first one if None.
+            account: Client account; the first one if None.
+            model: Name of the route.
+            headers: Mapping of further headers.
+            timeout_s: Longest silence of the router in seconds.
+            **fields: Further fields of the request's body.
+
+        Returns:
+            A ``Reply``.
+        """
+        messages = [{"role": "user", "content": prompt}]
+        document = {"model": model, "messages": messages, **fields}
+        path = "/v1/chat/completions"
+        return self.send(path, document, router, account, headers, timeout_s)
+
+    def service(self, path, document, key="", *, router=None, account=None):
+        """Calls a plain service.
+
+        Args:
+            path: ``<route>/<path at the service>``.
+            document: Body.
+            key: Idempotency key, or an empty text.
+            router: Name of the router; the first one if None.
+            account: Client account; the first one if None.
+
+        Returns:
+            A ``Reply``.
+        """
+        headers = {"idempotency-key": key} if key else {}
+        return self.send(f"/services/{path}", document, router, account, headers)
+
+    def send(
+        self,
+        path,
+        document,
+        router=None,
+        account=None,
+        headers=None,
+        timeout_s=TIMEOUT_S,
+    ):
+        """Sends a caller's request to a router; see ``chat``."""
+        account = account or self.plan.accounts[0][0]
+        key = self.plan.api_key_prefix + account
+        authorization = {"authorization": f"Bearer {key}"}
+        url = self.url(router or self.routers[0]) + path
+        all_headers = {**authorization, **(headers or {})}
+        return call(url, document, headers=all_headers, timeout_s=timeout_s)
+
+    def runs(self, key):
+        """Returns how often the plain services ran a call with a key."""
+        plain = [spec.name for spec in self.plan.servers if spec.service != MODEL]
+        replies = [call(self.url(name) + "/control/runs") for name in plain]
+        counts = [reply.document["runs"] for reply in replies if reply.status == 200]
+        return sum(runs.get(key, 0) for runs in counts)
