--- a/pistachiowell/bench/capacity.py
+++ b/pistachiowell/bench/capacity.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from pistachiowell.agent.main import LOAD_INTERVAL_S
 from pistachiowell.bench.slopes import US_PER_S, Slope
 
 DAY_S = 86_400
@@ -19,6 +20,10 @@
 CPU_LIMIT_PERCENT = 4.7
 MEMORY_LIMIT_MIB = 32
 BYTES_LIMIT_PER_S = 8192
+WORD_S = 0.029
+EVENTS_PER_REQUEST = 4
+RING_EVENTS = 20_000
+REPORTS_PER_S = 1.0 / LOAD_INTERVAL_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +42,9 @@
         linked_agents: Agents that a router keeps a link to.
         linked_routers: Routers that a router keeps a link to.
         reports_per_s: Load reports of one agent to one router.
-        pings_per_s: Heartbeats on one link.
+        pings_per_s: Heartbeats that a router sends on a link to a router.
+        vm_list_interval_s: Time between reads of the VM list by one router.
+        watching_agents: Whether each agent watches registrations itself.
         journal_interval_s: Time between journal objects of one router.
         renewal_s: Time between writes of a budget page by one holder.
         budget_pages: Budget pages.
@@ -53,8 +60,10 @@
     changes_per_day: int = 2000
     linked_agents: int = 600
     linked_routers: int = 349
-    reports_per_s: float = 5.0
-    pings_per_s: float = 1.0
+    reports_per_s: float = REPORTS_PER_S
+    pings_per_s: float = 2.0
+    vm_list_interval_s: float = 5.0
+    watching_agents: bool = False
     journal_interval_s: float = 0.5
     renewal_s: float = 180.0
     budget_pages: int = 16
@@ -126,10 +135,10 @@
         slopes: A ``Slopes``.
     """
     call_us = slopes.cpu_us("call Ping, both ends") / 2
-    agent_us = slopes.cpu_us("router: idle second, one more agent")
+    report_us = slopes.cpu_us("router: idle second, one more agent") / REPORTS_PER_S
     link_bytes = slopes.memory_bytes("link held, both ends") / 2
-    report_bytes = slopes.frame_bytes("LoadReport") * size.reports_per_s
     requests = size.requests_per_s / size.routers
+    probes = 2 * size.linked_routers * size.pings_per_s
     remote = requests * (1.0 - size.data_centres / size.routers)
     budget_bytes = slopes.frame_bytes(
         "ReserveTokens", "TokensReserved", "SettleTokens", "TokensSettled"
@@ -142,14 +151,14 @@
         slopes.rate("idle program", 1, slopes.cpu_us("router: idle second, no agents")),
         slopes.rate(
             f"load reports of {size.linked_agents} agents",
-            size.linked_agents,
-            agent_us,
-            report_bytes,
+            size.linked_agents * size.reports_per_s,
+            report_us,
+            slopes.frame_bytes("LoadReport"),
             size.linked_agents * link_bytes,
         ),
         slopes.rate(
             f"heartbeats of {size.linked_routers} routers",
-            2 * size.linked_routers * size.pings_per_s,
+            probes,
             call_us,
             slopes.frame_bytes("Ping", "Pong"),
             size.linked_routers * link_bytes,
@@ -167,14 +176,15 @@
             slopes.size_bytes("table row held"),
             rows * row_bytes,
         ),
-        slopes.rate("events", 4 * requests, slopes.cpu_us("event in the ring")),
-        Load("event ring", memory_mib=20_000 * event_bytes / MIB),
+        slopes.rate(
+            "events", EVENTS_PER_REQUEST * requests, slopes.cpu_us("event in the ring")
+        ),
+        Load("event ring", memory_mib=RING_EVENTS * event_bytes / MIB),
     ]
 
 
 def agent_control(size, slopes):
     """Returns the control loads of one agent."""
-    call_us = slopes.cpu_us("call Ping, both ends") / 2
     send_us = slopes.cpu_us("send LoadReport, both ends") / 2
     routers = size.routers * size.linked_agents / size.agents
     link_bytes = slopes.memory_bytes("link held, both ends") / 2
@@ -190,12 +200,6 @@
             slopes.frame_bytes("LoadReport"),
             routers * link_bytes,
         ),
-        slopes.rate(
-            "heartbeats",
-            2 * routers * size.pings_per_s,
-            call_us,
-            slopes.frame_bytes("Ping", "Pong"),
-        ),
         Load("table", memory_mib=rows * slopes.memory_bytes("table row held") / MIB),
     ]
 
@@ -235,11 +239,14 @@
         ("budget pages", homes * size.budget_pages / size.renewal_s, 0.0),
         ("table changes", size.changes_per_day / DAY_S, 0.0),
         ("watches of rows", 0.0, float(watchers)),
-        ("watches of registrations", 0.0, 2.0 * size.routers),
+        ("watches of registrations", 0.0, _registration_watches(size)),
+        ("VM list", 0.0, size.routers / size.vm_list_interval_s),
     ]
 
 
-WORD_S = 0.029
+def _registration_watches(size):
+    agents = size.agents if size.watching_agents else 0
+    return 2.0 * size.routers + agents
 
 
 def text(size, slopes):
@@ -250,8 +257,8 @@
         slopes: A ``Slopes``.
     """
     parts = [
-        _table("Control of one router", router_control(size, slopes)),
-        _table("Control of one agent", agent_control(size, slopes)),
+        _table("Control of one router", router_control(size, slopes), limits=True),
+        _table("Control of one agent", agent_control(size, slopes), limits=True),
         _table(
             "Answers at one router", data_path(size, slopes, "router", size.routers)
         ),
@@ -261,7 +268,7 @@
     return "\n\n".join(parts)
 
 
-def _table(title, loads):
+def _table(title, loads, *, limits=False):
     total = Load(
         "total",
         0.0,
@@ -278,6 +285,11 @@
             f"| {load.item} | {load.per_s:.3g} | {load.cpu_percent:.2f} "
             f"| {load.bytes_per_s:.0f} | {load.memory_mib:.1f} |"
         )
+    if limits:
+        lines.append(
+            f"| limit | | {CPU_LIMIT_PERCENT} | {BYTES_LIMIT_PER_S} "
+            f"| {MEMORY_LIMIT_MIB} |"
+        )
     return "\n".join(lines)
 
 
@@ -313,11 +325,12 @@
 
 
 SUBSET = FleetSize(
-    linked_agents=80,
+    linked_agents=40,
     linked_routers=69,
     reports_per_s=1.0,
-    pings_per_s=0.2,
+    pings_per_s=0.1,
     journal_interval_s=2.0,
+    vm_list_interval_s=60.0,
 )
 
 
