--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -3,6 +3,7 @@
 import anyio
 
 from pistachiowell.agent.claiming import Claiming
+from pistachiowell.agent.crashes import CrashWatch
 from pistachiowell.agent.gate import Gate
 from pistachiowell.agent.orders import Orders
 from pistachiowell.agent.runner import Runner
@@ -59,17 +60,24 @@
                 group.start_soon(self._runtime.tls.keep_fresh)
             row = await self._server_row()
             backend = HttpBackend(row.url)
+            claiming = Claiming(self._runtime)
+            await group.start(claiming.run)
             self._gate = Gate(self._runtime, row.slots)
+            crashes = CrashWatch(
+                self._runtime, self._handlers, lambda: self._links, backend, self._gate
+            )
             self._runner = Runner(
                 self._runtime,
                 self._handlers,
                 self._gate,
-                Claiming(self._runtime),
+                claiming,
+                crashes,
                 backend,
                 self._version,
             )
             Orders(self._runtime, self._handlers, backend)
             await group.start(self._runner.run)
+            group.start_soon(self._gate.run)
             await group.start(self._serve_routers)
             group.start_soon(self._push_load)
             record = self._record()
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -23,6 +23,7 @@
 from pistachiowell.router.rows import Rows, fleet_links, watches_for_data_centre
 from pistachiowell.router.service import RequestService
 from pistachiowell.router.spending import Spending
+from pistachiowell.router.suspects import Suspects
 from pistachiowell.schema.generated.objects_membership import RouterRecord
 from pistachiowell.schema.generated.settings import RouterSettings
 from pistachiowell.wire import Handlers, LinkTls, serve
@@ -56,6 +57,7 @@
         "_moves",
         "_rows",
         "_runtime",
+        "_suspects",
     )
 
     def __init__(self, settings, store):
@@ -75,12 +77,14 @@
         self._journal = Journal(self._runtime)
         rng = random.Random()
         self._moves = Moves(self._runtime, self._fleet, self._rows, self._handlers, rng)
+        self._suspects = Suspects(self._runtime, self._fleet, self._handlers)
         dispatch = Dispatch(
             self._runtime,
             self._fleet,
             self._rows,
             self._moves,
             self._handlers,
+            self._suspects,
             rng,
         )
         service = RequestService(
@@ -114,6 +118,7 @@
             if self._runtime.tls is not None:
                 group.start_soon(self._runtime.tls.keep_fresh)
             group.start_soon(self._fleet.run)
+            group.start_soon(self._suspects.run)
             group.start_soon(self._journal.run)
             group.start_soon(self._moves.run)
             record = self._record()
--- a/pistachiowell/router/mover.py
+++ b/pistachiowell/router/mover.py
@@ -20,12 +20,14 @@
     AnswerCount,
     MoveCounts,
     MovePermit,
+    MoveStop,
 )
 from pistachiowell.tables.watchers import ranked
 
 STEP_S = 0.5
 READ_INTERVAL_S = 2.0
 REPORT_TIMEOUT_S = 1.0
+FIRST_SERVER_FAULT = 500
 VERSION_FAULTS = (ServerFailed, AnswerBroken, DeadlineExceeded)
 
 _log = part_logger("moves")
@@ -46,6 +48,7 @@
         "_fleet",
         "_group",
         "_holdings",
+        "_reporters",
         "_reporting",
         "_rng",
         "_rows",
@@ -61,13 +64,19 @@
         self._rng = rng
         self._trackers = {}
         self._holdings = {}
+        self._reporters = {}
         self._reporting = set()
         self._steps = {}
         self._group = None
         handlers.on(MoveCounts)(self._take_counts)
+        handlers.on(MoveStop)(self._take_stop)
+
+    def is_moving(self, route):
+        """Tells whether a ``RouteRow`` has an open move."""
+        return route.name in self._trackers
 
     def pick_version(self, route):
-        """Picks a version of a route by its weights and its open move.
+        """Picks a version of a route that has an open move.
 
         Args:
             route: The ``RouteRow``.
@@ -75,36 +84,33 @@
         Returns:
             The version's name.
         """
-        tracker = self._trackers.get(route.name)
-        if tracker is not None:
-            return tracker.pick(route, self._rng, self._runtime.now())
-        names = list(route.weights)
-        return self._rng.choices(names, [route.weights[name] for name in names])[0]
+        tracker = self._trackers[route.name]
+        return tracker.pick(route, self._rng, self._runtime.now())
 
-    def note(self, route_name, server_name, began, error=None):
-        """Counts an answer, or its failure, for the open move of a route.
+    def observe(self, result):
+        """Counts what an attempt showed of a version.
 
-        Refusals and lost links to agents do not count: they tell nothing about the
+        Refusals, lost links to agents, requests suspected of crashing servers and
+        answers that the caller left do not count: they tell nothing about the
         version.
 
         Args:
-            route_name: Name of the route.
-            server_name: Name of the backend server that ran the request.
-            began: Monotonic time at which the request was sent, in seconds.
-            error: The ``PistachiowellError`` that ended it; None for an answer.
+            result: The ``AttemptResult``.
         """
-        tracker = self._trackers.get(route_name)
-        server = self._rows.table.server(server_name)
-        if tracker is None or server is None:
-            return
-        failed = isinstance(error, VERSION_FAULTS)
-        if failed and isinstance(error.__cause__, LinkLost):
+        tracker = self._trackers.get(result.route)
+        server = self._rows.table.server(result.server)
+        if tracker is None or server is None or result.suspect:
             return
-        if error is not None and not failed:
+        failed = _shows_fault(result)
+        if not failed and (result.error is not None or not result.status):
             return
-        now = self._runtime.now()
         tracker.note(
-            server.version, server.name, server.data_centre, failed, began, now
+            result.version,
+            server.name,
+            server.data_centre,
+            failed,
+            result.began_s,
+            self._runtime.now(),
         )
         if self._group is not None and tracker.is_urgent:
             self._group.start_soon(self._report, tracker)
@@ -160,7 +166,7 @@
         sent_at = self._runtime.now()
         holding = self._holdings.get(tracker.row.route)
         if holding is not None and holding.mover is not None:
-            self._feed_mover(tracker, holding.mover)
+            self._feed_mover(tracker, holding)
             self._take_own_permit(tracker, holding, sent_at)
             return
         link = self._find_reporting_link(holding)
@@ -168,7 +174,10 @@
             return
         counts, tripped = tracker.take_report()
         message = MoveCounts(
-            tracker.row.name, _count_messages(counts, sent_at), tripped
+            move=tracker.row.name,
+            counts=_count_messages(counts, sent_at),
+            tripped=tripped,
+            probes_left=tracker.probes_left,
         )
         try:
             permit = await link.call(message, REPORT_TIMEOUT_S)
@@ -184,19 +193,35 @@
                 now=self._runtime.now(),
             )
 
-    def _feed_mover(self, tracker, mover):
+    def _feed_mover(self, tracker, holding):
         now = self._runtime.now()
+        mover = holding.mover
         counts, tripped = tracker.take_report()
         for (answer, began), count in counts.items():
             mover.take(answer, began, count, now)
-        if tripped:
+        if tripped and not mover.is_suspect:
             mover.trip(now)
+            self._send_stop(MoveStop(tracker.row.name, holding.fence))
+
+    def _send_stop(self, message):
+        for link in self._reporters.pop(message.move, ()):
+            if not link.closed:
+                link.send(message)
+
+    async def _take_stop(self, link, message):
+        del link
+        tracker = self._find_tracker(message.move)
+        if tracker is not None:
+            tracker.stop(message.fence)
+            self._send_stop(message)
 
     def _take_own_permit(self, tracker, holding, now):
         tracker.take_permit(
             fence=holding.fence,
             share=holding.mover.share(),
-            probes=holding.mover.probes(now),
+            probes=holding.mover.probes(
+                self._runtime.settings.id, tracker.probes_left, now
+            ),
             valid_until=now + PERMIT_S,
             now=now,
         )
@@ -220,6 +245,7 @@
         if tracker is None:
             return None
         now = self._runtime.now()
+        self._reporters.setdefault(message.move, set()).add(link)
         for count in message.counts:
             answer = Answer(
                 count.is_new,
@@ -235,7 +261,7 @@
             await self._report_once(tracker)
         holding = self._holdings.get(tracker.row.route)
         if holding is not None and holding.mover is not None:
-            return self._permit_of_holder(tracker, holding)
+            return self._permit_of_holder(tracker, holding, link, message)
         return self._relayed_permit(tracker)
 
     async def _report_once(self, tracker):
@@ -249,14 +275,15 @@
         finally:
             self._reporting.discard(name)
 
-    def _permit_of_holder(self, tracker, holding):
-        self._feed_mover(tracker, holding.mover)
+    def _permit_of_holder(self, tracker, holding, link, message):
+        self._feed_mover(tracker, holding)
+        reporter = link.hello.id if link.hello else ""
         now = self._runtime.now()
         return MovePermit(
             move=tracker.row.name,
             fence=holding.fence,
             share=holding.mover.share(),
-            probes=holding.mover.probes(now),
+            probes=holding.mover.probes(reporter, message.probes_left, now),
             valid_s=PERMIT_S,
         )
 
@@ -280,6 +307,14 @@
         return None
 
 
+def _shows_fault(result):
+    if result.error is None:
+        return result.status >= FIRST_SERVER_FAULT
+    if isinstance(result.error.__cause__, LinkLost):
+        return False
+    return isinstance(result.error, VERSION_FAULTS)
+
+
 def _count_messages(counts, now):
     return [
         AnswerCount(
