--- a/pistachiowell/wire/codec.py
+++ b/pistachiowell/wire/codec.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import importlib
+from typing import Annotated
 
 import msgspec
 
@@ -20,6 +21,9 @@
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 
 LENGTH_BYTES = 4
+MAX_CALL = 2**62
+MAX_WALL_NS = 2**63 - 1
+MAX_LOGICAL = 2**32
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -45,9 +49,9 @@
 class _Head(msgspec.Struct, array_like=True):
     version: int
     kind: str
-    call: int
-    wall_ns: int
-    logical: int
+    call: Annotated[int, msgspec.Meta(ge=-MAX_CALL, le=MAX_CALL)]
+    wall_ns: Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_NS)]
+    logical: Annotated[int, msgspec.Meta(ge=0, lt=MAX_LOGICAL)]
     body: msgspec.Raw
 
 
