--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -5,6 +5,7 @@
 from pistachiowell.agent.claiming import Claiming
 from pistachiowell.agent.crashes import CrashWatch
 from pistachiowell.agent.gate import Gate
+from pistachiowell.agent.orders import Orders
 from pistachiowell.agent.runner import Runner
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
@@ -72,6 +73,7 @@
                 backend,
                 self._version,
             )
+            Orders(self._runtime, self._handlers, backend)
             await group.start(self._runner.run)
             group.start_soon(self._gate.run)
             await group.start(self._serve_routers)
--- a/pistachiowell/router/attempts.py
+++ b/pistachiowell/router/attempts.py
@@ -97,7 +97,8 @@
         if scope.cancelled_caught:
             raise DeadlineExceeded("The request's time is over.")
         if message is None:
-            raise ServerFailed("The link to the agent was lost.")
+            lost = LinkLost("The link was lost before the end of the answer.")
+            raise ServerFailed("The link to the agent was lost.") from lost
         self._ended = isinstance(message, AnswerEnd | AnswerFailed)
         if isinstance(message, AnswerFailed):
             raise error_class(message.code)(
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -9,7 +9,7 @@
 from pistachiowell.core.events import EventKind
 from pistachiowell.membership import MembershipSettings, PeerBook
 from pistachiowell.platform.follow import follow_collection
-from pistachiowell.schema.generated.messages_requests import Ping
+from pistachiowell.schema.generated.messages_requests import Hello, Ping
 from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
 from pistachiowell.wire import connect
 
@@ -78,6 +78,7 @@
             AgentRecord: PeerBook(AGENT_MEMBERSHIP),
             RouterRecord: PeerBook(ROUTER_MEMBERSHIP),
         }
+        handlers.on(Hello)(self._take_hello)
 
     @property
     def agents(self):
@@ -125,6 +126,11 @@
             book.says_leaving(name, incarnation)
         return peer
 
+    async def _take_hello(self, link, message):
+        peer = self.heard(link)
+        if peer is not None:
+            self._runtime.events.add(EventKind.peer_connected, text=peer.record.id)
+
     def broadcast(self, message):
         """Sends a message over all open links."""
         for link in self.links:
@@ -169,7 +175,6 @@
         ) as link:
             peer.link = link
             self._by_link[link] = peer
-            runtime.events.add(EventKind.peer_connected, text=peer.record.id)
             try:
                 await link.wait_closed()
             finally:
--- a/pistachiowell/router/selection.py
+++ b/pistachiowell/router/selection.py
@@ -1,10 +1,9 @@
-"""Chooses the version and the agent of each attempt."""
+"""Chooses the agent of each attempt."""
 
 from pistachiowell.core.errors import NoServer
 from pistachiowell.core.ids import stable_hash
 from pistachiowell.routing import (
     PICKERS,
-    SPLITTERS,
     Candidate,
     HealthBook,
     LoadBook,
@@ -20,7 +19,7 @@
 
 
 class Selection:
-    """Picks by weights, load, health, nearness and prefix.
+    """Picks by load, health, nearness and prefix.
 
     Args:
         runtime: The process's ``Runtime``.
@@ -47,7 +46,6 @@
         self._loads = LoadBook(settings)
         self._health = HealthBook(settings)
         self._picker = PICKERS.find(settings.picker)(settings, self._loads, rng)
-        self._split = SPLITTERS.find(settings.splitter)(rng)
 
     def take_load(self, report):
         """Takes a ``LoadReport``."""
@@ -59,21 +57,6 @@
             self._runtime.now(),
         )
 
-    def pick_version(self, route):
-        """Picks a version of a route by its weights.
-
-        Args:
-            route: The ``RouteRow``.
-
-        Raises:
-            NoServer: All weights are zero.
-        """
-        weights = {name: route.weights[name] for name in sorted(route.weights)}
-        version = self._split.choose(route.name, weights)
-        if version is None:
-            raise NoServer(f"All weights of route {route.name} are zero.")
-        return version
-
     def pick_agent(self, request, tried, crashed):
         """Picks the agent of an attempt.
 
--- a/pistachiowell/routing/settings.py
+++ b/pistachiowell/routing/settings.py
@@ -9,7 +9,6 @@
 
     Attributes:
         picker: Name of the pick policy in ``PICKERS``.
-        splitter: Name of the version split in ``SPLITTERS``.
         affinity_extra_load: Share above the mean load up to which a server keeps
             its prefixes.
         spill_load: Load by slot of the near servers above which farther ones are
@@ -32,7 +31,6 @@
     """
 
     picker: str = "two_choices"
-    splitter: str = "smooth"
     affinity_extra_load: float = 0.25
     spill_load: float = 1.0
     report_timeout_s: float = 3.0
