--- a/pistachiowell/router/dispatch.py
+++ b/pistachiowell/router/dispatch.py
@@ -2,9 +2,14 @@
 
 import itertools
 from contextlib import aclosing, contextmanager
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
-from pistachiowell.core.errors import MAY_HAVE_RUN, NOT_RUN, PistachiowellError
+from pistachiowell.core.errors import (
+    MAY_HAVE_RUN,
+    NOT_RUN,
+    NoServer,
+    PistachiowellError,
+)
 from pistachiowell.core.events import EventKind
 from pistachiowell.router.answers import Answer, StreamCredit
 from pistachiowell.router.attempts import Attempt, Attempts
@@ -20,32 +25,6 @@
 from pistachiowell.schema.generated.messages_requests import LoadReport
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptResult:
-    """What one attempt showed of a version.
-
-    Attributes:
-        route: Name of the route.
-        version: Name of the version.
-        server: Name of the backend server.
-        error: The ``PistachiowellError``, or None for a whole answer.
-        status: HTTP status of a whole answer; 0 without one, also if the caller left.
-        began_s: Monotonic time at which the attempt began, in seconds.
-        latency_s: Seconds to the first part of the answer; None if none came.
-        suspect: Whether the request was suspected of crashing servers, so that a
-            failure says nothing about the version.
-    """
-
-    route: str
-    version: str
-    server: str
-    error: object
-    status: int
-    began_s: float
-    latency_s: float | None
-    suspect: bool
-
-
 class Dispatch:
     """Runs requests at agents.
 
@@ -53,13 +32,10 @@
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet``.
         rows: The ``Rows`` with the table in force.
-        moves: The ``Moves``; picks the versions of moving routes and judges answers.
+        moves: The ``Moves``; picks the versions and counts the answers.
         handlers: Handlers of the links to agents; this adds its own.
         suspects: The ``Suspects``.
         rng: A ``Random``.
-
-    Attributes:
-        observers: Functions that are called with each ``AttemptResult``.
     """
 
     __slots__ = (
@@ -67,22 +43,23 @@
         "_budget",
         "_fleet",
         "_give_ups",
+        "_moves",
         "_numbers",
         "_pool",
         "_runtime",
         "_selection",
         "_settings",
         "_suspects",
-        "observers",
     )
 
     def __init__(self, runtime, fleet, rows, moves, handlers, suspects, rng):
         self._runtime = runtime
         self._fleet = fleet
+        self._moves = moves
         self._suspects = suspects
         self._settings = RoutingSettings()
         self._attempts = Attempts(handlers, runtime.now)
-        self._selection = Selection(runtime, fleet, rows, moves, self._settings, rng)
+        self._selection = Selection(runtime, fleet, rows, self._settings, rng)
         self._budget = RetryBudget(self._settings)
         self._pool = CREDIT_POOLS.find("bounded")(
             CreditSettings(process_bytes=runtime.settings.max_held_bytes)
@@ -91,7 +68,6 @@
         # One number for each attempt of this router, since a request id may be in
         # progress twice: a repeat with the same idempotency key has the same id.
         self._numbers = itertools.count(1)
-        self.observers = [moves.observe]
         handlers.on(LoadReport)(self._take_load)
 
     async def _take_load(self, link, message):
@@ -116,7 +92,7 @@
             PistachiowellError: The request failed; ``ran`` tells whether it ran.
         """
         deadline = self._runtime.now() + route.timeout_s
-        version = self._selection.pick_version(route)
+        version = self._pick_version(route)
         retries = RETRIES.find("budgeted")(
             self._settings, self._budget, route.repeatable, deadline
         )
@@ -136,6 +112,11 @@
                 self._check_retry(error, answer, retries)
                 self._note_retry(request, error)
 
+    def _pick_version(self, route):
+        if not any(route.weights.values()):
+            raise NoServer(f"All weights of route {route.name} are zero.")
+        return self._moves.pick_version(route)
+
     def _check_retry(self, error, answer, retries):
         failure = AttemptFailure(
             str(error.code), error.ran, error.retry_after_s, answer.shown_bytes
@@ -162,7 +143,7 @@
         key = f"{request.request_id}/{request.attempt}"
         credit = StreamCredit(self._pool, key, request.account, self._runtime.now)
         self._give_up(credit.victims)
-        with credit, self._observed(request, peer, answer, bool(crashed)) as progress:
+        with credit, self._observed(request, peer, answer) as progress:
             self._give_ups[key] = give_up
             request = replace(
                 request, credit_bytes=credit.first_bytes, solo=bool(crashed)
@@ -189,7 +170,7 @@
                 give_up()
 
     @contextmanager
-    def _observed(self, request, peer, answer, suspect):
+    def _observed(self, request, peer, answer):
         server = peer.record.server
         self._selection.sent(server)
         self._runtime.events.add(
@@ -202,35 +183,30 @@
         failure = None
         try:
             yield progress
+            self._note_for_moves(request, server, progress, answer.fault)
         except PistachiowellError as error:
             failure = error
+            self._note_for_moves(request, server, progress, error)
             raise
         finally:
             self._selection.ended(server, failure, progress.latency_s)
-            result = AttemptResult(
-                request.route,
-                request.version,
-                server,
-                failure,
-                answer.status if answer.ended else 0,
-                progress.began_s,
-                progress.latency_s,
-                suspect,
-            )
-            for observe in self.observers:
-                observe(result)
+
+    def _note_for_moves(self, request, server, progress, error):
+        excused = error and self._suspects.is_excused(request.fingerprint, server)
+        if not excused:
+            self._moves.note(request.route, server, progress.started_at, error)
 
 
 class _Progress:
     """Measures the time to the first message of an attempt."""
 
-    __slots__ = ("_now", "began_s", "latency_s")
+    __slots__ = ("_now", "latency_s", "started_at")
 
     def __init__(self, now):
         self._now = now
-        self.began_s = now()
+        self.started_at = now()
         self.latency_s = None
 
     def note(self):
         if self.latency_s is None:
-            self.latency_s = self._now() - self.began_s
+            self.latency_s = self._now() - self.started_at
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -75,9 +75,9 @@
             ),
         )
         self._journal = Journal(self._runtime)
+        self._suspects = Suspects(self._runtime, self._fleet, self._handlers)
         rng = random.Random()
         self._moves = Moves(self._runtime, self._fleet, self._rows, self._handlers, rng)
-        self._suspects = Suspects(self._runtime, self._fleet, self._handlers)
         dispatch = Dispatch(
             self._runtime,
             self._fleet,
