--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -92,6 +92,10 @@
         """Ids of grants whose closing is planned and not yet read back."""
         return set(self._closing)
 
+    def accounts(self, number):
+        """Returns the names of this holder's accounts of a page."""
+        return sorted(self._by_page[number])
+
     def page_of(self, account):
         """Returns the number of an account's page."""
         return page_number(account, self._pages)
@@ -205,6 +209,27 @@
                     self._adopt(name, grant_id, grant, now)
         self._drop_absent(number, present)
 
+    def has_work(self, number, now):
+        """Tells whether a plan of a page would have changes.
+
+        Args:
+            number: Page number.
+            now: Time in seconds.
+        """
+        return any(
+            _needs_change(self._ledgers[account], now)
+            for account in self._by_page[number]
+        )
+
+    def reserving_routers(self):
+        """Returns the incarnations of all routers with open reservations."""
+        return {
+            owner
+            for ledger in self._ledgers.values()
+            for grant in ledger.grants.values()
+            for owner, _ in grant.reservations.values()
+        }
+
     def retire_idle(self, account, now):
         """Plans the closing of what an account no longer needs.
 
@@ -283,3 +308,12 @@
                 return grant_id, grant.amount
         grant_id = self._opening.setdefault(account, self._make_id())
         return grant_id, 0
+
+
+def _needs_change(ledger, now):
+    demand = ledger.demand(now)
+    low = demand.available_tokens < REFILL_BELOW * demand.target_tokens
+    return low or any(
+        grant.ceiling is not None or grant.renewing or grant.draining
+        for grant in ledger.grants.values()
+    )
--- a/pistachiowell/budgets/page.py
+++ b/pistachiowell/budgets/page.py
@@ -129,7 +129,7 @@
         grant_id: {key: value for key, value in grant.items() if value}
         for grant_id, grant in document["grants"].items()
     }
-    return {key: value for key, value in document.items() if value}
+    return {key: v for key, v in document.items() if v or key == "credited"}
 
 
 def granted_tokens(account):
--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -2,26 +2,45 @@
 
 from dataclasses import dataclass
 
-import msgspec
+import anyio
 
+from pistachiowell.budgets import Holder, home_router
+from pistachiowell.budgets.home import refusal_is_final
+from pistachiowell.budgets.page import page_name as name_of_page
+from pistachiowell.budgets.page import page_number
 from pistachiowell.core.errors import (
     BudgetExhausted,
     BudgetUnreachable,
-    StoreAnswerLost,
-    StoreConflict,
-    StoreThrottled,
-    StoreUnavailable,
+    LinkLost,
+    LinkTimeout,
+    error_class,
 )
-from pistachiowell.core.ids import new_id, stable_hash
-from pistachiowell.schema.generated.objects_budgets import BudgetPage, Grant
+from pistachiowell.core.events import EventKind
+from pistachiowell.core.ids import new_id
+from pistachiowell.core.logs import part_logger
+from pistachiowell.router.pages import HeldPage
+from pistachiowell.schema.generated.messages_budgets import (
+    GrantsClosed,
+    RecallTokens,
+    ReserveTokens,
+    SettleTokens,
+    TokensRecalled,
+    TokensReserved,
+    TokensSettled,
+)
+from pistachiowell.schema.generated.objects_budgets import BudgetAccount
+
+CALL_TIMEOUT_S = 1.0
+TICK_S = 0.5
+RETIRE_INTERVAL_S = 5.0
+REFUSAL_KEPT_S = 0.2
 
-GRANT_TOKENS = 20000
-MAX_TRIES = 5
+_log = part_logger("budgets")
 
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
-    """Tokens set aside for one request.
+    """Tokens set aside for one attempt of a request.
 
     Attributes:
         request_id: The request.
@@ -29,6 +48,9 @@
         grant_id: Grant that covers the tokens.
         holder: Incarnation that holds the grant.
         tokens: Upper bound of the request in tokens.
+        reservation_id: Id of the reservation.
+        router: Incarnation of the router that asked for it.
+        page_version: The grant's ``page_version``.
     """
 
     request_id: str
@@ -36,79 +58,358 @@
     grant_id: str
     holder: str
     tokens: int
+    reservation_id: str = ""
+    router: str = ""
+    page_version: int = 0
 
 
 class Spending:
-    """Holds one grant per account and spends only out of it.
+    """Reserves at the home router of an account, or under a grant of its own.
 
     Args:
         runtime: The process's ``Runtime``.
+        fleet: The ``Fleet``.
+        handlers: Handlers of the links between routers; this adds its own.
     """
 
-    __slots__ = ("_grants", "_left", "_runtime")
+    __slots__ = (
+        "_fleet",
+        "_holder",
+        "_next_sync_at",
+        "_pages",
+        "_refusals",
+        "_retired_at",
+        "_runtime",
+        "_settlements",
+    )
 
-    def __init__(self, runtime):
+    def __init__(self, runtime, fleet, handlers):
         self._runtime = runtime
-        self._grants = {}
-        self._left = {}
+        self._fleet = fleet
+        self._holder = Holder(runtime.incarnation, runtime.settings.budget_pages)
+        self._pages = {}
+        self._next_sync_at = {}
+        self._refusals = {}
+        self._settlements = {}
+        self._retired_at = 0.0
+        handlers.on(ReserveTokens)(self._take_reserve)
+        handlers.on(SettleTokens)(self._take_settle)
+        handlers.on(RecallTokens)(self._take_recall)
+
+    @property
+    def holder(self):
+        """The ``Holder`` of this router's grants."""
+        return self._holder
 
     async def reserve(self, account, request_id, tokens):
         """Reserves the upper bound of a request.
 
+        Args:
+            account: Client account that pays.
+            request_id: The request.
+            tokens: Upper bound in tokens.
+
+        Returns:
+            A ``Reservation``.
+
         Raises:
             BudgetExhausted: The budget is spent.
-            BudgetUnreachable: The store does not answer and the grant is used up.
+            BudgetUnreachable: Neither the store nor the routers that hold what is
+                left of the budget answer.
         """
-        if self._left.get(account, 0) < tokens:
-            await self._open_grant(account, max(tokens, GRANT_TOKENS), tokens)
-        self._left[account] -= tokens
+        call = ReserveTokens(
+            account,
+            request_id,
+            tokens,
+            reservation_id=new_id("reservation"),
+            router=self._runtime.incarnation,
+        )
+        reply = await self._reserve_at_home(call)
+        if reply is None:
+            reply = await self._reserve_here(call)
         return Reservation(
-            request_id=request_id,
-            account=account,
-            grant_id=self._grants[account],
-            holder=self._runtime.incarnation,
-            tokens=tokens,
+            request_id,
+            account,
+            reply.grant_id,
+            reply.holder,
+            reply.tokens,
+            call.reservation_id,
+            call.router,
+            reply.page_version,
         )
 
     def settle(self, reservation, used_tokens):
-        """Returns the unused part of a reservation to the grant."""
-        unused = reservation.tokens - used_tokens
-        self._left[reservation.account] += max(unused, 0)
+        """Books the end of a reservation; the unused part returns to the grant.
+
+        Args:
+            reservation: The ``Reservation``.
+            used_tokens: Tokens that the attempt used.
+        """
+        message = SettleTokens(
+            reservation.account,
+            reservation.request_id,
+            reservation.grant_id,
+            used_tokens,
+            reservation_id=reservation.reservation_id,
+            router=reservation.router,
+        )
+        if reservation.holder == self._holder.incarnation:
+            self._settle_here(message)
+        else:
+            self._settlements[reservation.reservation_id] = (
+                reservation.holder,
+                message,
+            )
+
+    async def run(self):
+        """Sends settlements and keeps the grants in shape until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._send_settlements)
+            while True:
+                await anyio.sleep(TICK_S)
+                await self._keep_grants()
+
+    async def give_back(self):
+        """Gives all idle tokens back before the router stops."""
+        for number in self._holder.page_numbers:
+            for account in self._holder.accounts(number):
+                self._holder.recall(account, self._runtime.now())
+            await self._try_sync(number)
+
+    def peer_of(self, incarnation):
+        """Returns the usable ``Peer`` of a router incarnation, or None."""
+        for peer in self._fleet.routers.values():
+            if peer.record.incarnation == incarnation and peer.usable:
+                return peer
+        return None
 
-    async def _open_grant(self, account, wanted, needed):
-        store = self._runtime.store
-        name = page_name(account, self._runtime.settings.budget_pages)
+    # Reserving.
+
+    async def _reserve_at_home(self, call):
+        peer = self._home(call.account)
+        if peer is None:
+            return None
         try:
-            for _ in range(MAX_TRIES):
-                entry = await store.get("budgetpages", name)
-                if entry is None:
-                    raise BudgetExhausted(f"Account {account} has no budget.")
-                page = msgspec.json.decode(entry.value, type=BudgetPage)
-                budget = page.accounts.get(account)
-                amount = min(wanted, unassigned_tokens(budget)) if budget else 0
-                if amount < needed:
-                    raise BudgetExhausted(f"Account {account} has {amount} left.")
-                grant_id = new_id("grant")
-                budget.grants[grant_id] = Grant(self._runtime.incarnation, amount)
-                try:
-                    value = msgspec.json.encode(page)
-                    await store.put("budgetpages", name, value, entry.version)
-                except StoreConflict:
-                    continue
-                self._grants[account] = grant_id
-                self._left[account] = amount
-                return
-        except (StoreUnavailable, StoreThrottled, StoreAnswerLost) as error:
-            raise BudgetUnreachable(f"Account {account}: {error.message}") from error
-        raise BudgetUnreachable(f"The page of account {account} is contended.")
+            reply = await peer.link.call(call, CALL_TIMEOUT_S)
+        except (LinkLost, LinkTimeout):
+            self._give_up(call, peer.record.incarnation)
+            return None
+        if isinstance(reply, TokensReserved):
+            return reply
+        error = error_class(reply.code)
+        if error in (BudgetExhausted, BudgetUnreachable):
+            raise error(reply.message)
+        self._give_up(call, peer.record.incarnation)
+        return None
 
+    def _give_up(self, call, holder):
+        message = SettleTokens(
+            call.account,
+            call.request_id,
+            "",
+            0,
+            reservation_id=call.reservation_id,
+            router=call.router,
+        )
+        self._settlements[call.reservation_id] = (holder, message)
 
-def page_name(account, page_count):
-    """Returns the name of the budget page of an account."""
-    return f"page-{stable_hash(account) % page_count}"
+    def _home(self, account):
+        """Returns the peer that is home of an account; None if this router is."""
+        settings = self._runtime.settings
+        peers = {
+            name: peer
+            for name, peer in self._fleet.routers.items()
+            if peer.usable and peer.record.data_centre == settings.data_centre
+        }
+        number = page_number(account, settings.budget_pages)
+        return peers.get(home_router(number, [*peers, settings.id]))
+
+    async def _reserve_here(self, call):
+        held = self._try_reserve(call)
+        if held is None:
+            try:
+                held = await self._reserve_from_page(call)
+            except BudgetUnreachable:
+                held = self._try_reserve(call)
+                if held is None:
+                    self._holder.ledger(call.account).give_up(call.reservation_id)
+                    raise
+        if held is None:
+            raise self._refuse(call)
+        return TokensReserved(
+            call.request_id,
+            held.grant_id,
+            self._holder.incarnation,
+            held.tokens,
+            held.page_version,
+        )
+
+    def _try_reserve(self, call):
+        return self._holder.reserve(
+            call.account,
+            call.reservation_id,
+            call.router,
+            call.tokens,
+            self._runtime.now(),
+        )
+
+    async def _reserve_from_page(self, call):
+        if self._was_refused(call):
+            return self._try_reserve(call)
+        await self._sync(call.account)
+        held = self._try_reserve(call)
+        if held is not None:
+            return held
+        unreachable = await self._recall_from_others(call.account)
+        self._holder.recall(call.account, self._runtime.now())
+        page = await self._sync(call.account)
+        held = self._try_reserve(call)
+        if held is None:
+            budget = page.accounts.get(call.account, BudgetAccount())
+            final = refusal_is_final(budget, call.tokens, 0, unreachable)
+            self._note_refusal(call, BudgetExhausted if final else BudgetUnreachable)
+        return held
+
+    def _was_refused(self, call):
+        until, tokens, _ = self._refusals.get(call.account, (0.0, 0, None))
+        return self._runtime.now() < until and call.tokens >= tokens
+
+    def _note_refusal(self, call, error):
+        until = self._runtime.now() + REFUSAL_KEPT_S
+        self._refusals[call.account] = (until, call.tokens, error)
+
+    def _refuse(self, call):
+        self._holder.ledger(call.account).give_up(call.reservation_id)
+        error = self._refusals.get(call.account, (0, 0, BudgetUnreachable))[2]
+        if error is BudgetExhausted:
+            self._runtime.events.add(
+                EventKind.budget_exhausted,
+                request=call.request_id,
+                account=call.account,
+            )
+        self._runtime.metrics.count(f"budgets.refused.{error.code.value}")
+        return error(f"Account {call.account} has no {call.tokens} tokens left.")
 
+    async def _recall_from_others(self, account):
+        """Asks the other holders to give back; returns those that did not answer."""
+        page = self._page(account).page
+        budget = page.accounts.get(account, BudgetAccount())
+        holders = {g.holder for g in budget.grants.values() if not g.sealing}
+        holders.discard(self._holder.incarnation)
+        unreachable = set()
 
-def unassigned_tokens(budget):
-    """Returns the tokens of a ``BudgetAccount`` in no grant and no bill."""
-    granted = sum(grant.amount for grant in budget.grants.values())
-    return budget.credited - budget.closed - granted
+        async def recall(holder):
+            peer = self.peer_of(holder)
+            try:
+                if peer is None:
+                    raise LinkLost("There is no link to the holder.")
+                reply = await peer.link.call(RecallTokens(account), CALL_TIMEOUT_S)
+            except (LinkLost, LinkTimeout):
+                reply = None
+            if not isinstance(reply, TokensRecalled):
+                unreachable.add(holder)
+
+        async with anyio.create_task_group() as group:
+            for holder in holders:
+                group.start_soon(recall, holder)
+        return unreachable
+
+    # Pages.
+
+    def _page(self, account):
+        return self._held_page(self._holder.page_of(account))
+
+    def _held_page(self, number):
+        page = self._pages.get(number)
+        if page is None:
+            page = HeldPage(self._runtime, self._holder, number)
+            self._pages[number] = page
+        return page
+
+    async def _sync(self, account):
+        return await self._sync_page(self._holder.page_of(account))
+
+    async def _sync_page(self, number):
+        closing = self._holder.closing
+        page = await self._held_page(number).sync()
+        closed = sorted(closing - self._holder.closing)
+        if closed:
+            self._tell_closed(closed)
+        return page
+
+    def _tell_closed(self, grant_ids):
+        for peer in self._fleet.agents.values():
+            if peer.usable:
+                peer.link.send(GrantsClosed(grant_ids))
+        for grant_id in grant_ids:
+            self._runtime.events.add(EventKind.grant_closed, grant=grant_id)
+
+    async def _try_sync(self, number):
+        try:
+            await self._sync_page(number)
+        except BudgetUnreachable as error:
+            _log.debug("Budget page {} waits: {}", number, error.message)
+
+    async def _keep_grants(self):
+        now = self._runtime.now()
+        if now - self._retired_at >= RETIRE_INTERVAL_S:
+            self._retired_at = now
+            for number in self._holder.page_numbers:
+                for account in self._holder.accounts(number):
+                    self._holder.retire_idle(account, now)
+        for number in self._holder.page_numbers:
+            due = now >= self._next_sync_at.get(number, now)
+            if due and self._holder.has_work(number, now):
+                await self._try_sync(number)
+                if self._holder.has_work(number, now):
+                    self._next_sync_at[number] = now + RETIRE_INTERVAL_S
+
+    # Messages of other routers.
+
+    async def _take_reserve(self, link, message):
+        return await self._reserve_here(message)
+
+    async def _take_settle(self, link, message):
+        self._settle_here(message)
+        return TokensSettled(message.request_id)
+
+    async def _take_recall(self, link, message):
+        self._holder.recall(message.account, self._runtime.now())
+        await self._sync(message.account)
+        return TokensRecalled(message.account)
+
+    def _settle_here(self, message):
+        self._holder.settle(
+            message.account,
+            message.reservation_id,
+            message.router,
+            message.used_tokens,
+            self._runtime.now(),
+        )
+
+    async def _send_settlements(self):
+        while True:
+            async with anyio.create_task_group() as group:
+                for reservation_id in list(self._settlements):
+                    group.start_soon(self._send_settlement, reservation_id)
+            await anyio.sleep(TICK_S / 5)
+
+    async def _send_settlement(self, reservation_id):
+        holder, message = self._settlements[reservation_id]
+        peer = self.peer_of(holder)
+        if peer is None:
+            known = {p.record.incarnation for p in self._fleet.routers.values()}
+            if holder not in known:
+                del self._settlements[reservation_id]
+            return
+        try:
+            reply = await peer.link.call(message, CALL_TIMEOUT_S)
+        except (LinkLost, LinkTimeout):
+            return
+        if isinstance(reply, TokensSettled):
+            del self._settlements[reservation_id]
+
+
+def page_name(account, page_count):
+    """Returns the name of the budget page of an account."""
+    return name_of_page(page_number(account, page_count))
