--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -5,6 +5,7 @@
 from pistachiowell.agent.claiming import Claiming
 from pistachiowell.agent.gate import Gate
 from pistachiowell.agent.orders import Orders
+from pistachiowell.agent.receipts import Receipts, note_lost_agent
 from pistachiowell.agent.runner import Runner
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
@@ -34,7 +35,15 @@
         store: The platform's store.
     """
 
-    __slots__ = ("_gate", "_handlers", "_links", "_rows", "_runner", "_runtime")
+    __slots__ = (
+        "_gate",
+        "_handlers",
+        "_links",
+        "_receipts",
+        "_rows",
+        "_runner",
+        "_runtime",
+    )
 
     def __init__(self, settings, store):
         self._runtime = Runtime("agent", settings, store)
@@ -50,6 +59,7 @@
         )
         self._gate = None
         self._runner = None
+        self._receipts = None
 
     async def run(self):
         """Runs until a signal comes and the requests in progress have ended."""
@@ -69,10 +79,13 @@
                 self._version,
             )
             Orders(self._runtime, self._handlers, backend)
+            self._receipts = Receipts(self._runtime, self._handlers)
+            self._runner.receipts = self._receipts
             await group.start(self._runner.run)
             await group.start(self._serve_routers)
             group.start_soon(self._push_load)
             record = self._record()
+            await note_lost_agent(self._runtime.store, record)
             await register_process(self._runtime.store, "agents", record)
             _log.info("Agent {} serves backend server {}.", record.id, record.server)
             await wait_for_signal()
@@ -85,10 +98,11 @@
         self._runtime.start_leaving()
         self._send_load()
         settings = self._runtime.settings
-        await unregister_process(self._runtime.store, "agents", record)
         await anyio.sleep(settings.leaving_notice_s)
         with anyio.move_on_after(settings.shutdown_timeout_s):
             await self._runner.wait_idle()
+        if await self._receipts.leave_sums():
+            await unregister_process(self._runtime.store, "agents", record)
         self._runtime.events.add(EventKind.process_stopped)
 
     def _lacks_row(self):
--- a/pistachiowell/agent/runner.py
+++ b/pistachiowell/agent/runner.py
@@ -90,6 +90,9 @@
         claiming: The ``Claiming``.
         backend: The ``Backend``.
         version: Function that returns the version the backend server runs.
+
+    Attributes:
+        receipts: The ``Receipts``, set before the first request comes.
     """
 
     __slots__ = (
@@ -101,6 +104,7 @@
         "_runs",
         "_runtime",
         "_version",
+        "receipts",
     )
 
     def __init__(self, runtime, handlers, gate, claiming, backend, version):
@@ -112,6 +116,7 @@
         self._runs = {}
         self._group = None
         self._idle = anyio.Event()
+        self.receipts = None
         handlers.on(RunRequest)(self._take)
         handlers.on(AnswerCredit)(self._take_credit)
         handlers.on(CancelRequest)(self._take_cancel)
@@ -176,7 +181,8 @@
         started = Progress()
         try:
             with anyio.fail_after(run.request.timeout_s):
-                await self._admit(run, started)
+                async with self.receipts.paid(run, started):
+                    await self._admit(run, started)
         except TimeoutError:
             self._fail(run, started, DeadlineExceeded("The time is over."))
         except PistachiowellError as error:
--- a/pistachiowell/budgets/journal.py
+++ b/pistachiowell/budgets/journal.py
@@ -1,4 +1,4 @@
-"""Journal of billed attempts, bills and the return of double charges."""
+"""Journal of billed requests, bills and the return of double charges."""
 
 from collections import defaultdict, deque
 
@@ -19,13 +19,14 @@
         receipt.grant_id,
         receipt.tokens,
         receipt.router,
+        receipt.reservation_id,
         receipt.attempt,
     )
 
 
 def entry_key(entry):
-    """Returns the key of the attempt that an entry bills."""
-    return (entry.router, entry.request_id, entry.attempt)
+    """Returns the key of the reservation that an entry bills."""
+    return (entry.router, entry.reservation_id)
 
 
 def encode_journal(entries):
@@ -98,10 +99,11 @@
 def charges(entries):
     """Sums up the charges by request.
 
-    An attempt may stand in several objects; its highest figure counts.
+    A reservation may stand in several objects and have several attempts; its
+    highest figure counts.
 
     Returns:
-        ``{(account, request id): {attempt key: tokens}}``.
+        ``{(account, request id): {reservation key: tokens}}``.
     """
     by_request = defaultdict(dict)
     for entry in entries:
@@ -112,7 +114,7 @@
 
 
 def bills(entries, account=None):
-    """Makes the bill: each request once, at its largest attempt.
+    """Makes the bill: each request once, at its largest charge.
 
     Args:
         entries: Entries of all journal objects, in any order, with repeats.
@@ -135,7 +137,7 @@
 
 
 def returns(entries):
-    """Decides what requests with several charged attempts get back.
+    """Decides what requests that were charged several times get back.
 
     The result grows with the set of entries and names the value to set, so
     repeated and racing folds of the same journals have the effect of one.
--- a/pistachiowell/budgets/receipts.py
+++ b/pistachiowell/budgets/receipts.py
@@ -32,6 +32,7 @@
         grant_id: Grant that pays.
         holder: Incarnation that holds the grant.
         tokens: Reserved tokens, the most that the attempt may use.
+        reservation_id: Reservation that pays.
     """
 
     router: str
@@ -41,11 +42,12 @@
     grant_id: str
     holder: str
     tokens: int
+    reservation_id: str
 
     @property
     def key(self):
         """Identifies the attempt."""
-        return (self.router, self.request_id, self.attempt)
+        return (self.router, self.reservation_id, self.attempt)
 
 
 @dataclass(slots=True)
@@ -53,6 +55,15 @@
     holder: str
     used: dict = field(default_factory=dict)
     keys: set = field(default_factory=set)
+    ended: set = field(default_factory=set)
+    charged: dict = field(default_factory=dict)
+
+    def charge(self, spend, tokens):
+        """Charges the largest attempt of each reservation."""
+        before = self.charged.get(spend.key[:2], 0)
+        growth = max(tokens - before, 0)
+        self.charged[spend.key[:2]] = before + growth
+        self.used[spend.router] = self.used.get(spend.router, 0) + growth
 
 
 class ReceiptBook:
@@ -67,7 +78,7 @@
 
     Examples:
         >>> book = ReceiptBook("agent-1")
-        >>> spend = Spend("router-1", "r", 1, "shop", "g", "router-1", 100)
+        >>> spend = Spend("router-1", "r", 1, "shop", "g", "router-1", 100, "v")
         >>> book.admit(spend)
         <Verdict.CHECK: 'check'>
         >>> book.checked("router-1", True)
@@ -129,6 +140,8 @@
         record = self._grants.setdefault(spend.grant_id, _GrantRecord(spend.holder))
         if spend.key in record.keys:
             return Verdict.REPEAT
+        if spend.key[:2] in record.ended:
+            return Verdict.REFUSE
         record.keys.add(spend.key)
         self._running[spend.key] = spend
         return Verdict.RUN
@@ -147,8 +160,7 @@
         if spend is None:
             return 0
         tokens = min(tokens, spend.tokens)
-        used = self._grants[spend.grant_id].used
-        used[spend.router] = used.get(spend.router, 0) + tokens
+        self._grants[spend.grant_id].charge(spend, tokens)
         self._receipts[key] = Receipt(
             spend.request_id,
             spend.attempt,
@@ -156,6 +168,7 @@
             spend.grant_id,
             spend.router,
             tokens,
+            spend.reservation_id,
         )
         return tokens
 
@@ -163,24 +176,29 @@
         """Returns the keys of the running attempts that a router sent."""
         return [key for key, spend in self._running.items() if spend.router == router]
 
-    def outcome(self, spend):
-        """Tells what became of an attempt, which then runs no more.
+    def running_under(self, router, reservation_id):
+        """Returns the keys of the running attempts under a reservation."""
+        return [key for key in self._running if key[:2] == (router, reservation_id)]
+
+    def outcome(self, router, reservation_id, grant_id, holder):
+        """Tells what a reservation was used for; it is refused from now on.
 
         Args:
-            spend: The ``Spend`` as the router sent it.
+            router: Incarnation of the router that reserved.
+            reservation_id: The reservation.
+            grant_id: Its grant.
+            holder: Incarnation that holds the grant.
 
         Returns:
-            The tokens used; None while the attempt still runs. An attempt that
-            never came is refused from now on, so it used nothing.
+            The largest use of one attempt in tokens; None while one still runs.
         """
-        if spend.key in self._running:
+        record = self._grants.setdefault(grant_id, _GrantRecord(holder))
+        record.ended.add((router, reservation_id))
+        if self.running_under(router, reservation_id):
             return None
-        receipt = self._receipts.get(spend.key)
-        if receipt is not None:
-            return receipt.tokens
-        record = self._grants.setdefault(spend.grant_id, _GrantRecord(spend.holder))
-        record.keys.add(spend.key)
-        return 0
+        pair = (router, reservation_id)
+        used = [r.tokens for key, r in self._receipts.items() if key[:2] == pair]
+        return max(used, default=0)
 
     def seal(self, incarnation):
         """Refuses an incarnation for ever and reports its sums.
@@ -216,10 +234,11 @@
         ]
         return DepartedAgent(self._agent, complete=not self._running, sums=sums)
 
-    def journaled(self, keys):
-        """Drops the receipts of attempts whose bills are in the journal."""
-        for key in keys:
-            self._receipts.pop(key, None)
+    def journaled(self, router, reservation_ids):
+        """Drops the receipts of reservations whose bills are in the journal."""
+        ended = {(router, reservation_id) for reservation_id in reservation_ids}
+        for key in [key for key in self._receipts if key[:2] in ended]:
+            del self._receipts[key]
 
     def grants_closed(self, grant_ids):
         """Drops the sums of grants that the store shows closed."""
--- a/pistachiowell/budgets/sealing.py
+++ b/pistachiowell/budgets/sealing.py
@@ -11,6 +11,8 @@
 from pistachiowell.budgets.page import CloseGrant, LowerGrant
 from pistachiowell.schema.generated.objects_budgets import DepartedAgent
 
+DEPARTED_COLLECTION = "departedagents"
+
 
 @dataclass(frozen=True, slots=True)
 class Departed:
@@ -26,24 +28,24 @@
     record: DepartedAgent
 
 
-def outcome_at_departed(departed, spend, page_version, entries):
-    """Tells what an attempt used at an agent that runs no more.
+def outcome_at_departed(departed, reservation, entries):
+    """Tells what a reservation was used for at an agent that runs no more.
 
     Args:
         departed: The ``Departed`` agent.
-        spend: The ``Spend`` as the router sent it.
-        page_version: The ``page_version`` of its grant.
+        reservation: Anything with ``router``, ``reservation_id``, ``tokens`` and
+            the grant's ``page_version``.
         entries: Journal entries that the agent wrote when it left.
 
     Returns:
         Tokens; the whole reservation if the receipt may be lost.
     """
     if departed.record.complete:
-        used = {entry_key(entry): entry.tokens for entry in entries}
-        return used.get(spend.key, 0)
-    if departed.version <= page_version:
+        key = (reservation.router, reservation.reservation_id)
+        return max((e.tokens for e in entries if entry_key(e) == key), default=0)
+    if departed.version <= reservation.page_version:
         return 0
-    return spend.tokens
+    return reservation.tokens
 
 
 class SealReports:
@@ -103,9 +105,9 @@
         return any(s.running_tokens for s in self._sums())
 
     @property
-    def receipts(self):
-        """Receipts of the incarnation that were not journaled."""
-        return [r for report in self._by_agent.values() for r in report.receipts]
+    def reports(self):
+        """The latest report of each agent that has answered."""
+        return list(self._by_agent.values())
 
     def add(self, report):
         """Takes a report; a later one of the same agent replaces an earlier one."""
--- a/pistachiowell/budgets/tests/fleet.py
+++ b/pistachiowell/budgets/tests/fleet.py
@@ -26,12 +26,15 @@
 
     spend: Spend
     agent: str
-    reservation: str
     state: str = "asking"
     used: int = 0
     acknowledged: bool = False
     page_version: int = 0
 
+    router = property(lambda self: self.spend.router)
+    reservation_id = property(lambda self: self.spend.reservation_id)
+    tokens = property(lambda self: self.spend.tokens)
+
 
 @dataclass
 class Router:
@@ -173,13 +176,13 @@
     # Requests.
 
     def request(self, router, home, agent_name, request_id, tokens):
-        key = (router.name, request_id, len(router.calls) + 1)
-        spend = Spend(*key, ACCOUNT, "", home.name, tokens)
-        router.calls[key] = Call(spend, agent_name, self.new_name("reservation"))
-        self.ask(router.calls[key])
+        name = self.new_name("reservation")
+        spend = Spend(router.name, request_id, 1, ACCOUNT, "", home.name, tokens, name)
+        router.calls[spend.key] = Call(spend, agent_name)
+        self.ask(router.calls[spend.key])
 
     def ask(self, call):
-        args = (call.reservation, call.spend.key, call.spend.tokens)
+        args = (call.reservation_id, call.spend.key, call.tokens)
         self.send(call.spend.holder, self.on_reserve, *args)
 
     def on_reserve(self, home, reservation, key, tokens):
@@ -237,13 +240,13 @@
                 spend.grant_id,
                 used,
                 spend.router,
-                spend.attempt,
+                spend.reservation_id,
             )
             router.batches.add(entry)
         self.send_settlement(call)
 
     def send_settlement(self, call):
-        args = (call.reservation, call.spend.key, call.used)
+        args = (call.reservation_id, call.spend.key, call.used)
         self.send(call.spend.holder, self.on_settle, *args)
 
     def on_settle(self, home, reservation, key, used):
@@ -262,13 +265,16 @@
             for departed in self.departed:
                 if departed.record.agent == call.agent:
                     entries = self.journal.get(call.agent, [])
-                    args = (departed, call.spend, call.page_version, entries)
-                    self.settle(router, call, outcome_at_departed(*args))
+                    used = outcome_at_departed(departed, call, entries)
+                    self.settle(router, call, used)
 
     def on_outcome(self, agent, spend):
-        if spend.key in agent.book.running:
-            self.finish(agent, spend.key, spend.tokens // 2)
-        self.send(spend.router, self.on_ended, spend.key, agent.book.outcome(spend))
+        for key in agent.book.running_under(spend.router, spend.reservation_id):
+            self.finish(agent, key, spend.tokens // 2)
+        used = agent.book.outcome(
+            spend.router, spend.reservation_id, spend.grant_id, spend.holder
+        )
+        self.send(spend.router, self.on_ended, spend.key, used)
 
     # Journals and sealing.
 
@@ -279,10 +285,10 @@
         name, entries = batch
         assert self.journal.setdefault(name, entries) == entries
         if answered:
-            keys = [(e.router, e.request_id, e.attempt) for e in entries]
             router.batches.written()
             for agent in self.agents.values():
-                agent.book.journaled(keys)
+                ids = [entry.reservation_id for entry in entries]
+                agent.book.journaled(router.name, ids)
 
     def agents_to_ask(self):
         return list(self.agents)
--- a/pistachiowell/router/journal.py
+++ b/pistachiowell/router/journal.py
@@ -1,18 +1,15 @@
 """Writes the bills of this router into append-only store objects."""
 
 import anyio
-import msgspec
 
-from pistachiowell.core.errors import (
-    StoreAnswerLost,
-    StoreConflict,
-    StoreThrottled,
-    StoreUnavailable,
-)
+from pistachiowell.budgets import JournalBatches
+from pistachiowell.budgets.journal import COLLECTION, encode_journal
+from pistachiowell.core.errors import STORE_ERRORS, StoreConflict
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
 from pistachiowell.platform.store import ABSENT
-from pistachiowell.schema.generated.objects_budgets import JournalEntry, JournalObject
+from pistachiowell.schema.generated.messages_budgets import ReceiptsJournaled
+from pistachiowell.schema.generated.objects_budgets import JournalEntry
 
 FLUSH_INTERVAL_S = 0.5
 RETRY_DELAY_S = 0.5
@@ -21,34 +18,37 @@
 
 
 class Journal:
-    """Batches journal entries and writes each batch under a fixed name.
+    """Writes batches of bills and then frees the agents' receipts.
 
     Args:
         runtime: The process's ``Runtime``.
+        fleet: The ``Fleet``.
     """
 
-    __slots__ = ("_number", "_pending", "_runtime")
+    __slots__ = ("_batches", "_fleet", "_lock", "_runtime")
 
-    def __init__(self, runtime):
+    def __init__(self, runtime, fleet):
         self._runtime = runtime
-        self._pending = []
-        self._number = 0
+        self._fleet = fleet
+        self._batches = JournalBatches(runtime.incarnation)
+        self._lock = anyio.Lock()
 
     def add(self, reservation, tokens):
-        """Books one request.
+        """Bills one request.
 
         Args:
             reservation: The ``Reservation`` that paid.
             tokens: Tokens used.
         """
-        self._pending.append(
-            JournalEntry(
-                request_id=reservation.request_id,
-                account=reservation.account,
-                grant_id=reservation.grant_id,
-                tokens=tokens,
-            )
+        entry = JournalEntry(
+            reservation.request_id,
+            reservation.account,
+            reservation.grant_id,
+            tokens,
+            reservation.router,
+            reservation.reservation_id,
         )
+        self._batches.add(entry)
 
     async def run(self):
         """Writes batches until cancelled."""
@@ -58,27 +58,35 @@
 
     async def flush(self):
         """Writes what is pending; retries until it took effect."""
-        while self._pending:
-            batch, self._pending = self._pending, []
-            self._number += 1
-            name = f"{self._runtime.incarnation}-{self._number}"
-            await self._write(name, msgspec.json.encode(JournalObject(batch)))
-            for entry in batch:
-                self._runtime.events.add(
-                    EventKind.bill_journaled,
-                    request=entry.request_id,
-                    account=entry.account,
-                )
+        async with self._lock:
+            while (batch := self._batches.next_batch()) is not None:
+                await self._write(*batch)
+                self._note_written(self._batches.written())
+
+    def _note_written(self, entries):
+        for entry in entries:
+            self._runtime.events.add(
+                EventKind.bill_journaled,
+                request=entry.request_id,
+                account=entry.account,
+                grant=entry.grant_id,
+            )
+        ids = [entry.reservation_id for entry in entries]
+        message = ReceiptsJournaled(self._runtime.incarnation, ids)
+        for peer in self._fleet.agents.values():
+            if peer.link is not None and not peer.link.closed:
+                peer.link.send(message)
 
-    async def _write(self, name, value):
+    async def _write(self, name, entries):
+        value = encode_journal(entries)
         while True:
             try:
-                await self._runtime.store.put("journals", name, value, ABSENT)
+                await self._runtime.store.put(COLLECTION, name, value, ABSENT)
                 return
             except StoreConflict:
                 # Only this incarnation writes this name, so an earlier write whose
                 # answer was lost has taken effect.
                 return
-            except (StoreUnavailable, StoreThrottled, StoreAnswerLost) as error:
+            except STORE_ERRORS as error:
                 _log.warning("Bills are not journaled yet: {}", error)
                 await anyio.sleep(RETRY_DELAY_S)
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -20,6 +20,7 @@
 from pistachiowell.router.http_protocol import bounded_protocol
 from pistachiowell.router.journal import Journal
 from pistachiowell.router.mover import Moves
+from pistachiowell.router.recovery import Recovery
 from pistachiowell.router.rows import Rows, fleet_links, watches_for_data_centre
 from pistachiowell.router.service import RequestService
 from pistachiowell.router.spending import Spending
@@ -54,6 +55,8 @@
         "_http",
         "_journal",
         "_moves",
+        "_recovery",
+        "_spending",
         "_rows",
         "_runtime",
     )
@@ -72,7 +75,11 @@
                 watches_for_data_centre, self._runtime, self._fleet
             ),
         )
-        self._journal = Journal(self._runtime)
+        self._journal = Journal(self._runtime, self._fleet)
+        self._spending = Spending(
+            self._runtime, self._fleet, self._handlers, self._journal
+        )
+        self._recovery = Recovery(self._runtime, self._fleet, self._spending)
         rng = random.Random()
         self._moves = Moves(self._runtime, self._fleet, self._rows, self._handlers, rng)
         dispatch = Dispatch(
@@ -84,7 +91,7 @@
             rng,
         )
         service = RequestService(
-            self._runtime, self._rows, Spending(self._runtime), dispatch, self._journal
+            self._runtime, self._rows, self._spending, dispatch, self._journal
         )
         self._api = Api(self._runtime, self._rows, service)
         self._http = _HttpServer(self._http_config(settings))
@@ -115,12 +122,15 @@
                 group.start_soon(self._runtime.tls.keep_fresh)
             group.start_soon(self._fleet.run)
             group.start_soon(self._journal.run)
+            group.start_soon(self._spending.run)
+            group.start_soon(self._recovery.run)
             group.start_soon(self._moves.run)
             record = self._record()
             await register_process(self._runtime.store, "routers", record)
             group.start_soon(self._leave_on_signal)
             _log.info("Router {} serves.", record.id)
             await self._http.serve()
+            await self._spending.give_back()
             await self._journal.flush()
             await unregister_process(self._runtime.store, "routers", record)
             self._runtime.events.add(EventKind.process_stopped)
--- /dev/null
+++ b/pistachiowell/router/recovery.py
@@ -0,0 +1,186 @@
+"""Recovers the grants of routers that are dead or frozen."""
+
+import anyio
+import msgspec
+
+from pistachiowell.budgets import SealReports, home_router
+from pistachiowell.budgets.journal import COLLECTION as JOURNALS
+from pistachiowell.budgets.journal import (
+    collected_name,
+    encode_journal,
+    entry_of,
+)
+from pistachiowell.budgets.page import MarkSealing
+from pistachiowell.budgets.sealing import DEPARTED_COLLECTION, Departed
+from pistachiowell.core.errors import (
+    STORE_ERRORS,
+    BudgetUnreachable,
+    LinkLost,
+    LinkTimeout,
+    StoreConflict,
+)
+from pistachiowell.core.events import EventKind
+from pistachiowell.core.logs import part_logger
+from pistachiowell.platform.store import ABSENT
+from pistachiowell.router.pages import read_page, update_page
+from pistachiowell.schema.generated.messages_budgets import SealIncarnation, SealReport
+from pistachiowell.schema.generated.objects_budgets import DepartedAgent
+from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
+
+TICK_S = 1.0
+SUSPECT_AFTER_S = 5.0
+SWEEP_INTERVAL_S = 15.0
+CALL_TIMEOUT_S = 2.0
+
+_log = part_logger("recovery")
+
+
+class Recovery:
+    """Seals incarnations that are gone and closes their grants at the sums.
+
+    A router of the same data centre without a link for ``SUSPECT_AFTER_S`` loses
+    its registration. Holders without a registration are found by reading the pages.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        fleet: The ``Fleet``.
+        spending: The ``Spending``.
+    """
+
+    __slots__ = ("_fleet", "_lost_at", "_runtime", "_spending", "_swept_at")
+
+    def __init__(self, runtime, fleet, spending):
+        self._runtime = runtime
+        self._fleet = fleet
+        self._spending = spending
+        self._lost_at = {}
+        self._swept_at = runtime.now()
+
+    async def run(self):
+        """Looks for lost routers until cancelled."""
+        while True:
+            await anyio.sleep(TICK_S)
+            try:
+                for record in self._suspects():
+                    await self._unregister(record)
+                await self._recover_unregistered()
+            except (BudgetUnreachable, *STORE_ERRORS) as error:
+                _log.debug("Recovery waits: {}", error)
+
+    def _suspects(self):
+        now = self._runtime.now()
+        settings = self._runtime.settings
+        peers = {
+            name: peer
+            for name, peer in self._fleet.routers.items()
+            if peer.record.data_centre == settings.data_centre
+        }
+        live = [settings.id, *(n for n, peer in peers.items() if _has_link(peer))]
+        lost = [peer.record for peer in peers.values() if not _has_link(peer)]
+        since = {r.incarnation: self._lost_at.get(r.incarnation, now) for r in lost}
+        self._lost_at = since
+        return [
+            record
+            for record in lost
+            if now - since[record.incarnation] >= SUSPECT_AFTER_S
+            and home_router(record.incarnation, live) == settings.id
+        ]
+
+    async def _unregister(self, record):
+        store = self._runtime.store
+        entry = await store.get("routers", record.id)
+        if entry is None:
+            return
+        present = msgspec.json.decode(entry.value, type=RouterRecord)
+        if present.incarnation == record.incarnation:
+            await store.delete("routers", record.id, entry.version)
+            _log.warning("Router {} is lost; its grants are sealed.", record.id)
+        self._swept_at = 0.0
+
+    async def _recover_unregistered(self):
+        now = self._runtime.now()
+        registered = {p.record.incarnation for p in self._fleet.routers.values()}
+        registered.add(self._runtime.incarnation)
+        gone = self._spending.holder.reserving_routers() - registered
+        if gone or now - self._swept_at >= SWEEP_INTERVAL_S:
+            self._swept_at = now
+            registered = await self._registered()
+            gone = {name for name in gone if name not in registered}
+            for name in gone | await self._unregistered_holders(registered):
+                await self._recover(name)
+
+    async def _registered(self):
+        entries, _ = await self._runtime.store.list("routers")
+        records = [msgspec.json.decode(e.value, type=RouterRecord) for e in entries]
+        return {record.incarnation for record in records}
+
+    async def _unregistered_holders(self, registered):
+        holders = set()
+        settings = self._runtime.settings
+        live = [settings.id, *(n for n, p in self._fleet.routers.items() if p.usable)]
+        for number in range(settings.budget_pages):
+            if home_router(f"sweep-{number}", live) == settings.id:
+                _, page = await read_page(self._runtime.store, number)
+                for account in page.accounts.values():
+                    holders |= {grant.holder for grant in account.grants.values()}
+        return holders - registered
+
+    async def _recover(self, incarnation):
+        store = self._runtime.store
+        numbers = range(self._runtime.settings.budget_pages)
+        for number in numbers:
+            await update_page(store, number, lambda _: [MarkSealing(incarnation)])
+        self._runtime.events.add(EventKind.grant_sealing, text=incarnation)
+        reports = SealReports(incarnation, await self._agents(), await self._departed())
+        await self._collect(reports)
+        await self._write_receipts(reports)
+        for number in numbers:
+            await update_page(store, number, reports.changes)
+        if reports.complete and not reports.still_running:
+            self._spending.holder.router_sealed(incarnation, reports)
+            _log.info("The grants of {} are closed.", incarnation)
+        else:
+            _log.info("{} agents have not answered yet.", len(reports.missing))
+
+    async def _agents(self):
+        entries, _ = await self._runtime.store.list("agents")
+        records = [msgspec.json.decode(e.value, type=AgentRecord) for e in entries]
+        return [record.incarnation for record in records]
+
+    async def _departed(self):
+        entries, _ = await self._runtime.store.list(DEPARTED_COLLECTION)
+        return [
+            Departed(e.version, msgspec.json.decode(e.value, type=DepartedAgent))
+            for e in entries
+        ]
+
+    async def _collect(self, reports):
+        async def ask(peer):
+            try:
+                call = SealIncarnation(reports.incarnation)
+                reply = await peer.link.call(call, CALL_TIMEOUT_S)
+            except (LinkLost, LinkTimeout):
+                return
+            if isinstance(reply, SealReport):
+                reports.add(reply)
+
+        async with anyio.create_task_group() as group:
+            for peer in self._fleet.agents.values():
+                if _has_link(peer):
+                    group.start_soon(ask, peer)
+
+    async def _write_receipts(self, reports):
+        for report in reports.reports:
+            entries = [entry_of(receipt) for receipt in report.receipts]
+            if not entries:
+                continue
+            name = collected_name(reports.incarnation, report.agent)
+            try:
+                value = encode_journal(entries)
+                await self._runtime.store.put(JOURNALS, name, value, ABSENT)
+            except StoreConflict:
+                continue
+
+
+def _has_link(peer):
+    return peer.link is not None and not peer.link.closed
--- a/pistachiowell/router/service.py
+++ b/pistachiowell/router/service.py
@@ -43,7 +43,7 @@
         reservation = await self._spending.reserve(
             caller.account.name, caller.request_id, caller.bound_tokens
         )
-        used_tokens = reservation.tokens
+        used_tokens = None
         try:
             async for message in self._attempt(caller, reservation):
                 if isinstance(message, AnswerEnd):
@@ -55,9 +55,7 @@
                 used_tokens = 0
             raise
         finally:
-            self._spending.settle(reservation, used_tokens)
-            if used_tokens:
-                self._journal.add(reservation, used_tokens)
+            self._spending.end(reservation, used_tokens)
 
     def _note_answered(self, caller, used_tokens):
         self._runtime.metrics.count("requests.answered")
@@ -100,6 +98,7 @@
             token_limit=caller.answer_tokens,
             reserved_tokens=reservation.tokens,
             grant_id=reservation.grant_id,
+            reservation_id=reservation.reservation_id,
             holder=reservation.holder,
             timeout_s=caller.route.timeout_s,
             fingerprint=fingerprint(caller),
--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -18,6 +18,7 @@
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.ids import new_id
 from pistachiowell.core.logs import part_logger
+from pistachiowell.router.outcomes import Outcomes
 from pistachiowell.router.pages import HeldPage
 from pistachiowell.schema.generated.messages_budgets import (
     GrantsClosed,
@@ -70,12 +71,15 @@
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet``.
         handlers: Handlers of the links between routers; this adds its own.
+        journal: The ``Journal``.
     """
 
     __slots__ = (
         "_fleet",
         "_holder",
+        "_journal",
         "_next_sync_at",
+        "_outcomes",
         "_pages",
         "_refusals",
         "_retired_at",
@@ -83,8 +87,10 @@
         "_settlements",
     )
 
-    def __init__(self, runtime, fleet, handlers):
+    def __init__(self, runtime, fleet, handlers, journal):
         self._runtime = runtime
+        self._journal = journal
+        self._outcomes = Outcomes(runtime, fleet)
         self._fleet = fleet
         self._holder = Holder(runtime.incarnation, runtime.settings.budget_pages)
         self._pages = {}
@@ -138,6 +144,20 @@
             reply.page_version,
         )
 
+    def end(self, reservation, used_tokens):
+        """Settles and bills a reservation, once its use is known.
+
+        Args:
+            reservation: The ``Reservation``.
+            used_tokens: Tokens used; None if the agents have to be asked.
+        """
+        if used_tokens is None:
+            self._outcomes.add(reservation)
+            return
+        self.settle(reservation, used_tokens)
+        if used_tokens:
+            self._journal.add(reservation, used_tokens)
+
     def settle(self, reservation, used_tokens):
         """Books the end of a reservation; the unused part returns to the grant.
 
@@ -165,6 +185,7 @@
         """Sends settlements and keeps the grants in shape until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._send_settlements)
+            group.start_soon(self._outcomes.run, self.end)
             while True:
                 await anyio.sleep(TICK_S)
                 await self._keep_grants()
