--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -87,6 +87,7 @@
             record = self._record()
             await note_lost_agent(self._runtime.store, record)
             await register_process(self._runtime.store, "agents", record)
+            self._receipts.registered = True
             _log.info("Agent {} serves backend server {}.", record.id, record.server)
             await wait_for_signal()
             await self._leave(record)
--- a/pistachiowell/agent/receipts.py
+++ b/pistachiowell/agent/receipts.py
@@ -39,15 +39,21 @@
     Args:
         runtime: The process's ``Runtime``.
         handlers: Handlers of the links from routers; this adds its own.
+
+    Attributes:
+        registered: Whether this agent's registration is written. Before that
+            nothing is accepted, so whoever seals a router finds every agent that
+            may have accepted it.
     """
 
-    __slots__ = ("_book", "_ended", "_runs", "_runtime")
+    __slots__ = ("_book", "_ended", "_runs", "_runtime", "registered")
 
     def __init__(self, runtime, handlers):
         self._runtime = runtime
         self._book = ReceiptBook(runtime.incarnation)
         self._runs = {}
         self._ended = anyio.Event()
+        self.registered = False
         handlers.on(SealIncarnation)(self._take_seal)
         handlers.on(ReservationOutcome)(self._take_outcome)
         handlers.on(ReceiptsJournaled)(self._take_journaled)
@@ -98,6 +104,8 @@
         return True
 
     async def _admit(self, spend):
+        if not self.registered:
+            raise RouterUnknown("This agent is not registered yet.")
         verdict = self._book.admit(spend)
         if verdict is Verdict.CHECK:
             await self._check(self._book.unchecked(spend))
--- a/pistachiowell/core/runtime.py
+++ b/pistachiowell/core/runtime.py
@@ -1,5 +1,6 @@
 """What every part of one running process shares."""
 
+import dataclasses
 import time
 
 from pistachiowell.core.clock import HybridClock
@@ -93,6 +94,11 @@
         """Unique id of this run."""
         return self._hello.incarnation
 
+    def renew(self):
+        """Takes a new incarnation, as the registration of the old one is gone."""
+        self._hello = dataclasses.replace(self._hello, incarnation=new_id(self._role))
+        self._events.add(EventKind.process_started, text=self.incarnation)
+
     @staticmethod
     def now():
         """Returns the monotonic time in seconds."""
--- a/pistachiowell/router/journal.py
+++ b/pistachiowell/router/journal.py
@@ -1,5 +1,7 @@
 """Writes the bills of this router into append-only store objects."""
 
+from collections import defaultdict
+
 import anyio
 
 from pistachiowell.budgets import JournalBatches
@@ -71,11 +73,14 @@
                 account=entry.account,
                 grant=entry.grant_id,
             )
-        ids = [entry.reservation_id for entry in entries]
-        message = ReceiptsJournaled(self._runtime.incarnation, ids)
-        for peer in self._fleet.agents.values():
-            if peer.link is not None and not peer.link.closed:
-                peer.link.send(message)
+        by_router = defaultdict(list)
+        for entry in entries:
+            by_router[entry.router].append(entry.reservation_id)
+        links = [peer.link for peer in self._fleet.agents.values()]
+        for link in links:
+            if link is not None and not link.closed:
+                for router, ids in by_router.items():
+                    link.send(ReceiptsJournaled(router, ids))
 
     async def _write(self, name, entries):
         value = encode_journal(entries)
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -79,7 +79,9 @@
         self._spending = Spending(
             self._runtime, self._fleet, self._handlers, self._journal
         )
-        self._recovery = Recovery(self._runtime, self._fleet, self._spending)
+        self._recovery = Recovery(
+            self._runtime, self._fleet, self._spending, self._record
+        )
         rng = random.Random()
         self._moves = Moves(self._runtime, self._fleet, self._rows, self._handlers, rng)
         dispatch = Dispatch(
@@ -132,7 +134,7 @@
             await self._http.serve()
             await self._spending.give_back()
             await self._journal.flush()
-            await unregister_process(self._runtime.store, "routers", record)
+            await unregister_process(self._runtime.store, "routers", self._record())
             self._runtime.events.add(EventKind.process_stopped)
             group.cancel_scope.cancel()
 
--- a/pistachiowell/router/outcomes.py
+++ b/pistachiowell/router/outcomes.py
@@ -68,6 +68,10 @@
                 await anyio.sleep(RETRY_DELAY_S)
 
     async def _resolve(self, reservation, end):
+        if reservation.router != self._runtime.incarnation:
+            # The agents' receipts were collected when that incarnation was sealed.
+            del self._open[reservation]
+            return
         used = []
         for agent in self._open[reservation]:
             tokens = await self._ask(reservation, agent)
--- a/pistachiowell/router/recovery.py
+++ b/pistachiowell/router/recovery.py
@@ -21,6 +21,7 @@
 )
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
+from pistachiowell.platform.registration import register_process
 from pistachiowell.platform.store import ABSENT
 from pistachiowell.router.pages import read_page, update_page
 from pistachiowell.schema.generated.messages_budgets import SealIncarnation, SealReport
@@ -29,6 +30,9 @@
 
 TICK_S = 1.0
 SUSPECT_AFTER_S = 5.0
+SUSPECT_REMOTE_AFTER_S = 15.0
+OWN_CHECK_INTERVAL_S = 5.0
+PAUSE_S = 3.0
 SWEEP_INTERVAL_S = 15.0
 CALL_TIMEOUT_S = 2.0
 
@@ -45,47 +49,107 @@
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet``.
         spending: The ``Spending``.
+        make_record: Function that returns the ``RouterRecord`` of this process.
     """
 
-    __slots__ = ("_fleet", "_lost_at", "_runtime", "_spending", "_swept_at")
-
-    def __init__(self, runtime, fleet, spending):
+    __slots__ = (
+        "_checked_at",
+        "_fleet",
+        "_lost_at",
+        "_make_record",
+        "_runtime",
+        "_spending",
+        "_swept_at",
+        "_ticked_at",
+    )
+
+    def __init__(self, runtime, fleet, spending, make_record):
         self._runtime = runtime
         self._fleet = fleet
         self._spending = spending
         self._lost_at = {}
+        self._make_record = make_record
         self._swept_at = runtime.now()
+        self._checked_at = runtime.now()
+        self._ticked_at = runtime.now()
 
     async def run(self):
         """Looks for lost routers until cancelled."""
         while True:
             await anyio.sleep(TICK_S)
             try:
+                if await self._is_sealed():
+                    await self._renew()
+                    continue
                 for record in self._suspects():
                     await self._unregister(record)
                 await self._recover_unregistered()
             except (BudgetUnreachable, *STORE_ERRORS) as error:
                 _log.debug("Recovery waits: {}", error)
 
+    async def _is_sealed(self):
+        now = self._runtime.now()
+        paused = now - self._ticked_at >= PAUSE_S
+        self._ticked_at = now
+        if self._spending.holder.fenced:
+            return True
+        if not paused and now - self._checked_at < OWN_CHECK_INTERVAL_S:
+            return False
+        self._checked_at = now
+        return self._runtime.incarnation not in await self._registered()
+
+    async def _renew(self):
+        """Begins a new incarnation; the old one may spend nothing any more."""
+        if self._runtime.leaving:
+            return
+        _log.warning("This router was sealed; it registers under a new incarnation.")
+        self._runtime.renew()
+        self._spending.renew()
+        record = self._make_record()
+        await register_process(self._runtime.store, "routers", record)
+        for peer in [*self._fleet.routers.values(), *self._fleet.agents.values()]:
+            if peer.link is not None:
+                peer.link.close()
+
     def _suspects(self):
+        """Returns the records of lost routers that this router is to seal."""
         now = self._runtime.now()
         settings = self._runtime.settings
-        peers = {
-            name: peer
-            for name, peer in self._fleet.routers.items()
-            if peer.record.data_centre == settings.data_centre
-        }
-        live = [settings.id, *(n for n, peer in peers.items() if _has_link(peer))]
-        lost = [peer.record for peer in peers.values() if not _has_link(peer)]
+        peers = [
+            peer
+            for peer in self._fleet.routers.values()
+            if peer.record.id != settings.id
+        ]
+        live = [peer.record for peer in peers if _has_link(peer)]
+        lost = [peer.record for peer in peers if not _has_link(peer)]
         since = {r.incarnation: self._lost_at.get(r.incarnation, now) for r in lost}
         self._lost_at = since
         return [
             record
             for record in lost
-            if now - since[record.incarnation] >= SUSPECT_AFTER_S
-            and home_router(record.incarnation, live) == settings.id
+            if self._may_seal(record, live, now - since[record.incarnation])
         ]
 
+    def _may_seal(self, record, live, lost_for_s):
+        """Tells whether this router is the one to seal a lost one.
+
+        A router of another data centre is sealed only if no router is left there
+        and its agents can be reached, which a partition would prevent.
+        """
+        settings = self._runtime.settings
+        neighbours = [r.id for r in live if r.data_centre == record.data_centre]
+        if record.data_centre == settings.data_centre:
+            sealer = home_router(record.incarnation, [settings.id, *neighbours])
+            return lost_for_s >= SUSPECT_AFTER_S and sealer == settings.id
+        if neighbours or lost_for_s < SUSPECT_REMOTE_AFTER_S:
+            return False
+        sealer = home_router(record.incarnation, [settings.id, *(r.id for r in live)])
+        return sealer == settings.id and any(
+            _has_link(peer)
+            for peer in self._fleet.agents.values()
+            if peer.record.data_centre == record.data_centre
+        )
+
     async def _unregister(self, record):
         store = self._runtime.store
         entry = await store.get("routers", record.id)
--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -175,7 +175,7 @@
         )
         if reservation.holder == self._holder.incarnation:
             self._settle_here(message)
-        else:
+        elif reservation.router == self._holder.incarnation:
             self._settlements[reservation.reservation_id] = (
                 reservation.holder,
                 message,
@@ -190,6 +190,14 @@
                 await anyio.sleep(TICK_S)
                 await self._keep_grants()
 
+    def renew(self):
+        """Starts anew under the process's new incarnation, without grants."""
+        pages = self._runtime.settings.budget_pages
+        self._holder = Holder(self._runtime.incarnation, pages)
+        self._pages.clear()
+        self._settlements.clear()
+        self._refusals.clear()
+
     async def give_back(self):
         """Gives all idle tokens back before the router stops."""
         for number in self._holder.page_numbers:
