--- a/pistachiowell/router/service.py
+++ b/pistachiowell/router/service.py
@@ -47,7 +47,7 @@
         reservation = await self._spending.reserve(
             caller.account.name, caller.request_id, caller.bound_tokens
         )
-        used_tokens = reservation.tokens
+        used_tokens = None
         try:
             async for message in self._attempt(caller, reservation, give_up):
                 if isinstance(message, AnswerEnd):
@@ -59,9 +59,7 @@
                 used_tokens = 0
             raise
         finally:
-            self._spending.settle(reservation, used_tokens)
-            if used_tokens:
-                self._journal.add(reservation, used_tokens)
+            self._spending.end(reservation, used_tokens)
 
     def _note_answered(self, caller, used_tokens):
         self._runtime.metrics.count("requests.answered")
@@ -104,6 +102,7 @@
             token_limit=caller.answer_tokens,
             reserved_tokens=reservation.tokens,
             grant_id=reservation.grant_id,
+            reservation_id=reservation.reservation_id,
             holder=reservation.holder,
             timeout_s=caller.route.timeout_s,
             fingerprint=fingerprint(caller),
