Reserve for each attempt; ask only the agents that may have run it

One reservation paid for all attempts of a request, but an attempt that failed may have used tokens of its own: the sums that agents report under the grant could then pass what was reserved. The outcome of a cut attempt was asked of every agent of the fleet; now only of those it was sent to.

--- a/pistachiowell/router/answers.py
+++ b/pistachiowell/router/answers.py
@@ -36,6 +36,11 @@
         """Whether the answer is whole."""
         return self._end is not None
 
+    @property
+    def end(self):
+        """The ``AnswerEnd``; None before it."""
+        return self._end
+
     @property
     def fault(self):
         """A ``ServerFailed`` if the whole answer is an error of the server."""
--- a/pistachiowell/router/dispatch.py
+++ b/pistachiowell/router/dispatch.py
@@ -75,13 +75,12 @@
             self._selection.take_load(message)
         self._runtime.metrics.gauge("streams.reserved_bytes", self._pool.reserved_bytes)
 
-    async def run(self, route, build, give_up=None):
+    async def run(self, route, payment, give_up=None):
         """Runs one request and yields its answer.
 
         Args:
             route: The ``RouteRow``.
-            build: Function that returns the ``RunRequest`` of an attempt, given
-                its version, number and seconds to the deadline.
+            payment: The request's ``Payment``; it makes and pays for each attempt.
             give_up: Function that ends a stream whose caller reads too slowly;
                 None if it cannot be ended.
 
@@ -99,18 +98,31 @@
         tried = set()
         while True:
             retries.start()
-            number = next(self._numbers)
-            request = build(version, number, deadline - self._runtime.now())
+            request = await self._begin(payment, version, deadline, retries)
             answer = Answer(request)
+            outcome = AttemptOutcome(request)
             try:
-                messages = self._attempt(request, deadline, answer, tried, give_up)
+                messages = self._attempt(outcome, deadline, answer, tried, give_up)
                 async with aclosing(messages):
                     async for message in messages:
                         yield message
                 return
             except PistachiowellError as error:
+                outcome.ran = error.ran
                 self._check_retry(error, answer, retries)
                 self._note_retry(request, error)
+            finally:
+                payment.end(outcome)
+
+    async def _begin(self, payment, version, deadline, retries):
+        number = next(self._numbers)
+        try:
+            left_s = deadline - self._runtime.now()
+            return await payment.begin(version, number, left_s)
+        except PistachiowellError as error:
+            if retries.may_have_run:
+                error.ran = MAY_HAVE_RUN
+            raise
 
     def _pick_version(self, route):
         if not any(route.weights.values()):
@@ -136,7 +148,8 @@
             text=str(error.code),
         )
 
-    async def _attempt(self, request, deadline, answer, tried, give_up):
+    async def _attempt(self, outcome, deadline, answer, tried, give_up):
+        request = outcome.request
         crashed = self._suspects.check(request.fingerprint)
         peer = self._selection.pick_agent(request, tried, crashed)
         tried.add(peer.record.server)
@@ -150,12 +163,15 @@
             )
             try:
                 with Attempt(self._attempts, request, peer.link, deadline) as attempt:
+                    outcome.sent_to(peer)
                     attempt.start()
                     while not answer.ended:
                         message = await attempt.receive()
                         progress.note()
                         size = credit.received(message)
-                        for shown in answer.take(message):
+                        shown_messages = answer.take(message)
+                        outcome.end = answer.end
+                        for shown in shown_messages:
                             yield shown
                         attempt.grant(credit.passed(size))
             finally:
@@ -197,6 +213,46 @@
             self._moves.note(request.route, server, progress.started_at, error)
 
 
+class AttemptOutcome:
+    """What became of one attempt, for its payment.
+
+    Args:
+        request: The ``RunRequest``.
+
+    Attributes:
+        end: The ``AnswerEnd``; None without a whole answer.
+        ran: What is known of the run if there is no end.
+    """
+
+    __slots__ = ("_agents", "_request", "end", "ran")
+
+    def __init__(self, request):
+        self._request = request
+        self._agents = set()
+        self.end = None
+        self.ran = MAY_HAVE_RUN
+
+    @property
+    def request(self):
+        """The ``RunRequest``."""
+        return self._request
+
+    @property
+    def agents(self):
+        """Incarnations of the agent that may have got the request."""
+        return frozenset(self._agents)
+
+    def sent_to(self, peer):
+        """Takes note of the agent before the request is sent.
+
+        An agent that was replaced at the same address answers under a new
+        incarnation before its registration is seen, so both are kept.
+        """
+        self._agents.add(peer.record.incarnation)
+        if peer.link.hello is not None:
+            self._agents.add(peer.link.hello.incarnation)
+
+
 class _Progress:
     """Measures the time to the first message of an attempt."""
 
--- a/pistachiowell/router/outcomes.py
+++ b/pistachiowell/router/outcomes.py
@@ -22,7 +22,7 @@
 
 
 class Outcomes:
-    """Asks the agents that were known when the outcome became unknown.
+    """Asks the agents that may have run the attempt.
 
     The tokens stay reserved until every one of them has answered, has left its
     sums behind or is noted as lost.
@@ -45,10 +45,14 @@
         """Number of reservations whose outcome is not known yet."""
         return len(self._open)
 
-    def add(self, reservation):
-        """Takes a ``Reservation`` whose attempt ended without a known usage."""
-        agents = {peer.record.incarnation for peer in self._fleet.agents.values()}
-        self._open[reservation] = agents
+    def add(self, reservation, agents):
+        """Takes a ``Reservation`` whose attempt ended without a known usage.
+
+        Args:
+            reservation: The ``Reservation``.
+            agents: Incarnations of the agents that may have run the attempt.
+        """
+        self._open[reservation] = frozenset(agents)
         self._added.set()
 
     async def run(self, end):
--- a/pistachiowell/router/service.py
+++ b/pistachiowell/router/service.py
@@ -3,9 +3,8 @@
 import hashlib
 import json
 from contextlib import aclosing
-from dataclasses import replace
 
-from pistachiowell.core.errors import PistachiowellError
+from pistachiowell.core.errors import NOT_RUN, NoServer
 from pistachiowell.core.events import EventKind
 from pistachiowell.schema.generated.messages_requests import AnswerEnd, RunRequest
 
@@ -44,22 +43,13 @@
         Raises:
             PistachiowellError: The request was refused or failed.
         """
-        reservation = await self._spending.reserve(
-            caller.account.name, caller.request_id, caller.bound_tokens
-        )
-        used_tokens = None
-        try:
-            async for message in self._attempt(caller, reservation, give_up):
+        payment = Payment(self._spending, caller, self._rows.table)
+        messages = self._dispatch.run(caller.route, payment, give_up)
+        async with aclosing(messages):
+            async for message in messages:
                 if isinstance(message, AnswerEnd):
-                    used_tokens = billed_tokens(caller, message)
-                    self._note_answered(caller, used_tokens)
+                    self._note_answered(caller, billed_tokens(caller, message))
                 yield message
-        except PistachiowellError as error:
-            if error.ran == "no":
-                used_tokens = 0
-            raise
-        finally:
-            self._spending.end(reservation, used_tokens)
 
     def _note_answered(self, caller, used_tokens):
         self._runtime.metrics.count("requests.answered")
@@ -71,42 +61,103 @@
             text=f"{used_tokens} tokens",
         )
 
-    async def _attempt(self, caller, reservation, give_up):
-        def build(version, number, timeout_s):
-            request = self._run_request(caller, reservation, version)
-            return replace(request, attempt=number, timeout_s=timeout_s)
 
-        messages = self._dispatch.run(caller.route, build, give_up)
-        async with aclosing(messages):
-            async for message in messages:
-                yield message
+class Payment:
+    """Reserves for each attempt of one request, and ends each reservation once.
 
-    def _run_request(self, caller, reservation, version):
-        body = backend_body(caller, self._rows.table.version(version))
-        return RunRequest(
-            request_id=caller.request_id,
-            attempt=1,
-            account=caller.account.name,
-            route=caller.route.name,
-            version=version,
-            priority=str(caller.route.priority),
-            weight=caller.account.weight,
-            method=caller.method,
-            path=caller.path,
-            body=body,
-            content_type=caller.content_type,
-            idempotency_key=caller.idempotency_key,
-            repeatable=caller.route.repeatable,
-            stream=caller.stream,
-            include_usage=caller.include_usage,
-            token_limit=caller.answer_tokens,
-            reserved_tokens=reservation.tokens,
-            grant_id=reservation.grant_id,
-            reservation_id=reservation.reservation_id,
-            holder=reservation.holder,
-            timeout_s=caller.route.timeout_s,
-            fingerprint=fingerprint(caller),
+    An attempt that failed may have used tokens, so a retry is paid for out of a
+    reservation of its own; the bill takes only the dearest attempt.
+
+    Args:
+        spending: The ``Spending``.
+        caller: The ``CallerRequest``.
+        table: The table in force.
+    """
+
+    __slots__ = ("_caller", "_reservations", "_spending", "_table")
+
+    def __init__(self, spending, caller, table):
+        self._spending = spending
+        self._caller = caller
+        self._table = table
+        self._reservations = {}
+
+    async def begin(self, version, number, timeout_s):
+        """Reserves for an attempt.
+
+        Args:
+            version: Version to run it at.
+            number: Number of the attempt.
+            timeout_s: Seconds to the caller's deadline.
+
+        Returns:
+            The ``RunRequest``.
+
+        Raises:
+            BudgetExhausted: The budget is spent.
+            BudgetUnreachable: The budget cannot be asked.
+            NoServer: The version is not in the table.
+        """
+        caller = self._caller
+        version_row = self._table.version(version)
+        if version_row is None:
+            raise NoServer(f"The table has no version {version}.")
+        reservation = await self._spending.reserve(
+            caller.account.name, caller.request_id, caller.bound_tokens
         )
+        self._reservations[number] = reservation
+        return run_request(caller, reservation, version_row, number, timeout_s)
+
+    def end(self, outcome):
+        """Ends the reservation of an attempt.
+
+        Args:
+            outcome: The ``AttemptOutcome``.
+        """
+        reservation = self._reservations.pop(outcome.request.attempt)
+        if outcome.end is not None:
+            used_tokens = billed_tokens(self._caller, outcome.end)
+        elif outcome.ran == NOT_RUN or not outcome.agents:
+            used_tokens = 0
+        else:
+            used_tokens = None
+        self._spending.end(reservation, used_tokens, outcome.agents)
+
+
+def run_request(caller, reservation, version_row, number, timeout_s):
+    """Returns the ``RunRequest`` of one attempt.
+
+    Args:
+        caller: The ``CallerRequest``.
+        reservation: The ``Reservation`` that pays.
+        version_row: The ``VersionRow``.
+        number: Number of the attempt.
+        timeout_s: Seconds to the caller's deadline.
+    """
+    return RunRequest(
+        request_id=caller.request_id,
+        attempt=number,
+        account=caller.account.name,
+        route=caller.route.name,
+        version=version_row.name,
+        priority=str(caller.route.priority),
+        weight=caller.account.weight,
+        method=caller.method,
+        path=caller.path,
+        body=backend_body(caller, version_row),
+        content_type=caller.content_type,
+        idempotency_key=caller.idempotency_key,
+        repeatable=caller.route.repeatable,
+        stream=caller.stream,
+        include_usage=caller.include_usage,
+        token_limit=caller.answer_tokens,
+        reserved_tokens=reservation.tokens,
+        grant_id=reservation.grant_id,
+        reservation_id=reservation.reservation_id,
+        holder=reservation.holder,
+        timeout_s=timeout_s,
+        fingerprint=fingerprint(caller),
+    )
 
 
 def backend_body(caller, version):
--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -144,15 +144,16 @@
             reply.page_version,
         )
 
-    def end(self, reservation, used_tokens):
+    def end(self, reservation, used_tokens, agents=()):
         """Settles and bills a reservation, once its use is known.
 
         Args:
             reservation: The ``Reservation``.
             used_tokens: Tokens used; None if the agents have to be asked.
+            agents: Incarnations of the agents that may have run the attempt.
         """
         if used_tokens is None:
-            self._outcomes.add(reservation)
+            self._outcomes.add(reservation, agents)
             return
         self.settle(reservation, used_tokens)
         if used_tokens:
--- a/pistachiowell/router/tests/test_faults.py
+++ b/pistachiowell/router/tests/test_faults.py
@@ -104,6 +104,9 @@
     for stream in streams:
         stream.rest()
         assert stream.whole, stream.text[-300:]
+    rig.heal()
+    agents = [rig.processes[f"agent-{name}"] for name in leaving]
+    rig.wait_until(lambda: not any(agent.running for agent in agents), "They end.")
 
 
 def test_frozen_agent_breaks_its_streams_clearly_and_gets_no_new_work(rig):
