--- a/pistachiowell/platform/http.py
+++ b/pistachiowell/platform/http.py
@@ -26,6 +26,7 @@
 CALL_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
 WATCH_TIMEOUT_S = 30
+MIN_WATCH_S = 1.0
 MAX_CONNECTIONS = 16
 _WATCH_GRACE_S = 5.0
 _HEADERS = [(b"content-type", b"application/json")]
@@ -106,9 +107,12 @@
         """Yields each ``Change`` after a version; see ``Store.watch``."""
         version = after_version
         while True:
+            started_at = anyio.current_time()
             async for change in self._watch_once(collection, version):
                 version = change.version
                 yield change
+            if anyio.current_time() - started_at < MIN_WATCH_S:
+                raise StoreUnavailable("The store ended a watch at once.")
 
     async def vms(self):
         """Returns the platform's list of ``Vm``."""
--- a/pistachiowell/schema/settings.py
+++ b/pistachiowell/schema/settings.py
@@ -3,7 +3,7 @@
 import yaml
 
 from pistachiowell.core.errors import SettingsInvalid
-from pistachiowell.schema.validate import find_errors, to_object
+from pistachiowell.schema.validate import find_errors, parse_yaml, to_object
 
 
 def read_settings(path, cls):
@@ -22,7 +22,7 @@
     """
     try:
         with open(path, encoding="utf-8") as file:
-            document = yaml.safe_load(file)
+            document = parse_yaml(file)
     except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
         raise SettingsInvalid(f"{path}: {error}.") from error
     errors = find_errors(document, "settings", cls.__name__)
--- a/pistachiowell/schema/validate.py
+++ b/pistachiowell/schema/validate.py
@@ -1,6 +1,7 @@
 """Checks documents against the schema files and makes typed objects of them."""
 
 import functools
+import math
 from pathlib import Path
 
 import jsonschema
@@ -10,6 +11,25 @@
 _SCHEMA_DIR = Path(__file__).parent
 
 
+def _is_integer(checker, value):
+    del checker
+    return type(value) is int
+
+
+def _is_number(checker, value):
+    del checker
+    return type(value) is int or (type(value) is float and math.isfinite(value))
+
+
+# JSON Schema takes 1.0 for an integer and, in Python, NaN for a number.
+_Validator = jsonschema.validators.extend(
+    jsonschema.Draft202012Validator,
+    type_checker=jsonschema.Draft202012Validator.TYPE_CHECKER.redefine_many(
+        {"integer": _is_integer, "number": _is_number}
+    ),
+)
+
+
 @functools.cache
 def load_schema(name):
     """Loads one schema file.
@@ -28,7 +48,25 @@
 def _validator(name, definition):
     schema = dict(load_schema(name))
     schema["$ref"] = f"#/$defs/{definition}"
-    return jsonschema.Draft202012Validator(schema)
+    return _Validator(schema)
+
+
+def parse_yaml(text):
+    """Reads one YAML document.
+
+    Args:
+        text: Text or an open file.
+
+    Raises:
+        yaml.YAMLError: The text is no YAML, whatever the parser meets in it.
+    """
+    try:
+        return yaml.safe_load(text)
+    except yaml.YAMLError:
+        raise
+    except Exception as error:
+        # The constructors of PyYAML raise whatever a malformed value leads to.
+        raise yaml.YAMLError(f"A value cannot be read: {error}") from error
 
 
 def find_errors(document, name, definition):
--- a/pistachiowell/tables/files.py
+++ b/pistachiowell/tables/files.py
@@ -6,7 +6,7 @@
 import yaml
 
 from pistachiowell.core.errors import RowInvalid
-from pistachiowell.schema.validate import load_schema
+from pistachiowell.schema.validate import load_schema, parse_yaml
 from pistachiowell.tables.rows import ROW_CLASSES
 
 _FORMATS = {}
@@ -70,7 +70,7 @@
     def read(text):
         """Reads rows."""
         try:
-            document = yaml.safe_load(text)
+            document = parse_yaml(text)
         except yaml.YAMLError as error:
             raise RowInvalid(f"The file is no YAML: {error}.") from error
         rows = document.get("rows") if isinstance(document, dict) else None
@@ -95,11 +95,15 @@
     def read(text):
         """Reads rows."""
         reader = csv.DictReader(io.StringIO(text))
-        columns = reader.fieldnames or []
+        try:
+            columns = reader.fieldnames or []
+            lines = list(reader)
+        except csv.Error as error:
+            raise RowInvalid(f"The file is no CSV: {error}.") from error
         unknown = [c for c in columns if c not in _columns()]
         if unknown or "kind" not in columns:
             raise RowInvalid(f"Unknown or missing columns in the CSV head: {unknown}.")
-        return [_from_cells(cells, line) for line, cells in enumerate(reader, 2)]
+        return [_from_cells(cells, line) for line, cells in enumerate(lines, 2)]
 
     @staticmethod
     def write(documents):
--- a/pistachiowell/tables/rows.py
+++ b/pistachiowell/tables/rows.py
@@ -70,7 +70,7 @@
     if not isinstance(document, dict):
         raise RowInvalid(f"A row is no mapping: {document!r}.")
     kind = document.get("kind")
-    if kind not in ROW_CLASSES:
+    if not isinstance(kind, str) or kind not in ROW_CLASSES:
         kinds = ", ".join(ROW_CLASSES)
         raise RowInvalid(f"Unknown row kind {kind!r}; the kinds are {kinds}.")
     errors = find_errors(document, "table", ROW_CLASSES[kind].__name__)
