--- a/pistachiowell/claims/book.py
+++ b/pistachiowell/claims/book.py
@@ -84,8 +84,7 @@
     Args:
         agent: Name of the agent.
         buckets: Number of buckets that all agents use.
-        settings: Settings with ``claim_page_size``, ``claim_retention_s`` and
-            ``kept_answer_bytes``.
+        settings: Settings with ``kept_answer_bytes`` and those of ``Bucket``.
         rng: A ``Random`` for claim ids and the jitter of retries. It must be seeded
             apart in each run of an agent.
         bucket_class: Class of the buckets.
--- a/pistachiowell/claims/bucket.py
+++ b/pistachiowell/claims/bucket.py
@@ -77,7 +77,8 @@
 
     Args:
         index: Number of the bucket.
-        settings: Settings with ``claim_page_size`` and ``claim_retention_s``.
+        settings: Settings with ``claim_page_size``, ``claim_retention_s`` and
+            ``claim_write_interval_s``.
         rng: A ``Random`` for the jitter of retries.
     """
 
@@ -178,6 +179,8 @@
         if self._action is not None or now < self._not_before:
             return None
         self._action = self._choose(wall_s)
+        if isinstance(self._action, WritePage):
+            self._not_before = now + self._settings.claim_write_interval_s
         return self._action
 
     def on_read(self, entry, now):
--- a/pistachiowell/claims/tests/test_claims.py
+++ b/pistachiowell/claims/tests/test_claims.py
@@ -47,7 +47,10 @@
 
     def __init__(self, name, page_size, bucket_class, seed):
         limits = SimpleNamespace(
-            claim_page_size=page_size, claim_retention_s=1e9, kept_answer_bytes=60
+            claim_page_size=page_size,
+            claim_retention_s=1e9,
+            claim_write_interval_s=1.0,
+            kept_answer_bytes=60,
         )
         self.book = ClaimBook(name, BUCKETS, limits, Random(seed), bucket_class)
         self.waiting = {}
