Give a claim back when its request certainly did not run

Before, a claim whose backend server could not be reached stayed in the store: the router's retry at another agent was told outcome_unknown of a request that never ran. Now the agent takes the claim out by conditional update; until that is settled it does not use the claim, since a lost write may still remove it.

--- a/pistachiowell/agent/claiming.py
+++ b/pistachiowell/agent/claiming.py
@@ -126,7 +126,7 @@
             yield
         except PistachiowellError as error:
             if error.ran == "no":
-                self._book.release(digest)
+                self._release(digest)
             else:
                 self._book.fail(digest)
             raise
@@ -151,7 +151,11 @@
             del self._waiters[digest]
             refused = waiter.decision is not None and waiter.decision.error
             if not claimed and not refused:
-                self._book.release(digest)
+                self._release(digest)
+
+    def _release(self, digest):
+        self._book.release(digest)
+        self._wake(self._book.bucket_index(digest))
 
     def _unavailable(self):
         timeout_s = self._runtime.settings.claim_timeout_s
@@ -177,7 +181,7 @@
     async def _wait_work(self, index, bucket):
         """Waits for the time of a retry or, without one, for a new claim."""
         delay_s = bucket.not_before - self._runtime.now()
-        if bucket.waiting and delay_s > 0:
+        if bucket.busy and delay_s > 0:
             await anyio.sleep(delay_s)
             return
         await self._wakes[index].wait()
--- a/pistachiowell/bench/claims.py
+++ b/pistachiowell/bench/claims.py
@@ -146,7 +146,7 @@
         if action is not None:
             at_s = self._now + STORE_LATENCY_S / 2
             self._schedule(at_s, self._reach_store, agent, index, action)
-        elif bucket.waiting and bucket.not_before > self._now:
+        elif bucket.busy and bucket.not_before > self._now:
             self._schedule(bucket.not_before, self._advance, agent, index)
 
     def _reach_store(self, agent, index, action):
--- a/pistachiowell/claims/book.py
+++ b/pistachiowell/claims/book.py
@@ -4,7 +4,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from pistachiowell.claims.bucket import Bucket, Granted
+from pistachiowell.claims.bucket import Bucket, Granted, NotReturned, Returned
 from pistachiowell.claims.keys import bucket_of
 from pistachiowell.core.errors import (
     InvalidRequest,
@@ -55,17 +55,20 @@
 class RecordState(enum.Enum):
     """State of a key at this agent.
 
-    ``RELEASED`` means that a claim with this agent's id may be in the store, that
-    the request never ran under it, and that nobody else can run it.
+    ``RETURNING`` means that the request did not run and its claim is being taken
+    out of the store. ``RELEASED`` means that the claim may be in the store, that the
+    request never ran under it, and that nobody else can run it.
     """
 
     WAITING = "waiting"
     RUNNING = "running"
     ANSWERED = "answered"
     FAILED = "failed"
+    RETURNING = "returning"
     RELEASED = "released"
 
 
+_BUSY_STATES = (RecordState.WAITING, RecordState.RUNNING, RecordState.RETURNING)
 _ENDED_STATES = (RecordState.ANSWERED, RecordState.FAILED, RecordState.RELEASED)
 
 
@@ -157,7 +160,7 @@
             return None
         if record.claim.body != body:
             raise _other_request()
-        if record.state in (RecordState.WAITING, RecordState.RUNNING):
+        if record.state in _BUSY_STATES:
             raise KeyInProgress("The key is in progress.")
         if record.state is RecordState.ANSWERED:
             return record.answer
@@ -170,7 +173,8 @@
     def take_decisions(self, index):
         """Returns the ``Decision`` list of a bucket since the last call."""
         outcomes = self.bucket(index).take_outcomes()
-        return [self._decide(outcome) for outcome in outcomes]
+        decisions = [self._decide(outcome) for outcome in outcomes]
+        return [decision for decision in decisions if decision is not None]
 
     def finish(self, digest, answer):
         """Keeps the answer of a running request.
@@ -194,14 +198,16 @@
     def release(self, digest):
         """Gives up a claim whose request has not begun to run.
 
-        Afterwards the request did not run, and only a repeat of its key at this
-        agent can run it.
+        The claim is taken out of the store, so that any agent can run a repeat. Where
+        that fails, as its page is sealed, only this agent can.
         """
         record = self._records[digest]
+        bucket = self._bucket_of(digest)
         was_running = record.state is RecordState.RUNNING
-        carried = self._bucket_of(digest).withdraw(digest)
+        carried = bucket.withdraw(digest)
         if was_running or carried:
-            record.state = RecordState.RELEASED
+            record.state = RecordState.RETURNING
+            bucket.give_back(digest, record.claim)
         else:
             del self._records[digest]
 
@@ -210,6 +216,12 @@
 
     def _decide(self, outcome):
         record = self._records[outcome.digest]
+        if isinstance(outcome, NotReturned):
+            record.state = RecordState.RELEASED
+            return None
+        if isinstance(outcome, Returned):
+            del self._records[outcome.digest]
+            return None
         if isinstance(outcome, Granted):
             record.state = RecordState.RUNNING
             return Decision(outcome.digest)
--- a/pistachiowell/claims/bucket.py
+++ b/pistachiowell/claims/bucket.py
@@ -15,6 +15,7 @@
     decode_page,
     next_page,
     open_page_name,
+    remove_claims,
 )
 from pistachiowell.core.errors import StoreUnavailable
 from pistachiowell.schema.generated.objects_claims import Claim, ClaimPage
@@ -63,6 +64,20 @@
     claim: Claim
 
 
+@dataclass(frozen=True, slots=True)
+class Returned:
+    """A claim that was given back is no longer in the store."""
+
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotReturned:
+    """A claim that was given back stays, as its page is sealed, or never came."""
+
+    digest: str
+
+
 @dataclass(frozen=True, slots=True)
 class _Archive:
     version: int
@@ -93,6 +108,8 @@
         "_outcomes",
         "_page",
         "_retired",
+        "_removed",
+        "_returning",
         "_rng",
         "_settings",
         "_stale_read",
@@ -109,6 +126,8 @@
         self._archives = {}
         self._archived = False
         self._retired = []
+        self._returning = {}
+        self._removed = set()
         self._waiting = {}
         self._carried = set()
         self._outcomes = []
@@ -123,9 +142,9 @@
         return self._not_before
 
     @property
-    def waiting(self):
-        """Number of claims without outcome."""
-        return len(self._waiting)
+    def busy(self):
+        """Whether a claim waits for its outcome or is given back."""
+        return bool(self._waiting or self._returning)
 
     def submit(self, digest, claim, *, reused=False):
         """Adds a claim that waits for its outcome.
@@ -153,6 +172,14 @@
         self._carried.discard(digest)
         return carried
 
+    def give_back(self, digest, claim):
+        """Begins to take a claim out of the store, so that any agent may claim.
+
+        The caller must not use the claim until the outcome is ``Returned`` or
+        ``NotReturned``, as a lost write may still take it out.
+        """
+        self._returning[digest] = claim
+
     def find(self, digest):
         """Returns the ``Claim`` of a key in the pages read so far, or None."""
         pages = [archive.page for archive in self._archives.values()]
@@ -249,7 +276,7 @@
         self._delay_retry(now)
 
     def _choose(self, wall_s):
-        if not self._waiting:
+        if not self._waiting and not self._returning:
             return self._retired.pop() if self._retired else None
         if self._page is None:
             return ReadPage(open_page_name(self._index))
@@ -257,7 +284,7 @@
         if missing is not None:
             return ReadPage(archive_name(self._index, missing))
         self._settle()
-        if not self._waiting:
+        if not self._waiting and not self._returning:
             return None
         return self._choose_write(wall_s)
 
@@ -268,6 +295,8 @@
             return WritePage(name, ABSENT, page)
         if page.sealed:
             page = next_page(page, self._oldest_page(wall_s))
+        page = remove_claims(page, self._returning)
+        self._removed.update(self._returning)
         room = MAX_PAGE_CLAIMS - len(page.claims)
         batch = dict(list(self._waiting.items())[:room])
         self._carried.update(batch)
@@ -298,6 +327,12 @@
             self._retired.append(DeletePage(name, version))
 
     def _settle(self):
+        for digest, claim in list(self._returning.items()):
+            found = self._page.claims.get(digest)
+            if found is not None and found.id == claim.id and not self._page.sealed:
+                continue
+            del self._returning[digest]
+            self._outcomes.append(self._return_outcome(digest, claim))
         for digest, claim in list(self._waiting.items()):
             found = self.find(digest)
             if found is None:
@@ -307,6 +342,16 @@
             own = found.id == claim.id
             self._outcomes.append(Granted(digest) if own else Taken(digest, found))
 
+    def _return_outcome(self, digest, claim):
+        found = self.find(digest)
+        stays = found is not None and found.id == claim.id
+        removed = digest in self._removed
+        self._removed.discard(digest)
+        if removed and not stays:
+            return Returned(digest)
+        # A removal that is still under way expects an older version of the page.
+        return NotReturned(digest)
+
     def _end_action(self):
         action, self._action = self._action, None
         return action
--- a/pistachiowell/claims/pages.py
+++ b/pistachiowell/claims/pages.py
@@ -78,6 +78,17 @@
     return dataclasses.replace(page, claims=merged, sealed=True, sealed_at_s=wall_s)
 
 
+def remove_claims(page, digests):
+    """Returns an open page without the claims of some keys.
+
+    Args:
+        page: The ``ClaimPage``.
+        digests: Digests of the keys.
+    """
+    claims = {key: claim for key, claim in page.claims.items() if key not in digests}
+    return dataclasses.replace(page, claims=claims)
+
+
 def next_page(page, oldest):
     """Returns the empty page after a sealed one.
 
