--- a/pistachiowell/claims/bucket.py
+++ b/pistachiowell/claims/bucket.py
@@ -290,19 +290,26 @@
 
     def _choose_write(self, wall_s):
         page = self._page
-        if page.sealed and not self._archived:
+        full = self._is_full(page)
+        if full and not self._archived:
             name = archive_name(self._index, page.sequence)
             return WritePage(name, ABSENT, page)
-        if page.sealed:
+        if full:
             page = next_page(page, self._oldest_page(wall_s))
         page = remove_claims(page, self._returning)
         self._removed.update(self._returning)
         room = MAX_PAGE_CLAIMS - len(page.claims)
         batch = dict(list(self._waiting.items())[:room])
         self._carried.update(batch)
-        page = add_claims(page, batch, self._settings.claim_page_size, wall_s)
+        page = self._add(page, batch, wall_s)
         return WritePage(open_page_name(self._index), self._version, page)
 
+    def _is_full(self, page):
+        return page.sealed
+
+    def _add(self, page, claims, wall_s):
+        return add_claims(page, claims, self._settings.claim_page_size, wall_s)
+
     def _oldest_page(self, wall_s):
         horizon_s = wall_s - self._settings.claim_retention_s
         oldest = self._page.oldest
@@ -329,7 +336,11 @@
     def _settle(self):
         for digest, claim in list(self._returning.items()):
             found = self._page.claims.get(digest)
-            if found is not None and found.id == claim.id and not self._page.sealed:
+            if (
+                found is not None
+                and found.id == claim.id
+                and not self._is_full(self._page)
+            ):
                 continue
             del self._returning[digest]
             self._outcomes.append(self._return_outcome(digest, claim))
--- a/pistachiowell/claims/naive.py
+++ b/pistachiowell/claims/naive.py
@@ -3,9 +3,9 @@
 No program uses them; tests and measurements compare them with ``Bucket``.
 """
 
-from pistachiowell.claims.bucket import ABSENT, Bucket, Granted, WritePage
-from pistachiowell.claims.pages import archive_name, next_page, open_page_name
-from pistachiowell.schema.generated.objects_claims import ClaimPage
+import dataclasses
+
+from pistachiowell.claims.bucket import Bucket, Granted
 
 VARIANTS = {"group_commit": Bucket}
 
@@ -70,14 +70,8 @@
 
     __slots__ = ()
 
-    def _choose_write(self, wall_s):
-        page = self._page
-        full = len(page.claims) >= self._settings.claim_page_size
-        if full and not self._archived:
-            return WritePage(archive_name(self._index, page.sequence), ABSENT, page)
-        if full:
-            page = next_page(page, self._oldest_page(wall_s))
-        self._carried.update(self._waiting)
-        claims = page.claims | self._waiting
-        page = ClaimPage(page.sequence, page.oldest, False, 0.0, claims)
-        return WritePage(open_page_name(self._index), self._version, page)
+    def _is_full(self, page):
+        return len(page.claims) >= self._settings.claim_page_size
+
+    def _add(self, page, claims, wall_s):
+        return dataclasses.replace(page, claims=page.claims | claims)
--- a/pistachiowell/claims/tests/test_claims.py
+++ b/pistachiowell/claims/tests/test_claims.py
@@ -325,3 +325,29 @@
 def test_the_same_machine_rejects_naive_variants(name, message):
     with pytest.raises(AssertionError, match=message):
         run_machine(name, 2000, checks_loss=message != "ran twice")
+
+
+def test_claim_given_back_is_not_used_while_its_removal_may_come():
+    machine = ClaimMachine()
+    first, second = machine.agents["b"], machine.agents["a"]
+    machine.submit("b", "k1", "x")
+    machine.pump(first, 0)
+    machine.refuse(first, first.granted[0])
+    machine.step += 1
+    machine.call_store(first, 0)
+    removal = machine.calls[0]
+    machine.lose_answer(removal)
+    machine.submit("b", "k1", "x")
+    assert not first.waiting
+    machine.step += 1
+    action = first.book.bucket(0).next_action(machine.step * STEP_S, 1.0)
+    machine.report(Call(first, 0, action), apply_to(machine.table, action))
+    machine.submit("b", "k1", "x")
+    machine.reach_store(removal)
+    machine.submit("a", "k1", "x")
+    machine.pump(second, 0)
+    machine.pump(first, 0)
+    for agent in (first, second):
+        for attempt in list(agent.granted):
+            machine.run(agent, attempt)
+    assert machine.runs["k1"] == 1
