--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -3,8 +3,10 @@
 import anyio
 
 from pistachiowell.agent.claiming import Claiming
+from pistachiowell.agent.crashes import CrashWatch
 from pistachiowell.agent.gate import Gate
 from pistachiowell.agent.orders import Orders
+from pistachiowell.agent.receipts import Receipts, note_lost_agent
 from pistachiowell.agent.runner import Runner
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
@@ -34,7 +36,15 @@
         store: The platform's store.
     """
 
-    __slots__ = ("_gate", "_handlers", "_links", "_rows", "_runner", "_runtime")
+    __slots__ = (
+        "_gate",
+        "_handlers",
+        "_links",
+        "_receipts",
+        "_rows",
+        "_runner",
+        "_runtime",
+    )
 
     def __init__(self, settings, store):
         self._runtime = Runtime("agent", settings, store)
@@ -50,6 +60,7 @@
         )
         self._gate = None
         self._runner = None
+        self._receipts = None
 
     async def run(self):
         """Runs until a signal comes and the requests in progress have ended."""
@@ -62,20 +73,29 @@
             claiming = Claiming(self._runtime)
             await group.start(claiming.run)
             self._gate = Gate(self._runtime, row.slots)
+            crashes = CrashWatch(
+                self._runtime, self._handlers, lambda: self._links, backend, self._gate
+            )
             self._runner = Runner(
                 self._runtime,
                 self._handlers,
                 self._gate,
                 claiming,
+                crashes,
                 backend,
                 self._version,
             )
             Orders(self._runtime, self._handlers, backend)
+            self._receipts = Receipts(self._runtime, self._handlers)
+            self._runner.receipts = self._receipts
             await group.start(self._runner.run)
+            group.start_soon(self._gate.run)
             await group.start(self._serve_routers)
             group.start_soon(self._push_load)
             record = self._record()
+            await note_lost_agent(self._runtime.store, record)
             await register_process(self._runtime.store, "agents", record)
+            self._receipts.registered = True
             _log.info("Agent {} serves backend server {}.", record.id, record.server)
             await wait_for_signal()
             await self._leave(record)
@@ -87,10 +107,11 @@
         self._runtime.start_leaving()
         self._send_load()
         settings = self._runtime.settings
-        await unregister_process(self._runtime.store, "agents", record)
         await anyio.sleep(settings.leaving_notice_s)
         with anyio.move_on_after(settings.shutdown_timeout_s):
             await self._runner.wait_idle()
+        if await self._receipts.leave_sums():
+            await unregister_process(self._runtime.store, "agents", record)
         self._runtime.events.add(EventKind.process_stopped)
 
     def _lacks_row(self):
--- a/pistachiowell/moves/judges.py
+++ b/pistachiowell/moves/judges.py
@@ -11,6 +11,7 @@
     1995.
 """
 
+import dataclasses
 import math
 from dataclasses import dataclass
 
@@ -22,6 +23,8 @@
 MIN_LATENCY_EFFECT = 0.15
 LATENCY_QUANTILE = 0.9
 MIN_OLD_LATENCIES = 10
+MIN_HEALTHY_ANSWERS = 4
+MAX_HEALTHY_SHARE = 0.25
 
 _JUDGES = {}
 
@@ -34,11 +37,13 @@
         failure_score: Logarithm of the Bayes factor on failures.
         latency_score: Logarithm of the Bayes factor on latency.
         sums: The ``Sums`` of the span with the highest score.
+        raw_score: The score before faults of one place were left out.
     """
 
     failure_score: float
     latency_score: float
     sums: object
+    raw_score: float = 0.0
 
     @property
     def score(self):
@@ -56,6 +61,19 @@
         return self.score >= SUSPECT_SCORE
 
 
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """Where the new version runs.
+
+    Attributes:
+        servers: Number of its backend servers.
+        centres: Number of their data centres.
+    """
+
+    servers: int = 1
+    centres: int = 1
+
+
 def judge(name):
     """Returns a decorator that registers a judge by name."""
 
@@ -67,7 +85,11 @@
 
 
 def find_judge(name):
-    """Returns a judge: a function of ``Evidence`` and ``now`` giving a ``Verdict``."""
+    """Returns a judge by name.
+
+    Returns:
+        A function of ``Evidence``, ``now`` and ``Spread`` that gives a ``Verdict``.
+    """
     return _JUDGES[name]
 
 
@@ -143,36 +165,64 @@
 
 
 @judge("sequential")
-def judge_sequentially(evidence, now):
+def judge_sequentially(evidence, now, spread):
     """Scores several spans; faults of one place alone do not count."""
-    verdicts = [_judge_span(evidence, now - span_s) for span_s in SPANS_S]
-    return max(verdicts, key=lambda verdict: verdict.score)
+    spans = [_judge_span(evidence, now - span_s, spread) for span_s in SPANS_S]
+    worst = max(spans, key=lambda verdict: verdict.score)
+    raw_score = max(verdict.raw_score for verdict in spans)
+    return dataclasses.replace(worst, raw_score=raw_score)
 
 
-def _judge_span(evidence, since):
+def _judge_span(evidence, since, spread):
     verdict = _score(evidence.sums(since))
     if not verdict.is_suspect:
         return verdict
+    if not _covers(evidence, spread):
+        return Verdict(0.0, 0.0, verdict.sums, verdict.score)
     others = [_score(evidence.sums(since, rule)) for rule in _exclusions(evidence)]
-    return min([verdict, *others], key=lambda each: each.score)
+    lowest = min([verdict, *others], key=lambda each: each.score)
+    return dataclasses.replace(lowest, raw_score=verdict.score)
+
+
+def _covers(evidence, spread):
+    """Tells whether the new version has answered from more than one place."""
+    new = 1
+    centres = [sums for sums in evidence.centres().values() if sums.answers[new]]
+    enough_servers = len(evidence.servers()) >= min(2, spread.servers)
+    return enough_servers and len(centres) >= min(2, spread.centres)
 
 
 def _score(sums):
-    return Verdict(failure_score(sums), latency_score(sums), sums)
+    failures, latency = failure_score(sums), latency_score(sums)
+    return Verdict(failures, latency, sums, max(failures, latency))
 
 
 def _exclusions(evidence):
-    """Yields rules that leave out the worst server and the worst data centre."""
-    servers, centres = evidence.places()
+    """Yields rules that leave out the worst server and the worst data centre.
+
+    A data centre in which the old version answers well is not at fault.
+    """
+    new = 1
+    servers = evidence.servers()
     if len(servers) > 1:
         worst_server = max(servers, key=servers.get)
         yield lambda answer: answer.server == worst_server
-    if len(centres) > 1:
-        worst_centre = max(centres, key=centres.get)
+    centres = {n: s for n, s in evidence.centres().items() if s.answers[new]}
+    faulty = {n: s for n, s in centres.items() if not _is_healthy(s)}
+    if len(centres) > 1 and faulty:
+        worst_centre = max(faulty, key=lambda name: faulty[name].failures[new])
         yield lambda answer: answer.data_centre == worst_centre
 
 
+def _is_healthy(sums):
+    old = 0
+    failed = sums.failures[old]
+    enough = sums.answers[old] >= MIN_HEALTHY_ANSWERS
+    return enough and failed < MAX_HEALTHY_SHARE * sums.answers[old]
+
+
 @judge("naive")
-def judge_naively(evidence, now):
+def judge_naively(evidence, now, spread):
     """Finds every version good."""
+    del spread
     return Verdict(0.0, 0.0, evidence.sums(now))
--- a/pistachiowell/routing/split.py
+++ b/pistachiowell/routing/split.py
@@ -31,8 +31,8 @@
     """Smooth weighted round robin with a random phase for each route.
 
     In any run of requests on a route with fixed weights, the count of a version
-    differs from its share by less than one for each version of the route. The random
-    phase keeps many routers from sending to a small version at once.
+    passes its share by at most the number of the route's versions. The random phase
+    keeps many routers from sending to a small version at once.
 
     Args:
         rng: A ``Random``.
@@ -64,12 +64,9 @@
 
     def _first_credits(self, live):
         total = sum(live.values())
-        owner = self._rng.choices(list(live), list(live.values()))[0]
-        phase = self._rng.random()
-        return {
-            name: phase * (total - weight if name == owner else -weight)
-            for name, weight in live.items()
-        }
+        draws = {name: total * self._rng.random() for name in live}
+        mean = sum(draws.values()) / len(draws)
+        return {name: draw - mean for name, draw in draws.items()}
 
     def _next(self, route, live):
         balances = self._credits[route]
--- a/pistachiowell/wire/tests/test_codec.py
+++ b/pistachiowell/wire/tests/test_codec.py
@@ -1,6 +1,7 @@
 """Fuzzing of frames: a typed error or the message, whatever the bytes are."""
 
 import dataclasses
+import tracemalloc
 from contextlib import suppress
 
 import msgpack
@@ -12,7 +13,7 @@
 from pistachiowell.core.errors import MessageInvalid
 from pistachiowell.schema.generated.messages_requests import Ping
 from pistachiowell.wire.codec import (
-    MAX_ARRAY_LENGTH,
+    LENGTH_BYTES,
     MESSAGE_CLASSES,
     WIRE_VERSION,
     FrameReader,
@@ -20,6 +21,7 @@
 )
 
 STAMP = Stamp(1, 0)
+MAX_PEAK_BYTES = 1_000_000
 INTEGERS = st.integers(-(2**63), 2**63 - 1)
 st.register_type_strategy(int, INTEGERS)
 DOCUMENTS = st.lists(st.dictionaries(st.text(), INTEGERS))
@@ -41,14 +43,25 @@
 
 
 def frame(name, body, *, call=0, wall_ns=1, logical=0):
-    parts = [WIRE_VERSION, name, call, wall_ns, logical, body]
-    return msgpack.packb(parts)
+    return packed([WIRE_VERSION, name, call, wall_ns, logical, body])
+
+
+def packed(parts):
+    return framed(msgpack.packb(parts))
+
+
+def framed(data):
+    return len(data).to_bytes(LENGTH_BYTES) + data
 
 
 def read(data):
     return FrameReader().feed(data)
 
 
+def body_of(data):
+    return msgpack.unpackb(data[LENGTH_BYTES:])[-1]
+
+
 @given(parts=st.lists(st.binary(max_size=40), max_size=6))
 @example(parts=[b"\xdd\x00\x7f\xff\xff" * 100])
 def test_any_bytes_give_frames_or_a_typed_error(parts):
@@ -58,24 +71,31 @@
             reader.feed(part)
 
 
-def test_announced_length_reserves_no_memory():
-    header = b"\xdd" + (MAX_ARRAY_LENGTH + 1).to_bytes(4, "big")
-    with pytest.raises(MessageInvalid, match="max_array_len"):
-        read(header)
+@pytest.mark.parametrize("kind", ["EventsReport", "Ping", "LaterKind"])
+@pytest.mark.parametrize("start", [b"", b"\x81\xa6events"])
+def test_announced_length_reserves_no_memory(kind, start):
+    head = msgpack.packb([WIRE_VERSION, kind, 0, 1, 0, None])[:-1]
+    length = b"\xdd\x7f\xff\xff\xff"
+    tracemalloc.start()
+    with pytest.raises(MessageInvalid):
+        read(framed(head + start + length * 50))
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak < MAX_PEAK_BYTES
 
 
 @given(message=MESSAGES)
 def test_messages_survive_and_unknown_fields_are_ignored(message):
     data = encode_frame(message, 0, STAMP)
     assert encode_frame(read(data)[0].message, 0, STAMP) == data
-    body = msgpack.unpackb(data)[-1]
+    body = body_of(data)
     later = frame(type(message).__name__, {**body, "a_later_field": 1})
     assert encode_frame(read(later)[0].message, 0, STAMP) == data
 
 
 @given(message=MESSAGES, data=st.data())
 def test_wrong_types_give_a_typed_error(message, data):
-    body = msgpack.unpackb(encode_frame(message, 0, STAMP))[-1]
+    body = body_of(encode_frame(message, 0, STAMP))
     names = [field.name for field in dataclasses.fields(message)]
     wrong = data.draw(st.dictionaries(st.sampled_from(["", *names]), JSON, max_size=3))
     with suppress(MessageInvalid):
@@ -86,7 +106,7 @@
 @given(parts=st.lists(JSON | st.integers(-(2**63), 2**64 - 1), max_size=8))
 def test_any_array_gives_a_frame_or_a_typed_error(parts):
     with suppress(MessageInvalid):
-        read(msgpack.packb(parts))
+        read(packed(parts))
 
 
 @given(data=st.data())
