--- a/pistachiowell/agent/tests/test_claiming.py
+++ b/pistachiowell/agent/tests/test_claiming.py
@@ -1,6 +1,7 @@
 """Process tests: a request that may not be repeated runs at most once."""
 
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 import pytest
 
@@ -39,6 +40,16 @@
     return rig.wait_until(ended, f"The key {key} is no longer in progress.")
 
 
+def test_racing_repeats_through_all_routers_run_once(rig, pool):
+    routers = ["router-1", "router-2"] * 4
+    replies = list(pool.map(partial(reserve, rig, "race"), routers))
+    assert rig.runs("race") == 1
+    answers = {reply.body for reply in replies if reply.status == 200}
+    assert len(answers) == 1
+    refused = {reply.error_code for reply in replies if reply.status != 200}
+    assert refused <= {"key_in_progress", "outcome_unknown"}
+
+
 def test_other_body_under_a_used_key_is_refused(rig):
     assert reserve(rig, "body").status == 200
     reply = reserve(rig, "body", document={"belt": "b-13"})
@@ -54,6 +65,19 @@
     rig.heal()
 
 
+def test_repeat_after_the_first_router_was_killed(rig, pool, slow_desks):
+    first = pool.submit(reserve, rig, "kill", "router-1")
+    rig.wait_until(lambda: rig.runs("kill") == 1, "The reservation runs.")
+    rig.kill("router-1")
+    assert first.result().status == 0
+    reply = wait_ended(rig, "kill", "router-2")
+    assert reply.status == 200, reply
+    assert reply.document["run"] == 1
+    assert rig.runs("kill") == 1
+    rig.restart("router-1")
+    rig.wait_ready()
+
+
 def test_restarted_agents_answer_outcome_unknown(rig):
     assert reserve(rig, "restart").status == 200
     for server in SERVERS:
@@ -82,6 +106,15 @@
     return reply if reply.status == 200 else None
 
 
+def test_claim_is_given_back_when_the_backend_server_is_gone(rig):
+    rig.kill("desk-1")
+    replies = [reserve(rig, f"gone-{number}") for number in range(8)]
+    assert [reply.status for reply in replies] == [200] * 8, replies
+    assert [rig.runs(f"gone-{number}") for number in range(8)] == [1] * 8
+    rig.restart("desk-1")
+    rig.wait_ready()
+
+
 def test_frozen_agent_runs_its_claim_at_most_once(rig, pool, slow_desks):
     first = pool.submit(reserve, rig, "freeze", "router-1")
     rig.wait_until(lambda: rig.runs("freeze") == 1, "The reservation runs.")
