--- a/pistachiowell/claims/bucket.py
+++ b/pistachiowell/claims/bucket.py
@@ -15,6 +15,7 @@
     decode_page,
     next_page,
     open_page_name,
+    remove_claims,
 )
 from pistachiowell.core.errors import StoreUnavailable
 from pistachiowell.schema.generated.objects_claims import Claim, ClaimPage
@@ -63,6 +64,20 @@
     claim: Claim
 
 
+@dataclass(frozen=True, slots=True)
+class Returned:
+    """A claim that was given back is no longer in the store."""
+
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotReturned:
+    """A claim that was given back stays, as its page is sealed, or never came."""
+
+    digest: str
+
+
 @dataclass(frozen=True, slots=True)
 class _Archive:
     version: int
@@ -77,7 +92,8 @@
 
     Args:
         index: Number of the bucket.
-        settings: Settings with ``claim_page_size`` and ``claim_retention_s``.
+        settings: Settings with ``claim_page_size``, ``claim_retention_s`` and
+            ``claim_write_interval_s``.
         rng: A ``Random`` for the jitter of retries.
     """
 
@@ -92,6 +108,8 @@
         "_outcomes",
         "_page",
         "_retired",
+        "_removed",
+        "_returning",
         "_rng",
         "_settings",
         "_stale_read",
@@ -108,6 +126,8 @@
         self._archives = {}
         self._archived = False
         self._retired = []
+        self._returning = {}
+        self._removed = set()
         self._waiting = {}
         self._carried = set()
         self._outcomes = []
@@ -122,9 +142,9 @@
         return self._not_before
 
     @property
-    def waiting(self):
-        """Number of claims without outcome."""
-        return len(self._waiting)
+    def busy(self):
+        """Whether a claim waits for its outcome or is given back."""
+        return bool(self._waiting or self._returning)
 
     def submit(self, digest, claim, *, reused=False):
         """Adds a claim that waits for its outcome.
@@ -152,6 +172,14 @@
         self._carried.discard(digest)
         return carried
 
+    def give_back(self, digest, claim):
+        """Begins to take a claim out of the store, so that any agent may claim.
+
+        The caller must not use the claim until the outcome is ``Returned`` or
+        ``NotReturned``, as a lost write may still take it out.
+        """
+        self._returning[digest] = claim
+
     def find(self, digest):
         """Returns the ``Claim`` of a key in the pages read so far, or None."""
         pages = [archive.page for archive in self._archives.values()]
@@ -178,6 +206,8 @@
         if self._action is not None or now < self._not_before:
             return None
         self._action = self._choose(wall_s)
+        if isinstance(self._action, WritePage):
+            self._not_before = now + self._settings.claim_write_interval_s
         return self._action
 
     def on_read(self, entry, now):
@@ -246,7 +276,7 @@
         self._delay_retry(now)
 
     def _choose(self, wall_s):
-        if not self._waiting:
+        if not self._waiting and not self._returning:
             return self._retired.pop() if self._retired else None
         if self._page is None:
             return ReadPage(open_page_name(self._index))
@@ -254,23 +284,32 @@
         if missing is not None:
             return ReadPage(archive_name(self._index, missing))
         self._settle()
-        if not self._waiting:
+        if not self._waiting and not self._returning:
             return None
         return self._choose_write(wall_s)
 
     def _choose_write(self, wall_s):
         page = self._page
-        if page.sealed and not self._archived:
+        full = self._is_full(page)
+        if full and not self._archived:
             name = archive_name(self._index, page.sequence)
             return WritePage(name, ABSENT, page)
-        if page.sealed:
+        if full:
             page = next_page(page, self._oldest_page(wall_s))
+        page = remove_claims(page, self._returning)
+        self._removed.update(self._returning)
         room = MAX_PAGE_CLAIMS - len(page.claims)
         batch = dict(list(self._waiting.items())[:room])
         self._carried.update(batch)
-        page = add_claims(page, batch, self._settings.claim_page_size, wall_s)
+        page = self._add(page, batch, wall_s)
         return WritePage(open_page_name(self._index), self._version, page)
 
+    def _is_full(self, page):
+        return page.sealed
+
+    def _add(self, page, claims, wall_s):
+        return add_claims(page, claims, self._settings.claim_page_size, wall_s)
+
     def _oldest_page(self, wall_s):
         horizon_s = wall_s - self._settings.claim_retention_s
         oldest = self._page.oldest
@@ -295,6 +334,16 @@
             self._retired.append(DeletePage(name, version))
 
     def _settle(self):
+        for digest, claim in list(self._returning.items()):
+            found = self._page.claims.get(digest)
+            if (
+                found is not None
+                and found.id == claim.id
+                and not self._is_full(self._page)
+            ):
+                continue
+            del self._returning[digest]
+            self._outcomes.append(self._return_outcome(digest, claim))
         for digest, claim in list(self._waiting.items()):
             found = self.find(digest)
             if found is None:
@@ -304,6 +353,16 @@
             own = found.id == claim.id
             self._outcomes.append(Granted(digest) if own else Taken(digest, found))
 
+    def _return_outcome(self, digest, claim):
+        found = self.find(digest)
+        stays = found is not None and found.id == claim.id
+        removed = digest in self._removed
+        self._removed.discard(digest)
+        if removed and not stays:
+            return Returned(digest)
+        # A removal that is still under way expects an older version of the page.
+        return NotReturned(digest)
+
     def _end_action(self):
         action, self._action = self._action, None
         return action
--- a/pistachiowell/claims/tests/test_claims.py
+++ b/pistachiowell/claims/tests/test_claims.py
@@ -31,6 +31,7 @@
 class Attempt:
     def __init__(self, agent, key, body, step):
         self.agent, self.key, self.body, self.step = agent, key, body, step
+        self.refused = False
 
 
 class Call:
@@ -47,7 +48,10 @@
 
     def __init__(self, name, page_size, bucket_class, seed):
         limits = SimpleNamespace(
-            claim_page_size=page_size, claim_retention_s=1e9, kept_answer_bytes=60
+            claim_page_size=page_size,
+            claim_retention_s=1e9,
+            claim_write_interval_s=1.0,
+            kept_answer_bytes=60,
         )
         self.book = ClaimBook(name, BUCKETS, limits, Random(seed), bucket_class)
         self.waiting = {}
@@ -96,7 +100,6 @@
         self.calls = []
         self.runs = dict.fromkeys(KEYS, 0)
         self.answers = {}
-        self.told_not_run = dict.fromkeys(KEYS, -1)
         self.tainted = set()
 
     def start(self, name):
@@ -134,7 +137,7 @@
             (self.call_store, agent, bucket)
             for agent in self.agents.values()
             for bucket in range(BUCKETS)
-            if agent.book.bucket(bucket).waiting
+            if agent.book.bucket(bucket).busy
         ]
         for call in self.calls:
             step = self.reach_store if call.answer is None else self.answer_call
@@ -214,7 +217,7 @@
         self.count_run(attempt)
 
     def count_run(self, attempt):
-        assert attempt.step > self.told_not_run[attempt.key], "ran after 'not run'"
+        assert not attempt.refused, "ran after 'not run'"
         self.runs[attempt.key] += 1
         assert self.runs[attempt.key] <= 1, "ran twice"
 
@@ -232,7 +235,7 @@
         agent.granted.remove(attempt)
         agent.book.release(attempt.key)
         assert self.runs[attempt.key] == 0, "'not run' said of a run"
-        self.told_not_run[attempt.key] = self.step
+        attempt.refused = True
 
     def give_up(self, agent, key):
         del agent.waiting[key]
@@ -267,6 +270,8 @@
                 agent.book.release(attempt.key)
             agent.granted.clear()
             agent.waiting.clear()
+            for index in range(BUCKETS):
+                self.pump(agent, index)
         for key in KEYS:
             untouched = self.runs[key] == 0 and key not in self.tainted
             if untouched and self.checks_loss:
@@ -320,3 +325,29 @@
 def test_the_same_machine_rejects_naive_variants(name, message):
     with pytest.raises(AssertionError, match=message):
         run_machine(name, 2000, checks_loss=message != "ran twice")
+
+
+def test_claim_given_back_is_not_used_while_its_removal_may_come():
+    machine = ClaimMachine()
+    first, second = machine.agents["b"], machine.agents["a"]
+    machine.submit("b", "k1", "x")
+    machine.pump(first, 0)
+    machine.refuse(first, first.granted[0])
+    machine.step += 1
+    machine.call_store(first, 0)
+    removal = machine.calls[0]
+    machine.lose_answer(removal)
+    machine.submit("b", "k1", "x")
+    assert not first.waiting
+    machine.step += 1
+    action = first.book.bucket(0).next_action(machine.step * STEP_S, 1.0)
+    machine.report(Call(first, 0, action), apply_to(machine.table, action))
+    machine.submit("b", "k1", "x")
+    machine.reach_store(removal)
+    machine.submit("a", "k1", "x")
+    machine.pump(second, 0)
+    machine.pump(first, 0)
+    for agent in (first, second):
+        for attempt in list(agent.granted):
+            machine.run(agent, attempt)
+    assert machine.runs["k1"] == 1
