--- a/pistachiowell/moves/mover.py
+++ b/pistachiowell/moves/mover.py
@@ -120,16 +120,14 @@
             return 0.0
         return min(STAGES[self._stage], 1.0 - CONTROL_SHARE)
 
-    def take(self, answer, began, count, now):
+    def take(self, answer, began, count):
         """Takes answers that a router has reported.
 
         Args:
             answer: An ``Answer``.
             began: Time at which the requests began, in seconds.
             count: Number of answers.
-            now: Present time.
         """
-        del now
         if answer.is_new:
             self._judged += count
         if self._suspect is not None and began >= self._suspect.started:
--- a/pistachiowell/moves/tests/test_moving.py
+++ b/pistachiowell/moves/tests/test_moving.py
@@ -228,7 +228,7 @@
             now = holder.now()
             counts, tripped = tracker.take_report()
             for (answer, began), count in counts.items():
-                mover.take(answer, began + holder.offset, count, now)
+                mover.take(answer, began + holder.offset, count)
             if tripped:
                 mover.trip(now)
             tracker.take_permit(
@@ -281,7 +281,7 @@
         )
         failed = is_new and new_fails
         bad += failed
-        mover.take(Answer(is_new, "s", "dc", failed, 8), now, 1, now)
+        mover.take(Answer(is_new, "s", "dc", failed, 8), now, 1)
         if failed and judge == "sequential":
             mover.trip(now)
         action = mover.tick(now)
