--- a/pistachiowell/moves/evidence.py
+++ b/pistachiowell/moves/evidence.py
@@ -68,6 +68,20 @@
         else:
             self.buckets[side][answer.bucket] += count
 
+    def merge(self, other):
+        """Adds other sums."""
+        for side in (0, 1):
+            self.answers[side] += other.answers[side]
+            self.failures[side] += other.failures[side]
+            for bucket, count in other.buckets[side].items():
+                self.buckets[side][bucket] += count
+
+    def copy(self):
+        """Returns a copy."""
+        copy = Sums()
+        copy.merge(self)
+        return copy
+
 
 class Evidence:
     """Answers of one route, new version against old, since a stage began.
@@ -83,11 +97,12 @@
         [0, 1]
     """
 
-    __slots__ = ("_seconds", "_started")
+    __slots__ = ("_seconds", "_started", "_sums")
 
     def __init__(self, started):
         self._started = started
         self._seconds = {}
+        self._sums = {}
 
     @property
     def started(self):
@@ -106,11 +121,31 @@
             return
         second = self._seconds.setdefault(int(began), defaultdict(int))
         second[answer] += count
+        self._sums.setdefault(int(began), Sums()).add(answer, count)
 
     def trim(self, now):
         """Forgets answers that began more than ``KEPT_S`` ago."""
         for second in [s for s in self._seconds if s < now - KEPT_S]:
-            del self._seconds[second]
+            del self._seconds[second], self._sums[second]
+
+    def span_sums(self, starts):
+        """Sums the answers of several spans in one pass.
+
+        Args:
+            starts: Begin times of the spans, the latest first.
+
+        Returns:
+            A list of ``Sums``.
+        """
+        results, total = [], Sums()
+        seconds = sorted(self._sums, reverse=True)
+        position = 0
+        for start in starts:
+            while position < len(seconds) and seconds[position] + 1 > start:
+                total.merge(self._sums[seconds[position]])
+                position += 1
+            results.append(total.copy())
+        return results
 
     def sums(self, since, without=lambda answer: False):
         """Sums the answers of requests that began at or after a time.
--- a/pistachiowell/moves/judges.py
+++ b/pistachiowell/moves/judges.py
@@ -167,14 +167,18 @@
 @judge("sequential")
 def judge_sequentially(evidence, now, spread):
     """Scores several spans; faults of one place alone do not count."""
-    spans = [_judge_span(evidence, now - span_s, spread) for span_s in SPANS_S]
+    starts = [now - span_s for span_s in SPANS_S]
+    spans = [
+        _judge_span(evidence, start, sums, spread)
+        for start, sums in zip(starts, evidence.span_sums(starts), strict=True)
+    ]
     worst = max(spans, key=lambda verdict: verdict.score)
     raw_score = max(verdict.raw_score for verdict in spans)
     return dataclasses.replace(worst, raw_score=raw_score)
 
 
-def _judge_span(evidence, since, spread):
-    verdict = _score(evidence.sums(since))
+def _judge_span(evidence, since, sums, spread):
+    verdict = _score(sums)
     if not verdict.is_suspect:
         return verdict
     if not _covers(evidence, spread):
