--- a/pistachiowell/bench/rig.py
+++ b/pistachiowell/bench/rig.py
@@ -116,8 +116,10 @@
         return all(self._router_ready(name, agents) for name in running)
 
     def _router_ready(self, name, agents):
-        reply = call(self.url(name) + "/readyz", timeout_s=1.0)
-        return reply.status == 200 and agents <= self.linked_peers(name)
+        if call(self.url(name) + "/readyz", timeout_s=1.0).status != 200:
+            return False
+        usable = self.status(name)["values"].get("agents.usable", 0)
+        return usable == len(agents) and agents <= self.linked_peers(name)
 
     def linked_peers(self, router):
         """Returns the names of the peers that a router has a link to."""
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -66,7 +66,15 @@
         handlers: Handlers of messages that come over the links.
     """
 
-    __slots__ = ("_agents", "_books", "_by_link", "_handlers", "_routers", "_runtime")
+    __slots__ = (
+        "_agents",
+        "_announced",
+        "_books",
+        "_by_link",
+        "_handlers",
+        "_routers",
+        "_runtime",
+    )
 
     def __init__(self, runtime, handlers):
         self._runtime = runtime
@@ -74,10 +82,13 @@
         self._agents = {}
         self._routers = {}
         self._by_link = {}
+        self._announced = set()
         self._books = {
             AgentRecord: PeerBook(AGENT_MEMBERSHIP),
             RouterRecord: PeerBook(ROUTER_MEMBERSHIP),
         }
+        runtime.metrics.watch("agents.usable", lambda: _usable(self._agents))
+        runtime.metrics.watch("routers.usable", lambda: _usable(self._routers))
 
     @property
     def agents(self):
@@ -120,6 +131,9 @@
             return peer
         book = self._books[type(peer.record)]
         name, incarnation = peer.record.id, link.hello.incarnation
+        if link not in self._announced:
+            self._announced.add(link)
+            self._runtime.events.add(EventKind.peer_connected, text=name)
         book.connected(name, incarnation, self._runtime.now())
         if leaving:
             book.says_leaving(name, incarnation)
@@ -169,11 +183,11 @@
         ) as link:
             peer.link = link
             self._by_link[link] = peer
-            runtime.events.add(EventKind.peer_connected, text=peer.record.id)
             try:
                 await link.wait_closed()
             finally:
                 del self._by_link[link]
+                self._announced.discard(link)
                 if link.hello is not None:
                     book = self._books[type(peer.record)]
                     book.disconnected(peer.record.id, link.hello.incarnation)
@@ -222,3 +236,7 @@
                 for name, peer in peers.items()
             }
             self._books[record_class].take_vm_list(leaving, hosts)
+
+
+def _usable(peers):
+    return sum(peer.usable for peer in peers.values())
