--- a/pistachiowell/bench/callers.py
+++ b/pistachiowell/bench/callers.py
@@ -9,6 +9,7 @@
 from pistachiowell.standins.openai_api import answer_words
 
 CHAT_PATH = "/v1/chat/completions"
+UNNAMED = "unnamed"
 _DATA = "data: "
 
 
@@ -108,6 +109,8 @@
         text = b"".join(self._body).decode()
         if self.status != 200:
             code = _error_code(text)
+            if code == UNNAMED:
+                code = f"status_{self.status}"
             return Outcome(self.status, code, 0.0, total_s, 0, False)
         events = [part[len(_DATA) :] for part in text.split("\n\n") if part]
         documents = [msgspec.json.decode(e) for e in events if e.startswith("{")]
@@ -120,14 +123,14 @@
 
 def _error_code(text):
     try:
-        return msgspec.json.decode(text)["error"]["code"] or "none"
+        return msgspec.json.decode(text)["error"]["code"] or UNNAMED
     except (msgspec.MsgspecError, KeyError, TypeError):
-        return "none"
+        return UNNAMED
 
 
 def _stream_error(documents):
     errors = [document["error"] for document in documents if "error" in document]
-    return errors[0].get("code", "none") if errors else ""
+    return errors[0].get("code") or UNNAMED if errors else ""
 
 
 def _read_events(documents):
