--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -10,7 +10,7 @@
 from pistachiowell.agent.runner import Runner
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
-from pistachiowell.core.program import run_program, wait_for_signal
+from pistachiowell.core.program import run_program, send_gauges, wait_for_signal
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.engines import HttpBackend
 from pistachiowell.platform.http import HttpStore
@@ -73,6 +73,8 @@
             claiming = Claiming(self._runtime)
             await group.start(claiming.run)
             self._gate = Gate(self._runtime, row.slots)
+            self._runtime.metrics.watch("gate.running", lambda: self._gate.running)
+            self._runtime.metrics.watch("gate.waiting", lambda: self._gate.waiting)
             crashes = CrashWatch(
                 self._runtime, self._handlers, lambda: self._links, backend, self._gate
             )
@@ -92,6 +94,7 @@
             group.start_soon(self._gate.run)
             await group.start(self._serve_routers)
             group.start_soon(self._push_load)
+            group.start_soon(send_gauges, self._runtime)
             record = self._record()
             await note_lost_agent(self._runtime.store, record)
             await register_process(self._runtime.store, "agents", record)
--- a/pistachiowell/bench/slopes_state.py
+++ b/pistachiowell/bench/slopes_state.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from pistachiowell.bench.slopes import Slope, cpu_us, measurement, memory_bytes
+from pistachiowell.budgets.ledger import AccountLedger
 from pistachiowell.core.clock import HybridClock
 from pistachiowell.core.events import EventKind, EventRing
 from pistachiowell.schema.generated.objects_budgets import (
@@ -23,6 +24,11 @@
 EVENTS = 20_000
 ENTRIES = 1000
 PAGE_ACCOUNTS = 200
+LEDGERS = 1000
+SPENDS = 2000
+TOKENS = 1000
+GRANT_TOKENS = 1_000_000_000
+HOLDER = "router-0123456789abcdef0123456789abcdef"
 
 _HASH = "0123456789abcdef" * 4
 
@@ -111,6 +117,36 @@
     msgspec.json.encode(msgspec.json.decode(value, type=BudgetPage))
 
 
+@measurement("budgets")
+def measure_budgets():
+    """Holds idle budgets at a home router, and reserves and settles in one."""
+    ledger = _ledger(0)
+
+    def spend(count):
+        for number in range(count):
+            name = f"request-{number:032x}/1"
+            ledger.reserve(name, HOLDER, TOKENS, 0.0)
+            ledger.settle(name, HOLDER, TOKENS // 4, 0.0)
+
+    def hold(count):
+        return [_ledger(number) for number in range(count)]
+
+    return [
+        Slope(
+            "budget held by a home router",
+            LEDGERS,
+            memory_bytes=memory_bytes(hold, LEDGERS),
+        ),
+        Slope("reserve and settle decided", SPENDS, cpu_us(spend, SPENDS)),
+    ]
+
+
+def _ledger(number):
+    ledger = AccountLedger()
+    ledger.observe(f"grant-{number:032x}", GRANT_TOKENS, 0.0)
+    return ledger
+
+
 @measurement("events")
 def measure_events():
     """Adds events to a full ring."""
--- a/pistachiowell/router/api.py
+++ b/pistachiowell/router/api.py
@@ -53,6 +53,9 @@
         self._rows = rows
         self._service = service
         self._in_flight = {}
+        runtime.metrics.watch(
+            "requests.in_progress", lambda: sum(self._in_flight.values())
+        )
 
     async def __call__(self, scope, receive, send):
         """Handles one HTTP request."""
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -10,7 +10,7 @@
 from pistachiowell.core.errors import HeadersTooLarge
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
-from pistachiowell.core.program import run_program, wait_for_signal
+from pistachiowell.core.program import run_program, send_gauges, wait_for_signal
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.platform.http import HttpStore
 from pistachiowell.platform.registration import register_process, unregister_process
@@ -126,6 +126,7 @@
             group.start_soon(self._rows.run)
             if self._runtime.tls is not None:
                 group.start_soon(self._runtime.tls.keep_fresh)
+            group.start_soon(send_gauges, self._runtime)
             group.start_soon(self._fleet.run)
             group.start_soon(self._suspects.run)
             group.start_soon(self._journal.run)
