--- a/pistachiowell/bench/rig.py
+++ b/pistachiowell/bench/rig.py
@@ -6,6 +6,7 @@
 import itertools
 import tempfile
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from pistachiowell.bench.client import call
@@ -16,6 +17,7 @@
 
 WAIT_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.05
+TOP_UPS_AT_ONCE = 5
 
 
 class RigTimeoutError(RigError):
@@ -93,8 +95,8 @@
             if process.name != STORE:
                 process.start()
         self.apply([*(self.plan.rows or default_rows(self.plan)), *self.server_rows()])
-        for account, tokens in self.plan.accounts:
-            self.credit(account, tokens)
+        with ThreadPoolExecutor(TOP_UPS_AT_ONCE) as pool:
+            list(pool.map(lambda budget: self.credit(*budget), self.plan.accounts))
         self.wait_ready()
 
     def stop(self):
@@ -116,8 +118,10 @@
         return all(self._router_ready(name, agents) for name in running)
 
     def _router_ready(self, name, agents):
-        reply = call(self.url(name) + "/readyz", timeout_s=1.0)
-        return reply.status == 200 and agents <= self.linked_peers(name)
+        if call(self.url(name) + "/readyz", timeout_s=1.0).status != 200:
+            return False
+        usable = self.status(name)["values"].get("agents.usable", 0)
+        return usable == len(agents) and agents <= self.linked_peers(name)
 
     def linked_peers(self, router):
         """Returns the names of the peers that a router has a link to."""
--- a/pistachiowell/bench/rig_use.py
+++ b/pistachiowell/bench/rig_use.py
@@ -67,37 +67,10 @@
         return document
 
     def credit(self, account, tokens):
-        """Adds tokens to the budget of a client account."""
-        from pistachiowell.router.spending import page_name
-
-        pages = dict(self.plan.router_settings).get("budget_pages", 16)
-
-        def add(page):
-            page = page or {"accounts": {}}
-            budget = page["accounts"].setdefault(account, {"credited": 0})
-            budget["credited"] += tokens
-            return page
-
-        self._put_object("budgetpages", page_name(account, pages), add)
-
-    def _put_object(self, collection, name, change):
-        url = f"{self.store_url}{BASE_PATH}/{collection}"
-        while True:
-            old = call(f"{url}/{name}")
-            spec = old.document["spec"] if old.status == 200 else None
-            metadata = {"name": name}
-            if old.status == 200:
-                metadata = old.document["metadata"]
-            document = {
-                "apiVersion": "pistachiowell.io/v1",
-                "kind": collection,
-                "metadata": metadata,
-                "spec": change(spec),
-            }
-            method = "POST" if spec is None else "PUT"
-            target = url if spec is None else f"{url}/{name}"
-            if call(target, document, method=method).status in (200, 201):
-                return
+        """Adds tokens to the budget of a client account with ``ctl topup``."""
+        code, document = self.ctl("topup", account, tokens)
+        if code:
+            raise RigError(f"ctl topup ended with {code}: {document}")
 
     def objects(self, collection):
         """Returns the values of a collection of the store by name.
--- a/pistachiowell/core/metrics.py
+++ b/pistachiowell/core/metrics.py
@@ -14,7 +14,7 @@
         settings: Settings with ``id``, ``statsd_host`` and ``statsd_port``.
     """
 
-    __slots__ = ("_client", "_values")
+    __slots__ = ("_client", "_read", "_values")
 
     def __init__(self, settings):
         self._client = statsd.StatsClient(
@@ -23,11 +23,26 @@
             prefix=f"{PREFIX}.{settings.id}",
         )
         self._values = {}
+        self._read = {}
 
     @property
     def values(self):
         """Latest value by metric name; counters count from the start."""
-        return dict(self._values)
+        return {**self._values, **{name: read() for name, read in self._read.items()}}
+
+    def watch(self, name, read):
+        """Registers a gauge that is read whenever the values are asked for.
+
+        Args:
+            name: Name of the gauge.
+            read: Function that returns the present value.
+        """
+        self._read[name] = read
+
+    def send_watched(self):
+        """Sends the gauges that ``watch`` registered."""
+        for name, read in self._read.items():
+            self._client.gauge(name, read())
 
     def count(self, name, amount=1):
         """Adds to a counter."""
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -87,6 +87,8 @@
             AgentRecord: PeerBook(AGENT_MEMBERSHIP),
             RouterRecord: PeerBook(ROUTER_MEMBERSHIP),
         }
+        runtime.metrics.watch("agents.usable", lambda: _usable(self._agents))
+        runtime.metrics.watch("routers.usable", lambda: _usable(self._routers))
         handlers.on(Hello)(self._take_hello)
 
     @property
@@ -240,3 +242,7 @@
                 for name, peer in peers.items()
             }
             self._books[record_class].take_vm_list(leaving, hosts)
+
+
+def _usable(peers):
+    return sum(peer.usable for peer in peers.values())
