--- a/pistachiowell/router/selection.py
+++ b/pistachiowell/router/selection.py
@@ -95,13 +95,17 @@
         """
         now = self._runtime.now()
         self._loads.ended(server)
-        if error is None:
-            if latency_s is not None:
-                self._health.succeeded(server, latency_s, now)
+        if error is None and latency_s is not None:
+            self._health.succeeded(server, latency_s, now)
+        elif error is None:
+            self._health.abandoned(server)
         elif str(error.code) == "overloaded":
             self._loads.refused(server, now)
+            self._health.abandoned(server)
         elif str(error.code) in HEALTH_FAILURES:
             self._health.failed(server, now)
+        else:
+            self._health.abandoned(server)
 
     def _peers(self, version):
         servers = {row.name for row in self._rows.table.servers_of(version)}
--- a/pistachiowell/routing/health.py
+++ b/pistachiowell/routing/health.py
@@ -66,6 +66,12 @@
         gain = max(LATENCY_GAIN, 1.0 / health.samples)
         health.latency_s += gain * (latency_s - health.latency_s)
 
+    def abandoned(self, server):
+        """Takes an attempt that ended without showing anything of the server."""
+        health = self._servers.get(server)
+        if health is not None:
+            health.probing = False
+
     def failed(self, server, now):
         """Takes an attempt that the server failed."""
         health = self._servers.setdefault(server, _Health())
@@ -122,11 +128,11 @@
 
     def _eject(self, health, now):
         settings = self._settings
+        health.probing = False
         if now < health.ejected_until:
             return
         span_s = min(settings.eject_max_s, settings.eject_s * 2**health.ejections)
         health.ejected_until = now + span_s
         health.ejections = min(health.ejections + 1, 16)
-        health.probing = False
         health.failures = 0
         health.samples = 0
--- a/pistachiowell/routing/tests/test_health.py
+++ b/pistachiowell/routing/tests/test_health.py
@@ -40,6 +40,15 @@
     assert "s1" in book.usable(SERVERS, 6.0)
 
 
+def test_probe_without_a_result_leaves_the_server_to_the_next_one(book):
+    for _ in range(3):
+        book.failed("s1", 0.0)
+    book.started("s1", 2.0)
+    assert "s1" not in book.usable(SERVERS, 2.1)
+    book.abandoned("s1")
+    assert "s1" in book.usable(SERVERS, 2.2)
+
+
 def test_server_that_refuses_counts_as_full_whatever_it_reports():
     loads = LoadBook(RoutingSettings())
     loads.report("s1", 0, 0, 8, 0.0)
