--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -88,6 +88,7 @@
             await note_lost_agent(self._runtime.store, record)
             await register_process(self._runtime.store, "agents", record)
             self._receipts.registered = True
+            group.start_soon(self._receipts.check_routers, lambda: self._links)
             _log.info("Agent {} serves backend server {}.", record.id, record.server)
             await wait_for_signal()
             await self._leave(record)
--- a/pistachiowell/agent/receipts.py
+++ b/pistachiowell/agent/receipts.py
@@ -1,5 +1,6 @@
 """Checks who pays for an attempt and keeps its receipt."""
 
+import contextlib
 from contextlib import asynccontextmanager
 
 import anyio
@@ -28,6 +29,7 @@
 from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
 
 RETRY_DELAY_S = 0.2
+CHECK_INTERVAL_S = 0.5
 LEAVE_TRIES = 50
 
 _log = part_logger("receipts")
@@ -59,6 +61,22 @@
         handlers.on(ReceiptsJournaled)(self._take_journaled)
         handlers.on(GrantsClosed)(self._take_closed)
 
+    async def check_routers(self, links):
+        """Reads the registrations of linked routers ahead of their requests.
+
+        Requests then need no answer of the store.
+
+        Args:
+            links: Function that returns the links.
+        """
+        while True:
+            hellos = [link.hello for link in links() if link.hello is not None]
+            names = {hello.incarnation for hello in hellos if hello.role == "router"}
+            if self.registered and not self._book.knows(names):
+                with contextlib.suppress(RouterUnknown):
+                    await self._check(names)
+            await anyio.sleep(CHECK_INTERVAL_S)
+
     @asynccontextmanager
     async def paid(self, run, progress):
         """Holds the receipt of an attempt open inside the context.
--- a/pistachiowell/budgets/receipts.py
+++ b/pistachiowell/budgets/receipts.py
@@ -119,6 +119,10 @@
         """Returns the incarnations whose registration is still to be read."""
         return {spend.router, spend.holder} - self._registered - self._sealed
 
+    def knows(self, incarnations):
+        """Tells whether all the incarnations are either accepted or sealed."""
+        return set(incarnations) <= self._registered | self._sealed
+
     def checked(self, incarnation, registered):
         """Takes the result of reading a registration."""
         if registered and incarnation not in self._sealed:
--- a/pistachiowell/ctl/commands/account.py
+++ b/pistachiowell/ctl/commands/account.py
@@ -13,17 +13,20 @@
     page_number,
 )
 from pistachiowell.core.errors import NotFound
-from pistachiowell.ctl.command import Result, command
+from pistachiowell.ctl.command import FLAGS, Result, command
 from pistachiowell.ctl.table_files import require_args
 from pistachiowell.router.pages import read_page, update_page
 
 USAGE = "account ACCOUNT [--bill] [--release GRANT]"
 
-flags.DEFINE_bool("bill", False, "account: print each billed request.")
+flags.DEFINE_bool(
+    "bill", False, "account: print each billed request.", flag_values=FLAGS
+)
 flags.DEFINE_string(
     "release",
     "",
     "account: close a held grant, charged in full, after its VMs are surely gone.",
+    flag_values=FLAGS,
 )
 
 
--- a/pistachiowell/ctl/commands/topup.py
+++ b/pistachiowell/ctl/commands/topup.py
@@ -6,7 +6,7 @@
 from pistachiowell.budgets.page import TopUp, free_tokens, page_number
 from pistachiowell.core.errors import BudgetUnreachable, InvalidRequest
 from pistachiowell.core.ids import new_id
-from pistachiowell.ctl.command import Result, command
+from pistachiowell.ctl.command import FLAGS, Result, command
 from pistachiowell.ctl.table_files import require_args
 from pistachiowell.router.pages import update_page
 
@@ -14,7 +14,12 @@
 TRIES = 10
 RETRY_DELAY_S = 0.3
 
-flags.DEFINE_string("id", "", "topup: id of the payment; the same id is credited once.")
+flags.DEFINE_string(
+    "id",
+    "",
+    "topup: id of the payment; the same id is credited once.",
+    flag_values=FLAGS,
+)
 
 
 @command("topup", usage=USAGE, example="topup osu-parts 100000 --id invoice-17")
--- a/pistachiowell/router/recovery.py
+++ b/pistachiowell/router/recovery.py
@@ -25,6 +25,7 @@
 from pistachiowell.platform.store import ABSENT
 from pistachiowell.router.pages import read_page, update_page
 from pistachiowell.schema.generated.messages_budgets import SealIncarnation, SealReport
+from pistachiowell.schema.generated.messages_control import StatusQuery
 from pistachiowell.schema.generated.objects_budgets import DepartedAgent
 from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
 
@@ -32,6 +33,7 @@
 SUSPECT_AFTER_S = 5.0
 SUSPECT_REMOTE_AFTER_S = 15.0
 OWN_CHECK_INTERVAL_S = 5.0
+WATCHED_ROUTERS = 2
 PAUSE_S = 3.0
 SWEEP_INTERVAL_S = 15.0
 CALL_TIMEOUT_S = 2.0
@@ -42,8 +44,9 @@
 class Recovery:
     """Seals incarnations that are gone and closes their grants at the sums.
 
-    A router of the same data centre without a link for ``SUSPECT_AFTER_S`` loses
-    its registration. Holders without a registration are found by reading the pages.
+    Each router calls its next neighbours in the data centre. One that does not
+    answer for ``SUSPECT_AFTER_S`` loses its registration. Holders without a
+    registration are found by reading the pages.
 
     Args:
         runtime: The process's ``Runtime``.
@@ -58,6 +61,7 @@
         "_lost_at",
         "_make_record",
         "_runtime",
+        "_silent",
         "_spending",
         "_swept_at",
         "_ticked_at",
@@ -68,6 +72,7 @@
         self._fleet = fleet
         self._spending = spending
         self._lost_at = {}
+        self._silent = set()
         self._make_record = make_record
         self._swept_at = runtime.now()
         self._checked_at = runtime.now()
@@ -81,6 +86,7 @@
                 if await self._is_sealed():
                     await self._renew()
                     continue
+                await self._call_neighbours()
                 for record in self._suspects():
                     await self._unregister(record)
                 await self._recover_unregistered()
@@ -111,6 +117,31 @@
             if peer.link is not None:
                 peer.link.close()
 
+    async def _call_neighbours(self):
+        settings = self._runtime.settings
+        peers = {
+            name: peer
+            for name, peer in self._fleet.routers.items()
+            if peer.record.data_centre == settings.data_centre and _has_link(peer)
+        }
+        ring = sorted(peers, key=lambda name: (name < settings.id, name))
+        answers = {}
+
+        async def ask(peer):
+            try:
+                await peer.link.call(StatusQuery(), CALL_TIMEOUT_S)
+                answers[peer.record.incarnation] = True
+            except (LinkLost, LinkTimeout):
+                answers[peer.record.incarnation] = False
+
+        async with anyio.create_task_group() as group:
+            for name in ring[:WATCHED_ROUTERS]:
+                group.start_soon(ask, peers[name])
+        self._silent = {name for name, answered in answers.items() if not answered}
+
+    def _lost(self, peer):
+        return not _has_link(peer) or peer.record.incarnation in self._silent
+
     def _suspects(self):
         """Returns the records of lost routers that this router is to seal."""
         now = self._runtime.now()
@@ -120,8 +151,8 @@
             for peer in self._fleet.routers.values()
             if peer.record.id != settings.id
         ]
-        live = [peer.record for peer in peers if _has_link(peer)]
-        lost = [peer.record for peer in peers if not _has_link(peer)]
+        live = [peer.record for peer in peers if not self._lost(peer)]
+        lost = [peer.record for peer in peers if self._lost(peer)]
         since = {r.incarnation: self._lost_at.get(r.incarnation, now) for r in lost}
         self._lost_at = since
         return [
@@ -133,14 +164,14 @@
     def _may_seal(self, record, live, lost_for_s):
         """Tells whether this router is the one to seal a lost one.
 
-        A router of another data centre is sealed only if no router is left there
+        Several routers may seal the same one; all their writes agree. A router of
+        another data centre is sealed only if no router is left there
         and its agents can be reached, which a partition would prevent.
         """
         settings = self._runtime.settings
         neighbours = [r.id for r in live if r.data_centre == record.data_centre]
         if record.data_centre == settings.data_centre:
-            sealer = home_router(record.incarnation, [settings.id, *neighbours])
-            return lost_for_s >= SUSPECT_AFTER_S and sealer == settings.id
+            return lost_for_s >= SUSPECT_AFTER_S
         if neighbours or lost_for_s < SUSPECT_REMOTE_AFTER_S:
             return False
         sealer = home_router(record.incarnation, [settings.id, *(r.id for r in live)])
--- /dev/null
+++ b/pistachiowell/router/tests/test_budget_faults.py
@@ -0,0 +1,136 @@
+"""Budgets on the real programs: kills, freezes, store outages, lost answers."""
+
+import threading
+
+import pytest
+
+from pistachiowell.bench.plan import ServerSpec
+
+ACCOUNT = "belt-north"
+FAST = ("--word_s=0.0005",)
+SERVERS = (
+    ServerSpec("engine-1", "osu", "chat-1", flags=FAST),
+    ServerSpec("engine-2", "tema", "chat-1", flags=FAST),
+)
+ROUTERS = (("router-1", "osu"), ("router-2", "osu"))
+
+
+@pytest.fixture
+def rig(make_rig):
+    return make_rig(
+        routers=ROUTERS,
+        servers=SERVERS,
+        accounts=((ACCOUNT, 6000),),
+        router_settings=(("budget_pages", 2),),
+    )
+
+
+def account(rig):
+    code, document = rig.ctl("account", ACCOUNT, "--bill")
+    assert code == 0
+    assert (
+        document["charged"] + document["granted"] + document["free"]
+        == (document["credited"])
+    )
+    return document
+
+
+def incarnations(rig):
+    return {name: r["incarnation"] for name, r in rig.objects("routers").items()}
+
+
+def holders(rig):
+    return {grant["holder"] for grant in account(rig)["grants"]}
+
+
+def chat(rig, words=4, **fields):
+    return rig.chat(f"hello words={words}", max_tokens=words + 10, **fields)
+
+
+def spend_all(rig, router):
+    """Sends requests until one is refused and returns its error code."""
+    while True:
+        reply = chat(rig, words=100, router=router)
+        if reply.status != 200:
+            return reply.error_code
+
+
+def grants_settle(rig, gone):
+    """Waits until a lost incarnation holds nothing and all that is used is billed."""
+
+    def settled():
+        document = account(rig)
+        return gone not in {grant["holder"] for grant in document["grants"]}
+
+    rig.wait_until(settled, "The lost router's grants are closed.", timeout_s=40)
+
+
+def test_killed_router_and_retry_are_one_bill(rig):
+    for router in rig.routers:
+        assert chat(rig, router=router).status == 200
+    gone = incarnations(rig)["router-1"]
+    headers = {"idempotency-key": "repair-1"}
+    fields = {"words": 3000, "headers": headers, "stream": True}
+    first = threading.Thread(
+        target=chat, args=(rig,), kwargs={**fields, "router": "router-1"}
+    )
+    first.start()
+    rig.wait_until(
+        lambda: any(
+            e["kind"] == "request_sent" and e["request"] for e in rig.events("router-1")
+        )
+    )
+    rig.kill("router-1")
+    first.join()
+    retry = chat(rig, words=20, headers=headers, router="router-2")
+    assert retry.status == 200
+    grants_settle(rig, gone)
+    assert spend_all(rig, "router-2") == "budget_exhausted"
+
+    def all_billed():
+        document = account(rig)
+        used = document["credited"] - document["free"]
+        return sum(document["bill"].values()) <= used <= document["credited"]
+
+    rig.wait_until(all_billed)
+    document = account(rig)
+    assert sum(document["bill"].values()) <= 6000
+    assert document["credited"] == 6000
+
+
+def test_frozen_router_wakes_up_without_its_grants(rig):
+    assert chat(rig, router="router-1").status == 200
+    assert chat(rig, router="router-2").status == 200
+    old = incarnations(rig)["router-1"]
+    rig.freeze("router-1")
+    rig.wait_until(lambda: "router-1" not in incarnations(rig), timeout_s=40)
+    grants_settle(rig, old)
+    rig.thaw("router-1")
+    rig.wait_until(lambda: incarnations(rig).get("router-1", old) != old)
+    rig.wait_until(lambda: chat(rig, router="router-1").status == 200)
+    assert spend_all(rig, "router-1") == "budget_exhausted"
+    assert old not in holders(rig)
+    assert sum(account(rig)["bill"].values()) <= 6000
+
+
+def test_store_outage_is_told_from_an_empty_budget(rig):
+    for _ in range(8):
+        assert chat(rig, router="router-1").status == 200
+    rig.store_faults(down=True)
+    assert spend_all(rig, "router-1") == "budget_unreachable"
+    rig.store_faults(down=False)
+    rig.wait_until(lambda: chat(rig, router="router-1").status == 200)
+    assert spend_all(rig, "router-1") == "budget_exhausted"
+    assert sum(account(rig)["bill"].values()) <= 6000
+
+
+def test_top_up_with_lost_answers_credits_once(rig):
+    for number in range(3):
+        rig.store_faults(lose_answers=1)
+        code, document = rig.ctl("topup", ACCOUNT, 500, "--id", f"invoice-{number}")
+        assert code == 0
+        assert rig.ctl("topup", ACCOUNT, 500, "--id", f"invoice-{number}")[0] == 0
+    rig.store_faults(lose_answers=0)
+    assert account(rig)["credited"] == 7500
+    assert spend_all(rig, "router-1") == "budget_exhausted"
+    assert 7000 < sum(account(rig)["bill"].values()) <= 7500
