--- a/pistachiowell/agent/tests/test_claiming.py
+++ b/pistachiowell/agent/tests/test_claiming.py
@@ -91,6 +91,8 @@
 
 
 def test_store_outage_refuses_and_the_key_runs_later(rig):
+    # Without a grant the budget would refuse before the claim is asked for.
+    assert reserve(rig, "before the outage").status == 200
     rig.store_faults(down=True)
     reply = reserve(rig, "outage")
     assert reply.error_code == "claim_unavailable", reply
--- a/pistachiowell/router/dispatch.py
+++ b/pistachiowell/router/dispatch.py
@@ -109,6 +109,8 @@
                 return
             except PistachiowellError as error:
                 outcome.ran = error.ran
+                if not self._selection.has_other(version, tried):
+                    raise _final_error(error, retries) from error.__cause__
                 self._check_retry(error, answer, retries)
                 self._note_retry(request, error)
             finally:
@@ -120,9 +122,7 @@
             left_s = deadline - self._runtime.now()
             return await payment.begin(version, number, left_s)
         except PistachiowellError as error:
-            if retries.may_have_run:
-                error.ran = MAY_HAVE_RUN
-            raise
+            raise _final_error(error, retries) from error.__cause__
 
     def _pick_version(self, route):
         if not any(route.weights.values()):
@@ -135,9 +135,7 @@
         )
         if retries.may_retry(failure, self._runtime.now()):
             return
-        if retries.may_have_run and error.ran == NOT_RUN:
-            error.ran = MAY_HAVE_RUN
-        raise error
+        raise _final_error(error, retries)
 
     def _note_retry(self, request, error):
         self._runtime.metrics.count("attempts.retried")
@@ -213,6 +211,12 @@
             self._moves.note(request.route, server, progress.started_at, error)
 
 
+def _final_error(error, retries):
+    if retries.may_have_run and error.ran == NOT_RUN:
+        error.ran = MAY_HAVE_RUN
+    return error
+
+
 class AttemptOutcome:
     """What became of one attempt, for its payment.
 
