--- /dev/null
+++ b/pistachiowell/bench/tests/test_two_faults.py
@@ -0,0 +1,133 @@
+"""Two failures at once, on the real programs."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from pistachiowell.bench.plan import PLAIN, ServerSpec
+
+ACCOUNT = "belt-north"
+CREDIT = 6000
+FAST = ("--word_s=0.0005",)
+SLOW_FACTOR = 100.0
+SERVERS = (
+    ServerSpec("engine-1", "osu", "chat-1", flags=FAST),
+    ServerSpec("engine-2", "tema", "chat-1", flags=FAST),
+    ServerSpec("desk-1", "osu", "stock-1", PLAIN),
+    ServerSpec("desk-2", "tema", "stock-1", PLAIN),
+)
+ROUTERS = (("router-1", "osu"), ("router-2", "tema"))
+
+
+@pytest.fixture
+def rig(make_rig):
+    return make_rig(
+        routers=ROUTERS, servers=SERVERS, relays=True, accounts=((ACCOUNT, CREDIT),)
+    )
+
+
+@pytest.fixture
+def pool():
+    with ThreadPoolExecutor(4) as executor:
+        yield executor
+
+
+def account(rig):
+    code, document = rig.ctl("account", ACCOUNT, "--bill")
+    assert code == 0
+    parts = document["charged"] + document["granted"] + document["free"]
+    assert parts == document["credited"] == CREDIT
+    assert sum(document["bill"].values()) <= CREDIT
+    return document
+
+
+def chat(rig, router, words=4):
+    return rig.chat(f"hello words={words}", max_tokens=words + 10, router=router)
+
+
+def spend_all(rig, router):
+    """Sends requests until one is refused; returns tokens used and error code."""
+    used_tokens = 0
+    while True:
+        reply = chat(rig, router, words=100)
+        if reply.status != 200:
+            return used_tokens, reply.error_code
+        used_tokens += reply.document["usage"]["total_tokens"]
+
+
+def incarnations(rig):
+    return {name: r["incarnation"] for name, r in rig.objects("routers").items()}
+
+
+def wait_sealed(rig, incarnation):
+    def sealed():
+        return incarnation not in {g["holder"] for g in account(rig)["grants"]}
+
+    rig.wait_until(sealed, "The lost router's grants are closed.", timeout_s=60)
+
+
+def test_router_killed_while_the_store_is_down(rig):
+    assert chat(rig, "router-1").status == 200
+    assert chat(rig, "router-2").status == 200
+    gone = incarnations(rig)["router-1"]
+    rig.store_faults(down=True)
+    assert chat(rig, "router-1").status == 200
+    rig.kill("router-1")
+    assert chat(rig, "router-2").status == 200
+    rig.store_faults(down=False)
+    wait_sealed(rig, gone)
+    _, code = spend_all(rig, "router-2")
+    assert code == "budget_exhausted"
+    rig.wait_until(lambda: account(rig)["charged"] > CREDIT - 600, "All is billed.")
+
+
+def test_partition_while_a_router_is_paused(rig):
+    used = [chat(rig, name).document["usage"]["total_tokens"] for name in rig.routers]
+    rig.freeze("router-1")
+    rig.partition(["osu"], ["tema"])
+    cut_off, code = spend_all(rig, "router-2")
+    assert code in ("budget_exhausted", "budget_unreachable", "no_server")
+    rig.heal()
+    rig.thaw("router-1")
+    rig.wait_ready()
+    rest = [spend_all(rig, name)[0] for name in rig.routers]
+    assert sum(used) + cut_off + sum(rest) <= CREDIT
+    account(rig)
+
+
+def test_reservation_whose_router_dies_while_answers_are_lost(rig, pool):
+    for name in ("desk-1", "desk-2"):
+        rig.server_faults(name, slow_factor=SLOW_FACTOR)
+    rig.store_faults(lose_answers=3)
+
+    def reserve(router):
+        return rig.service("reserve/belts", {"belt": "b-1"}, "twice", router=router)
+
+    first = pool.submit(reserve, "router-1")
+    rig.wait_until(lambda: rig.runs("twice") == 1, "The reservation runs.")
+    rig.kill("router-1")
+    first.result()
+    repeat = rig.wait_until(
+        lambda: (
+            reply
+            if (reply := reserve("router-2")).error_code != "key_in_progress"
+            else None
+        ),
+        "The repeat has an end.",
+    )
+    assert repeat.status == 200 or repeat.document["error"]["ran"] == "unknown"
+    assert rig.runs("twice") == 1
+
+
+def test_operators_race_while_answers_are_lost(rig, pool):
+    def top_up(number):
+        return rig.ctl("topup", ACCOUNT, 100, "--id", f"invoice-{number % 2}")
+
+    rig.store_faults(lose_answers=3)
+    codes = [code for code, _ in pool.map(top_up, range(4))]
+    rig.store_faults(lose_answers=0)
+    for number in range(2):
+        assert top_up(number)[0] == 0
+    assert set(codes) <= {0, 5}
+    _, document = rig.ctl("account", ACCOUNT)
+    assert document["credited"] == CREDIT + 200
