Moves: do not add the failures of one stage to the latency of its probes

Now only failures that the probes show at other places count with them, and each score is the lowest over the places left out.

--- a/pistachiowell/moves/judges.py
+++ b/pistachiowell/moves/judges.py
@@ -184,8 +184,11 @@
     if not _covers(evidence, spread):
         return Verdict(0.0, 0.0, verdict.sums, verdict.score)
     others = [_score(evidence.sums(since, rule)) for rule in _exclusions(evidence)]
-    lowest = min([verdict, *others], key=lambda each: each.score)
-    return dataclasses.replace(lowest, raw_score=verdict.score)
+    return dataclasses.replace(
+        verdict,
+        failure_score=min(each.failure_score for each in [verdict, *others]),
+        latency_score=min(each.latency_score for each in [verdict, *others]),
+    )
 
 
 def _covers(evidence, spread):
--- a/pistachiowell/moves/mover.py
+++ b/pistachiowell/moves/mover.py
@@ -225,8 +225,9 @@
     def _tick_suspect(self, stage_verdict, now):
         verdict = self._judge(self._suspect, now, self._spread)
         stage_score = min(MAX_STAGE_SCORE, stage_verdict.raw_score)
-        score = verdict.score + stage_score + self._carried
-        if verdict.is_bad or (verdict.is_suspect and score >= BAD_SCORE):
+        score = verdict.failure_score + stage_score + self._carried
+        fails_now = verdict.failure_score >= SUSPECT_SCORE
+        if verdict.is_bad or (fails_now and score >= BAD_SCORE):
             return self._end(TAKEN_BACK, _reason(verdict), verdict)
         if self._plan.is_over(now):
             return self._end(TAKEN_BACK, "Suspect at the deadline.", verdict)
