--- a/pistachiowell/ctl/commands/apply.py
+++ b/pistachiowell/ctl/commands/apply.py
@@ -52,6 +52,8 @@
     names = [str(key) for key in outcome.changed]
     document = {"accepted": True, "revision": outcome.revision, "changed": names}
     text = f"Accepted as revision {outcome.revision}: {len(names)} rows changed."
+    if not names:
+        text = f"Nothing to change at revision {outcome.revision}."
     if not context.flags.wait:
         return Result(document, text)
     report = await wait_in_force(
