--- a/pistachiowell/bench/capacity.py
+++ b/pistachiowell/bench/capacity.py
@@ -13,6 +13,7 @@
 
 from pistachiowell.agent.main import LOAD_INTERVAL_S
 from pistachiowell.bench.slopes import US_PER_S, Slope
+from pistachiowell.budgets.holder import RENEW_AFTER_S
 
 DAY_S = 86_400
 PERCENT = 100.0
@@ -46,8 +47,7 @@
         vm_list_interval_s: Time between reads of the VM list by one router.
         watching_agents: Whether each agent watches registrations itself.
         journal_interval_s: Time between journal objects of one router.
-        renewal_s: Time between writes of a budget page by one holder.
-        budget_pages: Budget pages.
+        renewal_s: Time after which a home renews the grant of a budget in use.
     """
 
     routers: int = 350
@@ -65,8 +65,7 @@
     vm_list_interval_s: float = 5.0
     watching_agents: bool = False
     journal_interval_s: float = 0.5
-    renewal_s: float = 180.0
-    budget_pages: int = 16
+    renewal_s: float = RENEW_AFTER_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -232,11 +231,10 @@
     Args:
         size: A ``FleetSize``.
     """
-    homes = min(size.routers, size.data_centres * size.budget_pages)
     watchers = 2 * size.data_centres
     return [
         ("journals", size.routers / size.journal_interval_s, 0.0),
-        ("budget pages", homes * size.budget_pages / size.renewal_s, 0.0),
+        ("budget pages, each renewal alone", _renewals_per_s(size), 0.0),
         ("table changes", size.changes_per_day / DAY_S, 0.0),
         ("watches of rows", 0.0, float(watchers)),
         ("watches of registrations", 0.0, _registration_watches(size)),
@@ -244,6 +242,10 @@
     ]
 
 
+def _renewals_per_s(size):
+    return size.budgets * size.data_centres / size.renewal_s
+
+
 def _registration_watches(size):
     agents = size.agents if size.watching_agents else 0
     return 2.0 * size.routers + agents
