Judge a move without comparing to a data centre that lacks the old version

Cause: with the old version in one data centre only, leaving that centre out as the worst place left no old answers, scored 0 and hid a bad version.

--- a/pistachiowell/moves/judges.py
+++ b/pistachiowell/moves/judges.py
@@ -153,8 +153,10 @@
     verdict = _score(evidence.sums(since))
     if not verdict.is_suspect:
         return verdict
-    others = [_score(evidence.sums(since, rule)) for rule in _exclusions(evidence)]
-    return min([verdict, *others], key=lambda each: each.score)
+    others = [evidence.sums(since, rule) for rule in _exclusions(evidence)]
+    # Without answers of the old version there is nothing to compare with.
+    scores = [_score(sums) for sums in others if sums.answers[0]]
+    return min([verdict, *scores], key=lambda each: each.score)
 
 
 def _score(sums):
