--- a/pistachiowell/admission/queue.py
+++ b/pistachiowell/admission/queue.py
@@ -162,13 +162,6 @@
         refused = [self._refuse(ticket, "no slot came free") for ticket in late]
         return refused + self._start(now)
 
-    def next_expiry(self):
-        """Returns the earliest time at which ``expire`` has something to refuse."""
-        times = [self._start_by(ticket) for ticket in self._queue]
-        if self._solo is not None:
-            times.append(self._solo_deadline(self._solo))
-        return min(times, default=float("inf"))
-
     def refuse_waiting(self, request_ids, code, reason):
         """Refuses certain requests that wait, such as quarantined ones.
 
--- a/pistachiowell/membership/peers.py
+++ b/pistachiowell/membership/peers.py
@@ -123,11 +123,6 @@
             entry = self._peers.setdefault(peer, _Peer())
             entry.vm_leaving = host in leaving
 
-    def forget(self, peer):
-        """Drops a peer whose registration is gone."""
-        self._peers.pop(peer, None)
-        self._old.pop(peer, None)
-
     def state(self, peer, now):
         """Returns the ``PeerState`` of a peer."""
         entry = self._peers.get(peer)
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -12,7 +12,7 @@
 from pistachiowell.routing.credits import CREDIT_POOLS, CreditSettings, GiveUp
 from pistachiowell.routing.health import HealthBook
 from pistachiowell.routing.load import LoadBook
-from pistachiowell.routing.pick import PICKERS, Candidate, rendezvous, subset
+from pistachiowell.routing.pick import PICKERS, Candidate, rendezvous
 from pistachiowell.routing.retry import (
     RETRIES,
     AttemptFailure,
@@ -47,5 +47,4 @@
     "fingerprint",
     "place_suspect",
     "rendezvous",
-    "subset",
 ]
--- a/pistachiowell/routing/crashes.py
+++ b/pistachiowell/routing/crashes.py
@@ -171,14 +171,6 @@
         record.quarantined = True
         record.until = now + QUARANTINE_S
 
-    def quarantined(self, now):
-        """Returns the fingerprints in quarantine."""
-        return [
-            name
-            for name, record in self._records.items()
-            if record.quarantined and now < record.until
-        ]
-
     def _count(self, name, crash, now):
         record = self._records.setdefault(name, _Record())
         record.crashes[crash.crash_id] = crash.server
--- a/pistachiowell/routing/health.py
+++ b/pistachiowell/routing/health.py
@@ -79,14 +79,6 @@
         if health.probing or health.failures >= self._settings.eject_failures:
             self._eject(health, now)
 
-    def lost(self, server, now):
-        """Takes a link that was lost or stayed silent."""
-        self._eject(self._servers.setdefault(server, _Health()), now)
-
-    def forget(self, server):
-        """Drops what is known of a server, as after a new incarnation."""
-        self._servers.pop(server, None)
-
     def usable(self, servers, now):
         """Returns the servers that may take a request.
 
--- a/pistachiowell/routing/load.py
+++ b/pistachiowell/routing/load.py
@@ -74,15 +74,6 @@
         load = self._loads.setdefault(server, _Load())
         load.full_until = now + self._settings.refusal_s
 
-    def forget(self, server):
-        """Drops what is known of a server that is gone."""
-        self._loads.pop(server, None)
-
-    def in_flight(self, server):
-        """Returns own attempts in flight at a server."""
-        load = self._loads.get(server)
-        return load.in_flight if load else 0
-
     def load(self, server, now):
         """Returns the estimated number of requests at a server."""
         load = self._loads.get(server)
--- a/pistachiowell/routing/pick.py
+++ b/pistachiowell/routing/pick.py
@@ -126,24 +126,3 @@
         key: Any text.
     """
     return max(candidates, key=lambda c: stable_hash(c.server, key))
-
-
-def subset(candidates, router, size):
-    """Returns the candidates that one router uses, ``size`` in each data centre.
-
-    Args:
-        candidates: A list of ``Candidate``.
-        router: Name of the router.
-        size: Most candidates of one data centre.
-
-    Examples:
-        >>> servers = [Candidate(f"s{n}", "osu") for n in range(9)]
-        >>> len(subset(servers, "router-1", 4))
-        4
-    """
-    chosen = []
-    for data_centre in sorted({c.data_centre for c in candidates}):
-        local = [c for c in candidates if c.data_centre == data_centre]
-        local.sort(key=lambda c: stable_hash(c.server, router), reverse=True)
-        chosen += local[:size]
-    return chosen
--- a/pistachiowell/routing/settings.py
+++ b/pistachiowell/routing/settings.py
@@ -17,7 +17,6 @@
             nothing.
         refusal_s: Seconds for which a server that refused counts as full, whatever
             it reports.
-        subset_size: Servers of one version and data centre that a router uses.
         eject_failures: Failures in a row that eject a server.
         eject_slow_factor: Latency against the median of its peers that ejects.
         eject_s: First ejection in seconds; doubles on each further one.
@@ -35,7 +34,6 @@
     spill_load: float = 1.0
     report_timeout_s: float = 3.0
     refusal_s: float = 0.5
-    subset_size: int = 20
     eject_failures: int = 3
     eject_slow_factor: float = 4.0
     eject_s: float = 2.0
--- a/pistachiowell/routing/tests/test_health.py
+++ b/pistachiowell/routing/tests/test_health.py
@@ -60,7 +60,8 @@
 
 def test_at_most_half_are_ejected(book):
     for server in SERVERS:
-        book.lost(server, 0.0)
+        for _ in range(3):
+            book.failed(server, 0.0)
     assert len(book.usable(SERVERS, 1.0)) == 2
 
 
