--- a/pistachiowell/router/journal.py
+++ b/pistachiowell/router/journal.py
@@ -14,6 +14,7 @@
 from pistachiowell.schema.generated.objects_budgets import JournalEntry
 
 FLUSH_INTERVAL_S = 0.5
+FLEET_WRITES_PER_S = 30.0
 RETRY_DELAY_S = 0.5
 
 _log = part_logger("journal")
@@ -55,7 +56,8 @@
     async def run(self):
         """Writes batches until cancelled."""
         while True:
-            await anyio.sleep(FLUSH_INTERVAL_S)
+            routers = len(self._fleet.routers) + 1
+            await anyio.sleep(max(FLUSH_INTERVAL_S, routers / FLEET_WRITES_PER_S))
             await self.flush()
 
     async def flush(self):
--- a/pistachiowell/router/recovery.py
+++ b/pistachiowell/router/recovery.py
@@ -34,6 +34,7 @@
 SUSPECT_REMOTE_AFTER_S = 15.0
 OWN_CHECK_INTERVAL_S = 5.0
 WATCHED_ROUTERS = 2
+FLEET_READS_PER_S = 30.0
 PAUSE_S = 3.0
 SWEEP_INTERVAL_S = 15.0
 CALL_TIMEOUT_S = 2.0
@@ -99,7 +100,9 @@
         self._ticked_at = now
         if self._spending.holder.fenced:
             return True
-        if not paused and now - self._checked_at < OWN_CHECK_INTERVAL_S:
+        routers = len(self._fleet.routers) + 1
+        interval_s = max(OWN_CHECK_INTERVAL_S, routers / FLEET_READS_PER_S)
+        if not paused and now - self._checked_at < interval_s:
             return False
         self._checked_at = now
         return self._runtime.incarnation not in await self._registered()
@@ -197,7 +200,9 @@
         registered = {p.record.incarnation for p in self._fleet.routers.values()}
         registered.add(self._runtime.incarnation)
         gone = self._spending.holder.reserving_routers() - registered
-        if gone or now - self._swept_at >= SWEEP_INTERVAL_S:
+        pages = self._runtime.settings.budget_pages
+        interval_s = max(SWEEP_INTERVAL_S, pages / FLEET_READS_PER_S)
+        if gone or now - self._swept_at >= interval_s:
             self._swept_at = now
             registered = await self._registered()
             gone = {name for name in gone if name not in registered}
