--- /dev/null
+++ b/pistachiowell/agent/tests/test_receipts.py
@@ -0,0 +1,85 @@
+"""Tests of the check of who pays for an attempt."""
+
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from pistachiowell.agent.receipts import Receipts
+from pistachiowell.core.errors import RouterUnknown
+from pistachiowell.platform.memory import MemoryStore
+from pistachiowell.platform.registration import register_process
+from pistachiowell.schema.generated.messages_budgets import SealIncarnation
+from pistachiowell.schema.generated.messages_requests import Hello, RunRequest
+from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
+from pistachiowell.wire import Handlers
+
+ROUTER = RouterRecord("r", "router-1", "osu", "127.0.0.1", 1, "127.0.0.1", 2)
+AGENT = AgentRecord("a", "agent-1", "osu", "127.0.0.1", 3, "engine-1")
+REQUEST = RunRequest(
+    "q",
+    1,
+    "shop",
+    "chat",
+    "v1",
+    "POST",
+    "/x",
+    b"{}",
+    grant_id="g",
+    holder="router-1",
+    reserved_tokens=9,
+)
+
+
+@pytest.fixture
+def store():
+    return MemoryStore()
+
+
+@pytest.fixture
+def handlers():
+    return Handlers()
+
+
+@pytest.fixture
+def receipts(store, handlers):
+    runtime = SimpleNamespace(
+        incarnation="agent-1",
+        store=store,
+        settings=SimpleNamespace(id="a"),
+        metrics=SimpleNamespace(count=lambda name: None),
+    )
+    made = Receipts(runtime, handlers)
+    made.registered = True
+    return made
+
+
+@pytest.fixture
+def run():
+    hello = Hello(role="router", id="r", incarnation="router-1", data_centre="osu")
+    return SimpleNamespace(
+        request=REQUEST, key=("q", 1), link=SimpleNamespace(hello=hello)
+    )
+
+
+async def pay(receipts, run):
+    progress = SimpleNamespace(prompt_tokens=1, completion_tokens=2, sent=True)
+    async with receipts.paid(run, progress):
+        pass
+
+
+@pytest.mark.anyio
+async def test_router_is_accepted_only_while_registered_and_not_sealed(
+    store, handlers, receipts, run
+):
+    await store.put("agents", "a", msgspec.json.encode(AGENT), 0)
+    with pytest.raises(RouterUnknown):
+        await pay(receipts, run)
+    await register_process(store, "routers", ROUTER)
+    await pay(receipts, run)
+    seal = SealIncarnation("router-1")
+    report = await handlers.find(seal)(run.link, seal)
+    assert [s.grant_id for s in report.sums] == ["g"]
+    assert report.sums[0].used_tokens > 0
+    with pytest.raises(RouterUnknown):
+        await pay(receipts, run)
