Answer 'not run' for a claimed request only once its claim is out of the store

In a whole run of the tests under load 1 of 8 reservations whose backend server was gone ended in outcome_unknown: the router's retry reached the other agent before the first one had taken its claim out. The agent now waits for that, at most claim_timeout_s.

--- a/pistachiowell/agent/claiming.py
+++ b/pistachiowell/agent/claiming.py
@@ -2,7 +2,7 @@
 
 import secrets
 import time
-from contextlib import contextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import anyio
@@ -13,6 +13,7 @@
     DeletePage,
     KeptAnswer,
     ReadPage,
+    RecordState,
     body_digest,
     key_digest,
 )
@@ -48,13 +49,22 @@
         runtime: The process's ``Runtime``.
     """
 
-    __slots__ = ("_book", "_group", "_ready", "_runtime", "_waiters", "_wakes")
+    __slots__ = (
+        "_book",
+        "_group",
+        "_ready",
+        "_returns",
+        "_runtime",
+        "_waiters",
+        "_wakes",
+    )
 
     def __init__(self, runtime):
         self._runtime = runtime
         self._book = None
         self._group = None
         self._ready = anyio.Event()
+        self._returns = {}
         self._waiters = {}
         self._wakes = {}
 
@@ -114,12 +124,13 @@
         self._book.finish(_key_of(request), answer)
         self._runtime.metrics.gauge("claims.kept_bytes", self._book.kept_bytes)
 
-    @contextmanager
-    def ended(self, request):
+    @asynccontextmanager
+    async def ended(self, request):
         """Notes how a claimed request ends inside the context.
 
         If no answer was given to ``finish``, the key is released where the request
-        certainly did not run, and its outcome is unknown otherwise.
+        certainly did not run, and its outcome is unknown otherwise. The context then
+        ends once the claim is out of the store, so that another agent may claim.
         """
         digest = _key_of(request)
         try:
@@ -127,6 +138,7 @@
         except PistachiowellError as error:
             if error.ran == "no":
                 self._release(digest)
+                await self._wait_returned(digest)
             else:
                 self._book.fail(digest)
             raise
@@ -157,6 +169,11 @@
         self._book.release(digest)
         self._wake(self._book.bucket_index(digest))
 
+    async def _wait_returned(self, digest):
+        event = self._returns.setdefault(digest, anyio.Event())
+        with anyio.move_on_after(self._runtime.settings.claim_timeout_s):
+            await event.wait()
+
     def _unavailable(self):
         timeout_s = self._runtime.settings.claim_timeout_s
         return ClaimUnavailable(f"The store confirmed no claim within {timeout_s} s.")
@@ -227,6 +244,9 @@
             waiter = self._waiters[decision.digest]
             waiter.decision = decision
             waiter.event.set()
+        for digest in list(self._returns):
+            if self._book.state(digest) is not RecordState.RETURNING:
+                self._returns.pop(digest).set()
 
     async def _agree_on_buckets(self):
         """Returns the number of buckets that the store holds, or sets it."""
--- a/pistachiowell/agent/runner.py
+++ b/pistachiowell/agent/runner.py
@@ -257,7 +257,7 @@
         if isinstance(claim, KeptAnswer):
             await self._send_kept(run, claim)
             return
-        with self._claiming.ended(run.request):
+        async with self._claiming.ended(run.request):
             parts = []
             status, content_type = await self._exchange(run, started, parts)
             answer = KeptAnswer(status, content_type, b"".join(parts))
