--- a/pistachiowell/bench/moves.py
+++ b/pistachiowell/bench/moves.py
@@ -279,11 +279,11 @@
     return figures
 
 
-def measure(runs, naive):
+def measure(seeds, naive):
     """Runs all scenarios.
 
     Args:
-        runs: Runs of each scenario.
+        seeds: Seeds; each scenario runs once with each.
         naive: Whether to use the naive judge and no brake.
 
     Returns:
@@ -291,12 +291,12 @@
     """
     report, right = {}, Counter()
     for scenario in SCENARIOS:
-        outcomes = [Run(scenario, seed, naive=naive).run() for seed in range(runs)]
+        outcomes = [Run(scenario, seed, naive=naive).run() for seed in seeds]
         report[scenario.name] = summarize(outcomes)
         wanted = "taken_back" if scenario.is_bad else "done"
         kind = "bad" if scenario.is_bad else "good"
         right[kind] += sum(outcome.end == wanted for outcome in outcomes)
-        right[f"{kind} runs"] += runs
+        right[f"{kind} runs"] += len(outcomes)
     report["good done on time"] = f"{right['good']} of {right['good runs']}"
     report["bad taken back"] = f"{right['bad']} of {right['bad runs']}"
     return report
@@ -307,9 +307,11 @@
     values = flags.FlagValues()
     define = {"flag_values": values}
     flags.DEFINE_integer("runs", 20, "Runs of each scenario.", **define)
+    flags.DEFINE_integer("first_seed", 0, "Seed of the first run.", **define)
     flags.DEFINE_bool("naive", False, "Use no judgement and no brake.", **define)
-    parse_flags(values, sys.argv, "Usage: [--runs N] [--naive]")
-    print(json.dumps(measure(values.runs, values.naive), indent=1))
+    parse_flags(values, sys.argv, "Usage: [--runs N] [--first_seed N] [--naive]")
+    seeds = range(values.first_seed, values.first_seed + values.runs)
+    print(json.dumps(measure(seeds, values.naive), indent=1))
 
 
 if __name__ == "__main__":
