Kill the router only once its stream runs

Cause: the wait for the stream was met by an earlier request, and the stream itself was refused for its length, so the test passed without any stream. Now it waits for the engine's count of requests.

--- a/pistachiowell/router/tests/test_budget_faults.py
+++ b/pistachiowell/router/tests/test_budget_faults.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pistachiowell.bench.client import call
 from pistachiowell.bench.plan import ServerSpec
 
 ACCOUNT = "belt-north"
@@ -47,6 +48,11 @@
     return rig.chat(f"hello words={words}", max_tokens=words + 10, **fields)
 
 
+def engine_requests(rig):
+    documents = [call(rig.url(s.name) + "/control").document for s in SERVERS]
+    return sum(document["counts"]["requests"] for document in documents)
+
+
 def spend_all(rig, router):
     """Sends requests until one is refused and returns its error code."""
     while True:
@@ -70,16 +76,12 @@
         assert chat(rig, router=router).status == 200
     gone = incarnations(rig)["router-1"]
     headers = {"idempotency-key": "repair-1"}
-    fields = {"words": 1500, "headers": headers, "stream": True}
+    fields = {"words": 900, "headers": headers, "stream": True}
     first = threading.Thread(
         target=chat, args=(rig,), kwargs={**fields, "router": "router-1"}
     )
     first.start()
-    rig.wait_until(
-        lambda: any(
-            e["kind"] == "request_sent" and e["request"] for e in rig.events("router-1")
-        )
-    )
+    rig.wait_until(lambda: engine_requests(rig) == len(ROUTERS) + 1)
     rig.kill("router-1")
     first.join()
     retry = chat(rig, words=20, headers=headers, router="router-2")
