Split the links, the agent's runner and the router's spending into modules of one job

link.py held the registry of handlers, the link and its two ends; runner.py the attempt and the runner; spending.py the reservation, the settlements and the page upkeep.

--- a/pistachiowell/agent/runner.py
+++ b/pistachiowell/agent/runner.py
@@ -7,6 +7,7 @@
 
 from pistachiowell.admission import Outcome
 from pistachiowell.agent.claiming import KeptAnswer
+from pistachiowell.agent.runs import Progress, Run
 from pistachiowell.agent.sse import UsageReader, usage_of_document
 from pistachiowell.core.errors import (
     MAY_HAVE_RUN,
@@ -24,7 +25,6 @@
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
 from pistachiowell.schema.generated.messages_requests import (
-    AnswerChunk,
     AnswerCredit,
     AnswerEnd,
     AnswerFailed,
@@ -40,68 +40,6 @@
 _log = part_logger("runner")
 
 
-class Run:
-    """One attempt in progress.
-
-    Args:
-        link: Link to the router.
-        request: The ``RunRequest``.
-
-    Attributes:
-        slot: The ``Slot`` that it holds at the backend server.
-    """
-
-    __slots__ = (
-        "_credit_bytes",
-        "_offset",
-        "_wake",
-        "link",
-        "request",
-        "scope",
-        "slot",
-    )
-
-    def __init__(self, link, request):
-        self.link = link
-        self.request = request
-        self.scope = anyio.CancelScope()
-        self.slot = None
-        self._credit_bytes = request.credit_bytes
-        self._offset = 0
-        self._wake = anyio.Event()
-
-    @property
-    def key(self):
-        """Request id and attempt number."""
-        return (self.request.request_id, self.request.attempt)
-
-    @property
-    def offset(self):
-        """Bytes of the body sent so far."""
-        return self._offset
-
-    def add_credit(self, size_bytes):
-        """Allows more bytes to be sent."""
-        self._credit_bytes += size_bytes
-        self._wake.set()
-
-    def send(self, message):
-        """Sends a message to the router unless the link is lost."""
-        if not self.link.closed:
-            self.link.send(message)
-
-    async def send_body(self, data):
-        """Sends a part of the body as credit comes for it."""
-        while data:
-            while self._credit_bytes <= 0:
-                self._wake = anyio.Event()
-                await self._wake.wait()
-            part, data = data[: self._credit_bytes], data[self._credit_bytes :]
-            self._credit_bytes -= len(part)
-            self.send(AnswerChunk(*self.key, self._offset, part))
-            self._offset += len(part)
-
-
 class Runner:
     """Takes ``RunRequest`` messages and runs them at the backend server.
 
@@ -340,22 +278,3 @@
     if status == SERVICE_UNAVAILABLE:
         raise Overloaded("The backend server refused the request.", ran=MAY_HAVE_RUN)
     raise ServerFailed(f"The backend server answered {status}.")
-
-
-class Progress:
-    """How far an attempt has come.
-
-    Attributes:
-        decided: Whether the claims have refused its key.
-        sent: Whether its request may have reached the backend server.
-        prompt_tokens: Tokens of the prompt that the server has told.
-        completion_tokens: Tokens generated so far.
-    """
-
-    __slots__ = ("completion_tokens", "decided", "prompt_tokens", "sent")
-
-    def __init__(self):
-        self.decided = False
-        self.sent = False
-        self.prompt_tokens = 0
-        self.completion_tokens = 0
--- a/pistachiowell/core/runtime.py
+++ b/pistachiowell/core/runtime.py
@@ -7,6 +7,7 @@
 from pistachiowell.core.events import EventKind, EventRing
 from pistachiowell.core.ids import new_id
 from pistachiowell.core.metrics import Metrics
+from pistachiowell.platform.observed import ObservedStore
 from pistachiowell.schema.generated.messages_requests import Hello
 
 
@@ -39,9 +40,9 @@
     def __init__(self, role, settings, store):
         self._role = role
         self._settings = settings
-        self._store = store
         clock = HybridClock(time.time_ns)
         self._events = EventRing(settings.id, clock, settings.event_ring_size)
+        self._store = ObservedStore(store, self._events)
         self._metrics = Metrics(settings)
         self._hello = Hello(
             role=role,
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -106,6 +106,13 @@
         """All open links."""
         return list(self._by_link)
 
+    def router_of(self, incarnation):
+        """Returns the usable ``Peer`` of a router incarnation, or None."""
+        for peer in self._routers.values():
+            if peer.record.incarnation == incarnation and peer.usable:
+                return peer
+        return None
+
     async def run(self):
         """Follows the registrations and keeps the links until cancelled."""
         async with anyio.create_task_group() as group:
--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -1,7 +1,5 @@
 """Reserves and settles tokens of prepaid budgets."""
 
-from dataclasses import dataclass
-
 import anyio
 
 from pistachiowell.budgets import Holder, home_router
@@ -18,10 +16,11 @@
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.ids import new_id
 from pistachiowell.core.logs import part_logger
+from pistachiowell.router.grant_pages import GrantPages
 from pistachiowell.router.outcomes import Outcomes
-from pistachiowell.router.pages import HeldPage
+from pistachiowell.router.reservation import Reservation
+from pistachiowell.router.settlements import CALL_TIMEOUT_S, Settlements
 from pistachiowell.schema.generated.messages_budgets import (
-    GrantsClosed,
     RecallTokens,
     ReserveTokens,
     SettleTokens,
@@ -31,39 +30,12 @@
 )
 from pistachiowell.schema.generated.objects_budgets import BudgetAccount
 
-CALL_TIMEOUT_S = 1.0
 TICK_S = 0.5
-RETIRE_INTERVAL_S = 5.0
 REFUSAL_KEPT_S = 0.2
 
 _log = part_logger("budgets")
 
 
-@dataclass(frozen=True, slots=True)
-class Reservation:
-    """Tokens set aside for one attempt of a request.
-
-    Attributes:
-        request_id: The request.
-        account: Client account that pays.
-        grant_id: Grant that covers the tokens.
-        holder: Incarnation that holds the grant.
-        tokens: Upper bound of the request in tokens.
-        reservation_id: Id of the reservation.
-        router: Incarnation of the router that asked for it.
-        page_version: The grant's ``page_version``.
-    """
-
-    request_id: str
-    account: str
-    grant_id: str
-    holder: str
-    tokens: int
-    reservation_id: str = ""
-    router: str = ""
-    page_version: int = 0
-
-
 class Spending:
     """Reserves at the home router of an account, or under a grant of its own.
 
@@ -78,11 +50,9 @@
         "_fleet",
         "_holder",
         "_journal",
-        "_next_sync_at",
         "_outcomes",
         "_pages",
         "_refusals",
-        "_retired_at",
         "_runtime",
         "_settlements",
     )
@@ -93,11 +63,9 @@
         self._outcomes = Outcomes(runtime, fleet)
         self._fleet = fleet
         self._holder = Holder(runtime.incarnation, runtime.settings.budget_pages)
-        self._pages = {}
-        self._next_sync_at = {}
+        self._pages = GrantPages(runtime, fleet, self._holder)
         self._refusals = {}
-        self._settlements = {}
-        self._retired_at = 0.0
+        self._settlements = Settlements(fleet)
         handlers.on(ReserveTokens)(self._take_reserve)
         handlers.on(SettleTokens)(self._take_settle)
         handlers.on(RecallTokens)(self._take_recall)
@@ -177,43 +145,28 @@
         if reservation.holder == self._holder.incarnation:
             self._settle_here(message)
         elif reservation.router == self._holder.incarnation:
-            self._settlements[reservation.reservation_id] = (
-                reservation.holder,
-                message,
-            )
+            self._settlements.add(reservation.holder, message)
 
     async def run(self):
         """Sends settlements and keeps the grants in shape until cancelled."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._send_settlements)
+            group.start_soon(self._settlements.run)
             group.start_soon(self._outcomes.run, self.end)
             while True:
                 await anyio.sleep(TICK_S)
-                await self._keep_grants()
+                await self._pages.keep_grants()
 
     def renew(self):
         """Starts anew under the process's new incarnation, without grants."""
         pages = self._runtime.settings.budget_pages
         self._holder = Holder(self._runtime.incarnation, pages)
-        self._pages.clear()
+        self._pages = GrantPages(self._runtime, self._fleet, self._holder)
         self._settlements.clear()
         self._refusals.clear()
 
     async def give_back(self):
         """Gives all idle tokens back before the router stops."""
-        for number in self._holder.page_numbers:
-            for account in self._holder.accounts(number):
-                self._holder.recall(account, self._runtime.now())
-            await self._try_sync(number)
-
-    def peer_of(self, incarnation):
-        """Returns the usable ``Peer`` of a router incarnation, or None."""
-        for peer in self._fleet.routers.values():
-            if peer.record.incarnation == incarnation and peer.usable:
-                return peer
-        return None
-
-    # Reserving.
+        await self._pages.give_back()
 
     async def _reserve_at_home(self, call):
         peer = self._home(call.account)
@@ -241,7 +194,7 @@
             reservation_id=call.reservation_id,
             router=call.router,
         )
-        self._settlements[call.reservation_id] = (holder, message)
+        self._settlements.add(holder, message)
 
     def _home(self, account):
         """Returns the peer that is home of an account; None if this router is."""
@@ -286,13 +239,13 @@
     async def _reserve_from_page(self, call):
         if self._was_refused(call):
             return self._try_reserve(call)
-        await self._sync(call.account)
+        await self._pages.sync(call.account)
         held = self._try_reserve(call)
         if held is not None:
             return held
         unreachable = await self._recall_from_others(call.account)
         self._holder.recall(call.account, self._runtime.now())
-        page = await self._sync(call.account)
+        page = await self._pages.sync(call.account)
         held = self._try_reserve(call)
         if held is None:
             budget = page.accounts.get(call.account, BudgetAccount())
@@ -322,14 +275,14 @@
 
     async def _recall_from_others(self, account):
         """Asks the other holders to give back; returns those that did not answer."""
-        page = self._page(account).page
+        page = self._pages.page_of(account).page
         budget = page.accounts.get(account, BudgetAccount())
         holders = {g.holder for g in budget.grants.values() if not g.sealing}
         holders.discard(self._holder.incarnation)
         unreachable = set()
 
         async def recall(holder):
-            peer = self.peer_of(holder)
+            peer = self._fleet.router_of(holder)
             try:
                 if peer is None:
                     raise LinkLost("There is no link to the holder.")
@@ -344,58 +297,6 @@
                 group.start_soon(recall, holder)
         return unreachable
 
-    # Pages.
-
-    def _page(self, account):
-        return self._held_page(self._holder.page_of(account))
-
-    def _held_page(self, number):
-        page = self._pages.get(number)
-        if page is None:
-            page = HeldPage(self._runtime, self._holder, number)
-            self._pages[number] = page
-        return page
-
-    async def _sync(self, account):
-        return await self._sync_page(self._holder.page_of(account))
-
-    async def _sync_page(self, number):
-        closing = self._holder.closing
-        page = await self._held_page(number).sync()
-        closed = sorted(closing - self._holder.closing)
-        if closed:
-            self._tell_closed(closed)
-        return page
-
-    def _tell_closed(self, grant_ids):
-        for peer in self._fleet.agents.values():
-            if peer.usable:
-                peer.link.send(GrantsClosed(grant_ids))
-        for grant_id in grant_ids:
-            self._runtime.events.add(EventKind.grant_closed, grant=grant_id)
-
-    async def _try_sync(self, number):
-        try:
-            await self._sync_page(number)
-        except BudgetUnreachable as error:
-            _log.debug("Budget page {} waits: {}", number, error.message)
-
-    async def _keep_grants(self):
-        now = self._runtime.now()
-        if now - self._retired_at >= RETIRE_INTERVAL_S:
-            self._retired_at = now
-            for number in self._holder.page_numbers:
-                for account in self._holder.accounts(number):
-                    self._holder.retire_idle(account, now)
-        for number in self._holder.page_numbers:
-            due = now >= self._next_sync_at.get(number, now)
-            if due and self._holder.has_work(number, now):
-                await self._try_sync(number)
-                if self._holder.has_work(number, now):
-                    self._next_sync_at[number] = now + RETIRE_INTERVAL_S
-
-    # Messages of other routers.
-
     async def _take_reserve(self, link, message):
         return await self._reserve_here(message)
 
@@ -405,7 +306,7 @@
 
     async def _take_recall(self, link, message):
         self._holder.recall(message.account, self._runtime.now())
-        await self._sync(message.account)
+        await self._pages.sync(message.account)
         return TokensRecalled(message.account)
 
     def _settle_here(self, message):
@@ -417,28 +318,6 @@
             self._runtime.now(),
         )
 
-    async def _send_settlements(self):
-        while True:
-            async with anyio.create_task_group() as group:
-                for reservation_id in list(self._settlements):
-                    group.start_soon(self._send_settlement, reservation_id)
-            await anyio.sleep(TICK_S / 5)
-
-    async def _send_settlement(self, reservation_id):
-        holder, message = self._settlements[reservation_id]
-        peer = self.peer_of(holder)
-        if peer is None:
-            known = {p.record.incarnation for p in self._fleet.routers.values()}
-            if holder not in known:
-                del self._settlements[reservation_id]
-            return
-        try:
-            reply = await peer.link.call(message, CALL_TIMEOUT_S)
-        except (LinkLost, LinkTimeout):
-            return
-        if isinstance(reply, TokensSettled):
-            del self._settlements[reservation_id]
-
 
 def page_name(account, page_count):
     """Returns the name of the budget page of an account."""
--- a/pistachiowell/wire/__init__.py
+++ b/pistachiowell/wire/__init__.py
@@ -1,7 +1,9 @@
 """Links between the processes: msgpack messages over TCP streams."""
 
 from pistachiowell.wire.codec import Frame, FrameReader, encode_frame
-from pistachiowell.wire.link import Handlers, Link, connect, serve
+from pistachiowell.wire.endpoints import connect, serve
+from pistachiowell.wire.handlers import Handlers
+from pistachiowell.wire.link import Link
 from pistachiowell.wire.tls import LinkTls
 
 __all__ = [
--- /dev/null
+++ b/pistachiowell/wire/handlers.py
@@ -0,0 +1,39 @@
+"""Registry of the handlers of received messages."""
+
+
+class Handlers:
+    """Registry of the functions that take received messages.
+
+    A handler is an async function ``handle(link, message)``. Its result, if not
+    None, is the reply to a call. A ``PistachiowellError`` becomes a ``Failure``.
+    """
+
+    __slots__ = ("_by_class", "_quick")
+
+    def __init__(self):
+        self._by_class = {}
+        self._quick = set()
+
+    def on(self, message_class, *, quick=False):
+        """Returns a decorator that registers the handler of a message class.
+
+        Args:
+            message_class: Class of the message.
+            quick: Whether the handler never waits, so that a call needs no task.
+        """
+
+        def decorate(function):
+            self._by_class[message_class] = function
+            if quick:
+                self._quick.add(message_class)
+            return function
+
+        return decorate
+
+    def is_quick(self, message):
+        """Whether the handler of a message never waits."""
+        return type(message) in self._quick
+
+    def find(self, message):
+        """Returns the handler of a message, or None."""
+        return self._by_class.get(type(message))
--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -1,11 +1,8 @@
 """Links: typed messages and calls over one TCP stream."""
 
 import itertools
-import ssl
-from contextlib import asynccontextmanager
 
 import anyio
-from anyio.streams.tls import TLSListener, TLSStream
 
 from pistachiowell.core.errors import LinkLost, LinkTimeout, PistachiowellError
 from pistachiowell.core.logs import part_logger
@@ -14,49 +11,10 @@
 
 READ_BYTES = 65536
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
-HELLO_TIMEOUT_S = 5.0
 
 _log = part_logger("wire")
 
 
-class Handlers:
-    """Registry of the functions that take received messages.
-
-    A handler is an async function ``handle(link, message)``. Its result, if not
-    None, is the reply to a call. A ``PistachiowellError`` becomes a ``Failure``.
-    """
-
-    __slots__ = ("_by_class", "_quick")
-
-    def __init__(self):
-        self._by_class = {}
-        self._quick = set()
-
-    def on(self, message_class, *, quick=False):
-        """Returns a decorator that registers the handler of a message class.
-
-        Args:
-            message_class: Class of the message.
-            quick: Whether the handler never waits, so that a call needs no task.
-        """
-
-        def decorate(function):
-            self._by_class[message_class] = function
-            if quick:
-                self._quick.add(message_class)
-            return function
-
-        return decorate
-
-    def is_quick(self, message):
-        """Whether the handler of a message never waits."""
-        return type(message) in self._quick
-
-    def find(self, message):
-        """Returns the handler of a message, or None."""
-        return self._by_class.get(type(message))
-
-
 class Link:
     """One TCP stream to a peer.
 
@@ -269,80 +227,3 @@
     def __init__(self):
         self.event = anyio.Event()
         self.reply = None
-
-
-@asynccontextmanager
-async def connect(host, port, hello, handlers, clock, *, tls=None, timeout_s=2.0):
-    """Opens a link to a peer and runs it inside the context.
-
-    Args:
-        host: IP address.
-        port: TCP port.
-        hello: The ``Hello`` of this process.
-        handlers: A ``Handlers``.
-        clock: The process's ``HybridClock``.
-        tls: A ``LinkTls``; None for a link without TLS.
-        timeout_s: Longest wait for the connection in seconds.
-
-    Raises:
-        LinkLost: The peer could not be reached.
-    """
-    try:
-        with anyio.fail_after(timeout_s):
-            stream = await _open_stream(host, port, tls)
-    except (OSError, TimeoutError, ssl.SSLError, anyio.BrokenResourceError) as error:
-        raise LinkLost(f"No connection to {host}:{port}: {error}.") from error
-    link = Link(stream, handlers, clock)
-    link.send(hello)
-    failure = None
-    async with anyio.create_task_group() as group:
-        group.start_soon(link.run)
-        try:
-            yield link
-        except Exception as error:
-            # Raised below, so that the group does not wrap it.
-            failure = error
-        finally:
-            link.close()
-            group.cancel_scope.cancel()
-    if failure is not None:
-        raise failure
-
-
-async def _open_stream(host, port, tls):
-    stream = await anyio.connect_tcp(host, port)
-    if tls is None:
-        return stream
-    return await TLSStream.wrap(
-        stream, server_side=False, ssl_context=tls.client, standard_compatible=False
-    )
-
-
-async def serve(
-    host, port, hello, handlers, clock, *, tls=None, on_link=None, task_status
-):
-    """Accepts links until cancelled.
-
-    Args:
-        host: IP address to listen on.
-        port: TCP port.
-        hello: The ``Hello`` of this process, sent on every link.
-        handlers: A ``Handlers``.
-        clock: The process's ``HybridClock``.
-        tls: A ``LinkTls``; None for links without TLS.
-        on_link: Function that is called with each new ``Link``.
-        task_status: Tells anyio's ``TaskGroup.start`` that the port is open.
-    """
-
-    async def accept(stream):
-        link = Link(stream, handlers, clock)
-        link.send(hello)
-        if on_link is not None:
-            on_link(link)
-        await link.run()
-
-    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-    if tls is not None:
-        listener = TLSListener(listener, tls.server, standard_compatible=False)
-    task_status.started()
-    await listener.serve(accept)
