--- a/pistachiowell/bench/fixtures.py
+++ b/pistachiowell/bench/fixtures.py
@@ -8,45 +8,42 @@
 _running = []
 
 
-@pytest.fixture(scope="module")
-def start_rig(tmp_path_factory):
-    """Returns a function that starts a rig, ended with the module."""
-    started = []
+class _Rigs:
+    """Starts rigs and ends those that it started."""
+
+    def __init__(self):
+        self._started = []
 
-    def start(plan=None):
-        rig = Rig(plan, tmp_path_factory.mktemp("rig"))
-        started.append(rig)
+    def start(self, plan, directory):
+        rig = Rig(plan, directory)
+        self._started.append(rig)
         _running.append(rig)
         rig.start()
         return rig
 
-    yield start
-    for rig in started:
-        rig.stop()
-        _running.remove(rig)
+    def stop(self):
+        for rig in self._started:
+            rig.stop()
+            _running.remove(rig)
+
+
+@pytest.fixture(scope="module")
+def start_rig(tmp_path_factory):
+    """Returns a function that starts a rig, ended with the module."""
+    rigs = _Rigs()
+    yield lambda plan=None: rigs.start(plan, tmp_path_factory.mktemp("rig"))
+    rigs.stop()
 
 
 @pytest.fixture
-def make_rig(tmp_path):
+def make_rig(tmp_path_factory):
     """Returns a function that starts a rig, ended with the test.
 
     It takes the fields of ``RigPlan`` as keyword arguments.
     """
-    started = []
-
-    def start(**fields):
-        path = tmp_path / f"rig-{len(started)}"
-        path.mkdir()
-        rig = Rig(RigPlan(**fields), path)
-        started.append(rig)
-        _running.append(rig)
-        rig.start()
-        return rig
-
-    yield start
-    for rig in started:
-        rig.stop()
-        _running.remove(rig)
+    rigs = _Rigs()
+    yield lambda **fields: rigs.start(RigPlan(**fields), tmp_path_factory.mktemp("rig"))
+    rigs.stop()
 
 
 @pytest.fixture(scope="module")
