Give a reservation up when its caller leaves before the home router answers

The home router may have reserved all the same, and nobody settled it: the tokens stayed reserved until that incarnation ended. Found by reading; the new test fails without the change (no settlement within 10 s).

--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -177,6 +177,10 @@
         except (LinkLost, LinkTimeout):
             self._give_up(call, peer.record.incarnation)
             return None
+        except anyio.get_cancelled_exc_class():
+            # The caller has left; the home router may have reserved all the same.
+            self._give_up(call, peer.record.incarnation)
+            raise
         if isinstance(reply, TokensReserved):
             return reply
         error = error_class(reply.code)
