Let the interval of the VM list grow with the fleet; work the store's calls out of the programs

350 routers read the VM list 70 times a second in all; now 6. The capacity tables used intervals of their own for bills and the VM list: the programs write 30 batches of bills a second at that size, not 700.

--- a/pistachiowell/bench/capacity.py
+++ b/pistachiowell/bench/capacity.py
@@ -14,6 +14,8 @@
 from pistachiowell.agent.main import LOAD_INTERVAL_S
 from pistachiowell.bench.slopes import US_PER_S, Slope
 from pistachiowell.budgets.holder import RENEW_AFTER_S
+from pistachiowell.router.fleet import vm_list_interval_s
+from pistachiowell.router.journal import flush_interval_s
 
 DAY_S = 86_400
 PERCENT = 100.0
@@ -44,9 +46,7 @@
         linked_routers: Routers that a router keeps a link to.
         reports_per_s: Load reports of one agent to one router.
         pings_per_s: Heartbeats that a router sends on a link to a router.
-        vm_list_interval_s: Time between reads of the VM list by one router.
         watching_agents: Whether each agent watches registrations itself.
-        journal_interval_s: Time between journal objects of one router.
         renewal_s: Time after which a home renews the grant of a budget in use.
     """
 
@@ -62,9 +62,7 @@
     linked_routers: int = 349
     reports_per_s: float = REPORTS_PER_S
     pings_per_s: float = 2.0
-    vm_list_interval_s: float = 5.0
     watching_agents: bool = False
-    journal_interval_s: float = 0.5
     renewal_s: float = RENEW_AFTER_S
 
 
@@ -233,12 +231,12 @@
     """
     watchers = 2 * size.data_centres
     return [
-        ("journals", size.routers / size.journal_interval_s, 0.0),
+        ("journals", size.routers / flush_interval_s(size.routers), 0.0),
         ("budget pages, each renewal alone", _renewals_per_s(size), 0.0),
         ("table changes", size.changes_per_day / DAY_S, 0.0),
         ("watches of rows", 0.0, float(watchers)),
         ("watches of registrations", 0.0, _registration_watches(size)),
-        ("VM list", 0.0, size.routers / size.vm_list_interval_s),
+        ("VM list", 0.0, size.routers / vm_list_interval_s(size.routers)),
     ]
 
 
@@ -331,8 +329,6 @@
     linked_routers=69,
     reports_per_s=1.0,
     pings_per_s=0.1,
-    journal_interval_s=2.0,
-    vm_list_interval_s=60.0,
 )
 
 
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -16,10 +16,27 @@
 RECONNECT_DELAY_S = 0.3
 CHECK_INTERVAL_S = 0.25
 VM_LIST_INTERVAL_S = 5.0
+VM_LIST_READS_PER_S = 6.0
 AGENT_MEMBERSHIP = MembershipSettings()
 ROUTER_MEMBERSHIP = MembershipSettings(heartbeat_s=2.0, silence_s=5.0, drop_s=7.0)
 
 
+def vm_list_interval_s(routers):
+    """Returns the time between reads of the VM list by one router in seconds.
+
+    It grows with the fleet, so that the reads of all routers stay bounded. The list
+    is only a hint: a leaving process tells its peers itself.
+
+    Args:
+        routers: Number of routers.
+
+    Examples:
+        >>> vm_list_interval_s(2), vm_list_interval_s(300)
+        (5.0, 50.0)
+    """
+    return max(VM_LIST_INTERVAL_S, routers / VM_LIST_READS_PER_S)
+
+
 class Peer:
     """A registered process and the link to it.
 
@@ -235,7 +252,7 @@
         while True:
             with contextlib.suppress(*STORE_ERRORS):
                 self._take_vms(await self._runtime.store.vms())
-            await anyio.sleep(VM_LIST_INTERVAL_S)
+            await anyio.sleep(vm_list_interval_s(len(self._routers) + 1))
 
     def _take_vms(self, vms):
         names = {vm.name for vm in vms}
--- a/pistachiowell/router/journal.py
+++ b/pistachiowell/router/journal.py
@@ -20,6 +20,21 @@
 _log = part_logger("journal")
 
 
+def flush_interval_s(routers):
+    """Returns the time between batches of one router in seconds.
+
+    It grows with the fleet, so that the writes of all routers stay bounded.
+
+    Args:
+        routers: Number of routers.
+
+    Examples:
+        >>> flush_interval_s(2), flush_interval_s(300)
+        (0.5, 10.0)
+    """
+    return max(FLUSH_INTERVAL_S, routers / FLEET_WRITES_PER_S)
+
+
 class Journal:
     """Writes batches of bills and then frees the agents' receipts.
 
@@ -56,8 +71,7 @@
     async def run(self):
         """Writes batches until cancelled."""
         while True:
-            routers = len(self._fleet.routers) + 1
-            await anyio.sleep(max(FLUSH_INTERVAL_S, routers / FLEET_WRITES_PER_S))
+            await anyio.sleep(flush_interval_s(len(self._fleet.routers) + 1))
             await self.flush()
 
     async def flush(self):
