--- a/pistachiowell/bench/tests/test_measuring.py
+++ b/pistachiowell/bench/tests/test_measuring.py
@@ -53,5 +53,5 @@
     sums = [sum(load.cpu_percent for load in one) for one in loads]
     assert sums[0] < sums[1]
     text = capacity.text(FleetSize(), slopes)
-    assert "| journals | 700 | 0 |" in text
+    assert "| journals | 30 | 0 |" in text
     assert text.count("| total |") == 5
