--- a/pistachiowell/bench/tests/test_two_faults.py
+++ b/pistachiowell/bench/tests/test_two_faults.py
@@ -8,6 +8,8 @@
 
 ACCOUNT = "belt-north"
 CREDIT = 6000
+TOP_UP = 3000
+REQUEST_BOUND = 400
 FAST = ("--word_s=0.0005",)
 SLOW_FACTOR = 100.0
 SERVERS = (
@@ -81,6 +83,27 @@
     rig.wait_until(lambda: account(rig)["charged"] > CREDIT - 600, "All is billed.")
 
 
+def test_top_up_while_data_centres_are_parted(rig):
+    used = [chat(rig, name).document["usage"]["total_tokens"] for name in rig.routers]
+    rig.partition(["osu"], ["tema"])
+    for _ in range(2):
+        assert rig.ctl("topup", ACCOUNT, TOP_UP, "--id", "invoice-1")[0] == 0
+    parted = [spend_all(rig, name) for name in rig.routers]
+    refusals = {"budget_exhausted", "budget_unreachable", "no_server"}
+    assert {code for _, code in parted} <= refusals
+    rig.heal()
+    rig.wait_ready()
+    rest = []
+
+    def spent():
+        rest.append(spend_all(rig, "router-1"))
+        return rest[-1][1] == "budget_exhausted"
+
+    rig.wait_until(spent, "The whole budget is spendable again.", timeout_s=60)
+    total = sum(used) + sum(tokens for tokens, _ in [*parted, *rest])
+    assert CREDIT + TOP_UP - REQUEST_BOUND < total <= CREDIT + TOP_UP
+
+
 def test_partition_while_a_router_is_paused(rig):
     used = [chat(rig, name).document["usage"]["total_tokens"] for name in rig.routers]
     rig.freeze("router-1")
--- a/pistachiowell/router/tests/test_faults.py
+++ b/pistachiowell/router/tests/test_faults.py
@@ -2,11 +2,13 @@
 
 import itertools
 import socket
+from concurrent.futures import ThreadPoolExecutor
 
 import httpcore
 import msgspec
 import pytest
 
+from pistachiowell.bench.client import call
 from pistachiowell.bench.plan import RigPlan, ServerSpec
 
 ENGINES = tuple(
@@ -117,6 +119,41 @@
     rig.wait_until(lambda: not any(agent.running for agent in agents), "They end.")
 
 
+def test_leaving_router_ends_its_streams_whole(rig):
+    streams = [Stream(rig, f"{n} words=400", "router-1") for n in range(5)]
+    router = rig.processes["router-1"]
+    router.terminate()
+    for stream in streams:
+        stream.rest()
+        assert stream.whole, stream.text[-300:]
+    rig.wait_until(lambda: not router.running, "The router ends.")
+    assert answers(rig, "router-2")
+
+
+def test_flood_does_not_make_a_server_fall_over(make_rig):
+    flags = ("--slots=4", "--capacity=5")
+    server = ServerSpec("engine-1", "osu", "chat-1", slots=4, flags=flags)
+    rig = make_rig(servers=(server,), routers=ROUTERS[:1])
+
+    def collapses():
+        return call(f"{rig.url('engine-1')}/control").document["counts"]["collapses"]
+
+    def ask_engine(number):
+        message = {"role": "user", "content": f"{number} words=20"}
+        body = {"model": "chat-1", "messages": [message]}
+        return call(f"{rig.url('engine-1')}/v1/chat/completions", body).status
+
+    with ThreadPoolExecutor(30) as pool:
+        replies = list(pool.map(lambda n: rig.chat(f"{n} words=20"), range(60)))
+        assert collapses() == 0
+        refused = [reply for reply in replies if reply.status != 200]
+        assert len(refused) < len(replies)
+        assert all(r.document["error"]["ran"] == "no" for r in refused)
+        # The same flood without the agent makes it fall over.
+        list(pool.map(ask_engine, range(30)))
+    assert collapses() > 0
+
+
 def test_frozen_agent_breaks_its_streams_clearly_and_gets_no_new_work(rig):
     stream = Stream(rig, "long words=2000")
     frozen = server_of(rig)
