Let a route bound how long its requests wait for a slot

Cause: a chat request waited up to its deadline; at more than the capacity of its servers the first word came after 7.0 s at the 95th percentile. Off by default, since it trades refusals for time. The machine of admission draws the bound too; the wait of a request that must run alone keeps it as well.

--- a/pistachiowell/admission/queue.py
+++ b/pistachiowell/admission/queue.py
@@ -211,7 +211,8 @@
         return None
 
     def _solo_deadline(self, ticket):
-        return min(ticket.deadline, self._solo_since + self._settings.solo_wait_s)
+        solo_until = self._solo_since + self._settings.solo_wait_s
+        return min(ticket.deadline, ticket.start_by, solo_until)
 
     def _make_room(self, ticket):
         refused = []
@@ -272,7 +273,7 @@
 
     def _start_by(self, ticket):
         service_s = self._class_service_s[ticket.rank] * ticket.cost
-        return ticket.deadline - LEAST_SERVICE_SHARE * service_s
+        return min(ticket.start_by, ticket.deadline - LEAST_SERVICE_SHARE * service_s)
 
     def _is_late(self, ticket, now):
         return now >= self._start_by(ticket)
--- a/pistachiowell/admission/tests/test_admission.py
+++ b/pistachiowell/admission/tests/test_admission.py
@@ -60,6 +60,7 @@
         def started(self, ticket):
             solo = [i for i in self.running if self.tickets[i].solo]
             assert not solo and not (ticket.solo and self.running)
+            assert self.now <= ticket.start_by
             self.running.add(ticket.request_id)
             self.passed[ticket.priority] = -1
             for name in PASSED_MOST:
@@ -72,10 +73,11 @@
             priority=st.sampled_from(["chat", "chat", "label", "report"]),
             size=st.integers(0, 40),
             patience=st.sampled_from([0.0, 5.0, 60.0, 1e9, 1e9]),
+            haste=st.sampled_from([1.0, 7.0, 1e9, 1e9, 1e9]),
             solo=st.sampled_from([False] * 9 + [True]),
             copies=st.integers(1, 6),
         )
-        def offer(self, account, priority, size, patience, solo, copies):
+        def offer(self, account, priority, size, patience, haste, solo, copies):
             for _ in range(copies):
                 ticket = Ticket(
                     f"r{len(self.tickets)}",
@@ -83,6 +85,7 @@
                     priority,
                     size,
                     self.now + patience,
+                    start_by=self.now + haste,
                     solo=solo,
                 )
                 self.tickets[ticket.request_id] = ticket
@@ -114,7 +117,8 @@
             assert len(self.waiting) == self.queue.waiting <= settings.max_waiting
             held = sum(self.tickets[i].size_bytes for i in self.waiting)
             assert held == self.queue.waiting_bytes <= settings.max_waiting_bytes
-            late = [i for i in self.waiting if self.tickets[i].deadline < self.now]
+            waiting = [self.tickets[i] for i in self.waiting]
+            late = [t for t in waiting if min(t.deadline, t.start_by) < self.now]
             assert not late, "a late request still waits"
             assert self.running or not self.waiting, "idle while requests wait"
 
@@ -175,6 +179,17 @@
     assert (refusal.request_id, refusal.retry_after_s) == ("late", 16.0)
 
 
+def test_a_request_waits_no_longer_than_its_bound():
+    queue = AdmissionQueue(AdmissionSettings(slots=1))
+    queue.offer(Ticket("runs", "a"), 0.0)
+    assert queue.offer(Ticket("hasty", "a", start_by=2.0), 0.0) == []
+    assert queue.offer(Ticket("patient", "a"), 0.0) == []
+    assert queue.expire(1.9) == []
+    (refusal,) = queue.expire(2.0)
+    assert (refusal.request_id, refusal.code) == ("hasty", "overloaded")
+    assert queue.waiting == 1
+
+
 def test_slots_follow_crashes_and_slow_answers():
     limit = LIMITS.find("adaptive")(AdmissionSettings(slots=16))
     limit.observe(Outcome.crashed, 1.0, 1, 0.0)
--- a/pistachiowell/admission/ticket.py
+++ b/pistachiowell/admission/ticket.py
@@ -26,6 +26,7 @@
         priority: One of ``PRIORITIES``; an unknown class counts as the lowest.
         size_bytes: Bytes held while the request waits.
         deadline: Time of the caller's deadline on the clock of ``now``.
+        start_by: Time by which it must have started, on the same clock.
         weight: Share of the account against other accounts.
         cost: Work of the request in any unit that all tickets share.
         solo: Whether it must run while nothing else runs.
@@ -36,6 +37,7 @@
     priority: str = "chat"
     size_bytes: int = 0
     deadline: float = float("inf")
+    start_by: float = float("inf")
     weight: float = 1.0
     cost: float = 1.0
     solo: bool = False
--- a/pistachiowell/agent/gate.py
+++ b/pistachiowell/agent/gate.py
@@ -1,5 +1,6 @@
 """Lets requests through to the backend server as admission decides."""
 
+import math
 from contextlib import asynccontextmanager
 
 import anyio
@@ -114,6 +115,7 @@
             priority=request.priority,
             size_bytes=len(request.body),
             deadline=self._now + request.timeout_s,
+            start_by=self._now + (request.max_wait_s or math.inf),
             weight=request.weight,
             solo=solo,
         )
--- a/pistachiowell/bench/load.py
+++ b/pistachiowell/bench/load.py
@@ -7,14 +7,14 @@
 import json
 import sys
 from collections import Counter
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from random import Random
 
 import anyio
 from absl import flags
 
 from pistachiowell.bench.callers import Caller
-from pistachiowell.bench.plan import DEFAULT_SERVERS, MODEL, RigPlan
+from pistachiowell.bench.plan import DEFAULT_SERVERS, MODEL, RigPlan, default_rows
 from pistachiowell.bench.procfs import cpu_s, rss_bytes
 from pistachiowell.bench.rig import Rig
 from pistachiowell.core.commandline import parse_flags
@@ -197,20 +197,26 @@
     return billed
 
 
-def load_plan(word_s=0.01, slots=16, capacity=64):
+def load_plan(word_s=0.01, slots=16, capacity=64, max_wait_s=0.0):
     """Returns a ``RigPlan`` with engines of a given pace.
 
     Args:
         word_s: Seconds per word.
         slots: Requests that an engine runs at once.
         capacity: Requests held beyond which an engine falls over.
+        max_wait_s: Longest wait of a request for a slot; 0 for the deadline's.
     """
     extra = (f"--word_s={word_s}", f"--capacity={capacity}", "--batch_cost=0.02")
     servers = [
         spec if spec.service != MODEL else _with_flags(spec, slots, extra)
         for spec in DEFAULT_SERVERS
     ]
-    return RigPlan(servers=tuple(servers))
+    plan = RigPlan(servers=tuple(servers))
+    rows = [
+        {**row, "max_wait_s": max_wait_s} if row["kind"] == "route" else row
+        for row in default_rows(plan)
+    ]
+    return replace(plan, rows=tuple(rows))
 
 
 def _with_flags(spec, slots, extra):
@@ -227,6 +233,7 @@
     flags.DEFINE_integer("mean_words", plan.mean_words, "Mean answer.", **define)
     flags.DEFINE_integer("max_words", plan.max_words, "Longest answer.", **define)
     flags.DEFINE_integer("seed", plan.seed, "Seed.", **define)
+    flags.DEFINE_float("max_wait_s", 0.0, "Longest wait for a slot.", **define)
     flags.DEFINE_float("word_s", 0.01, "Seconds per word of an engine.", **define)
     flags.DEFINE_integer("slots", 16, "Requests that an engine runs.", **define)
     flags.DEFINE_integer("capacity", 64, "Requests held by an engine.", **define)
@@ -244,7 +251,10 @@
         values.max_words,
         values.seed,
     )
-    with Rig(load_plan(values.word_s, values.slots, values.capacity)) as rig:
+    plan_of_rig = load_plan(
+        values.word_s, values.slots, values.capacity, values.max_wait_s
+    )
+    with Rig(plan_of_rig) as rig:
         report = run_load(rig, plan)
     print(json.dumps(asdict(report), indent=1))
     equal = report.counted_tokens == report.billed_tokens
--- a/pistachiowell/router/service.py
+++ b/pistachiowell/router/service.py
@@ -156,6 +156,7 @@
         reservation_id=reservation.reservation_id,
         holder=reservation.holder,
         timeout_s=timeout_s,
+        max_wait_s=caller.route.max_wait_s,
         fingerprint=fingerprint(caller),
     )
 
