Move the port to the store out of the folder of the platform's adapter

pistachiowell/store holds the port, its HTTP adapter, the fake, following and table writes. pistachiowell/platform is free for the adapter to the users' platform.

--- a/pistachiowell/agent/claiming.py
+++ b/pistachiowell/agent/claiming.py
@@ -28,8 +28,8 @@
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.rng import Random
-from pistachiowell.platform.store import ABSENT
 from pistachiowell.schema.generated.objects_claims import ClaimLayout
+from pistachiowell.store.store import ABSENT
 
 LAYOUT_RETRY_S = 0.5
 _SEED_BITS = 128
--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -13,12 +13,12 @@
 from pistachiowell.core.program import run_program, send_gauges, wait_for_signal
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.engines import HttpBackend
-from pistachiowell.platform.http import HttpStore
-from pistachiowell.platform.registration import register_process, unregister_process
 from pistachiowell.router.rows import Rows
 from pistachiowell.schema.generated.messages_requests import LoadReport
 from pistachiowell.schema.generated.objects_membership import AgentRecord
 from pistachiowell.schema.generated.settings import AgentSettings
+from pistachiowell.store.http import HttpStore
+from pistachiowell.store.registration import register_process, unregister_process
 from pistachiowell.wire import Handlers, LinkTls, serve
 from pistachiowell.wire.status import register_status_handlers
 
--- a/pistachiowell/agent/receipts.py
+++ b/pistachiowell/agent/receipts.py
@@ -17,7 +17,6 @@
     StoreConflict,
 )
 from pistachiowell.core.logs import part_logger
-from pistachiowell.platform.store import ABSENT
 from pistachiowell.schema.generated.messages_budgets import (
     GrantsClosed,
     ReceiptsJournaled,
@@ -27,6 +26,7 @@
 )
 from pistachiowell.schema.generated.objects_budgets import DepartedAgent
 from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
+from pistachiowell.store.store import ABSENT
 
 RETRY_DELAY_S = 0.2
 CHECK_INTERVAL_S = 0.5
--- a/pistachiowell/agent/tests/test_orders.py
+++ b/pistachiowell/agent/tests/test_orders.py
@@ -7,10 +7,10 @@
 
 from pistachiowell.agent.orders import MOVES, Orders
 from pistachiowell.core.events import EventKind
-from pistachiowell.platform.memory import MemoryStore
-from pistachiowell.platform.store import ABSENT
 from pistachiowell.schema.generated.messages_moves import EngineOrder
 from pistachiowell.schema.generated.objects_moves import MoveState
+from pistachiowell.store.memory import MemoryStore
+from pistachiowell.store.store import ABSENT
 from pistachiowell.wire import Handlers
 
 
--- a/pistachiowell/agent/tests/test_receipts.py
+++ b/pistachiowell/agent/tests/test_receipts.py
@@ -7,11 +7,11 @@
 
 from pistachiowell.agent.receipts import Receipts
 from pistachiowell.core.errors import RouterUnknown
-from pistachiowell.platform.memory import MemoryStore
-from pistachiowell.platform.registration import register_process
 from pistachiowell.schema.generated.messages_budgets import SealIncarnation
 from pistachiowell.schema.generated.messages_requests import Hello, RunRequest
 from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
+from pistachiowell.store.memory import MemoryStore
+from pistachiowell.store.registration import register_process
 from pistachiowell.wire import Handlers
 
 ROUTER = RouterRecord("r", "router-1", "osu", "127.0.0.1", 1, "127.0.0.1", 2)
--- a/pistachiowell/bench/claims.py
+++ b/pistachiowell/bench/claims.py
@@ -17,7 +17,7 @@
 from pistachiowell.claims.keys import bucket_of
 from pistachiowell.claims.pages import COLLECTION
 from pistachiowell.core.errors import StoreConflict
-from pistachiowell.platform.memory import ObjectTable
+from pistachiowell.store.memory import ObjectTable
 
 STORE_LATENCY_S = 0.005
 DURATION_S = 30.0
--- a/pistachiowell/bench/rig_use.py
+++ b/pistachiowell/bench/rig_use.py
@@ -9,7 +9,7 @@
 
 from pistachiowell.bench.client import TIMEOUT_S, call
 from pistachiowell.bench.plan import MODEL, server_rows
-from pistachiowell.platform.resources import BASE_PATH
+from pistachiowell.store.resources import BASE_PATH
 
 OPERATOR = "rig"
 OPERATOR_KEY = "key-operator"
--- a/pistachiowell/budgets/tests/fleet.py
+++ b/pistachiowell/budgets/tests/fleet.py
@@ -13,8 +13,8 @@
 from pistachiowell.budgets.receipts import Spend, Verdict
 from pistachiowell.budgets.sealing import Departed, outcome_at_departed
 from pistachiowell.core.errors import StoreConflict
-from pistachiowell.platform.memory import ObjectTable
 from pistachiowell.schema.generated.objects_budgets import DepartedAgent, JournalEntry
+from pistachiowell.store.memory import ObjectTable
 
 ACCOUNT = "shop"
 PAGE = ("budgetpages", "page-0")
--- a/pistachiowell/claims/tests/test_claims.py
+++ b/pistachiowell/claims/tests/test_claims.py
@@ -18,7 +18,7 @@
 from pistachiowell.claims.pages import COLLECTION
 from pistachiowell.core.errors import PistachiowellError, StoreConflict
 from pistachiowell.core.rng import Random
-from pistachiowell.platform.memory import ObjectTable
+from pistachiowell.store.memory import ObjectTable
 
 KEYS = ("k1", "k2", "k3", "k4")
 PAGE_SIZES = {"a": 1, "b": 4}
--- a/pistachiowell/core/runtime.py
+++ b/pistachiowell/core/runtime.py
@@ -7,8 +7,8 @@
 from pistachiowell.core.events import EventKind, EventRing
 from pistachiowell.core.ids import new_id
 from pistachiowell.core.metrics import Metrics
-from pistachiowell.platform.observed import ObservedStore
 from pistachiowell.schema.generated.messages_requests import Hello
+from pistachiowell.store.observed import ObservedStore
 
 
 class Runtime:
@@ -17,7 +17,7 @@
     Args:
         role: ``router`` or ``agent``.
         settings: The program's settings.
-        store: The platform's store; see ``pistachiowell.platform.Store``.
+        store: The platform's store; see ``pistachiowell.store.Store``.
 
     Attributes:
         tls: The ``LinkTls`` of the links; None without TLS.
--- a/pistachiowell/ctl/command.py
+++ b/pistachiowell/ctl/command.py
@@ -26,9 +26,9 @@
 from pistachiowell.core.clock import HybridClock
 from pistachiowell.core.errors import InvalidRequest
 from pistachiowell.core.ids import new_id
-from pistachiowell.platform.http import HttpStore
-from pistachiowell.platform.table_writer import TableWriter
 from pistachiowell.schema.generated.messages_requests import Hello
+from pistachiowell.store.http import HttpStore
+from pistachiowell.store.table_writer import TableWriter
 from pistachiowell.wire import Handlers, LinkTls, connect
 
 EXIT_OK = 0
--- a/pistachiowell/ctl/commands/status.py
+++ b/pistachiowell/ctl/commands/status.py
@@ -6,8 +6,8 @@
 from pistachiowell.ctl.command import EXIT_UNAVAILABLE, Result, command
 from pistachiowell.ctl.processes import ask_all
 from pistachiowell.ctl.table_files import require_args
-from pistachiowell.platform.store import ABSENT
 from pistachiowell.schema.generated.messages_control import StatusQuery, StatusReport
+from pistachiowell.store.store import ABSENT
 
 USAGE = "status [NAME] [--process HOST:PORT,...]"
 HEAD = ("process", "role", "data centre", "table", "state")
--- a/pistachiowell/ctl/tests/test_table_commands.py
+++ b/pistachiowell/ctl/tests/test_table_commands.py
@@ -14,8 +14,8 @@
 )
 from pistachiowell.ctl.command import EXIT_FAILED, Context, exit_code, load_commands
 from pistachiowell.ctl.main import execute, help_text
-from pistachiowell.platform.memory import MemoryStore
 from pistachiowell.schema.generated.settings import CtlSettings
+from pistachiowell.store.memory import MemoryStore
 from pistachiowell.tables import read_rows, write_rows
 
 pytestmark = pytest.mark.anyio
--- a/pistachiowell/moves/tests/test_moving.py
+++ b/pistachiowell/moves/tests/test_moving.py
@@ -20,10 +20,10 @@
 from pistachiowell.moves.permits import PERMIT_S
 from pistachiowell.moves.plan import STAGES
 from pistachiowell.moves.tracker import Tracker
-from pistachiowell.platform.memory import ObjectTable
 from pistachiowell.router.move_store import MoveStore
 from pistachiowell.schema.generated.objects_moves import MoveState
 from pistachiowell.schema.generated.table import MoveRow, RouteRow
+from pistachiowell.store.memory import ObjectTable
 
 ROW = MoveRow("move", "m", "chat", "v1", "v2", "2026-01-01T00:00:00Z")
 ROUTE = RouteRow("route", "chat", "model", {"v1": 1.0})
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -8,9 +8,9 @@
 from pistachiowell.core.errors import STORE_ERRORS, LinkLost, LinkTimeout
 from pistachiowell.core.events import EventKind
 from pistachiowell.membership import MembershipSettings, PeerBook
-from pistachiowell.platform.follow import follow_collection
 from pistachiowell.schema.generated.messages_requests import Hello, Ping
 from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
+from pistachiowell.store.follow import follow_collection
 from pistachiowell.wire import connect
 
 RECONNECT_DELAY_S = 0.3
--- a/pistachiowell/router/holding.py
+++ b/pistachiowell/router/holding.py
@@ -10,12 +10,12 @@
 from pistachiowell.core.ids import new_id
 from pistachiowell.core.logs import part_logger
 from pistachiowell.moves import EndMove, Mover, MoveStage
-from pistachiowell.platform.table_writer import TableWriter
 from pistachiowell.router.move_store import MoveStore
 from pistachiowell.schema.generated.messages_moves import (
     EngineOrder,
     EngineOrderReport,
 )
+from pistachiowell.store.table_writer import TableWriter
 from pistachiowell.tables import Change, RowKey
 
 ORDER_TIMEOUT_S = 60.0
--- a/pistachiowell/router/journal.py
+++ b/pistachiowell/router/journal.py
@@ -9,9 +9,9 @@
 from pistachiowell.core.errors import STORE_ERRORS, StoreConflict
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
-from pistachiowell.platform.store import ABSENT
 from pistachiowell.schema.generated.messages_budgets import ReceiptsJournaled
 from pistachiowell.schema.generated.objects_budgets import JournalEntry
+from pistachiowell.store.store import ABSENT
 
 FLUSH_INTERVAL_S = 0.5
 FLEET_WRITES_PER_S = 30.0
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -12,8 +12,6 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.program import run_program, send_gauges, wait_for_signal
 from pistachiowell.core.runtime import Runtime
-from pistachiowell.platform.http import HttpStore
-from pistachiowell.platform.registration import register_process, unregister_process
 from pistachiowell.router.api import Api, error_document
 from pistachiowell.router.dispatch import Dispatch
 from pistachiowell.router.fleet import Fleet
@@ -27,6 +25,8 @@
 from pistachiowell.router.suspects import Suspects
 from pistachiowell.schema.generated.objects_membership import RouterRecord
 from pistachiowell.schema.generated.settings import RouterSettings
+from pistachiowell.store.http import HttpStore
+from pistachiowell.store.registration import register_process, unregister_process
 from pistachiowell.wire import Handlers, LinkTls, serve
 from pistachiowell.wire.status import register_status_handlers
 
--- a/pistachiowell/router/move_store.py
+++ b/pistachiowell/router/move_store.py
@@ -11,8 +11,8 @@
 )
 from pistachiowell.core.logs import part_logger
 from pistachiowell.moves.lease import Lease
-from pistachiowell.platform.store import ABSENT
 from pistachiowell.schema.generated.objects_moves import MoveState
+from pistachiowell.store.store import ABSENT
 
 MOVES = "moves"
 
--- a/pistachiowell/router/pages.py
+++ b/pistachiowell/router/pages.py
@@ -18,7 +18,7 @@
     StoreThrottled,
     StoreUnavailable,
 )
-from pistachiowell.platform.store import ABSENT
+from pistachiowell.store.store import ABSENT
 
 MAX_TRIES = 8
 CONFLICT_DELAY_S = 0.01
--- a/pistachiowell/router/recovery.py
+++ b/pistachiowell/router/recovery.py
@@ -26,13 +26,13 @@
 )
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
-from pistachiowell.platform.registration import register_process
-from pistachiowell.platform.store import ABSENT
 from pistachiowell.router.pages import read_page, update_page
 from pistachiowell.schema.generated.messages_budgets import SealIncarnation, SealReport
 from pistachiowell.schema.generated.messages_control import StatusQuery
 from pistachiowell.schema.generated.objects_budgets import DepartedAgent
 from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
+from pistachiowell.store.registration import register_process
+from pistachiowell.store.store import ABSENT
 
 TICK_S = 1.0
 SUSPECT_AFTER_S = 5.0
--- a/pistachiowell/router/suspects.py
+++ b/pistachiowell/router/suspects.py
@@ -6,13 +6,13 @@
 from pistachiowell.core.errors import STORE_ERRORS, Quarantined
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
-from pistachiowell.platform.store import ABSENT
 from pistachiowell.routing import CRASH_LEDGERS, Crash, Standing
 from pistachiowell.schema.generated.messages_membership import (
     CrashReport,
     SuspectCleared,
 )
 from pistachiowell.schema.generated.objects_membership import QuarantineRecord
+from pistachiowell.store.store import ABSENT
 
 QUARANTINE = "quarantine"
 READ_INTERVAL_S = 30.0
--- a/pistachiowell/router/tests/test_rows.py
+++ b/pistachiowell/router/tests/test_rows.py
@@ -6,9 +6,9 @@
 import pytest
 
 from pistachiowell.core.events import EventKind
-from pistachiowell.platform.memory import MemoryStore
-from pistachiowell.platform.table_writer import TableWriter
 from pistachiowell.router.rows import Rows
+from pistachiowell.store.memory import MemoryStore
+from pistachiowell.store.table_writer import TableWriter
 from pistachiowell.tables import Change, is_watcher
 from pistachiowell.wire import Handlers
 
--- a/pistachiowell/standins/store.py
+++ b/pistachiowell/standins/store.py
@@ -13,7 +13,7 @@
 import uvicorn
 from absl import app, flags
 
-from pistachiowell.platform.resources import (
+from pistachiowell.store.resources import (
     BASE_PATH,
     DeleteOptions,
     Metadata,
--- a/pistachiowell/platform/http.py
+++ b/pistachiowell/store/http.py
@@ -11,7 +11,7 @@
     StoreThrottled,
     StoreUnavailable,
 )
-from pistachiowell.platform.resources import (
+from pistachiowell.store.resources import (
     BASE_PATH,
     DeleteOptions,
     Metadata,
@@ -21,7 +21,7 @@
     Status,
     WatchEvent,
 )
-from pistachiowell.platform.store import ABSENT, MAX_VALUE_BYTES, Change, Entry, Vm
+from pistachiowell.store.store import ABSENT, MAX_VALUE_BYTES, Change, Entry, Vm
 
 CALL_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
--- a/pistachiowell/platform/memory.py
+++ b/pistachiowell/store/memory.py
@@ -11,8 +11,8 @@
     StoreConflict,
     StoreUnavailable,
 )
-from pistachiowell.platform.http import to_vm
-from pistachiowell.platform.store import ABSENT, MAX_VALUE_BYTES, Change, Entry
+from pistachiowell.store.http import to_vm
+from pistachiowell.store.store import ABSENT, MAX_VALUE_BYTES, Change, Entry
 
 HISTORY_CHANGES = 10_000
 
--- a/pistachiowell/platform/registration.py
+++ b/pistachiowell/store/registration.py
@@ -5,7 +5,7 @@
 
 from pistachiowell.core.errors import STORE_ERRORS
 from pistachiowell.core.logs import part_logger
-from pistachiowell.platform.store import ABSENT
+from pistachiowell.store.store import ABSENT
 
 RETRY_DELAY_S = 0.3
 
--- a/pistachiowell/platform/table_writer.py
+++ b/pistachiowell/store/table_writer.py
@@ -16,7 +16,7 @@
     StoreConflict,
 )
 from pistachiowell.core.logs import part_logger
-from pistachiowell.platform.store import ABSENT
+from pistachiowell.store.store import ABSENT
 from pistachiowell.tables import HEAD_NAME, ROWS, build_change, object_name, row_key
 from pistachiowell.tables.changes import make_snapshot
 from pistachiowell.tables.rows import decode_head, decode_row, encode, head_rows
--- a/pistachiowell/platform/tests/test_answers.py
+++ b/pistachiowell/store/tests/test_answers.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from pistachiowell.core.errors import PistachiowellError, StoreAnswerLost
-from pistachiowell.platform import HttpStore
+from pistachiowell.store import HttpStore
 
 TOKENS = (
     "{|}|[|]|:|,|null|1|NaN|-1|1e999|"
--- a/pistachiowell/platform/tests/test_follow.py
+++ b/pistachiowell/store/tests/test_follow.py
@@ -3,9 +3,9 @@
 import anyio
 import pytest
 
-from pistachiowell.platform.follow import follow_collection
-from pistachiowell.platform.memory import MemoryStore
-from pistachiowell.platform.store import ABSENT
+from pistachiowell.store.follow import follow_collection
+from pistachiowell.store.memory import MemoryStore
+from pistachiowell.store.store import ABSENT
 
 
 @pytest.mark.anyio
--- a/pistachiowell/platform/tests/test_observed.py
+++ b/pistachiowell/store/tests/test_observed.py
@@ -5,9 +5,9 @@
 from pistachiowell.core.clock import HybridClock
 from pistachiowell.core.errors import StoreUnavailable
 from pistachiowell.core.events import EventRing
-from pistachiowell.platform.memory import MemoryStore
-from pistachiowell.platform.observed import ObservedStore
-from pistachiowell.platform.store import ABSENT
+from pistachiowell.store.memory import MemoryStore
+from pistachiowell.store.observed import ObservedStore
+from pistachiowell.store.store import ABSENT
 
 
 @pytest.mark.anyio
--- a/pistachiowell/platform/tests/test_store.py
+++ b/pistachiowell/store/tests/test_store.py
@@ -15,9 +15,9 @@
     StoreThrottled,
     StoreUnavailable,
 )
-from pistachiowell.platform import ABSENT, HttpStore, MemoryStore
-from pistachiowell.platform.memory import ObjectTable
-from pistachiowell.platform.store import MAX_VALUE_BYTES
+from pistachiowell.store import ABSENT, HttpStore, MemoryStore
+from pistachiowell.store.memory import ObjectTable
+from pistachiowell.store.store import MAX_VALUE_BYTES
 
 NAMES = ("a", "b")
 OPERATIONS = st.lists(
--- a/pistachiowell/tables/tests/test_racing.py
+++ b/pistachiowell/tables/tests/test_racing.py
@@ -23,9 +23,9 @@
     StoreConflict,
     StoreUnavailable,
 )
-from pistachiowell.platform.memory import ObjectTable
-from pistachiowell.platform.table_writer import ChangeAttempt, Outcome, TableWriter
 from pistachiowell.schema.generated.table import StoredRow
+from pistachiowell.store.memory import ObjectTable
+from pistachiowell.store.table_writer import ChangeAttempt, Outcome, TableWriter
 from pistachiowell.tables import ROWS, Change, Table, object_name, row_key
 from pistachiowell.tables.changes import make_snapshot
 from pistachiowell.tables.checks import find_conflicts
