--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -10,7 +10,8 @@
 from pistachiowell.agent.runner import Runner
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
-from pistachiowell.core.program import run_program, send_gauges, wait_for_signal
+from pistachiowell.core.metrics_page import serve_metrics
+from pistachiowell.core.program import run_program, wait_for_signal
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.engines import HttpBackend
 from pistachiowell.router.rows import Rows
@@ -94,7 +95,7 @@
             group.start_soon(self._gate.run)
             await group.start(self._serve_routers)
             group.start_soon(self._push_load)
-            group.start_soon(send_gauges, self._runtime)
+            group.start_soon(serve_metrics, self._runtime)
             record = self._record()
             await note_lost_agent(self._runtime.store, record)
             await register_process(self._runtime.store, "agents", record)
--- a/pistachiowell/bench/capacity.py
+++ b/pistachiowell/bench/capacity.py
@@ -13,7 +13,7 @@
 
 from pistachiowell.agent.main import LOAD_INTERVAL_S
 from pistachiowell.bench.slopes import US_PER_S, Slope
-from pistachiowell.budgets.holder import RENEW_AFTER_S
+from pistachiowell.budgets.sizing import SizingSettings
 from pistachiowell.router.fleet import vm_list_interval_s
 from pistachiowell.router.journal import flush_interval_s
 
@@ -63,7 +63,7 @@
     reports_per_s: float = REPORTS_PER_S
     pings_per_s: float = 2.0
     watching_agents: bool = False
-    renewal_s: float = RENEW_AFTER_S
+    renewal_s: float = SizingSettings().renew_after_s
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiowell/bench/rig_programs.py
+++ b/pistachiowell/bench/rig_programs.py
@@ -88,7 +88,7 @@
             "region": self.plan.region,
             "data_centre": data_centre,
             "store_url": self._store_url_of(name),
-            "statsd_port": self.port("statsd"),
+            "metrics_port": self.port(f"{name}-metrics"),
             "log_level": "DEBUG",
             **settings,
         }
--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -5,9 +5,9 @@
 
 from pistachiowell.budgets.ledger import AccountLedger
 from pistachiowell.budgets.page import CloseGrant, FundGrant, LowerGrant, page_number
+from pistachiowell.budgets.sizing import SizingSettings
 from pistachiowell.core.ids import new_id
 
-RENEW_AFTER_S = 300.0
 REFILL_BELOW = 0.5
 GIVE_BACK_ABOVE = 4.0
 RECALL_HOLD_S = 2.0
@@ -25,6 +25,7 @@
         pages: Number of budget pages.
         policy: Name of the sizing policy.
         make_id: Function that makes a grant id.
+        sizing: ``SizingSettings``; its policy is not used.
 
     Examples:
         >>> from pistachiowell.budgets.page import TopUp, apply_changes
@@ -51,13 +52,20 @@
         "_policy",
         "_recalled_at",
         "_sealed_routers",
+        "_sizing",
         "_unresolved",
         "_versions",
     )
 
     def __init__(
-        self, incarnation, pages, policy="adaptive", make_id=lambda: new_id("grant")
+        self,
+        incarnation,
+        pages,
+        policy="adaptive",
+        make_id=lambda: new_id("grant"),
+        sizing=None,
     ):
+        self._sizing = sizing or SizingSettings()
         self._incarnation = incarnation
         self._pages = pages
         self._policy = policy
@@ -104,7 +112,7 @@
         """Returns the ``AccountLedger`` of an account."""
         ledger = self._ledgers.get(account)
         if ledger is None:
-            ledger = self._ledgers[account] = AccountLedger()
+            ledger = self._ledgers[account] = AccountLedger(self._sizing)
             self._by_page[self.page_of(account)].add(account)
         return ledger
 
@@ -234,7 +242,7 @@
         """Plans the closing of what an account no longer needs.
 
         Surplus beyond the demand is given back; a grant older than
-        ``RENEW_AFTER_S`` is replaced, so that few grants overlap a lost agent.
+        the settings say is replaced, so that few grants overlap a lost agent.
         """
         ledger = self.ledger(account)
         demand = ledger.demand(now)
@@ -246,7 +254,7 @@
             )
             if surplus > 0:
                 grant.ceiling = grant.committed_tokens + demand.target_tokens
-            elif now - grant.opened_at >= RENEW_AFTER_S:
+            elif now - grant.opened_at >= self._sizing.renew_after_s:
                 grant.renewing = True
 
     def _adopt(self, account, grant_id, grant, now):
--- a/pistachiowell/budgets/ledger.py
+++ b/pistachiowell/budgets/ledger.py
@@ -4,9 +4,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from pistachiowell.budgets.sizing import Demand
+from pistachiowell.budgets.sizing import Demand, SizingSettings
 
-RATE_WINDOW_S = 300.0
 ENDED_IDS_KEPT = 4096
 
 
@@ -77,9 +76,10 @@
         1.0
     """
 
-    __slots__ = ("_at", "_sum")
+    __slots__ = ("_at", "_sum", "_window_s")
 
-    def __init__(self):
+    def __init__(self, window_s=300.0):
+        self._window_s = window_s
         self._sum = 0.0
         self._at = 0.0
 
@@ -91,17 +91,20 @@
     def rate(self, now):
         """Returns tokens per second."""
         self._decay(now)
-        return self._sum / RATE_WINDOW_S
+        return self._sum / self._window_s
 
     def _decay(self, now):
         if now > self._at:
-            self._sum *= math.exp((self._at - now) / RATE_WINDOW_S)
+            self._sum *= math.exp((self._at - now) / self._window_s)
             self._at = now
 
 
 class AccountLedger:
     """Reserves, settles and counts the demand of one account.
 
+    Args:
+        sizing: The ``SizingSettings``.
+
     Examples:
         >>> ledger = AccountLedger()
         >>> ledger.reserve("a", "router-1", 10, 0.0) is None
@@ -117,12 +120,13 @@
         96
     """
 
-    __slots__ = ("_ended", "_ended_order", "_meter", "_waiting", "grants")
+    __slots__ = ("_ended", "_ended_order", "_meter", "_sizing", "_waiting", "grants")
 
-    def __init__(self):
+    def __init__(self, sizing=None):
+        self._sizing = sizing or SizingSettings()
         self.grants = {}
         self._waiting = {}
-        self._meter = RateMeter()
+        self._meter = RateMeter(self._sizing.rate_window_s)
         self._ended = set()
         self._ended_order = deque()
 
@@ -228,6 +232,7 @@
             max(smallest - available, 0),
             self._meter.rate(now),
             available,
+            self._sizing,
         )
 
     def observe(self, grant_id, amount, now, page_version=0):
--- a/pistachiowell/budgets/page.py
+++ b/pistachiowell/budgets/page.py
@@ -81,6 +81,21 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class SetCredit:
+    """Sets what was paid for, as a revision of the configuration says.
+
+    Attributes:
+        account: Client account.
+        tokens: Tokens paid for since the account began.
+        revision: The revision; an older one than the page has changes nothing.
+    """
+
+    account: str
+    tokens: int
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class ReturnTokens:
     """Sets what a request was charged beyond its one bill.
@@ -248,6 +263,13 @@
     return replace(account, credited=account.credited + tokens, top_ups=top_ups)
 
 
+@_changes_account(SetCredit)
+def _set_credit(account, change):
+    if change.revision <= account.credit_revision:
+        return account
+    return replace(account, credited=change.tokens, credit_revision=change.revision)
+
+
 @_changes_account(ReturnTokens)
 def _return(account, change):
     known = account.returns.get(change.request_id, 0)
--- a/pistachiowell/budgets/sizing.py
+++ b/pistachiowell/budgets/sizing.py
@@ -4,12 +4,29 @@
 
 _POLICIES = {}
 
-HORIZON_S = 3600.0
 FREE_SHARE = 4
-FIRST_GRANT_REQUESTS = 16
 FIXED_GRANT_TOKENS = 10_000
 
 
+@dataclass(frozen=True, slots=True)
+class SizingSettings:
+    """Settings of the size of grants.
+
+    Attributes:
+        policy: Name of the policy.
+        horizon_s: Seconds of the recent demand that a grant shall last.
+        first_grant_requests: Size of a first grant in requests like those that wait.
+        rate_window_s: Window of the recent demand in seconds.
+        renew_after_s: Age above which a grant is replaced.
+    """
+
+    policy: str = "adaptive"
+    horizon_s: float = 3600.0
+    first_grant_requests: int = 16
+    rate_window_s: float = 300.0
+    renew_after_s: float = 300.0
+
+
 @dataclass(frozen=True, slots=True)
 class Demand:
     """What a holder knows about its demand for one account.
@@ -19,18 +36,20 @@
         smallest_need_tokens: Missing for the smallest request that waits.
         rate_tokens_per_s: Recent use.
         available_tokens: Unreserved tokens of the holder's grant.
+        sizing: The ``SizingSettings``.
     """
 
     need_tokens: int = 0
     smallest_need_tokens: int = 0
     rate_tokens_per_s: float = 0.0
     available_tokens: int = 0
+    sizing: SizingSettings = SizingSettings()
 
     @property
     def target_tokens(self):
         """Available tokens that the holder would like to have."""
-        forecast = int(self.rate_tokens_per_s * HORIZON_S)
-        return max(forecast, FIRST_GRANT_REQUESTS * self.need_tokens)
+        forecast = int(self.rate_tokens_per_s * self.sizing.horizon_s)
+        return max(forecast, self.sizing.first_grant_requests * self.need_tokens)
 
 
 def register_policy(name):
--- /dev/null
+++ b/pistachiowell/catalog/__init__.py
@@ -0,0 +1,24 @@
+"""What operators have put in force: routes, services, client accounts, servers."""
+
+from pistachiowell.catalog.catalog import (
+    Account,
+    Catalog,
+    EngineLimits,
+    HttpLimits,
+    Route,
+    RouteKind,
+    Service,
+)
+from pistachiowell.catalog.servers import BackendServer, ServerBook
+
+__all__ = [
+    "Account",
+    "BackendServer",
+    "Catalog",
+    "EngineLimits",
+    "HttpLimits",
+    "Route",
+    "RouteKind",
+    "ServerBook",
+    "Service",
+]
--- /dev/null
+++ b/pistachiowell/catalog/catalog.py
@@ -0,0 +1,160 @@
+"""The configuration in force: routes, services, client accounts and HTTP limits."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class RouteKind(StrEnum):
+    """What a route's requests allow."""
+
+    idempotent = "idempotent"
+    non_idempotent = "non_idempotent"
+    streaming = "streaming"
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of one host and path prefix go.
+
+    Attributes:
+        name: Name of the route.
+        host: Value of the Host header, without a port, in lower case.
+        path_prefix: Begin of the paths; starts and ends with a slash.
+        kind: A ``RouteKind``.
+        weights: Relative share of the requests by service.
+        timeout_s: Longest time a request is kept waiting.
+        objective_s: Time to the answer, or to a stream's first event, that is on time.
+        event_gap_s: Longest pause between events that is on time; 0 for no stream.
+        priority: Rank of the requests; 0 is the most urgent.
+        max_attempts: Most servers that may run one request.
+        is_public: Whether requests need no API key.
+        is_resumable: Whether a broken stream may go on at another server.
+        has_prompts: Whether requests describe a prompt for a model engine.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    weights: dict
+    timeout_s: float
+    objective_s: float
+    event_gap_s: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    is_public: bool = False
+    is_resumable: bool = False
+    has_prompts: bool = False
+
+    @property
+    def is_repeatable(self):
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.idempotent or self.is_resumable
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLimits:
+    """Sizes of a service's model engines.
+
+    Attributes:
+        slots: Requests that run at once.
+        kv_tokens: Tokens that fit into the memory of one engine.
+        tokens_per_event: Most output tokens in one event of a stream.
+    """
+
+    slots: int
+    kv_tokens: int
+    tokens_per_event: int
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A set of backend servers that answer alike.
+
+    Attributes:
+        name: Name of the service.
+        max_connections: Connections that one server accepts from all callers.
+        engine: ``EngineLimits``; None for a plain service.
+    """
+
+    name: str
+    max_connections: int
+    engine: EngineLimits | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    """A client account.
+
+    Attributes:
+        name: Name of the account.
+        priority: Rank that goes before the rank of the route; None without one.
+        prepaid_tokens: Tokens paid for; None for an account without a budget.
+    """
+
+    name: str
+    priority: int | None = None
+    prepaid_tokens: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Bounds of what callers may send.
+
+    Attributes:
+        header_bytes: Largest head of a request.
+        body_bytes: Largest body of a request.
+        header_timeout_s: Longest time from a request's first byte to the end of its
+            head.
+        idle_timeout_s: Time after which an idle connection is closed.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Catalog:
+    """One revision of the configuration.
+
+    Attributes:
+        revision: Number that grows with every change; never taken twice.
+        routes: ``Route`` by host, the longest path prefix first.
+        services: ``Service`` by name.
+        accounts: ``Account`` by API key; None if no route asks for keys.
+        limits: ``HttpLimits``.
+
+    Examples:
+        >>> route = Route("r", "a.example", "/x/", RouteKind.idempotent, {"s": 1}, 1, 1)
+        >>> catalog = Catalog(1, {"a.example": [route]}, {}, None)
+        >>> catalog.find_route("A.example:80", "/x/1").name
+        'r'
+        >>> catalog.find_route("a.example", "/y/") is None
+        True
+    """
+
+    revision: int
+    routes: dict
+    services: dict
+    accounts: dict | None
+    limits: HttpLimits = field(default_factory=HttpLimits)
+
+    def find_route(self, host, path):
+        """Returns the ``Route`` of a request, or None.
+
+        Args:
+            host: Value of the Host header.
+            path: Path without the query.
+        """
+        name = host.rpartition(":")[0] if ":" in host else host
+        for route in self.routes.get(name.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def prepaid_accounts(self):
+        """Returns each ``Account`` that has a budget, by name."""
+        accounts = (self.accounts or {}).values()
+        return {a.name: a for a in accounts if a.prepaid_tokens is not None}
--- a/pistachiowell/core/metrics.py
+++ b/pistachiowell/core/metrics.py
@@ -1,27 +1,54 @@
-"""Metrics by statsd over UDP."""
+"""Counters, gauges and latency histograms, served as text by ``metrics_page``."""
 
-import statsd
+import re
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 PREFIX = "pistachiowell"
+LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.6,
+    3.2,
+    6.4,
+    15.0,
+)
+
+_SEPARATORS = re.compile(r"[^a-zA-Z0-9_]")
 
 
 class Metrics:
-    """Sends counters, gauges and timings and keeps the latest values.
-
-    The values kept answer ``/status`` and the status message.
-
-    Args:
-        settings: Settings with ``id``, ``statsd_host`` and ``statsd_port``.
+    """Registry of one process; it also keeps the latest values by their own names.
+
+    Names are words parted by dots; in the text form they are parted by underscores
+    and begin with ``PREFIX``.
+
+    Examples:
+        >>> metrics = Metrics()
+        >>> metrics.count("requests.answered")
+        >>> metrics.values
+        {'requests.answered': 1}
+        >>> b"pistachiowell_requests_answered_total 1.0" in metrics.text()
+        True
     """
 
-    __slots__ = ("_client", "_read", "_values")
+    __slots__ = ("_collectors", "_read", "_registry", "_values")
 
-    def __init__(self, settings):
-        self._client = statsd.StatsClient(
-            settings.statsd_host,
-            settings.statsd_port,
-            prefix=f"{PREFIX}.{settings.id}",
-        )
+    def __init__(self):
+        self._registry = CollectorRegistry()
+        self._collectors = {}
         self._values = {}
         self._read = {}
 
@@ -30,6 +57,10 @@
         """Latest value by metric name; counters count from the start."""
         return {**self._values, **{name: read() for name, read in self._read.items()}}
 
+    def text(self):
+        """Returns all metrics in the text form of Prometheus as bytes."""
+        return generate_latest(self._registry)
+
     def watch(self, name, read):
         """Registers a gauge that is read whenever the values are asked for.
 
@@ -38,27 +69,32 @@
             read: Function that returns the present value.
         """
         self._read[name] = read
-
-    def send_watched(self):
-        """Sends the gauges that ``watch`` registered."""
-        for name, read in self._read.items():
-            self._client.gauge(name, read())
+        self._collector(Gauge, name).set_function(read)
 
     def count(self, name, amount=1):
         """Adds to a counter."""
         self._values[name] = self._values.get(name, 0) + amount
-        self._client.incr(name, amount)
+        self._collector(Counter, name).inc(amount)
 
     def gauge(self, name, value):
         """Sets a gauge."""
         self._values[name] = value
-        self._client.gauge(name, value)
+        self._collector(Gauge, name).set(value)
 
     def timing(self, name, duration_s):
-        """Records a duration.
+        """Records a duration in a histogram.
 
         Args:
             name: Name of the timer.
             duration_s: Duration in seconds.
         """
-        self._client.timing(name, duration_s * 1000.0)
+        self._collector(Histogram, name, buckets=LATENCY_BUCKETS_S).observe(duration_s)
+
+    def _collector(self, cls, name, **options):
+        collector = self._collectors.get(name)
+        if collector is None:
+            full_name = f"{PREFIX}_{_SEPARATORS.sub('_', name)}"
+            help_text = f"See {name} in docs/METRICS.md."
+            collector = cls(full_name, help_text, registry=self._registry, **options)
+            self._collectors[name] = collector
+        return collector
--- /dev/null
+++ b/pistachiowell/core/metrics_page.py
@@ -0,0 +1,62 @@
+"""The page of a process's metrics."""
+
+import uvicorn
+
+from pistachiowell.core.web import EmbeddedServer
+
+CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+PATH = "/metrics"
+
+
+class MetricsPage:
+    """ASGI application that serves the metrics as text.
+
+    Args:
+        metrics: The process's ``Metrics``.
+    """
+
+    __slots__ = ("_metrics",)
+
+    def __init__(self, metrics):
+        self._metrics = metrics
+
+    async def __call__(self, scope, receive, send):
+        """Answers with the metrics, or 404 on another path."""
+        del receive
+        if scope["type"] != "http":
+            return
+        found = scope["path"] == PATH
+        body = self._metrics.text() if found else b"Use /metrics.\n"
+        headers = [
+            (b"content-type", CONTENT_TYPE if found else b"text/plain"),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        status = 200 if found else 404
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+async def serve_metrics(runtime):
+    """Serves the metrics until cancelled; returns at once without a port.
+
+    Args:
+        runtime: The process's ``Runtime``; its settings have ``metrics_host`` and
+            ``metrics_port``.
+    """
+    settings = runtime.settings
+    if not settings.metrics_port:
+        return
+    config = uvicorn.Config(
+        MetricsPage(runtime.metrics),
+        host=settings.metrics_host,
+        port=settings.metrics_port,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+    )
+    await EmbeddedServer(config).serve()
--- a/pistachiowell/core/program.py
+++ b/pistachiowell/core/program.py
@@ -47,20 +47,6 @@
     return settings
 
 
-GAUGE_INTERVAL_S = 5.0
-
-
-async def send_gauges(runtime):
-    """Sends the watched gauges of a process until cancelled.
-
-    Args:
-        runtime: The process's ``Runtime``.
-    """
-    while True:
-        runtime.metrics.send_watched()
-        await anyio.sleep(GAUGE_INTERVAL_S)
-
-
 async def wait_for_signal():
     """Waits for SIGTERM or SIGINT."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/pistachiowell/core/runtime.py
+++ b/pistachiowell/core/runtime.py
@@ -43,7 +43,7 @@
         clock = HybridClock(time.time_ns)
         self._events = EventRing(settings.id, clock, settings.event_ring_size)
         self._store = ObservedStore(store, self._events)
-        self._metrics = Metrics(settings)
+        self._metrics = Metrics()
         self._hello = Hello(
             role=role,
             id=settings.id,
--- /dev/null
+++ b/pistachiowell/gateway/app.py
@@ -0,0 +1,230 @@
+"""The ASGI applications of the gateway: for callers and for health checks."""
+
+import anyio
+
+from pistachiowell.core.errors import (
+    BodyTooLarge,
+    DeadlineExceeded,
+    HeadersTooLarge,
+    InternalFault,
+    InvalidRequest,
+    Leaving,
+    NotFound,
+    Overloaded,
+    PistachiowellError,
+    Unauthorized,
+)
+from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.caller import Caller
+from pistachiowell.gateway.dispatch import Usage
+from pistachiowell.gateway.messages import GatewayRequest
+
+NOT_READY_DELAY_S = 0.5
+
+_log = part_logger("gateway")
+
+
+class CallerGoneError(Exception):
+    """The caller has left before the end of its request."""
+
+
+class GatewayApp:
+    """Checks requests, pays for them and has them run.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        state: The ``GatewayState``.
+        codec: The codec of heads; see ``pistachiowell.platform.headers``.
+        spending: The ``GatewaySpending``.
+        dispatch: The ``Dispatch``.
+    """
+
+    __slots__ = ("_codec", "_dispatch", "_in_progress", "_runtime", "_spending")
+    __slots__ += ("_state",)
+
+    def __init__(self, runtime, state, codec, spending, dispatch):
+        self._runtime = runtime
+        self._state = state
+        self._codec = codec
+        self._spending = spending
+        self._dispatch = dispatch
+        self._in_progress = 0
+        runtime.metrics.watch("requests.in_progress", lambda: self._in_progress)
+
+    async def __call__(self, scope, receive, send):
+        """Handles one HTTP request."""
+        if scope["type"] != "http":
+            return
+        received_at = self._runtime.now()
+        head = self._codec.read_request_head(scope)
+        caller = Caller(send, lambda: self._state.is_leaving)
+        self._in_progress += 1
+        try:
+            request = await self._check(scope, head, receive, received_at)
+            await self._serve(request, receive, caller)
+        except CallerGoneError:
+            _log.info(
+                "Caller left before the end of its request.", request=head.request_id
+            )
+        except PistachiowellError as error:
+            await self._fail(head, caller, error, received_at)
+        except Exception:
+            _log.exception("A request failed by a fault of the gateway.")
+            error = InternalFault("The gateway met a fault.")
+            await self._fail(head, caller, error, received_at)
+        finally:
+            self._in_progress -= 1
+
+    async def _fail(self, head, caller, error, received_at):
+        self._runtime.metrics.count(f"refused.{error.code}")
+        was_sent = await caller.fail(error)
+        catalog = self._state.catalog
+        _log.warning(
+            "Request is refused." if error.ran == "no" else "Request has failed.",
+            request=head.request_id,
+            code=str(error.code),
+            status=error.http_status if was_sent else None,
+            ran=error.ran,
+            retry_after_s=error.retry_after_s,
+            cause=error.message,
+            after_s=round(self._runtime.now() - received_at, 3),
+            revision=catalog.revision if catalog else None,
+        )
+
+    async def _check(self, scope, head, receive, received_at):
+        catalog = self._state.catalog
+        if catalog is None:
+            raise Leaving(
+                "The gateway has no configuration yet.",
+                retry_after_s=NOT_READY_DELAY_S,
+            )
+        limits = catalog.limits
+        size = sum(len(name) + len(value) for name, value in scope["headers"])
+        if size > limits.header_bytes:
+            raise HeadersTooLarge(f"The headers exceed {limits.header_bytes} bytes.")
+        route = catalog.find_route(head.host, head.path)
+        if route is None:
+            raise NotFound("No route takes this host and path.")
+        account = self._find_account(catalog, route, head)
+        if not head.request_id:
+            raise InvalidRequest("The request has no id.")
+        body = await _read_body(receive, limits.body_bytes, head.body_bytes)
+        wait_s = route.timeout_s
+        if head.wait_limit_s is not None:
+            wait_s = min(wait_s, head.wait_limit_s)
+        names = [name for name, weight in route.weights.items() if weight > 0]
+        service = next(
+            (catalog.services[name] for name in names if name in catalog.services), None
+        )
+        if service is None:
+            raise Overloaded(f"Route {route.name} has no service.")
+        return GatewayRequest(
+            head, body, route, service, account, received_at, received_at + wait_s
+        )
+
+    def _find_account(self, catalog, route, head):
+        if catalog.accounts is None or route.is_public:
+            return None
+        account = catalog.accounts.get(head.api_key)
+        if account is None:
+            raise Unauthorized("The API key is not known.")
+        return account
+
+    async def _serve(self, request, receive, caller):
+        async with anyio.create_task_group() as group:
+            group.start_soon(_watch_disconnect, receive, group.cancel_scope)
+            error = await self._run_until_deadline(request, caller)
+            group.cancel_scope.cancel()
+        if error is not None:
+            raise error
+
+    async def _run_until_deadline(self, request, caller):
+        usage = Usage()
+        left_s = request.deadline - self._runtime.now()
+        try:
+            with anyio.move_on_after(max(0.0, left_s)) as scope:
+                await self._run(request, caller, usage)
+        except PistachiowellError as error:
+            return error
+        if not scope.cancelled_caught:
+            return None
+        if usage.may_have_run:
+            return DeadlineExceeded("The request's time is over.")
+        return Overloaded("The request's time is over; no server has begun it.")
+
+    async def _run(self, request, caller, usage):
+        tokens = request.prompt.bound_tokens if request.prompt is not None else 0
+        reservation = await self._spending.reserve(request.account, tokens)
+        try:
+            await self._dispatch.run(request, caller, usage)
+        finally:
+            used = usage.tokens(request)
+            self._spending.settle(reservation, used)
+            self._note(request, usage, used)
+
+    def _note(self, request, usage, used):
+        after_s = self._runtime.now() - request.received_at
+        self._runtime.metrics.timing(f"requests.{request.route.kind}", after_s)
+        self._runtime.metrics.count("tokens.billed", used)
+        _log.info(
+            "Request has ended.",
+            request=request.id,
+            route=request.route.name,
+            account=request.account.name if request.account else None,
+            events=usage.events,
+            tokens=used,
+            after_s=round(after_s, 3),
+        )
+
+
+class ReadyApp:
+    """Tells the balancer whether callers may be sent here.
+
+    Args:
+        state: The ``GatewayState``.
+        path: Path of the health check.
+    """
+
+    __slots__ = ("_path", "_state")
+
+    def __init__(self, state, path):
+        self._state = state
+        self._path = path
+
+    async def __call__(self, scope, receive, send):
+        """Answers 200 or 503; 404 on another path."""
+        del receive
+        if scope["type"] != "http":
+            return
+        status = 404
+        if scope["path"] == self._path:
+            status = 200 if self._state.is_ready else 503
+        headers = [(b"content-length", b"0")]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": b""})
+
+
+async def _read_body(receive, max_bytes, announced_bytes):
+    if announced_bytes > max_bytes:
+        raise BodyTooLarge(f"The body exceeds {max_bytes} bytes.")
+    parts, size, more = [], 0, True
+    while more:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            raise CallerGoneError
+        parts.append(event.get("body", b""))
+        size += len(parts[-1])
+        if size > max_bytes:
+            raise BodyTooLarge(f"The body exceeds {max_bytes} bytes.")
+        more = event.get("more_body", False)
+    return b"".join(parts)
+
+
+async def _watch_disconnect(receive, scope):
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            scope.cancel()
+            return
--- /dev/null
+++ b/pistachiowell/gateway/gateway.py
@@ -0,0 +1,172 @@
+"""All parts of one gateway."""
+
+import random
+import signal
+
+import anyio
+import uvicorn
+
+from pistachiowell.core.errors import STORE_ERRORS, HeadersTooLarge
+from pistachiowell.core.logs import part_logger
+from pistachiowell.core.metrics_page import serve_metrics
+from pistachiowell.core.runtime import Runtime
+from pistachiowell.core.web import EmbeddedServer
+from pistachiowell.gateway.app import GatewayApp, ReadyApp
+from pistachiowell.gateway.dispatch import Dispatch
+from pistachiowell.gateway.feeds import CatalogFeed, ServerFeed
+from pistachiowell.gateway.selection import Selection
+from pistachiowell.gateway.spending import GatewaySpending
+from pistachiowell.gateway.state import GatewayState
+from pistachiowell.router.api import error_document
+from pistachiowell.router.http_protocol import bounded_protocol
+from pistachiowell.schema.generated.objects_membership import RouterRecord
+from pistachiowell.store.registration import register_process, unregister_process
+
+ROUTERS = "routers"
+MAX_HEAD_BYTES = 65_536
+ROUTER_LIST_INTERVAL_S = 4.0
+FEWEST_ROUTERS = 3
+MAX_KEEP_ALIVE_S = 3600
+
+_log = part_logger("gateway")
+
+
+class Gateway:
+    """Takes requests over HTTP and runs them at backend servers directly.
+
+    Args:
+        settings: ``GatewaySettings``.
+        store: The platform's store.
+        adapter: Object with the codecs ``heads``, ``configuration`` and ``servers``,
+            and ``ready_path``; see ``pistachiowell.platform.main``.
+    """
+
+    __slots__ = (
+        "_catalogs",
+        "_dispatch",
+        "_http",
+        "_ready",
+        "_router_count",
+        "_runtime",
+        "_server_feed",
+        "_spending",
+        "_state",
+    )
+
+    def __init__(self, settings, store, adapter):
+        self._runtime = runtime = Runtime("router", settings, store)
+        self._state = state = GatewayState(settings)
+        self._router_count = FEWEST_ROUTERS
+        self._catalogs = CatalogFeed(runtime, state, adapter.configuration)
+        self._catalogs.on_change = self._apply_limits
+        self._server_feed = ServerFeed(runtime, state, adapter.servers)
+        rng = random.Random()
+        selection = Selection(state.servers, settings, rng, runtime.now)
+        self._spending = GatewaySpending(runtime, state)
+        self._dispatch = Dispatch(
+            runtime, selection, adapter.heads, lambda: self._router_count, rng
+        )
+        app = GatewayApp(runtime, state, adapter.heads, self._spending, self._dispatch)
+        self._http = _server(app, settings.http_address)
+        ready_app = ReadyApp(state, adapter.ready_path)
+        self._ready = _server(ready_app, settings.ready_address)
+
+    async def run(self):
+        """Runs until a signal comes and the requests in progress have ended."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._catalogs.run)
+            group.start_soon(self._server_feed.run)
+            group.start_soon(self._spending.run)
+            group.start_soon(self._dispatch.keep_connections)
+            group.start_soon(self._ready.serve)
+            group.start_soon(serve_metrics, self._runtime)
+            group.start_soon(self._keep_registered)
+            group.start_soon(self._obey_signals)
+            _log.info(
+                "Gateway starts.",
+                incarnation=self._runtime.incarnation,
+                data_centre=self._runtime.settings.data_centre,
+            )
+            await self._http.serve()
+            with anyio.move_on_after(1.0):
+                await self._spending.give_back()
+                await unregister_process(self._runtime.store, ROUTERS, self._record())
+            _log.info("Gateway stops.")
+            group.cancel_scope.cancel()
+
+    async def _obey_signals(self):
+        signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*signals) as received:
+            async for number in received:
+                if number == signal.SIGHUP:
+                    _log.info("Reload asked for; the settings need none.")
+                else:
+                    break
+        self._state.is_leaving = True
+        self._runtime.start_leaving()
+        _log.info("Gateway is leaving; requests in progress go on.")
+        await anyio.sleep(self._runtime.settings.leaving_notice_s)
+        self._http.should_exit = True
+
+    async def _keep_registered(self):
+        await register_process(self._runtime.store, ROUTERS, self._record())
+        while True:
+            try:
+                entries, _ = await self._runtime.store.list(ROUTERS)
+                self._router_count = max(FEWEST_ROUTERS, len(entries))
+            except STORE_ERRORS as error:
+                _log.debug("The routers were not listed: {}", error)
+            await anyio.sleep(ROUTER_LIST_INTERVAL_S)
+
+    def _apply_limits(self, catalog):
+        """Applies the idle timeout to all connections, also those that idle now."""
+        limit_s = min(MAX_KEEP_ALIVE_S, catalog.limits.idle_timeout_s)
+        self._http.config.timeout_keep_alive = limit_s
+        for protocol in list(self._http.server_state.connections):
+            protocol.timeout_keep_alive = limit_s
+            timer = protocol.timeout_keep_alive_task
+            if timer is not None:
+                timer.cancel()
+                protocol.timeout_keep_alive_task = protocol.loop.call_later(
+                    limit_s, protocol.timeout_keep_alive_handler
+                )
+
+    def _record(self):
+        settings = self._runtime.settings
+        http_host, http_port = _split_address(settings.http_address)
+        return RouterRecord(
+            id=settings.id,
+            incarnation=self._runtime.incarnation,
+            data_centre=settings.data_centre,
+            peer_host=settings.peer_host,
+            peer_port=settings.advertised_port or settings.peer_port,
+            http_host=http_host,
+            http_port=http_port,
+        )
+
+
+def _split_address(address):
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _server(app, address):
+    host, port = _split_address(address)
+    refusal = error_document(
+        HeadersTooLarge(f"The headers exceed {MAX_HEAD_BYTES} bytes.")
+    )
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        loop="asyncio",
+        http=bounded_protocol(MAX_HEAD_BYTES, refusal),
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        timeout_graceful_shutdown=4,
+    )
+    return EmbeddedServer(config)
--- /dev/null
+++ b/pistachiowell/gateway/messages.py
@@ -0,0 +1,133 @@
+"""Requests and answers as the gateway handles them."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """What a request tells of its prompt.
+
+    Attributes:
+        tokens: Tokens of the whole prompt.
+        max_output_tokens: Most tokens of the answer.
+        parts: Pairs of id and tokens; parts with one id have the same content, if
+            all parts before them are the same too.
+
+    Examples:
+        >>> Prompt(100, 20, ()).bound_tokens
+        120
+    """
+
+    tokens: int
+    max_output_tokens: int
+    parts: tuple
+
+    @property
+    def bound_tokens(self):
+        """Most tokens that the request can cost."""
+        return self.tokens + self.max_output_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """The head of a caller's request.
+
+    Attributes:
+        request_id: The caller's id of this request; empty if it has sent none.
+        method: HTTP method.
+        target: Path and query as they were sent.
+        host: Value of the Host header.
+        path: Path without the query.
+        api_key: The caller's key; empty if it has sent none.
+        wait_limit_s: Seconds that the caller waits; None if it is not told.
+        prompt: ``Prompt``; None for a request without one.
+        last_event_id: Event after which the caller wants its stream to go on; empty
+            to begin.
+        body_bytes: Announced size of the body; 0 if it is not told.
+        headers: Pairs of bytes that a backend server gets unchanged.
+    """
+
+    request_id: str
+    method: str
+    target: bytes
+    host: str
+    path: str
+    api_key: str
+    wait_limit_s: float | None
+    prompt: Prompt | None
+    last_event_id: str
+    body_bytes: int
+    headers: list
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayRequest:
+    """A checked request.
+
+    Attributes:
+        head: The ``RequestHead``.
+        body: The whole body.
+        route: Its ``Route``.
+        service: The ``Service`` that answers.
+        account: Its ``Account``; None on a public route.
+        received_at: Time at which its head was read, in seconds.
+        deadline: Time by which the caller has its answer, or will have left.
+    """
+
+    head: RequestHead
+    body: bytes
+    route: object
+    service: object
+    account: object
+    received_at: float
+    deadline: float
+
+    @property
+    def id(self):
+        """The caller's id of the request."""
+        return self.head.request_id
+
+    @property
+    def priority(self):
+        """Rank of the request; 0 is the most urgent."""
+        account = self.account
+        if account is not None and account.priority is not None:
+            return account.priority
+        return self.route.priority
+
+    @property
+    def prompt(self):
+        """The ``Prompt``, or None."""
+        return self.head.prompt
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of a backend server's answer.
+
+    Attributes:
+        status: HTTP status.
+        request_id: The id that the server echoes.
+        is_signed: Whether the server has signed the answer.
+        ran: Whether the request may have run; False only if the server says that it
+            has not.
+        is_encoded: Whether the body was encoded on the way, so it is not the server's.
+        keep_alive_s: Seconds for which the server keeps the connection; 0 if it
+            closes it, None if it does not tell.
+        length: Announced length of the body; None if it is not told.
+        headers: Pairs of bytes for the caller.
+    """
+
+    status: int
+    request_id: str
+    is_signed: bool
+    ran: bool
+    is_encoded: bool
+    keep_alive_s: float | None
+    length: int | None
+    headers: list
+
+    @property
+    def is_success(self):
+        """Whether the status is a 2xx."""
+        return 200 <= self.status < 300
--- /dev/null
+++ b/pistachiowell/gateway/selection.py
@@ -0,0 +1,148 @@
+"""Chooses the backend server of each attempt."""
+
+from pistachiowell.core.errors import NoServer
+from pistachiowell.routing import (
+    PICKERS,
+    PLACERS,
+    Candidate,
+    EngineBook,
+    HealthBook,
+    LoadBook,
+    PlacementSettings,
+    RoutingSettings,
+    Work,
+)
+
+HEALTH_FAULTS = frozenset({"server_failed", "answer_broken", "no_server"})
+OUTPUT_SHARE = 0.4
+
+
+class Choice:
+    """A server that was chosen for an attempt; call ``ended`` once.
+
+    Args:
+        selection: The ``Selection``.
+        server: The ``BackendServer``.
+        placed: The ``Placed``; None at a plain server.
+        cost_s: Expected wait for the first token.
+        now: Present time in seconds.
+    """
+
+    __slots__ = (
+        "_placed",
+        "_selection",
+        "_started_at",
+        "cost_s",
+        "latency_s",
+        "server",
+    )
+
+    def __init__(self, selection, server, placed, cost_s, now):
+        self._selection = selection
+        self._placed = placed
+        self._started_at = now
+        self.server = server
+        self.cost_s = cost_s
+        self.latency_s = None
+
+    def first_byte(self):
+        """Notes the first part of the answer."""
+        if self.latency_s is not None:
+            return
+        self.latency_s = self._selection.now() - self._started_at
+        if self._placed is not None:
+            self._selection.engines.first_token(self._placed)
+
+    def ended(self, error):
+        """Notes the end of the attempt.
+
+        Args:
+            error: The ``PistachiowellError``, or None.
+        """
+        if self._placed is not None:
+            self._selection.engines.ended(self._placed)
+        self._selection.note_end(self.server.id, error, self.latency_s)
+
+
+class Selection:
+    """Picks by wait, health and nearness.
+
+    Args:
+        servers: The ``ServerBook``.
+        settings: Settings of the program.
+        rng: A ``Random``.
+        now: Function that returns the monotonic time in seconds.
+    """
+
+    __slots__ = ("_health", "_loads", "_picker", "_placer", "_servers", "_settings")
+    __slots__ += ("engines", "now")
+
+    def __init__(self, servers, settings, rng, now):
+        self._servers = servers
+        self._settings = settings
+        self.now = now
+        routing = RoutingSettings()
+        placement = PlacementSettings()
+        self._health = HealthBook(routing)
+        self._loads = LoadBook(routing)
+        self._picker = PICKERS.find(routing.picker)(routing, self._loads, rng)
+        self.engines = EngineBook(placement)
+        self._placer = PLACERS.find(placement.placer)(placement, self.engines, rng)
+
+    def choose(self, request, service_name, tried):
+        """Chooses the server of an attempt.
+
+        Args:
+            request: The ``GatewayRequest``.
+            service_name: Name of the service.
+            tried: Ids of the servers of earlier attempts; avoided if others are left.
+
+        Returns:
+            A ``Choice``.
+
+        Raises:
+            NoServer: The service has no server.
+        """
+        now = self.now()
+        servers = {s.id: s for s in self._servers.of_service(service_name, now)}
+        if not servers:
+            raise NoServer(f"Service {service_name} has no server that takes work.")
+        names = [name for name in servers if name not in tried] or list(servers)
+        usable = self._health.usable(names, now) or names
+        candidates = [self._candidate(servers[name]) for name in usable]
+        engine = request.service.engine
+        placed, cost_s = None, 0.0
+        if engine is None or request.prompt is None:
+            picked = self._picker.pick(candidates, "", now)
+        else:
+            work = _work(request.prompt)
+            picked, cost_s = self._placer.place(candidates, work, engine, now)
+            placed = self.engines.sent(picked.server, work, now)
+        server = servers[picked.server]
+        self._loads.set_slots(server.id, server.slots)
+        self._loads.sent(server.id)
+        self._health.started(server.id, now)
+        return Choice(self, server, placed, cost_s, now)
+
+    def note_end(self, server_id, error, latency_s):
+        """Takes the end of an attempt; see ``Choice.ended``."""
+        now = self.now()
+        self._loads.ended(server_id)
+        if error is None and latency_s is not None:
+            self._health.succeeded(server_id, latency_s, now)
+        elif error is not None and str(error.code) == "overloaded":
+            self._loads.refused(server_id, now)
+            self._health.abandoned(server_id)
+        elif error is not None and str(error.code) in HEALTH_FAULTS:
+            self._health.failed(server_id, now)
+        else:
+            self._health.abandoned(server_id)
+
+    def _candidate(self, server):
+        is_near = server.data_centre == self._settings.data_centre
+        return Candidate(server.id, server.data_centre, 0 if is_near else 1)
+
+
+def _work(prompt):
+    output_tokens = int(OUTPUT_SHARE * prompt.max_output_tokens)
+    return Work(prompt.tokens, output_tokens, prompt.parts)
--- /dev/null
+++ b/pistachiowell/platform/objects.py
@@ -0,0 +1,222 @@
+"""The platform's object API as the project's ``Store``."""
+
+from urllib.parse import quote
+
+import anyio
+import msgspec
+
+from pistachiowell.core.errors import (
+    BodyTooLarge,
+    StoreAnswerLost,
+    StoreUnavailable,
+)
+from pistachiowell.store.calls import StoreCalls
+from pistachiowell.store.store import ABSENT, MAX_VALUE_BYTES, Change, Entry
+
+BASE_PATH = "/pistachiowell/objects"
+CALL_TIMEOUT_S = 1.5
+WATCH_WAIT_MS = 1_000
+WATCH_GRACE_S = 0.8
+MIN_WATCH_S = 0.02
+MAX_PAGES = 1_000
+HTTP_UNAVAILABLE = 503
+
+_BAD_ANSWER = (msgspec.MsgspecError, ValueError)
+
+
+class _Metadata(msgspec.Struct, rename="pascal", omit_defaults=True):
+    """Metadata of an object.
+
+    Attributes:
+        name: Name of the object.
+        revision: Store revision of its last change; 0 for an object to be created.
+    """
+
+    name: str
+    revision: int = 0
+
+
+class _Object(msgspec.Struct, rename="pascal"):
+    """An object.
+
+    Attributes:
+        metadata: Name and revision.
+        spec: What its owner wrote.
+        status: What the programs report about it.
+    """
+
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+    status: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Page(msgspec.Struct, rename="pascal"):
+    """A part of a list.
+
+    Attributes:
+        items: Objects in the order of their names.
+        more: Whether others follow.
+        current_rev: Revision of the store as of the list.
+    """
+
+    items: list[_Object]
+    current_rev: int
+    more: bool = False
+
+
+class _Event(msgspec.Struct, rename="pascal"):
+    """A change of an object.
+
+    Attributes:
+        object: The object after the change, or as it last was.
+        deleted: Whether it is gone.
+    """
+
+    object: _Object
+    deleted: bool = False
+
+
+class _Events(msgspec.Struct):
+    """Answer of a watch.
+
+    Attributes:
+        events: Changes in their order.
+        current_rev: Revision to watch from next.
+    """
+
+    events: list[_Event]
+    current_rev: int = msgspec.field(name="CurrentRev")
+
+
+class ObjectStore:
+    """The platform's store; see ``pistachiowell.store.Store``.
+
+    Args:
+        address: IP address and port, such as ``10.0.0.1:8223``.
+    """
+
+    __slots__ = ("_calls",)
+
+    def __init__(self, address):
+        self._calls = StoreCalls(
+            f"http://{address}{BASE_PATH}",
+            CALL_TIMEOUT_S,
+            nothing_done=(HTTP_UNAVAILABLE,),
+        )
+
+    async def aclose(self):
+        """Closes all connections."""
+        await self._calls.aclose()
+
+    async def get(self, collection, name):
+        """Returns an ``Entry``, or None."""
+        status, body = await self._calls.read(_path(collection, name))
+        if status == 404:
+            return None
+        return _entry(collection, _decode(body, _Object))
+
+    async def put(self, collection, name, value, expected_version):
+        """Writes conditionally; see ``Store.put``."""
+        if len(value) > MAX_VALUE_BYTES:
+            raise BodyTooLarge(f"{collection}/{name} has {len(value)} bytes.")
+        metadata = _Metadata(name, expected_version)
+        body = msgspec.json.encode(_Object(metadata, msgspec.Raw(value)))
+        if expected_version == ABSENT:
+            return await self._change("POST", _path(collection), body)
+        return await self._change("PUT", _path(collection, name), body)
+
+    async def put_status(self, collection, name, status, expected_version):
+        """Writes the status of an object conditionally.
+
+        Args:
+            collection: Kind of the object.
+            name: Name of the object.
+            status: JSON document as bytes.
+            expected_version: Version last read.
+
+        Returns:
+            The new version.
+
+        Raises:
+            StoreConflict: The object has another version.
+        """
+        metadata = _Metadata(name, expected_version)
+        document = _Object(metadata, status=msgspec.Raw(status))
+        path = f"{_path(collection, name)}/status"
+        return await self._change("PUT", path, msgspec.json.encode(document))
+
+    async def delete(self, collection, name, expected_version):
+        """Deletes conditionally; see ``Store.delete``."""
+        path = f"{_path(collection, name)}?Revision={expected_version}"
+        await self._calls.write("DELETE", path, b"")
+
+    async def list(self, collection):
+        """Returns ``(entries, version)``; the version is that of the first page."""
+        entries, version, after = [], None, ""
+        for _ in range(MAX_PAGES):
+            query = f"?AfterRevision={quote(after, safe='')}" if after else ""
+            status, body = await self._calls.read(_path(collection) + query)
+            if status == 404:
+                raise StoreUnavailable(f"The store has no kind {collection}.")
+            page = _decode(body, _Page)
+            entries += [_entry(collection, item) for item in page.items]
+            version = page.current_rev if version is None else version
+            if not page.more or not page.items:
+                return entries, version
+            after = page.items[-1].metadata.name
+        raise StoreUnavailable(f"The list of {collection} does not end.")
+
+    async def watch(self, collection, after_version):
+        """Yields each ``Change`` after a version; see ``Store.watch``.
+
+        Also yields None whenever the store has confirmed that nothing changed.
+        """
+        version = after_version
+        timeout_s = WATCH_WAIT_MS / 1000 + WATCH_GRACE_S
+        while True:
+            started_at = anyio.current_time()
+            path = f"{_path(collection)}?Watch={version}&WaitMs={WATCH_WAIT_MS}"
+            status, body = await self._calls.read(path, timeout_s)
+            if status == 404:
+                raise StoreUnavailable(f"The store has no kind {collection}.")
+            answer = _decode(body, _Events)
+            version = max(version, answer.current_rev)
+            for event in answer.events:
+                yield _change(event)
+            yield None
+            if not answer.events and anyio.current_time() - started_at < MIN_WATCH_S:
+                raise StoreUnavailable("The store ended a watch at once.")
+
+    async def vms(self):
+        """Returns an empty list; the platform tells of its VMs by signals only."""
+        return []
+
+    async def _change(self, method, path, body):
+        answer = await self._calls.write(method, path, body)
+        try:
+            return msgspec.json.decode(answer, type=_Object).metadata.revision
+        except _BAD_ANSWER as error:
+            raise StoreAnswerLost(f"An answer could not be read: {error}.") from error
+
+
+def _path(*parts):
+    return "/".join(quote(part, safe="") for part in parts)
+
+
+def _entry(collection, item):
+    metadata = item.metadata
+    value, status = bytes(item.spec), bytes(item.status)
+    return Entry(collection, metadata.name, metadata.revision, value, status)
+
+
+def _change(event):
+    metadata = event.object.metadata
+    value = None if event.deleted else bytes(event.object.spec)
+    return Change(metadata.name, metadata.revision, value, bytes(event.object.status))
+
+
+def _decode(body, cls):
+    try:
+        return msgspec.json.decode(body, type=cls)
+    except _BAD_ANSWER as error:
+        raise StoreUnavailable(f"An answer could not be read: {error}.") from error
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -10,7 +10,7 @@
 from pistachiowell.membership import MembershipSettings, PeerBook
 from pistachiowell.schema.generated.messages_requests import Hello, Ping
 from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
-from pistachiowell.store.follow import follow_collection
+from pistachiowell.store.follow import follow_values
 from pistachiowell.wire import connect
 
 RECONNECT_DELAY_S = 0.3
@@ -176,7 +176,7 @@
                 link.send(message)
 
     async def _follow(self, group, collection, record_class, peers):
-        async for values in follow_collection(self._runtime.store, collection):
+        async for values in follow_values(self._runtime.store, collection):
             decoded = [
                 msgspec.json.decode(value, type=record_class)
                 for value in values.values()
--- a/pistachiowell/router/grant_pages.py
+++ b/pistachiowell/router/grant_pages.py
@@ -16,23 +16,37 @@
 
     Args:
         runtime: The process's ``Runtime``.
-        fleet: The ``Fleet``.
+        agents: Function that returns the agents as ``Peer``; they are told of closed
+            grants.
         holder: The ``Holder``.
+        retire_interval_s: Time between two checks for grants to give back in seconds.
+        first_changes: See ``HeldPage``.
     """
 
     __slots__ = (
-        "_fleet",
+        "_agents",
+        "_first_changes",
         "_held",
         "_holder",
         "_next_sync_at",
         "_pages",
+        "_retire_interval_s",
         "_retired_at",
         "_runtime",
     )
 
-    def __init__(self, runtime, fleet, holder):
+    def __init__(
+        self,
+        runtime,
+        agents,
+        holder,
+        retire_interval_s=RETIRE_INTERVAL_S,
+        first_changes=lambda number, page: [],
+    ):
         self._runtime = runtime
-        self._fleet = fleet
+        self._agents = agents
+        self._retire_interval_s = retire_interval_s
+        self._first_changes = first_changes
         self._holder = holder
         self._held = {}
         self._pages = {}
@@ -57,7 +71,7 @@
     async def keep_grants(self):
         """Renews, grows and closes grants as far as that is due."""
         now = self._runtime.now()
-        if now - self._retired_at >= RETIRE_INTERVAL_S:
+        if now - self._retired_at >= self._retire_interval_s:
             self._retired_at = now
             self._retire_idle(now)
         for number in self._holder.page_numbers:
@@ -65,7 +79,7 @@
             if due and self._holder.has_work(number, now):
                 await self._try_sync(number)
                 if self._holder.has_work(number, now):
-                    self._next_sync_at[number] = now + RETIRE_INTERVAL_S
+                    self._next_sync_at[number] = now + self._retire_interval_s
 
     async def give_back(self):
         """Gives all idle tokens back."""
@@ -82,7 +96,7 @@
     def _page(self, number):
         page = self._pages.get(number)
         if page is None:
-            page = HeldPage(self._runtime, self._holder, number)
+            page = HeldPage(self._runtime, self._holder, number, self._first_changes)
             self._pages[number] = page
         return page
 
@@ -115,7 +129,7 @@
             _log.debug("Budget page {} waits: {}", number, error.message)
 
     def _tell_closed(self, grant_ids):
-        for peer in self._fleet.agents.values():
+        for peer in self._agents():
             if peer.usable:
                 self._send_closed(peer, grant_ids)
         for grant_id in grant_ids:
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -2,7 +2,6 @@
 
 import functools
 import random
-from contextlib import nullcontext
 
 import anyio
 import uvicorn
@@ -10,8 +9,10 @@
 from pistachiowell.core.errors import HeadersTooLarge
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
-from pistachiowell.core.program import run_program, send_gauges, wait_for_signal
+from pistachiowell.core.metrics_page import serve_metrics
+from pistachiowell.core.program import run_program, wait_for_signal
 from pistachiowell.core.runtime import Runtime
+from pistachiowell.core.web import EmbeddedServer
 from pistachiowell.router.api import Api, error_document
 from pistachiowell.router.dispatch import Dispatch
 from pistachiowell.router.fleet import Fleet
@@ -33,14 +34,6 @@
 _log = part_logger("router")
 
 
-class _HttpServer(uvicorn.Server):
-    """A uvicorn server that leaves the signals to the program."""
-
-    def capture_signals(self):
-        """Returns a context that captures nothing."""
-        return nullcontext()
-
-
 class Router:
     """All parts of one router.
 
@@ -100,7 +93,7 @@
             self._runtime, self._rows, self._spending, dispatch, self._journal
         )
         self._api = Api(self._runtime, self._rows, service)
-        self._http = _HttpServer(self._http_config(settings))
+        self._http = EmbeddedServer(self._http_config(settings))
 
     def _http_config(self, settings):
         refusal = error_document(
@@ -126,7 +119,7 @@
             group.start_soon(self._rows.run)
             if self._runtime.tls is not None:
                 group.start_soon(self._runtime.tls.keep_fresh)
-            group.start_soon(send_gauges, self._runtime)
+            group.start_soon(serve_metrics, self._runtime)
             group.start_soon(self._fleet.run)
             group.start_soon(self._suspects.run)
             group.start_soon(self._journal.run)
--- a/pistachiowell/router/pages.py
+++ b/pistachiowell/router/pages.py
@@ -72,12 +72,24 @@
         runtime: The process's ``Runtime``.
         holder: The ``Holder``.
         number: Page number.
+        first_changes: Function from a page number and the ``BudgetPage`` to changes
+            that go before the holder's.
     """
 
-    __slots__ = ("_done", "_holder", "_lock", "_number", "_runtime", "_started", "page")
-
-    def __init__(self, runtime, holder, number):
+    __slots__ = (
+        "_done",
+        "_first_changes",
+        "_holder",
+        "_lock",
+        "_number",
+        "_runtime",
+        "_started",
+        "page",
+    )
+
+    def __init__(self, runtime, holder, number, first_changes=lambda number, page: []):
         self._runtime = runtime
+        self._first_changes = first_changes
         self._holder = holder
         self._number = number
         self._lock = anyio.Lock()
@@ -120,7 +132,8 @@
         store = self._runtime.store
         version, page = await read_page(store, self._number)
         self._observe(version, page)
-        changes = self._holder.plan(self._number, self._runtime.now())
+        changes = self._first_changes(self._number, page)
+        changes += self._holder.plan(self._number, self._runtime.now())
         new = apply_changes(page, changes)
         if new is page:
             return True
--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -63,7 +63,7 @@
         self._outcomes = Outcomes(runtime, fleet)
         self._fleet = fleet
         self._holder = Holder(runtime.incarnation, runtime.settings.budget_pages)
-        self._pages = GrantPages(runtime, fleet, self._holder)
+        self._pages = GrantPages(runtime, fleet.agents.values, self._holder)
         self._refusals = {}
         self._settlements = Settlements(fleet)
         handlers.on(ReserveTokens)(self._take_reserve)
@@ -160,7 +160,7 @@
         """Starts anew under the process's new incarnation, without grants."""
         pages = self._runtime.settings.budget_pages
         self._holder = Holder(self._runtime.incarnation, pages)
-        self._pages = GrantPages(self._runtime, self._fleet, self._holder)
+        self._pages = GrantPages(self._runtime, self._fleet.agents.values, self._holder)
         self._settlements.clear()
         self._refusals.clear()
 
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -13,11 +13,21 @@
 from pistachiowell.routing.health import HealthBook
 from pistachiowell.routing.load import LoadBook
 from pistachiowell.routing.pick import PICKERS, Candidate, rendezvous
+from pistachiowell.routing.placement import (
+    PLACERS,
+    EngineBook,
+    Placed,
+    PlacementSettings,
+    Work,
+)
 from pistachiowell.routing.retry import (
     RETRIES,
     AttemptFailure,
     RequestRetries,
     RetryBudget,
+    RetryShare,
+    RetryShareSettings,
+    RouteRetries,
 )
 from pistachiowell.routing.settings import RoutingSettings
 from pistachiowell.routing.split import SPLITTERS
@@ -27,6 +37,7 @@
     "CRASH_LEDGERS",
     "CREDIT_POOLS",
     "PICKERS",
+    "PLACERS",
     "RETRIES",
     "SPLITTERS",
     "AttemptFailure",
@@ -36,14 +47,21 @@
     "CrashLedger",
     "CreditSettings",
     "Deliver",
+    "EngineBook",
     "Finished",
     "GiveUp",
     "HealthBook",
     "LoadBook",
+    "Placed",
+    "PlacementSettings",
     "RequestRetries",
     "RetryBudget",
+    "RetryShare",
+    "RetryShareSettings",
+    "RouteRetries",
     "RoutingSettings",
     "Standing",
+    "Work",
     "fingerprint",
     "place_suspect",
     "rendezvous",
--- a/pistachiowell/routing/load.py
+++ b/pistachiowell/routing/load.py
@@ -57,6 +57,10 @@
         load.reported_at = now
         load.sent_since = 0
 
+    def set_slots(self, server, slots):
+        """Sets how many requests a server runs at once."""
+        self._loads.setdefault(server, _Load()).slots = max(1, slots)
+
     def sent(self, server):
         """Counts an attempt sent to a server."""
         load = self._loads.setdefault(server, _Load())
--- /dev/null
+++ b/pistachiowell/routing/placement.py
@@ -0,0 +1,299 @@
+"""Placement of prompts on model engines.
+
+Load pattern: long prompts arrive in clumps beside short ones that must answer soon.
+An engine reads prompts one chunk after another, so a request waits for the prompt
+tokens before it, and engines keep what they have read of shared prompt parts for a
+while. Random placement lets long prompts meet on one engine and reads shared parts
+again on each.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from pistachiowell.core.ids import stable_hash
+from pistachiowell.core.registry import Registry
+
+PLACERS = Registry("placement policy")
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementSettings:
+    """Settings of the placement of prompts.
+
+    Attributes:
+        placer: Name of the policy in ``PLACERS``.
+        prefill_tokens_per_s: Prompt tokens that an engine reads in a second, until
+            its answers tell.
+        cache_memory_s: Seconds for which a part is thought to stay cached.
+        owner_hit_share: Chance that other routers have already had the owner of a
+            part read it.
+        reread_weight: Cost of reading a shared token again against one second of
+            wait for the tokens that are read in it.
+        distance_cost_s: Cost of another data centre in seconds of wait.
+        running_cost_s: Cost of each running request in seconds of wait.
+        full_cost_s: Cost of an engine whose slots or memory are taken.
+        cached_parts: Most parts remembered for one server.
+    """
+
+    placer: str = "least_cost"
+    prefill_tokens_per_s: float = 50_000.0
+    cache_memory_s: float = 12.0
+    owner_hit_share: float = 0.8
+    reread_weight: float = 1.0
+    distance_cost_s: float = 0.01
+    running_cost_s: float = 0.002
+    full_cost_s: float = 5.0
+    cached_parts: int = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What one request asks of an engine.
+
+    Attributes:
+        prompt_tokens: Tokens of the whole prompt.
+        output_tokens: Tokens that the answer is expected to have.
+        parts: Pairs of id and tokens; all but the last may be shared with others.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple = ()
+
+    @property
+    def shared(self):
+        """Pairs of chain key and tokens of the parts that may be shared.
+
+        The key of a part names all parts before it too.
+        """
+        chain, key = [], ""
+        for part_id, tokens in self.parts[:-1]:
+            key = f"{key}/{part_id}"
+            chain.append((key, tokens))
+        return chain
+
+
+@dataclass(slots=True)
+class Placed:
+    """A request at an engine.
+
+    Attributes:
+        server: Id of the server.
+        prefill_tokens: Prompt tokens that it was thought to have to read.
+        kv_tokens: Memory that it takes at most in tokens.
+        is_reading: Whether its first token has not come yet.
+    """
+
+    server: str
+    prefill_tokens: int
+    kv_tokens: int
+    is_reading: bool = True
+
+
+class _Engine:
+    __slots__ = ("cached", "kv_tokens", "reading_tokens", "running")
+
+    def __init__(self):
+        self.cached = OrderedDict()
+        self.kv_tokens = 0
+        self.reading_tokens = 0
+        self.running = 0
+
+
+class EngineBook:
+    """What one router knows of the engines from its own requests.
+
+    Args:
+        settings: ``PlacementSettings``.
+
+    Examples:
+        >>> book = EngineBook(PlacementSettings())
+        >>> work = Work(1000, 10, (("a", 800), ("b", 200)))
+        >>> placed = book.sent("s1", work, 0.0)
+        >>> book.unread_tokens("s1", work, 0.1), book.unread_tokens("s2", work, 0.1)
+        (200, 1000)
+    """
+
+    __slots__ = ("_engines", "_remote", "_settings")
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._engines = {}
+        self._remote = {}
+
+    def sent(self, server, work, now):
+        """Counts a request sent to an engine.
+
+        Returns:
+            A ``Placed`` for ``first_token`` and ``ended``.
+        """
+        engine = self._engine(server)
+        placed = Placed(
+            server,
+            self.unread_tokens(server, work, now),
+            work.prompt_tokens + work.output_tokens,
+        )
+        engine.running += 1
+        engine.reading_tokens += placed.prefill_tokens
+        engine.kv_tokens += placed.kv_tokens
+        for key, _ in work.shared:
+            engine.cached[key] = now
+            engine.cached.move_to_end(key)
+        while len(engine.cached) > self._settings.cached_parts:
+            engine.cached.popitem(last=False)
+        return placed
+
+    def first_token(self, placed):
+        """Notes that a request's prompt was read."""
+        if placed.is_reading:
+            placed.is_reading = False
+            self._engine(placed.server).reading_tokens -= placed.prefill_tokens
+
+    def ended(self, placed):
+        """Counts the end of a request."""
+        self.first_token(placed)
+        engine = self._engine(placed.server)
+        engine.running -= 1
+        engine.kv_tokens -= placed.kv_tokens
+
+    def forget(self, server):
+        """Forgets what a server had cached, as it has started anew or is gone."""
+        engine = self._engines.get(server)
+        if engine is not None:
+            engine.cached.clear()
+
+    def unread_tokens(self, server, work, now):
+        """Returns the prompt tokens that an engine has not cached."""
+        engine = self._engines.get(server)
+        unread = work.prompt_tokens
+        if engine is None:
+            return unread
+        for key, tokens in work.shared:
+            read_at = engine.cached.get(key)
+            if read_at is None or now - read_at > self._settings.cache_memory_s:
+                break
+            unread -= tokens
+        return max(0, unread)
+
+    def take_remote(self, router, loads):
+        """Takes what another router has at the engines.
+
+        Args:
+            router: Name of the router.
+            loads: ``(reading_tokens, running, kv_tokens)`` by server; empty once
+                the router is lost.
+        """
+        if loads:
+            self._remote[router] = loads
+        else:
+            self._remote.pop(router, None)
+
+    def own_loads(self):
+        """Returns ``(reading_tokens, running, kv_tokens)`` by server."""
+        return {
+            name: (e.reading_tokens, e.running, e.kv_tokens)
+            for name, e in self._engines.items()
+            if e.running
+        }
+
+    def load(self, server):
+        """Returns reading tokens, running requests and memory of all routers."""
+        engine = self._engines.get(server)
+        own = (0, 0, 0)
+        if engine is not None:
+            own = (engine.reading_tokens, engine.running, engine.kv_tokens)
+        remote = [loads[server] for loads in self._remote.values() if server in loads]
+        return tuple(map(sum, zip(own, *remote, strict=True)))
+
+    def _engine(self, server):
+        return self._engines.setdefault(server, _Engine())
+
+
+class Placer:
+    """Base of the placement policies.
+
+    Args:
+        settings: ``PlacementSettings``.
+        book: The ``EngineBook``.
+        rng: A ``Random``.
+    """
+
+    __slots__ = ("_book", "_rng", "_settings")
+
+    def __init__(self, settings, book, rng):
+        self._settings = settings
+        self._book = book
+        self._rng = rng
+
+    def place(self, candidates, work, limits, now):
+        """Returns one of the candidates and its cost in seconds of wait.
+
+        Args:
+            candidates: A non-empty list of ``Candidate``.
+            work: The ``Work``.
+            limits: Object with ``slots`` and ``kv_tokens`` of one engine.
+            now: Present time in seconds.
+        """
+        raise NotImplementedError
+
+
+@PLACERS.add("random")
+class RandomPlacer(Placer):
+    """Places anywhere; the naive baseline."""
+
+    __slots__ = ()
+
+    def place(self, candidates, work, limits, now):
+        """Returns any candidate; see ``Placer.place``."""
+        return self._rng.choice(candidates), 0.0
+
+
+@PLACERS.add("least_cost")
+class LeastCostPlacer(Placer):
+    """Places where the first token is expected soonest.
+
+    The cost is the time to read the prompt tokens before it and its own that are not
+    cached, with a charge for shared tokens that are read again, for another data
+    centre and for full engines. Routers that know nothing of a part agree on its
+    owner by rendezvous hashing.
+    """
+
+    __slots__ = ()
+
+    def place(self, candidates, work, limits, now):
+        """Returns the cheapest candidate; see ``Placer.place``."""
+        owner = self._owner(candidates, work)
+        costs = [
+            self._cost(c, work, limits, now, is_owner=c.server == owner)
+            for c in candidates
+        ]
+        least = min(costs)
+        cheapest = [
+            c for c, cost in zip(candidates, costs, strict=True) if cost == least
+        ]
+        return self._rng.choice(cheapest), least
+
+    def _owner(self, candidates, work):
+        shared = work.shared
+        if not shared:
+            return None
+        key = shared[-1][0]
+        return max(candidates, key=lambda c: stable_hash(c.server, key)).server
+
+    def _cost(self, candidate, work, limits, now, *, is_owner):
+        settings = self._settings
+        unread = self._book.unread_tokens(candidate.server, work, now)
+        own_tokens = work.parts[-1][1] if work.parts else work.prompt_tokens
+        reread = max(0, unread - own_tokens)
+        if is_owner:
+            reread *= 1.0 - settings.owner_hit_share
+        reading, running, kv_tokens = self._book.load(candidate.server)
+        fresh = min(unread, own_tokens)
+        tokens = reading + fresh + reread * (1.0 + settings.reread_weight)
+        cost = tokens / settings.prefill_tokens_per_s
+        cost += running * settings.running_cost_s
+        cost += candidate.distance * settings.distance_cost_s
+        needed = work.prompt_tokens + work.output_tokens
+        if running >= limits.slots or kv_tokens + needed > limits.kv_tokens:
+            cost += settings.full_cost_s
+        return cost
--- a/pistachiowell/store/follow.py
+++ b/pistachiowell/store/follow.py
@@ -2,16 +2,37 @@
 
 import anyio
 
-from pistachiowell.core.errors import STORE_ERRORS
+from pistachiowell.core.errors import STORE_ERRORS, StoreConflict
 from pistachiowell.core.logs import part_logger
 
 RETRY_DELAY_S = 0.3
 MAX_RETRY_DELAY_S = 5.0
+MIN_DELAY_S = 0.02
 
 _log = part_logger("store")
 
 
-async def follow_collection(store, collection):
+class FollowObserver:
+    """Is told how current the content of a followed collection is.
+
+    The methods do nothing here; a subclass does what it needs.
+    """
+
+    __slots__ = ()
+
+    def confirmed(self):
+        """The store has told that the content is current."""
+
+    def lost(self, error):
+        """The store does not answer."""
+
+    def regained(self):
+        """The store answers again; the next content is from a new list."""
+
+
+async def follow_collection(
+    store, collection, *, observer=None, max_delay_s=MAX_RETRY_DELAY_S
+):
     """Yields the content of a collection each time it changes.
 
     Outages are waited out: the last content stays in use, and the collection is
@@ -20,25 +41,48 @@
     Args:
         store: The platform's store.
         collection: Name of the collection.
+        observer: A ``FollowObserver``, or None.
+        max_delay_s: Longest delay between tries in seconds.
 
     Yields:
-        Mappings from object names to values as bytes; the same mapping is updated
-        in place between two of them.
+        Mappings from object names to ``Entry`` or ``Change``; the same mapping is
+        updated in place between two of them.
     """
+    observer = observer or FollowObserver()
     delay_s = RETRY_DELAY_S
+    is_lost = False
     while True:
         try:
             entries, version = await store.list(collection)
-            values = {entry.name: entry.value for entry in entries}
-            yield values
+            if is_lost:
+                is_lost = False
+                observer.regained()
+            observer.confirmed()
+            objects = {entry.name: entry for entry in entries}
+            yield objects
             async for change in store.watch(collection, version):
                 delay_s = RETRY_DELAY_S
+                observer.confirmed()
+                if change is None:
+                    continue
                 if change.value is None:
-                    values.pop(change.name, None)
+                    objects.pop(change.name, None)
                 else:
-                    values[change.name] = change.value
-                yield values
+                    objects[change.name] = change
+                yield objects
+        except StoreConflict:
+            _log.debug("The history of {} is gone; listing it again.", collection)
+            delay_s = MIN_DELAY_S
         except STORE_ERRORS as error:
+            if not is_lost:
+                is_lost = True
+                observer.lost(error)
             _log.debug("Following {} was interrupted: {}", collection, error)
         await anyio.sleep(delay_s)
-        delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
+        delay_s = min(max(delay_s, RETRY_DELAY_S / 2) * 2, max_delay_s)
+
+
+async def follow_values(store, collection):
+    """Yields the values of a collection by name; see ``follow_collection``."""
+    async for objects in follow_collection(store, collection):
+        yield {name: item.value for name, item in objects.items()}
--- a/pistachiowell/store/http.py
+++ b/pistachiowell/store/http.py
@@ -1,16 +1,19 @@
 """Adapter of the store port to the platform's HTTP API."""
 
 import anyio
-import httpcore
 import msgspec
 
 from pistachiowell.core.errors import (
     BodyTooLarge,
     StoreAnswerLost,
-    StoreConflict,
-    StoreThrottled,
     StoreUnavailable,
 )
+from pistachiowell.store.calls import (
+    HTTP_ERRORS,
+    StoreCalls,
+    check_read,
+    error_text,
+)
 from pistachiowell.store.resources import (
     BASE_PATH,
     DeleteOptions,
@@ -24,20 +27,10 @@
 from pistachiowell.store.store import ABSENT, MAX_VALUE_BYTES, Change, Entry, Vm
 
 CALL_TIMEOUT_S = 5.0
-CONNECT_TIMEOUT_S = 2.0
 WATCH_TIMEOUT_S = 30
 MIN_WATCH_S = 1.0
-MAX_CONNECTIONS = 16
 _WATCH_GRACE_S = 5.0
-_HEADERS = [(b"content-type", b"application/json")]
-
-_NOTHING_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
-_HTTP_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
-    OSError,
-)
+
 _BAD_ANSWER = (msgspec.MsgspecError, ValueError)
 
 
@@ -52,20 +45,18 @@
         call_timeout_s: Longest wait for one answer in seconds.
     """
 
-    __slots__ = ("_call_timeout_s", "_pool", "_url")
+    __slots__ = ("_calls",)
 
     def __init__(self, url, *, call_timeout_s=CALL_TIMEOUT_S):
-        self._url = url.rstrip("/")
-        self._call_timeout_s = call_timeout_s
-        self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
+        self._calls = StoreCalls(url.rstrip("/") + BASE_PATH, call_timeout_s)
 
     async def aclose(self):
         """Closes all connections."""
-        await self._pool.aclose()
+        await self._calls.aclose()
 
     async def get(self, collection, name):
         """Returns an ``Entry``, or None."""
-        status, body = await self._read(f"{collection}/{name}")
+        status, body = await self._calls.read(f"{collection}/{name}")
         if status == 404:
             return None
         return _entry(collection, _decode(body, Resource))
@@ -80,9 +71,9 @@
         )
         body = msgspec.json.encode(resource)
         if expected_version == ABSENT:
-            answer = await self._write("POST", collection, body)
+            answer = await self._calls.write("POST", collection, body)
         else:
-            answer = await self._write("PUT", f"{collection}/{name}", body)
+            answer = await self._calls.write("PUT", f"{collection}/{name}", body)
         try:
             return _version(msgspec.json.decode(answer, type=Resource).metadata)
         except _BAD_ANSWER as error:
@@ -92,11 +83,11 @@
         """Deletes conditionally; see ``Store.delete``."""
         options = DeleteOptions(Preconditions(str(expected_version)))
         body = msgspec.json.encode(options)
-        await self._write("DELETE", f"{collection}/{name}", body)
+        await self._calls.write("DELETE", f"{collection}/{name}", body)
 
     async def list(self, collection):
         """Returns ``(entries, version)``."""
-        status, body = await self._read(collection)
+        status, body = await self._calls.read(collection)
         if status == 404:
             raise StoreUnavailable(f"The store has no collection {collection}.")
         answer = _decode(body, ResourceList)
@@ -120,78 +111,22 @@
         return [_vm(entry) for entry in entries]
 
     async def _watch_once(self, collection, version):
-        url = (
-            f"{self._url}{BASE_PATH}/{collection}"
+        path = (
+            f"{collection}"
             f"?watch=true&resourceVersion={version}&timeoutSeconds={WATCH_TIMEOUT_S}"
         )
-        extensions = {"timeout": _timeouts(WATCH_TIMEOUT_S + _WATCH_GRACE_S)}
+        timeout_s = WATCH_TIMEOUT_S + _WATCH_GRACE_S
         try:
-            async with self._pool.stream("GET", url, extensions=extensions) as response:
+            async with self._calls.stream(path, timeout_s) as response:
                 if response.status != 200:
-                    _check_read(response.status, await response.aread())
+                    check_read(response.status, await response.aread())
                 buffer = bytearray()
                 async for data in response.aiter_stream():
                     buffer += data
                     for line in _take_lines(buffer):
                         yield _change(line)
-        except _HTTP_ERRORS as error:
-            raise StoreUnavailable(f"A watch was lost: {_text(error)}.") from error
-
-    async def _read(self, path):
-        try:
-            status, body = await self._send("GET", path, b"")
-        except (*_HTTP_ERRORS, TimeoutError) as error:
-            raise StoreUnavailable(f"No answer: {_text(error)}.") from error
-        if status != 404:
-            _check_read(status, body)
-        return status, body
-
-    async def _write(self, method, path, body):
-        try:
-            status, answer = await self._send(method, path, body)
-        except _NOTHING_SENT as error:
-            raise StoreUnavailable(f"No connection: {_text(error)}.") from error
-        except (*_HTTP_ERRORS, TimeoutError) as error:
-            raise StoreAnswerLost(f"No answer: {_text(error)}.") from error
-        if status in (200, 201):
-            return answer
-        if status in (404, 409, 410):
-            raise StoreConflict(f"{path} has another version.")
-        if status == 413:
-            raise BodyTooLarge(f"The store refused the size of {path}.")
-        if status == 429:
-            raise StoreThrottled(f"The store throttles writes of {path}.")
-        raise StoreAnswerLost(f"The store answered {status}.")
-
-    async def _send(self, method, path, body):
-        with anyio.fail_after(self._call_timeout_s):
-            response = await self._pool.request(
-                method,
-                f"{self._url}{BASE_PATH}/{path}",
-                headers=_HEADERS,
-                content=body,
-                extensions={"timeout": _timeouts(self._call_timeout_s)},
-            )
-        return response.status, response.content
-
-
-def _timeouts(read_s):
-    return {
-        "connect": CONNECT_TIMEOUT_S,
-        "pool": CONNECT_TIMEOUT_S,
-        "read": read_s,
-        "write": CALL_TIMEOUT_S,
-    }
-
-
-def _check_read(status, body):
-    if status == 200:
-        return
-    if status == 410:
-        raise StoreConflict("The version is too old; list the collection again.")
-    if status == 429:
-        raise StoreThrottled("The store throttles reads.")
-    raise StoreUnavailable(f"The store answered {status}: {body[:200]!r}.")
+        except HTTP_ERRORS as error:
+            raise StoreUnavailable(f"A watch was lost: {error_text(error)}.") from error
 
 
 def _take_lines(buffer):
@@ -207,7 +142,7 @@
     event = _decode(line, WatchEvent)
     if event.type == "ERROR":
         status = _decode(event.object, Status)
-        _check_read(status.code, status.message.encode())
+        check_read(status.code, status.message.encode())
     resource = _decode(event.object, Resource)
     value = None if event.type == "DELETED" else bytes(resource.spec)
     metadata = resource.metadata
@@ -259,7 +194,3 @@
 class _VmSpec(msgspec.Struct, frozen=True):
     host: str
     leaving: bool = False
-
-
-def _text(error):
-    return str(error) or type(error).__name__
--- a/pistachiowell/store/store.py
+++ b/pistachiowell/store/store.py
@@ -20,12 +20,14 @@
         name: Name, unique in its collection; lower-case letters, digits, hyphens.
         version: Version of the latest write.
         value: Content.
+        status: What the programs report about the object; ``b"null"`` for nothing.
     """
 
     collection: str
     name: str
     version: int
     value: bytes
+    status: bytes = b"null"
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,11 +38,13 @@
         name: Name of the object.
         version: Version of the change.
         value: New content; None if the object was deleted.
+        status: New report about the object.
     """
 
     name: str
     version: int
     value: bytes | None
+    status: bytes = b"null"
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiowell/store/tests/test_follow.py
+++ b/pistachiowell/store/tests/test_follow.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from pistachiowell.store.follow import follow_collection
+from pistachiowell.store.follow import follow_values
 from pistachiowell.store.memory import MemoryStore
 from pistachiowell.store.store import ABSENT
 
@@ -12,7 +12,7 @@
 async def test_changes_and_outages_are_followed():
     store = MemoryStore()
     version = await store.put("agents", "a", b"1", ABSENT)
-    follower = follow_collection(store, "agents")
+    follower = follow_values(store, "agents")
     with anyio.fail_after(10):
         assert dict(await anext(follower)) == {"a": b"1"}
         version = await store.put("agents", "a", b"2", version)
