Gateway: reuse connections, larger grants, refuse at once while the store is away

All routers are cut off from the store for 8 s twice a day; refusals in these spans remain: each router has only its own grants.

--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections.py
@@ -4,7 +4,7 @@
 
 import httpcore
 
-IDLE_LIMIT_S = 4.0
+IDLE_LIMIT_S = 8.0
 UNTOLD_IDLE_LIMIT_S = 0.5
 IDLE_MARGIN_S = 0.6
 CONNECT_TIMEOUT_S = 0.4
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -132,6 +132,8 @@
             raise ServerFailed(
                 f"Server {self.server.id} cut its answer: {_text(error)}."
             ) from error
+        # Only a closed response lets the connection carry another request.
+        await self._body.aclose()
         self._is_whole = True
 
     async def read_body(self):
--- a/pistachiowell/gateway/spending.py
+++ b/pistachiowell/gateway/spending.py
@@ -14,11 +14,13 @@
 from pistachiowell.schema.generated.objects_budgets import BudgetAccount
 
 SIZING = SizingSettings(
-    horizon_s=5.0, first_grant_requests=2, rate_window_s=5.0, renew_after_s=3600.0
+    horizon_s=12.0, first_grant_requests=8, rate_window_s=5.0, renew_after_s=3600.0
 )
 KEEP_INTERVAL_S = 0.5
 RETIRE_INTERVAL_S = 2.0
-WRITE_WAIT_S = 1.0
+WRITE_WAIT_S = 0.5
+OUTAGE_MEMORY_S = 0.5
+OUTAGE_RETRY_S = 2.0
 REFUSAL_MEMORY_S = 0.5
 
 _log = part_logger("budgets")
@@ -50,7 +52,8 @@
         state: The ``GatewayState``.
     """
 
-    __slots__ = ("_holder", "_pages", "_refused", "_runtime", "_state")
+    __slots__ = ("_holder", "_lost_until", "_pages", "_refused", "_runtime")
+    __slots__ += ("_state",)
 
     def __init__(self, runtime, state):
         self._runtime = runtime
@@ -58,6 +61,7 @@
         pages = runtime.settings.budget_pages
         self._holder = Holder(runtime.incarnation, pages, sizing=SIZING)
         self._refused = {}
+        self._lost_until = float("-inf")
         self._pages = GrantPages(
             runtime, tuple, self._holder, RETIRE_INTERVAL_S, self._credits
         )
@@ -125,19 +129,35 @@
         return reserved is not None
 
     async def _sync(self, reservation):
+        """Reads the account's page and writes what is planned for it.
+
+        Returns:
+            The ``BudgetPage``; None if the store did not answer in time.
+        """
         page = None
         try:
             with anyio.move_on_after(WRITE_WAIT_S):
                 page = await self._pages.sync(reservation.account)
-        except BudgetUnreachable:
-            self._holder.ledger(reservation.account).give_up(reservation.id)
-            raise
-        except BaseException:
+        except BaseException as error:
             self._holder.ledger(reservation.account).give_up(reservation.id)
+            if isinstance(error, BudgetUnreachable):
+                self._note_outage()
+                error.retry_after_s = OUTAGE_RETRY_S
             raise
+        if page is None:
+            self._note_outage()
         return page
 
+    def _note_outage(self):
+        self._lost_until = self._runtime.now() + OUTAGE_MEMORY_S
+
     def _check_refusal(self, reservation):
+        if self._runtime.now() < self._lost_until:
+            self._holder.ledger(reservation.account).give_up(reservation.id)
+            raise BudgetUnreachable(
+                "The store does not answer, and the grants are used up.",
+                retry_after_s=OUTAGE_RETRY_S,
+            )
         refused = self._refused.get(reservation.account)
         if refused is None:
             return
@@ -148,7 +168,9 @@
 
     def _refusal(self, reservation, page):
         if page is None:
-            return BudgetUnreachable("The store did not answer in time.")
+            return BudgetUnreachable(
+                "The store did not answer in time.", retry_after_s=OUTAGE_RETRY_S
+            )
         account = page.accounts.get(reservation.account, BudgetAccount())
         free, granted = free_tokens(account), granted_tokens(account)
         if free + granted < reservation.tokens:
