--- a/pistachiowell/budgets/home.py
+++ b/pistachiowell/budgets/home.py
@@ -53,3 +53,20 @@
     granted = sum(grant.amount for grant in account.grants.values())
     free = account.credited + account.returned - account.closed - granted
     return free + own_tokens + away < tokens
+
+
+def homes_in_order(page, processes):
+    """Orders the processes that may be home of a page; the first one is.
+
+    Args:
+        page: Page number.
+        processes: Ids of the live processes that keep budgets.
+
+    Returns:
+        A list of ids, alike in every process.
+
+    Examples:
+        >>> homes_in_order(3, ["a", "b"])[0] == home_router(3, ["a", "b"])
+        True
+    """
+    return sorted(processes, key=lambda p: (stable_hash(str(page), p), p), reverse=True)
--- /dev/null
+++ b/pistachiowell/gateway/agents.py
@@ -0,0 +1,83 @@
+"""The gateway's end of the links to the agents."""
+
+import anyio
+
+from pistachiowell.core.errors import LinkLost, LinkTimeout
+from pistachiowell.core.logs import part_logger
+from pistachiowell.schema.generated.messages_gateway import (
+    AgentReport,
+    CatalogDocument,
+    FetchCatalog,
+)
+
+FETCH_DELAY_S = 0.25
+FETCH_TIMEOUT_S = 1.0
+
+_log = part_logger("agents")
+
+
+class AgentReports:
+    """Takes the agents' reports: signs of life, loads and newer configurations.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        fleet: The ``Fleet`` with the agents.
+        state: The ``GatewayState``.
+        catalogs: The ``CatalogFeed``.
+        handlers: Handlers of the links to agents; this adds its own.
+        take_load: Function that is called with each ``AgentReport`` that has a load.
+    """
+
+    __slots__ = (
+        "_catalogs",
+        "_fleet",
+        "_newer",
+        "_runtime",
+        "_state",
+        "_take_load",
+        "_wake",
+    )
+
+    def __init__(self, runtime, fleet, state, catalogs, handlers, take_load):
+        self._runtime = runtime
+        self._fleet = fleet
+        self._state = state
+        self._catalogs = catalogs
+        self._take_load = take_load
+        self._newer = None
+        self._wake = anyio.Event()
+        handlers.on(AgentReport)(self._take_report)
+
+    async def _take_report(self, link, message):
+        if self._fleet.heard(link, leaving=message.leaving) is None:
+            return
+        if message.has_load:
+            self._take_load(message)
+        present = self._state.catalog
+        if message.catalog_revision > (present.revision if present else 0):
+            self._newer = link
+            self._wake.set()
+
+    async def run(self):
+        """Fetches configurations that the store has not told of until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            if self._state.catalog is not None:
+                # The own watch is about to tell as a rule.
+                await anyio.sleep(FETCH_DELAY_S)
+            link, self._newer = self._newer, None
+            if link is not None:
+                await self._fetch(link)
+
+    async def _fetch(self, link):
+        present = self._state.catalog
+        revision = present.revision if present else 0
+        try:
+            reply = await link.call(FetchCatalog(revision), FETCH_TIMEOUT_S)
+        except (LinkLost, LinkTimeout) as error:
+            _log.info("An agent did not send its configuration.", error=str(error))
+            return
+        if isinstance(reply, CatalogDocument) and reply.value:
+            name = link.hello.id if link.hello else ""
+            self._catalogs.take(reply.value, name)
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -154,7 +154,7 @@
 
     async def _run(self, request, caller, usage):
         tokens = request.prompt.bound_tokens if request.prompt is not None else 0
-        reservation = await self._spending.reserve(request.account, tokens)
+        reservation = await self._spending.reserve(request.account, request.id, tokens)
         try:
             await self._dispatch.run(request, caller, usage)
         finally:
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -11,6 +11,7 @@
 from pistachiowell.core.metrics_page import serve_metrics
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.core.web import EmbeddedServer
+from pistachiowell.gateway.agents import AgentReports
 from pistachiowell.gateway.app import GatewayApp, ReadyApp
 from pistachiowell.gateway.dispatch import Dispatch
 from pistachiowell.gateway.feeds import CatalogFeed, ServerFeed
@@ -18,11 +19,12 @@
 from pistachiowell.gateway.spending import GatewaySpending
 from pistachiowell.gateway.state import GatewayState
 from pistachiowell.router.api import error_document
+from pistachiowell.router.fleet import AGENTS, ROUTERS, Fleet
 from pistachiowell.router.http_protocol import bounded_protocol
 from pistachiowell.schema.generated.objects_membership import RouterRecord
 from pistachiowell.store.registration import register_process, unregister_process
+from pistachiowell.wire import Handlers
 
-ROUTERS = "routers"
 MAX_HEAD_BYTES = 65_536
 ROUTER_LIST_INTERVAL_S = 4.0
 FEWEST_ROUTERS = 3
@@ -42,8 +44,10 @@
     """
 
     __slots__ = (
+        "_agent_reports",
         "_catalogs",
         "_dispatch",
+        "_fleet",
         "_http",
         "_ready",
         "_router_count",
@@ -62,7 +66,17 @@
         self._server_feed = ServerFeed(runtime, state, adapter.servers)
         rng = random.Random()
         selection = Selection(state.servers, settings, rng, runtime.now)
-        self._spending = GatewaySpending(runtime, state)
+        handlers = Handlers()
+        self._fleet = Fleet(runtime, handlers, (AGENTS,))
+        self._agent_reports = AgentReports(
+            runtime,
+            self._fleet,
+            state,
+            self._catalogs,
+            handlers,
+            selection.take_report,
+        )
+        self._spending = GatewaySpending(runtime, self._fleet)
         self._dispatch = Dispatch(
             runtime, selection, adapter.heads, lambda: self._router_count, rng
         )
@@ -76,6 +90,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._catalogs.run)
             group.start_soon(self._server_feed.run)
+            group.start_soon(self._fleet.run)
+            group.start_soon(self._agent_reports.run)
             group.start_soon(self._spending.run)
             group.start_soon(self._dispatch.keep_connections)
             group.start_soon(self._ready.serve)
@@ -89,7 +105,6 @@
             )
             await self._http.serve()
             with anyio.move_on_after(1.0):
-                await self._spending.give_back()
                 await unregister_process(self._runtime.store, ROUTERS, self._record())
             _log.info("Gateway stops.")
             group.cancel_scope.cancel()
--- /dev/null
+++ b/pistachiowell/gateway/home.py
@@ -0,0 +1,186 @@
+"""The budgets that an agent keeps for the gateways.
+
+An agent stands beside a backend server and loses neither the store nor the gateways
+when the entry VMs are cut off from both, so the grants are held there and not in the
+gateways. One agent is home of a budget page; another takes over with grants of its own
+when the home is lost.
+"""
+
+import anyio
+
+from pistachiowell.budgets import Holder
+from pistachiowell.budgets.page import SetCredit, free_tokens, granted_tokens
+from pistachiowell.budgets.sizing import SizingSettings
+from pistachiowell.core.errors import BudgetExhausted, BudgetUnreachable
+from pistachiowell.core.logs import part_logger
+from pistachiowell.router.grant_pages import GrantPages
+from pistachiowell.schema.generated.messages_budgets import (
+    ReserveTokens,
+    SettleTokens,
+    TokensReserved,
+    TokensSettled,
+)
+from pistachiowell.schema.generated.objects_budgets import BudgetAccount
+
+SIZING = SizingSettings(
+    horizon_s=8.0, first_grant_requests=4, rate_window_s=5.0, renew_after_s=3600.0
+)
+KEEP_INTERVAL_S = 0.5
+RETIRE_INTERVAL_S = 2.0
+WRITE_WAIT_S = 0.5
+OUTAGE_MEMORY_S = 0.5
+OUTAGE_RETRY_S = 1.5
+REFUSAL_MEMORY_S = 0.3
+
+_log = part_logger("budgets")
+
+
+class BudgetHome:
+    """Reserves and settles for the gateways, out of this process's grants.
+
+    A grant lives and dies with the run of the process that holds it: what a killed
+    run had not spent stays granted, so nothing can be spent twice.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        state: The ``GatewayState``; its catalog says what was paid for.
+        handlers: Handlers of the links to gateways; this adds its own.
+    """
+
+    __slots__ = (
+        "_holder",
+        "_lost_until",
+        "_pages",
+        "_refusals",
+        "_runtime",
+        "_state",
+    )
+
+    def __init__(self, runtime, state, handlers):
+        self._runtime = runtime
+        self._state = state
+        pages = runtime.settings.budget_pages
+        self._holder = Holder(runtime.incarnation, pages, sizing=SIZING)
+        self._refusals = {}
+        self._lost_until = float("-inf")
+        self._pages = GrantPages(
+            runtime, tuple, self._holder, RETIRE_INTERVAL_S, self._credits
+        )
+        handlers.on(ReserveTokens)(self._take_reserve)
+        handlers.on(SettleTokens, quick=True)(self._take_settle)
+
+    async def run(self):
+        """Keeps the grants as large as the demand until cancelled."""
+        while True:
+            await self._pages.keep_grants()
+            await anyio.sleep(KEEP_INTERVAL_S)
+
+    async def give_back(self):
+        """Gives all idle tokens back."""
+        await self._pages.give_back()
+
+    async def _take_reserve(self, link, message):
+        del link
+        held = self._try(message)
+        if held is None:
+            try:
+                held = await self._reserve_from_page(message)
+            finally:
+                if held is None:
+                    ledger = self._holder.ledger(message.account)
+                    ledger.give_up(message.reservation_id)
+        return TokensReserved(
+            message.request_id, held.grant_id, self._runtime.incarnation, held.tokens
+        )
+
+    async def _take_settle(self, link, message):
+        del link
+        self._holder.settle(
+            message.account,
+            message.reservation_id,
+            message.router,
+            message.used_tokens,
+            self._runtime.now(),
+        )
+        return TokensSettled(message.request_id)
+
+    def _try(self, message):
+        return self._holder.reserve(
+            message.account,
+            message.reservation_id,
+            message.router,
+            message.tokens,
+            self._runtime.now(),
+        )
+
+    async def _reserve_from_page(self, message):
+        self._check_refusals(message)
+        page = None
+        try:
+            with anyio.move_on_after(WRITE_WAIT_S):
+                page = await self._pages.sync(message.account)
+        except BudgetUnreachable as error:
+            raise self._outage() from error
+        if page is None:
+            raise self._outage()
+        held = self._try(message)
+        if held is None:
+            raise self._refusal(message, page)
+        return held
+
+    def _outage(self):
+        self._lost_until = self._runtime.now() + OUTAGE_MEMORY_S
+        return BudgetUnreachable(
+            "The store does not answer, and the grants are used up.",
+            retry_after_s=OUTAGE_RETRY_S,
+        )
+
+    def _check_refusals(self, message):
+        now = self._runtime.now()
+        if now < self._lost_until:
+            raise BudgetUnreachable(
+                "The store has not answered, and the grants are used up.",
+                retry_after_s=OUTAGE_RETRY_S,
+            )
+        refusal = self._refusals.get(message.account)
+        if refusal is not None and now < refusal[0] and message.tokens >= refusal[1]:
+            raise refusal[2](refusal[3])
+
+    def _refusal(self, message, page):
+        account = page.accounts.get(message.account, BudgetAccount())
+        free, granted = free_tokens(account), granted_tokens(account)
+        if free + granted < message.tokens:
+            cls = BudgetExhausted
+            text = f"Account {message.account} has not enough tokens left."
+        else:
+            cls = BudgetUnreachable
+            text = f"The rest of the budget of {message.account} is set aside."
+        until = self._runtime.now() + REFUSAL_MEMORY_S
+        self._refusals[message.account] = (until, message.tokens, cls, text)
+        _log.warning(
+            "Account refused.",
+            request=message.request_id,
+            account=message.account,
+            code=str(cls.code),
+            tokens=message.tokens,
+            free=free,
+            granted=granted,
+            credited=account.credited,
+            closed=account.closed,
+        )
+        return cls(text)
+
+    def _credits(self, number, page):
+        catalog = self._state.catalog
+        if catalog is None:
+            return []
+        changes = []
+        for name, account in catalog.prepaid_accounts().items():
+            if self._holder.page_of(name) != number:
+                continue
+            known = page.accounts.get(name, BudgetAccount())
+            is_newer = catalog.revision > known.credit_revision
+            if is_newer and known.credited != account.prepaid_tokens:
+                tokens = account.prepaid_tokens
+                changes.append(SetCredit(name, tokens, catalog.revision))
+        return changes
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -124,6 +124,13 @@
         self._health.started(server.id, now)
         return Choice(self, server, placed, cost_s, now)
 
+    def take_report(self, report):
+        """Takes the load that an engine tells through its agent.
+
+        Args:
+            report: The ``AgentReport``.
+        """
+
     def note_end(self, server_id, error, latency_s):
         """Takes the end of an attempt; see ``Choice.ended``."""
         now = self.now()
--- a/pistachiowell/platform/main.py
+++ b/pistachiowell/platform/main.py
@@ -1,4 +1,4 @@
-"""The gateway program on the users' platform."""
+"""The programs on the users' platform: the gateway and the agent."""
 
 import os
 import sys
@@ -8,10 +8,14 @@
 
 from pistachiowell.core.errors import SettingsInvalid
 from pistachiowell.core.logs import configure_logs
+from pistachiowell.gateway.agent import GatewayAgent
 from pistachiowell.gateway.gateway import Gateway
-from pistachiowell.platform import configuration, headers, servers
+from pistachiowell.platform import configuration, headers, loads, servers
 from pistachiowell.platform.objects import ObjectStore
-from pistachiowell.schema.generated.settings import GatewaySettings
+from pistachiowell.schema.generated.settings import (
+    GatewayAgentSettings,
+    GatewaySettings,
+)
 from pistachiowell.schema.settings import read_settings
 
 SETTINGS_VARIABLE = "PISTACHIOWELL_CONFIG"
@@ -19,33 +23,46 @@
 
 ADAPTER = SimpleNamespace(
     heads=headers,
+    loads=loads,
     configuration=configuration,
     servers=servers,
     ready_path=headers.READY_PATH,
 )
 
 
-async def _serve(settings):
+PROGRAMS = {
+    "gateway": (Gateway, GatewaySettings),
+    "agent": (GatewayAgent, GatewayAgentSettings),
+}
+USAGE = f"Usage: python -m pistachiowell.platform.main {'|'.join(PROGRAMS)}"
+
+
+async def _serve(program_class, settings):
     store = ObjectStore(settings.store_address)
     try:
-        await Gateway(settings, store, ADAPTER).run()
+        await program_class(settings, store, ADAPTER).run()
     finally:
         with anyio.CancelScope(shield=True), anyio.move_on_after(0.5):
             await store.aclose()
 
 
 def run():
-    """Starts the gateway with the settings file that the platform names."""
+    """Starts a program with the settings file that the platform names."""
+    arguments = sys.argv[1:]
+    if len(arguments) != 1 or arguments[0] not in PROGRAMS:
+        print(USAGE, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    program_class, settings_class = PROGRAMS[arguments[0]]
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         if not path:
             raise SettingsInvalid(f"{SETTINGS_VARIABLE} names no settings file.")
-        settings = read_settings(path, GatewaySettings)
+        settings = read_settings(path, settings_class)
     except SettingsInvalid as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_USAGE)
     configure_logs(settings)
-    anyio.run(_serve, settings)
+    anyio.run(_serve, program_class, settings)
 
 
 if __name__ == "__main__":
--- a/pistachiowell/platform/objects.py
+++ b/pistachiowell/platform/objects.py
@@ -15,7 +15,7 @@
 
 BASE_PATH = "/pistachiowell/objects"
 CALL_TIMEOUT_S = 1.5
-WATCH_WAIT_MS = 1_000
+WATCH_WAIT_MS = 2_500
 WATCH_GRACE_S = 0.8
 MIN_WATCH_S = 0.02
 MAX_PAGES = 1_000
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -13,6 +13,8 @@
 from pistachiowell.store.follow import follow_values
 from pistachiowell.wire import connect
 
+AGENTS = "agents"
+ROUTERS = "routers"
 RECONNECT_DELAY_S = 0.3
 CHECK_INTERVAL_S = 0.25
 VM_LIST_INTERVAL_S = 5.0
@@ -81,6 +83,7 @@
     Args:
         runtime: The process's ``Runtime``.
         handlers: Handlers of messages that come over the links.
+        follows: Collections of registrations to keep links to.
     """
 
     __slots__ = (
@@ -88,14 +91,16 @@
         "_announced",
         "_books",
         "_by_link",
+        "_follows",
         "_handlers",
         "_routers",
         "_runtime",
     )
 
-    def __init__(self, runtime, handlers):
+    def __init__(self, runtime, handlers, follows=(AGENTS, ROUTERS)):
         self._runtime = runtime
         self._handlers = handlers
+        self._follows = follows
         self._agents = {}
         self._routers = {}
         self._by_link = {}
@@ -130,13 +135,22 @@
                 return peer
         return None
 
+    def agent_of(self, incarnation):
+        """Returns the usable ``Peer`` of an agent incarnation, or None."""
+        for peer in self._agents.values():
+            if peer.record.incarnation == incarnation and peer.usable:
+                return peer
+        return None
+
     async def run(self):
         """Follows the registrations and keeps the links until cancelled."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._follow, group, "agents", AgentRecord, self._agents)
-            group.start_soon(
-                self._follow, group, "routers", RouterRecord, self._routers
-            )
+            kinds = {
+                AGENTS: (AgentRecord, self._agents),
+                ROUTERS: (RouterRecord, self._routers),
+            }
+            for collection in self._follows:
+                group.start_soon(self._follow, group, collection, *kinds[collection])
             group.start_soon(self._drop_silent)
             group.start_soon(self._ping_routers)
             group.start_soon(self._follow_vm_list)
--- a/pistachiowell/router/settlements.py
+++ b/pistachiowell/router/settlements.py
@@ -13,13 +13,15 @@
     """Sends each settlement until its home router has booked it or is gone.
 
     Args:
-        fleet: The ``Fleet``.
+        peer_of: Function from a holder's incarnation to its usable ``Peer``, or None.
+        peers: Function that returns all registered holders as ``Peer``.
     """
 
-    __slots__ = ("_fleet", "_open")
+    __slots__ = ("_open", "_peer_of", "_peers")
 
-    def __init__(self, fleet):
-        self._fleet = fleet
+    def __init__(self, peer_of, peers):
+        self._peer_of = peer_of
+        self._peers = peers
         self._open = {}
 
     def add(self, holder, message):
@@ -45,9 +47,9 @@
 
     async def _send(self, reservation_id):
         holder, message = self._open[reservation_id]
-        peer = self._fleet.router_of(holder)
+        peer = self._peer_of(holder)
         if peer is None:
-            known = {p.record.incarnation for p in self._fleet.routers.values()}
+            known = {p.record.incarnation for p in self._peers()}
             if holder not in known:
                 del self._open[reservation_id]
             return
--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -65,7 +65,7 @@
         self._holder = Holder(runtime.incarnation, runtime.settings.budget_pages)
         self._pages = GrantPages(runtime, fleet.agents.values, self._holder)
         self._refusals = {}
-        self._settlements = Settlements(fleet)
+        self._settlements = Settlements(fleet.router_of, fleet.routers.values)
         handlers.on(ReserveTokens)(self._take_reserve)
         handlers.on(SettleTokens)(self._take_settle)
         handlers.on(RecallTokens)(self._take_recall)
--- a/pistachiowell/store/calls.py
+++ b/pistachiowell/store/calls.py
@@ -1,5 +1,7 @@
 """Single calls to a store over HTTP, with the outcome of each as a typed error."""
 
+import socket
+
 import anyio
 import httpcore
 
@@ -14,6 +16,13 @@
 CONNECT_TIMEOUT_S = 2.0
 WRITE_TIMEOUT_S = 5.0
 MAX_CONNECTIONS = 16
+# Shows within three seconds that a connection has gone silent for good.
+_SOCKET_OPTIONS = [
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+]
 _HEADERS = [(b"content-type", b"application/json")]
 
 _NOTHING_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
@@ -41,7 +50,9 @@
         self._base_url = base_url.rstrip("/")
         self._call_timeout_s = call_timeout_s
         self._nothing_done = frozenset(nothing_done)
-        self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, socket_options=_SOCKET_OPTIONS
+        )
 
     async def aclose(self):
         """Closes all connections."""
--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -214,7 +214,7 @@
         try:
             return await handler(self, message)
         except PistachiowellError as error:
-            return Failure(str(error.code), error.message)
+            return Failure(str(error.code), error.message, error.retry_after_s)
         except Exception:
             # One faulty handler must not end the process and its other links.
             _log.exception("The handler of {} failed.", type(message).__name__)
