--- a/pistachiowell/gateway/home.py
+++ b/pistachiowell/gateway/home.py
@@ -22,9 +22,9 @@
 )
 from pistachiowell.schema.generated.objects_budgets import BudgetAccount
 
-SIZING = SizingSettings(
-    horizon_s=8.0, first_grant_requests=4, rate_window_s=5.0, renew_after_s=3600.0
-)
+FIRST_GRANT_REQUESTS = 1
+RATE_WINDOW_S = 5.0
+RENEW_AFTER_S = 3600.0
 KEEP_INTERVAL_S = 0.5
 RETIRE_INTERVAL_S = 2.0
 WRITE_WAIT_S = 0.5
@@ -60,7 +60,13 @@
         self._runtime = runtime
         self._state = state
         pages = runtime.settings.budget_pages
-        self._holder = Holder(runtime.incarnation, pages, sizing=SIZING)
+        sizing = SizingSettings(
+            horizon_s=runtime.settings.budget_horizon_s,
+            first_grant_requests=FIRST_GRANT_REQUESTS,
+            rate_window_s=RATE_WINDOW_S,
+            renew_after_s=RENEW_AFTER_S,
+        )
+        self._holder = Holder(runtime.incarnation, pages, sizing=sizing)
         self._refusals = {}
         self._lost_until = float("-inf")
         self._pages = GrantPages(
