--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -1,7 +1,6 @@
 """Decisions of a router as holder of grants."""
 
 from collections import defaultdict
-from dataclasses import replace
 
 from pistachiowell.budgets.ledger import AccountLedger
 from pistachiowell.budgets.page import CloseGrant, FundGrant, LowerGrant, page_number
@@ -295,9 +294,9 @@
         renewing = any(g.renewing and not g.draining for g in ledger.grants.values())
         if not (demand.need_tokens or low or renewing):
             return []
-        if renewing:
-            demand = replace(demand, available_tokens=0)
         grant_id, known = self._growing_grant(account, ledger)
+        if renewing or not known:
+            demand = ledger.demand(now, of_new_grant=True)
         version = self._versions.get(self.page_of(account), 0)
         fund = FundGrant(
             account,
--- a/pistachiowell/budgets/ledger.py
+++ b/pistachiowell/budgets/ledger.py
@@ -221,9 +221,15 @@
         """Tells whether a router has open reservations."""
         return any(_owned(grant.reservations, router) for grant in self.grants.values())
 
-    def demand(self, now):
-        """Returns the ``Demand`` of the account."""
-        available = max(self.available_tokens, 0)
+    def demand(self, now, *, of_new_grant=False):
+        """Returns the ``Demand`` of the account.
+
+        Args:
+            now: Time in seconds.
+            of_new_grant: Whether it is for a grant to be opened. A request is paid
+                out of one grant, so what others have left does not count then.
+        """
+        available = 0 if of_new_grant else max(self.available_tokens, 0)
         waiting = [tokens for _, tokens in self._waiting.values()]
         total = sum(waiting)
         smallest = min(waiting, default=0)
