--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -295,8 +295,7 @@
         if not (demand.need_tokens or low or renewing):
             return []
         grant_id, known = self._growing_grant(account, ledger)
-        if renewing or not known:
-            demand = ledger.demand(now, of_new_grant=True)
+        demand = ledger.demand_of(grant_id, now)
         version = self._versions.get(self.page_of(account), 0)
         fund = FundGrant(
             account,
--- a/pistachiowell/budgets/ledger.py
+++ b/pistachiowell/budgets/ledger.py
@@ -221,15 +221,24 @@
         """Tells whether a router has open reservations."""
         return any(_owned(grant.reservations, router) for grant in self.grants.values())
 
-    def demand(self, now, *, of_new_grant=False):
-        """Returns the ``Demand`` of the account.
+    def demand(self, now):
+        """Returns the ``Demand`` of the account."""
+        return self._demand(now, max(self.available_tokens, 0))
+
+    def demand_of(self, grant_id, now):
+        """Returns the ``Demand`` that one grant shall meet alone.
+
+        A request is paid out of one grant, so what others have left does not count.
 
         Args:
+            grant_id: A grant; one that is not open yet has nothing available.
             now: Time in seconds.
-            of_new_grant: Whether it is for a grant to be opened. A request is paid
-                out of one grant, so what others have left does not count then.
         """
-        available = 0 if of_new_grant else max(self.available_tokens, 0)
+        grant = self.grants.get(grant_id)
+        available = max(grant.available_tokens, 0) if grant is not None else 0
+        return self._demand(now, available)
+
+    def _demand(self, now, available):
         waiting = [tokens for _, tokens in self._waiting.values()]
         total = sum(waiting)
         smallest = min(waiting, default=0)
