Move versions by permits of judges at the agents; write budget pages without reading them first

Gateways count answers with the product's Tracker and Brake; the agent that ranks first for the service judges with the product's Mover and writes the state under the object's version.

--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -10,8 +10,9 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.metrics_page import serve_metrics
 from pistachiowell.core.runtime import Runtime
-from pistachiowell.gateway.feeds import CatalogFeed
+from pistachiowell.gateway.feeds import CatalogFeed, MoveFeed
 from pistachiowell.gateway.home import BudgetHome
+from pistachiowell.gateway.judging import Judging
 from pistachiowell.gateway.state import GatewayState
 from pistachiowell.schema.generated.messages_gateway import (
     AgentReport,
@@ -43,9 +44,11 @@
         "_catalogs",
         "_handlers",
         "_home",
+        "_judging",
         "_links",
         "_load",
         "_loads_codec",
+        "_move_feed",
         "_runtime",
         "_state",
     )
@@ -60,6 +63,8 @@
         register_status_handlers(self._handlers, runtime)
         self._catalogs = CatalogFeed(runtime, state, adapter.configuration)
         self._home = BudgetHome(runtime, state, self._handlers)
+        self._judging = Judging(runtime, self._handlers, adapter.moves)
+        self._move_feed = MoveFeed(runtime, adapter.moves, self._judging.take_orders)
         self._handlers.on(FetchCatalog, quick=True)(self._take_fetch)
 
     async def run(self):
@@ -68,6 +73,8 @@
             await group.start(self._serve_gateways)
             group.start_soon(self._catalogs.run)
             group.start_soon(self._home.run)
+            group.start_soon(self._move_feed.run)
+            group.start_soon(self._judging.run)
             group.start_soon(self._push_reports)
             group.start_soon(self._read_loads)
             group.start_soon(serve_metrics, self._runtime)
--- a/pistachiowell/gateway/feeds.py
+++ b/pistachiowell/gateway/feeds.py
@@ -146,6 +146,41 @@
             _log.info("Server is gone.", server=name)
 
 
+class MoveFeed:
+    """Keeps the orders to move services up to date.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        codec: The decoder; see ``pistachiowell.platform.moves``.
+        take_orders: Function that is called with ``MoveOrder`` by service.
+    """
+
+    __slots__ = ("_codec", "_runtime", "_take_orders")
+
+    def __init__(self, runtime, codec, take_orders):
+        self._runtime = runtime
+        self._codec = codec
+        self._take_orders = take_orders
+
+    async def run(self):
+        """Follows the store until cancelled."""
+        collection = self._codec.COLLECTION
+        async for objects in follow_collection(
+            self._runtime.store,
+            collection,
+            observer=_Observer(self._runtime, collection),
+            max_delay_s=MAX_DELAY_S,
+        ):
+            orders = {}
+            for name, item in objects.items():
+                order = self._codec.decode_order(item.value, item.status, item.version)
+                if order is None:
+                    _log.warning("An order to move cannot be read.", order=name)
+                else:
+                    orders[order.service] = order
+            self._take_orders(orders)
+
+
 class _Observer(FollowObserver):
     __slots__ = ("_collection", "_lost_at", "_on_return", "_runtime")
 
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -14,7 +14,8 @@
 from pistachiowell.gateway.agents import AgentReports
 from pistachiowell.gateway.app import GatewayApp, ReadyApp
 from pistachiowell.gateway.dispatch import Dispatch
-from pistachiowell.gateway.feeds import CatalogFeed, ServerFeed
+from pistachiowell.gateway.feeds import CatalogFeed, MoveFeed, ServerFeed
+from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.spending import GatewaySpending
 from pistachiowell.gateway.state import GatewayState
@@ -26,7 +27,7 @@
 from pistachiowell.wire import Handlers
 
 MAX_HEAD_BYTES = 65_536
-ROUTER_LIST_INTERVAL_S = 4.0
+ROUTER_LIST_INTERVAL_S = 15.0
 FEWEST_ROUTERS = 3
 MAX_KEEP_ALIVE_S = 3600
 
@@ -49,6 +50,8 @@
         "_dispatch",
         "_fleet",
         "_http",
+        "_move_feed",
+        "_moves",
         "_ready",
         "_router_count",
         "_runtime",
@@ -65,9 +68,11 @@
         self._catalogs.on_change = self._apply_limits
         self._server_feed = ServerFeed(runtime, state, adapter.servers)
         rng = random.Random()
-        selection = Selection(state.servers, settings, rng, runtime.now)
         handlers = Handlers()
         self._fleet = Fleet(runtime, handlers, (AGENTS,))
+        self._moves = GatewayMoves(runtime, self._fleet, rng)
+        self._move_feed = MoveFeed(runtime, adapter.moves, self._moves.take_orders)
+        selection = Selection(state.servers, self._moves, settings, rng, runtime.now)
         self._agent_reports = AgentReports(
             runtime,
             self._fleet,
@@ -91,6 +96,8 @@
             group.start_soon(self._catalogs.run)
             group.start_soon(self._server_feed.run)
             group.start_soon(self._fleet.run)
+            group.start_soon(self._move_feed.run)
+            group.start_soon(self._moves.run)
             group.start_soon(self._agent_reports.run)
             group.start_soon(self._spending.run)
             group.start_soon(self._dispatch.keep_connections)
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -14,6 +14,7 @@
 )
 
 HEALTH_FAULTS = frozenset({"server_failed", "answer_broken", "no_server"})
+VERSION_FAULTS = frozenset({"server_failed", "answer_broken", "deadline_exceeded"})
 OUTPUT_SHARE = 0.4
 
 
@@ -61,7 +62,7 @@
         """
         if self._placed is not None:
             self._selection.engines.ended(self._placed)
-        self._selection.note_end(self.server.id, error, self.latency_s)
+        self._selection.note_end(self.server, error, self.latency_s, self._started_at)
 
 
 class Selection:
@@ -69,16 +70,18 @@
 
     Args:
         servers: The ``ServerBook``.
+        moves: The ``GatewayMoves``; says which versions an attempt may go to.
         settings: Settings of the program.
         rng: A ``Random``.
         now: Function that returns the monotonic time in seconds.
     """
 
-    __slots__ = ("_health", "_loads", "_picker", "_placer", "_servers", "_settings")
-    __slots__ += ("engines", "now")
+    __slots__ = ("_health", "_loads", "_moves", "_picker", "_placer", "_servers")
+    __slots__ += ("_settings", "engines", "now")
 
-    def __init__(self, servers, settings, rng, now):
+    def __init__(self, servers, moves, settings, rng, now):
         self._servers = servers
+        self._moves = moves
         self._settings = settings
         self.now = now
         routing = RoutingSettings()
@@ -104,7 +107,8 @@
             NoServer: The service has no server.
         """
         now = self.now()
-        servers = {s.id: s for s in self._servers.of_service(service_name, now)}
+        present = self._servers.of_service(service_name, now)
+        servers = {s.id: s for s in self._moves.choose(service_name, present)}
         if not servers:
             raise NoServer(f"Service {service_name} has no server that takes work.")
         names = [name for name in servers if name not in tried] or list(servers)
@@ -131,9 +135,13 @@
             report: The ``AgentReport``.
         """
 
-    def note_end(self, server_id, error, latency_s):
+    def note_end(self, server, error, latency_s, started_at):
         """Takes the end of an attempt; see ``Choice.ended``."""
         now = self.now()
+        server_id = server.id
+        code = str(error.code) if error is not None else ""
+        if not error or code in VERSION_FAULTS:
+            self._moves.note(server.service, server, error is not None, started_at)
         self._loads.ended(server_id)
         if error is None and latency_s is not None:
             self._health.succeeded(server_id, latency_s, now)
--- a/pistachiowell/moves/tracker.py
+++ b/pistachiowell/moves/tracker.py
@@ -84,16 +84,22 @@
         Returns:
             The version's name.
         """
-        permit = self._permit
-        is_valid = permit is not None and permit.is_valid(now)
-        if is_valid and self._probes > 0:
-            self._probes -= 1
+        if self.take_probe(now):
             return self._row.new
+        permit = self._permit
         if not self._brake.is_open(now):
             permit = None
         weights = shares(route, permit, now)
         return rng.choices(list(weights), list(weights.values()))[0]
 
+    def take_probe(self, now):
+        """Takes one of the permit's probes; returns whether there was one."""
+        is_valid = self._permit is not None and self._permit.is_valid(now)
+        if not is_valid or self._probes <= 0:
+            return False
+        self._probes -= 1
+        return True
+
     def note(self, version, server, data_centre, failed, began, now):
         """Counts an answer.
 
--- a/pistachiowell/platform/objects.py
+++ b/pistachiowell/platform/objects.py
@@ -15,7 +15,10 @@
 
 BASE_PATH = "/pistachiowell/objects"
 CALL_TIMEOUT_S = 1.5
-WATCH_WAIT_MS = 2_500
+WATCH_WAIT_MS = 10_000
+# A store that fell silent in a watch is noticed after this time, so what must be obeyed
+# within seconds is asked for more often.
+_WATCH_WAITS_MS = {"servers": 2_500, "config": 4_000}
 WATCH_GRACE_S = 0.8
 MIN_WATCH_S = 0.02
 MAX_PAGES = 1_000
@@ -172,10 +175,11 @@
         Also yields None whenever the store has confirmed that nothing changed.
         """
         version = after_version
-        timeout_s = WATCH_WAIT_MS / 1000 + WATCH_GRACE_S
+        wait_ms = _WATCH_WAITS_MS.get(collection, WATCH_WAIT_MS)
+        timeout_s = wait_ms / 1000 + WATCH_GRACE_S
         while True:
             started_at = anyio.current_time()
-            path = f"{_path(collection)}?Watch={version}&WaitMs={WATCH_WAIT_MS}"
+            path = f"{_path(collection)}?Watch={version}&WaitMs={wait_ms}"
             status, body = await self._calls.read(path, timeout_s)
             if status == 404:
                 raise StoreUnavailable(f"The store has no kind {collection}.")
--- a/pistachiowell/router/move_reports.py
+++ b/pistachiowell/router/move_reports.py
@@ -91,7 +91,7 @@
         counts, tripped = tracker.take_report()
         message = MoveCounts(
             move=tracker.row.name,
-            counts=_count_messages(counts, sent_at),
+            counts=count_messages(counts, sent_at),
             tripped=tripped,
             probes_left=tracker.probes_left,
         )
@@ -227,7 +227,13 @@
         )
 
 
-def _count_messages(counts, now):
+def count_messages(counts, now):
+    """Returns the ``AnswerCount`` messages of a report.
+
+    Args:
+        counts: A mapping from ``(Answer, began)`` to the number of answers.
+        now: Present time in seconds.
+    """
     return [
         AnswerCount(
             server=answer.server,
--- a/pistachiowell/router/pages.py
+++ b/pistachiowell/router/pages.py
@@ -84,6 +84,7 @@
         "_number",
         "_runtime",
         "_started",
+        "_version",
         "page",
     )
 
@@ -95,6 +96,7 @@
         self._lock = anyio.Lock()
         self._started = 0
         self._done = 0
+        self._version = None
         self.page = decode_page(None)
 
     async def sync(self):
@@ -129,23 +131,45 @@
         raise BudgetUnreachable(f"Budget page {self._number} could not be written.")
 
     async def _write(self):
-        store = self._runtime.store
-        version, page = await read_page(store, self._number)
-        self._observe(version, page)
-        changes = self._first_changes(self._number, page)
-        changes += self._holder.plan(self._number, self._runtime.now())
-        new = apply_changes(page, changes)
-        if new is page:
+        """Writes the plan, on the page as last written if that is known.
+
+        Mostly nobody else writes the page, so reading it first would double the
+        calls; a conflict or an unmet demand shows when it has to be read.
+        """
+        was_read = self._version is None
+        if was_read:
+            await self._read()
+        new = self._planned()
+        if new is self.page and not was_read and self._has_work():
+            await self._read()
+            new = self._planned()
+        if new is self.page:
             return True
-        name = page_name(self._number)
+        version, self._version = self._version, None
+        name, value = page_name(self._number), encode_page(new)
         try:
-            new_version = await store.put(COLLECTION, name, encode_page(new), version)
+            new_version = await self._runtime.store.put(
+                COLLECTION, name, value, version
+            )
         except StoreAnswerLost:
             self._holder.answer_lost(self._number, version)
             return False
         self._observe(new_version, new)
         return True
 
+    async def _read(self):
+        version, page = await read_page(self._runtime.store, self._number)
+        self._observe(version, page)
+
+    def _planned(self):
+        changes = self._first_changes(self._number, self.page)
+        changes += self._holder.plan(self._number, self._runtime.now())
+        return apply_changes(self.page, changes)
+
+    def _has_work(self):
+        return self._holder.has_work(self._number, self._runtime.now())
+
     def _observe(self, version, page):
+        self._version = version
         self.page = page
         self._holder.observe(self._number, version, page, self._runtime.now())
--- a/pistachiowell/store/observed.py
+++ b/pistachiowell/store/observed.py
@@ -31,6 +31,13 @@
         with self._observed():
             return await self._store.put(collection, name, value, expected_version)
 
+    async def put_status(self, collection, name, status, expected_version):
+        """See ``pistachiowell.platform.objects.ObjectStore.put_status``."""
+        with self._observed():
+            return await self._store.put_status(
+                collection, name, status, expected_version
+            )
+
     async def delete(self, collection, name, expected_version):
         """See ``Store.delete``."""
         with self._observed():
