--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -18,6 +18,7 @@
     AgentReport,
     CatalogDocument,
     FetchCatalog,
+    GatewayLoad,
 )
 from pistachiowell.schema.generated.objects_membership import AgentRecord
 from pistachiowell.store.registration import register_process, unregister_process
@@ -42,6 +43,7 @@
 
     __slots__ = (
         "_catalogs",
+        "_gateway_loads",
         "_handlers",
         "_home",
         "_judging",
@@ -58,6 +60,7 @@
         self._state = state = GatewayState(settings)
         self._handlers = Handlers()
         self._links = set()
+        self._gateway_loads = {}
         self._load = None
         self._loads_codec = adapter.loads
         register_status_handlers(self._handlers, runtime)
@@ -66,6 +69,7 @@
         self._judging = Judging(runtime, self._handlers, adapter.moves)
         self._move_feed = MoveFeed(runtime, adapter.moves, self._judging.take_orders)
         self._handlers.on(FetchCatalog, quick=True)(self._take_fetch)
+        self._handlers.on(GatewayLoad)(self._take_gateway_load)
 
     async def run(self):
         """Runs until a signal comes."""
@@ -118,7 +122,14 @@
 
     def _add_link(self, link):
         self._links.add(link)
-        link.add_close_listener(lambda: self._links.discard(link))
+        link.add_close_listener(lambda: self._drop_link(link))
+
+    def _drop_link(self, link):
+        self._links.discard(link)
+        self._gateway_loads.pop(link, None)
+
+    async def _take_gateway_load(self, link, message):
+        self._gateway_loads[link] = message
 
     async def _push_reports(self):
         while True:
@@ -136,6 +147,7 @@
             kv_tokens=load.kv_tokens if load else 0,
             catalog_revision=catalog.revision if catalog else 0,
             leaving=self._runtime.leaving,
+            gateways=list(self._gateway_loads.values()),
         )
         for link in list(self._links):
             try:
--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -4,13 +4,17 @@
 
 from pistachiowell.core.errors import LinkLost, LinkTimeout
 from pistachiowell.core.logs import part_logger
+from pistachiowell.routing import EngineLoad
 from pistachiowell.schema.generated.messages_gateway import (
     AgentReport,
     CatalogDocument,
     FetchCatalog,
+    GatewayLoad,
 )
 
 FETCH_DELAY_S = 0.25
+LOAD_INTERVAL_S = 0.05
+NO_LOAD = EngineLoad()
 FETCH_TIMEOUT_S = 1.0
 
 _log = part_logger("agents")
@@ -25,7 +29,7 @@
         state: The ``GatewayState``.
         catalogs: The ``CatalogFeed``.
         handlers: Handlers of the links to agents; this adds its own.
-        take_load: Function that is called with each ``AgentReport`` that has a load.
+        selection: The ``Selection``; takes the loads and tells this gateway's own.
     """
 
     __slots__ = (
@@ -33,17 +37,17 @@
         "_fleet",
         "_newer",
         "_runtime",
+        "_selection",
         "_state",
-        "_take_load",
         "_wake",
     )
 
-    def __init__(self, runtime, fleet, state, catalogs, handlers, take_load):
+    def __init__(self, runtime, fleet, state, catalogs, handlers, selection):
         self._runtime = runtime
         self._fleet = fleet
         self._state = state
         self._catalogs = catalogs
-        self._take_load = take_load
+        self._selection = selection
         self._newer = None
         self._wake = anyio.Event()
         handlers.on(AgentReport)(self._take_report)
@@ -51,13 +55,36 @@
     async def _take_report(self, link, message):
         if self._fleet.heard(link, leaving=message.leaving) is None:
             return
-        if message.has_load:
-            self._take_load(message)
+        if message.address:
+            self._selection.take_report(message, self._runtime.incarnation)
         present = self._state.catalog
         if message.catalog_revision > (present.revision if present else 0):
             self._newer = link
             self._wake.set()
 
+    async def tell_loads(self):
+        """Tells each agent what this gateway has at its engine until cancelled."""
+        told = {}
+        while True:
+            await anyio.sleep(LOAD_INTERVAL_S)
+            loads = self._selection.loads_by_address()
+            for peer in self._fleet.agents.values():
+                load = loads.get(peer.record.server, NO_LOAD)
+                if peer.link is None or told.get(peer.link, NO_LOAD) == load:
+                    continue
+                told[peer.link] = load
+                self._tell(peer.link, load)
+            told = {link: load for link, load in told.items() if not link.closed}
+
+    def _tell(self, link, load):
+        message = GatewayLoad(
+            self._runtime.incarnation, load.reading_tokens, load.running, load.kv_tokens
+        )
+        try:
+            link.send(message)
+        except LinkLost as error:
+            _log.debug("An agent was not told of the load: {}", error)
+
     async def run(self):
         """Fetches configurations that the store has not told of until cancelled."""
         while True:
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -131,10 +131,19 @@
         return account
 
     async def _serve(self, request, receive, caller):
+        has_ended, error = False, None
         async with anyio.create_task_group() as group:
             group.start_soon(_watch_disconnect, receive, group.cancel_scope)
             error = await self._run_until_deadline(request, caller)
+            has_ended = True
             group.cancel_scope.cancel()
+        if not has_ended:
+            self._runtime.metrics.count("callers.left")
+            _log.info(
+                "Caller left.",
+                request=request.id,
+                after_s=round(self._runtime.now() - request.received_at, 3),
+            )
         if error is not None:
             raise error
 
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -79,7 +79,7 @@
             state,
             self._catalogs,
             handlers,
-            selection.take_report,
+            selection,
         )
         self._spending = GatewaySpending(runtime, self._fleet)
         self._dispatch = Dispatch(
@@ -99,6 +99,7 @@
             group.start_soon(self._move_feed.run)
             group.start_soon(self._moves.run)
             group.start_soon(self._agent_reports.run)
+            group.start_soon(self._agent_reports.tell_loads)
             group.start_soon(self._spending.run)
             group.start_soon(self._dispatch.keep_connections)
             group.start_soon(self._ready.serve)
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -16,6 +16,7 @@
 from pistachiowell.routing.placement import (
     PLACERS,
     EngineBook,
+    EngineLoad,
     Placed,
     PlacementSettings,
     Work,
@@ -48,6 +49,7 @@
     "CreditSettings",
     "Deliver",
     "EngineBook",
+    "EngineLoad",
     "Finished",
     "GiveUp",
     "HealthBook",
--- a/pistachiowell/routing/placement.py
+++ b/pistachiowell/routing/placement.py
@@ -33,6 +33,8 @@
         running_cost_s: Cost of each running request in seconds of wait.
         full_cost_s: Cost of an engine whose slots or memory are taken.
         cached_parts: Most parts remembered for one server.
+        report_timeout_s: Age in seconds above which the load of others counts for
+            nothing.
     """
 
     placer: str = "least_cost"
@@ -44,6 +46,7 @@
     running_cost_s: float = 0.002
     full_cost_s: float = 5.0
     cached_parts: int = 4096
+    report_timeout_s: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +93,24 @@
     is_reading: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """Requests at an engine.
+
+    Attributes:
+        reading_tokens: Prompt tokens that are not read yet.
+        running: Requests that have not ended.
+        kv_tokens: Memory that they take at most in tokens.
+    """
+
+    reading_tokens: int = 0
+    running: int = 0
+    kv_tokens: int = 0
+
+
+NO_LOAD = EngineLoad()
+
+
 class _Engine:
     __slots__ = ("cached", "kv_tokens", "reading_tokens", "running")
 
@@ -175,35 +196,34 @@
             unread -= tokens
         return max(0, unread)
 
-    def take_remote(self, router, loads):
-        """Takes what another router has at the engines.
+    def take_remote(self, server, load, now):
+        """Takes what the other routers have at an engine.
 
         Args:
-            router: Name of the router.
-            loads: ``(reading_tokens, running, kv_tokens)`` by server; empty once
-                the router is lost.
+            server: Id of the server.
+            load: The ``EngineLoad`` of all others.
+            now: Present time in seconds.
         """
-        if loads:
-            self._remote[router] = loads
-        else:
-            self._remote.pop(router, None)
-
-    def own_loads(self):
-        """Returns ``(reading_tokens, running, kv_tokens)`` by server."""
-        return {
-            name: (e.reading_tokens, e.running, e.kv_tokens)
-            for name, e in self._engines.items()
-            if e.running
-        }
-
-    def load(self, server):
-        """Returns reading tokens, running requests and memory of all routers."""
+        self._remote[server] = (load, now)
+
+    def own_load(self, server):
+        """Returns the ``EngineLoad`` of this router's own requests."""
         engine = self._engines.get(server)
-        own = (0, 0, 0)
-        if engine is not None:
-            own = (engine.reading_tokens, engine.running, engine.kv_tokens)
-        remote = [loads[server] for loads in self._remote.values() if server in loads]
-        return tuple(map(sum, zip(own, *remote, strict=True)))
+        if engine is None:
+            return NO_LOAD
+        return EngineLoad(engine.reading_tokens, engine.running, engine.kv_tokens)
+
+    def load(self, server, now):
+        """Returns the ``EngineLoad`` of all routers, as far as it is known."""
+        own = self.own_load(server)
+        others, taken_at = self._remote.get(server, (NO_LOAD, now))
+        if now - taken_at > self._settings.report_timeout_s:
+            return own
+        return EngineLoad(
+            own.reading_tokens + others.reading_tokens,
+            own.running + others.running,
+            own.kv_tokens + others.kv_tokens,
+        )
 
     def _engine(self, server):
         return self._engines.setdefault(server, _Engine())
@@ -287,13 +307,14 @@
         reread = max(0, unread - own_tokens)
         if is_owner:
             reread *= 1.0 - settings.owner_hit_share
-        reading, running, kv_tokens = self._book.load(candidate.server)
+        load = self._book.load(candidate.server, now)
         fresh = min(unread, own_tokens)
-        tokens = reading + fresh + reread * (1.0 + settings.reread_weight)
+        tokens = load.reading_tokens + fresh + reread * (1.0 + settings.reread_weight)
         cost = tokens / settings.prefill_tokens_per_s
-        cost += running * settings.running_cost_s
+        cost += load.running * settings.running_cost_s
         cost += candidate.distance * settings.distance_cost_s
         needed = work.prompt_tokens + work.output_tokens
-        if running >= limits.slots or kv_tokens + needed > limits.kv_tokens:
+        is_full = load.running >= limits.slots
+        if is_full or load.kv_tokens + needed > limits.kv_tokens:
             cost += settings.full_cost_s
         return cost
