--- a/pistachiowell/gateway/home.py
+++ b/pistachiowell/gateway/home.py
@@ -31,6 +31,7 @@
 OUTAGE_MEMORY_S = 0.5
 OUTAGE_RETRY_S = 1.5
 REFUSAL_MEMORY_S = 0.3
+MAX_SYNCS = 3
 
 _log = part_logger("budgets")
 
@@ -121,18 +122,27 @@
 
     async def _reserve_from_page(self, message):
         self._check_refusals(message)
+        for _ in range(MAX_SYNCS):
+            page = await self._sync(message.account)
+            held = self._try(message)
+            if held is not None:
+                return held
+            account = page.accounts.get(message.account, BudgetAccount())
+            # A request that came meanwhile may have taken what this one asked for.
+            if free_tokens(account) < message.tokens:
+                break
+        raise self._refusal(message, account)
+
+    async def _sync(self, account):
         page = None
         try:
             with anyio.move_on_after(WRITE_WAIT_S):
-                page = await self._pages.sync(message.account)
+                page = await self._pages.sync(account)
         except BudgetUnreachable as error:
             raise self._outage() from error
         if page is None:
             raise self._outage()
-        held = self._try(message)
-        if held is None:
-            raise self._refusal(message, page)
-        return held
+        return page
 
     def _outage(self):
         self._lost_until = self._runtime.now() + OUTAGE_MEMORY_S
@@ -152,10 +162,12 @@
         if refusal is not None and now < refusal[0] and message.tokens >= refusal[1]:
             raise refusal[2](refusal[3])
 
-    def _refusal(self, message, page):
-        account = page.accounts.get(message.account, BudgetAccount())
+    def _refusal(self, message, account):
         free, granted = free_tokens(account), granted_tokens(account)
-        if free + granted < message.tokens:
+        own = self._holder.ledger(message.account).grants
+        elsewhere = sum(g.amount for n, g in account.grants.items() if n not in own)
+        unused = sum(g.amount - g.used_tokens for g in own.values())
+        if free + elsewhere + unused < message.tokens:
             cls = BudgetExhausted
             text = f"Account {message.account} has not enough tokens left."
         else:
@@ -171,6 +183,8 @@
             tokens=message.tokens,
             free=free,
             granted=granted,
+            elsewhere=elsewhere,
+            unused=unused,
             credited=account.credited,
             closed=account.closed,
         )
