--- a/pistachiowell/routing/placement.py
+++ b/pistachiowell/routing/placement.py
@@ -40,8 +40,8 @@
     placer: str = "least_cost"
     prefill_tokens_per_s: float = 50_000.0
     cache_memory_s: float = 12.0
-    owner_hit_share: float = 0.8
-    reread_weight: float = 1.0
+    owner_hit_share: float = 0.95
+    reread_weight: float = 3.0
     distance_cost_s: float = 0.01
     running_cost_s: float = 0.002
     full_cost_s: float = 5.0
