--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -71,6 +71,16 @@
         self._handlers.on(FetchCatalog, quick=True)(self._take_fetch)
         self._handlers.on(GatewayLoad)(self._take_gateway_load)
 
+    @property
+    def state(self):
+        """The ``GatewayState``; only its catalog is used."""
+        return self._state
+
+    @property
+    def incarnation(self):
+        """Unique id of this run."""
+        return self._runtime.incarnation
+
     async def run(self):
         """Runs until a signal comes."""
         async with anyio.create_task_group() as group:
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -86,6 +86,11 @@
         self._shares = {}
         self._split = SPLITTERS.find("smooth")(rng)
 
+    @property
+    def opened_connections(self):
+        """Connections to backend servers that were opened so far."""
+        return self._pool.opened
+
     async def keep_connections(self):
         """Closes idle connections in time until cancelled."""
         while True:
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -90,6 +90,27 @@
         ready_app = ReadyApp(state, adapter.ready_path)
         self._ready = _server(ready_app, settings.ready_address)
 
+    @property
+    def state(self):
+        """The ``GatewayState``."""
+        return self._state
+
+    @property
+    def fleet(self):
+        """The ``Fleet`` with the agents."""
+        return self._fleet
+
+    @property
+    def opened_connections(self):
+        """Connections to backend servers that were opened so far."""
+        return self._dispatch.opened_connections
+
+    def begin_leaving(self):
+        """Says that no callers may be sent here any more; requests go on."""
+        self._state.is_leaving = True
+        self._runtime.start_leaving()
+        _log.info("Gateway is leaving; requests in progress go on.")
+
     async def run(self):
         """Runs until a signal comes and the requests in progress have ended."""
         async with anyio.create_task_group() as group:
@@ -125,9 +146,7 @@
                     _log.info("Reload asked for; the settings need none.")
                 else:
                     break
-        self._state.is_leaving = True
-        self._runtime.start_leaving()
-        _log.info("Gateway is leaving; requests in progress go on.")
+        self.begin_leaving()
         await anyio.sleep(self._runtime.settings.leaving_notice_s)
         self._http.should_exit = True
 
--- a/pistachiowell/gateway/home.py
+++ b/pistachiowell/gateway/home.py
@@ -6,6 +6,8 @@
 when the home is lost.
 """
 
+from dataclasses import dataclass
+
 import anyio
 
 from pistachiowell.budgets import Holder
@@ -36,6 +38,30 @@
 _log = part_logger("budgets")
 
 
+@dataclass(frozen=True, slots=True)
+class _Refusal:
+    """A refusal that holds for the next requests of an account.
+
+    Attributes:
+        until: Time until which it holds.
+        tokens: Size of the refused request; smaller ones may fit.
+        catalog: The ``Catalog`` of the refusal; a newer one may pay for more.
+        error_class: Class of the error.
+        text: Message of the error.
+    """
+
+    until: float
+    tokens: int
+    catalog: object
+    error_class: type
+    text: str
+
+    def covers(self, message, catalog, now):
+        """Tells whether it refuses a request too."""
+        is_recent = now < self.until and catalog is self.catalog
+        return is_recent and message.tokens >= self.tokens
+
+
 class BudgetHome:
     """Reserves and settles for the gateways, out of this process's grants.
 
@@ -159,8 +185,8 @@
                 retry_after_s=OUTAGE_RETRY_S,
             )
         refusal = self._refusals.get(message.account)
-        if refusal is not None and now < refusal[0] and message.tokens >= refusal[1]:
-            raise refusal[2](refusal[3])
+        if refusal is not None and refusal.covers(message, self._state.catalog, now):
+            raise refusal.error_class(refusal.text)
 
     def _refusal(self, message, account):
         free, granted = free_tokens(account), granted_tokens(account)
@@ -174,7 +200,9 @@
             cls = BudgetUnreachable
             text = f"The rest of the budget of {message.account} is set aside."
         until = self._runtime.now() + REFUSAL_MEMORY_S
-        self._refusals[message.account] = (until, message.tokens, cls, text)
+        self._refusals[message.account] = _Refusal(
+            until, message.tokens, self._state.catalog, cls, text
+        )
         _log.warning(
             "Account refused.",
             request=message.request_id,
--- /dev/null
+++ b/pistachiowell/platform/tests/conftest.py
@@ -0,0 +1,253 @@
+"""A gateway, agents and stand-ins of the platform on one loop."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+import httpcore
+import pytest
+
+from pistachiowell.gateway.agent import GatewayAgent
+from pistachiowell.gateway.gateway import Gateway
+from pistachiowell.platform.main import ADAPTER
+from pistachiowell.platform.objects import ObjectStore
+from pistachiowell.platform.tests.standins import (
+    BackendStandIn,
+    ObjectServer,
+    answer_whole,
+    serve_app,
+)
+from pistachiowell.schema.generated.settings import (
+    GatewayAgentSettings,
+    GatewaySettings,
+)
+
+HOST = "shop.example"
+KEY = "k-one"
+ROUTES = {
+    "read": ("/read/", "idempotent", "desk", {"MaxAttempts": 2}),
+    "book": ("/book/", "non_idempotent", "desk", {}),
+    "chat": (
+        "/chat/",
+        "streaming",
+        "pool",
+        {"MaxAttempts": 2, "Resumable": True, "Sticky": True},
+    ),
+    "read-long": ("/long/", "streaming", "pool", {"Sticky": True}),
+}
+
+
+def route_document(name):
+    """Returns a route of the configuration."""
+    prefix, kind, service, more = ROUTES[name]
+    return {
+        "Name": name,
+        "Host": HOST,
+        "PathPrefix": prefix,
+        "RouteKind": kind,
+        "TimeoutMs": 2000,
+        "GoalMs": 200,
+        "Service": service,
+        **more,
+    }
+
+
+def configuration(version, *, keys=(KEY,), prepaid=100_000, routes=tuple(ROUTES)):
+    """Returns a configuration document."""
+    engine = {"Slots": 8, "KvCapacityTokens": 100_000, "Stride": 5}
+    return {
+        "Version": version,
+        "Routes": [route_document(name) for name in routes],
+        "Services": [
+            {"Name": "desk", "HealthPath": "/h", "MaxConns": 50},
+            {"Name": "pool", "HealthPath": "/h", "MaxConns": 50, "Engine": engine},
+        ],
+        "Limits": {"MaxBodyBytes": 10_000},
+        "Tenants": [{"Name": "acme", "ApiKeys": list(keys), "Prepaid": prepaid}],
+    }
+
+
+class Rig:
+    """The running parts of a test.
+
+    Attributes:
+        store: The ``ObjectServer``.
+        gateways: The ``Gateway`` that run.
+        servers: The ``BackendStandIn`` by id.
+    """
+
+    def __init__(self, group, free_port):
+        self._group = group
+        self._free_port = free_port
+        self._scopes = {}
+        self._agents = {}
+        self._requests = 0
+        self._store_address = ""
+        self.store = ObjectServer()
+        self.servers = {}
+        self.gateways = []
+        self.address = ""
+        self.ready_address = ""
+
+    async def start(self):
+        """Starts the store."""
+        port = await self._group.start(serve_app, self.store)
+        self._store_address = f"127.0.0.1:{port}"
+
+    async def add_server(self, server_id, service, script=answer_whole, **fields):
+        """Starts a backend server and registers it."""
+        server = self.servers[server_id] = BackendStandIn(server_id, script)
+        await self._group.start(server.serve)
+        self.register(server_id, service, **fields)
+        return server
+
+    def register(self, server_id, service, state="ready", **fields):
+        """Writes the registration of a server."""
+        spec = {
+            "Service": service,
+            "Address": f"127.0.0.1:{self.servers[server_id].port}",
+            "Zone": "east",
+            "Version": "v1",
+            "Slots": 8,
+            "State": state,
+            "Sequence": 1,
+            "born": 5,
+            **fields,
+        }
+        self.store.put("servers", server_id, spec)
+
+    async def add_agent(self, name, **settings):
+        """Starts an agent and waits until it is registered."""
+        values = GatewayAgentSettings(
+            id=name,
+            region="south",
+            data_centre="east",
+            host="127.0.0.1",
+            port=self._free_port(),
+            store_address=self._store_address,
+            report_interval_s=0.05,
+            budget_pages=1,
+            **settings,
+        )
+        agent = GatewayAgent(values, ObjectStore(self._store_address), ADAPTER)
+        self._agents[name] = agent
+        self._start(name, agent)
+        await self.until(lambda: name in self.store.names("agents"))
+        return agent
+
+    async def add_gateway(self, name="gate-1", *, ready=True):
+        """Starts a gateway and, if wanted, waits until it is ready."""
+        self.address = f"127.0.0.1:{self._free_port()}"
+        self.ready_address = f"127.0.0.1:{self._free_port()}"
+        values = GatewaySettings(
+            id=name,
+            region="south",
+            data_centre="east",
+            http_address=self.address,
+            ready_address=self.ready_address,
+            peer_host="127.0.0.1",
+            peer_port=self._free_port(),
+            store_address=self._store_address,
+            budget_pages=1,
+            leaving_notice_s=0.1,
+        )
+        gateway = Gateway(values, ObjectStore(self._store_address), ADAPTER)
+        self._start(name, gateway)
+        self.gateways.append(gateway)
+        if ready:
+            await self.until(lambda: gateway.state.is_ready)
+            await self.until(lambda: self._all_linked(gateway))
+        return gateway
+
+    def agent_state(self, name):
+        """Returns the ``GatewayState`` of an agent."""
+        return self._agents[name].state
+
+    def incarnation(self, name):
+        """Returns the incarnation of an agent."""
+        return self._agents[name].incarnation
+
+    def kill(self, name):
+        """Ends a program at once, without its last words."""
+        self._scopes[name].cancel()
+
+    async def until(self, condition, timeout_s=5.0):
+        """Waits until a condition holds."""
+        with anyio.fail_after(timeout_s):
+            while not condition():
+                await anyio.sleep(0.01)
+
+    async def ask(self, path, method="GET", body=b"", key=KEY, **headers):
+        """Sends a request and returns ``(status, headers, body)``."""
+        async with self.open(path, method, body, key, **headers) as response:
+            body = await response.aread()
+        return response.status, dict(response.headers), body
+
+    @asynccontextmanager
+    async def open(self, path, method="GET", body=b"", key=KEY, **headers):
+        """Sends a request and yields the response."""
+        self._requests += 1
+        fields = {
+            "Host": HOST,
+            "Pistachiowell-Attempt-Id": f"request-{self._requests}",
+            "Pistachiowell-Deadline-Ms": "1500",
+            "Api-Key": key,
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        if body:
+            fields["Content-Length"] = str(len(body))
+        pairs = [(n.encode(), v.encode()) for n, v in fields.items()]
+        async with (
+            httpcore.AsyncConnectionPool() as pool,
+            pool.stream(
+                method, f"http://{self.address}{path}", headers=pairs, content=body
+            ) as response,
+        ):
+            yield response
+
+    async def chat(self, path="/chat/x", **headers):
+        """Sends a request with a prompt of 100 tokens and 50 at most of answer."""
+        return await self.ask(
+            path,
+            "POST",
+            b"prompt",
+            Pistachiowell_Model="m",
+            Pistachiowell_Token_Usage=headers.pop("usage", "100,50"),
+            Pistachiowell_Prefix_Hash="aa:60,bb:40",
+            **headers,
+        )
+
+    def budget(self, account="acme"):
+        """Returns the budget of an account as the store holds it."""
+        page = self.store.get("budgetpages", "page-0")
+        return page["Spec"]["accounts"][account] if page else {}
+
+    def _start(self, name, program):
+        scope = self._scopes[name] = anyio.CancelScope()
+
+        async def run():
+            with scope:
+                await program.run()
+
+        self._group.start_soon(run)
+
+    def _all_linked(self, gateway):
+        agents = set(self.store.names("agents"))
+        return agents == {n for n, p in gateway.fleet.agents.items() if p.usable}
+
+
+@pytest.fixture
+def start_rig(free_port):
+    """Returns an async context manager that yields a ``Rig``."""
+
+    @asynccontextmanager
+    async def start():
+        async with anyio.create_task_group() as group:
+            rig = Rig(group, free_port)
+            await rig.start()
+            rig.store.put("config", "main", configuration(1))
+            try:
+                yield rig
+            finally:
+                group.cancel_scope.cancel()
+
+    return start
