--- a/pistachiowell/catalog/__init__.py
+++ b/pistachiowell/catalog/__init__.py
@@ -5,8 +5,8 @@
     Catalog,
     EngineLimits,
     HttpLimits,
+    RequestKind,
     Route,
-    RouteKind,
     Service,
 )
 from pistachiowell.catalog.servers import BackendServer, ServerBook
@@ -18,7 +18,7 @@
     "EngineLimits",
     "HttpLimits",
     "Route",
-    "RouteKind",
+    "RequestKind",
     "ServerBook",
     "Service",
 ]
--- a/pistachiowell/catalog/catalog.py
+++ b/pistachiowell/catalog/catalog.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 
-class RouteKind(StrEnum):
+class RequestKind(StrEnum):
     """What a route's requests allow."""
 
     idempotent = "idempotent"
@@ -20,7 +20,7 @@
         name: Name of the route.
         host: Value of the Host header, without a port, in lower case.
         path_prefix: Begin of the paths; starts and ends with a slash.
-        kind: A ``RouteKind``.
+        kind: A ``RequestKind``.
         weights: Relative share of the requests by service.
         timeout_s: Longest time a request is kept waiting.
         objective_s: Time to the answer, or to a stream's first event, that is on time.
@@ -35,7 +35,7 @@
     name: str
     host: str
     path_prefix: str
-    kind: RouteKind
+    kind: RequestKind
     weights: dict
     timeout_s: float
     objective_s: float
@@ -49,7 +49,7 @@
     @property
     def is_repeatable(self):
         """Whether a request may run more than once."""
-        return self.kind is RouteKind.idempotent or self.is_resumable
+        return self.kind is RequestKind.idempotent or self.is_resumable
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +127,8 @@
         limits: ``HttpLimits``.
 
     Examples:
-        >>> route = Route("r", "a.example", "/x/", RouteKind.idempotent, {"s": 1}, 1, 1)
+        >>> kind = RequestKind.idempotent
+        >>> route = Route("r", "a.example", "/x/", kind, {"s": 1}, 1, 1)
         >>> catalog = Catalog(1, {"a.example": [route]}, {}, None)
         >>> catalog.find_route("A.example:80", "/x/1").name
         'r'
--- a/pistachiowell/gateway/judging.py
+++ b/pistachiowell/gateway/judging.py
@@ -39,7 +39,7 @@
         self._orders = {}
         self._seen_at = {}
         self._judged = {}
-        handlers.on(MoveCounts, quick=True)(self._take_counts)
+        handlers.on(MoveCounts, quick=True)(self.take_counts)
 
     def take_orders(self, orders):
         """Takes the ``MoveOrder`` of each service by its name."""
@@ -58,9 +58,19 @@
         while True:
             await anyio.sleep(TICK_S)
             for service, judged in list(self._judged.items()):
-                await self._tick(service, judged)
+                await self.tick(service, judged)
 
-    async def _take_counts(self, link, message):
+    @property
+    def judged(self):
+        """The moves that this agent judges, by service."""
+        return self._judged
+
+    async def take_counts(self, link, message):
+        """Takes the ``MoveCounts`` of a gateway.
+
+        Returns:
+            The ``MovePermit``; None if there is no open move.
+        """
         order = self._orders.get(message.move)
         if order is None or order.state.has_ended:
             return None
@@ -102,7 +112,8 @@
         )
         return _Judged(mover, last_moment)
 
-    async def _tick(self, service, judged):
+    async def tick(self, service, judged):
+        """Decides on one move and writes its state if that changes."""
         order = self._orders.get(service)
         if order is None:
             return
--- a/pistachiowell/gateway/moves.py
+++ b/pistachiowell/gateway/moves.py
@@ -64,6 +64,11 @@
             )
         self._established[service] = established
 
+    def tracker(self, service):
+        """Returns the ``Tracker`` of a service's open move, or None."""
+        move = self._open.get(service)
+        return move.tracker if move is not None else None
+
     def choose(self, service, servers):
         """Returns the servers that an attempt may go to.
 
--- a/pistachiowell/moves/plan.py
+++ b/pistachiowell/moves/plan.py
@@ -6,6 +6,7 @@
 MARGIN_PART = 0.1
 MAX_SOAK_PART = 0.3
 MIN_STAGE_S = 2.0
+MIN_STAGE_PART = 0.1
 
 
 class MovePlan:
@@ -28,11 +29,12 @@
         (False, True)
     """
 
-    __slots__ = ("_deadline", "_end", "_soak_s")
+    __slots__ = ("_deadline", "_end", "_min_stage_s", "_soak_s")
 
     def __init__(self, now, deadline, soak_s):
         total_s = max(0.0, deadline - now)
         self._deadline = deadline
+        self._min_stage_s = min(MIN_STAGE_S, MIN_STAGE_PART * total_s)
         self._end = deadline - MARGIN_PART * total_s
         self._soak_s = min(soak_s, MAX_SOAK_PART * total_s)
 
@@ -44,7 +46,7 @@
         """Whether a stage before the last has lasted long enough."""
         left = LAST_STAGE - stage
         until_soak_s = self._end - self._soak_s - stage_started
-        return now >= stage_started + max(MIN_STAGE_S, until_soak_s / left)
+        return now >= stage_started + max(self._min_stage_s, until_soak_s / left)
 
     def has_soaked(self, stage_started, now):
         """Whether the last stage has lasted long enough."""
--- a/pistachiowell/platform/configuration.py
+++ b/pistachiowell/platform/configuration.py
@@ -9,8 +9,8 @@
     Catalog,
     EngineLimits,
     HttpLimits,
+    RequestKind,
     Route,
-    RouteKind,
     Service,
 )
 from pistachiowell.core.errors import RowInvalid
@@ -40,7 +40,7 @@
     name: str
     host: str
     path_prefix: str
-    route_kind: RouteKind
+    route_kind: RequestKind
     timeout_ms: float
     goal_ms: float = 0.0
     gap_target_ms: float = 0.0
--- /dev/null
+++ b/pistachiowell/routing/tests/test_placement.py
@@ -0,0 +1,103 @@
+"""Placement under clumps of long prompts beside short ones."""
+
+from random import Random
+
+import pytest
+
+from pistachiowell.catalog import EngineLimits
+from pistachiowell.routing import (
+    PLACERS,
+    Candidate,
+    EngineBook,
+    PlacementSettings,
+    Work,
+)
+
+SERVERS = [f"s{number}" for number in range(5)]
+LIMITS = EngineLimits(slots=64, kv_tokens=560_000, tokens_per_event=6)
+TOKENS_PER_S = 60_000.0
+CACHE_S = 12.0
+OBJECTIVE_S = 0.4
+
+
+class Engines:
+    """Reads prompts one after another and keeps shared parts for a while."""
+
+    def __init__(self):
+        self.free_at = dict.fromkeys(SERVERS, 0.0)
+        self.cached = {name: {} for name in SERVERS}
+        self.reread_tokens = 0
+
+    def read(self, server, work, now):
+        """Returns the time at which the first token comes."""
+        cached, unread = self.cached[server], work.prompt_tokens
+        for key, tokens in work.shared:
+            if now - cached.get(key, float("-inf")) > CACHE_S:
+                break
+            unread -= tokens
+        seen = {key for name in SERVERS for key in self.cached[name]}
+        missing = [t for key, t in work.shared if key in seen and key not in cached]
+        self.reread_tokens += sum(missing)
+        cached.update({key: now for key, _ in work.shared})
+        start = max(now, self.free_at[server])
+        self.free_at[server] = start + unread / TOKENS_PER_S
+        return self.free_at[server]
+
+
+def draw_load(rng):
+    """Yields ``(time, Work)``: clumps of long prompts in a stream of short ones."""
+    now = 0.0
+    while now < 60.0:
+        now += rng.expovariate(8.0)
+        is_clump = rng.random() < 0.25
+        for _ in range(rng.randint(2, 4) if is_clump else 1):
+            if is_clump:
+                topic = f"long-{rng.randrange(30)}"
+                parts = (("base", 500), (topic, 5_000), (f"own-{now}", 6_000))
+            else:
+                topic = f"chat-{rng.randrange(60)}"
+                parts = (("chat", 120), (topic, 80), (f"own-{now}", 500))
+            yield now, Work(sum(tokens for _, tokens in parts), 300, parts)
+
+
+def play(placer_name):
+    """Returns the share of late first tokens and the tokens read again."""
+    rng, engines, waits = Random(5), Engines(), []
+    book = EngineBook(PlacementSettings())
+    placer = PLACERS.find(placer_name)(PlacementSettings(), book, Random(6))
+    candidates = [Candidate(name) for name in SERVERS]
+    reading = []
+    for now, work in draw_load(rng):
+        for entry in [e for e in reading if e[0] <= now]:
+            reading.remove(entry)
+            book.ended(entry[1])
+        chosen, _ = placer.place(candidates, work, LIMITS, now)
+        placed = book.sent(chosen.server, work, now)
+        first_at = engines.read(chosen.server, work, now)
+        reading.append((first_at, placed))
+        waits.append(first_at - now)
+    late = sum(wait > OBJECTIVE_S for wait in waits) / len(waits)
+    return late, engines.reread_tokens
+
+
+@pytest.fixture(scope="module")
+def results():
+    return {name: play(name) for name in ("random", "least_cost")}
+
+
+def test_fewer_first_tokens_are_late(results):
+    assert results["least_cost"][0] < results["random"][0] / 3
+
+
+def test_shared_parts_are_read_again_less_often(results):
+    assert results["least_cost"][1] < results["random"][1] / 2
+
+
+def test_full_engine_is_passed_over():
+    book = EngineBook(PlacementSettings())
+    work = Work(500_000, 50_000, (("a", 500_000),))
+    book.sent("s0", work, 0.0)
+    placer = PLACERS.find("least_cost")(PlacementSettings(), book, Random(1))
+    small = Work(20_000, 300, (("a", 20_000),))
+    candidates = [Candidate("s0"), Candidate("s1", distance=2)]
+    assert placer.place(candidates, small, LIMITS, 0.0)[0].server == "s1"
--- /dev/null
+++ b/pistachiowell/routing/tests/test_retry_share.py
@@ -0,0 +1,108 @@
+"""The fleet's retries under failure of everything."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pistachiowell.catalog import RequestKind, Route
+from pistachiowell.routing import (
+    AttemptFailure,
+    RetryShare,
+    RetryShareSettings,
+    RouteRetries,
+)
+
+SETTINGS = RetryShareSettings(ratio=0.2, fixed=50.0, window_s=10.0)
+ROUTERS = 4
+
+steps = st.lists(
+    st.tuples(st.integers(0, ROUTERS - 1), st.floats(0, 2.0), st.integers(0, 30)),
+    max_size=40,
+)
+
+
+def replay(steps, make):
+    """Returns the requests and the retries of a fleet whose requests all fail."""
+    shares = [make() for _ in range(ROUTERS)]
+    now, requests, retries = 0.0, [], []
+    for router, gap_s, count in steps:
+        now += gap_s
+        for _ in range(count):
+            shares[router].earn(now)
+            requests.append(now)
+            while len(retries) < 10_000 and shares[router].take(now):
+                retries.append(now)
+    return requests, retries
+
+
+def worst_excess(requests, retries):
+    """Returns by how much the worst window passes the fleet's allowance."""
+    worst = float("-inf")
+    for end in retries:
+        begin = end - SETTINGS.window_s
+        sent = sum(begin < at <= end for at in retries)
+        asked = sum(begin < at <= end for at in requests)
+        worst = max(worst, sent - SETTINGS.ratio * asked - SETTINGS.fixed)
+    return worst
+
+
+@given(steps)
+def test_fleet_keeps_to_its_allowance(steps):
+    requests, retries = replay(steps, lambda: RetryShare(SETTINGS, lambda: ROUTERS))
+    assert worst_excess(requests, retries) <= 0
+
+
+def test_without_a_share_the_same_load_passes_it():
+    class Always:
+        def __init__(self):
+            self.left = 0
+
+        def earn(self, now):
+            self.left += 1
+
+        def take(self, now):
+            self.left -= 1
+            return self.left >= 0 or self.forget()
+
+        def forget(self):
+            self.left = 0
+            return False
+
+    requests, retries = replay([(0, 0.1, 30)] * 10, Always)
+    assert worst_excess(requests, retries) > 0
+
+
+@pytest.fixture
+def share():
+    return RetryShare(RetryShareSettings(fixed=1_000.0), lambda: 1)
+
+
+def retries_of(kind, share, attempts, **more):
+    route = Route("r", "h", "/", kind, {"s": 1.0}, 5, 1, max_attempts=attempts, **more)
+    return RouteRetries(route, share, deadline=5.0)
+
+
+@pytest.mark.parametrize(
+    ("kind", "ran", "may"),
+    [
+        (RequestKind.idempotent, "unknown", True),
+        (RequestKind.idempotent, "no", True),
+        (RequestKind.non_idempotent, "unknown", False),
+        (RequestKind.non_idempotent, "no", True),
+        (RequestKind.streaming, "unknown", False),
+    ],
+)
+def test_only_safe_attempts_are_repeated(share, kind, ran, may):
+    retries = retries_of(kind, share, 2)
+    retries.start(0.0)
+    assert retries.may_retry(AttemptFailure("server_failed", ran), 0.1) is may
+
+
+def test_attempts_that_may_have_run_are_bounded_by_the_route(share):
+    retries = retries_of(RequestKind.idempotent, share, 2)
+    answers = []
+    for _ in range(3):
+        retries.start(0.0)
+        failure = AttemptFailure("server_failed", "unknown")
+        answers.append(retries.may_retry(failure, 0.1))
+    assert answers == [True, False, False]
