--- /dev/null
+++ b/pistachiowell/ctl/tests/test_explain.py
@@ -0,0 +1,55 @@
+"""The way of a request out of log files."""
+
+import json
+
+import pytest
+
+from pistachiowell.core.errors import InvalidRequest
+from pistachiowell.ctl.log_lines import explain_request, read_lines
+
+GATEWAY = [
+    {"at": 1.0, "level": "INFO", "text": "Request is sent.", "request": "a"}
+    | {"server": "s1"},
+    {"at": 1.2, "level": "INFO", "text": "Request is sent again.", "request": "a"}
+    | {"code": "server_failed"},
+    {"at": 1.3, "level": "WARNING", "text": "Request has failed.", "request": "a"},
+    {"at": 1.4, "level": "INFO", "text": "Request is sent.", "request": "b"},
+]
+OTHER = [
+    {"at": 0.9, "level": "INFO", "text": "Server is leaving.", "server": "s1"},
+    {"at": 0.9, "level": "INFO", "text": "Server is leaving.", "server": "s9"},
+]
+
+
+@pytest.fixture
+def write_log(tmp_path):
+    """Returns a function that writes a log file and returns its path."""
+
+    def write(name, lines, prefix=""):
+        path = tmp_path / name
+        text = [prefix + json.dumps({"process": name, **line}) for line in lines]
+        path.write_text("\n".join([*text, "no log line", "{half"]), encoding="utf-8")
+        return path
+
+    return write
+
+
+def test_way_of_a_request_and_its_first_fault(write_log):
+    files = [
+        read_lines(write_log("gate-1", GATEWAY)),
+        read_lines(write_log("gate-2", OTHER, prefix="  -3.14 gate-2 ")),
+    ]
+    found = explain_request("a", files)
+    assert [line["at"] for line in found.lines] == [1.0, 1.2, 1.3]
+    assert found.first_fault["code"] == "server_failed"
+    assert [line["server"] for line in found.context] == ["s1"]
+
+
+def test_unknown_request_has_no_lines(write_log):
+    found = explain_request("z", [read_lines(write_log("gate-1", GATEWAY))])
+    assert (found.lines, found.first_fault, found.context) == ([], None, [])
+
+
+def test_missing_file_is_a_clear_error(tmp_path):
+    with pytest.raises(InvalidRequest, match="cannot be read"):
+        read_lines(tmp_path / "none.log")
