--- a/pistachiowell/platform/objects.py
+++ b/pistachiowell/platform/objects.py
@@ -21,6 +21,7 @@
 _WATCH_WAITS_MS = {"servers": 2_500, "config": 4_000}
 WATCH_GRACE_S = 0.8
 MIN_WATCH_S = 0.02
+COALESCE_S = 0.25
 MAX_PAGES = 1_000
 HTTP_UNAVAILABLE = 503
 
@@ -188,7 +189,10 @@
             for event in answer.events:
                 yield _change(event)
             yield None
-            if not answer.events and anyio.current_time() - started_at < MIN_WATCH_S:
+            if answer.events:
+                # Changes that come together are then told by one call.
+                await anyio.sleep(COALESCE_S)
+            elif anyio.current_time() - started_at < MIN_WATCH_S:
                 raise StoreUnavailable("The store ended a watch at once.")
 
     async def vms(self):
