--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -24,7 +24,7 @@
         pages: Number of budget pages.
         policy: Name of the sizing policy.
         make_id: Function that makes a grant id.
-        sizing: ``SizingSettings``; its policy is not used.
+        sizing: ``SizingSettings``; ``policy`` goes before its own.
 
     Examples:
         >>> from pistachiowell.budgets.page import TopUp, apply_changes
--- a/pistachiowell/budgets/page.py
+++ b/pistachiowell/budgets/page.py
@@ -213,7 +213,9 @@
     present = grant.amount if grant else 0
     if present != change.known_tokens or (grant and grant.sealing):
         return account
-    growth = grant_growth(change.policy, change.demand, free_tokens(account))
+    growth = grant_growth(
+        change.policy, change.demand, free_tokens(account), account.credited
+    )
     if growth <= 0:
         return account
     if grant is None:
--- a/pistachiowell/budgets/sizing.py
+++ b/pistachiowell/budgets/sizing.py
@@ -6,6 +6,7 @@
 
 FREE_SHARE = 4
 FIXED_GRANT_TOKENS = 10_000
+TAPER_SHARE = 0.35
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,13 +70,14 @@
     return decorate
 
 
-def grant_growth(policy, demand, free_tokens):
+def grant_growth(policy, demand, free_tokens, credited_tokens=0):
     """Decides by how much a grant grows.
 
     Args:
         policy: Name of a registered policy.
         demand: A ``Demand``.
         free_tokens: Tokens of the budget that no grant holds.
+        credited_tokens: Tokens paid for since the account began.
 
     Returns:
         Tokens, at most ``free_tokens``; 0 if not even the smallest request fits.
@@ -90,24 +92,39 @@
     """
     if free_tokens < max(demand.smallest_need_tokens, 1):
         return 0
-    wanted = _POLICIES[policy](demand, free_tokens)
+    wanted = _POLICIES[policy](demand, free_tokens, credited_tokens)
     return min(free_tokens, max(wanted, 0))
 
 
 @register_policy("adaptive")
-def _adaptive(demand, free_tokens):
+def _adaptive(demand, free_tokens, credited_tokens):
+    del credited_tokens
     missing = demand.target_tokens - demand.available_tokens
     share = free_tokens // FREE_SHARE
     return max(demand.need_tokens, min(missing, share))
 
 
+@register_policy("tapering")
+def _tapering(demand, free_tokens, credited_tokens):
+    """Holds less of a budget the less of it is left.
+
+    Load pattern: holders are killed with what they have not spent, and the store is
+    away now and then. Early on a large grant bridges an outage and its loss leaves
+    enough; near the end the loss would be what callers still need.
+    """
+    left_share = free_tokens / max(credited_tokens, 1)
+    bound = int(TAPER_SHARE * free_tokens * left_share)
+    missing = min(demand.target_tokens, bound) - demand.available_tokens
+    return max(demand.need_tokens, missing)
+
+
 @register_policy("fixed")
-def _fixed(demand, free_tokens):
-    del free_tokens
+def _fixed(demand, free_tokens, credited_tokens):
+    del free_tokens, credited_tokens
     return max(demand.need_tokens, FIXED_GRANT_TOKENS)
 
 
 @register_policy("exact")
-def _exact(demand, free_tokens):
-    del free_tokens
+def _exact(demand, free_tokens, credited_tokens):
+    del free_tokens, credited_tokens
     return demand.need_tokens
--- a/pistachiowell/budgets/tests/test_growth.py
+++ b/pistachiowell/budgets/tests/test_growth.py
@@ -4,7 +4,7 @@
 
 from pistachiowell.budgets import Holder
 from pistachiowell.budgets.page import TopUp, apply_changes
-from pistachiowell.budgets.sizing import SizingSettings
+from pistachiowell.budgets.sizing import Demand, SizingSettings, grant_growth
 from pistachiowell.schema.generated.objects_budgets import BudgetPage
 
 
@@ -49,3 +49,16 @@
     assert holder.reserve("shop", "c", "router-1", 100_000, 2.0) is None
     write_plan(holder, page, 3, 2.0)
     assert holder.reserve("shop", "c", "router-1", 100_000, 2.0) is not None
+
+
+@pytest.mark.parametrize(("left", "most"), [(0.9, 0.30), (0.5, 0.09), (0.1, 0.004)])
+def test_tapering_grants_shrink_with_what_is_left(left, most):
+    sizing = SizingSettings(horizon_s=60.0)
+    demand = Demand(rate_tokens_per_s=100_000.0, sizing=sizing)
+    growth = grant_growth("tapering", demand, int(1_000_000 * left), 1_000_000)
+    assert 0 < growth <= most * 1_000_000
+
+
+def test_tapering_grants_always_cover_what_waits():
+    demand = Demand(need_tokens=50, smallest_need_tokens=50)
+    assert grant_growth("tapering", demand, 60, 1_000_000) == 50
--- a/pistachiowell/gateway/home.py
+++ b/pistachiowell/gateway/home.py
@@ -88,12 +88,15 @@
         self._state = state
         pages = runtime.settings.budget_pages
         sizing = SizingSettings(
+            policy="tapering",
             horizon_s=runtime.settings.budget_horizon_s,
             first_grant_requests=FIRST_GRANT_REQUESTS,
             rate_window_s=RATE_WINDOW_S,
             renew_after_s=RENEW_AFTER_S,
         )
-        self._holder = Holder(runtime.incarnation, pages, sizing=sizing)
+        self._holder = Holder(
+            runtime.incarnation, pages, policy=sizing.policy, sizing=sizing
+        )
         self._refusals = {}
         self._lost_until = float("-inf")
         self._pages = GrantPages(
