--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -39,8 +39,14 @@
         dispatch: The ``Dispatch``.
     """
 
-    __slots__ = ("_codec", "_dispatch", "_in_progress", "_runtime", "_spending")
-    __slots__ += ("_state",)
+    __slots__ = (
+        "_codec",
+        "_dispatch",
+        "_in_progress",
+        "_runtime",
+        "_spending",
+        "_state",
+    )
 
     def __init__(self, runtime, state, codec, spending, dispatch):
         self._runtime = runtime
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -24,6 +24,7 @@
 
 SERVER_FAULT = 500
 REFUSAL_DELAY_S = 0.3
+CLOSE_INTERVAL_S = 0.25
 NOT_RUN = "no"
 
 _log = part_logger("dispatch")
@@ -63,7 +64,6 @@
         selection: The ``Selection``.
         codec: The codec of heads; see ``pistachiowell.platform.headers``.
         routers: Function that returns the number of routers that may be running.
-        moves: Object that chooses the version of each attempt, or None.
         rng: A ``Random``.
     """
 
@@ -94,7 +94,7 @@
     async def keep_connections(self):
         """Closes idle connections in time until cancelled."""
         while True:
-            await anyio.sleep(0.25)
+            await anyio.sleep(CLOSE_INTERVAL_S)
             await self._pool.close_idle()
 
     async def run(self, request, caller, usage):
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -77,8 +77,17 @@
         now: Function that returns the monotonic time in seconds.
     """
 
-    __slots__ = ("_health", "_loads", "_moves", "_picker", "_placer", "_servers")
-    __slots__ += ("_settings", "engines", "now")
+    __slots__ = (
+        "_health",
+        "_loads",
+        "_moves",
+        "_picker",
+        "_placer",
+        "_servers",
+        "_settings",
+        "engines",
+        "now",
+    )
 
     def __init__(self, servers, moves, settings, rng, now):
         self._servers = servers
