Add a randomized soak of the real gateway programs with faults from outside

Gateways and agents run as processes of their own against stand-ins in the soak's process; they are killed, paused and restarted by signals, and the store is busy, throttled or silent, in series that overlap.

--- a/pistachiowell/core/tests/test_layers.py
+++ b/pistachiowell/core/tests/test_layers.py
@@ -16,7 +16,7 @@
     """Returns the modules outside the adapter and outside of tests."""
     for path in sorted(ROOT.rglob("*.py")):
         parts = path.relative_to(ROOT).parts
-        if "tests" not in parts and parts[0] != "platform":
+        if "tests" not in parts and parts[0] not in ("platform", "soak"):
             yield path
 
 
--- a/pistachiowell/platform/tests/standins.py
+++ b/pistachiowell/platform/standins.py
@@ -297,7 +297,12 @@
 async def serve_app(app, *, task_status):
     """Serves an ASGI application; the port is handed to ``task_status``."""
     config = uvicorn.Config(
-        app, host="127.0.0.1", port=0, lifespan="off", log_config=None, ws="none"
+        app,
+        host="127.0.0.1",
+        port=0,
+        lifespan="off",
+        log_level="critical",
+        ws="none",
     )
     server = EmbeddedServer(config)
     async with anyio.create_task_group() as group:
--- a/pistachiowell/platform/tests/conftest.py
+++ b/pistachiowell/platform/tests/conftest.py
@@ -10,7 +10,7 @@
 from pistachiowell.gateway.gateway import Gateway
 from pistachiowell.platform.main import ADAPTER
 from pistachiowell.platform.objects import ObjectStore
-from pistachiowell.platform.tests.standins import (
+from pistachiowell.platform.standins import (
     BackendStandIn,
     ObjectServer,
     answer_whole,
--- a/pistachiowell/platform/tests/test_gateway.py
+++ b/pistachiowell/platform/tests/test_gateway.py
@@ -6,8 +6,7 @@
 import httpcore
 import pytest
 
-from pistachiowell.platform.tests.conftest import configuration
-from pistachiowell.platform.tests.standins import (
+from pistachiowell.platform.standins import (
     SIGNATURE,
     answer_of_another,
     answer_whole,
@@ -16,6 +15,7 @@
     refuse,
     stream_events,
 )
+from pistachiowell.platform.tests.conftest import configuration
 
 pytestmark = pytest.mark.anyio
 
--- a/pistachiowell/platform/tests/test_money.py
+++ b/pistachiowell/platform/tests/test_money.py
@@ -5,8 +5,8 @@
 import anyio
 import pytest
 
+from pistachiowell.platform.standins import refuse, stream_events
 from pistachiowell.platform.tests.conftest import configuration
-from pistachiowell.platform.tests.standins import refuse, stream_events
 
 pytestmark = pytest.mark.anyio
 
--- /dev/null
+++ b/pistachiowell/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the gateway programs as separate processes."""
--- /dev/null
+++ b/pistachiowell/soak/fleet.py
@@ -0,0 +1,155 @@
+"""The processes of a soak, and the store and servers that they meet."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import anyio
+import yaml
+
+from pistachiowell.platform.main import SETTINGS_VARIABLE
+from pistachiowell.platform.standins import BackendStandIn, ObjectServer, serve_app
+
+RESTART_DELAY_S = 0.3
+HOST = "127.0.0.1"
+
+
+class Fleet:
+    """Real programs as processes of their own; stand-ins in this one.
+
+    Args:
+        group: The task group of the stand-ins.
+        directory: Directory for settings and logs.
+        free_port: Function that finds an unused port.
+    """
+
+    __slots__ = (
+        "_directory",
+        "_free_port",
+        "_group",
+        "_processes",
+        "_roles",
+        "addresses",
+        "servers",
+        "store",
+        "store_address",
+    )
+
+    def __init__(self, group, directory, free_port):
+        self._group = group
+        self._directory = Path(directory)
+        self._free_port = free_port
+        self._processes = {}
+        self._roles = {}
+        self.addresses = {}
+        self.servers = []
+        self.store = ObjectServer()
+        self.store_address = ""
+
+    @property
+    def names(self):
+        """Names of the processes."""
+        return list(self._roles)
+
+    async def start_store(self):
+        """Starts the store's stand-in."""
+        port = await self._group.start(serve_app, self.store)
+        self.store_address = f"{HOST}:{port}"
+
+    async def add_server(self, server_id, service, script):
+        """Starts a backend server's stand-in and registers it."""
+        server = BackendStandIn(server_id, script)
+        await self._group.start(server.serve)
+        self.servers.append(server)
+        spec = {
+            "Service": service,
+            "Address": f"{HOST}:{server.port}",
+            "Zone": "east",
+            "State": "ready",
+            "Slots": 32,
+            "Version": "v1",
+            "born": 1,
+        }
+        self.store.put("servers", server_id, spec)
+
+    def add_agent(self, name):
+        """Starts an agent."""
+        settings = {"host": HOST, "port": self._free_port()}
+        self._add(name, "agent", settings)
+
+    def add_gateway(self, name):
+        """Starts a gateway."""
+        self.addresses[name] = f"{HOST}:{self._free_port()}"
+        settings = {
+            "http_address": self.addresses[name],
+            "ready_address": f"{HOST}:{self._free_port()}",
+            "peer_host": HOST,
+            "peer_port": self._free_port(),
+            "leaving_notice_s": 0.3,
+        }
+        self._add(name, "gateway", settings)
+
+    def _add(self, name, role, settings):
+        document = {
+            "id": name,
+            "region": "south",
+            "data_centre": "east",
+            "store_address": self.store_address,
+            "budget_pages": 2,
+            **settings,
+        }
+        path = self._directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(document), encoding="utf-8")
+        self._roles[name] = role
+        self._start(name)
+
+    def _start(self, name):
+        log = (self._directory / f"{name}.log").open("ab")
+        variables = {
+            **os.environ,
+            SETTINGS_VARIABLE: str(self._directory / f"{name}.yaml"),
+        }
+        command = [sys.executable, "-m", "pistachiowell.platform.main"]
+        self._processes[name] = subprocess.Popen(
+            [*command, self._roles[name]], stdout=log, stderr=log, env=variables
+        )
+        log.close()
+
+    async def inject(self, fault):
+        """Injects a ``Fault`` and ends it after its time."""
+        if fault.kind == "store":
+            self.store.mode = fault.target
+            await anyio.sleep(fault.for_s)
+            self.store.mode = "up"
+        elif fault.kind == "pause":
+            self._signal(fault.target, signal.SIGSTOP)
+            await anyio.sleep(fault.for_s)
+            self._signal(fault.target, signal.SIGCONT)
+        else:
+            is_kill = fault.kind == "kill"
+            await self._end(fault.target, signal.SIGKILL if is_kill else signal.SIGTERM)
+            await anyio.sleep(RESTART_DELAY_S)
+            if self._processes[fault.target].poll() is not None:
+                self._start(fault.target)
+
+    async def _end(self, name, number):
+        process = self._processes[name]
+        self._signal(name, signal.SIGCONT)
+        self._signal(name, number)
+        while process.poll() is None:
+            await anyio.sleep(0.02)
+
+    def _signal(self, name, number):
+        process = self._processes[name]
+        if process.poll() is None:
+            process.send_signal(number)
+
+    def stop(self):
+        """Ends all processes that this fleet has started."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
--- /dev/null
+++ b/pistachiowell/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak."""
