--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -29,6 +29,7 @@
 MAX_HEAD_BYTES = 65_536
 ROUTER_LIST_INTERVAL_S = 15.0
 FEWEST_ROUTERS = 3
+UNREGISTER_TIMEOUT_S = 0.2
 MAX_KEEP_ALIVE_S = 3600
 
 _log = part_logger("gateway")
@@ -86,9 +87,11 @@
             runtime, selection, adapter.heads, lambda: self._router_count, rng
         )
         app = GatewayApp(runtime, state, adapter.heads, self._spending, self._dispatch)
-        self._http = _server(app, settings.http_address)
+        self._http = _server(app, settings.http_address, settings.shutdown_timeout_s)
         ready_app = ReadyApp(state, adapter.ready_path)
-        self._ready = _server(ready_app, settings.ready_address)
+        self._ready = _server(
+            ready_app, settings.ready_address, settings.shutdown_timeout_s
+        )
 
     @property
     def state(self):
@@ -133,7 +136,7 @@
                 data_centre=self._runtime.settings.data_centre,
             )
             await self._http.serve()
-            with anyio.move_on_after(1.0):
+            with anyio.move_on_after(UNREGISTER_TIMEOUT_S):
                 await unregister_process(self._runtime.store, ROUTERS, self._record())
             _log.info("Gateway stops.")
             group.cancel_scope.cancel()
@@ -192,7 +195,7 @@
     return host, int(port)
 
 
-def _server(app, address):
+def _server(app, address, shutdown_timeout_s):
     host, port = _split_address(address)
     refusal = error_document(
         HeadersTooLarge(f"The headers exceed {MAX_HEAD_BYTES} bytes.")
@@ -209,6 +212,6 @@
         access_log=False,
         server_header=False,
         date_header=False,
-        timeout_graceful_shutdown=4,
+        timeout_graceful_shutdown=shutdown_timeout_s,
     )
     return EmbeddedServer(config)
--- a/pistachiowell/soak/documents.py
+++ b/pistachiowell/soak/documents.py
@@ -4,11 +4,12 @@
 KEY = "k-soak"
 
 
-def soak_configuration(prepaid):
+def soak_configuration(prepaid, timeout_ms=3000):
     """Returns the configuration document.
 
     Args:
         prepaid: Tokens paid for.
+        timeout_ms: Longest time that a request is kept waiting.
     """
     routes = [
         ("read", "idempotent", "desk", {"MaxAttempts": 2}),
@@ -24,7 +25,7 @@
                 "Host": HOST,
                 "PathPrefix": f"/{name}/",
                 "RouteKind": kind,
-                "TimeoutMs": 3000,
+                "TimeoutMs": timeout_ms,
                 "GoalMs": 300,
                 "Service": service,
                 "Sticky": kind == "streaming",
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -13,6 +13,8 @@
 from pistachiowell.platform.standins import BackendStandIn, ObjectServer, serve_app
 
 RESTART_DELAY_S = 0.3
+START_S = 30.0
+LINK_S = 0.7
 HOST = "127.0.0.1"
 
 
@@ -23,11 +25,14 @@
         group: The task group of the stand-ins.
         directory: Directory for settings and logs.
         free_port: Function that finds an unused port.
+        gateway_settings: Settings of gateways beside the usual ones; None leaves a
+            setting to its default.
     """
 
     __slots__ = (
         "_directory",
         "_free_port",
+        "_gateway_settings",
         "_group",
         "_processes",
         "_roles",
@@ -37,7 +42,8 @@
         "store_address",
     )
 
-    def __init__(self, group, directory, free_port):
+    def __init__(self, group, directory, free_port, gateway_settings=None):
+        self._gateway_settings = {"leaving_notice_s": 0.3, **(gateway_settings or {})}
         self._group = group
         self._directory = Path(directory)
         self._free_port = free_port
@@ -87,8 +93,9 @@
             "ready_address": f"{HOST}:{self._free_port()}",
             "peer_host": HOST,
             "peer_port": self._free_port(),
-            "leaving_notice_s": 0.3,
+            **self._gateway_settings,
         }
+        settings = {k: v for k, v in settings.items() if v is not None}
         self._add(name, "gateway", settings)
 
     def _add(self, name, role, settings):
@@ -124,9 +131,9 @@
             await anyio.sleep(fault.for_s)
             self.store.mode = "up"
         elif fault.kind == "pause":
-            self._signal(fault.target, signal.SIGSTOP)
+            self.signal(fault.target, signal.SIGSTOP)
             await anyio.sleep(fault.for_s)
-            self._signal(fault.target, signal.SIGCONT)
+            self.signal(fault.target, signal.SIGCONT)
         else:
             is_kill = fault.kind == "kill"
             await self._end(fault.target, signal.SIGKILL if is_kill else signal.SIGTERM)
@@ -135,13 +142,27 @@
                 self._start(fault.target)
 
     async def _end(self, name, number):
-        process = self._processes[name]
-        self._signal(name, signal.SIGCONT)
-        self._signal(name, number)
-        while process.poll() is None:
+        self.signal(name, signal.SIGCONT)
+        self.signal(name, number)
+        await self.until_ended(name)
+
+    async def until_registered(self, count):
+        """Waits until so many programs are registered and linked."""
+        with anyio.fail_after(START_S):
+            while self._registered() < count:
+                await anyio.sleep(0.1)
+            await anyio.sleep(LINK_S)
+
+    def _registered(self):
+        return len(self.store.names("agents") + self.store.names("routers"))
+
+    async def until_ended(self, name):
+        """Waits until a process has ended."""
+        while self._processes[name].poll() is None:
             await anyio.sleep(0.02)
 
-    def _signal(self, name, number):
+    def signal(self, name, number):
+        """Sends a signal to a process that this fleet has started."""
         process = self._processes[name]
         if process.poll() is None:
             process.send_signal(number)
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -14,7 +14,6 @@
 from pistachiowell.soak.oracle import Oracle
 from pistachiowell.soak.plan import draw_faults
 
-START_S = 30.0
 REQUESTS_PER_S = 25.0
 CALLER_TIMEOUT_S = 3.0
 PROMPT_TOKENS = 100
@@ -60,10 +59,7 @@
         fleet.add_agent(f"agent-{number}")
     for number in (1, 2):
         fleet.add_gateway(f"gate-{number}")
-    with anyio.fail_after(START_S):
-        while len(fleet.store.names("agents") + fleet.store.names("routers")) < 4:
-            await anyio.sleep(0.1)
-        await anyio.sleep(0.5)
+    await fleet.until_registered(4)
 
 
 async def _inject_later(fleet, fault):
--- a/pistachiowell/wire/tests/test_link.py
+++ b/pistachiowell/wire/tests/test_link.py
@@ -52,7 +52,7 @@
         await group.start(lambda *, task_status: listen(task_status))
         async with connect("127.0.0.1", port, hello("a"), Handlers(), clock) as link:
             assert (await link.call(Ping(1), 5)).table_revision == 7
-            assert await link.call(Ping(2), 5) == Failure("overloaded", "Full.")
+            assert await link.call(Ping(2), 5) == Failure("overloaded", "Full.", 1.0)
             assert (await link.call(Ping(5), 5)).code == "internal_fault"
             with pytest.raises(LinkTimeout):
                 await link.call(Ping(4), 0.01)
