Read the counts of a move's report in one place; drop what nothing uses

The judge and the router's reports decoded AnswerCount alike; read_counts now serves both. The exchange used a copy of error_text. The status noted of an attempt, a pass-through share() and an argument were read by nobody.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -129,7 +129,7 @@
                     if isinstance(error, ServerFault):
                         await caller.send_whole(error.head, error.body)
                         return
-                    raise self._final_error(error, retries, request) from error
+                    raise self._final_error(error, retries) from error
                 self._runtime.metrics.count("attempts.retried")
                 _log.info(
                     "Request is sent again.",
@@ -146,7 +146,7 @@
             return False
         return retries.may_retry(failure, self._runtime.now())
 
-    def _final_error(self, error, retries, request):
+    def _final_error(self, error, retries):
         if retries.may_have_run and error.ran == NOT_RUN:
             return ServerFailed(f"An earlier attempt may have run; {error.message}")
         if error.ran == NOT_RUN and not error.retry_after_s:
@@ -168,11 +168,10 @@
             wait_s=round(choice.cost_s, 4),
             left_s=round(request.deadline - self._runtime.now(), 3),
         )
-        with self._observed(choice) as noted:
+        with self._observed(choice):
             async with Exchange(self._pool, self._codec, server, request) as exchange:
                 try:
                     await self._exchange(exchange, request, caller, choice, events)
-                    noted.status = exchange.head.status
                 finally:
                     head = exchange.head
                     usage.may_have_run |= exchange.arrived and (
@@ -226,10 +225,9 @@
 
     @contextmanager
     def _observed(self, choice):
-        noted = _Noted()
         error = None
         try:
-            yield noted
+            yield
         except PistachiowellError as caught:
             error = caught
             raise
@@ -251,10 +249,3 @@
         super().__init__(f"The server answered {head.status}.")
         self.head = head
         self.body = body
-
-
-class _Noted:
-    __slots__ = ("status",)
-
-    def __init__(self):
-        self.status = None
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -9,6 +9,7 @@
     Overloaded,
     ServerFailed,
 )
+from pistachiowell.store.calls import error_text
 
 MAX_WHOLE_BODY_BYTES = 16 * 1024 * 1024
 _NOT_CONNECTED = (httpcore.ConnectError, httpcore.ConnectTimeout)
@@ -109,7 +110,7 @@
         except _BROKEN as error:
             self.arrived = True
             raise ServerFailed(
-                f"Server {server.id} broke off: {_text(error)}."
+                f"Server {server.id} broke off: {error_text(error)}."
             ) from error
         except BaseException:
             self.arrived = True
@@ -130,7 +131,7 @@
                 yield data
         except _BROKEN as error:
             raise ServerFailed(
-                f"Server {self.server.id} cut its answer: {_text(error)}."
+                f"Server {self.server.id} cut its answer: {error_text(error)}."
             ) from error
         # Only a closed response lets the connection carry another request.
         await self._body.aclose()
@@ -159,7 +160,3 @@
             raise AnswerBroken(f"Server {server.id} sent another request's answer.")
         if head.is_success and (not head.is_signed or head.is_encoded):
             raise AnswerBroken(f"Server {server.id} sent an unsigned answer.")
-
-
-def _text(error):
-    return str(error) or type(error).__name__
--- a/pistachiowell/gateway/judging.py
+++ b/pistachiowell/gateway/judging.py
@@ -5,9 +5,10 @@
 from pistachiowell.core.errors import STORE_ERRORS
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.move_orders import MoveState
-from pistachiowell.moves import Answer, EndMove, Mover
+from pistachiowell.moves import EndMove, Mover
 from pistachiowell.moves.mover import DONE
 from pistachiowell.moves.permits import PERMIT_S
+from pistachiowell.router.move_reports import read_counts
 from pistachiowell.schema.generated.messages_moves import MoveCounts, MovePermit
 
 TICK_S = 0.2
@@ -78,22 +79,15 @@
         judged = self._judged.get(message.move)
         if judged is None:
             judged = self._judged[message.move] = self._begin(order)
-        for count in message.counts:
-            answer = Answer(
-                count.is_new,
-                count.server,
-                count.data_centre,
-                count.failed,
-                count.bucket,
-            )
-            judged.mover.take(answer, now - count.age_s, count.count)
+        for answer, began, count in read_counts(message.counts, now):
+            judged.mover.take(answer, began, count)
         if message.tripped:
             judged.mover.trip(now)
         router = link.hello.id if link.hello else ""
         return MovePermit(
             move=message.move,
             fence=order.object_version,
-            share=judged.share(),
+            share=judged.mover.share(),
             probes=judged.mover.probes(router, message.probes_left, now),
             valid_s=PERMIT_S,
         )
@@ -173,6 +167,3 @@
         self.mover = mover
         self.last_moment = last_moment
         self.ended_at = None
-
-    def share(self):
-        return self.mover.share()
--- a/pistachiowell/router/move_reports.py
+++ b/pistachiowell/router/move_reports.py
@@ -167,15 +167,8 @@
             return None
         now = self._runtime.now()
         move.reporters = {old for old in move.reporters if not old.closed} | {link}
-        for count in message.counts:
-            answer = Answer(
-                count.is_new,
-                count.server,
-                count.data_centre,
-                count.failed,
-                count.bucket,
-            )
-            move.tracker.add(answer, now - count.age_s, count.count)
+        for answer, began, count in read_counts(message.counts, now):
+            move.tracker.add(answer, began, count)
         if message.tripped:
             move.tracker.trip()
         if move.tracker.is_urgent:
@@ -246,3 +239,21 @@
         )
         for (answer, began), count in counts.items()
     ]
+
+
+def read_counts(messages, now):
+    """Yields ``(Answer, began, count)`` of the ``AnswerCount`` messages of a report.
+
+    Args:
+        messages: The messages.
+        now: Present time in seconds, on the clock of ``began``.
+    """
+    for message in messages:
+        answer = Answer(
+            message.is_new,
+            message.server,
+            message.data_centre,
+            message.failed,
+            message.bucket,
+        )
+        yield answer, now - message.age_s, message.count
