Bound what meets a bad version: count granted probes as long as they may be sent

Cause of the known red test (6 to 14 requests met a bad version, bound 12): the holder of a move counted probes that a router had not sent for 1 s, but the router's permit lets it send them for 2 s, so on a busy machine, where reports come late, the same probes were granted twice. Besides, a request that the new version failed was sent again to the new version's other server: two of its servers met it, and the caller got 502.

Now granted probes count as long as the permit, sent ones for 2 s, and a retry of a request that showed nothing goes to the old version. Tests: the grant (failed: 4 granted again) and the callers on the rig (failed in 3 of 3 runs with 502, now all 200). Ruled out: the verdict itself; it needs about 20 answers of the old version, which 4 probes at a time allow within the bound.

--- a/pistachiowell/bench/tests/test_moves_rig.py
+++ b/pistachiowell/bench/tests/test_moves_rig.py
@@ -97,14 +97,20 @@
 
 
 @pytest.fixture
-def taken_back(make_rig, traffic):
-    """A rig whose move to a bad version was taken back."""
+def bad_move(make_rig, traffic):
+    """A rig whose move to a bad version was taken back, and its traffic."""
     rig = make_rig(routers=ROUTERS[:2], servers=SERVERS, relays=True)
     for name in ("new-1", "new-2"):
         rig.server_faults(name, fail_share=1.0)
-    traffic(rig)
+    running = traffic(rig)
     start_move(rig, "m2", "120s")
     rig.wait_until(lambda: end_of(rig, "m2") == "taken_back", timeout_s=60.0)
+    return rig, running
+
+
+@pytest.fixture
+def taken_back(bad_move):
+    rig, _ = bad_move
     return rig
 
 
@@ -119,3 +125,8 @@
 
 def test_bad_version_meets_few_requests(taken_back):
     assert runs_of(taken_back, "chat-2") <= 12
+
+
+def test_old_version_answers_what_a_bad_one_fails(bad_move):
+    _, running = bad_move
+    assert set(running.statuses) == {200}
--- a/pistachiowell/moves/mover.py
+++ b/pistachiowell/moves/mover.py
@@ -4,6 +4,7 @@
 
 from pistachiowell.moves.evidence import Evidence
 from pistachiowell.moves.judges import BAD_SCORE, SUSPECT_SCORE, Spread, find_judge
+from pistachiowell.moves.permits import PERMIT_S
 from pistachiowell.moves.plan import CONTROL_SHARE, LAST_STAGE, STAGES, MovePlan
 from pistachiowell.schema.generated.objects_moves import MoveEvidence
 
@@ -15,7 +16,7 @@
 PROBES = 4
 OLD_PER_PROBE = 4
 MAX_STAGE_SCORE = 5.0
-PROBE_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 2.0
 CLEAR_FAILED_SHARE = 0.25
 EPOCH_COST = 1.0
 JUDGE_INTERVAL_S = 0.4
@@ -147,8 +148,9 @@
     def probes(self, router, left, now):
         """Returns the probes that a router which reports now may send.
 
-        The answer replaces what the router had left. Probes that it has sent count
-        until they are answered or ``PROBE_TIMEOUT_S`` has passed.
+        The answer replaces what the router had left. What it has left counts as long
+        as its permit holds, and probes that it has sent count until they are answered
+        or ``PROBE_TIMEOUT_S`` has passed.
 
         Args:
             router: Name of the router.
@@ -166,7 +168,7 @@
         allowed = PROBES + old_answers // OLD_PER_PROBE - answers
         wanted = min(PROBES, allowed) - len(self._probe_expiries) - sum(unsent)
         granted = max(0, wanted)
-        self._probe_grants[router] = (granted, now + PROBE_TIMEOUT_S)
+        self._probe_grants[router] = (granted, now + PERMIT_S)
         return granted
 
     def set_spread(self, servers, centres):
--- a/pistachiowell/moves/tests/test_moving.py
+++ b/pistachiowell/moves/tests/test_moving.py
@@ -330,3 +330,14 @@
     watcher.observe(1, now=0.0)
     assert not lease.is_held(LEASE_S)
     assert not watcher.may_take_over(LEASE_S + PERMIT_S - 0.01)
+
+
+def test_probes_of_a_permit_that_holds_are_not_granted_again():
+    mover = Mover(0.0, 100.0, 10.0)
+    mover.set_loaded()
+    mover.confirm(mover.tick(0.0), 0.0)
+    mover.trip(1.0)
+    granted = mover.probes("router-1", 0, 1.0)
+    assert granted > 0
+    assert mover.probes("router-2", 0, 1.0 + PERMIT_S - 0.01) == 0
+    assert mover.probes("router-2", 0, 1.0 + PERMIT_S + 0.01) == granted
--- a/pistachiowell/moves/tracker.py
+++ b/pistachiowell/moves/tracker.py
@@ -92,6 +92,14 @@
         weights = shares(route, permit, now)
         return rng.choices(list(weights), list(weights.values()))[0]
 
+    def fallback(self, version):
+        """Returns the version for a retry of a request that a version has failed.
+
+        The old version serves the caller, and one request meets a bad new version
+        once at most.
+        """
+        return self._row.old if version == self._row.new else version
+
     def take_probe(self, now):
         """Takes one of the permit's probes; returns whether there was one."""
         is_valid = self._permit is not None and self._permit.is_valid(now)
--- a/pistachiowell/router/dispatch.py
+++ b/pistachiowell/router/dispatch.py
@@ -109,6 +109,7 @@
                 return
             except PistachiowellError as error:
                 outcome.ran = error.ran
+                version = self._retry_version(route, version, answer, tried)
                 if not self._selection.has_other(version, tried):
                     raise _final_error(error, retries) from error.__cause__
                 self._check_retry(error, answer, retries)
@@ -129,6 +130,12 @@
             raise NoServer(f"All weights of route {route.name} are zero.")
         return self._moves.pick_version(route)
 
+    def _retry_version(self, route, version, answer, tried):
+        fallback = self._moves.fallback_version(route.name, version)
+        if answer.shown_bytes or not self._selection.has_other(fallback, tried):
+            return version
+        return fallback
+
     def _check_retry(self, error, answer, retries):
         failure = AttemptFailure(
             str(error.code), error.ran, error.retry_after_s, answer.shown_bytes
--- a/pistachiowell/router/mover.py
+++ b/pistachiowell/router/mover.py
@@ -73,6 +73,11 @@
             return move.tracker.pick(route, self._rng, self._runtime.now())
         return self._split.choose(route.name, route.weights)
 
+    def fallback_version(self, route_name, version):
+        """Returns the version for a retry; see ``Tracker.fallback``."""
+        move = self._moves.get(route_name)
+        return version if move is None else move.tracker.fallback(version)
+
     def note(self, route_name, server_name, began, error=None):
         """Counts an answer, or its failure, for the open move of a route.
 
