Tell each gateway one sum of the others' loads, and only when it changes

Ruled out: processor time (0.006 cores mean), the engines (few waits), waits for the store.

Now an agent sums the loads it is told, tells each gateway the sum of the others in a report of fixed size, only on a change or each 0.5 s, at 200 reports a second at most. The engine's own report, which no placement used, is not read any more; servers are found by address in an index.

--- a/pistachiowell/catalog/servers.py
+++ b/pistachiowell/catalog/servers.py
@@ -29,6 +29,11 @@
     is_leaving: bool = False
     started_ms: int = 0
 
+    @property
+    def address(self):
+        """IP address and port, such as ``10.0.0.1:80``."""
+        return f"{self.host}:{self.port}"
+
 
 class ServerBook:
     """Keeps the servers in use through changes, outages and lapsed registrations.
@@ -49,12 +54,13 @@
         (['a'], [])
     """
 
-    __slots__ = ("_doubtful", "_grace_s", "_grace_until", "_servers")
+    __slots__ = ("_by_address", "_doubtful", "_grace_s", "_grace_until", "_servers")
 
     def __init__(self, grace_s):
         self._grace_s = grace_s
         self._grace_until = float("-inf")
         self._servers = {}
+        self._by_address = {}
         self._doubtful = {}
 
     @property
@@ -62,6 +68,11 @@
         """The registered servers by id."""
         return self._servers
 
+    @property
+    def by_address(self):
+        """Ids of the registered servers by address."""
+        return self._by_address
+
     def outage_ended(self, now):
         """Notes that the store answers again after an outage."""
         self._grace_until = now + self._grace_s
@@ -79,6 +90,7 @@
         for server_id in servers:
             self._doubtful.pop(server_id, None)
         self._servers = dict(servers)
+        self._by_address = {s.address: s.id for s in servers.values()}
 
     def of_service(self, service, now):
         """Returns the servers of a service that take new work.
@@ -94,10 +106,9 @@
             self._doubtful.clear()
         by_address = {}
         for server in (*self._doubtful.values(), *self._servers.values()):
-            address = (server.host, server.port)
-            other = by_address.get(address)
+            other = by_address.get(server.address)
             if other is None or other.started_ms <= server.started_ms:
-                by_address[address] = server
+                by_address[server.address] = server
         return [
             server
             for server in by_address.values()
--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -56,7 +56,7 @@
         if self._fleet.heard(link, leaving=message.leaving) is None:
             return
         if message.address:
-            self._selection.take_report(message, self._runtime.incarnation)
+            self._selection.take_report(message)
         present = self._state.catalog
         if message.catalog_revision > (present.revision if present else 0):
             self._newer = link
@@ -77,9 +77,7 @@
             told = {link: load for link, load in told.items() if not link.closed}
 
     def _tell(self, link, load):
-        message = GatewayLoad(
-            self._runtime.incarnation, load.reading_tokens, load.running, load.kv_tokens
-        )
+        message = GatewayLoad(load.reading_tokens, load.running, load.kv_tokens)
         try:
             link.send(message)
         except LinkLost as error:
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -138,33 +138,23 @@
         self._health.started(server.id, now)
         return Choice(self, server, placed, cost_s, now)
 
-    def take_report(self, report, incarnation):
+    def take_report(self, report):
         """Takes what the other gateways have at an engine.
 
         Args:
             report: The ``AgentReport`` of the agent beside it.
-            incarnation: Incarnation of this gateway.
         """
-        server_id = self._ids_by_address().get(report.address)
+        server_id = self._servers.by_address.get(report.address)
         if server_id is None:
             return
-        others = [g for g in report.gateways if g.gateway != incarnation]
-        load = EngineLoad(
-            sum(g.reading_tokens for g in others),
-            sum(g.running for g in others),
-            sum(g.kv_tokens for g in others),
-        )
+        load = EngineLoad(report.reading_tokens, report.running, report.kv_tokens)
         self.engines.take_remote(server_id, load, self.now())
 
     def loads_by_address(self):
         """Returns the ``EngineLoad`` of this gateway's requests by server address."""
-        ids = self._ids_by_address()
+        ids = self._servers.by_address
         return {address: self.engines.own_load(name) for address, name in ids.items()}
 
-    def _ids_by_address(self):
-        known = self._servers.known
-        return {f"{s.host}:{s.port}": name for name, s in known.items()}
-
     def note_end(self, server, error, latency_s, started_at):
         """Takes the end of an attempt; see ``Choice.ended``."""
         now = self.now()
--- a/pistachiowell/platform/main.py
+++ b/pistachiowell/platform/main.py
@@ -10,7 +10,7 @@
 from pistachiowell.core.logs import configure_logs
 from pistachiowell.gateway.agent import GatewayAgent
 from pistachiowell.gateway.gateway import Gateway
-from pistachiowell.platform import configuration, headers, loads, moves, servers
+from pistachiowell.platform import configuration, headers, moves, servers
 from pistachiowell.platform.objects import ObjectStore
 from pistachiowell.schema.generated.settings import (
     GatewayAgentSettings,
@@ -23,7 +23,6 @@
 
 ADAPTER = SimpleNamespace(
     heads=headers,
-    loads=loads,
     moves=moves,
     configuration=configuration,
     servers=servers,
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -31,6 +31,7 @@
     RouteRetries,
 )
 from pistachiowell.routing.settings import RoutingSettings
+from pistachiowell.routing.sharing import REPORT_PACERS, LoadSums, SharingSettings
 from pistachiowell.routing.split import SPLITTERS
 
 __all__ = [
@@ -39,6 +40,7 @@
     "CREDIT_POOLS",
     "PICKERS",
     "PLACERS",
+    "REPORT_PACERS",
     "RETRIES",
     "SPLITTERS",
     "AttemptFailure",
@@ -54,6 +56,7 @@
     "GiveUp",
     "HealthBook",
     "LoadBook",
+    "LoadSums",
     "Placed",
     "PlacementSettings",
     "RequestRetries",
@@ -62,6 +65,7 @@
     "RetryShareSettings",
     "RouteRetries",
     "RoutingSettings",
+    "SharingSettings",
     "Standing",
     "Work",
     "fingerprint",
--- a/pistachiowell/routing/placement.py
+++ b/pistachiowell/routing/placement.py
@@ -46,7 +46,7 @@
     running_cost_s: float = 0.002
     full_cost_s: float = 5.0
     cached_parts: int = 4096
-    report_timeout_s: float = 1.0
+    report_timeout_s: float = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +107,20 @@
     running: int = 0
     kv_tokens: int = 0
 
+    def __add__(self, other):
+        return EngineLoad(
+            self.reading_tokens + other.reading_tokens,
+            self.running + other.running,
+            self.kv_tokens + other.kv_tokens,
+        )
+
+    def __sub__(self, other):
+        return EngineLoad(
+            self.reading_tokens - other.reading_tokens,
+            self.running - other.running,
+            self.kv_tokens - other.kv_tokens,
+        )
+
 
 NO_LOAD = EngineLoad()
 
@@ -219,11 +233,7 @@
         others, taken_at = self._remote.get(server, (NO_LOAD, now))
         if now - taken_at > self._settings.report_timeout_s:
             return own
-        return EngineLoad(
-            own.reading_tokens + others.reading_tokens,
-            own.running + others.running,
-            own.kv_tokens + others.kv_tokens,
-        )
+        return own + others
 
     def _engine(self, server):
         return self._engines.setdefault(server, _Engine())
