--- /dev/null
+++ b/pistachiowell/router/tests/test_settlements.py
@@ -0,0 +1,79 @@
+"""Settlements beside homes that do not answer."""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from pistachiowell.core.errors import LinkTimeout
+from pistachiowell.router.settlements import CALL_TIMEOUT_S, Settlements
+from pistachiowell.schema.generated.messages_budgets import (
+    SettleTokens,
+    TokensSettled,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+class Link:
+    """A link whose other end may be silent."""
+
+    def __init__(self, *, silent=False):
+        self.silent = silent
+        self.settled_at = []
+
+    async def call(self, message, timeout_s):
+        if self.silent:
+            await anyio.sleep(timeout_s)
+            raise LinkTimeout("No answer.")
+        self.settled_at.append(anyio.current_time())
+        return TokensSettled(message.request_id)
+
+
+@pytest.fixture
+async def homes():
+    """Returns peers by incarnation and ``Settlements`` to them that run."""
+    peers = {
+        name: SimpleNamespace(
+            link=Link(silent=name == "silent"),
+            record=SimpleNamespace(incarnation=name),
+        )
+        for name in ("silent", "sound")
+    }
+    settlements = Settlements(peers.get, peers.values)
+    async with anyio.create_task_group() as group:
+        group.start_soon(settlements.run)
+        await anyio.sleep(0.01)
+        yield peers, settlements
+        group.cancel_scope.cancel()
+
+
+def settlement(name):
+    return SettleTokens("shop", name, "grant", 5, reservation_id=name, router="r")
+
+
+async def test_settlement_is_sent_at_once(homes):
+    peers, settlements = homes
+    added_at = anyio.current_time()
+    settlements.add("sound", settlement("a"))
+    await anyio.sleep(0.05)
+    (settled_at,) = peers["sound"].link.settled_at
+    assert settled_at - added_at < 0.03
+
+
+async def test_silent_home_delays_no_other(homes):
+    peers, settlements = homes
+    settlements.add("silent", settlement("a"))
+    await anyio.sleep(0.15)
+    settlements.add("sound", settlement("b"))
+    await anyio.sleep(CALL_TIMEOUT_S / 4)
+    assert len(peers["sound"].link.settled_at) == 1
+
+
+async def test_settlement_is_sent_again_once_the_home_answers(homes):
+    peers, settlements = homes
+    settlements.add("silent", settlement("a"))
+    await anyio.sleep(0.05)
+    peers["silent"].link.silent = False
+    await anyio.sleep(CALL_TIMEOUT_S + 0.3)
+    assert len(peers["silent"].link.settled_at) == 1
