Charge what was delivered, and let a spent budget be told as spent at once

- Grants tell in the page what is used of them; a home answers 402 when all is proved spent.
- A grant that nobody asks for 4 s is closed, and its rest returns.
- A prompt is paid for from its first event on.

Tests: closing of idle grants, what a page tells, 402 by the next home, prompts without an answer (each failed before), broken answers are paid for.

--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -3,7 +3,13 @@
 from collections import defaultdict
 
 from pistachiowell.budgets.ledger import AccountLedger
-from pistachiowell.budgets.page import CloseGrant, FundGrant, LowerGrant, page_number
+from pistachiowell.budgets.page import (
+    CloseGrant,
+    FundGrant,
+    LowerGrant,
+    NoteUse,
+    page_number,
+)
 from pistachiowell.budgets.sizing import SizingSettings
 from pistachiowell.core.ids import new_id
 
@@ -165,6 +171,8 @@
             ledger = self._ledgers[account]
             changes += self._plan_ends(account, ledger)
             changes += self._plan_growth(account, ledger, now)
+        if changes:
+            changes += self._plan_notes(number)
         return changes
 
     def answer_lost(self, number, base_version):
@@ -241,13 +249,18 @@
         """Plans the closing of what an account no longer needs.
 
         Surplus beyond the demand is given back; a grant older than
-        the settings say is replaced, so that few grants overlap a lost agent.
+        the settings say is replaced, so that few grants overlap a lost agent. Grants
+        that nobody has asked for some time are closed, as another holder may have
+        the demand now.
         """
         ledger = self.ledger(account)
         demand = ledger.demand(now)
         for grant in list(ledger.grants.values()):
             if grant.draining or demand.need_tokens:
                 continue
+            if ledger.is_unasked(now) and not grant.reservations:
+                grant.draining = True
+                continue
             surplus = grant.available_tokens - int(
                 GIVE_BACK_ABOVE * demand.target_tokens
             )
@@ -285,6 +298,14 @@
                 changes.append(LowerGrant(account, grant_id, grant.ceiling))
         return changes
 
+    def _plan_notes(self, number):
+        """Tells others what is spent, in a write that is due anyway."""
+        return [
+            NoteUse(account, grant_id, grant.used_tokens)
+            for account in sorted(self._by_page[number])
+            for grant_id, grant in self._ledgers[account].grants.items()
+        ]
+
     def _plan_growth(self, account, ledger, now):
         demand = ledger.demand(now)
         policy = self._policy
--- a/pistachiowell/budgets/ledger.py
+++ b/pistachiowell/budgets/ledger.py
@@ -105,6 +105,10 @@
     Args:
         sizing: The ``SizingSettings``.
 
+    Attributes:
+        grants: ``HeldGrant`` by id.
+        asked_at: Time in seconds at which a reservation was last asked for.
+
     Examples:
         >>> ledger = AccountLedger()
         >>> ledger.reserve("a", "router-1", 10, 0.0) is None
@@ -120,11 +124,20 @@
         96
     """
 
-    __slots__ = ("_ended", "_ended_order", "_meter", "_sizing", "_waiting", "grants")
+    __slots__ = (
+        "_ended",
+        "_ended_order",
+        "_meter",
+        "_sizing",
+        "_waiting",
+        "asked_at",
+        "grants",
+    )
 
     def __init__(self, sizing=None):
         self._sizing = sizing or SizingSettings()
         self.grants = {}
+        self.asked_at = float("-inf")
         self._waiting = {}
         self._meter = RateMeter(self._sizing.rate_window_s)
         self._ended = set()
@@ -155,6 +168,7 @@
             A ``Reserved``; None if no grant has room. The request then waits
             until it is asked for again or given up.
         """
+        self.asked_at = now
         for grant_id, grant in self.grants.items():
             if reservation_id in grant.reservations:
                 held = grant.reservations[reservation_id][1]
@@ -217,6 +231,10 @@
                 used = reports.used_tokens(grant_id, router)
                 grant.used[router] = max(grant.used.get(router, 0), used)
 
+    def is_unasked(self, now):
+        """Whether no reservation was asked for since grants are closed for that."""
+        return now - self.asked_at >= self._sizing.close_idle_after_s
+
     def has_reservations_of(self, router):
         """Tells whether a router has open reservations."""
         return any(_owned(grant.reservations, router) for grant in self.grants.values())
@@ -245,7 +263,7 @@
         return Demand(
             max(total - available, 0),
             max(smallest - available, 0),
-            self._meter.rate(now),
+            0.0 if self.is_unasked(now) else self._meter.rate(now),
             available,
             self._sizing,
         )
--- a/pistachiowell/budgets/page.py
+++ b/pistachiowell/budgets/page.py
@@ -65,6 +65,15 @@
     used_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class NoteUse:
+    """Raises what others know to be used under a grant to ``used_tokens``."""
+
+    account: str
+    grant_id: str
+    used_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class MarkSealing:
     """Marks all grants of a holder, which can then grow no more."""
@@ -152,6 +161,25 @@
     return sum(grant.amount for grant in account.grants.values())
 
 
+def unspent_elsewhere(account, own_grants):
+    """Returns the tokens of other holders' grants that may be unspent.
+
+    Args:
+        account: A ``BudgetAccount``.
+        own_grants: Ids of the asking holder's grants.
+
+    Examples:
+        >>> grants = {"own": Grant("a", 5), "other": Grant("b", 9, used_tokens=7)}
+        >>> unspent_elsewhere(BudgetAccount(grants=grants), {"own"})
+        2
+    """
+    return sum(
+        grant.amount - grant.used_tokens
+        for grant_id, grant in account.grants.items()
+        if grant_id not in own_grants
+    )
+
+
 def free_tokens(account):
     """Returns the tokens of an account that are neither charged nor granted.
 
@@ -232,6 +260,15 @@
     return _with_grant(account, change.grant_id, replace(grant, amount=change.tokens))
 
 
+@_changes_account(NoteUse)
+def _note_use(account, change):
+    grant = account.grants.get(change.grant_id)
+    if grant is None or grant.used_tokens >= change.used_tokens:
+        return account
+    noted = replace(grant, used_tokens=change.used_tokens)
+    return _with_grant(account, change.grant_id, noted)
+
+
 @_changes_account(CloseGrant)
 def _close(account, change):
     grant = account.grants.get(change.grant_id)
--- a/pistachiowell/budgets/sizing.py
+++ b/pistachiowell/budgets/sizing.py
@@ -1,5 +1,6 @@
 """Policies that size the growth of a grant."""
 
+import math
 from dataclasses import dataclass
 
 _POLICIES = {}
@@ -19,6 +20,7 @@
         first_grant_requests: Size of a first grant in requests like those that wait.
         rate_window_s: Window of the recent demand in seconds.
         renew_after_s: Age above which a grant is replaced.
+        close_idle_after_s: Time without a request after which grants are closed.
     """
 
     policy: str = "adaptive"
@@ -26,6 +28,7 @@
     first_grant_requests: int = 16
     rate_window_s: float = 300.0
     renew_after_s: float = 300.0
+    close_idle_after_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiowell/budgets/tests/test_growth.py
+++ b/pistachiowell/budgets/tests/test_growth.py
@@ -3,7 +3,13 @@
 import pytest
 
 from pistachiowell.budgets import Holder
-from pistachiowell.budgets.page import TopUp, apply_changes
+from pistachiowell.budgets.page import (
+    CloseGrant,
+    TopUp,
+    apply_changes,
+    free_tokens,
+    unspent_elsewhere,
+)
 from pistachiowell.budgets.sizing import Demand, SizingSettings, grant_growth
 from pistachiowell.schema.generated.objects_budgets import BudgetPage
 
@@ -62,3 +68,32 @@
 def test_tapering_grants_always_cover_what_waits():
     demand = Demand(need_tokens=50, smallest_need_tokens=50)
     assert grant_growth("tapering", demand, 60, 1_000_000) == 50
+
+
+def test_grant_that_nobody_asks_is_closed_and_its_rest_returns(page):
+    sizing = SizingSettings(horizon_s=60.0, close_idle_after_s=4.0)
+    holder = Holder("agent-1", 1, sizing=sizing)
+    holder.reserve("shop", "a", "router-1", 1_000, 0.0)
+    page = write_plan(holder, page, 1, 0.0)
+    assert holder.reserve("shop", "a", "router-1", 1_000, 0.0)
+    holder.retire_idle("shop", 9.0)
+    assert not any(isinstance(change, CloseGrant) for change in holder.plan(0, 9.0))
+    holder.settle("shop", "a", "router-1", 400, 9.0)
+    holder.retire_idle("shop", 9.0)
+    page = write_plan(holder, page, 2, 9.0)
+    assert free_tokens(page.accounts["shop"]) == 450_000 - 400
+    assert holder.reserve("shop", "b", "router-1", 1_000, 9.5) is None
+    write_plan(holder, page, 3, 9.5)
+    assert holder.reserve("shop", "b", "router-1", 1_000, 9.5)
+
+
+def test_page_tells_other_holders_what_is_spent(holder, page):
+    holder.reserve("shop", "a", "router-1", 1_000, 0.0)
+    page = write_plan(holder, page, 1, 0.0)
+    holder.reserve("shop", "a", "router-1", 1_000, 0.0)
+    holder.settle("shop", "a", "router-1", 700, 0.1)
+    holder.reserve("shop", "b", "router-1", 50_000, 0.2)
+    page = write_plan(holder, page, 2, 0.2)
+    budget = page.accounts["shop"]
+    granted = sum(grant.amount for grant in budget.grants.values())
+    assert unspent_elsewhere(budget, own_grants=()) == granted - 700
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -36,21 +36,27 @@
     Attributes:
         may_have_run: Whether any server may have begun to work on it.
         events: Events of the answer that came, the broken ones too.
+        has_whole_answer: Whether an answer came that is not told in events.
     """
 
-    __slots__ = ("events", "may_have_run")
+    __slots__ = ("events", "has_whole_answer", "may_have_run")
 
     def __init__(self):
         self.may_have_run = False
         self.events = 0
+        self.has_whole_answer = False
 
     def tokens(self, request):
-        """Returns an upper bound of the tokens that the request has used."""
+        """Returns an upper bound of the tokens that the request has used.
+
+        A request of whose answer nothing came costs nothing, also if a server has
+        read its prompt.
+        """
         prompt = request.prompt
-        if prompt is None or not self.may_have_run:
+        if prompt is None or not (self.events or self.has_whole_answer):
             return 0
         engine = request.service.engine
-        if engine is None:
+        if engine is None or self.has_whole_answer:
             return prompt.bound_tokens
         output = self.events * engine.tokens_per_event
         return prompt.tokens + min(output, prompt.max_output_tokens)
@@ -171,7 +177,9 @@
         with self._observed(choice):
             async with Exchange(self._pool, self._codec, server, request) as exchange:
                 try:
-                    await self._exchange(exchange, request, caller, choice, events)
+                    await self._exchange(
+                        exchange, request, caller, usage, choice, events
+                    )
                 finally:
                     head = exchange.head
                     usage.may_have_run |= exchange.arrived and (
@@ -181,7 +189,7 @@
                     if events.pending_bytes:
                         usage.events = max(usage.events, events.count + 1)
 
-    async def _exchange(self, exchange, request, caller, choice, events):
+    async def _exchange(self, exchange, request, caller, usage, choice, events):
         left_s = request.deadline - self._runtime.now()
         if left_s <= 0:
             raise DeadlineExceeded("The request's time is over.", ran=NOT_RUN)
@@ -191,6 +199,7 @@
         head = exchange.head
         if not request.route.has_prompts or not head.is_success:
             choice.first_byte()
+            usage.has_whole_answer |= head.is_success
             body = await exchange.read_body()
             if head.status >= SERVER_FAULT and request.route.is_repeatable:
                 raise ServerFault(head, body)
--- a/pistachiowell/gateway/home.py
+++ b/pistachiowell/gateway/home.py
@@ -11,7 +11,12 @@
 import anyio
 
 from pistachiowell.budgets import Holder
-from pistachiowell.budgets.page import SetCredit, free_tokens, granted_tokens
+from pistachiowell.budgets.page import (
+    SetCredit,
+    free_tokens,
+    granted_tokens,
+    unspent_elsewhere,
+)
 from pistachiowell.budgets.sizing import SizingSettings
 from pistachiowell.core.errors import BudgetExhausted, BudgetUnreachable
 from pistachiowell.core.logs import part_logger
@@ -27,6 +32,7 @@
 FIRST_GRANT_REQUESTS = 1
 RATE_WINDOW_S = 5.0
 RENEW_AFTER_S = 3600.0
+CLOSE_IDLE_AFTER_S = 4.0
 KEEP_INTERVAL_S = 0.5
 RETIRE_INTERVAL_S = 2.0
 WRITE_WAIT_S = 0.5
@@ -93,6 +99,7 @@
             first_grant_requests=FIRST_GRANT_REQUESTS,
             rate_window_s=RATE_WINDOW_S,
             renew_after_s=RENEW_AFTER_S,
+            close_idle_after_s=CLOSE_IDLE_AFTER_S,
         )
         self._holder = Holder(
             runtime.incarnation, pages, policy=sizing.policy, sizing=sizing
@@ -194,7 +201,7 @@
     def _refusal(self, message, account):
         free, granted = free_tokens(account), granted_tokens(account)
         own = self._holder.ledger(message.account).grants
-        elsewhere = sum(g.amount for n, g in account.grants.items() if n not in own)
+        elsewhere = unspent_elsewhere(account, own)
         unused = sum(g.amount - g.used_tokens for g in own.values())
         if free + elsewhere + unused < message.tokens:
             cls = BudgetExhausted
--- a/pistachiowell/platform/tests/test_money.py
+++ b/pistachiowell/platform/tests/test_money.py
@@ -1,11 +1,14 @@
 """Prepaid budgets over gateways, agents and a failing store."""
 
+import contextlib
 from contextlib import asynccontextmanager
 
 import anyio
+import httpcore
 import pytest
 
-from pistachiowell.platform.standins import refuse, stream_events
+from pistachiowell.gateway import home
+from pistachiowell.platform.standins import cut, refuse, stream_events
 from pistachiowell.platform.tests.conftest import configuration
 
 pytestmark = pytest.mark.anyio
@@ -57,6 +60,24 @@
         assert await spend(rig, 25) >= (PREPAID - 2 * 150) // TOKENS
 
 
+async def test_prompt_whose_answer_never_began_costs_nothing(paid):
+    async with paid(cut) as rig:
+        assert await spend(rig, 20) == 0
+        rig.servers["pool-1"].script = stream_events(1, EVENTS)
+        await anyio.sleep(2.5)
+        assert await spend(rig, 25) >= (PREPAID - 2 * 150) // TOKENS
+
+
+async def test_prompt_whose_answer_broke_off_is_paid_for(paid):
+    async with paid(stream_events(1, EVENTS, torn=True)) as rig:
+        for _ in range(PREPAID // 100):
+            with contextlib.suppress(httpcore.RemoteProtocolError):
+                await rig.chat()
+        await anyio.sleep(0.5)
+        rig.servers["pool-1"].script = stream_events(1, EVENTS)
+        assert await spend(rig, 2) == 0
+
+
 async def test_top_up_takes_effect(paid):
     async with paid() as rig:
         await spend(rig, 20)
@@ -97,3 +118,21 @@
         await anyio.sleep(2.5)
         served += await spend(rig, 30)
     assert 4 < served <= PREPAID // TOKENS
+
+
+async def test_spent_budget_is_told_as_spent_also_by_the_next_home(paid, monkeypatch):
+    monkeypatch.setattr(home, "CLOSE_IDLE_AFTER_S", 0.4)
+    monkeypatch.setattr(home, "RETIRE_INTERVAL_S", 0.2)
+    async with paid() as rig:
+        await spend(rig, 1)
+        holder = next(iter(rig.budget()["grants"].values()))["holder"]
+        dead = "agent-2" if rig.incarnation("agent-2") == holder else "agent-1"
+        await spend(rig, 25)
+        await anyio.sleep(0.5)
+        await spend(rig, 2)
+        await anyio.sleep(1.5)
+        rig.kill(dead)
+        agents = rig.gateways[0].fleet.agents
+        await rig.until(lambda: not agents[dead].usable)
+        status, _, _ = await rig.chat()
+    assert status == 402
