--- a/pistachiowell/ctl/command.py
+++ b/pistachiowell/ctl/command.py
@@ -79,12 +79,14 @@
         usage: Positional arguments and flags.
         example: One command line.
         run: The async function.
+        needs_fleet: Whether it needs settings and the store.
     """
 
     name: str
     usage: str
     example: str
     run: object
+    needs_fleet: bool = True
 
     @property
     def summary(self):
@@ -172,20 +174,21 @@
     return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
 
 
-def command(name, *, usage, example):
+def command(name, *, usage, example, needs_fleet=True):
     """Registers a command.
 
     Args:
         name: First words of the command line.
         usage: Command line with its arguments.
         example: An example without the program's name.
+        needs_fleet: Whether it needs settings and the store.
 
     Returns:
         A decorator.
     """
 
     def decorate(function):
-        _COMMANDS[name] = Command(name, usage, example, function)
+        _COMMANDS[name] = Command(name, usage, example, function, needs_fleet)
         return function
 
     return decorate
--- a/pistachiowell/ctl/commands/validate.py
+++ b/pistachiowell/ctl/commands/validate.py
@@ -9,7 +9,9 @@
 USAGE = "validate FILE"
 
 
-@command("validate", usage=USAGE, example="validate examples/kwabena.yaml")
+@command(
+    "validate", usage=USAGE, example="validate examples/kwabena.yaml", needs_fleet=False
+)
 async def validate(context, args):
     """Checks a table file by itself, as if applied to an empty table."""
     del context
--- a/pistachiowell/ctl/log_lines.py
+++ b/pistachiowell/ctl/log_lines.py
@@ -9,6 +9,7 @@
 CONTEXT_S = 3.0
 TROUBLE = ("WARNING", "ERROR", "CRITICAL")
 RETRY_TEXT = "Request is sent again."
+END_TEXTS = ("Request has ended.", "Request is refused.", "Request has failed.")
 _HEAD = ("at", "level", "process", "part", "text", "wall_ns", "logical")
 
 
@@ -19,12 +20,14 @@
     Attributes:
         lines: Lines of the request, in causal order.
         first_fault: The first of them that tells of trouble; None without one.
+        has_end: Whether one of them tells how the request ended.
         context: Lines of other matters that name the request's servers or account, or
             tell of trouble in its processes, shortly before and during it.
     """
 
     lines: list
     first_fault: dict | None
+    has_end: bool
     context: list
 
 
@@ -80,7 +83,8 @@
     lines = [line for line in merged if line.get("request") == request_id]
     faults = [line for line in lines if _is_fault(line)]
     context = _context(lines, merged) if lines else []
-    return Explanation(lines, faults[0] if faults else None, context)
+    has_end = any(line["text"] in END_TEXTS for line in lines)
+    return Explanation(lines, faults[0] if faults else None, has_end, context)
 
 
 def _stamp(line):
--- a/pistachiowell/ctl/main.py
+++ b/pistachiowell/ctl/main.py
@@ -90,7 +90,7 @@
     try:
         found, _ = find_command(words)
         settings = None
-        if found.name != "validate":
+        if found.needs_fleet:
             settings = read_settings(_SETTINGS.value, CtlSettings)
         result = anyio.run(_run, words, settings)
     except PistachiowellError as error:
--- a/pistachiowell/ctl/tests/test_explain.py
+++ b/pistachiowell/ctl/tests/test_explain.py
@@ -43,11 +43,18 @@
     assert [line["at"] for line in found.lines] == [1.0, 1.2, 1.3]
     assert found.first_fault["code"] == "server_failed"
     assert [line["server"] for line in found.context] == ["s1"]
+    assert found.has_end
+
+
+def test_request_without_an_end_is_told(write_log):
+    found = explain_request("b", [read_lines(write_log("gate-1", GATEWAY))])
+    assert (found.first_fault, found.has_end) == (None, False)
 
 
 def test_unknown_request_has_no_lines(write_log):
     found = explain_request("z", [read_lines(write_log("gate-1", GATEWAY))])
     assert (found.lines, found.first_fault, found.context) == ([], None, [])
+    assert not found.has_end
 
 
 def test_missing_file_is_a_clear_error(tmp_path):
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -11,16 +11,28 @@
 
 from pistachiowell.platform.main import SETTINGS_VARIABLE
 from pistachiowell.platform.standins import BackendStandIn, ObjectServer, serve_app
+from pistachiowell.standins.relay import LinkState, Relay
 
 RESTART_DELAY_S = 0.3
 START_S = 30.0
 LINK_S = 0.7
 HOST = "127.0.0.1"
+SOUND = LinkState()
+LINK_STATES = {
+    "cut": LinkState(cut=True),
+    "delay": LinkState(delay_s=0.15),
+    "drop_up": LinkState(drop_up=True),
+    "drop_down": LinkState(drop_down=True),
+    "silent": LinkState(drop_up=True, drop_down=True),
+}
 
 
 class Fleet:
     """Real programs as processes of their own; stand-ins in this one.
 
+    Every link passes a relay: that of each program to the store, and those to each
+    agent and backend server.
+
     Args:
         group: The task group of the stand-ins.
         directory: Directory for settings and logs.
@@ -35,6 +47,7 @@
         "_gateway_settings",
         "_group",
         "_processes",
+        "_relays",
         "_roles",
         "addresses",
         "servers",
@@ -48,6 +61,7 @@
         self._directory = Path(directory)
         self._free_port = free_port
         self._processes = {}
+        self._relays = {}
         self._roles = {}
         self.addresses = {}
         self.servers = []
@@ -59,6 +73,18 @@
         """Names of the processes."""
         return list(self._roles)
 
+    @property
+    def links(self):
+        """Names of the links."""
+        return list(self._relays)
+
+    async def _add_link(self, name, port):
+        """Starts a relay to a port and returns the relay's own port."""
+        relay = self._relays[name] = Relay(HOST, port)
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        self._group.start_soon(listener.serve, relay.accept)
+        return listener.extra(anyio.abc.SocketAttribute.local_port)
+
     async def start_store(self):
         """Starts the store's stand-in."""
         port = await self._group.start(serve_app, self.store)
@@ -69,9 +95,10 @@
         server = BackendStandIn(server_id, script)
         await self._group.start(server.serve)
         self.servers.append(server)
+        port = await self._add_link(f"server-{server_id}", server.port)
         spec = {
             "Service": service,
-            "Address": f"{HOST}:{server.port}",
+            "Address": f"{HOST}:{port}",
             "Zone": "east",
             "State": "ready",
             "Slots": 32,
@@ -80,12 +107,14 @@
         }
         self.store.put("servers", server_id, spec)
 
-    def add_agent(self, name):
+    async def add_agent(self, name):
         """Starts an agent."""
-        settings = {"host": HOST, "port": self._free_port()}
-        self._add(name, "agent", settings)
+        port = self._free_port()
+        relay_port = await self._add_link(f"agent-{name}", port)
+        settings = {"host": HOST, "port": port, "advertised_port": relay_port}
+        await self._add(name, "agent", settings)
 
-    def add_gateway(self, name):
+    async def add_gateway(self, name):
         """Starts a gateway."""
         self.addresses[name] = f"{HOST}:{self._free_port()}"
         settings = {
@@ -96,14 +125,16 @@
             **self._gateway_settings,
         }
         settings = {k: v for k, v in settings.items() if v is not None}
-        self._add(name, "gateway", settings)
+        await self._add(name, "gateway", settings)
 
-    def _add(self, name, role, settings):
+    async def _add(self, name, role, settings):
+        store_port = int(self.store_address.rpartition(":")[2])
+        relay_port = await self._add_link(f"store-{name}", store_port)
         document = {
             "id": name,
             "region": "south",
             "data_centre": "east",
-            "store_address": self.store_address,
+            "store_address": f"{HOST}:{relay_port}",
             "budget_pages": 2,
             **settings,
         }
@@ -127,9 +158,14 @@
     async def inject(self, fault):
         """Injects a ``Fault`` and ends it after its time."""
         if fault.kind == "store":
-            self.store.mode = fault.target
+            self.store.mode = fault.mode
             await anyio.sleep(fault.for_s)
             self.store.mode = "up"
+        elif fault.kind == "link":
+            relay = self._relays[fault.target]
+            relay.set_state(LINK_STATES[fault.mode])
+            await anyio.sleep(fault.for_s)
+            relay.set_state(SOUND)
         elif fault.kind == "pause":
             self.signal(fault.target, signal.SIGSTOP)
             await anyio.sleep(fault.for_s)
--- a/pistachiowell/soak/plan.py
+++ b/pistachiowell/soak/plan.py
@@ -5,6 +5,10 @@
 
 LONGEST_FAULT_S = 2.5
 QUIET_END_S = 4.0
+MODES = {
+    "store": ("busy", "many", "silent"),
+    "link": ("cut", "delay", "drop_up", "drop_down", "silent"),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,24 +17,27 @@
 
     Attributes:
         at_s: Seconds from the start of the load.
-        kind: ``kill``, ``pause``, ``restart`` or ``store``.
-        target: Name of the process, or the mode of the store.
+        kind: ``kill``, ``pause``, ``restart``, ``store`` or ``link``.
+        target: Name of the process or link; empty for the store.
         for_s: Seconds that it lasts.
+        mode: How the store or the link misbehaves.
     """
 
     at_s: float
     kind: str
     target: str
     for_s: float
+    mode: str = ""
 
 
-def draw_faults(seed, length_s, processes):
+def draw_faults(seed, length_s, processes, links=()):
     """Draws faults that come in series and overlap; the end is quiet.
 
     Args:
         seed: Seed of the plan.
         length_s: Seconds of load.
         processes: Names of the processes.
+        links: Names of the links.
 
     Returns:
         ``Fault`` in the order of their times.
@@ -40,12 +47,15 @@
         True
     """
     rng = Random(seed)
+    targets = dict.fromkeys(("kill", "pause", "restart"), processes)
+    targets |= {"store": ("",), "link": links}
+    kinds = [kind for kind, names in targets.items() if names]
     faults, at_s = [], 0.5
     while at_s < length_s - QUIET_END_S:
         for _ in range(rng.choice((1, 1, 2, 3))):
-            kind = rng.choice(("kill", "pause", "restart", "store"))
-            names = ("busy", "many", "silent") if kind == "store" else processes
+            kind = rng.choice(kinds)
             for_s = rng.uniform(0.2, LONGEST_FAULT_S)
-            faults.append(Fault(at_s, kind, rng.choice(names), for_s))
+            mode = rng.choice(MODES.get(kind, ("",)))
+            faults.append(Fault(at_s, kind, rng.choice(targets[kind]), for_s, mode))
         at_s += rng.uniform(0.5, 2.5)
     return faults
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -38,7 +38,7 @@
         fleet = Fleet(group, directory, free_port)
         try:
             await _start(fleet, oracle)
-            faults = draw_faults(seed, length_s, fleet.names)
+            faults = draw_faults(seed, length_s, fleet.names, fleet.links)
             async with anyio.create_task_group() as load:
                 load.start_soon(_send_load, fleet, oracle, Random(seed), length_s)
                 for fault in faults:
@@ -56,9 +56,9 @@
     for number in (1, 2):
         await fleet.add_server(f"desk-{number}", "desk", _plain_script(oracle))
         await fleet.add_server(f"pool-{number}", "pool", _stream_script(oracle))
-        fleet.add_agent(f"agent-{number}")
+        await fleet.add_agent(f"agent-{number}")
     for number in (1, 2):
-        fleet.add_gateway(f"gate-{number}")
+        await fleet.add_gateway(f"gate-{number}")
     await fleet.until_registered(4)
 
 
