--- a/pistachiowell/budgets/tests/fleet.py
+++ b/pistachiowell/budgets/tests/fleet.py
@@ -12,6 +12,7 @@
 )
 from pistachiowell.budgets.receipts import Spend, Verdict
 from pistachiowell.budgets.sealing import Departed, outcome_at_departed
+from pistachiowell.budgets.sizing import SizingSettings
 from pistachiowell.core.errors import StoreConflict
 from pistachiowell.schema.generated.objects_budgets import DepartedAgent, JournalEntry
 from pistachiowell.store.memory import ObjectTable
@@ -71,6 +72,7 @@
     """Runs the decisions; the variants that must fail override parts of it."""
 
     holder_class = Holder
+    sizing = SizingSettings()
 
     def __init__(self):
         self.table = ObjectTable()
@@ -91,7 +93,9 @@
 
     def add_router(self):
         name = self.new_name("router")
-        holder = self.holder_class(name, 1, make_id=lambda: self.new_name("grant"))
+        holder = self.holder_class(
+            name, 1, make_id=lambda: self.new_name("grant"), sizing=self.sizing
+        )
         self.routers[name] = Router(holder, JournalBatches(name))
         self.table.put("routers", name, b"", 0)
         return self.routers[name]
--- a/pistachiowell/budgets/tests/test_budget_machine.py
+++ b/pistachiowell/budgets/tests/test_budget_machine.py
@@ -19,6 +19,7 @@
     free_tokens,
     granted_tokens,
 )
+from pistachiowell.budgets.sizing import SizingSettings
 from pistachiowell.budgets.tests.fleet import ACCOUNT, PAGE, Fleet
 from pistachiowell.schema.generated.objects_budgets import BudgetAccount
 
@@ -219,6 +220,14 @@
         assert billed <= paid
         assert sum(self.fleet.generated.values()) - account.returned <= paid
 
+    @invariant()
+    def notes_of_use_are_true(self):
+        grants = self.account().grants
+        for router in self.fleet.routers.values():
+            for grant_id, held in router.holder.ledger(ACCOUNT).grants.items():
+                noted = grants[grant_id].used_tokens if grant_id in grants else 0
+                assert noted <= held.used_tokens
+
     @invariant()
     def journaled_requests_have_one_bill(self):
         journaled = {entry.request_id for entry in self.entries()}
@@ -293,6 +302,10 @@
             assert holder.reserve(ACCOUNT, "last", holder.incarnation, left, 0.0)
 
 
+class ClosesIdleGrants(Fleet):
+    sizing = SizingSettings(policy="tapering", close_idle_after_s=1.0)
+
+
 class RefundsOnTimeout(Fleet):
     def time_out(self, router, call):
         if call.state != "done":
@@ -339,8 +352,9 @@
     )
 
 
-def test_budgets_hold_under_faults():
-    run_machine(Fleet, 300)
+@pytest.mark.parametrize("fleet", [Fleet, ClosesIdleGrants])
+def test_budgets_hold_under_faults(fleet):
+    run_machine(fleet, 300)
 
 
 @pytest.mark.parametrize(
