Keep test runs that start together off each other's ports; import in a doctest

Their ports began 101 candidates apart, so after a few rigs one took ports that the other had picked and not bound yet: "address already in use" of three stand-ins in one log, a relay of the other run answered 404 in another, a store with exit code 3 (uvicorn could not bind). Failed by it: test_router_killed_while_the_store_is_down in one run; in the other an error at the start of a rig (traced: exit code 3), and test_half_the_servers_leave_at_once twice, where engines of the other run were in use (not traced to the port). The doctest of LoadSums lacked an import that the linter had removed; no product code changed.

--- a/pistachiowell/bench/ports.py
+++ b/pistachiowell/bench/ports.py
@@ -9,8 +9,10 @@
 _STEP = 7
 
 # Below the range of ephemeral ports, so that no outgoing connection takes a port
-# while the program that it belongs to is down.
-_candidates = itertools.count(os.getpid() * 101)
+# while the program that it belongs to is down. Test runs that start together have
+# process ids that follow each other, and each takes far fewer ports than this.
+_PORTS_OF_A_RUN = 4_999
+_candidates = itertools.count(os.getpid() * _PORTS_OF_A_RUN)
 
 
 def free_port():
--- a/pistachiowell/routing/sharing.py
+++ b/pistachiowell/routing/sharing.py
@@ -35,6 +35,7 @@
     """Sums the loads that routers have told of one engine.
 
     Examples:
+        >>> from pistachiowell.routing.placement import EngineLoad
         >>> sums = LoadSums()
         >>> sums.put("router-1", EngineLoad(100, 1, 120))
         >>> sums.put("router-2", EngineLoad(50, 2, 90))
