Share the HTTP servers, bodies, disconnects and signals of gateway and router

The gateway wrote again what the router had: reading a bounded body, watching for a caller that leaves, the options of a uvicorn server, the loop over signals. Each stands once now, in core/web.py and core/signals.py. Behaviour stays: the router answers a caller that leaves in its body as before, and leaves SIGHUP to its default.

--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -11,8 +11,9 @@
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.metrics_page import serve_metrics
-from pistachiowell.core.program import run_program, wait_for_signal
+from pistachiowell.core.program import run_program
 from pistachiowell.core.runtime import Runtime
+from pistachiowell.core.signals import wait_for_signal
 from pistachiowell.engines import HttpBackend
 from pistachiowell.router.rows import Rows
 from pistachiowell.schema.generated.messages_requests import LoadReport
--- a/pistachiowell/core/metrics_page.py
+++ b/pistachiowell/core/metrics_page.py
@@ -1,8 +1,6 @@
 """The page of a process's metrics."""
 
-import uvicorn
-
-from pistachiowell.core.web import EmbeddedServer
+from pistachiowell.core.web import http_server
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 PATH = "/metrics"
@@ -48,15 +46,5 @@
     settings = runtime.settings
     if not settings.metrics_port:
         return
-    config = uvicorn.Config(
-        MetricsPage(runtime.metrics),
-        host=settings.metrics_host,
-        port=settings.metrics_port,
-        loop="asyncio",
-        http="httptools",
-        ws="none",
-        lifespan="off",
-        log_config=None,
-        access_log=False,
-    )
-    await EmbeddedServer(config).serve()
+    page = MetricsPage(runtime.metrics)
+    await http_server(page, settings.metrics_host, settings.metrics_port).serve()
--- a/pistachiowell/core/program.py
+++ b/pistachiowell/core/program.py
@@ -1,6 +1,5 @@
 """Start of the long-running programs from the command line."""
 
-import signal
 import sys
 
 import anyio
@@ -45,10 +44,3 @@
         print(f"{values.settings}: valid.")
         sys.exit(0)
     return settings
-
-
-async def wait_for_signal():
-    """Waits for SIGTERM or SIGINT."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
--- a/pistachiowell/core/signals.py
+++ b/pistachiowell/core/signals.py
@@ -4,20 +4,19 @@
 
 import anyio
 
-_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
-
-async def wait_for_end(log):
-    """Waits until a signal asks the program to end.
-
-    A request to reload is noted: nothing that a running program uses is expected to
-    change in its settings.
+async def wait_for_signal(on_reload=None):
+    """Waits for SIGTERM or SIGINT.
 
     Args:
-        log: Logger of the program's part.
+        on_reload: Function that is called at each SIGHUP; None to leave that signal
+            to its default.
     """
-    with anyio.open_signal_receiver(*_SIGNALS) as received:
+    numbers = [signal.SIGTERM, signal.SIGINT]
+    if on_reload is not None:
+        numbers.append(signal.SIGHUP)
+    with anyio.open_signal_receiver(*numbers) as received:
         async for number in received:
             if number != signal.SIGHUP:
                 return
-            log.info("Reload asked for; the settings need none.")
+            on_reload()
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -7,7 +7,7 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.metrics_page import serve_metrics
 from pistachiowell.core.runtime import Runtime
-from pistachiowell.core.signals import wait_for_end
+from pistachiowell.core.signals import wait_for_signal
 from pistachiowell.gateway.feeds import CatalogFeed, MoveFeed
 from pistachiowell.gateway.home import BudgetHome
 from pistachiowell.gateway.judging import Judging
@@ -90,7 +90,7 @@
                 engine=self._runtime.settings.engine_address,
             )
             group.start_soon(self._register)
-            await wait_for_end(_log)
+            await wait_for_signal(_note_reload)
             self._runtime.start_leaving()
             self._load_reports.send_all()
             with anyio.move_on_after(1.0):
@@ -138,3 +138,7 @@
             port=settings.advertised_port or settings.port,
             server=settings.engine_address,
         )
+
+
+def _note_reload():
+    _log.info("Reload asked for; the settings need none.")
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -15,6 +15,7 @@
     Unauthorized,
 )
 from pistachiowell.core.logs import part_logger
+from pistachiowell.core.web import CallerGoneError, read_body, watch_disconnect
 from pistachiowell.gateway.caller import Caller
 from pistachiowell.gateway.dispatch import Usage
 from pistachiowell.gateway.messages import GatewayRequest
@@ -24,10 +25,6 @@
 _log = part_logger("gateway")
 
 
-class CallerGoneError(Exception):
-    """The caller has left before the end of its request."""
-
-
 class GatewayApp:
     """Checks requests, pays for them and has them run.
 
@@ -114,7 +111,9 @@
         account = self._find_account(catalog, route, head)
         if not head.request_id:
             raise InvalidRequest("The request has no id.")
-        body = await _read_body(receive, limits.body_bytes, head.body_bytes)
+        if head.body_bytes > limits.body_bytes:
+            raise BodyTooLarge(f"The body exceeds {limits.body_bytes} bytes.")
+        body = await read_body(receive, limits.body_bytes)
         wait_s = route.timeout_s
         if head.wait_limit_s is not None:
             wait_s = min(wait_s, head.wait_limit_s)
@@ -139,7 +138,7 @@
     async def _serve(self, request, receive, caller):
         has_ended, error = False, None
         async with anyio.create_task_group() as group:
-            group.start_soon(_watch_disconnect, receive, group.cancel_scope)
+            group.start_soon(watch_disconnect, receive, group.cancel_scope)
             error = await self._run_until_deadline(request, caller)
             has_ended = True
             group.cancel_scope.cancel()
@@ -219,27 +218,3 @@
             {"type": "http.response.start", "status": status, "headers": headers}
         )
         await send({"type": "http.response.body", "body": b""})
-
-
-async def _read_body(receive, max_bytes, announced_bytes):
-    if announced_bytes > max_bytes:
-        raise BodyTooLarge(f"The body exceeds {max_bytes} bytes.")
-    parts, size, more = [], 0, True
-    while more:
-        event = await receive()
-        if event["type"] == "http.disconnect":
-            raise CallerGoneError
-        parts.append(event.get("body", b""))
-        size += len(parts[-1])
-        if size > max_bytes:
-            raise BodyTooLarge(f"The body exceeds {max_bytes} bytes.")
-        more = event.get("more_body", False)
-    return b"".join(parts)
-
-
-async def _watch_disconnect(receive, scope):
-    while True:
-        event = await receive()
-        if event["type"] == "http.disconnect":
-            scope.cancel()
-            return
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -3,14 +3,13 @@
 import random
 
 import anyio
-import uvicorn
 
 from pistachiowell.core.errors import STORE_ERRORS, HeadersTooLarge
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.metrics_page import serve_metrics
 from pistachiowell.core.runtime import Runtime
-from pistachiowell.core.signals import wait_for_end
-from pistachiowell.core.web import EmbeddedServer
+from pistachiowell.core.signals import wait_for_signal
+from pistachiowell.core.web import http_server
 from pistachiowell.gateway.agents import AgentReports
 from pistachiowell.gateway.app import GatewayApp, ReadyApp
 from pistachiowell.gateway.catalog_source import CatalogSource
@@ -152,7 +151,7 @@
             group.cancel_scope.cancel()
 
     async def _obey_signals(self):
-        await wait_for_end(_log)
+        await wait_for_signal(_note_reload)
         self.begin_leaving()
         await anyio.sleep(self._runtime.settings.leaving_notice_s)
         self._http.should_exit = True
@@ -194,6 +193,10 @@
         )
 
 
+def _note_reload():
+    _log.info("Reload asked for; the settings need none.")
+
+
 def _split_address(address):
     host, _, port = address.rpartition(":")
     return host, int(port)
@@ -204,18 +207,12 @@
     refusal = error_document(
         HeadersTooLarge(f"The headers exceed {MAX_HEAD_BYTES} bytes.")
     )
-    config = uvicorn.Config(
+    return http_server(
         app,
-        host=host,
-        port=port,
-        loop="asyncio",
+        host,
+        port,
         http=bounded_protocol(MAX_HEAD_BYTES, refusal),
-        ws="none",
-        lifespan="off",
-        log_config=None,
-        access_log=False,
         server_header=False,
         date_header=False,
         timeout_graceful_shutdown=shutdown_timeout_s,
     )
-    return EmbeddedServer(config)
--- a/pistachiowell/router/api.py
+++ b/pistachiowell/router/api.py
@@ -18,6 +18,7 @@
 )
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
+from pistachiowell.core.web import watch_disconnect
 from pistachiowell.router.callers import (
     HeaderMap,
     check_operator,
@@ -111,7 +112,7 @@
             account=request.account.name,
         )
         async with anyio.create_task_group() as group:
-            group.start_soon(_watch_disconnect, receive, group.cancel_scope)
+            group.start_soon(watch_disconnect, receive, group.cancel_scope)
             try:
                 await self._answer(request, responder, group.cancel_scope.cancel)
             except PistachiowellError as error:
@@ -286,14 +287,6 @@
         raise BodyTooLarge(f"The body exceeds {max_bytes} bytes.")
 
 
-async def _watch_disconnect(receive, scope):
-    while True:
-        event = await receive()
-        if event["type"] == "http.disconnect":
-            scope.cancel()
-            return
-
-
 async def _stream_answer(messages, responder):
     async for message in messages:
         if isinstance(message, AnswerStart):
--- a/pistachiowell/router/callers.py
+++ b/pistachiowell/router/callers.py
@@ -4,8 +4,8 @@
 import json
 from dataclasses import dataclass
 
+from pistachiowell.core import web
 from pistachiowell.core.errors import (
-    BodyTooLarge,
     HeadersTooLarge,
     IdempotencyKeyRequired,
     InvalidRequest,
@@ -137,20 +137,13 @@
 
     Raises:
         BodyTooLarge: The body exceeds the bound; it is not kept.
+        InvalidRequest: The caller has left before its end.
     """
-    parts = []
-    size = 0
-    more = True
-    while more:
-        event = await receive()
-        if event["type"] == "http.disconnect":
-            raise InvalidRequest("The caller has left before the end of the body.")
-        parts.append(event.get("body", b""))
-        size += len(parts[-1])
-        if size > max_bytes:
-            raise BodyTooLarge(f"The body exceeds {max_bytes} bytes.")
-        more = event.get("more_body", False)
-    return b"".join(parts)
+    try:
+        return await web.read_body(receive, max_bytes)
+    except web.CallerGoneError as error:
+        text = "The caller has left before the end of the body."
+        raise InvalidRequest(text) from error
 
 
 def parse_request(table, account, scope, headers, body):
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -4,15 +4,15 @@
 import random
 
 import anyio
-import uvicorn
 
 from pistachiowell.core.errors import HeadersTooLarge
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.metrics_page import serve_metrics
-from pistachiowell.core.program import run_program, wait_for_signal
+from pistachiowell.core.program import run_program
 from pistachiowell.core.runtime import Runtime
-from pistachiowell.core.web import EmbeddedServer
+from pistachiowell.core.signals import wait_for_signal
+from pistachiowell.core.web import http_server
 from pistachiowell.router.api import Api, error_document
 from pistachiowell.router.dispatch import Dispatch
 from pistachiowell.router.fleet import Fleet
@@ -93,22 +93,17 @@
             self._runtime, self._rows, self._spending, dispatch, self._journal
         )
         self._api = Api(self._runtime, self._rows, service)
-        self._http = EmbeddedServer(self._http_config(settings))
+        self._http = self._http_server(settings)
 
-    def _http_config(self, settings):
+    def _http_server(self, settings):
         refusal = error_document(
             HeadersTooLarge(f"The headers exceed {settings.max_header_bytes} bytes.")
         )
-        return uvicorn.Config(
+        return http_server(
             self._api,
-            host=settings.http_host,
-            port=settings.http_port,
-            loop="asyncio",
+            settings.http_host,
+            settings.http_port,
             http=bounded_protocol(settings.max_header_bytes, refusal),
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
             timeout_graceful_shutdown=settings.shutdown_timeout_s,
         )
 
