Keep what callers and servers say to the soak in the adapter's folder

Three copies of a caller's headers and one of a registration stood in the soak and its tests, in the platform's spelling. They are functions of platform/standin_documents.py now.

--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -10,6 +10,7 @@
 import yaml
 
 from pistachiowell.platform.main import SETTINGS_VARIABLE
+from pistachiowell.platform.standin_documents import registration
 from pistachiowell.platform.standins import BackendStandIn, ObjectServer, serve_app
 from pistachiowell.standins.relay import LinkState, Relay
 
@@ -96,15 +97,7 @@
         await self._group.start(server.serve)
         self.servers.append(server)
         port = await self._add_link(f"server-{server_id}", server.port)
-        spec = {
-            "Service": service,
-            "Address": f"{HOST}:{port}",
-            "Zone": "east",
-            "State": "ready",
-            "Slots": 32,
-            "Version": "v1",
-            "born": 1,
-        }
+        spec = registration(service, f"{HOST}:{port}")
         self.store.put("servers", server_id, spec)
 
     async def add_agent(self, name):
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -8,8 +8,11 @@
 import httpcore
 
 from pistachiowell.bench.ports import free_port
+from pistachiowell.platform.standin_documents import (
+    caller_headers,
+    soak_configuration,
+)
 from pistachiowell.platform.standins import chunk, event, head
-from pistachiowell.soak.documents import HOST, KEY, soak_configuration
 from pistachiowell.soak.fleet import Fleet
 from pistachiowell.soak.oracle import Oracle
 from pistachiowell.soak.plan import draw_faults
@@ -80,22 +83,16 @@
 
 
 async def _ask(oracle, address, kind, request_id):
-    headers = {
-        "Host": HOST,
-        "Api-Key": KEY,
-        "Pistachiowell-Attempt-Id": request_id,
-        "Pistachiowell-Deadline-Ms": str(int(CALLER_TIMEOUT_S * 1000)),
-        "Pistachiowell-Token-Usage": f"{PROMPT_TOKENS},{2 * EVENTS * TOKENS_PER_EVENT}",
-    }
+    most_tokens = 2 * EVENTS * TOKENS_PER_EVENT
+    headers = caller_headers(request_id, CALLER_TIMEOUT_S, PROMPT_TOKENS, most_tokens)
     status, body = 0, None
     url = f"http://{address}/{kind}/{request_id}"
-    pairs = [(n.encode(), v.encode()) for n, v in headers.items()]
     method = "GET" if kind == "read" else "POST"
     try:
         with anyio.move_on_after(CALLER_TIMEOUT_S):
             async with (
                 httpcore.AsyncConnectionPool() as pool,
-                pool.stream(method, url, headers=pairs) as response,
+                pool.stream(method, url, headers=headers) as response,
             ):
                 status = response.status
                 body = await response.aread()
--- a/pistachiowell/soak/tests/test_explaining.py
+++ b/pistachiowell/soak/tests/test_explaining.py
@@ -9,8 +9,11 @@
 import httpcore
 import pytest
 
+from pistachiowell.platform.standin_documents import (
+    caller_headers,
+    soak_configuration,
+)
 from pistachiowell.platform.standins import chunk, cut, event, head
-from pistachiowell.soak.documents import HOST, KEY, soak_configuration
 from pistachiowell.soak.fleet import Fleet
 
 pytestmark = pytest.mark.anyio
@@ -28,18 +31,11 @@
 
 async def ask(fleet, path, request_id):
     """Returns the status of an answer; 0 if the connection broke."""
-    headers = {
-        "Host": HOST,
-        "Api-Key": KEY,
-        "Pistachiowell-Attempt-Id": request_id,
-        "Pistachiowell-Deadline-Ms": "3000",
-        "Pistachiowell-Token-Usage": "100,50",
-    }
-    pairs = [(n.encode(), v.encode()) for n, v in headers.items()]
+    headers = caller_headers(request_id, 3.0, 100, 50)
     async with httpcore.AsyncConnectionPool() as pool:
         url = f"http://{fleet.addresses['gate-1']}/{path}/x"
         try:
-            answer = await pool.request("POST", url, headers=pairs)
+            answer = await pool.request("POST", url, headers=headers)
         except (httpcore.NetworkError, httpcore.ProtocolError):
             return 0
     return answer.status
--- a/pistachiowell/soak/tests/test_leaving.py
+++ b/pistachiowell/soak/tests/test_leaving.py
@@ -6,8 +6,11 @@
 import httpcore
 import pytest
 
+from pistachiowell.platform.standin_documents import (
+    caller_headers,
+    soak_configuration,
+)
 from pistachiowell.platform.standins import chunk, event, head
-from pistachiowell.soak.documents import HOST, KEY, soak_configuration
 from pistachiowell.soak.fleet import Fleet
 
 pytestmark = pytest.mark.anyio
@@ -29,17 +32,10 @@
 
 async def ask(address):
     """Returns the body of a long stream."""
-    headers = {
-        "Host": HOST,
-        "Api-Key": KEY,
-        "Pistachiowell-Attempt-Id": "chat-1",
-        "Pistachiowell-Deadline-Ms": "9000",
-        "Pistachiowell-Token-Usage": "10,10",
-    }
-    pairs = [(n.encode(), v.encode()) for n, v in headers.items()]
+    headers = caller_headers("chat-1", 9.0, 10, 10)
     async with httpcore.AsyncConnectionPool() as pool:
         url = f"http://{address}/chat/x"
-        answer = await pool.request("POST", url, headers=pairs)
+        answer = await pool.request("POST", url, headers=headers)
     return answer.content
 
 
