Do once what each placement, page write and request did again

- The chain of a prompt's parts is made once for a request, not for each candidate.
- Paid accounts are sorted to pages once for a configuration, not hashed at each page write.
- A RetryShare forgets old requests when it counts one; without retries the list only grew.
- The owner of a part is found by the project's rendezvous function.
- EngineBook.forget, which nothing called, is gone.

--- a/pistachiowell/gateway/home.py
+++ b/pistachiowell/gateway/home.py
@@ -6,6 +6,7 @@
 when the home is lost.
 """
 
+from collections import defaultdict
 from dataclasses import dataclass
 
 import anyio
@@ -84,6 +85,8 @@
         "_holder",
         "_lost_until",
         "_pages",
+        "_paid",
+        "_paid_by",
         "_refusals",
         "_runtime",
         "_state",
@@ -106,6 +109,8 @@
         )
         self._refusals = {}
         self._lost_until = float("-inf")
+        self._paid_by = None
+        self._paid = {}
         self._pages = GrantPages(
             runtime, tuple, self._holder, RETIRE_INTERVAL_S, self._credits
         )
@@ -124,7 +129,7 @@
 
     async def _take_reserve(self, link, message):
         del link
-        held = self._try(message)
+        held = self._pages.reserve(message)
         if held is None:
             try:
                 held = await self._reserve_from_page(message)
@@ -138,29 +143,14 @@
 
     async def _take_settle(self, link, message):
         del link
-        self._holder.settle(
-            message.account,
-            message.reservation_id,
-            message.router,
-            message.used_tokens,
-            self._runtime.now(),
-        )
+        self._pages.settle(message)
         return TokensSettled(message.request_id)
 
-    def _try(self, message):
-        return self._holder.reserve(
-            message.account,
-            message.reservation_id,
-            message.router,
-            message.tokens,
-            self._runtime.now(),
-        )
-
     async def _reserve_from_page(self, message):
         self._check_refusals(message)
         for _ in range(MAX_SYNCS):
             page = await self._sync(message.account)
-            held = self._try(message)
+            held = self._pages.reserve(message)
             if held is not None:
                 return held
             account = page.accounts.get(message.account, BudgetAccount())
@@ -233,12 +223,19 @@
         if catalog is None:
             return []
         changes = []
-        for name, account in catalog.prepaid_accounts().items():
-            if self._holder.page_of(name) != number:
-                continue
+        for name, tokens in self._paid_of_page(number, catalog):
             known = page.accounts.get(name, BudgetAccount())
             is_newer = catalog.revision > known.credit_revision
-            if is_newer and known.credited != account.prepaid_tokens:
-                tokens = account.prepaid_tokens
+            if is_newer and known.credited != tokens:
                 changes.append(SetCredit(name, tokens, catalog.revision))
         return changes
+
+    def _paid_of_page(self, number, catalog):
+        """Returns names and prepaid tokens; sorted to pages once for each catalog."""
+        if self._paid_by is not catalog:
+            self._paid_by = catalog
+            self._paid = defaultdict(list)
+            for name, account in catalog.prepaid_accounts().items():
+                page = self._holder.page_of(name)
+                self._paid[page].append((name, account.prepaid_tokens))
+        return self._paid[number]
--- a/pistachiowell/routing/placement.py
+++ b/pistachiowell/routing/placement.py
@@ -8,10 +8,10 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from pistachiowell.core.ids import stable_hash
 from pistachiowell.core.registry import Registry
+from pistachiowell.routing.pick import rendezvous
 
 PLACERS = Registry("placement policy")
 
@@ -57,23 +57,25 @@
         prompt_tokens: Tokens of the whole prompt.
         output_tokens: Tokens that the answer is expected to have.
         parts: Pairs of id and tokens; all but the last may be shared with others.
+        shared: Pairs of chain key and tokens of the parts that may be shared; the key
+            of a part names all parts before it too.
     """
 
     prompt_tokens: int
     output_tokens: int
     parts: tuple = ()
+    shared: tuple = field(init=False)
 
-    @property
-    def shared(self):
-        """Pairs of chain key and tokens of the parts that may be shared.
+    def __post_init__(self):
+        # Made once, as the cost of each candidate needs it.
+        object.__setattr__(self, "shared", tuple(_chain(self.parts[:-1])))
 
-        The key of a part names all parts before it too.
-        """
-        chain, key = [], ""
-        for part_id, tokens in self.parts[:-1]:
-            key = f"{key}/{part_id}"
-            chain.append((key, tokens))
-        return chain
+
+def _chain(parts):
+    key = ""
+    for part_id, tokens in parts:
+        key = f"{key}/{part_id}"
+        yield key, tokens
 
 
 @dataclass(slots=True)
@@ -191,12 +193,6 @@
         engine.running -= 1
         engine.kv_tokens -= placed.kv_tokens
 
-    def forget(self, server):
-        """Forgets what a server had cached, as it has started anew or is gone."""
-        engine = self._engines.get(server)
-        if engine is not None:
-            engine.cached.clear()
-
     def unread_tokens(self, server, work, now):
         """Returns the prompt tokens that an engine has not cached."""
         engine = self._engines.get(server)
@@ -307,8 +303,7 @@
         shared = work.shared
         if not shared:
             return None
-        key = shared[-1][0]
-        return max(candidates, key=lambda c: stable_hash(c.server, key)).server
+        return rendezvous(candidates, shared[-1][0]).server
 
     def _cost(self, candidate, work, limits, now, *, is_owner):
         settings = self._settings
--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -207,6 +207,7 @@
 
     def earn(self, now):
         """Counts a request."""
+        self._forget(now)
         self._earned.append(now)
 
     def take(self, now):
