Write reservations, settlements, reports and records of gateway and router once

GatewaySpending and Spending, BudgetHome and Spending, GatewayMoves and MoveReports, the four programs' records, the lookups of a Fleet, HTTP errors and keep-alive options each stood twice. They are Reservation.granted and settlement, Settlements.give_up, GrantPages.reserve and settle, report_counts, agent_record and router_record, one lookup and one tuple.

--- a/pistachiowell/agent/main.py
+++ b/pistachiowell/agent/main.py
@@ -17,10 +17,13 @@
 from pistachiowell.engines import HttpBackend
 from pistachiowell.router.rows import Rows
 from pistachiowell.schema.generated.messages_requests import LoadReport
-from pistachiowell.schema.generated.objects_membership import AgentRecord
 from pistachiowell.schema.generated.settings import AgentSettings
 from pistachiowell.store.http import HttpStore
-from pistachiowell.store.registration import register_process, unregister_process
+from pistachiowell.store.registration import (
+    agent_record,
+    register_process,
+    unregister_process,
+)
 from pistachiowell.wire import Handlers, LinkTls, serve
 from pistachiowell.wire.status import register_status_handlers
 
@@ -172,15 +175,7 @@
                 link.send(report)
 
     def _record(self):
-        settings = self._runtime.settings
-        return AgentRecord(
-            id=settings.id,
-            incarnation=self._runtime.incarnation,
-            data_centre=settings.data_centre,
-            host=settings.host,
-            port=settings.advertised_port or settings.port,
-            server=settings.server,
-        )
+        return agent_record(self._runtime, self._runtime.settings.server)
 
 
 async def _run_agent(settings):
--- a/pistachiowell/budgets/home.py
+++ b/pistachiowell/budgets/home.py
@@ -20,7 +20,7 @@
         >>> home_router(3, ["a", "b"]) == home_router(3, ["b", "a"])
         True
     """
-    return max(routers, key=lambda r: (stable_hash(str(page), r), r), default=None)
+    return max(routers, key=_rank(page), default=None)
 
 
 def refusal_is_final(account, tokens, own_tokens, unreachable):
@@ -69,4 +69,8 @@
         >>> homes_in_order(3, ["a", "b"])[0] == home_router(3, ["a", "b"])
         True
     """
-    return sorted(processes, key=lambda p: (stable_hash(str(page), p), p), reverse=True)
+    return sorted(processes, key=_rank(page), reverse=True)
+
+
+def _rank(page):
+    return lambda process: (stable_hash(str(page), process), process)
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -17,8 +17,11 @@
     CatalogDocument,
     FetchCatalog,
 )
-from pistachiowell.schema.generated.objects_membership import AgentRecord
-from pistachiowell.store.registration import register_process, unregister_process
+from pistachiowell.store.registration import (
+    agent_record,
+    register_process,
+    unregister_process,
+)
 from pistachiowell.wire import Handlers, serve
 from pistachiowell.wire.status import register_status_handlers
 
@@ -129,15 +132,7 @@
         return self._compressed_value
 
     def _record(self):
-        settings = self._runtime.settings
-        return AgentRecord(
-            id=settings.id,
-            incarnation=self._runtime.incarnation,
-            data_centre=settings.data_centre,
-            host=settings.host,
-            port=settings.advertised_port or settings.port,
-            server=settings.engine_address,
-        )
+        return agent_record(self._runtime, self._runtime.settings.engine_address)
 
 
 def _note_reload():
--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections.py
@@ -4,6 +4,8 @@
 
 import httpcore
 
+from pistachiowell.store.calls import KEEP_ALIVE_OPTIONS
+
 IDLE_LIMIT_S = 8.0
 UNTOLD_IDLE_LIMIT_S = 0.5
 IDLE_MARGIN_S = 0.6
@@ -12,10 +14,7 @@
 
 _SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    *KEEP_ALIVE_OPTIONS,
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_TIMEOUT_MS),
 ]
 
@@ -28,7 +27,7 @@
         port: Its TCP port.
     """
 
-    __slots__ = ("_http", "_reusable_until", "_used")
+    __slots__ = ("_http", "_reusable_until")
 
     def __init__(self, host, port):
         origin = httpcore.Origin(b"http", host.encode(), port)
@@ -36,12 +35,6 @@
             origin, socket_options=_SOCKET_OPTIONS
         )
         self._reusable_until = float("-inf")
-        self._used = False
-
-    @property
-    def is_used(self):
-        """Whether it has carried a request before."""
-        return self._used
 
     async def request(self, host, port, method, target, headers, body):
         """Sends a request and reads the head of the answer.
@@ -66,7 +59,6 @@
         Returns:
             Whether the connection may carry another request.
         """
-        self._used = True
         limit_s = UNTOLD_IDLE_LIMIT_S
         if keep_alive_s is not None:
             limit_s = min(IDLE_LIMIT_S, keep_alive_s - IDLE_MARGIN_S)
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -9,17 +9,11 @@
     Overloaded,
     ServerFailed,
 )
-from pistachiowell.store.calls import error_text
+from pistachiowell.store.calls import HTTP_ERRORS, error_text
 
 MAX_WHOLE_BODY_BYTES = 16 * 1024 * 1024
 _NOT_CONNECTED = (httpcore.ConnectError, httpcore.ConnectTimeout)
-_BROKEN = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
-    httpcore.ConnectionNotAvailable,
-    OSError,
-)
+_BROKEN = (*HTTP_ERRORS, httpcore.ConnectionNotAvailable)
 
 
 class NotConnected(NoServer):
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -22,8 +22,11 @@
 from pistachiowell.router.api import error_document
 from pistachiowell.router.fleet import AGENTS, ROUTERS, Fleet
 from pistachiowell.router.http_protocol import bounded_protocol
-from pistachiowell.schema.generated.objects_membership import RouterRecord
-from pistachiowell.store.registration import register_process, unregister_process
+from pistachiowell.store.registration import (
+    register_process,
+    router_record,
+    unregister_process,
+)
 from pistachiowell.wire import Handlers
 
 MAX_HEAD_BYTES = 65_536
@@ -180,17 +183,8 @@
                 )
 
     def _record(self):
-        settings = self._runtime.settings
-        http_host, http_port = _split_address(settings.http_address)
-        return RouterRecord(
-            id=settings.id,
-            incarnation=self._runtime.incarnation,
-            data_centre=settings.data_centre,
-            peer_host=settings.peer_host,
-            peer_port=settings.advertised_port or settings.peer_port,
-            http_host=http_host,
-            http_port=http_port,
-        )
+        address = self._runtime.settings.http_address
+        return router_record(self._runtime, *_split_address(address))
 
 
 def _note_reload():
--- a/pistachiowell/gateway/moves.py
+++ b/pistachiowell/gateway/moves.py
@@ -7,8 +7,7 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.move_orders import MoveState
 from pistachiowell.moves.tracker import Tracker
-from pistachiowell.router.move_reports import count_messages
-from pistachiowell.schema.generated.messages_moves import MoveCounts, MovePermit
+from pistachiowell.router.move_reports import report_counts
 from pistachiowell.schema.generated.table import MoveRow
 
 REPORT_INTERVAL_S = 0.3
@@ -120,28 +119,11 @@
         link = self._judge(service)
         if link is None:
             return
-        tracker = move.tracker
-        sent_at = self._runtime.now()
-        counts, tripped = tracker.take_report()
-        message = MoveCounts(
-            move=service,
-            counts=count_messages(counts, sent_at),
-            tripped=tripped,
-            probes_left=tracker.probes_left,
-        )
+        now = self._runtime.now
         try:
-            permit = await link.call(message, REPORT_TIMEOUT_S)
+            await report_counts(move.tracker, service, link, now, REPORT_TIMEOUT_S)
         except PistachiowellError as error:
             _log.info("A report of a move was lost.", service=service, error=str(error))
-            return
-        if isinstance(permit, MovePermit):
-            tracker.take_permit(
-                fence=permit.fence,
-                share=permit.share,
-                probes=permit.probes,
-                valid_until=sent_at + permit.valid_s,
-                now=self._runtime.now(),
-            )
 
     def _judge(self, service):
         usable = {n: peer for n, peer in self._fleet.agents.items() if peer.usable}
--- a/pistachiowell/gateway/spending.py
+++ b/pistachiowell/gateway/spending.py
@@ -14,7 +14,6 @@
 from pistachiowell.router.settlements import Settlements
 from pistachiowell.schema.generated.messages_budgets import (
     ReserveTokens,
-    SettleTokens,
     TokensReserved,
 )
 
@@ -91,14 +90,7 @@
         """
         if reservation is None:
             return
-        message = SettleTokens(
-            reservation.account,
-            reservation.request_id,
-            reservation.grant_id,
-            used_tokens,
-            reservation_id=reservation.reservation_id,
-            router=reservation.router,
-        )
+        message = reservation.settlement(used_tokens)
         self._settlements.add(reservation.holder, message)
 
     def _homes(self, account):
@@ -112,28 +104,9 @@
             reply = await peer.link.call(call, CALL_TIMEOUT_S)
         except BaseException:
             # The home may have reserved all the same.
-            self._give_up(call, holder)
+            self._settlements.give_up(holder, call)
             raise
         if not isinstance(reply, TokensReserved):
             error = error_class(reply.code)
             raise error(reply.message, retry_after_s=reply.retry_after_s)
-        return Reservation(
-            call.request_id,
-            call.account,
-            reply.grant_id,
-            reply.holder,
-            reply.tokens,
-            call.reservation_id,
-            call.router,
-        )
-
-    def _give_up(self, call, holder):
-        message = SettleTokens(
-            call.account,
-            call.request_id,
-            "",
-            0,
-            reservation_id=call.reservation_id,
-            router=call.router,
-        )
-        self._settlements.add(holder, message)
+        return Reservation.granted(call, reply)
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -130,17 +130,11 @@
 
     def router_of(self, incarnation):
         """Returns the usable ``Peer`` of a router incarnation, or None."""
-        for peer in self._routers.values():
-            if peer.record.incarnation == incarnation and peer.usable:
-                return peer
-        return None
+        return _usable_peer(self._routers, incarnation)
 
     def agent_of(self, incarnation):
         """Returns the usable ``Peer`` of an agent incarnation, or None."""
-        for peer in self._agents.values():
-            if peer.record.incarnation == incarnation and peer.usable:
-                return peer
-        return None
+        return _usable_peer(self._agents, incarnation)
 
     async def run(self):
         """Follows the registrations and keeps the links until cancelled."""
@@ -284,3 +278,10 @@
 
 def _usable(peers):
     return sum(peer.usable for peer in peers.values())
+
+
+def _usable_peer(peers, incarnation):
+    for peer in peers.values():
+        if peer.record.incarnation == incarnation and peer.usable:
+            return peer
+    return None
--- a/pistachiowell/router/grant_pages.py
+++ b/pistachiowell/router/grant_pages.py
@@ -57,6 +57,26 @@
         """Returns the ``HeldPage`` of an account."""
         return self._page(self._holder.page_of(account))
 
+    def reserve(self, call):
+        """Reserves what a ``ReserveTokens`` asks for; see ``Holder.reserve``."""
+        return self._holder.reserve(
+            call.account,
+            call.reservation_id,
+            call.router,
+            call.tokens,
+            self._runtime.now(),
+        )
+
+    def settle(self, message):
+        """Books what a ``SettleTokens`` tells; see ``Holder.settle``."""
+        self._holder.settle(
+            message.account,
+            message.reservation_id,
+            message.router,
+            message.used_tokens,
+            self._runtime.now(),
+        )
+
     async def sync(self, account):
         """Writes what is planned for the page of an account and reads the rest.
 
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -24,10 +24,13 @@
 from pistachiowell.router.service import RequestService
 from pistachiowell.router.spending import Spending
 from pistachiowell.router.suspects import Suspects
-from pistachiowell.schema.generated.objects_membership import RouterRecord
 from pistachiowell.schema.generated.settings import RouterSettings
 from pistachiowell.store.http import HttpStore
-from pistachiowell.store.registration import register_process, unregister_process
+from pistachiowell.store.registration import (
+    register_process,
+    router_record,
+    unregister_process,
+)
 from pistachiowell.wire import Handlers, LinkTls, serve
 from pistachiowell.wire.status import register_status_handlers
 
@@ -153,15 +156,7 @@
 
     def _record(self):
         settings = self._runtime.settings
-        return RouterRecord(
-            id=settings.id,
-            incarnation=self._runtime.incarnation,
-            data_centre=settings.data_centre,
-            peer_host=settings.peer_host,
-            peer_port=settings.advertised_port or settings.peer_port,
-            http_host=settings.http_host,
-            http_port=settings.http_port,
-        )
+        return router_record(self._runtime, settings.http_host, settings.http_port)
 
 
 async def _run_router(settings):
--- a/pistachiowell/router/move_reports.py
+++ b/pistachiowell/router/move_reports.py
@@ -80,34 +80,19 @@
     async def report(self, move):
         """Reports the counts of an ``OpenMove`` and takes the permit that answers."""
         tracker = move.tracker
-        sent_at = self._runtime.now()
         if move.mover is not None:
+            now = self._runtime.now()
             self._feed_mover(move)
-            self._take_own_permit(move, sent_at)
+            self._take_own_permit(move, now)
             return
         link = self._find_link(move.holding.holder)
         if link is None:
             return
-        counts, tripped = tracker.take_report()
-        message = MoveCounts(
-            move=tracker.row.name,
-            counts=count_messages(counts, sent_at),
-            tripped=tripped,
-            probes_left=tracker.probes_left,
-        )
+        name, now = tracker.row.name, self._runtime.now
         try:
-            permit = await link.call(message, REPORT_TIMEOUT_S)
+            await report_counts(tracker, name, link, now, REPORT_TIMEOUT_S)
         except PistachiowellError as error:
-            _log.debug("A report of move {} was lost: {}", tracker.row.name, error)
-            return
-        if isinstance(permit, MovePermit):
-            tracker.take_permit(
-                fence=permit.fence,
-                share=permit.share,
-                probes=permit.probes,
-                valid_until=sent_at + permit.valid_s,
-                now=self._runtime.now(),
-            )
+            _log.debug("A report of move {} was lost: {}", name, error)
 
     def send_stop(self, move):
         """Ends the permits of all routers that have reported here."""
@@ -220,6 +205,38 @@
         )
 
 
+async def report_counts(tracker, move, link, now, timeout_s):
+    """Reports what a tracker has counted and gives it the permit that answers.
+
+    Args:
+        tracker: The ``Tracker``.
+        move: Name of the move.
+        link: The ``Link`` to the process that answers.
+        now: Function that returns the monotonic time in seconds.
+        timeout_s: Longest wait for the answer in seconds.
+
+    Raises:
+        PistachiowellError: The answer did not come; the counts are lost.
+    """
+    sent_at = now()
+    counts, tripped = tracker.take_report()
+    message = MoveCounts(
+        move=move,
+        counts=count_messages(counts, sent_at),
+        tripped=tripped,
+        probes_left=tracker.probes_left,
+    )
+    permit = await link.call(message, timeout_s)
+    if isinstance(permit, MovePermit):
+        tracker.take_permit(
+            fence=permit.fence,
+            share=permit.share,
+            probes=permit.probes,
+            valid_until=sent_at + permit.valid_s,
+            now=now(),
+        )
+
+
 def count_messages(counts, now):
     """Returns the ``AnswerCount`` messages of a report.
 
--- a/pistachiowell/router/reservation.py
+++ b/pistachiowell/router/reservation.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from pistachiowell.schema.generated.messages_budgets import SettleTokens
+
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
@@ -26,3 +28,33 @@
     reservation_id: str = ""
     router: str = ""
     page_version: int = 0
+
+    @classmethod
+    def granted(cls, call, reply):
+        """Returns what a home has set aside.
+
+        Args:
+            call: The ``ReserveTokens``.
+            reply: The ``TokensReserved``.
+        """
+        return cls(
+            call.request_id,
+            call.account,
+            reply.grant_id,
+            reply.holder,
+            reply.tokens,
+            call.reservation_id,
+            call.router,
+            reply.page_version,
+        )
+
+    def settlement(self, used_tokens):
+        """Returns the ``SettleTokens`` that books its end."""
+        return SettleTokens(
+            self.account,
+            self.request_id,
+            self.grant_id,
+            used_tokens,
+            reservation_id=self.reservation_id,
+            router=self.router,
+        )
--- a/pistachiowell/router/settlements.py
+++ b/pistachiowell/router/settlements.py
@@ -4,7 +4,7 @@
 
 from pistachiowell.core.errors import LinkLost, LinkTimeout
 from pistachiowell.core.logs import part_logger
-from pistachiowell.schema.generated.messages_budgets import TokensSettled
+from pistachiowell.schema.generated.messages_budgets import SettleTokens, TokensSettled
 
 CALL_TIMEOUT_S = 1.0
 SEND_INTERVAL_S = 0.1
@@ -44,6 +44,23 @@
         self._fresh.append(message.reservation_id)
         self._wake.set()
 
+    def give_up(self, holder, call):
+        """Queues the end of a reservation that a home may have made unheard.
+
+        Args:
+            holder: Incarnation of the home router.
+            call: The ``ReserveTokens``.
+        """
+        message = SettleTokens(
+            call.account,
+            call.request_id,
+            "",
+            0,
+            reservation_id=call.reservation_id,
+            router=call.router,
+        )
+        self.add(holder, message)
+
     def clear(self):
         """Forgets all settlements."""
         self._open.clear()
--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -101,16 +101,7 @@
         reply = await self._reserve_at_home(call)
         if reply is None:
             reply = await self._reserve_here(call)
-        return Reservation(
-            request_id,
-            account,
-            reply.grant_id,
-            reply.holder,
-            reply.tokens,
-            call.reservation_id,
-            call.router,
-            reply.page_version,
-        )
+        return Reservation.granted(call, reply)
 
     def end(self, reservation, used_tokens, agents=()):
         """Settles and bills a reservation, once its use is known.
@@ -134,16 +125,9 @@
             reservation: The ``Reservation``.
             used_tokens: Tokens that the attempt used.
         """
-        message = SettleTokens(
-            reservation.account,
-            reservation.request_id,
-            reservation.grant_id,
-            used_tokens,
-            reservation_id=reservation.reservation_id,
-            router=reservation.router,
-        )
+        message = reservation.settlement(used_tokens)
         if reservation.holder == self._holder.incarnation:
-            self._settle_here(message)
+            self._pages.settle(message)
         elif reservation.router == self._holder.incarnation:
             self._settlements.add(reservation.holder, message)
 
@@ -175,31 +159,20 @@
         try:
             reply = await peer.link.call(call, CALL_TIMEOUT_S)
         except (LinkLost, LinkTimeout):
-            self._give_up(call, peer.record.incarnation)
+            self._settlements.give_up(peer.record.incarnation, call)
             return None
         except anyio.get_cancelled_exc_class():
             # The caller has left; the home router may have reserved all the same.
-            self._give_up(call, peer.record.incarnation)
+            self._settlements.give_up(peer.record.incarnation, call)
             raise
         if isinstance(reply, TokensReserved):
             return reply
         error = error_class(reply.code)
         if error in (BudgetExhausted, BudgetUnreachable):
             raise error(reply.message)
-        self._give_up(call, peer.record.incarnation)
+        self._settlements.give_up(peer.record.incarnation, call)
         return None
 
-    def _give_up(self, call, holder):
-        message = SettleTokens(
-            call.account,
-            call.request_id,
-            "",
-            0,
-            reservation_id=call.reservation_id,
-            router=call.router,
-        )
-        self._settlements.add(holder, message)
-
     def _home(self, account):
         """Returns the peer that is home of an account; None if this router is."""
         settings = self._runtime.settings
@@ -212,12 +185,12 @@
         return peers.get(home_router(number, [*peers, settings.id]))
 
     async def _reserve_here(self, call):
-        held = self._try_reserve(call)
+        held = self._pages.reserve(call)
         if held is None:
             try:
                 held = await self._reserve_from_page(call)
             except BudgetUnreachable:
-                held = self._try_reserve(call)
+                held = self._pages.reserve(call)
                 if held is None:
                     self._holder.ledger(call.account).give_up(call.reservation_id)
                     raise
@@ -231,26 +204,17 @@
             held.page_version,
         )
 
-    def _try_reserve(self, call):
-        return self._holder.reserve(
-            call.account,
-            call.reservation_id,
-            call.router,
-            call.tokens,
-            self._runtime.now(),
-        )
-
     async def _reserve_from_page(self, call):
         if self._was_refused(call):
-            return self._try_reserve(call)
+            return self._pages.reserve(call)
         await self._pages.sync(call.account)
-        held = self._try_reserve(call)
+        held = self._pages.reserve(call)
         if held is not None:
             return held
         unreachable = await self._recall_from_others(call.account)
         self._holder.recall(call.account, self._runtime.now())
         page = await self._pages.sync(call.account)
-        held = self._try_reserve(call)
+        held = self._pages.reserve(call)
         if held is None:
             budget = page.accounts.get(call.account, BudgetAccount())
             final = refusal_is_final(budget, call.tokens, 0, unreachable)
@@ -305,7 +269,7 @@
         return await self._reserve_here(message)
 
     async def _take_settle(self, link, message):
-        self._settle_here(message)
+        self._pages.settle(message)
         return TokensSettled(message.request_id)
 
     async def _take_recall(self, link, message):
@@ -313,15 +277,6 @@
         await self._pages.sync(message.account)
         return TokensRecalled(message.account)
 
-    def _settle_here(self, message):
-        self._holder.settle(
-            message.account,
-            message.reservation_id,
-            message.router,
-            message.used_tokens,
-            self._runtime.now(),
-        )
-
 
 def page_name(account, page_count):
     """Returns the name of the budget page of an account."""
--- a/pistachiowell/store/calls.py
+++ b/pistachiowell/store/calls.py
@@ -17,7 +17,7 @@
 WRITE_TIMEOUT_S = 5.0
 MAX_CONNECTIONS = 16
 # Shows within three seconds that a connection has gone silent for good.
-_SOCKET_OPTIONS = [
+KEEP_ALIVE_OPTIONS = [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
@@ -51,7 +51,7 @@
         self._call_timeout_s = call_timeout_s
         self._nothing_done = frozenset(nothing_done)
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, socket_options=_SOCKET_OPTIONS
+            max_connections=MAX_CONNECTIONS, socket_options=KEEP_ALIVE_OPTIONS
         )
 
     async def aclose(self):
--- a/pistachiowell/store/registration.py
+++ b/pistachiowell/store/registration.py
@@ -5,6 +5,7 @@
 
 from pistachiowell.core.errors import STORE_ERRORS
 from pistachiowell.core.logs import part_logger
+from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
 from pistachiowell.store.store import ABSENT
 
 RETRY_DELAY_S = 0.3
@@ -12,6 +13,44 @@
 _log = part_logger("registration")
 
 
+def agent_record(runtime, server):
+    """Returns the ``AgentRecord`` of this process.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        server: The backend server beside it, as the fleet names it.
+    """
+    settings = runtime.settings
+    return AgentRecord(
+        id=settings.id,
+        incarnation=runtime.incarnation,
+        data_centre=settings.data_centre,
+        host=settings.host,
+        port=settings.advertised_port or settings.port,
+        server=server,
+    )
+
+
+def router_record(runtime, http_host, http_port):
+    """Returns the ``RouterRecord`` of this process.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        http_host: IP address for callers.
+        http_port: TCP port for callers.
+    """
+    settings = runtime.settings
+    return RouterRecord(
+        id=settings.id,
+        incarnation=runtime.incarnation,
+        data_centre=settings.data_centre,
+        peer_host=settings.peer_host,
+        peer_port=settings.advertised_port or settings.peer_port,
+        http_host=http_host,
+        http_port=http_port,
+    )
+
+
 async def register_process(store, collection, record):
     """Writes the registration of this process; retries until it took effect.
 
