Show that changes are missed when the store returns from an older copy

Three tests with a stand-in of the store that returns from a copy, raises its era and gives revisions out again.

--- a/pistachiowell/platform/standins.py
+++ b/pistachiowell/platform/standins.py
@@ -1,5 +1,7 @@
 """Stand-ins of the platform's store and of its backend servers, for tests."""
 
+import copy
+
 import anyio
 import httptools
 import msgspec
@@ -31,6 +33,7 @@
         lost_answers: Number of next writes that take effect but get no answer.
         calls: Number of calls received.
         revision: Revision of the latest write.
+        era: Number of the present era; None for a store that does not report one.
     """
 
     def __init__(self):
@@ -38,6 +41,7 @@
         self.lost_answers = 0
         self.calls = 0
         self.revision = 10
+        self.era = None
         self._objects = {}
         self._history = []
         self._discarded_revision = 0
@@ -71,6 +75,24 @@
         self._history.clear()
         self._notify_watches()
 
+    def take_copy(self):
+        """Returns a copy of the store for ``return_from_copy``."""
+        return _StoreCopy(self.revision, self._objects, self._history)
+
+    def return_from_copy(self, taken):
+        """Continues from an earlier copy, as after a loss of the newer data.
+
+        What was written since is gone, and its revisions are given out again. The era
+        rises by one. Watches that are waiting continue to wait.
+
+        Args:
+            taken: A result of ``take_copy``.
+        """
+        self.era += 1
+        self.revision = taken.revision
+        self._objects = copy.deepcopy(taken.objects)
+        self._history = list(taken.history)
+
     async def __call__(self, scope, receive, send):
         """Answers one call."""
         self.calls += 1
@@ -78,7 +100,8 @@
         if self.mode == "silent":
             await anyio.sleep_forever()
         if self.mode in ("busy", "many"):
-            await _send_json(send, 503 if self.mode == "busy" else 429, {})
+            status = 503 if self.mode == "busy" else 429
+            await _send_json(send, status, {}, self.era)
             return
         query = dict(
             item.split("=", 1)
@@ -90,7 +113,7 @@
         if scope["method"] != "GET" and self.lost_answers and status == 200:
             self.lost_answers -= 1
             await anyio.sleep_forever()
-        await _send_json(send, status, document)
+        await _send_json(send, status, document, self.era)
 
     async def _answer(self, method, parts, query, body):
         kind = parts[0]
@@ -125,6 +148,8 @@
 
     async def _watch(self, kind, query):
         after = int(query["Watch"])
+        if after > self.revision:
+            return 410, {}
         with anyio.move_on_after(int(query["WaitMs"]) / 1000):
             while after >= self._discarded_revision and not self._changes_after(
                 kind, after
@@ -153,6 +178,23 @@
         changed.set()
 
 
+class _StoreCopy:
+    """Content of the store at one moment.
+
+    Attributes:
+        revision: Revision of the latest write.
+        objects: Documents by kind and name.
+        history: The changes that watches can still get.
+    """
+
+    __slots__ = ("history", "objects", "revision")
+
+    def __init__(self, revision, objects, history):
+        self.revision = revision
+        self.objects = copy.deepcopy(objects)
+        self.history = list(history)
+
+
 class ReceivedRequest:
     """A request as a backend server received it; the callbacks of its parser fill it.
 
@@ -380,11 +422,13 @@
     return body
 
 
-async def _send_json(send, status, document):
+async def _send_json(send, status, document, era):
     body = msgspec.json.encode(document)
     headers = [
         (b"content-type", b"application/json"),
         (b"content-length", b"%d" % len(body)),
     ]
+    if era is not None:
+        headers.append((b"store-era", b"%d" % era))
     await send({"type": "http.response.start", "status": status, "headers": headers})
     await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/pistachiowell/platform/tests/test_returned_store.py
@@ -0,0 +1,109 @@
+"""The store returns from an older copy and gives its revisions out again.
+
+Guards against followers that continue from a revision of before the return: they miss
+what was written meanwhile, or take a new object for the one that they know.
+"""
+
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from pistachiowell.platform.objects import COALESCE_DELAY_S, ObjectStore
+from pistachiowell.platform.standins import ObjectServer, serve_app
+from pistachiowell.platform.tests.conftest import ROUTES, configuration
+from pistachiowell.store.follow import follow_collection
+
+pytestmark = pytest.mark.anyio
+
+FIRST_ROUTES = tuple(name for name in ROUTES if name != "other")
+# After a change the store is not asked again for this long, so a return is not noticed.
+BETWEEN_CALLS_S = COALESCE_DELAY_S / 2
+# A configuration is in force this long after the store has confirmed it.
+APPLY_S = 2.0
+
+
+@asynccontextmanager
+async def served_store():
+    """Yields an ``ObjectServer`` that reports eras, and a client of it."""
+    async with anyio.create_task_group() as group:
+        server = ObjectServer()
+        server.era = 1
+        port = await group.start(serve_app, server)
+        store = ObjectStore(f"127.0.0.1:{port}")
+        yield server, store
+        await store.aclose()
+        group.cancel_scope.cancel()
+
+
+async def test_change_that_follows_a_return_from_a_copy_is_never_seen():
+    async with served_store() as (server, store):
+        server.put("config", "main", {"Version": 1})
+        follower = follow_collection(store, "config")
+        with anyio.fail_after(APPLY_S):
+            await anext(follower)
+        taken = server.take_copy()
+        server.put("others", "lost", {})
+        server.put("config", "main", {"Version": 2})
+        with anyio.fail_after(APPLY_S):
+            assert b"2" in (await anext(follower))["main"].value
+        server.return_from_copy(taken)
+        server.put("config", "main", {"Version": 3})
+        for number in range(3):
+            server.put("others", f"other-{number}", {})
+        with anyio.fail_after(APPLY_S):
+            assert b"3" in (await anext(follower))["main"].value
+        await follower.aclose()
+
+
+async def test_route_added_as_the_store_returns_from_a_copy_is_refused(start_rig):
+    async with start_rig() as rig:
+        rig.store.era = 1
+        await rig.add_server("desk-1", "desk")
+        await rig.add_server("spare-1", "spare")
+        for number in range(3):
+            await rig.add_agent(f"agent-{number}")
+        gateway = await rig.add_gateway()
+        rig.store.put("config", "main", configuration(2, routes=FIRST_ROUTES))
+        await rig.until(lambda: gateway.state.catalog.revision == 2)
+        taken = rig.store.take_copy()
+        for number in range(3):
+            rig.store.put("others", f"lost-{number}", {})
+        rig.store.put("config", "main", configuration(3, routes=FIRST_ROUTES))
+        await rig.until(lambda: gateway.state.catalog.revision == 3)
+        await rig.until(lambda: _revisions(rig) == {3})
+        await anyio.sleep(BETWEEN_CALLS_S)
+        rig.store.return_from_copy(taken)
+        rig.store.put("config", "main", configuration(4))
+        for number in range(8):
+            rig.store.put("others", f"other-{number}", {})
+        await anyio.sleep(APPLY_S)
+        status, _, _ = await rig.send("/other/a")
+    assert status == 200
+
+
+def _revisions(rig):
+    return {rig.agent_state(f"agent-{n}").catalog.revision for n in range(3)}
+
+
+async def test_server_that_drains_is_used_on_as_its_revision_was_given_out_before(
+    start_rig,
+):
+    async with start_rig() as rig:
+        rig.store.era = 1
+        await rig.add_server("desk-1", "desk")
+        await rig.add_agent("agent-1")
+        gateway = await rig.add_gateway()
+        taken = rig.store.take_copy()
+        rig.register("desk-1", "desk", Slots=9)
+        revision = rig.store.revision
+        known = gateway.state.servers
+        await rig.until(lambda: known.known["desk-1"].slots == 9)
+        rig.store.return_from_copy(taken)
+        rig.register("desk-1", "desk", "draining")
+        assert rig.store.revision == revision
+        for number in range(3):
+            rig.store.put("others", f"other-{number}", {})
+        rig.store.discard_history()
+        await anyio.sleep(APPLY_S)
+        assert known.known["desk-1"].is_leaving
