Follow the store's era: miss no change when it returns from an older copy

Callers got 404 for a route whose configuration was confirmed seconds before, and a server that drains stayed in use. Cause: a follower went on from a revision of before the return; once the store had passed it again, it reported nothing of what was written at revisions up to it, and equal revisions of two eras were taken for one write. Class: a number compared over the boundary within which it is unique.

Each answer's era is read in one place (store/calls.py, store/era.py). A version holds the era above the revision, so versions of two eras never compare as equal. A rise ends waiting watches, so that each follower lists again; an answer of an earlier era counts as none; a conditional write from before is not sent. A server that the copy lacks is kept for the same time as after an outage. A log line, the counter store.returns and an event in the timeline tell each rise. A store that names no era stays in era 0.

A process whose only call was a watch that waited would have seen the era after 10 s; the watch of the configuration waits 2.5 s now, as that of the servers.

--- a/pistachiowell/core/runtime.py
+++ b/pistachiowell/core/runtime.py
@@ -43,6 +43,7 @@
         clock = HybridClock(time.time_ns)
         self._events = EventRing(settings.id, clock, settings.event_ring_size)
         self._store = ObservedStore(store, self._events)
+        store.era.add_listener(self._record_return)
         self._metrics = Metrics()
         self._hello = Hello(
             role=role,
@@ -103,6 +104,10 @@
         self._hello = dataclasses.replace(self._hello, incarnation=new_id(self._role))
         self._events.add(EventKind.process_started, text=self.incarnation)
 
+    def _record_return(self, era):
+        self._metrics.count("store.returns")
+        self._events.add(EventKind.store_returned, text=str(era))
+
     @staticmethod
     def now():
         """Returns the monotonic time in seconds."""
--- a/pistachiowell/gateway/watchers.py
+++ b/pistachiowell/gateway/watchers.py
@@ -198,12 +198,13 @@
 
 
 class _Observer(FollowObserver):
-    """Records whether the store answers, and calls a function after an outage.
+    """Records whether the store answers, and calls a function once it does again.
 
     Args:
         runtime: The process's ``Runtime``.
         collection: Name of the followed collection.
-        on_recovery: Function that is called once the store answers again.
+        on_recovery: Function that is called after an outage and after a return of the
+            store from an older copy.
 
     Attributes:
         is_connected: Whether the store answered the last list or watch.
@@ -236,3 +237,6 @@
             lost_s=round(self._runtime.now() - self._lost_at, 3),
         )
         self._on_recovery()
+
+    def on_return(self):
+        self._on_recovery()
--- a/pistachiowell/platform/objects.py
+++ b/pistachiowell/platform/objects.py
@@ -12,17 +12,20 @@
 from pistachiowell.core.errors import (
     BodyTooLarge,
     StoreAnswerLost,
+    StoreConflict,
     StoreUnavailable,
 )
 from pistachiowell.store.calls import StoreCalls
 from pistachiowell.store.store import ABSENT, MAX_VALUE_BYTES, Change, Entry
 
 BASE_PATH = "/pistachiowell/objects"
+ERA_HEADER = b"store-era"
 CALL_TIMEOUT_S = 1.5
 WATCH_WAIT_MS = 10_000
-# A store that stops answering during a watch is detected only after the wait. The wait
-# is shorter for the servers, because only the store reports that a server is leaving.
-_COLLECTION_WATCH_WAITS_MS = {"servers": 2_500}
+# A store that stops answering during a watch, or has returned from an older copy before
+# it, is detected only after the wait. The wait is shorter for what only the store
+# reports: that a server is leaving, and a new configuration.
+_COLLECTION_WATCH_WAITS_MS = {"servers": 2_500, "config": 2_500}
 WATCH_GRACE_S = 0.8
 MIN_WATCH_S = 0.02
 # Delay after an answer with changes, so that the next call returns several at once.
@@ -115,8 +118,14 @@
             f"http://{address}{BASE_PATH}",
             CALL_TIMEOUT_S,
             no_effect_statuses=(HTTP_UNAVAILABLE,),
+            era_header=ERA_HEADER,
         )
 
+    @property
+    def era(self):
+        """The ``StoreEra``."""
+        return self._calls.era
+
     async def aclose(self):
         """Closes all connections."""
         await self._calls.aclose()
@@ -126,15 +135,17 @@
         status, body = await self._calls.read(_path(collection, name))
         if status == 404:
             return None
-        return _entry(collection, _decode(body, _Object))
+        return self._entry(collection, _decode(body, _Object))
 
     async def put(self, collection, name, value, expected_version):
         """Writes conditionally; see ``Store.put``."""
         if len(value) > MAX_VALUE_BYTES:
             raise BodyTooLarge(f"{collection}/{name} has {len(value)} bytes.")
-        metadata = _Metadata(name, expected_version)
+        is_new = expected_version == ABSENT
+        revision = 0 if is_new else self.era.revision(expected_version)
+        metadata = _Metadata(name, revision)
         body = msgspec.json.encode(_Object(metadata, msgspec.Raw(value)))
-        if expected_version == ABSENT:
+        if is_new:
             return await self._change("POST", _path(collection), body)
         return await self._change("PUT", _path(collection, name), body)
 
@@ -153,14 +164,15 @@
         Raises:
             StoreConflict: The object has another version.
         """
-        metadata = _Metadata(name, expected_version)
+        metadata = _Metadata(name, self.era.revision(expected_version))
         document = _Object(metadata, status=msgspec.Raw(status))
         path = f"{_path(collection, name)}/status"
         return await self._change("PUT", path, msgspec.json.encode(document))
 
     async def delete(self, collection, name, expected_version):
         """Deletes conditionally; see ``Store.delete``."""
-        path = f"{_path(collection, name)}?Revision={expected_version}"
+        revision = self.era.revision(expected_version)
+        path = f"{_path(collection, name)}?Revision={revision}"
         await self._calls.write("DELETE", path, b"")
 
     async def list(self, collection):
@@ -168,6 +180,9 @@
 
         A watch from the first page's version also reports the changes that happened
         while the later pages were read, so none of them is missed.
+
+        Raises:
+            StoreConflict: The store has returned from an older copy between two pages.
         """
         entries, version, after = [], None, ""
         for _ in range(MAX_PAGES):
@@ -176,8 +191,10 @@
             if status == 404:
                 raise StoreUnavailable(f"The store has no kind {collection}.")
             page = _decode(body, _Page)
-            entries += [_entry(collection, item) for item in page.items]
-            version = page.current_rev if version is None else version
+            entries += [self._entry(collection, item) for item in page.items]
+            page_version = self.era.version(page.current_rev)
+            version = page_version if version is None else version
+            self.era.revision(version)
             if not page.more or not page.items:
                 return entries, version
             after = page.items[-1].metadata.name
@@ -197,14 +214,16 @@
         )
         while True:
             started_at = anyio.current_time()
-            path = f"{_path(collection)}?Watch={version}&WaitMs={wait_ms}"
-            status, body = await self._calls.read(path, timeout_s)
+            revision = self.era.revision(version)
+            path = f"{_path(collection)}?Watch={revision}&WaitMs={wait_ms}"
+            status, body = await self._read_until_return(path, timeout_s)
+            self.era.revision(version)
             if status == 404:
                 raise StoreUnavailable(f"The store has no kind {collection}.")
             answer = _decode(body, _Events)
-            version = max(version, answer.current_rev)
-            for event in answer.events:
-                yield _change(event)
+            version = max(version, self.era.version(answer.current_rev))
+            for change in [self._change_of(event) for event in answer.events]:
+                yield change
             yield None
             if answer.events:
                 # Changes that happen close together are then returned by one call.
@@ -212,6 +231,14 @@
             elif anyio.current_time() - started_at < MIN_WATCH_S:
                 raise StoreUnavailable("The store ended a watch too early.")
 
+    async def _read_until_return(self, path, timeout_s):
+        with (
+            anyio.CancelScope() as scope,
+            self.era.cancel_at_return(scope),
+        ):
+            return await self._calls.read(path, timeout_s)
+        raise StoreConflict("The store has returned from an older copy; list again.")
+
     async def vms(self):
         """Returns an empty list; the platform reports its VMs by signals only."""
         return []
@@ -219,27 +246,28 @@
     async def _change(self, method, path, body):
         answer = await self._calls.write(method, path, body)
         try:
-            return msgspec.json.decode(answer, type=_Object).metadata.revision
+            revision = msgspec.json.decode(answer, type=_Object).metadata.revision
         except _DECODE_ERRORS as error:
             raise StoreAnswerLost(
                 f"A response could not be decoded: {error}."
             ) from error
+        return self.era.version(revision)
 
+    def _entry(self, collection, item):
+        metadata = item.metadata
+        version = self.era.version(metadata.revision)
+        value, status = bytes(item.spec), bytes(item.status)
+        return Entry(collection, metadata.name, version, value, status)
 
-def _path(*parts):
-    return "/".join(quote(part, safe="") for part in parts)
-
-
-def _entry(collection, item):
-    metadata = item.metadata
-    value, status = bytes(item.spec), bytes(item.status)
-    return Entry(collection, metadata.name, metadata.revision, value, status)
+    def _change_of(self, event):
+        metadata = event.object.metadata
+        version = self.era.version(metadata.revision)
+        value = None if event.deleted else bytes(event.object.spec)
+        return Change(metadata.name, version, value, bytes(event.object.status))
 
 
-def _change(event):
-    metadata = event.object.metadata
-    value = None if event.deleted else bytes(event.object.spec)
-    return Change(metadata.name, metadata.revision, value, bytes(event.object.status))
+def _path(*parts):
+    return "/".join(quote(part, safe="") for part in parts)
 
 
 def _decode(body, cls):
--- a/pistachiowell/router/tests/test_api.py
+++ b/pistachiowell/router/tests/test_api.py
@@ -17,6 +17,7 @@
 )
 from pistachiowell.schema.generated.settings import RouterSettings
 from pistachiowell.schema.generated.table import AccountRow, RouteRow
+from pistachiowell.store import MemoryStore
 
 KEY_HASH = hashlib.sha256(b"secret").hexdigest()
 EVENT_STREAM = "text/event-stream"
@@ -106,7 +107,7 @@
         max_body_bytes=2000,
         operator_key_hashes=[hashlib.sha256(b"operator").hexdigest()],
     )
-    return Runtime("router", settings, None)
+    return Runtime("router", settings, MemoryStore())
 
 
 @pytest.fixture
--- a/pistachiowell/store/calls.py
+++ b/pistachiowell/store/calls.py
@@ -19,6 +19,7 @@
     StoreThrottled,
     StoreUnavailable,
 )
+from pistachiowell.store.era import StoreEra
 
 CONNECT_TIMEOUT_S = 2.0
 WRITE_TIMEOUT_S = 5.0
@@ -53,14 +54,28 @@
         call_timeout_s: Timeout of one call in seconds.
         no_effect_statuses: HTTP statuses with which this store rejects a write without
             applying it, in addition to those that are handled for every store.
+        era_header: Lower-case name of the header in which each answer names the era of
+            the store; empty if this store has none.
+
+    Attributes:
+        era: The ``StoreEra``.
     """
 
-    __slots__ = ("_base_url", "_call_timeout_s", "_no_effect_statuses", "_pool")
+    __slots__ = (
+        "_base_url",
+        "_call_timeout_s",
+        "_era_header",
+        "_no_effect_statuses",
+        "_pool",
+        "era",
+    )
 
-    def __init__(self, base_url, call_timeout_s, no_effect_statuses=()):
+    def __init__(self, base_url, call_timeout_s, no_effect_statuses=(), era_header=b""):
         self._base_url = base_url.rstrip("/")
         self._call_timeout_s = call_timeout_s
         self._no_effect_statuses = frozenset(no_effect_statuses)
+        self._era_header = era_header
+        self.era = StoreEra()
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS, socket_options=KEEP_ALIVE_OPTIONS
         )
@@ -80,13 +95,14 @@
             Status and body of a response with status 200 or 404.
 
         Raises:
-            StoreUnavailable: No response came, or one that reports a fault.
+            StoreUnavailable: No response came, or one that reports a fault, or one of
+                an earlier era.
             StoreThrottled: The store limits the rate of calls.
             StoreConflict: The store no longer keeps the requested history.
         """
         try:
             status, body = await self._send("GET", path, b"", timeout_s)
-        except (*HTTP_ERRORS, TimeoutError) as error:
+        except (*HTTP_ERRORS, TimeoutError, _EarlierEraError) as error:
             raise StoreUnavailable(f"No answer: {error_text(error)}.") from error
         if status != 404:
             check_read(status, body)
@@ -109,7 +125,7 @@
             status, answer = await self._send(method, path, body, None)
         except _NOT_SENT_ERRORS as error:
             raise StoreUnavailable(f"No connection: {error_text(error)}.") from error
-        except (*HTTP_ERRORS, TimeoutError) as error:
+        except (*HTTP_ERRORS, TimeoutError, _EarlierEraError) as error:
             raise StoreAnswerLost(f"No answer: {error_text(error)}.") from error
         if status in (200, 201):
             return answer
@@ -149,8 +165,22 @@
                 content=body,
                 extensions={"timeout": _timeouts(limit_s)},
             )
+        if not self.era.record(self._era_of(response)):
+            raise _EarlierEraError(
+                "The answer came after the store's return from a copy"
+            )
         return response.status, response.content
 
+    def _era_of(self, response):
+        for name, value in response.headers:
+            if name.lower() == self._era_header and value.isdigit():
+                return int(value)
+        return None
+
+
+class _EarlierEraError(Exception):
+    """An answer describes a content of the store that is lost."""
+
 
 def check_read(status, body):
     """Raises the error that matches the status of a read; returns None for 200."""
--- a/pistachiowell/store/follow.py
+++ b/pistachiowell/store/follow.py
@@ -37,6 +37,12 @@
     def on_recovery(self):
         """Handles the end of an outage; the next content is from a new list."""
 
+    def on_return(self):
+        """Handles a return of the store from an older copy of its content.
+
+        The next content is from a new list. What the copy lacks may be written again.
+        """
+
 
 async def follow_collection(
     store, collection, *, observer=None, max_delay_s=MAX_RETRY_DELAY_S
@@ -45,7 +51,8 @@
 
     During an outage the caller keeps the last content. The list is retried with an
     exponential delay, to limit the load on a store that fails. A watch whose
-    history the store no longer has is replaced by a new list after ``MIN_DELAY_S``.
+    history the store no longer has, also as it has returned from an older copy, is
+    replaced by a new list after ``MIN_DELAY_S``.
 
     Args:
         store: The platform's store.
@@ -60,9 +67,13 @@
     observer = observer or FollowObserver()
     delay_s = RETRY_DELAY_S
     is_unavailable = False
+    era = None
     while True:
         try:
             entries, version = await store.list(collection)
+            if era not in (None, store.era.number):
+                observer.on_return()
+            era = store.era.number
             if is_unavailable:
                 is_unavailable = False
                 observer.on_recovery()
--- a/pistachiowell/store/http.py
+++ b/pistachiowell/store/http.py
@@ -50,6 +50,11 @@
     def __init__(self, url, *, call_timeout_s=CALL_TIMEOUT_S):
         self._calls = StoreCalls(url.rstrip("/") + BASE_PATH, call_timeout_s)
 
+    @property
+    def era(self):
+        """The ``StoreEra``; this store names none."""
+        return self._calls.era
+
     async def aclose(self):
         """Closes all connections."""
         await self._calls.aclose()
--- a/pistachiowell/store/memory.py
+++ b/pistachiowell/store/memory.py
@@ -11,6 +11,7 @@
     StoreConflict,
     StoreUnavailable,
 )
+from pistachiowell.store.era import StoreEra
 from pistachiowell.store.http import decode_vm
 from pistachiowell.store.store import ABSENT, MAX_VALUE_BYTES, Change, Entry
 
@@ -152,14 +153,16 @@
         faults: The ``Faults`` to inject.
         table: The ``ObjectTable``.
         calls: Number of calls by method name.
+        era: The ``StoreEra``; this store names none.
     """
 
-    __slots__ = ("_changed", "calls", "faults", "table")
+    __slots__ = ("_changed", "calls", "era", "faults", "table")
 
     def __init__(self, table=None):
         self.table = ObjectTable() if table is None else table
         self.faults = Faults()
         self.calls = defaultdict(int)
+        self.era = StoreEra()
         self._changed = anyio.Event()
 
     async def aclose(self):
--- a/pistachiowell/store/observed.py
+++ b/pistachiowell/store/observed.py
@@ -26,6 +26,11 @@
         self._events = events
         self._available = True
 
+    @property
+    def era(self):
+        """The ``StoreEra`` of the store."""
+        return self._store.era
+
     async def get(self, collection, name):
         """See ``Store.get``."""
         with self._observe_call():
--- a/pistachiowell/store/store.py
+++ b/pistachiowell/store/store.py
@@ -1,12 +1,15 @@
 """Interface of the platform's store.
 
 Adapters implement ``Store``. Values are bytes, at most ``MAX_VALUE_BYTES``. Versions
-are opaque positive integers that grow with every write to the store.
+are opaque positive integers that grow with every write to the store, also after a
+return from an older copy; see ``pistachiowell.store.era``.
 """
 
 from dataclasses import dataclass
 from typing import Protocol
 
+from pistachiowell.store.era import StoreEra
+
 ABSENT = 0
 MAX_VALUE_BYTES = 1024 * 1024
 
@@ -72,8 +75,16 @@
     ``StoreAnswerLost``: the write may have taken effect, now or later. The writer then
     reads the object to find out, and a repeated write with the same expected version
     takes effect at most once.
+
+    A write whose expected version is from before a return of the store from an older
+    copy raises ``StoreConflict`` and is not sent.
+
+    Attributes:
+        era: The ``StoreEra``.
     """
 
+    era: StoreEra
+
     async def get(self, collection, name):
         """Returns an ``Entry``, or None."""
 
@@ -110,8 +121,8 @@
         changes.
 
         Raises:
-            StoreConflict: The store no longer keeps the history after this version;
-                list the collection again.
+            StoreConflict: The store no longer keeps the history after this version, or
+                has returned from an older copy; list the collection again.
         """
 
     async def vms(self):
