Answer a request whose body stalls at its timeout

Seen on reading the ways to break CONFIG: a request whose body does not arrive had no answer at the timeout of its route, as the deadline began only after the body. Class: a deadline that covers a part of the work. The body is read within the deadline now; the answer is 408, which says that nothing has run, and the connection is closed. The test failed before: no answer within 3 s at a timeout of 2 s.

--- a/pistachiowell/core/errors.py
+++ b/pistachiowell/core/errors.py
@@ -104,6 +104,9 @@
 )
 InvalidRequest = _define("invalid_request", 400, "Correct the request.")
 BodyTooLarge = _define("body_too_large", 413, "Send a smaller body.")
+BodyTimeout = _define(
+    "body_timeout", 408, "Send the request again with its whole body."
+)
 HeadersTooLarge = _define("headers_too_large", 431, "Send smaller headers.")
 Unauthorized = _define("unauthorized", 401, "Send a valid API key as bearer token.")
 NotFound = _define("not_found", 404, "Check the path and the model or service name.")
--- a/pistachiowell/gateway/answer_writer.py
+++ b/pistachiowell/gateway/answer_writer.py
@@ -7,6 +7,7 @@
 from pistachiowell.core.errors import NOT_RUN
 
 RETRY_AFTER_STATUSES = frozenset({429, 503})
+REQUEST_TIMEOUT_STATUS = 408
 
 
 class AnswerWriter:
@@ -75,6 +76,9 @@
         if error.http_status in RETRY_AFTER_STATUSES and error.ran == NOT_RUN:
             delay_ms = math.ceil(max(error.retry_after_s, 0.05) * 1000)
             headers.append((b"retry-after", b"%.3f" % (delay_ms / 1000)))
+        if error.http_status == REQUEST_TIMEOUT_STATUS:
+            # The rest of the request may never arrive.
+            headers.append((b"connection", b"close"))
         await self._send_head(error.http_status, headers, len(body))
         await self._send({"type": "http.response.body", "body": body})
         return True
@@ -83,7 +87,7 @@
         headers = list(headers)
         if length is not None:
             headers.append((b"content-length", b"%d" % length))
-        if self._is_leaving():
+        if self._is_leaving() and (b"connection", b"close") not in headers:
             headers.append((b"connection", b"close"))
         self._has_started = True
         await self._send(
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -3,6 +3,7 @@
 import anyio
 
 from pistachiowell.core.errors import (
+    BodyTimeout,
     BodyTooLarge,
     DeadlineExceeded,
     HeadersTooLarge,
@@ -115,10 +116,11 @@
             raise InvalidRequest("The request has no id.")
         if head.body_bytes > limits.body_bytes:
             raise BodyTooLarge(f"The body exceeds {limits.body_bytes} bytes.")
-        body = await read_body(receive, limits.body_bytes)
         wait_s = route.timeout_s
         if head.wait_limit_s is not None:
             wait_s = min(wait_s, head.wait_limit_s)
+        deadline = received_at + wait_s
+        body = await self._read_body(receive, limits.body_bytes, deadline)
         names = [name for name, weight in route.weights.items() if weight > 0]
         service = next(
             (catalog.services[name] for name in names if name in catalog.services), None
@@ -133,10 +135,15 @@
             service,
             account,
             received_at,
-            deadline=received_at + wait_s,
+            deadline=deadline,
             fingerprint=fingerprint(name, head.target.decode("latin-1"), body),
         )
 
+    async def _read_body(self, receive, max_bytes, deadline):
+        with anyio.move_on_after(max(0.0, deadline - self._runtime.now())):
+            return await read_body(receive, max_bytes)
+        raise BodyTimeout("The body did not arrive by the deadline of the request.")
+
     def _find_account(self, catalog, route, head):
         if catalog.accounts is None or route.is_public:
             return None
--- a/pistachiowell/platform/tests/test_gateway.py
+++ b/pistachiowell/platform/tests/test_gateway.py
@@ -365,6 +365,26 @@
         assert 0.25 < anyio.current_time() - started < 0.8
 
 
+async def test_request_whose_body_stalls_has_no_answer_at_its_timeout(small_rig):
+    async with small_rig() as rig:
+        host, _, port = rig.address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            started = anyio.current_time()
+            await stream.send(
+                b"POST /book/a HTTP/1.1\r\nHost: shop.example\r\nApi-Key: k-one\r\n"
+                b"Pistachiowell-Attempt-Id: stalled\r\nContent-Length: 10\r\n\r\nhalf"
+            )
+            with anyio.fail_after(3.0):
+                answer = await stream.receive()
+            # The timeout of the route is 2 s.
+            assert 1.9 < anyio.current_time() - started < 2.5
+            assert answer.startswith(b"HTTP/1.1 408 ")
+            with anyio.fail_after(1.0), pytest.raises(anyio.EndOfStream):
+                while True:
+                    await stream.receive()
+    assert not rig.servers["desk-1"].requests
+
+
 async def test_answers_of_a_leaving_gateway_close_their_connections(small_rig):
     async with small_rig() as rig:
         rig.gateways[0].begin_leaving()
