--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -256,6 +256,7 @@
             "Request is sent.",
             request=request.id,
             fingerprint=request.fingerprint,
+            parts=[part for part, _ in request.prompt.parts] if request.prompt else [],
             server=server.id,
             attempt=number,
             wait_s=round(attempt.expected_wait_s, 4),
