Show that a part of prompts crashes servers without end

Real processes, no two requests alike, sound traffic with the same first part.

A server stand-in crashes too for a part of the prompt, once it has written the head of the answer.

--- a/pistachiowell/platform/standin_documents.py
+++ b/pistachiowell/platform/standin_documents.py
@@ -60,7 +60,7 @@
     }
 
 
-def caller_headers(request_id, wait_limit_s, prompt_tokens, output_tokens):
+def caller_headers(request_id, wait_limit_s, prompt_tokens, output_tokens, parts=()):
     """Returns the headers of a request as pairs of bytes.
 
     Args:
@@ -68,6 +68,7 @@
         wait_limit_s: Longest time in seconds that the caller waits.
         prompt_tokens: Number of tokens of the prompt.
         output_tokens: Maximum number of tokens of the answer.
+        parts: Ids of the parts of the prompt; none to send no list of them.
     """
     headers = {
         "Host": HOST,
@@ -76,4 +77,7 @@
         "Pistachiowell-Deadline-Ms": str(int(wait_limit_s * 1000)),
         "Pistachiowell-Token-Usage": f"{prompt_tokens},{output_tokens}",
     }
+    if parts:
+        items = [f"{part}:{prompt_tokens // len(parts)}" for part in parts]
+        headers["Pistachiowell-Prefix-Hash"] = ",".join(items)
     return [(name.encode(), value.encode()) for name, value in headers.items()]
--- a/pistachiowell/platform/standin_program.py
+++ b/pistachiowell/platform/standin_program.py
@@ -1,7 +1,9 @@
 """Backend server stand-in as a program of its own, for tests with real processes.
 
 A request whose body contains the crash marker ends the process when the server begins
-to run it, and with it all other requests in progress there.
+to run it, and with it all other requests in progress there. So does one whose prompt
+has a part with the marker in its id, once the head of its answer is written; the last
+part does not count.
 """
 
 import json
@@ -46,6 +48,7 @@
         line = {
             "at": time.time(),
             "process": os.getpid(),
+            "parts": request.headers.get("pistachiowell-prefix-hash", ""),
             "server": request.headers.get("pistachiowell-expected-instance", ""),
             "request": request.headers["pistachiowell-attempt-id"],
             "body": request.body.decode(),
@@ -65,9 +68,12 @@
     """
 
     async def answer(request, stream):
+        has_crashing_part = bool(crash_marker) and _has_part(request, crash_marker)
         crashes = bool(crash_marker) and crash_marker in request.body
-        record.add(request, crashes=crashes)
-        if crashes:
+        record.add(request, crashes=crashes or has_crashing_part)
+        if has_crashing_part:
+            await stream.send(_stream_head(request))
+        if crashes or has_crashing_part:
             await anyio.sleep(crash_delay_s)
             os._exit(1)
         if request.target.startswith(STREAM_PATHS):
@@ -79,9 +85,18 @@
     return answer
 
 
-async def _answer_with_events(request, stream):
+def _has_part(request, marker):
+    parts = request.headers.get("pistachiowell-prefix-hash", "").split(",")
+    return any(marker.decode() in part for part in parts[:-1])
+
+
+def _stream_head(request):
     text = head(request, Content_Type="text/event-stream", Transfer_Encoding="chunked")
-    await stream.send((text + "\r\n").encode())
+    return (text + "\r\n").encode()
+
+
+async def _answer_with_events(request, stream):
+    await stream.send(_stream_head(request))
     first = int(request.headers.get("last-event-id", 0)) + 1
     for number in range(first, EVENTS_PER_STREAM + 1):
         await anyio.sleep(EVENT_INTERVAL_S)
