Quarantine a part of prompts that crashes servers

Cause: the ledger counted whole requests; no two of these are alike. Class: evidence kept by a key that does not identify the cause.

A part is quarantined if it was at four crashes or more, at half of those of its series at least, in no answer that ended well since, and if chance explains that badly: how common parts are and how often others were cleared by good answers is compared. Requests that waited at the server prove less; what a server has written for over a second did not crash it. A good answer clears a part at all routers, also out of quarantine; after 300 s one crash renews it. An innocent request that was at the crashes of a part is not blamed for them. A request with a part that was at three crashes is not sent again after another. Refused at once with 503, code quarantined and Retry-After; nothing is charged.

--- a/pistachiowell/agent/crashes.py
+++ b/pistachiowell/agent/crashes.py
@@ -76,7 +76,7 @@
         is_innocent = complete or not was_sent
         fingerprint = self._detection.record_end(key, is_innocent=is_innocent)
         if complete and fingerprint:
-            self._ledger.clear(fingerprint)
+            self._ledger.clear(fingerprint, self._runtime.now())
 
     async def detect_crash(self):
         """Checks the server after a lost connection; returns whether it crashed."""
@@ -94,7 +94,9 @@
             return False
         return False
 
-    def _report_crash(self, candidates):
+    def _report_crash(self, in_progress, questioned_at):
+        del questioned_at
+        candidates = tuple(sorted(set(in_progress) - {""}))
         server = self._runtime.settings.server
         crash = Crash(new_id("crash"), server, candidates)
         _log.warning(
@@ -124,7 +126,7 @@
             self._refuse([message.fingerprint])
 
     async def _handle_cleared(self, link, message):
-        self._ledger.clear(message.fingerprint)
+        self._ledger.clear(message.fingerprint, self._runtime.now())
 
     def _record_crash(self, crash):
         quarantined = self._ledger.record_crash(crash, self._runtime.now())
--- a/pistachiowell/engines/crash_detection.py
+++ b/pistachiowell/engines/crash_detection.py
@@ -15,8 +15,9 @@
     Args:
         refuses_connections: Async function that returns whether the server refuses new
             connections.
-        report: Function that is called with the sorted fingerprints of the requests
-            that were in progress at a crash.
+        report: Function that is called with a list of the requests that were in
+            progress at a crash, as passed to ``record_start``, and with the time at
+            which the connection was lost.
         now: Function that returns the monotonic time in seconds.
     """
 
@@ -25,6 +26,7 @@
         "_crashed_at",
         "_in_question",
         "_now",
+        "_questioned_at",
         "_refuses_connections",
         "_report",
         "_running",
@@ -38,20 +40,21 @@
         self._in_question = {}
         self._checked = None
         self._crashed_at = float("-inf")
+        self._questioned_at = float("-inf")
 
     @property
     def is_idle(self):
         """Whether no request is in progress."""
         return not self._running and self._checked is None
 
-    def record_start(self, key, fingerprint):
+    def record_start(self, key, request):
         """Records that a request may now reach the server.
 
         Args:
             key: Key of the request, unique among those in progress.
-            fingerprint: Its fingerprint; empty if it is unknown.
+            request: What the report of a crash shall tell of it.
         """
-        self._running[key] = fingerprint
+        self._running[key] = request
 
     def record_end(self, key, *, is_innocent):
         """Records the end of a request.
@@ -62,11 +65,11 @@
                 has not reached it, or has got a complete answer.
 
         Returns:
-            The fingerprint; empty if the key is unknown.
+            The request as passed to ``record_start``; None if the key is unknown.
         """
         if is_innocent:
             self._in_question.pop(key, None)
-        return self._running.pop(key, "")
+        return self._running.pop(key, None)
 
     def question(self):
         """Puts the requests in progress in question after a lost connection.
@@ -82,6 +85,7 @@
         if self._checked is not None:
             return False
         self._checked = anyio.Event()
+        self._questioned_at = self._now()
         return True
 
     async def check(self):
@@ -89,7 +93,7 @@
         try:
             if await self._refuses_connections():
                 self._crashed_at = self._now()
-                self._report(tuple(sorted(set(self._in_question.values()) - {""})))
+                self._report(list(self._in_question.values()), self._questioned_at)
         finally:
             self._in_question = {}
             self._checked.set()
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -20,7 +20,7 @@
 from pistachiowell.gateway.answer_writer import AnswerWriter
 from pistachiowell.gateway.dispatch import Usage
 from pistachiowell.gateway.messages import GatewayRequest
-from pistachiowell.routing import fingerprint
+from pistachiowell.routing import fingerprint, part_names
 
 NOT_READY_RETRY_AFTER_S = 0.5
 
@@ -128,6 +128,7 @@
         if service is None:
             raise Overloaded(f"Route {route.name} has no service.")
         name = account.name if account else ""
+        parts = head.prompt.parts if head.prompt else ()
         return GatewayRequest(
             head,
             body,
@@ -137,6 +138,7 @@
             received_at,
             deadline=deadline,
             fingerprint=fingerprint(name, head.target.decode("latin-1"), body),
+            part_names=part_names([part for part, _ in parts]),
         )
 
     async def _read_body(self, receive, max_bytes, deadline):
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -205,7 +205,7 @@
 
     def _check_crashes(self, run):
         try:
-            return self._crashes.check(run.request.fingerprint)
+            return self._crashes.check(run.request)
         except PistachiowellError as error:
             raise self._final_error(run, error) from error
 
@@ -220,7 +220,9 @@
             may_have_arrived=not isinstance(error, NotConnected),
         )
         now = self._runtime.now()
-        return run.retries.may_retry(failure, now, self._retry_share(run))
+        if not run.retries.may_retry(failure, now, self._retry_share(run)):
+            return False
+        return error.ran == NOT_RUN or self._crashes.may_send_again(run.request)
 
     def _log_last_attempt(self, run, number, error):
         retry_share = self._retry_share(run)
@@ -264,17 +266,19 @@
         )
         with self._recorded_attempt(run, attempt):
             async with (
-                self._crashes.tracked_attempt(server, request.fingerprint) as tracked,
+                self._crashes.tracked_attempt(server, request) as tracked,
                 Exchange(self._pool, self._codec, server, request) as exchange,
             ):
                 try:
-                    await self._forward_answer(run, exchange, attempt)
+                    await self._forward_answer(run, exchange, attempt, tracked)
                 finally:
                     if exchange.is_complete:
-                        tracked.record_answer(exchange.head)
+                        tracked.record_answer(
+                            exchange.head, is_framed=exchange.is_framed
+                        )
                     run.record_usage(exchange)
 
-    async def _forward_answer(self, run, exchange, attempt):
+    async def _forward_answer(self, run, exchange, attempt, tracked):
         request, events = run.request, run.events
         left_s = request.deadline - self._runtime.now()
         if left_s <= 0:
@@ -285,6 +289,7 @@
         events.begin_continuation()
         await exchange.send(left_s, last_id)
         head = exchange.head
+        tracked.record_begin()
         if not request.route.has_prompts or not head.is_success:
             attempt.record_first_byte()
             run.usage.has_unstreamed_answer |= head.is_success
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -72,6 +72,14 @@
         """Whether the whole answer was read."""
         return self._is_complete
 
+    @property
+    def is_framed(self):
+        """Whether the answer tells its end, by a length or in chunks.
+
+        Otherwise it ends with its connection, for whatever reason that is closed.
+        """
+        return self.head.length is not None or self.head.is_chunked
+
     async def __aenter__(self):
         self._connection = await self._pool.acquire(self.server)
         return self
--- a/pistachiowell/gateway/messages.py
+++ b/pistachiowell/gateway/messages.py
@@ -73,6 +73,7 @@
         received_at: Time at which its head was read, in seconds.
         deadline: Time by which the answer must be complete, as the caller then leaves.
         fingerprint: Hash that is the same each time the caller sends this request.
+        part_names: Names of the shared parts of its prompt; see ``part_names``.
     """
 
     head: RequestHead
@@ -83,6 +84,7 @@
     received_at: float
     deadline: float
     fingerprint: str
+    part_names: tuple = ()
 
     @property
     def id(self):
@@ -118,6 +120,7 @@
         keep_alive_s: Seconds for which the server keeps the connection; 0 if it
             closes it, None if it does not announce a time.
         length: Announced length of the body; None if it is not announced.
+        is_chunked: Whether the body is sent in chunks, the last of which ends it.
         headers: Pairs of bytes that are forwarded to the caller.
     """
 
@@ -128,6 +131,7 @@
     is_encoded: bool
     keep_alive_s: float | None
     length: int | None
+    is_chunked: bool
     headers: list
 
     @property
--- a/pistachiowell/platform/headers.py
+++ b/pistachiowell/platform/headers.py
@@ -129,6 +129,7 @@
         is_encoded=b"content-encoding" in values,
         keep_alive_s=_parse_keep_alive_s(values),
         length=int(length) if length is not None and length.isdigit() else None,
+        is_chunked=b"chunked" in values.get(b"transfer-encoding", b"").lower(),
         headers=[(n.lower(), v) for n, v in headers if n.lower() not in dropped],
     )
 
--- a/pistachiowell/router/crash_candidates.py
+++ b/pistachiowell/router/crash_candidates.py
@@ -9,8 +9,16 @@
 from pistachiowell.core.ids import new_id
 from pistachiowell.core.logs import part_logger
 from pistachiowell.router.quarantine_store import QuarantineStore
-from pistachiowell.routing import CRASH_LEDGERS, Crash, FingerprintStatus
+from pistachiowell.routing import (
+    CRASH_LEDGERS,
+    Crash,
+    FingerprintStatus,
+    PartInProgress,
+    SuspectKind,
+    suspect_kind,
+)
 from pistachiowell.schema.generated.messages_membership import (
+    CrashedPart,
     CrashReport,
     RequestQuarantined,
     SuspectCleared,
@@ -18,6 +26,9 @@
 
 JUDGE_INTERVAL_S = 0.1
 MAX_UNCOUNTED_CRASHES = 1_000
+# A request with a part that was at so many crashes, and in no good answer since, is not
+# sent again after another one.
+MAX_CRASHES_OF_A_PART_TO_RETRY = 2
 
 _log = part_logger("suspects")
 
@@ -26,10 +37,11 @@
     """Crash ledger of one process, synchronised with its peers and the store.
 
     A request that was in progress when its server crashed is a crash candidate until it
-    has got a complete answer. Enough crashes quarantine it, so that the repeats of one
-    request cannot crash the servers of a fleet one by one. A new link carries what both
-    ends know, so a process that starts or was cut off knows it at once, and quarantined
-    fingerprints are stored for the case that all processes end.
+    has got a complete answer, and so is each part of its prompt until a request with it
+    has got one. Enough crashes quarantine it, so that the repeats of one request, or
+    requests with one part in common, cannot crash the servers of a fleet one by one. A
+    new link carries what both ends know, so a process that starts or was cut off knows
+    it at once, and quarantined ones are stored for the case that all processes end.
 
     Args:
         runtime: The process's ``Runtime``.
@@ -62,20 +74,29 @@
                 self._announce(self._ledger.judge(self._runtime.now()))
                 await anyio.sleep(JUDGE_INTERVAL_S)
 
-    def check(self, fingerprint):
+    def check(self, fingerprint, parts=()):
         """Checks whether a request may run.
 
         Args:
             fingerprint: Fingerprint of the request.
+            parts: Names of the parts of its prompt; see ``part_names``.
 
         Returns:
             The servers that crashed while it ran; empty if it is no crash candidate.
 
         Raises:
-            Quarantined: The request is quarantined and must not run.
+            Quarantined: The request or a part of its prompt is quarantined; it must not
+                run.
             Overloaded: The reports about its last crash are still awaited.
         """
         now = self._runtime.now()
+        for part in parts:
+            if self._ledger.status(part, now) is FingerprintStatus.quarantined:
+                raise Quarantined(
+                    "A part of its prompt crashed backend servers.",
+                    ran="no",
+                    retry_after_s=self._ledger.quarantine_left_s(part, now),
+                )
         status = self._ledger.status(fingerprint, now)
         if status is FingerprintStatus.quarantined:
             raise Quarantined(
@@ -106,19 +127,48 @@
             return False
         return not self._uncounted_crashes.pop(server, False)
 
-    def clear(self, fingerprint):
-        """Clears a request that has got a complete answer."""
-        if self._ledger.clear(fingerprint):
-            self._peers.broadcast(SuspectCleared(fingerprint))
+    def may_send_again(self, parts):
+        """Returns whether a request may be sent again after its server has crashed.
+
+        Args:
+            parts: Names of the parts of its prompt.
+        """
+        now = self._runtime.now()
+        return all(
+            self._ledger.crash_count(part, now) <= MAX_CRASHES_OF_A_PART_TO_RETRY
+            for part in parts
+        )
+
+    def clear(self, fingerprint, parts=()):
+        """Clears a request that has got a complete answer, and the parts of its prompt.
 
-    def report_crash(self, server, fingerprints):
+        Args:
+            fingerprint: Fingerprint of the request.
+            parts: Names of the parts of its prompt.
+        """
+        for name in (fingerprint, *parts):
+            left_s = self._ledger.quarantine_left_s(name, self._runtime.now())
+            if self._clear(name):
+                self._peers.broadcast(SuspectCleared(name))
+                if left_s:
+                    self.store.save(name)
+
+    def report_crash(self, server, fingerprints, parts=()):
         """Records a crash that this process has detected and reports it to the peers.
 
         Args:
             server: Name of the backend server.
             fingerprints: Fingerprints of this process's requests in progress there.
+            parts: A ``PartInProgress`` for each part of their prompts.
         """
-        self._record(CrashReport(new_id("crash"), server, list(fingerprints)))
+        crashed_parts = [
+            CrashedPart(part.name, list(part.begun), list(part.waiting))
+            for part in parts
+        ]
+        crash_id = new_id("crash")
+        self._record(
+            CrashReport(crash_id, server, list(fingerprints), parts=crashed_parts)
+        )
 
     async def _handle_crash(self, link, message):
         self._record(message)
@@ -129,6 +179,10 @@
             message.server,
             tuple(message.fingerprints),
             message.age_s,
+            tuple(
+                PartInProgress(part.part, tuple(part.begun), tuple(part.waiting))
+                for part in message.parts
+            ),
         )
         if self._ledger.is_known(crash):
             return
@@ -144,6 +198,7 @@
             crash=crash.crash_id,
             age_s=round(crash.age_s, 3),
             fingerprints=list(crash.fingerprints),
+            parts=[part.name for part in crash.parts if part.begun],
         )
         self._runtime.events.add(EventKind.server_crashed, text=crash.server)
         self._announce(quarantined)
@@ -161,8 +216,11 @@
     def _record_quarantine(self, fingerprint, servers):
         self._runtime.metrics.count("requests.quarantined")
         self._runtime.events.add(EventKind.request_quarantined, text=fingerprint)
+        is_part = suspect_kind(fingerprint) is SuspectKind.part
         _log.warning(
-            "Request is quarantined.", fingerprint=fingerprint, servers=servers
+            "Part of prompts is quarantined." if is_part else "Request is quarantined.",
+            fingerprint=fingerprint,
+            servers=servers,
         )
 
     async def _handle_quarantined(self, link, message):
@@ -172,9 +230,17 @@
             self._peers.broadcast(message)
 
     async def _handle_cleared(self, link, message):
-        if self._ledger.clear(message.fingerprint):
+        if self._clear(message.fingerprint):
             self._peers.broadcast(message)
 
+    def _clear(self, name):
+        now = self._runtime.now()
+        left_s = self._ledger.quarantine_left_s(name, now)
+        is_cleared = self._ledger.clear(name, now)
+        if is_cleared and left_s:
+            _log.warning("Quarantine is lifted by an answer.", fingerprint=name)
+        return is_cleared
+
     def _tell_new_peer(self, link):
         now = self._runtime.now()
         messages = [
@@ -183,7 +249,14 @@
         ]
         messages += [
             CrashReport(
-                crash.crash_id, crash.server, list(crash.fingerprints), crash.age_s
+                crash.crash_id,
+                crash.server,
+                list(crash.fingerprints),
+                crash.age_s,
+                [
+                    CrashedPart(part.name, list(part.begun), list(part.waiting))
+                    for part in crash.parts
+                ],
             )
             for crash in self._ledger.crashes_for_new_peer(now)
         ]
--- a/pistachiowell/router/quarantine_store.py
+++ b/pistachiowell/router/quarantine_store.py
@@ -1,7 +1,7 @@
-"""Quarantined requests in the platform's store.
+"""Quarantined requests and parts of prompts in the platform's store.
 
-The processes tell each other which requests are quarantined. The store is for the case
-that all of them end at once, and for a process that reaches no other one.
+The processes tell each other what is quarantined. The store is for the case that all of
+them end at once, and for a process that reaches no other one.
 """
 
 import time
@@ -20,12 +20,14 @@
 RETRY_DELAY_S = 1.0
 MAX_RETRY_DELAY_S = 1.0
 MAX_UNSAVED = 1_000
+# Processes that decide on the same quarantine do so within this time.
+SAME_QUARANTINE_MS = 10_000
 
 _log = part_logger("suspects")
 
 
 class QuarantineStore:
-    """Writes and follows the records of quarantined requests.
+    """Writes and follows the records of quarantined requests and parts of prompts.
 
     Args:
         store: The platform's store.
@@ -43,10 +45,11 @@
         self._wake = anyio.Event()
 
     def save(self, fingerprint):
-        """Writes the record of a quarantined request as soon as the store accepts it.
+        """Writes what the ledger knows as soon as the store accepts it.
 
         Args:
-            fingerprint: Fingerprint of the request; quarantined in the ledger.
+            fingerprint: Name of a suspect that was quarantined or whose quarantine was
+                lifted.
         """
         self._unsaved.append(fingerprint)
         self._wake.set()
@@ -78,23 +81,38 @@
 
     async def _write(self, fingerprint):
         left_s = self._ledger.quarantine_left_s(fingerprint, self._now())
+        if left_s <= 0:
+            await self._delete(fingerprint)
+            return
         record = QuarantineRecord(
             fingerprint,
             list(self._ledger.crashed_servers(fingerprint)),
             until_ms=int((time.time() + left_s) * 1000),
         )
+        value = msgspec.json.encode(record)
         try:
-            value = msgspec.json.encode(record)
             await self._store.put(QUARANTINE, fingerprint, value, ABSENT)
         except StoreConflict:
-            # Another process has written the record of the same request.
+            await self._extend(record, value)
+
+    async def _extend(self, record, value):
+        """Replaces a record of an earlier quarantine, not that of another process."""
+        entry = await self._store.get(QUARANTINE, record.fingerprint)
+        if entry is None:
             return
+        known = _decode(entry.value)
+        if known is None or known.until_ms < record.until_ms - SAME_QUARANTINE_MS:
+            version = entry.version
+            await self._store.put(QUARANTINE, record.fingerprint, value, version)
+
+    async def _delete(self, fingerprint):
+        entry = await self._store.get(QUARANTINE, fingerprint)
+        if entry is not None:
+            await self._store.delete(QUARANTINE, fingerprint, entry.version)
 
     async def _apply(self, name, item):
-        try:
-            record = msgspec.json.decode(item.value, type=QuarantineRecord)
-        except msgspec.MsgspecError as error:
-            _log.warning("Ignored an invalid record of a quarantine: {}", error)
+        record = _decode(item.value)
+        if record is None:
             return
         if not record.until_ms:
             self._ledger.quarantine(name, self._now())
@@ -107,3 +125,12 @@
             await self._store.delete(QUARANTINE, name, item.version)
         except STORE_ERRORS as error:
             _log.debug("An old quarantine stays in the store: {}", error)
+
+
+def _decode(value):
+    """Returns the ``QuarantineRecord``, or None for an invalid value."""
+    try:
+        return msgspec.json.decode(value, type=QuarantineRecord)
+    except msgspec.MsgspecError as error:
+        _log.warning("Ignored an invalid record of a quarantine: {}", error)
+        return None
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -1,15 +1,22 @@
 """Routing: server selection, ejection, retries, answers, quarantine, credits."""
 
 from pistachiowell.routing.assembly import ASSEMBLERS, Broken, Deliver, Finished
+from pistachiowell.routing.crash_suspects import (
+    Crash,
+    FingerprintStatus,
+    PartInProgress,
+    SuspectKind,
+    fingerprint,
+    part_names,
+    place_crash_candidate,
+    suspect_kind,
+)
 from pistachiowell.routing.crashes import (
     CRASH_LEDGERS,
+    PART_CRASHES,
     SHARED_SERVER_CRASHES,
-    Crash,
     CrashLedger,
     CrashSettings,
-    FingerprintStatus,
-    fingerprint,
-    place_crash_candidate,
 )
 from pistachiowell.routing.credits import CREDIT_POOLS, AbortStream, CreditSettings
 from pistachiowell.routing.health import HealthTable
@@ -40,6 +47,7 @@
     "ASSEMBLERS",
     "CRASH_LEDGERS",
     "CREDIT_POOLS",
+    "PART_CRASHES",
     "PICKERS",
     "PLACERS",
     "REPORT_PACERS",
@@ -63,6 +71,7 @@
     "HealthTable",
     "LoadSums",
     "LoadTable",
+    "PartInProgress",
     "PlacedRequest",
     "PlacementSettings",
     "RequestRetries",
@@ -72,7 +81,10 @@
     "RouteRetries",
     "RoutingSettings",
     "SharingSettings",
+    "SuspectKind",
     "fingerprint",
+    "part_names",
     "place_crash_candidate",
     "rendezvous",
+    "suspect_kind",
 ]
