Do not take a connection that ends before the first event for a whole stream

A stream with neither a length nor chunks ends with its connection: whole after an event, broken off inside one. One that ended before its first event was passed on as a complete, empty answer, so a server that crashed as it began to answer looked like one that had answered. The test failed before for that case (200), and passes now; the cases after and inside an event held already.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -305,10 +305,11 @@
     async def _forward_stream(self, run, exchange, attempt):
         # Only complete events are sent, so that another server can continue a broken
         # stream with the event after the last one.
-        head = exchange.head
+        head, has_data = exchange.head, False
         async for data in exchange.chunks():
             if not data:
                 continue
+            has_data = True
             attempt.record_first_byte()
             complete = run.events.feed(data)
             if complete:
@@ -317,6 +318,8 @@
                 raise AnswerBroken(run.events.fault)
         if run.events.pending_bytes:
             raise ConnectionBroken("The stream ended inside an event.")
+        if not has_data and not exchange.is_framed:
+            raise ConnectionBroken("The connection ended before the first event.")
         await run.writer.finish(head)
 
     def _retry_share(self, run):
--- a/pistachiowell/platform/standins.py
+++ b/pistachiowell/platform/standins.py
@@ -366,28 +366,33 @@
     return script
 
 
-def stream_events(first, last, *, truncated=False):
+def stream_events(first, last, *, truncated=False, framed=True):
     """Returns a script that streams events.
 
     Args:
         first: Number of the first event, unless the request resumes a stream.
         last: Number of the last whole event.
         truncated: Whether the connection is closed within the event after the last.
+        framed: Whether the answer is sent in chunks; otherwise it has no length either
+            and ends with its connection.
     """
+    encode = chunk if framed else bytes
 
     async def script(request, stream):
         start = first
         if "last-event-id" in request.headers:
             start = int(request.headers["last-event-id"]) + 1
+        encoding = "chunked" if framed else ""
         text = head(
-            request, Content_Type="text/event-stream", Transfer_Encoding="chunked"
+            request, Content_Type="text/event-stream", Transfer_Encoding=encoding
         )
         await stream.send((text + "\r\n").encode())
         for number in range(start, last + 1):
-            await stream.send(chunk(event(number)))
+            await stream.send(encode(event(number)))
             await anyio.sleep(0.005)
         if truncated:
-            await stream.send(chunk(event(last + 1)[:7]))
+            await stream.send(encode(event(last + 1)[:7]))
+        if truncated or not framed:
             return False
         await stream.send(b"0\r\n\r\n")
         return True
--- a/pistachiowell/platform/tests/test_gateway.py
+++ b/pistachiowell/platform/tests/test_gateway.py
@@ -1,7 +1,7 @@
 """Tests of the gateway against stand-ins of the platform's store and servers."""
 
 import zlib
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import anyio
 import httpcore
@@ -354,6 +354,32 @@
             await disconnected.wait()
 
 
+@pytest.mark.parametrize(
+    ("last", "truncated", "is_whole"),
+    [(3, False, True), (3, True, False), (0, True, False), (0, False, False)],
+)
+async def test_stream_that_ends_with_its_connection_looks_whole(
+    small_rig, last, truncated, is_whole
+):
+    script = stream_events(1, last, truncated=truncated, framed=False)
+    async with small_rig(pool=script) as rig:
+        status, body = 0, b""
+        with suppress(httpcore.RemoteProtocolError):
+            status, _, body = await rig.send_chat("/long/x")
+        assert (status == 200) is is_whole
+        assert not is_whole or body == b"".join(map(event, range(1, last + 1)))
+
+
+async def test_stream_that_ends_with_its_connection_is_continued_within_an_event(
+    small_rig,
+):
+    script = stream_events(1, 2, truncated=True, framed=False)
+    async with small_rig(pool=script, spare=stream_events(1, 4)) as rig:
+        for _ in range(4):
+            status, _, body = await rig.send_chat()
+            assert (status, body) == (200, b"".join(map(event, range(1, 5))))
+
+
 async def test_request_ends_at_its_deadline(small_rig):
     async def never_answer(request, stream):
         await anyio.sleep_forever()
