Let an agent that joins during a move not judge it beside its judge

Good versions were not completed and bad ones kept: two agents judged one move, as one that had just joined ranked first. Gateways reported to it from then on; it began without evidence, and the other went on without answers. Only agents that registered before the order judge a move, as long as one of them is in use; the versions of the registration and of the order in the store tell, so gateways agree. Class: a choice that is made anew over a set that changes.

--- a/pistachiowell/gateway/moves.py
+++ b/pistachiowell/gateway/moves.py
@@ -123,7 +123,7 @@
             await anyio.sleep(REPORT_INTERVAL_S)
 
     async def _report(self, service, move):
-        link = self._judge_link(service)
+        link = self._judge_link(service, move.order)
         if link is None:
             return
         now = self._runtime.now
@@ -136,10 +136,21 @@
                 error=str(error),
             )
 
-    def _judge_link(self, service):
+    def _judge_link(self, service, order):
+        """Returns the link to the agent that judges a move; None if there is none.
+
+        An agent that registered after the order does not take the judgement over: it
+        would begin without evidence beside the judge that has it.
+        """
         usable = {n: peer for n, peer in self._fleet.agents.items() if peer.usable}
-        names = rank_owners(service, usable)
-        return usable[names[0]].link if names else None
+        older = {
+            name: peer
+            for name, peer in usable.items()
+            if peer.registered_version < order.object_version
+        }
+        candidates = older or usable
+        names = rank_owners(service, candidates)
+        return candidates[names[0]].link if names else None
 
 
 # Stand for the names of the versions in the row of a tracker.
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -3,6 +3,7 @@
 from random import Random
 from types import SimpleNamespace
 
+import anyio
 import pytest
 
 from pistachiowell.catalog import BackendServer
@@ -148,3 +149,53 @@
     simulation.apply_orders()
     chosen = [gateway.filter_servers("desk", SERVERS) for _ in range(50)]
     assert {s.version for servers in chosen for s in servers} == {"v1"}
+
+
+class Fleet:
+    """Agents as a gateway sees them, each with a link of its own.
+
+    Args:
+        versions: Versions of their registrations in the store by name.
+    """
+
+    def __init__(self, **versions):
+        self.agents = {
+            name: SimpleNamespace(
+                usable=True, registered_version=version, link=Link(name)
+            )
+            for name, version in versions.items()
+        }
+
+
+class Link:
+    """Records which agent got reports."""
+
+    reports = []
+
+    def __init__(self, name):
+        self.name = name
+
+    async def call(self, message, timeout_s):
+        del message, timeout_s
+        Link.reports.append(self.name)
+
+
+async def test_agent_that_joins_during_a_move_judges_it_beside_its_judge():
+    Link.reports = []
+    runtime = SimpleNamespace(now=lambda: 100.0)
+    fleet = Fleet(b=1, c=2, d=3)
+    moves = GatewayMoves(runtime, fleet, Random(1))
+    moves.apply_orders({"desk": MoveOrder("desk", "v2", 9.0, MoveState.ordered, 7)})
+    with anyio.move_on_after(0.1):
+        await moves.run()
+    joined = {f"joined-{number}": 8 + number for number in range(20)}
+    fleet.agents |= Fleet(**joined).agents
+    with anyio.move_on_after(0.1):
+        await moves.run()
+    assert len(set(Link.reports)) == 1
+    fleet.agents[Link.reports[0]].usable = False
+    with anyio.move_on_after(0.1):
+        await moves.run()
+    judges = set(Link.reports)
+    assert len(judges) == 2
+    assert judges <= {"b", "c", "d"}
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -10,7 +10,7 @@
 from pistachiowell.membership import MembershipSettings, PeerTable
 from pistachiowell.schema.generated.messages_requests import Hello, Ping
 from pistachiowell.schema.generated.objects_membership import AgentRecord, RouterRecord
-from pistachiowell.store.follow import follow_values
+from pistachiowell.store.follow import follow_collection
 from pistachiowell.wire import connect
 
 AGENTS = "agents"
@@ -52,12 +52,21 @@
         registered: Whether the process is still registered. When it no longer is, the
             link stays open until the process closes it, so that requests in progress
             can finish.
+        registered_version: Version of the registration in the store.
     """
 
-    __slots__ = ("_now", "_peer_table", "link", "record", "registered")
+    __slots__ = (
+        "_now",
+        "_peer_table",
+        "link",
+        "record",
+        "registered",
+        "registered_version",
+    )
 
-    def __init__(self, record, peer_table, now):
+    def __init__(self, record, registered_version, peer_table, now):
         self.record = record
+        self.registered_version = registered_version
         self._peer_table = peer_table
         self._now = now
         self.link = None
@@ -197,26 +206,26 @@
                 link.send(message)
 
     async def _follow_registrations(self, group, collection, record_class, peers):
-        async for values in follow_values(self._runtime.store, collection):
+        async for objects in follow_collection(self._runtime.store, collection):
             decoded = [
-                msgspec.json.decode(value, type=record_class)
-                for value in values.values()
+                (msgspec.json.decode(item.value, type=record_class), item.version)
+                for item in objects.values()
             ]
             records = {
-                record.id: record
-                for record in decoded
+                record.id: (record, version)
+                for record, version in decoded
                 if record.incarnation != self._runtime.incarnation
             }
             self._apply_records(group, records, peers)
 
     def _apply_records(self, group, records, peers):
         for name in list(peers):
-            if records.get(name) != peers[name].record:
+            if name not in records or records[name][0] != peers[name].record:
                 peers.pop(name).registered = False
-        for name, record in records.items():
+        for name, (record, version) in records.items():
             if name not in peers:
                 peer_table = self._peer_tables[type(record)]
-                peers[name] = Peer(record, peer_table, self._runtime.now)
+                peers[name] = Peer(record, version, peer_table, self._runtime.now)
                 group.start_soon(self._keep_link, peers[name])
 
     async def _keep_link(self, peer):
--- a/pistachiowell/store/follow.py
+++ b/pistachiowell/store/follow.py
@@ -107,9 +107,3 @@
             )
         await anyio.sleep(delay_s)
         delay_s = min(max(delay_s, RETRY_DELAY_S / 2) * 2, max_delay_s)
-
-
-async def follow_values(store, collection):
-    """Yields the values of a collection by name; see ``follow_collection``."""
-    async for objects in follow_collection(store, collection):
-        yield {name: item.value for name, item in objects.items()}
--- a/pistachiowell/store/tests/test_follow.py
+++ b/pistachiowell/store/tests/test_follow.py
@@ -3,28 +3,33 @@
 import anyio
 import pytest
 
-from pistachiowell.store.follow import follow_values
+from pistachiowell.store.follow import follow_collection
 from pistachiowell.store.memory import MemoryStore
 from pistachiowell.store.store import ABSENT
 
 
+def values(objects):
+    """Returns the values of objects by name."""
+    return {name: item.value for name, item in objects.items()}
+
+
 @pytest.mark.anyio
 async def test_changes_and_outages_are_followed():
     store = MemoryStore()
     version = await store.put("agents", "a", b"1", ABSENT)
-    follower = follow_values(store, "agents")
+    follower = follow_collection(store, "agents")
     with anyio.fail_after(10):
-        assert dict(await anext(follower)) == {"a": b"1"}
+        assert values(await anext(follower)) == {"a": b"1"}
         version = await store.put("agents", "a", b"2", version)
-        assert dict(await anext(follower)) == {"a": b"2"}
+        assert values(await anext(follower)) == {"a": b"2"}
         await store.delete("agents", "a", version)
-        assert dict(await anext(follower)) == {}
+        assert values(await anext(follower)) == {}
         store.faults.down = True
         async with anyio.create_task_group() as group:
             seen = []
 
             async def follow():
-                seen.append(dict(await anext(follower)))
+                seen.append(values(await anext(follower)))
 
             group.start_soon(follow)
             await anyio.sleep(0)
