--- a/pistachiowell/gateway/move_judge.py
+++ b/pistachiowell/gateway/move_judge.py
@@ -87,9 +87,11 @@
             judged_move = self._judged_moves[message.move] = self._start_judging(order)
         for answer, began, count in read_counts(message.counts, now):
             judged_move.controller.record_answers(answer, began, count)
+        reporter = link.hello.id if link.hello else ""
+        waits = list(read_counts(message.waits, now))
+        judged_move.controller.replace_waits(reporter, waits, now)
         if message.tripped:
             judged_move.controller.suspect_version(now)
-        reporter = link.hello.id if link.hello else ""
         return MovePermit(
             move=message.move,
             fence=order.object_version,
--- a/pistachiowell/gateway/moves.py
+++ b/pistachiowell/gateway/moves.py
@@ -97,6 +97,24 @@
             else old_servers
         )
 
+    def record_start(self, service, server, began):
+        """Records the start of an attempt if the service has an open move.
+
+        Args:
+            service: Name of the service.
+            server: The ``BackendServer``.
+            began: Time at which it began, in seconds.
+
+        Returns:
+            The ``MoveAttempt``, or None.
+        """
+        move = self._open_moves.get(service)
+        if move is None:
+            return None
+        return move.tracker.start_waiting(
+            move.version_of(server), server.id, server.data_centre, began
+        )
+
     def record_end(self, service, server, failed, began):
         """Records the end of an attempt if the service has an open move.
 
@@ -108,8 +126,7 @@
         """
         move = self._open_moves.get(service)
         if move is not None:
-            version = NEW if server.version == move.order.target else OLD
-            now = self._runtime.now()
+            now, version = self._runtime.now(), move.version_of(server)
             move.tracker.record_answer(
                 version, server.id, server.data_centre, failed, began, now
             )
@@ -164,6 +181,10 @@
         self.order = order
         self.tracker = MoveTracker(MoveRow("move", order.service, "", OLD, NEW, ""))
 
+    def version_of(self, server):
+        """Returns which version a ``BackendServer`` runs."""
+        return NEW if server.version == self.order.target else OLD
+
     def uses_new_version(self, rng, now):
         if self.tracker.try_acquire_probe(now):
             return True
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -31,6 +31,7 @@
         placed: The ``PlacedRequest``; None at a server without an engine.
         expected_wait_s: Expected wait for the first token in seconds.
         fingerprint: Fingerprint of the request.
+        move_attempt: The ``MoveAttempt``; None if the service has no open move.
         now: Present time in seconds.
 
     Attributes:
@@ -41,6 +42,7 @@
 
     __slots__ = (
         "_fingerprint",
+        "_move_attempt",
         "_placed",
         "_selection",
         "_started_at",
@@ -49,8 +51,18 @@
         "server",
     )
 
-    def __init__(self, selection, server, placed, expected_wait_s, fingerprint, now):
+    def __init__(
+        self,
+        selection,
+        server,
+        placed,
+        expected_wait_s,
+        fingerprint,
+        move_attempt,
+        now,
+    ):
         self._selection = selection
+        self._move_attempt = move_attempt
         self._fingerprint = fingerprint
         self._placed = placed
         self._started_at = now
@@ -62,7 +74,10 @@
         """Records the arrival of the first part of the answer; ignores later parts."""
         if self.latency_s is not None:
             return
-        self.latency_s = self._selection.now() - self._started_at
+        now = self._selection.now()
+        self.latency_s = now - self._started_at
+        if self._move_attempt is not None:
+            self._move_attempt.record_first_part(now)
         if self._placed is not None:
             self._selection.engines.record_first_token(self._placed)
 
@@ -74,13 +89,23 @@
             is_exempt: Function of fingerprint and server id that returns whether a
                 failure says nothing about the server's version.
         """
-        if self._placed is not None:
-            self._selection.engines.record_end(self._placed)
+        self._release()
         exempt = error is not None and is_exempt(self._fingerprint, self.server.id)
         self._selection.record_end(
             self.server, error, self.latency_s, self._started_at, exempt=exempt
         )
 
+    def record_abandoned(self):
+        """Records that the attempt was given up and shows nothing about its server."""
+        self._release()
+        self._selection.record_abandoned(self.server)
+
+    def _release(self):
+        if self._placed is not None:
+            self._selection.engines.record_end(self._placed)
+        if self._move_attempt is not None:
+            self._move_attempt.stop_waiting()
+
 
 class Selection:
     """Selects servers by expected wait, health and data centre.
@@ -166,7 +191,16 @@
         self._loads.set_slots(server.id, server.slots)
         self._loads.record_sent(server.id)
         self._health.record_start(server.id, now)
-        return Attempt(self, server, placed, expected_wait_s, request.fingerprint, now)
+        move_attempt = self._moves.record_start(service_name, server, now)
+        return Attempt(
+            self,
+            server,
+            placed,
+            expected_wait_s,
+            request.fingerprint,
+            move_attempt,
+            now,
+        )
 
     def record_load(self, report):
         """Records the load of the other gateways at an engine.
@@ -210,6 +244,11 @@
         else:
             self._health.record_inconclusive(server_id)
 
+    def record_abandoned(self, server):
+        """Records the end of an attempt that was given up; see ``Attempt``."""
+        self._loads.record_end(server.id)
+        self._health.record_inconclusive(server.id)
+
     def _candidate(self, server):
         is_near = server.data_centre == self._settings.data_centre
         return Candidate(server.id, server.data_centre, 0 if is_near else 1)
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -1,15 +1,19 @@
 """Tests of version moves with gateways and a judge, without a network."""
 
+import heapq
+import itertools
 from random import Random
 from types import SimpleNamespace
 
 import anyio
 import pytest
 
-from pistachiowell.catalog import BackendServer
+from pistachiowell.catalog import BackendServer, ServerRegistry
+from pistachiowell.core.errors import DeadlineExceeded, Overloaded
 from pistachiowell.gateway.move_judge import MoveJudge
 from pistachiowell.gateway.move_orders import MoveOrder, MoveState
 from pistachiowell.gateway.moves import GatewayMoves
+from pistachiowell.gateway.selection import Selection
 from pistachiowell.router.move_reports import count_messages
 from pistachiowell.schema.generated.messages_moves import MoveCounts
 from pistachiowell.wire import Handlers
@@ -83,6 +87,7 @@
             count_messages(counts, self.time),
             tripped=tripped,
             probes_left=tracker.probes_left,
+            waits=count_messages(tracker.waits(self.time), self.time),
         )
         reply = await self.judge.handle_counts(link, message)
         if reply is not None:
@@ -199,3 +204,121 @@
     judges = set(Link.reports)
     assert len(judges) == 2
     assert judges <= {"b", "c", "d"}
+
+
+class Streams:
+    """Streams to both versions that may last longer than a move.
+
+    Args:
+        simulation: The ``Simulation``.
+        slowdown: Factor on the times of the new version.
+        rate_rps: Requests per second.
+        seed: Seed of the draws.
+    """
+
+    def __init__(self, simulation, slowdown, rate_rps, seed):
+        self._simulation = simulation
+        self._slowdown = slowdown
+        self._rate_rps = rate_rps
+        self._rng = Random(seed)
+        self._events = []
+        self._numbers = itertools.count()
+        self.sent = []
+
+    def step(self, length_s):
+        """Starts the requests of a step and plays what has happened by now."""
+        now = self._simulation.time
+        at = now + self._rng.expovariate(self._rate_rps)
+        while at < now + length_s:
+            self._start(at)
+            at += self._rng.expovariate(self._rate_rps)
+        while self._events and self._events[0][0] <= now:
+            _, _, function, args = heapq.heappop(self._events)
+            function(*args)
+
+    def _start(self, at):
+        gateway = self._rng.choice(self._simulation.gateways)
+        server = self._rng.choice(gateway.filter_servers("desk", SERVERS))
+        factor = self._slowdown if server.version == "v2" else 1.0
+        first_s = factor * self._rng.lognormvariate(-1.5, 0.5)
+        whole_s = first_s + factor * self._rng.lognormvariate(1.5, 0.8)
+        attempt = gateway.record_start("desk", server, at)
+        if attempt is not None:
+            self._at(at + first_s, attempt.record_first_part, at + first_s)
+        self._at(at + whole_s, gateway.record_end, "desk", server, False, at)
+        self.sent.append(server.version)
+
+    def _at(self, at, function, *args):
+        heapq.heappush(self._events, (at, next(self._numbers), function, args))
+
+
+async def simulate_streams(slowdown, rate_rps, seed):
+    """Returns the last state and the versions to which requests were sent."""
+    simulation = Simulation()
+    for gateway in simulation.gateways:
+        gateway.filter_servers("desk", [s for s in SERVERS if s.version == "v1"])
+    simulation.apply_orders()
+    streams = Streams(simulation, slowdown, rate_rps, seed)
+    while not simulation.state.has_ended and simulation.time < 100.0 + DURATION_S:
+        await simulation.step()
+        streams.step(0.1)
+    return simulation.state, streams.sent
+
+
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("rate_rps", [20, 60])
+@pytest.mark.parametrize("slowdown", [4, 8])
+async def test_slow_version_whose_answers_outlast_the_move_is_kept(
+    slowdown, rate_rps, seed
+):
+    state, sent = await simulate_streams(slowdown, rate_rps, seed)
+    assert state is MoveState.rolled_back
+    assert sent.count("v2") <= 0.1 * rate_rps * DURATION_S + 50
+
+
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("rate_rps", [20, 60])
+async def test_good_version_with_long_answers_is_completed_in_time(rate_rps, seed):
+    state, _ = await simulate_streams(1.0, rate_rps, seed)
+    assert state is MoveState.completed
+
+
+@pytest.fixture
+def selection():
+    """Returns a ``Selection`` of one server while a move of its service is open."""
+
+    def now():
+        return 100.0
+
+    moves = GatewayMoves(SimpleNamespace(now=now), None, Random(1))
+    moves.apply_orders({"desk": MoveOrder("desk", "v2", 9.0, MoveState.ordered, 7)})
+    registry = ServerRegistry(1.0)
+    registry.replace({SERVERS[0].id: SERVERS[0]}, 100.0)
+    settings = SimpleNamespace(data_centre="dc-0")
+    return Selection(registry, moves, settings, Random(1), now), moves
+
+
+@pytest.mark.parametrize(
+    ("error", "ended", "failed"),
+    [
+        (None, 1, 0),
+        (DeadlineExceeded("late"), 1, 1),
+        (Overloaded("full"), 0, 0),
+        ("abandoned", 0, 0),
+    ],
+)
+def test_attempt_that_its_caller_left_counts_as_good(selection, error, ended, failed):
+    selection, moves = selection
+    service = SimpleNamespace(engine=None)
+    request = SimpleNamespace(service=service, prompt=None, fingerprint="f")
+    attempt = selection.start_attempt(request, "desk", set(), ())
+    tracker = moves.tracker("desk")
+    assert sum(tracker.waits(100.0).values()) == 1
+    if error == "abandoned":
+        attempt.record_abandoned()
+    else:
+        attempt.record_end(error, lambda fingerprint, server: False)
+    counts, _ = tracker.drain_report()
+    assert sum(counts.values()) == ended
+    assert sum(answer.failed for answer, _ in counts) == failed
+    assert not tracker.waits(100.0)
--- a/pistachiowell/moves/controller.py
+++ b/pistachiowell/moves/controller.py
@@ -2,8 +2,14 @@
 
 from dataclasses import dataclass
 
-from pistachiowell.moves.evidence import Evidence
-from pistachiowell.moves.judges import BAD_SCORE, SUSPECT_SCORE, Spread, find_judge
+from pistachiowell.moves.evidence import AnswerPhase, Evidence
+from pistachiowell.moves.judges import (
+    BAD_SCORE,
+    SUSPECT_SCORE,
+    Spread,
+    find_judge,
+    overdue_answers,
+)
 from pistachiowell.moves.plan import CONTROL_SHARE, LAST_STAGE, STAGES, MovePlan
 from pistachiowell.moves.traffic_tokens import TRAFFIC_TOKEN_S
 from pistachiowell.schema.generated.objects_moves import MoveEvidence
@@ -21,6 +27,10 @@
 CLEAR_FAILURE_EXCESS = 0.25
 CARRY_OVER_DISCOUNT = 1.0
 JUDGE_INTERVAL_S = 0.4
+# Routers report more often what they wait for.
+WAITS_VALID_S = 1.5
+# Share of the answers that have begun at which a stage still ends.
+MAX_OVERDUE_SHARE = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +87,7 @@
     """
 
     __slots__ = (
+        "_begun",
         "_carried_score",
         "_end_decision",
         "_evidence",
@@ -92,6 +103,7 @@
         "_stage",
         "_stage_started_at",
         "_suspicion",
+        "_waits",
     )
 
     def __init__(
@@ -100,6 +112,8 @@
         self._plan = MovePlan(now, deadline, observation_s)
         self._judge = find_judge(judge)
         self._judged = judged
+        self._begun = judged
+        self._waits = {}
         self._last_judged_at = float("-inf")
         self._is_loaded = stage > LOADING
         self._pending_decision = None
@@ -118,8 +132,11 @@
 
     @property
     def judged(self):
-        """Number of answers of the new version so far, earlier holders included."""
-        return self._judged
+        """Number of answers of the new version so far, earlier holders included.
+
+        Answers that have begun count if routers report them.
+        """
+        return max(self._judged, self._begun)
 
     @property
     def is_version_suspected(self):
@@ -150,15 +167,28 @@
             began: Time at which the requests began, in seconds.
             count: Number of answers.
         """
-        if answer.is_new:
+        has_ended = answer.phase is AnswerPhase.ended
+        if answer.is_new and has_ended:
             self._judged += count
+        elif answer.is_new:
+            self._begun += count
         if self._suspicion is not None and began >= self._suspicion.started_at:
             self._suspicion.add(answer, began, count)
-            if answer.is_new:
+            if answer.is_new and has_ended:
                 del self._probe_expiries[:count]
         else:
             self._evidence.add(answer, began, count)
 
+    def replace_waits(self, router, waits, now):
+        """Replaces what a router waits for, as it has reported.
+
+        Args:
+            router: Name of the router.
+            waits: Triples ``(answer, began, count)``.
+            now: Time in seconds.
+        """
+        self._waits[router] = (now + WAITS_VALID_S, waits)
+
     def suspect_version(self, now):
         """Marks the version as suspected: stops its share and begins to probe it.
 
@@ -240,6 +270,7 @@
             return None
         self._last_judged_at = now
         self._evidence.trim(now)
+        self._evidence.replace_waits(self._valid_waits(now))
         verdict = self._judge(self._evidence, now, self._spread)
         if verdict.score + self._carried_score >= BAD_SCORE:
             return self._end(ROLLED_BACK, _rollback_reason(verdict), verdict)
@@ -296,13 +327,15 @@
             return self._end(ROLLED_BACK, self._late_reason(is_suspicious), verdict)
         if is_suspicious:
             return None
+        if self._awaits_evidence():
+            return None
         if self._stage < LAST_STAGE:
             if self._plan.may_advance(self._stage, self._stage_started_at, now):
                 self._carry_over(verdict.score)
                 return self._advance_to(self._stage + 1)
             return None
         is_observed = self._plan.is_observed(self._stage_started_at, now)
-        if is_observed and self._judged >= MIN_JUDGED_ANSWERS:
+        if is_observed and self.judged >= MIN_JUDGED_ANSWERS:
             return self._end(DONE, "The new version is as good.", verdict)
         return None
 
@@ -311,10 +344,24 @@
             return "Suspect at the deadline."
         if self._stage < LAST_STAGE:
             return "The deadline came before the last stage."
-        if self._judged < MIN_JUDGED_ANSWERS:
-            return f"Only {self._judged} answers to judge by at the deadline."
+        if self.judged < MIN_JUDGED_ANSWERS:
+            return f"Only {self.judged} answers to judge by at the deadline."
         return "The deadline came before the end of the soak."
 
+    def _valid_waits(self, now):
+        return [
+            wait
+            for until, waits in self._waits.values()
+            if now < until
+            for wait in waits
+        ]
+
+    def _awaits_evidence(self):
+        """Returns whether answers of the stage are due that have not begun yet."""
+        sums, new = self._evidence.sum_since(0.0), 1
+        allowed = max(1.0, MAX_OVERDUE_SHARE * sum(sums.begun[new].values()))
+        return overdue_answers(sums) > allowed
+
     def _carry_over(self, score):
         self._carried_score = max(
             0.0, self._carried_score + score - CARRY_OVER_DISCOUNT
--- a/pistachiowell/moves/evidence.py
+++ b/pistachiowell/moves/evidence.py
@@ -9,6 +9,7 @@
 import math
 from collections import defaultdict
 from dataclasses import dataclass
+from enum import StrEnum
 
 BUCKETS_PER_DOUBLING = 4
 MIN_LATENCY_S = 0.001
@@ -26,16 +27,34 @@
     return int(BUCKETS_PER_DOUBLING * math.log2(ratio))
 
 
+class AnswerPhase(StrEnum):
+    """What is known of an answer.
+
+    Attributes:
+        ended: It has ended.
+        begun: Its first part has come.
+        waited_for: Nothing of it has come yet.
+    """
+
+    ended = "ended"
+    begun = "begun"
+    waited_for = "waited_for"
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """Properties by which answers are grouped for counting.
 
+    An answer is counted once when it has begun and once when it has ended.
+
     Attributes:
         is_new: Whether the new version gave them.
         server: Name of the backend server.
         data_centre: Data centre of the backend server.
         failed: Whether they failed by a fault of the server or its version.
-        bucket: Latency bucket; see ``latency_bucket``.
+        bucket: Bucket of the latency to its end or its first part, or of the time
+            waited so far; see ``latency_bucket``.
+        phase: The ``AnswerPhase``.
     """
 
     is_new: bool
@@ -43,23 +62,39 @@
     data_centre: str = ""
     failed: bool = False
     bucket: int = 0
+    phase: AnswerPhase = AnswerPhase.ended
 
 
 class AnswerSums:
     """Sums of the answers of both versions.
 
+    Each attribute has an entry for the old and one for the new version.
+
     Attributes:
-        answers: Number of answers of the old and the new version.
-        failures: Number of failures of the old and the new version.
-        buckets: Successful answers by latency bucket of the old and the new version.
+        answers: Number of ended answers.
+        failures: Number of failures.
+        buckets: Successful ended answers by latency bucket.
+        begun: Answers that have begun, by bucket of the latency to their first part.
+        waited_for: Answers that have not begun, by bucket of the time waited.
     """
 
-    __slots__ = ("answers", "buckets", "failures")
+    __slots__ = ("answers", "begun", "buckets", "failures", "waited_for")
 
     def __init__(self):
         self.answers = [0, 0]
         self.failures = [0, 0]
         self.buckets = [defaultdict(int), defaultdict(int)]
+        self.begun = [defaultdict(int), defaultdict(int)]
+        self.waited_for = [defaultdict(int), defaultdict(int)]
+
+    def observed(self, side):
+        """Returns the number of requests known of a side, at least.
+
+        Args:
+            side: 0 for the old version, 1 for the new one.
+        """
+        running = sum(self.begun[side].values()) + sum(self.waited_for[side].values())
+        return max(self.answers[side], running)
 
     def add(self, answer, count):
         """Adds answers.
@@ -69,6 +104,12 @@
             count: Number of answers.
         """
         side = int(answer.is_new)
+        if answer.phase is AnswerPhase.begun:
+            self.begun[side][answer.bucket] += count
+            return
+        if answer.phase is AnswerPhase.waited_for:
+            self.waited_for[side][answer.bucket] += count
+            return
         self.answers[side] += count
         if answer.failed:
             self.failures[side] += count
@@ -80,8 +121,10 @@
         for side in (0, 1):
             self.answers[side] += other.answers[side]
             self.failures[side] += other.failures[side]
-            for bucket, count in other.buckets[side].items():
-                self.buckets[side][bucket] += count
+            for name in ("buckets", "begun", "waited_for"):
+                own = getattr(self, name)[side]
+                for bucket, count in getattr(other, name)[side].items():
+                    own[bucket] += count
 
     def copy(self):
         """Returns a copy."""
@@ -105,10 +148,11 @@
         [0, 1]
     """
 
-    __slots__ = ("_answers_by_second", "_started_at", "_sums_by_second")
+    __slots__ = ("_answers_by_second", "_started_at", "_sums_by_second", "_waits")
 
     def __init__(self, started_at):
         self._started_at = started_at
+        self._waits = []
         self._answers_by_second = {}
         self._sums_by_second = {}
 
@@ -131,6 +175,14 @@
         second[answer] += count
         self._sums_by_second.setdefault(int(began), AnswerSums()).add(answer, count)
 
+    def replace_waits(self, waits):
+        """Replaces the answers that are waited for.
+
+        Args:
+            waits: Triples ``(answer, began, count)`` of all routers.
+        """
+        self._waits = [wait for wait in waits if wait[1] >= self._started_at]
+
     def trim(self, now):
         """Discards answers to requests that began more than ``RETENTION_S`` ago."""
         for second in [s for s in self._answers_by_second if s < now - RETENTION_S]:
@@ -154,7 +206,11 @@
             while position < len(seconds) and seconds[position] + 1 > start:
                 total.merge(self._sums_by_second[seconds[position]])
                 position += 1
-            results.append(total.copy())
+            sums = total.copy()
+            for answer, began, count in self._waits:
+                if int(began) + 1 > start:
+                    sums.add(answer, count)
+            results.append(sums)
         return results
 
     def sum_since(self, since, is_excluded=lambda answer: False):
@@ -173,6 +229,9 @@
             for answer, count in answers.items():
                 if not is_excluded(answer):
                     sums.add(answer, count)
+        for answer, began, count in self._waits:
+            if int(began) + 1 > since and not is_excluded(answer):
+                sums.add(answer, count)
         return sums
 
     def new_failures_by_server(self):
@@ -196,3 +255,5 @@
     def _iterate_answers(self):
         for answers in self._answers_by_second.values():
             yield from answers.items()
+        for answer, _, count in self._waits:
+            yield answer, count
--- a/pistachiowell/moves/judges.py
+++ b/pistachiowell/moves/judges.py
@@ -11,11 +11,18 @@
 late stands out, which a long span would hide among its earlier good answers; a long
 span has enough answers to show a small difference.
 
+Latency is judged by what has ended and, as streams may outlast a move, by the time to
+the first part of an answer. A request that has waited longer than that counts as slow
+before its answer has begun (a censored observation).
+
 Before it finds a version bad, the judge repeats the test without the worst server and
 without the worst data centre, and uses the lowest score. This prevents the rollback of
 a good version because of one faulty server or data centre.
 
 References:
+    Kaplan, Meier: Nonparametric estimation from incomplete observations, Journal of the
+    American Statistical Association, 1958.
+
     Kass, Raftery: Bayes factors, Journal of the American Statistical Association,
     1995.
 """
@@ -24,6 +31,8 @@
 import math
 from dataclasses import dataclass
 
+from pistachiowell.moves.evidence import BUCKETS_PER_DOUBLING
+
 ERROR_RATE = 0.0005
 BAD_SCORE = math.log(1.0 / ERROR_RATE)
 SUSPECT_SCORE = math.log(20.0)
@@ -32,6 +41,8 @@
 MIN_LATENCY_EFFECT = 0.15
 LATENCY_QUANTILE = 0.9
 MIN_OLD_LATENCIES = 10
+# The first parts of a version whose caches are still empty come somewhat later.
+BEGIN_SLACK_BUCKETS = BUCKETS_PER_DOUBLING
 MIN_HEALTHY_ANSWERS = 4
 MAX_HEALTHY_FAILURE_RATE = 0.25
 
@@ -164,7 +175,53 @@
 
 
 def latency_score(sums):
-    """Scores the shares of answers slower than nine in ten of the old version.
+    """Scores the shares of slow answers of ``AnswerSums``, ended and running ones."""
+    return max(end_score(sums), begin_score(sums))
+
+
+def begin_score(sums):
+    """Scores the shares of answers that begin late.
+
+    Late is twice what nine in ten of the old version take, or more.
+
+    Args:
+        sums: The ``AnswerSums``.
+    """
+    begun_at_old = sums.begun[0]
+    if sum(begun_at_old.values()) < MIN_OLD_LATENCIES:
+        return 0.0
+    quantile = _quantile_bucket(begun_at_old, sum(begun_at_old.values()))
+    limit = quantile + BEGIN_SLACK_BUCKETS
+    slow, total = [0, 0], [0, 0]
+    for side in (0, 1):
+        late = _count_above(sums.waited_for[side], limit)
+        slow[side] = late + _count_above(sums.begun[side], limit)
+        total[side] = late + sum(sums.begun[side].values())
+    return worse_score(slow[1], total[1], slow[0], total[0], MIN_LATENCY_EFFECT)
+
+
+def overdue_answers(sums):
+    """Returns how many answers of the new version would have begun at the old one.
+
+    Args:
+        sums: The ``AnswerSums``.
+
+    Returns:
+        The expected number, of those that are waited for; 0 without answers of the old
+        version to compare with.
+    """
+    begun_at_old, waited_for_at_new = sums.begun[0], sums.waited_for[1]
+    total = sum(begun_at_old.values())
+    if not total:
+        return 0.0
+    return sum(
+        count * (total - _count_above(begun_at_old, bucket)) / total
+        for bucket, count in waited_for_at_new.items()
+    )
+
+
+def end_score(sums):
+    """Scores the shares of answers that end later than nine in ten of the old version.
 
     Args:
         sums: The ``AnswerSums``.
@@ -174,11 +231,15 @@
     if old_total < MIN_OLD_LATENCIES or not new_total:
         return 0.0
     limit = _quantile_bucket(old_buckets, old_total)
-    old_slow = sum(n for bucket, n in old_buckets.items() if bucket > limit)
-    new_slow = sum(n for bucket, n in new_buckets.items() if bucket > limit)
+    old_slow = _count_above(old_buckets, limit)
+    new_slow = _count_above(new_buckets, limit)
     return worse_score(new_slow, new_total, old_slow, old_total, MIN_LATENCY_EFFECT)
 
 
+def _count_above(buckets, limit):
+    return sum(count for bucket, count in buckets.items() if bucket > limit)
+
+
 def _quantile_bucket(buckets, total):
     seen = 0
     for bucket in sorted(buckets):
@@ -220,7 +281,7 @@
     remaining = [evidence.sum_since(since, rule) for rule in _exclusions(evidence)]
     # Sums without an answer of the old version score 0, which as the lowest score would
     # hide a bad version; so they are skipped.
-    others = [_score(sums) for sums in remaining if sums.answers[0]]
+    others = [_score(sums) for sums in remaining if sums.observed(0)]
     return dataclasses.replace(
         verdict,
         failure_score=min(each.failure_score for each in [verdict, *others]),
@@ -235,7 +296,7 @@
     """
     new = 1
     centres = [
-        sums for sums in evidence.sums_by_data_centre().values() if sums.answers[new]
+        sums for sums in evidence.sums_by_data_centre().values() if sums.observed(new)
     ]
     enough_servers = len(evidence.new_failures_by_server()) >= min(2, spread.servers)
     return enough_servers and len(centres) >= min(2, spread.data_centres)
@@ -258,7 +319,7 @@
         worst_server = max(failures, key=failures.get)
         yield lambda answer: answer.server == worst_server
     centres = {
-        n: s for n, s in evidence.sums_by_data_centre().items() if s.answers[new]
+        n: s for n, s in evidence.sums_by_data_centre().items() if s.observed(new)
     }
     faulty = {n: s for n, s in centres.items() if not _is_healthy(s)}
     if len(centres) > 1 and faulty:
--- a/pistachiowell/moves/tracker.py
+++ b/pistachiowell/moves/tracker.py
@@ -4,12 +4,57 @@
 from collections import defaultdict
 
 from pistachiowell.moves.circuit_breaker import CircuitBreaker
-from pistachiowell.moves.evidence import Answer, latency_bucket
+from pistachiowell.moves.evidence import Answer, AnswerPhase, latency_bucket
 from pistachiowell.moves.traffic_tokens import TrafficToken, version_weights
 
 START_TIME_STEP_S = 0.1
 
 
+class MoveAttempt:
+    """An attempt at one of the versions whose answer is waited for.
+
+    Args:
+        tracker: The ``MoveTracker``.
+        is_new: Whether it goes to the new version.
+        server: Name of the backend server.
+        data_centre: Data centre of the backend server.
+        began: Time at which it began, in seconds.
+    """
+
+    __slots__ = ("_began", "_data_centre", "_is_new", "_server", "_tracker")
+
+    def __init__(self, tracker, is_new, server, data_centre, began):
+        self._tracker = tracker
+        self._is_new = is_new
+        self._server = server
+        self._data_centre = data_centre
+        self._began = began
+
+    @property
+    def began(self):
+        """Time at which it began, in seconds."""
+        return self._began
+
+    def answer(self, phase, now):
+        """Returns an ``Answer`` with the time since the begin of the attempt."""
+        return Answer(
+            self._is_new,
+            self._server,
+            self._data_centre,
+            bucket=latency_bucket(now - self._began),
+            phase=phase,
+        )
+
+    def record_first_part(self, now):
+        """Records that the answer has begun."""
+        self._tracker.add(self.answer(AnswerPhase.begun, now), self._began, 1)
+        self.stop_waiting()
+
+    def stop_waiting(self):
+        """Records that the answer is no longer waited for."""
+        self._tracker.stop_waiting(self)
+
+
 class MoveTracker:
     """Picks versions for requests on the moving route and counts their answers.
 
@@ -42,6 +87,7 @@
         "_row",
         "_has_tripped",
         "_is_urgent",
+        "_waiting",
     )
 
     def __init__(self, row):
@@ -52,6 +98,7 @@
         self._counts = defaultdict(int)
         self._is_urgent = False
         self._has_tripped = False
+        self._waiting = set()
 
     @property
     def row(self):
@@ -152,6 +199,39 @@
         if self._circuit_breaker.record_answer(is_new, failed, now):
             self.record_trip()
 
+    def start_waiting(self, version, server, data_centre, began):
+        """Records that an attempt waits for its answer.
+
+        Args:
+            version: The version that it goes to.
+            server: Name of the backend server.
+            data_centre: Data centre of the backend server.
+            began: Time at which it began, in seconds.
+
+        Returns:
+            The ``MoveAttempt``.
+        """
+        is_new = version == self._row.new
+        attempt = MoveAttempt(self, is_new, server, data_centre, began)
+        self._waiting.add(attempt)
+        return attempt
+
+    def stop_waiting(self, attempt):
+        """Records that a ``MoveAttempt`` no longer waits."""
+        self._waiting.discard(attempt)
+
+    def waits(self, now):
+        """Returns how many answers are waited for, by ``(Answer, began)``.
+
+        Args:
+            now: Time in seconds.
+        """
+        counts = defaultdict(int)
+        for attempt in self._waiting:
+            step = round(attempt.began / START_TIME_STEP_S) * START_TIME_STEP_S
+            counts[attempt.answer(AnswerPhase.waited_for, now), step] += 1
+        return counts
+
     def record_trip(self):
         """Records that a circuit breaker has tripped.
 
--- a/pistachiowell/router/move_reports.py
+++ b/pistachiowell/router/move_reports.py
@@ -3,7 +3,7 @@
 from pistachiowell.core.errors import PistachiowellError
 from pistachiowell.core.ids import stable_hash
 from pistachiowell.core.logs import part_logger
-from pistachiowell.moves.evidence import Answer
+from pistachiowell.moves.evidence import Answer, AnswerPhase
 from pistachiowell.moves.traffic_tokens import TRAFFIC_TOKEN_S
 from pistachiowell.schema.generated.messages_moves import (
     AnswerCount,
@@ -253,6 +253,7 @@
         counts=count_messages(counts, sent_at),
         tripped=tripped,
         probes_left=tracker.probes_left,
+        waits=count_messages(tracker.waits(sent_at), sent_at),
     )
     reply = await link.call(message, timeout_s)
     if isinstance(reply, MovePermit):
@@ -281,6 +282,7 @@
             failed=answer.failed,
             bucket=answer.bucket,
             count=count,
+            phase=str(answer.phase),
         )
         for (answer, began), count in counts.items()
     ]
@@ -300,5 +302,6 @@
             message.data_centre,
             message.failed,
             message.bucket,
+            AnswerPhase(message.phase),
         )
         yield answer, now - message.age_s, message.count
