Judge a new version by what still runs

Cause: only answers that had ended were evidence, and streams outlast a move of 15 s; stages went on by time alone, without an answer. Class: a statistic over what has ended, while what is slow has not.

Gateways report when an answer begins and when four more events have come, and what they still wait for; the last replaces what they reported before. A stage does not end while more than a few answers are overdue. Answers that have begun count towards those that a good end needs.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -312,6 +312,7 @@
             has_data = True
             attempt.record_first_byte()
             complete = run.events.feed(data)
+            attempt.record_events(len(complete))
             if complete:
                 await run.writer.send_chunk(head, b"".join(complete))
             if run.events.fault:
@@ -337,30 +338,26 @@
 
     @contextmanager
     def _recorded_attempt(self, run, attempt):
-        error, was_abandoned = None, False
+        error = None
         try:
             yield
         except PistachiowellError as caught:
             error = caught
             raise
         except anyio.get_cancelled_exc_class():
-            was_abandoned = self._runtime.now() < run.request.deadline
-            error = _fault_at_deadline(run, attempt)
+            error = self._fault_at_deadline(run, attempt)
             raise
         finally:
-            if was_abandoned:
-                attempt.record_abandoned()
-            else:
-                attempt.record_end(error, self._crashes.is_exempt)
+            attempt.record_end(error, self._crashes.is_exempt)
             if attempt.latency_s is not None:
                 self._runtime.metrics.timing("servers.first_byte", attempt.latency_s)
 
-
-def _fault_at_deadline(run, attempt):
-    """Returns the error of an attempt whose deadline has passed at its server."""
-    if attempt.latency_s is not None and not run.events.count:
-        return AnswerBroken("The answer has begun and not ended by the deadline.")
-    return DeadlineExceeded("The answer had not ended by the deadline.")
+    def _fault_at_deadline(self, run, attempt):
+        """Returns the server's fault in an attempt that was cancelled, or None."""
+        is_late = self._runtime.now() >= run.request.deadline
+        if is_late and attempt.latency_s is not None and not run.events.count:
+            return AnswerBroken("The answer has begun and not ended by the deadline.")
+        return None
 
 
 class ServerErrorAnswer(ServerFailed):
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -81,6 +81,11 @@
         if self._placed is not None:
             self._selection.engines.record_first_token(self._placed)
 
+    def record_events(self, count):
+        """Records that events of a stream have arrived."""
+        if self._move_attempt is not None:
+            self._move_attempt.record_events(count, self._selection.now())
+
     def record_end(self, error, is_exempt):
         """Records the end of the attempt.
 
@@ -95,11 +100,6 @@
             self.server, error, self.latency_s, self._started_at, exempt=exempt
         )
 
-    def record_abandoned(self):
-        """Records that the attempt was given up and shows nothing about its server."""
-        self._release()
-        self._selection.record_abandoned(self.server)
-
     def _release(self):
         if self._placed is not None:
             self._selection.engines.record_end(self._placed)
@@ -244,11 +244,6 @@
         else:
             self._health.record_inconclusive(server_id)
 
-    def record_abandoned(self, server):
-        """Records the end of an attempt that was given up; see ``Attempt``."""
-        self._loads.record_end(server.id)
-        self._health.record_inconclusive(server.id)
-
     def _candidate(self, server):
         is_near = server.data_centre == self._settings.data_centre
         return Candidate(server.id, server.data_centre, 0 if is_near else 1)
--- a/pistachiowell/moves/controller.py
+++ b/pistachiowell/moves/controller.py
@@ -30,7 +30,7 @@
 # Routers report more often what they wait for.
 WAITS_VALID_S = 1.5
 # Share of the answers that have begun at which a stage still ends.
-MAX_OVERDUE_SHARE = 0.2
+MAX_OVERDUE_SHARE = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,7 +170,7 @@
         has_ended = answer.phase is AnswerPhase.ended
         if answer.is_new and has_ended:
             self._judged += count
-        elif answer.is_new:
+        elif answer.is_new and answer.phase is AnswerPhase.begun:
             self._begun += count
         if self._suspicion is not None and began >= self._suspicion.started_at:
             self._suspicion.add(answer, began, count)
@@ -357,9 +357,9 @@
         ]
 
     def _awaits_evidence(self):
-        """Returns whether answers of the stage are due that have not begun yet."""
+        """Returns whether answers of the stage are due that have not come yet."""
         sums, new = self._evidence.sum_since(0.0), 1
-        allowed = max(1.0, MAX_OVERDUE_SHARE * sum(sums.begun[new].values()))
+        allowed = max(1, MAX_OVERDUE_SHARE * sum(sums.begun[new].values()))
         return overdue_answers(sums) > allowed
 
     def _carry_over(self, score):
--- a/pistachiowell/moves/evidence.py
+++ b/pistachiowell/moves/evidence.py
@@ -13,6 +13,8 @@
 
 BUCKETS_PER_DOUBLING = 4
 MIN_LATENCY_S = 0.001
+# Events after the first by whose time the pace of a stream is judged.
+PACE_EVENTS = 4
 RETENTION_S = 600
 
 
@@ -34,26 +36,30 @@
         ended: It has ended.
         begun: Its first part has come.
         waited_for: Nothing of it has come yet.
+        paced: ``PACE_EVENTS`` more events have come.
+        pacing: It has begun, and fewer events have come.
     """
 
     ended = "ended"
     begun = "begun"
     waited_for = "waited_for"
+    paced = "paced"
+    pacing = "pacing"
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
     """Properties by which answers are grouped for counting.
 
-    An answer is counted once when it has begun and once when it has ended.
+    An answer is counted once in each phase that it reaches.
 
     Attributes:
         is_new: Whether the new version gave them.
         server: Name of the backend server.
         data_centre: Data centre of the backend server.
         failed: Whether they failed by a fault of the server or its version.
-        bucket: Bucket of the latency to its end or its first part, or of the time
-            waited so far; see ``latency_bucket``.
+        bucket: Bucket of the latency to its end or its first part, of the time of the
+            events after that, or of the time waited so far; see ``latency_bucket``.
         phase: The ``AnswerPhase``.
     """
 
@@ -76,9 +82,19 @@
         buckets: Successful ended answers by latency bucket.
         begun: Answers that have begun, by bucket of the latency to their first part.
         waited_for: Answers that have not begun, by bucket of the time waited.
+        paced: Streams by bucket of the time of ``PACE_EVENTS`` events.
+        pacing: Streams with fewer events, by bucket of the time since the first part.
     """
 
-    __slots__ = ("answers", "begun", "buckets", "failures", "waited_for")
+    __slots__ = (
+        "answers",
+        "begun",
+        "buckets",
+        "failures",
+        "paced",
+        "pacing",
+        "waited_for",
+    )
 
     def __init__(self):
         self.answers = [0, 0]
@@ -86,6 +102,8 @@
         self.buckets = [defaultdict(int), defaultdict(int)]
         self.begun = [defaultdict(int), defaultdict(int)]
         self.waited_for = [defaultdict(int), defaultdict(int)]
+        self.paced = [defaultdict(int), defaultdict(int)]
+        self.pacing = [defaultdict(int), defaultdict(int)]
 
     def observed(self, side):
         """Returns the number of requests known of a side, at least.
@@ -104,11 +122,8 @@
             count: Number of answers.
         """
         side = int(answer.is_new)
-        if answer.phase is AnswerPhase.begun:
-            self.begun[side][answer.bucket] += count
-            return
-        if answer.phase is AnswerPhase.waited_for:
-            self.waited_for[side][answer.bucket] += count
+        if answer.phase is not AnswerPhase.ended:
+            getattr(self, answer.phase)[side][answer.bucket] += count
             return
         self.answers[side] += count
         if answer.failed:
@@ -121,7 +136,7 @@
         for side in (0, 1):
             self.answers[side] += other.answers[side]
             self.failures[side] += other.failures[side]
-            for name in ("buckets", "begun", "waited_for"):
+            for name in ("buckets", "begun", "waited_for", "paced", "pacing"):
                 own = getattr(self, name)[side]
                 for bucket, count in getattr(other, name)[side].items():
                     own[bucket] += count
--- a/pistachiowell/moves/tracker.py
+++ b/pistachiowell/moves/tracker.py
@@ -4,14 +4,19 @@
 from collections import defaultdict
 
 from pistachiowell.moves.circuit_breaker import CircuitBreaker
-from pistachiowell.moves.evidence import Answer, AnswerPhase, latency_bucket
+from pistachiowell.moves.evidence import (
+    PACE_EVENTS,
+    Answer,
+    AnswerPhase,
+    latency_bucket,
+)
 from pistachiowell.moves.traffic_tokens import TrafficToken, version_weights
 
 START_TIME_STEP_S = 0.1
 
 
 class MoveAttempt:
-    """An attempt at one of the versions whose answer is waited for.
+    """An attempt at one of the versions whose answer is waited for, or its pace.
 
     Args:
         tracker: The ``MoveTracker``.
@@ -21,7 +26,15 @@
         began: Time at which it began, in seconds.
     """
 
-    __slots__ = ("_began", "_data_centre", "_is_new", "_server", "_tracker")
+    __slots__ = (
+        "_began",
+        "_data_centre",
+        "_events_left",
+        "_first_part_at",
+        "_is_new",
+        "_server",
+        "_tracker",
+    )
 
     def __init__(self, tracker, is_new, server, data_centre, began):
         self._tracker = tracker
@@ -29,26 +42,47 @@
         self._server = server
         self._data_centre = data_centre
         self._began = began
+        self._first_part_at = None
+        self._events_left = 1 + PACE_EVENTS
 
     @property
     def began(self):
         """Time at which it began, in seconds."""
         return self._began
 
-    def answer(self, phase, now):
-        """Returns an ``Answer`` with the time since the begin of the attempt."""
-        return Answer(
-            self._is_new,
-            self._server,
-            self._data_centre,
-            bucket=latency_bucket(now - self._began),
-            phase=phase,
-        )
+    def waiting_answer(self, now):
+        """Returns the ``Answer`` that tells how long is waited for the next phase."""
+        if self._first_part_at is None:
+            return self._answer(AnswerPhase.waited_for, now - self._began)
+        return self._answer(AnswerPhase.pacing, now - self._first_part_at)
 
     def record_first_part(self, now):
         """Records that the answer has begun."""
-        self._tracker.add(self.answer(AnswerPhase.begun, now), self._began, 1)
-        self.stop_waiting()
+        self._first_part_at = now
+        self._add(AnswerPhase.begun, now - self._began)
+
+    def record_events(self, count, now):
+        """Records events of a stream.
+
+        Args:
+            count: Number of events that have come.
+            now: Time in seconds.
+        """
+        if self._first_part_at is None or self._events_left <= 0:
+            return
+        self._events_left -= count
+        if self._events_left <= 0:
+            self._add(AnswerPhase.paced, now - self._first_part_at)
+            self.stop_waiting()
+
+    def _answer(self, phase, time_s):
+        bucket = latency_bucket(time_s)
+        return Answer(
+            self._is_new, self._server, self._data_centre, bucket=bucket, phase=phase
+        )
+
+    def _add(self, phase, time_s):
+        self._tracker.add(self._answer(phase, time_s), self._began, 1)
 
     def stop_waiting(self):
         """Records that the answer is no longer waited for."""
@@ -229,7 +263,7 @@
         counts = defaultdict(int)
         for attempt in self._waiting:
             step = round(attempt.began / START_TIME_STEP_S) * START_TIME_STEP_S
-            counts[attempt.answer(AnswerPhase.waited_for, now), step] += 1
+            counts[attempt.waiting_answer(now), step] += 1
         return counts
 
     def record_trip(self):
