Do not count an attempt that its caller left as a good answer

A request that was cancelled counted as a success of its server's version in an open move and for the server's health; one cut at its deadline too, once an event had come. Class: no error taken for success. An attempt that was given up before its deadline shows nothing now, and a deadline that passes at a server counts against its version, not its health.

The test fails without the change: there is no way to tell the two apart at the end of an attempt, and a cancelled one is recorded as good.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -338,26 +338,30 @@
 
     @contextmanager
     def _recorded_attempt(self, run, attempt):
-        error = None
+        error, was_abandoned = None, False
         try:
             yield
         except PistachiowellError as caught:
             error = caught
             raise
         except anyio.get_cancelled_exc_class():
-            error = self._fault_at_deadline(run, attempt)
+            was_abandoned = self._runtime.now() < run.request.deadline
+            error = _fault_at_deadline(run, attempt)
             raise
         finally:
-            attempt.record_end(error, self._crashes.is_exempt)
+            if was_abandoned:
+                attempt.record_abandoned()
+            else:
+                attempt.record_end(error, self._crashes.is_exempt)
             if attempt.latency_s is not None:
                 self._runtime.metrics.timing("servers.first_byte", attempt.latency_s)
 
-    def _fault_at_deadline(self, run, attempt):
-        """Returns the server's fault in an attempt that was cancelled, or None."""
-        is_late = self._runtime.now() >= run.request.deadline
-        if is_late and attempt.latency_s is not None and not run.events.count:
-            return AnswerBroken("The answer has begun and not ended by the deadline.")
-        return None
+
+def _fault_at_deadline(run, attempt):
+    """Returns the error of an attempt whose deadline has passed at its server."""
+    if attempt.latency_s is not None and not run.events.count:
+        return AnswerBroken("The answer has begun and not ended by the deadline.")
+    return DeadlineExceeded("The answer had not ended by the deadline.")
 
 
 class ServerErrorAnswer(ServerFailed):
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -100,6 +100,11 @@
             self.server, error, self.latency_s, self._started_at, exempt=exempt
         )
 
+    def record_abandoned(self):
+        """Records that the attempt was given up and shows nothing about its server."""
+        self._release()
+        self._selection.record_abandoned(self.server)
+
     def _release(self):
         if self._placed is not None:
             self._selection.engines.record_end(self._placed)
@@ -244,6 +249,11 @@
         else:
             self._health.record_inconclusive(server_id)
 
+    def record_abandoned(self, server):
+        """Records the end of an attempt that was given up; see ``Attempt``."""
+        self._loads.record_end(server.id)
+        self._health.record_inconclusive(server.id)
+
     def _candidate(self, server):
         is_near = server.data_centre == self._settings.data_centre
         return Candidate(server.id, server.data_centre, 0 if is_near else 1)
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -8,10 +8,12 @@
 import anyio
 import pytest
 
-from pistachiowell.catalog import BackendServer
+from pistachiowell.catalog import BackendServer, ServerRegistry
+from pistachiowell.core.errors import DeadlineExceeded, Overloaded
 from pistachiowell.gateway.move_judge import MoveJudge
 from pistachiowell.gateway.move_orders import MoveOrder, MoveState
 from pistachiowell.gateway.moves import GatewayMoves
+from pistachiowell.gateway.selection import Selection
 from pistachiowell.router.move_reports import count_messages
 from pistachiowell.schema.generated.messages_moves import MoveCounts
 from pistachiowell.wire import Handlers
@@ -288,3 +290,44 @@
 async def test_good_version_with_long_answers_is_completed_in_time(rate_rps, seed):
     state, _ = await simulate_streams((1, 1), rate_rps, seed)
     assert state is MoveState.completed
+
+
+@pytest.fixture
+def selection():
+    """Returns a ``Selection`` of one server while a move of its service is open."""
+
+    def now():
+        return 100.0
+
+    moves = GatewayMoves(SimpleNamespace(now=now), None, Random(1))
+    moves.apply_orders({"desk": MoveOrder("desk", "v2", 9.0, MoveState.ordered, 7)})
+    registry = ServerRegistry(1.0)
+    registry.replace({SERVERS[0].id: SERVERS[0]}, 100.0)
+    settings = SimpleNamespace(data_centre="dc-0")
+    return Selection(registry, moves, settings, Random(1), now), moves
+
+
+@pytest.mark.parametrize(
+    ("error", "ended", "failed"),
+    [
+        (None, 1, 0),
+        (DeadlineExceeded("late"), 1, 1),
+        (Overloaded("full"), 0, 0),
+        ("abandoned", 0, 0),
+    ],
+)
+def test_attempt_that_its_caller_left_counts_as_good(selection, error, ended, failed):
+    selection, moves = selection
+    service = SimpleNamespace(engine=None)
+    request = SimpleNamespace(service=service, prompt=None, fingerprint="f")
+    attempt = selection.start_attempt(request, "desk", set(), ())
+    tracker = moves.tracker("desk")
+    assert sum(tracker.waits(100.0).values()) == 1
+    if error == "abandoned":
+        attempt.record_abandoned()
+    else:
+        attempt.record_end(error, lambda fingerprint, server: False)
+    counts, _ = tracker.drain_report()
+    assert sum(counts.values()) == ended
+    assert sum(answer.failed for answer, _ in counts) == failed
+    assert not tracker.waits(100.0)
