Bound the time of a judgement of parts

A report about one more crash took a second with 100 crashes of 200 parts, 30 of them common to all, and did not end within minutes at the limits of the ledger: each part was compared with all others at all crashes. Counts are kept for each crash, parts are compared only when little else speaks for another cause, the latest 40 crashes are judged, and 20 suspects at a time, those with the most crashes first.

--- a/pistachiowell/routing/crash_records.py
+++ b/pistachiowell/routing/crash_records.py
@@ -32,6 +32,26 @@
         return is_known and self.waiting.issuperset(part.waiting)
 
 
+class CountedParts:
+    """The parts at one crash, as far as they count.
+
+    Args:
+        requests: Fingerprints of the requests with a part, by name of the part.
+
+    Attributes:
+        requests: The same, without parts that no request had.
+        request_count: Number of requests with any of the parts.
+        presence_count: Sum of the requests with each part.
+    """
+
+    __slots__ = ("presence_count", "request_count", "requests")
+
+    def __init__(self, requests):
+        self.requests = {name: names for name, names in requests.items() if names}
+        self.request_count = len(set().union(*self.requests.values()))
+        self.presence_count = sum(map(len, self.requests.values()))
+
+
 @dataclass(slots=True, eq=False)
 class CrashRecord:
     """A crash as known from all reports about it.
@@ -51,6 +71,22 @@
     fingerprints: set = field(default_factory=set)
     parts: dict = field(default_factory=dict)
     culprit: str = ""
+    _counted_parts: dict = field(default_factory=dict, repr=False)
+
+    def counted_parts(self, *, with_waiting):
+        """Returns the ``CountedParts``.
+
+        Args:
+            with_waiting: Whether requests count that a server had not begun to answer.
+        """
+        if with_waiting not in self._counted_parts:
+            self._counted_parts[with_waiting] = CountedParts(
+                {
+                    name: part.fingerprints if with_waiting else part.begun
+                    for name, part in self.parts.items()
+                }
+            )
+        return self._counted_parts[with_waiting]
 
     def add(self, crash, max_suspects):
         """Adds what a report names; returns the names that were not known before.
@@ -59,6 +95,7 @@
             crash: A ``Crash``.
             max_suspects: Suspects of each kind that are kept.
         """
+        self._counted_parts.clear()
         room = max(0, max_suspects - len(self.fingerprints))
         new = [n for n in crash.fingerprints[:room] if n not in self.fingerprints]
         self.fingerprints.update(new)
@@ -73,6 +110,10 @@
             known.waiting.update(part.waiting)
         return new
 
+    def names(self, suspect):
+        """Returns whether a suspect was in progress."""
+        return suspect in self.fingerprints or suspect in self.parts
+
     def has_all(self, crash, max_suspects):
         """Returns whether a report adds nothing to this record."""
         is_full = len(self.fingerprints) >= max_suspects
--- a/pistachiowell/routing/crash_rules.py
+++ b/pistachiowell/routing/crash_rules.py
@@ -10,6 +10,8 @@
 from pistachiowell.routing.crash_suspects import SuspectKind, suspect_kind
 
 CRASH_RULES = Registry("crash rule")
+# Bounds the time of a judgement.
+MAX_SERIES_CRASHES = 40
 
 
 @CRASH_RULES.add(SuspectKind.request)
@@ -121,11 +123,10 @@
         """
         since = min(crash.at for crash in crashes)
         unexplained = self.settled(self._evidence.unexplained(name, since), now)
-        begun = CrashSeries(name, unexplained, lambda part: part.begun)
-        if self._is_proved_by(begun, since, now):
-            return True
-        both = CrashSeries(name, unexplained, lambda part: part.fingerprints)
-        return self._is_proved_by(both, since, now)
+        return any(
+            self._is_proved_by(CrashSeries(name, unexplained, with_waiting), since, now)
+            for with_waiting in (False, True)
+        )
 
     def _is_proved_by(self, series, since, now):
         settings = self._settings
@@ -137,18 +138,24 @@
             return False
         if len(series.crashes) < settings.min_share * series.length:
             return False
+        is_early = moments < settings.max_crashes
+        max_chance = settings.max_chance_early if is_early else settings.max_chance
         chance = series.chance_of_presence()
         chance *= series.chance_of_no_answer(self._evidence.count_clearings(since))
+        # Each of the parts might have been the one. They are counted last, as only few
+        # parts come so far.
+        if chance > max_chance or chance * series.count_parts() > max_chance:
+            return False
         rivals = self._rivals(series.name, series.crashes, now)
-        if moments < settings.max_crashes:
-            return chance <= settings.max_chance_early and not rivals
-        is_dominated = any(len(others) > len(series.crashes) for others in rivals)
-        return chance <= settings.max_chance and not is_dominated
+        if is_early:
+            return not rivals
+        return all(len(others) <= len(series.crashes) for others in rivals)
 
     def settled(self, crashes, now):
-        """Returns the crashes whose reports are in; others may follow all the time."""
+        """Returns the latest crashes whose reports are in; others may follow."""
         latest = now - self._settings.settle_s
-        return [crash for crash in crashes if crash.at <= latest]
+        settled = [crash for crash in crashes if crash.at <= latest]
+        return settled[-MAX_SERIES_CRASHES:]
 
     def may_wait(self, name, crashes, now):
         """Returns False: a part is not held back while nothing is decided."""
@@ -157,10 +164,12 @@
 
     def _rivals(self, name, crashes, now):
         """Returns the crashes of each suspect that may have caused all of these."""
-        shared = set.intersection(
-            *(crash.fingerprints.union(crash.parts) for crash in crashes)
-        )
-        counted = [self._evidence.counted(other, now) for other in shared - {name}]
+        shared = [
+            other
+            for other in (*crashes[0].fingerprints, *crashes[0].parts)
+            if other != name and all(crash.names(other) for crash in crashes)
+        ]
+        counted = [self._evidence.counted(other, now) for other in shared]
         return [others for others in counted if _covers(others, crashes)]
 
     def _moments(self, crashes):
@@ -179,49 +188,50 @@
     Args:
         name: Name of the part.
         crashes: The ``CrashRecord`` that the part may have caused.
-        counted: Function that returns the fingerprints to count of a ``PartRecord``.
+        with_waiting: Whether requests count that a server had not begun to answer.
 
     Attributes:
         name: Name of the part.
         crashes: The crashes at which it was in progress.
-        length: Number of crashes of the series.
         requests: Fingerprints of the requests with the part.
 
     References:
         Bonferroni (1936), on the probability of one of several events.
     """
 
-    __slots__ = ("_counts", "_sizes", "crashes", "length", "name", "requests")
+    __slots__ = ("_present", "_series", "crashes", "name", "requests")
 
-    def __init__(self, name, crashes, counted):
+    def __init__(self, name, crashes, with_waiting):
         self.name = name
         self.crashes, self.requests = [], set()
-        self._counts, self._sizes = [], []
+        self._series, self._present = [], []
         for crash in crashes:
-            parts = {n: counted(p) for n, p in crash.parts.items() if counted(p)}
-            if not parts or (name in crash.parts and name not in parts):
+            counted = crash.counted_parts(with_waiting=with_waiting)
+            is_present = name in counted.requests
+            if not counted.requests or (name in crash.parts and not is_present):
                 continue
-            self._counts.append({n: len(names) for n, names in parts.items()})
-            self._sizes.append(len(set().union(*parts.values())))
-            if name in parts:
+            self._series.append(counted)
+            if is_present:
                 self.crashes.append(crash)
-                self.requests |= parts[name]
-        self.length = len(self._sizes)
+                self._present.append(len(counted.requests[name]))
+                self.requests |= counted.requests[name]
+
+    @property
+    def length(self):
+        """Number of crashes of the series."""
+        return len(self._series)
 
     def chance_of_presence(self):
-        """Returns how probable it is that any innocent part was at so many crashes.
+        """Returns how probable it is that an innocent part was at so many crashes.
 
         The requests with the part beyond the first one at each crash tell how common it
-        is, and from this follows how often it is in progress at a crash by chance. The
-        binomial probability is multiplied by the number of parts, each of which might
-        have been the one.
+        is, and from this follows how often it is in progress at a crash by chance.
         """
-        present = [counts[self.name] for counts in self._counts if self.name in counts]
-        repeats = sum(count - 1 for count in present)
-        share = min(1.0, (repeats + 0.5) / sum(self._sizes))
-        at_one = sum(1 - (1 - share) ** size for size in self._sizes) / self.length
-        parts = len(set().union(*self._counts))
-        return min(1.0, parts * _binomial_tail(self.length, len(present), at_one))
+        sizes = [counted.request_count for counted in self._series]
+        repeats = sum(self._present) - len(self._present)
+        share = min(1.0, (repeats + 0.5) / sum(sizes))
+        at_one = sum(1 - (1 - share) ** size for size in sizes) / len(sizes)
+        return min(1.0, _binomial_tail(len(sizes), len(self._present), at_one))
 
     def chance_of_no_answer(self, clearings):
         """Returns how probable it is that no answer has cleared an innocent part.
@@ -231,9 +241,12 @@
         Args:
             clearings: How often any part was cleared meanwhile.
         """
-        total = sum(sum(counts.values()) for counts in self._counts)
-        own = sum(counts.get(self.name, 0) for counts in self._counts)
-        return exp(-clearings * own / total)
+        total = sum(counted.presence_count for counted in self._series)
+        return exp(-clearings * sum(self._present) / total)
+
+    def count_parts(self):
+        """Returns the number of different parts at the crashes."""
+        return len(set().union(*(counted.requests for counted in self._series)))
 
 
 def _binomial_tail(trials, successes, chance):
--- a/pistachiowell/routing/crashes.py
+++ b/pistachiowell/routing/crashes.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass
+from heapq import nlargest
 
 from pistachiowell.core.registry import Registry
 from pistachiowell.routing.crash_records import (
@@ -26,6 +27,8 @@
 # Parts whose quarantine was lifted are remembered, so that a late notice or a record of
 # the store does not renew it.
 MAX_LIFTED = 1_000
+# Suspects that are judged at a time; those with the most crashes go first.
+MAX_JUDGED = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,7 +223,11 @@
         Returns:
             A list of the suspects that are quarantined now.
         """
-        return [name for name in sorted(self._pending) if self._judge(name, now)]
+        names = sorted(self._pending)
+        if len(names) > MAX_JUDGED:
+            suspects = self._evidence.suspects
+            names = nlargest(MAX_JUDGED, names, lambda n: len(suspects[n].crashes))
+        return [name for name in names if self._judge(name, now)]
 
     def is_known(self, crash):
         """Returns whether a report adds nothing to what has been recorded."""
@@ -362,10 +369,8 @@
         return known.was_quarantined and suspect_kind(name) is SuspectKind.part
 
     def _judge(self, name, now):
-        known, crashes = (
-            self._evidence.suspects[name],
-            self._evidence.counted(name, now),
-        )
+        known = self._evidence.suspects[name]
+        crashes = self._evidence.counted(name, now)
         if self._is_renewed(name, known):
             return self.quarantine(name, now)
         rule = rule_of(self._rules, name)
@@ -378,7 +383,8 @@
         if rule.is_proved(name, settled, now):
             self._pending.discard(name)
             return self.quarantine(name, now)
-        if len(settled) == len(crashes) and not rule.may_wait(name, settled, now):
+        is_whole = settled[-1] is crashes[-1]
+        if is_whole and not rule.may_wait(name, settled, now):
             self._pending.discard(name)
         return False
 
--- a/pistachiowell/routing/tests/test_crashing_parts.py
+++ b/pistachiowell/routing/tests/test_crashing_parts.py
@@ -6,6 +6,8 @@
 of their own.
 """
 
+import time
+
 import pytest
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
@@ -29,6 +31,7 @@
 FIRST_BAD_S = 5.0
 SESSIONS = 80
 MAX_REFUSED_SHARE = 0.02
+MAX_JUDGE_S = 1.0
 
 
 def first_part(rng):
@@ -236,6 +239,32 @@
     assert ledger.status("part-a", 8.0) is not FingerprintStatus.quarantined
 
 
+def test_sound_request_at_the_crashes_of_a_part_is_not_blamed():
+    ledger = CrashLedger(SHARED_SERVER_CRASHES)
+    for number in range(5):
+        bad = f"bad-{number}"
+        parts = [PartInProgress("part-bad", (bad,))]
+        parts += [PartInProgress(f"part-{number}{n}", (f"r{number}",)) for n in "abcd"]
+        names = (bad, f"r{number}") if number > 2 else (bad, f"r{number}", "sound")
+        report = Crash(f"c{number}", f"s{number}", names, parts=tuple(parts))
+        assert "sound" not in ledger.record_crash(report, float(number))
+        assert "sound" not in ledger.judge(number + 0.6)
+    assert ledger.status("part-bad", 4.6) is FingerprintStatus.quarantined
+    assert ledger.status("sound", 4.6) is FingerprintStatus.clear
+
+
+def test_many_parts_at_many_crashes_are_judged_in_bounded_time():
+    ledger = CrashLedger(SHARED_SERVER_CRASHES)
+    for number in range(60):
+        own = [f"part-{number}-{index}" for index in range(160)]
+        common = [f"part-common-{index}" for index in range(40)]
+        ledger.record_crash(crash(number, *common, *own), 0.6 * number)
+    started_at = time.perf_counter()
+    ledger.judge(60.0)
+    assert time.perf_counter() - started_at < MAX_JUDGE_S
+    assert ledger.crash_count("part-common-0", 60.0) == 60
+
+
 def test_new_peer_learns_the_crashes_of_a_part():
     old, new = (CrashLedger(SHARED_SERVER_CRASHES) for _ in range(2))
     for number in range(3):
