Show that a silent server gets requests without end

One of four servers is stopped for 5 s under 40 requests a second of callers who wait 0.6 s, before 2 and 8 gateways.

--- a/pistachiowell/soak/server_processes.py
+++ b/pistachiowell/soak/server_processes.py
@@ -1,6 +1,8 @@
 """Backend servers of a soak as processes that crash and are started again."""
 
+import itertools
 import json
+import signal
 import subprocess
 import sys
 import time
@@ -64,7 +66,7 @@
         self._down_s = down_s
         self._lease_s = lease_s
         self._keeps_ids = keeps_ids
-        self._processes = []
+        self._processes = {}
 
     async def add(self, name, service):
         """Starts a server, registers it and supervises it until cancelled."""
@@ -79,10 +81,17 @@
         ]
         return sorted(lines, key=lambda line: line["at"])
 
+    def send_signal(self, name, signal_number):
+        """Sends a signal to the latest process of a server if it still runs."""
+        process = self._processes[name][-1]
+        if process.poll() is None:
+            process.send_signal(signal_number)
+
     def stop(self):
         """Kills all processes that were started here and waits for their exit."""
-        for process in self._processes:
+        for process in itertools.chain(*self._processes.values()):
             if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
 
@@ -126,7 +135,7 @@
         ]
         with (self._directory / f"{name}.log").open("ab") as log:
             process = subprocess.Popen(command, stdout=log, stderr=log)
-        self._processes.append(process)
+        self._processes.setdefault(name, []).append(process)
         return process
 
     async def _wait_until_listening(self, port):
--- a/pistachiowell/soak/tests/crashing_fleet.py
+++ b/pistachiowell/soak/tests/crashing_fleet.py
@@ -40,6 +40,8 @@
         answers: Triples of body, status and code of the error; the code is empty for
             other answers, and the status 0 if the answer is incomplete.
         sent_at: Wall time of the latest sending in seconds by body.
+        ends: Pairs of the wall time at which the caller left, served or not, and of the
+            status, by id of the request.
     """
 
     def __init__(self, fleet):
@@ -47,8 +49,9 @@
         self._numbers = itertools.count(1)
         self.answers = []
         self.sent_at = {}
+        self.ends = {}
 
-    async def send(self, kind, body, gateway, parts=()):
+    async def send(self, kind, body, gateway, parts=(), wait_s=CALLER_TIMEOUT_S):
         """Sends one request with a new id and records its answer.
 
         Args:
@@ -56,12 +59,15 @@
             body: Its body.
             gateway: Name of the gateway.
             parts: Ids of the parts of its prompt.
+            wait_s: Seconds after which the caller leaves.
         """
         self.sent_at[body] = time.time()
+        request_id = f"{kind}-{next(self._numbers)}"
         answer = (0, "")
-        with anyio.move_on_after(CALLER_TIMEOUT_S):
+        with anyio.move_on_after(wait_s):
             with suppress(httpcore.NetworkError, httpcore.ProtocolError, OSError):
-                answer = await self._exchange(kind, body, gateway, parts)
+                answer = await self._exchange(request_id, kind, body, gateway, parts)
+        self.ends[request_id] = (time.time(), answer[0])
         self.answers.append((body, *answer))
         return answer
 
@@ -74,8 +80,7 @@
                 group.start_soon(self.send, kind, body, next(names))
                 await anyio.sleep(interval_s)
 
-    async def _exchange(self, kind, body, gateway, parts):
-        request_id = f"{kind}-{next(self._numbers)}"
+    async def _exchange(self, request_id, kind, body, gateway, parts):
         headers = caller_headers(request_id, CALLER_TIMEOUT_S, 100, 50, parts)
         if kind in ("read", "book"):
             headers = [h for h in headers if h[0] != USAGE_HEADER]
