Take a server that has stopped answering for silent and send it nothing

Cause: silence was no evidence. An attempt that its caller leaves was inconclusive, so each caller who left made room for the next, at each gateway on its own.

A server is silent now if a request waits there for twice the longest usual wait and nothing has come from the server meanwhile (routing/silence.py). It gets nothing; requests that may be repeated go on at other servers; two agents tell all gateways and probe the server until it answers. A request that is slow alone, long prompts, queues, callers that read slowly and a gateway that stood still itself make no server silent; if most servers of a service seem silent to one gateway alone, none is left out.

Attempts that are given up are logged with their age.

--- a/pistachiowell/catalog/catalog.py
+++ b/pistachiowell/catalog/catalog.py
@@ -86,11 +86,13 @@
         name: Name of the service.
         max_connections: Number of connections that one server accepts in total.
         engine: ``EngineLimits``; None for a plain service.
+        health_path: Path of the health check of its servers.
     """
 
     name: str
     max_connections: int
     engine: EngineLimits | None = None
+    health_path: str = "/"
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -11,6 +11,7 @@
 from pistachiowell.gateway.budget_owner import BudgetOwner
 from pistachiowell.gateway.load_reports import LoadReporter
 from pistachiowell.gateway.move_judge import MoveJudge
+from pistachiowell.gateway.silence_probes import SilenceProbes
 from pistachiowell.gateway.state import GatewayState
 from pistachiowell.gateway.watchers import CatalogWatcher, MoveOrderWatcher
 from pistachiowell.router.crash_candidates import CrashCandidates
@@ -53,6 +54,7 @@
         "_move_judge",
         "_move_watcher",
         "_runtime",
+        "_silence_probes",
         "_state",
     )
 
@@ -77,6 +79,9 @@
         self._links = LinkSet()
         self._links.add_link_listener(self._load_reporter.add_link)
         CrashCandidates(runtime, self._links, self._handlers, SHARED_SERVER_CRASHES)
+        self._silence_probes = SilenceProbes(
+            runtime, state, self._links, self._handlers
+        )
 
     @property
     def state(self):
@@ -97,6 +102,7 @@
             group.start_soon(self._move_watcher.run)
             group.start_soon(self._move_judge.run)
             group.start_soon(self._load_reporter.run)
+            group.start_soon(self._silence_probes.run)
             group.start_soon(serve_metrics, self._runtime)
             _log.info(
                 "Agent starts.",
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -15,6 +15,7 @@
 from pistachiowell.gateway.connections import ConnectionPool
 from pistachiowell.gateway.events import EventReader
 from pistachiowell.gateway.exchange import ConnectionBroken, Exchange, NotConnected
+from pistachiowell.gateway.silence import SilentServer
 from pistachiowell.routing import (
     RETRIES,
     SPLITTERS,
@@ -115,6 +116,7 @@
     Args:
         runtime: The process's ``Runtime``.
         selection: The ``Selection``.
+        silence: The ``SilenceMonitor``.
         crashes: The ``ServerCrashes``.
         codec: Codec of heads; see ``pistachiowell.platform.headers``.
         router_count: Function that returns the number of gateways that may be running;
@@ -130,13 +132,15 @@
         "_router_count",
         "_runtime",
         "_selection",
+        "_silence",
         "_splitter",
         "_started_at",
     )
 
-    def __init__(self, runtime, selection, crashes, codec, router_count, rng):
+    def __init__(self, runtime, selection, silence, crashes, codec, router_count, rng):
         self._runtime = runtime
         self._selection = selection
+        self._silence = silence
         self._crashes = crashes
         self._codec = codec
         self._router_count = router_count
@@ -270,7 +274,12 @@
                 Exchange(self._pool, self._codec, server, request) as exchange,
             ):
                 try:
-                    await self._forward_answer(run, exchange, attempt, tracked)
+                    with self._silence.watched_attempt(
+                        server, attempt.expected_wait_s, lambda: self._may_move_on(run)
+                    ) as watch:
+                        await self._forward_answer(
+                            run, exchange, attempt, tracked, watch
+                        )
                 finally:
                     if exchange.is_complete:
                         tracked.record_answer(
@@ -278,7 +287,15 @@
                         )
                     run.record_usage(exchange)
 
-    async def _forward_answer(self, run, exchange, attempt, tracked):
+    def _may_move_on(self, run):
+        route = run.request.route
+        if run.writer.has_started and not route.is_resumable:
+            return False
+        if not run.retries.may_move_on(self._runtime.now(), self._retry_share(run)):
+            return False
+        return self._selection.has_other_server(run.service, run.tried)
+
+    async def _forward_answer(self, run, exchange, attempt, tracked, watch):
         request, events = run.request, run.events
         left_s = request.deadline - self._runtime.now()
         if left_s <= 0:
@@ -289,20 +306,22 @@
         events.begin_continuation()
         await exchange.send(left_s, last_id)
         head = exchange.head
+        watch.record_part()
         tracked.record_begin()
         if not request.route.has_prompts or not head.is_success:
             attempt.record_first_byte()
             run.usage.has_unstreamed_answer |= head.is_success
             # The body is read to its end before any of it is sent, so that a body that
             # is cut off can be retried and never looks complete to the caller.
-            body = await exchange.read_body()
+            body = await exchange.read_body(watch.record_part)
             if head.status >= SERVER_ERROR_STATUS and request.route.is_idempotent:
                 raise ServerErrorAnswer(head, body)
-            await run.writer.send_complete(head, body)
+            with watch.paused():
+                await run.writer.send_complete(head, body)
             return
-        await self._forward_stream(run, exchange, attempt)
+        await self._forward_stream(run, exchange, attempt, watch)
 
-    async def _forward_stream(self, run, exchange, attempt):
+    async def _forward_stream(self, run, exchange, attempt, watch):
         # Only complete events are sent, so that another server can continue a broken
         # stream with the event after the last one.
         head, has_data = exchange.head, False
@@ -310,18 +329,21 @@
             if not data:
                 continue
             has_data = True
+            watch.record_part()
             attempt.record_first_byte()
             complete = run.events.feed(data)
             attempt.record_events(len(complete))
             if complete:
-                await run.writer.send_chunk(head, b"".join(complete))
+                with watch.paused():
+                    await run.writer.send_chunk(head, b"".join(complete))
             if run.events.fault:
                 raise AnswerBroken(run.events.fault)
         if run.events.pending_bytes:
             raise ConnectionBroken("The stream ended inside an event.")
         if not has_data and not exchange.is_framed:
             raise ConnectionBroken("The connection ended before the first event.")
-        await run.writer.finish(head)
+        with watch.paused():
+            await run.writer.finish(head)
 
     def _retry_share(self, run):
         retry_share = self._retry_shares.get(run.service)
@@ -341,6 +363,10 @@
         error, was_abandoned = None, False
         try:
             yield
+        except SilentServer:
+            # A VM that stands still says nothing about the version that it runs.
+            was_abandoned = True
+            raise
         except PistachiowellError as caught:
             error = caught
             raise
@@ -351,6 +377,13 @@
         finally:
             if was_abandoned:
                 attempt.record_abandoned()
+                _log.info(
+                    "Attempt is given up before its end.",
+                    request=run.request.id,
+                    server=attempt.server.id,
+                    after_s=round(attempt.age_s, 3),
+                    first_byte_s=attempt.latency_s,
+                )
             else:
                 attempt.record_end(error, self._crashes.is_exempt)
             if attempt.latency_s is not None:
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -155,9 +155,12 @@
         await self._body.aclose()
         self._is_complete = True
 
-    async def read_body(self):
+    async def read_body(self, record_part):
         """Returns the complete body.
 
+        Args:
+            record_part: Function to call whenever bytes have arrived.
+
         Raises:
             ConnectionBroken: The body was cut off.
             AnswerBroken: The body exceeds ``MAX_BODY_BYTES`` or has no place beside the
@@ -165,6 +168,7 @@
         """
         with self._pool.buffer() as buffer:
             async for data in self.chunks():
+                record_part()
                 buffer.add(data)
                 if buffer.size > MAX_BODY_BYTES:
                     raise AnswerBroken(f"The answer exceeds {MAX_BODY_BYTES} bytes.")
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -16,6 +16,7 @@
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
+from pistachiowell.gateway.silence import SilenceMonitor
 from pistachiowell.gateway.spending import GatewaySpending
 from pistachiowell.gateway.state import GatewayState
 from pistachiowell.gateway.store_fallback import StoreFallback
@@ -75,6 +76,7 @@
         "_runtime",
         "_selection",
         "_server_watcher",
+        "_silence",
         "_spending",
         "_state",
     )
@@ -93,8 +95,9 @@
         self._move_watcher = MoveOrderWatcher(
             runtime, adapter.moves, self._moves.apply_orders
         )
+        self._silence = SilenceMonitor(runtime, self._fleet, state.servers, handlers)
         self._selection = selection = Selection(
-            state.servers, self._moves, settings, rng, runtime.now
+            state.servers, self._moves, self._silence, settings, rng, runtime.now
         )
         self._agent_reports = AgentReports(
             runtime,
@@ -120,6 +123,7 @@
         self._dispatch = Dispatch(
             runtime,
             selection,
+            self._silence,
             self._crashes,
             adapter.heads,
             lambda: self._router_count,
@@ -170,6 +174,7 @@
             group.start_soon(self._crashes.run)
             group.start_soon(self._quarantine_fallback.run)
             group.start_soon(self._server_watcher.run)
+            group.start_soon(self._silence.run)
             group.start_soon(self._fleet.run)
             group.start_soon(self._move_watcher.run)
             group.start_soon(self._moves.run)
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -70,6 +70,11 @@
         self.expected_wait_s = expected_wait_s
         self.latency_s = None
 
+    @property
+    def age_s(self):
+        """Seconds since the start."""
+        return self._selection.now() - self._started_at
+
     def record_first_byte(self):
         """Records the arrival of the first part of the answer; ignores later parts."""
         if self.latency_s is not None:
@@ -118,6 +123,7 @@
     Args:
         servers: The ``ServerRegistry``.
         moves: The ``GatewayMoves``; restricts the versions that an attempt may go to.
+        silence: The ``SilenceMonitor``; leaves out servers that do not answer.
         settings: ``GatewaySettings``.
         rng: A ``Random``.
         now: Function that returns the monotonic time in seconds.
@@ -135,13 +141,15 @@
         "_placer",
         "_servers",
         "_settings",
+        "_silence",
         "engines",
         "now",
     )
 
-    def __init__(self, servers, moves, settings, rng, now):
+    def __init__(self, servers, moves, silence, settings, rng, now):
         self._servers = servers
         self._moves = moves
+        self._silence = silence
         self._settings = settings
         self.now = now
         routing = RoutingSettings()
@@ -156,6 +164,19 @@
         """Returns the failures of a server that count against its health."""
         return self._health.failures(server_id)
 
+    def has_other_server(self, service_name, tried):
+        """Returns whether a server that answers is left for another attempt.
+
+        Args:
+            service_name: Name of the service.
+            tried: Ids of the servers of earlier attempts.
+        """
+        now = self.now()
+        available = self._servers.available_servers(service_name, now)
+        servers = self._moves.filter_servers(service_name, available)
+        names = [server.id for server in servers if server.id not in tried]
+        return any(self._silence.is_answering(name) for name in names)
+
     def start_attempt(self, request, service_name, tried, crashed_servers):
         """Selects a server for an attempt and records that the attempt is sent to it.
 
@@ -178,7 +199,8 @@
         if not servers:
             raise NoServer(f"Service {service_name} has no server that accepts work.")
         names = [name for name in servers if name not in tried] or list(servers)
-        usable = self._health.usable(names, now) or names
+        answering = self._silence.usable(names, now)
+        usable = self._health.usable(answering, now) or answering
         candidates = [self._candidate(servers[name]) for name in usable]
         if crashed_servers:
             candidates = [
--- /dev/null
+++ b/pistachiowell/gateway/silence.py
@@ -0,0 +1,177 @@
+"""Attempts at servers that have stopped answering, at a gateway."""
+
+from contextlib import contextmanager
+
+import anyio
+
+from pistachiowell.budgets.page_owner import rank_owners
+from pistachiowell.core.errors import LinkLost, ServerFailed
+from pistachiowell.core.logs import part_logger
+from pistachiowell.routing import SILENCE_DETECTORS, SilenceSettings
+from pistachiowell.schema.generated.messages_gateway import ServerSilent, SilenceNotice
+
+TICK_S = 0.05
+# The agent on the VM of a silent server is often silent too.
+AGENTS_TOLD = 2
+
+_log = part_logger("silence")
+
+
+class SilentServer(ServerFailed):
+    """The server has not answered, and the request is sent to another one instead."""
+
+
+class SilenceMonitor:
+    """Watches the attempts of a gateway and gives up those at silent servers.
+
+    What the gateway suspects it tells two agents, which probe the server and tell all
+    gateways; so the requests at a silent server do not grow with the fleet.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        fleet: The ``Fleet`` with the agents.
+        servers: The ``ServerRegistry``.
+        handlers: Handlers of the links to agents; this registers its own.
+    """
+
+    __slots__ = ("_detector", "_fleet", "_runtime", "_servers", "_watches")
+
+    def __init__(self, runtime, fleet, servers, handlers):
+        self._runtime = runtime
+        self._fleet = fleet
+        self._servers = servers
+        settings = SilenceSettings()
+        self._detector = SILENCE_DETECTORS.find(settings.detector)(settings)
+        self._watches = {}
+        handlers.on(SilenceNotice)(self._handle_notice)
+        runtime.metrics.watch("servers.silent", self._count_suspected)
+
+    async def run(self):
+        """Looks for silent servers until cancelled."""
+        while True:
+            await anyio.sleep(TICK_S)
+            for server_id in self._detector.tick(self._runtime.now()):
+                self._report(server_id)
+            for wait in self._detector.hopeless_waits():
+                watch = self._watches.get(wait)
+                if watch is not None:
+                    watch.move_on()
+
+    def usable(self, server_ids, now):
+        """Returns the servers that may get a request; see ``SilenceDetector``."""
+        return self._detector.usable(server_ids, now)
+
+    def is_answering(self, server_id):
+        """Returns whether a server is not known to be silent."""
+        return not self._detector.is_suspected(server_id, self._runtime.now())
+
+    @contextmanager
+    def watched_attempt(self, server, expected_wait_s, may_move_on):
+        """Watches an attempt while the context is open.
+
+        Args:
+            server: The ``BackendServer``.
+            expected_wait_s: Expected seconds to the first part of the answer.
+            may_move_on: Function that returns whether the request may be sent to
+                another server now.
+
+        Yields:
+            The ``WatchedAttempt``.
+
+        Raises:
+            SilentServer: The server is silent, and the request may be sent to another.
+        """
+        now = self._runtime.now()
+        wait = self._detector.record_start(server.id, expected_wait_s, now)
+        watch = WatchedAttempt(self._detector, wait, may_move_on, self._runtime.now)
+        self._watches[wait] = watch
+        try:
+            with watch.scope:
+                yield watch
+        finally:
+            self._detector.record_end(wait)
+            del self._watches[wait]
+        if watch.is_given_up:
+            self._runtime.metrics.count("attempts.moved")
+            raise SilentServer(f"Server {server.id} does not answer.")
+
+    def _report(self, server_id):
+        self._runtime.metrics.count("servers.silences")
+        _log.warning(
+            "Backend server does not answer.",
+            server=server_id,
+            waiting=sum(wait.server == server_id for wait in self._watches),
+        )
+        server = self._servers.known.get(server_id)
+        if server is None:
+            return
+        message = ServerSilent(server.id, server.service, server.address)
+        agents = {n: peer for n, peer in self._fleet.agents.items() if peer.usable}
+        for name in rank_owners(server_id, agents)[:AGENTS_TOLD]:
+            try:
+                agents[name].link.send(message)
+            except LinkLost as error:
+                _log.info("Telling an agent failed.", agent=name, error=str(error))
+
+    async def _handle_notice(self, link, message):
+        del link
+        now = self._runtime.now()
+        was_suspected = self._detector.is_suspected(message.server, now)
+        self._detector.record_notice(message.server, now, is_silent=message.is_silent)
+        if was_suspected != self._detector.is_suspected(message.server, now):
+            _log.info(
+                "An agent reports on a backend server.",
+                server=message.server,
+                is_silent=message.is_silent,
+            )
+
+    def _count_suspected(self):
+        now = self._runtime.now()
+        return sum(
+            self._detector.is_suspected(name, now) for name in self._servers.known
+        )
+
+
+class WatchedAttempt:
+    """An attempt whose server may turn silent.
+
+    Args:
+        detector: The ``SilenceDetector``.
+        wait: Its ``Wait``.
+        may_move_on: Function that returns whether the request may be sent to another
+            server now.
+        now: Function that returns the monotonic time in seconds.
+
+    Attributes:
+        is_given_up: Whether the attempt is given up, as its server is silent.
+        scope: Cancel scope of the attempt.
+    """
+
+    __slots__ = ("_detector", "_may_move_on", "_now", "_wait", "is_given_up", "scope")
+
+    def __init__(self, detector, wait, may_move_on, now):
+        self._detector = detector
+        self._wait = wait
+        self._may_move_on = may_move_on
+        self._now = now
+        self.scope = anyio.CancelScope()
+        self.is_given_up = False
+
+    def record_part(self):
+        """Records that a part of the answer has come."""
+        self._detector.record_part(self._wait, self._now())
+
+    @contextmanager
+    def paused(self):
+        """Lets the attempt not count as waiting while its caller is served."""
+        self._wait.is_paused = True
+        try:
+            yield
+        finally:
+            self._wait.is_paused = False
+
+    def move_on(self):
+        """Gives the attempt up if its request may be sent to another server."""
+        if not self.is_given_up and self._may_move_on():
+            self.is_given_up = True
+            self.scope.cancel()
--- /dev/null
+++ b/pistachiowell/gateway/silence_probes.py
@@ -0,0 +1,104 @@
+"""Probes of silent servers by an agent, on behalf of all gateways.
+
+Load pattern: each gateway of a large fleet finds out alone that a server is silent, by
+a request that waits there in vain. Two agents hear of it from the first gateway, tell
+all others at once, and probe the server with one health check each. A false suspicion
+ends with the answer to the probe, after some milliseconds.
+"""
+
+import anyio
+import httpcore
+
+from pistachiowell.core.logs import part_logger
+from pistachiowell.schema.generated.messages_gateway import ServerSilent, SilenceNotice
+from pistachiowell.store.calls import HTTP_ERRORS
+
+RENEW_INTERVAL_S = 0.5
+# A probe waits for long, as each probe of a silent server is one more request there.
+PROBE_TIMEOUT_S = 5.0
+# A server that no gateway has reported for so long is not probed any more.
+MAX_PROBING_S = 15.0
+MAX_PROBED_SERVERS = 64
+
+_log = part_logger("silence")
+
+
+class SilenceProbes:
+    """Probes the servers that gateways report as silent and notifies all gateways.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        state: The ``GatewayState``; its catalog has the paths of the health checks.
+        links: The ``LinkSet`` of the gateways.
+        handlers: Handlers of the links to gateways; this registers its own.
+    """
+
+    __slots__ = ("_group", "_links", "_probed", "_runtime", "_state")
+
+    def __init__(self, runtime, state, links, handlers):
+        self._runtime = runtime
+        self._state = state
+        self._links = links
+        self._group = None
+        self._probed = {}
+        handlers.on(ServerSilent)(self._handle_silent)
+
+    async def run(self):
+        """Runs the probes until cancelled."""
+        async with anyio.create_task_group() as self._group:
+            await anyio.sleep_forever()
+
+    async def _handle_silent(self, link, message):
+        del link
+        is_new = message.server not in self._probed
+        if self._group is None or (is_new and len(self._probed) >= MAX_PROBED_SERVERS):
+            return
+        self._probed[message.server] = self._runtime.now()
+        if is_new:
+            self._group.start_soon(self._watch, message)
+
+    async def _watch(self, report):
+        """Notifies the gateways of a server's silence until it answers."""
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._renew, report.server)
+                has_answered = await self._probe_until_answered(report)
+                group.cancel_scope.cancel()
+        finally:
+            del self._probed[report.server]
+        _log.info(
+            "Probing of a silent server ends.",
+            server=report.server,
+            has_answered=has_answered,
+        )
+        if has_answered:
+            self._links.broadcast(SilenceNotice(report.server, is_silent=False))
+
+    async def _renew(self, server_id):
+        while True:
+            self._links.broadcast(SilenceNotice(server_id, is_silent=True))
+            await anyio.sleep(RENEW_INTERVAL_S)
+
+    async def _probe_until_answered(self, report):
+        """Returns whether the server, or what is left of it, has answered at last."""
+        while self._runtime.now() - self._probed[report.server] < MAX_PROBING_S:
+            with anyio.move_on_after(PROBE_TIMEOUT_S):
+                try:
+                    await self._probe(report)
+                except (httpcore.ConnectTimeout, httpcore.ReadTimeout) as error:
+                    _log.debug("A probe has timed out: {}", error)
+                except HTTP_ERRORS as error:
+                    # A server that has ended is no silent one.
+                    _log.info("A probe was refused.", error=str(error))
+                    return True
+                else:
+                    return True
+            await anyio.sleep(RENEW_INTERVAL_S)
+        return False
+
+    async def _probe(self, report):
+        catalog = self._state.catalog
+        service = catalog.services.get(report.service) if catalog else None
+        path = service.health_path if service else "/"
+        async with httpcore.AsyncConnectionPool() as pool:
+            await pool.request("GET", f"http://{report.address}{path}")
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -304,7 +304,8 @@
     registry = ServerRegistry(1.0)
     registry.replace({SERVERS[0].id: SERVERS[0]}, 100.0)
     settings = SimpleNamespace(data_centre="dc-0")
-    return Selection(registry, moves, settings, Random(1), now), moves
+    silence = SimpleNamespace(usable=lambda names, now: names)
+    return Selection(registry, moves, silence, settings, Random(1), now), moves
 
 
 @pytest.mark.parametrize(
--- a/pistachiowell/platform/configuration.py
+++ b/pistachiowell/platform/configuration.py
@@ -84,11 +84,13 @@
         name: Name of the service.
         max_conns: Connections that one backend server accepts from all clients.
         engine: Limits of its model engines; None if it has none.
+        health_path: Path of the health check of its servers.
     """
 
     name: str
     max_conns: int = 0
     engine: _Engine | None = None
+    health_path: str = "/"
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -190,7 +192,7 @@
     limits = engine and EngineLimits(
         engine.slots, engine.kv_capacity_tokens, max(1, engine.stride)
     )
-    return Service(item.name, item.max_conns, limits)
+    return Service(item.name, item.max_conns, limits, item.health_path)
 
 
 def _build_accounts(items):
--- a/pistachiowell/platform/standin_program.py
+++ b/pistachiowell/platform/standin_program.py
@@ -3,7 +3,7 @@
 A request whose body contains the crash marker ends the process when the server begins
 to run it, and with it all other requests in progress there. So does one whose prompt
 has a part with the marker in its id, once the head of its answer is written; the last
-part does not count. A ``GET`` request is a health check.
+part does not count.
 """
 
 import json
@@ -22,7 +22,6 @@
 PLAIN_WORK_S = 0.02
 EVENT_INTERVAL_S = 0.03
 EVENTS_PER_STREAM = 4
-HEALTHY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 STREAM_PATHS = ("/chat/", "/long/")
 
 
@@ -69,9 +68,6 @@
     """
 
     async def answer(request, stream):
-        if request.method == "GET":
-            await stream.send(HEALTHY_ANSWER)
-            return True
         has_crashing_part = bool(crash_marker) and _has_part(request, crash_marker)
         crashes = bool(crash_marker) and crash_marker in request.body
         record.add(request, crashes=crashes or has_crashing_part)
--- a/pistachiowell/platform/standins.py
+++ b/pistachiowell/platform/standins.py
@@ -11,6 +11,7 @@
 from pistachiowell.platform.objects import BASE_PATH
 
 SIGNATURE = "5.1.seal"
+HEALTHY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
 def object_document(name, revision, spec, status=None):
@@ -236,6 +237,8 @@
 class BackendStandIn:
     """A backend server whose answers are scripted by a test.
 
+    A ``GET`` request without an id is a health check; the script does not see it.
+
     Attributes:
         server_id: Id of the server.
         script: Async function ``script(request, stream)`` that answers a
@@ -273,6 +276,12 @@
         while not request.is_whole:
             parser.feed_data(await stream.receive())
         request.method = parser.get_method().decode()
+        if (
+            request.method == "GET"
+            and "pistachiowell-attempt-id" not in request.headers
+        ):
+            await stream.send(HEALTHY_ANSWER)
+            return True
         self.requests.append(request)
         try:
             return await self.script(request, stream)
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -41,6 +41,7 @@
 )
 from pistachiowell.routing.settings import RoutingSettings
 from pistachiowell.routing.sharing import REPORT_PACERS, LoadSums, SharingSettings
+from pistachiowell.routing.silence import SILENCE_DETECTORS, SilenceSettings
 from pistachiowell.routing.split import SPLITTERS
 
 __all__ = [
@@ -52,6 +53,7 @@
     "PLACERS",
     "REPORT_PACERS",
     "RETRIES",
+    "SILENCE_DETECTORS",
     "SPLITTERS",
     "AbortStream",
     "AttemptFailure",
@@ -81,6 +83,7 @@
     "RouteRetries",
     "RoutingSettings",
     "SharingSettings",
+    "SilenceSettings",
     "SuspectKind",
     "fingerprint",
     "part_names",
--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -248,16 +248,20 @@
 
     def try_spend(self, now):
         """Spends one retry of the share; returns whether one was left."""
+        if not self.has_left(now):
+            return False
+        self._retries_at.append(now)
+        return True
+
+    def has_left(self, now):
+        """Returns whether a retry of the share is left."""
         self._remove_before_window(now)
         settings = self._settings
         fixed = settings.fixed / max(1, self._routers())
         is_starting = now < self._started_at + settings.start_s
         fixed *= 1 - settings.safety if is_starting else settings.safety
         allowed = settings.safety * settings.ratio * len(self._requests_at) + fixed
-        if len(self._retries_at) + 1 > allowed:
-            return False
-        self._retries_at.append(now)
-        return True
+        return len(self._retries_at) + 1 <= allowed
 
     def _remove_before_window(self, now):
         begin = now - self._settings.window_s
@@ -322,12 +326,27 @@
         if failure.ran != "no":
             self.may_have_run = True
             self._runs += 1
-        if self.may_have_run and not self._route.is_idempotent:
+        if not self._may_send_again(now, self._runs, self.may_have_run):
             return False
-        if self._runs >= self._route.max_attempts:
+        return failure.may_have_arrived is False or share.try_spend(now)
+
+    def may_move_on(self, now, share):
+        """Returns whether a retry would be allowed if the attempt were given up now.
+
+        The attempt may have run. Nothing is spent.
+
+        Args:
+            now: Present time in seconds.
+            share: The ``RetryShare`` of the service that the next attempt goes to.
+        """
+        may_send_again = self._may_send_again(now, self._runs + 1, may_have_run=True)
+        return may_send_again and share.has_left(now)
+
+    def _may_send_again(self, now, runs, may_have_run):
+        if may_have_run and not self._route.is_idempotent:
             return False
-        if self._sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
+        if runs >= self._route.max_attempts:
             return False
-        if self._deadline - now < MIN_RETRY_TIME_S:
+        if self._sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
             return False
-        return failure.may_have_arrived is False or share.try_spend(now)
+        return self._deadline - now >= MIN_RETRY_TIME_S
--- /dev/null
+++ b/pistachiowell/routing/silence.py
@@ -0,0 +1,386 @@
+"""Detection of backend servers that have stopped answering.
+
+Load pattern: a server stands still or is cut off, takes connections and answers
+nothing. Its requests end only when their callers leave, and each caller who leaves
+makes room for the next request. What was written to a connection cannot be taken back.
+
+A server is silent if a request waits there for longer than its answers usually take and
+nothing has come from it meanwhile. One request that is slow alone shows nothing, as
+answers to others keep coming; nor does a router that stood still itself.
+"""
+
+from dataclasses import dataclass
+
+from pistachiowell.core.registry import Registry
+
+SILENCE_DETECTORS = Registry("detection of silent servers")
+
+MEAN_GAIN = 0.125
+DEVIATION_GAIN = 0.25
+DEVIATIONS = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class SilenceSettings:
+    """Settings of the detection of silent servers.
+
+    Attributes:
+        detector: Name of the policy in ``SILENCE_DETECTORS``.
+        min_patience_s: Shortest wait for the first part of an answer in seconds after
+            which a server that has sent nothing meanwhile is silent.
+        first_patience_s: That wait for a server without answers to judge by.
+        max_patience_s: Longest such wait, beside twice the expected one. It also
+            applies to a request that the server has passed over.
+        min_gap_patience_s: The same as ``min_patience_s`` between two parts of an
+            answer.
+        usual_waits: Number of usual waits after which a server is silent.
+        doubt_share: Share of the patience after which other servers are preferred.
+        hold_s: Seconds for which a silent server gets nothing at first; twice as long
+            each further time, as long as nothing comes from it.
+        max_hold_s: Longest such time.
+        notice_s: Seconds for which a notice of a peer holds unless it is renewed.
+        denial_s: Seconds for which no notice is believed after a peer has reached the
+            server.
+        max_left_out: Largest share of the servers that a router leaves out because of
+            what it has seen alone.
+        max_tick_s: Largest time between two ticks that counts as waiting.
+    """
+
+    detector: str = "no_sign_of_life"
+    min_patience_s: float = 0.15
+    first_patience_s: float = 0.5
+    max_patience_s: float = 2.0
+    min_gap_patience_s: float = 0.25
+    usual_waits: float = 2.0
+    doubt_share: float = 0.5
+    hold_s: float = 2.0
+    max_hold_s: float = 16.0
+    notice_s: float = 1.5
+    denial_s: float = 2.0
+    max_left_out: float = 0.5
+    max_tick_s: float = 0.1
+
+
+class Wait:
+    """A request that waits for a server.
+
+    Args:
+        server: Id of the server.
+        expected_s: Expected seconds to the first part of the answer.
+        since: Time of its start on the clock of the detector in seconds.
+
+    Attributes:
+        server: Id of the server.
+        expected_s: Expected seconds to the first part of the answer.
+        since: Time from which on it waits, on the clock of the detector in seconds.
+        part_at: Time of the latest part of the answer on that clock; None before.
+        was_passed_over: Whether the server has begun to answer a later request.
+        is_paused: Whether the router reads nothing, as the caller is slow.
+    """
+
+    __slots__ = (
+        "expected_s",
+        "is_paused",
+        "part_at",
+        "server",
+        "since",
+        "was_passed_over",
+    )
+
+    def __init__(self, server, expected_s, since):
+        self.server = server
+        self.expected_s = expected_s
+        self.since = since
+        self.part_at = None
+        self.was_passed_over = False
+        self.is_paused = False
+
+
+class UsualWait:
+    """Mean and deviation of the waits for first parts, as for a retransmission timer.
+
+    References:
+        RFC 6298, "Computing TCP's Retransmission Timer".
+
+    Examples:
+        >>> usual = UsualWait()
+        >>> usual.bound_s is None
+        True
+        >>> usual.record(0.1)
+        >>> round(usual.bound_s, 3)
+        0.3
+    """
+
+    __slots__ = ("_deviation_s", "_mean_s")
+
+    def __init__(self):
+        self._mean_s = None
+        self._deviation_s = 0.0
+
+    @property
+    def bound_s(self):
+        """Seconds that hardly any wait exceeds; None before the first."""
+        if self._mean_s is None:
+            return None
+        return self._mean_s + DEVIATIONS * self._deviation_s
+
+    def record(self, wait_s):
+        """Records a wait in seconds."""
+        if self._mean_s is None:
+            self._mean_s, self._deviation_s = wait_s, wait_s / 2
+            return
+        difference_s = abs(wait_s - self._mean_s)
+        self._deviation_s += DEVIATION_GAIN * (difference_s - self._deviation_s)
+        self._mean_s += MEAN_GAIN * (wait_s - self._mean_s)
+
+
+class _Server:
+    __slots__ = (
+        "denied_until",
+        "gap",
+        "heard_at",
+        "held_until",
+        "holds",
+        "noticed_until",
+        "usual",
+        "waits",
+    )
+
+    def __init__(self):
+        self.waits = set()
+        self.usual = UsualWait()
+        self.gap = UsualWait()
+        self.heard_at = float("-inf")
+        self.held_until = float("-inf")
+        self.holds = 0
+        self.noticed_until = float("-inf")
+        self.denied_until = float("-inf")
+
+
+class SilenceDetector:
+    """Base class of the policies that detect silent servers.
+
+    Args:
+        settings: ``SilenceSettings``.
+    """
+
+    __slots__ = ("_awake_s", "_servers", "_settings", "_ticked_at")
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._servers = {}
+        self._awake_s = 0.0
+        self._ticked_at = None
+
+    def record_start(self, server, expected_s, now):
+        """Records that a request is sent to a server and returns its ``Wait``."""
+        wait = Wait(server, expected_s, self._clock(now))
+        self._servers.setdefault(server, _Server()).waits.add(wait)
+        return wait
+
+    def record_part(self, wait, now):
+        """Records that a part of an answer has come."""
+        clock = self._clock(now)
+        server = self._servers[wait.server]
+        server.heard_at = clock
+        server.holds = 0
+        server.held_until = server.noticed_until = float("-inf")
+        last_at, wait.part_at = wait.part_at, clock
+        if last_at is not None:
+            server.gap.record(clock - last_at)
+            return
+        server.usual.record(max(0.0, clock - wait.since - wait.expected_s))
+        for other in server.waits:
+            if other.part_at is None and other.since < wait.since:
+                other.was_passed_over = True
+
+    def record_end(self, wait):
+        """Records that a request no longer waits."""
+        self._servers[wait.server].waits.discard(wait)
+
+    def record_notice(self, server, now, *, is_silent):
+        """Records what a peer says of a server.
+
+        Args:
+            server: Id of the server.
+            now: Present time in seconds.
+            is_silent: Whether it does not answer the peer; False if it has answered.
+        """
+        state = self._servers.setdefault(server, _Server())
+        clock = self._clock(now)
+        if not is_silent:
+            state.noticed_until = state.held_until = float("-inf")
+            state.denied_until = clock + self._settings.denial_s
+        elif clock >= state.denied_until:
+            state.noticed_until = clock + self._settings.notice_s
+
+    def tick(self, now):
+        """Advances the clock and returns the servers that have become silent.
+
+        Call it many times a second. Time in which it was not called counts as
+        ``max_tick_s`` at most: a router that stood still has not heard what came.
+
+        Args:
+            now: Present time in seconds.
+
+        Returns:
+            Ids of the servers that now count as silent for what this router has seen.
+        """
+        self._awake_s = self._clock(now)
+        self._ticked_at = now
+        silent = [
+            name
+            for name, server in self._servers.items()
+            if server.waits
+            and self._awake_s >= server.held_until
+            and self._is_silent(server, self._awake_s)
+        ]
+        for name in silent:
+            self._hold(self._servers[name])
+        return silent
+
+    def hopeless_waits(self):
+        """Returns each ``Wait`` at a silent server that may be given up."""
+        return [
+            wait
+            for server in self._servers.values()
+            if server.waits and self._is_suspected(server, self._awake_s)
+            for wait in server.waits
+            if not wait.is_paused and self._is_doubtful(wait, server, self._awake_s)
+        ]
+
+    def usable(self, servers, now):
+        """Returns the servers that may get a request.
+
+        Args:
+            servers: Names of one set of servers.
+            now: Present time in seconds.
+
+        Returns:
+            Names in the same order; all if no other is left.
+        """
+        raise NotImplementedError
+
+    def is_suspected(self, server, now):
+        """Returns whether a server gets nothing because it is silent."""
+        state = self._servers.get(server)
+        return state is not None and self._is_suspected(state, self._clock(now))
+
+    def _hold(self, server):
+        settings = self._settings
+        hold_s = min(settings.max_hold_s, settings.hold_s * 2**server.holds)
+        server.held_until = self._awake_s + hold_s
+        server.holds += 1
+
+    def _clock(self, now):
+        if self._ticked_at is None:
+            self._ticked_at = now
+        passed_s = min(now - self._ticked_at, self._settings.max_tick_s)
+        return self._awake_s + max(0.0, passed_s)
+
+    def _is_suspected(self, server, clock):
+        return clock < max(server.held_until, server.noticed_until)
+
+    def _is_silent(self, server, clock):
+        return any(
+            not wait.is_paused
+            and clock - max(wait.since, server.heard_at)
+            >= self._patience_s(wait, server)
+            for wait in server.waits
+        )
+
+    def _is_doubtful(self, wait, server, clock):
+        waited_s = clock - max(wait.since, server.heard_at)
+        patience_s = self._patience_s(wait, server)
+        return waited_s >= self._settings.doubt_share * patience_s
+
+    def _patience_s(self, wait, server):
+        settings = self._settings
+        if wait.part_at is not None:
+            return self._usual_patience_s(server.gap, settings.min_gap_patience_s)
+        if wait.was_passed_over:
+            patience_s = settings.max_patience_s
+        else:
+            patience_s = self._usual_patience_s(server.usual, settings.min_patience_s)
+        return patience_s + settings.usual_waits * wait.expected_s
+
+    def _usual_patience_s(self, usual, min_s):
+        settings = self._settings
+        if usual.bound_s is None:
+            return settings.first_patience_s
+        patience_s = max(min_s, settings.usual_waits * usual.bound_s)
+        return min(patience_s, settings.max_patience_s)
+
+
+@SILENCE_DETECTORS.add("none")
+class NoSilenceDetector(SilenceDetector):
+    """Suspects no server; the baseline."""
+
+    __slots__ = ()
+
+    def tick(self, now):
+        """Returns no server; see ``SilenceDetector``."""
+        super().tick(now)
+        return []
+
+    def hopeless_waits(self):
+        """Returns no wait; see ``SilenceDetector``."""
+        return []
+
+    def usable(self, servers, now):
+        """Returns all servers; see ``SilenceDetector``."""
+        return list(servers)
+
+
+@SILENCE_DETECTORS.add("no_sign_of_life")
+class SignOfLifeDetector(SilenceDetector):
+    """Leaves out silent servers and prefers servers without a doubtful request.
+
+    A server that is silent for what this router has seen gets one request once its hold
+    is over. If most servers of a set seem silent to this router alone, they are slow
+    rather than silent, or the router is cut off, and none of them is left out.
+
+    Examples:
+        >>> detector = SignOfLifeDetector(SilenceSettings())
+        >>> wait = detector.record_start("s1", 0.0, 0.0)
+        >>> ticks = [detector.tick(number / 20) for number in range(1, 12)]
+        >>> [silent for silent in ticks if silent]
+        [['s1']]
+        >>> detector.usable(["s1", "s2"], 0.6)
+        ['s2']
+        >>> detector.record_part(wait, 0.7)
+        >>> detector.usable(["s1", "s2"], 0.8)
+        ['s1', 's2']
+    """
+
+    __slots__ = ()
+
+    def usable(self, servers, now):
+        """Returns the servers that may get a request; see ``SilenceDetector``."""
+        clock = self._clock(now)
+        states = {name: self._servers.get(name) for name in servers}
+        noticed = {
+            name
+            for name, state in states.items()
+            if state is not None and clock < state.noticed_until
+        }
+        held = {
+            name
+            for name, state in states.items()
+            if state is not None and name not in noticed and self._is_held(state, clock)
+        }
+        if len(held) > self._settings.max_left_out * len(states):
+            held = set()
+        sound = [name for name in servers if name not in noticed and name not in held]
+        certain = [name for name in sound if not self._has_doubt(states[name], clock)]
+        return certain or sound or list(servers)
+
+    def _is_held(self, state, clock):
+        # One request at a time tries a server whose hold is over.
+        return clock < state.held_until or bool(state.holds and state.waits)
+
+    def _has_doubt(self, state, clock):
+        return state is not None and any(
+            not wait.is_paused and self._is_doubtful(wait, state, clock)
+            for wait in state.waits
+        )
