--- a/pistachiowell/platform/standin_program.py
+++ b/pistachiowell/platform/standin_program.py
@@ -4,6 +4,9 @@
 to run it, and with it all other requests in progress there. So does one whose prompt
 has a part with the marker in its id, once the head of its answer is written; the last
 part does not count.
+
+While the file of limits has a text, the server names it in its answers as its limit;
+the texts of several lines are several headers.
 """
 
 import json
@@ -18,7 +21,10 @@
 from pistachiowell.core.commandline import parse_flags
 from pistachiowell.platform.standins import BackendStandIn, chunk, event, head
 
-USAGE = "Usage: --port PORT --record FILE [--crash_marker TEXT] [--crash_delay_s S]"
+USAGE = (
+    "Usage: --port PORT --record FILE [--crash_marker TEXT] [--crash_delay_s S]"
+    " [--limits FILE]"
+)
 PLAIN_WORK_S = 0.02
 EVENT_INTERVAL_S = 0.03
 EVENTS_PER_STREAM = 4
@@ -58,28 +64,36 @@
             file.write(json.dumps(line) + "\n")
 
 
-def make_script(record, crash_marker, crash_delay_s):
+def make_script(record, crash_marker, crash_delay_s, limits_path=None):
     """Returns the script of the server; see ``BackendStandIn``.
 
     Args:
         record: The ``ArrivalRecord``.
         crash_marker: Bytes in the body of a request that crashes the server.
         crash_delay_s: Seconds from the start of such a request to the crash.
+        limits_path: Path of the file of limits; None for a server without limits.
     """
 
+    def limit_headers():
+        if limits_path is None or not limits_path.exists():
+            return ""
+        lines = limits_path.read_text(encoding="utf-8").splitlines()
+        return "".join(f"Server-Limit: {line}\r\n" for line in lines)
+
     async def answer(request, stream):
         has_crashing_part = bool(crash_marker) and _has_part(request, crash_marker)
         crashes = bool(crash_marker) and crash_marker in request.body
         record.add(request, crashes=crashes or has_crashing_part)
         if has_crashing_part:
-            await stream.send(_stream_head(request))
+            await stream.send(_stream_head(request, ""))
         if crashes or has_crashing_part:
             await anyio.sleep(crash_delay_s)
             os._exit(1)
         if request.target.startswith(STREAM_PATHS):
-            return await _answer_with_events(request, stream)
+            return await _answer_with_events(request, stream, limit_headers())
         await anyio.sleep(PLAIN_WORK_S)
-        await stream.send((head(request, Content_Length="2") + "\r\nok").encode())
+        text = head(request, Content_Length="2") + limit_headers()
+        await stream.send((text + "\r\nok").encode())
         return True
 
     return answer
@@ -90,13 +104,13 @@
     return any(marker.decode() in part for part in parts[:-1])
 
 
-def _stream_head(request):
+def _stream_head(request, more):
     text = head(request, Content_Type="text/event-stream", Transfer_Encoding="chunked")
-    return (text + "\r\n").encode()
+    return (text + more + "\r\n").encode()
 
 
-async def _answer_with_events(request, stream):
-    await stream.send(_stream_head(request))
+async def _answer_with_events(request, stream, more):
+    await stream.send(_stream_head(request, more))
     first = int(request.headers.get("last-event-id", 0)) + 1
     for number in range(first, EVENTS_PER_STREAM + 1):
         await anyio.sleep(EVENT_INTERVAL_S)
@@ -113,12 +127,14 @@
     flags.DEFINE_string("record", None, "File for the arrivals.", **define)
     flags.DEFINE_string("crash_marker", "", "Marker of crashing requests.", **define)
     flags.DEFINE_float("crash_delay_s", 0.01, "Delay of a crash.", **define)
+    flags.DEFINE_string("limits", None, "File with the limits to name.", **define)
     if parse_flags(values, sys.argv, USAGE) or not values.record:
         print(USAGE, file=sys.stderr)
         return 2
     record = ArrivalRecord(values.record)
     marker = values.crash_marker.encode()
-    script = make_script(record, marker, values.crash_delay_s)
+    limits_path = Path(values.limits) if values.limits else None
+    script = make_script(record, marker, values.crash_delay_s, limits_path)
     anyio.run(_serve, BackendStandIn("", script, port=values.port))
     return 0
 
--- a/pistachiowell/soak/server_processes.py
+++ b/pistachiowell/soak/server_processes.py
@@ -72,6 +72,10 @@
         """Starts a server, registers it and supervises it until cancelled."""
         await self._group.start(self._supervise, name, service, self._free_port())
 
+    def name_limit(self, name, *texts):
+        """Lets a server name a limit in its answers, or none without a text."""
+        self._limits_path(name).write_text("\n".join(texts), encoding="utf-8")
+
     def arrivals(self):
         """Returns the recorded arrivals of all servers as mappings, oldest first."""
         lines = [
@@ -124,6 +128,9 @@
         while self._store.mode != "up":
             await anyio.sleep(POLL_INTERVAL_S)
 
+    def _limits_path(self, name):
+        return self._directory / f"{name}.limits"
+
     def _start_process(self, name, port):
         command = [
             sys.executable,
@@ -132,6 +139,7 @@
             f"--port={port}",
             f"--record={self._directory / name}.arrivals",
             f"--crash_marker={self._crash_marker}",
+            f"--limits={self._limits_path(name)}",
         ]
         with (self._directory / f"{name}.log").open("ab") as log:
             process = subprocess.Popen(command, stdout=log, stderr=log)
