Keep to the rate limits that servers name, over all gateways

Cause: nothing read the limit, and no gateway alone could keep to it, as the sum counts.

The limit is a part of an answer's head. Before each send to a server with a limit, retries and continuations too, the gateway asks the agent that ranks first for the server, which admits the requests of all gateways from one bucket (admission/rates.py), urgent ones first. Its probes of silent servers draw on the same bucket. Without an agent's answer the gateways take turns by the clock. Servers without room are left out of the selection; if none has room, the request is refused at once with the time at which room comes. Agents tell all gateways, late ones too, of a change.

--- a/pistachiowell/admission/__init__.py
+++ b/pistachiowell/admission/__init__.py
@@ -2,6 +2,13 @@
 
 from pistachiowell.admission.limits import LIMITS
 from pistachiowell.admission.queue import AdmissionQueue
+from pistachiowell.admission.rates import (
+    Incarnation,
+    Observation,
+    RateLimits,
+    RateSettings,
+    RateSlots,
+)
 from pistachiowell.admission.settings import AdmissionSettings
 from pistachiowell.admission.ticket import Outcome, Refuse, Start, Ticket
 
@@ -9,7 +16,12 @@
     "LIMITS",
     "AdmissionQueue",
     "AdmissionSettings",
+    "Incarnation",
+    "Observation",
     "Outcome",
+    "RateLimits",
+    "RateSettings",
+    "RateSlots",
     "Refuse",
     "Start",
     "Ticket",
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -9,6 +9,7 @@
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.core.signals import wait_for_signal
 from pistachiowell.gateway.budget_owner import BudgetOwner
+from pistachiowell.gateway.limit_owner import LimitOwner
 from pistachiowell.gateway.load_reports import LoadReporter
 from pistachiowell.gateway.move_judge import MoveJudge
 from pistachiowell.gateway.silence_probes import SilenceProbes
@@ -79,8 +80,9 @@
         self._links = LinkSet()
         self._links.add_link_listener(self._load_reporter.add_link)
         CrashCandidates(runtime, self._links, self._handlers, SHARED_SERVER_CRASHES)
+        limits = LimitOwner(runtime, self._links, self._handlers)
         self._silence_probes = SilenceProbes(
-            runtime, state, self._links, self._handlers
+            runtime, state, self._links, limits, self._handlers
         )
 
     @property
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -15,6 +15,7 @@
 from pistachiowell.gateway.connections import ConnectionPool
 from pistachiowell.gateway.events import EventReader
 from pistachiowell.gateway.exchange import ConnectionBroken, Exchange, NotConnected
+from pistachiowell.gateway.server_limits import NoRoom
 from pistachiowell.gateway.silence import SilentServer
 from pistachiowell.routing import (
     RETRIES,
@@ -97,6 +98,14 @@
         self.tried = set()
         self.service = None
 
+    @property
+    def priority(self):
+        """Rank of the next attempt; 0 is the most urgent.
+
+        The rest of a stream that the caller has begun to read goes before all else.
+        """
+        return 0 if self.writer.has_started else self.request.priority
+
     def record_usage(self, exchange):
         """Records what an exchange has used, whatever its end."""
         head, usage, events = exchange.head, self.usage, self.events
@@ -117,6 +126,7 @@
         runtime: The process's ``Runtime``.
         selection: The ``Selection``.
         silence: The ``SilenceMonitor``.
+        limits: The ``ServerLimits``.
         crashes: The ``ServerCrashes``.
         codec: Codec of heads; see ``pistachiowell.platform.headers``.
         router_count: Function that returns the number of gateways that may be running;
@@ -127,6 +137,7 @@
     __slots__ = (
         "_codec",
         "_crashes",
+        "_limits",
         "_pool",
         "_retry_shares",
         "_router_count",
@@ -137,10 +148,13 @@
         "_started_at",
     )
 
-    def __init__(self, runtime, selection, silence, crashes, codec, router_count, rng):
+    def __init__(
+        self, runtime, selection, silence, limits, crashes, codec, router_count, rng
+    ):
         self._runtime = runtime
         self._selection = selection
         self._silence = silence
+        self._limits = limits
         self._crashes = crashes
         self._codec = codec
         self._router_count = router_count
@@ -180,6 +194,8 @@
             try:
                 await self._run_attempt(run, number, crashed_servers)
                 return
+            except NoRoom as error:
+                raise self._final_error(run, error) from error
             except PistachiowellError as error:
                 run.service = self._choose_service(request)
                 if not self._may_retry(run, error):
@@ -251,11 +267,19 @@
             error.retry_after_s = DEFAULT_RETRY_AFTER_S
         return error
 
+    async def _choose_server(self, run, crashed_servers):
+        """Chooses a server that admits the request now."""
+        while True:
+            choice = self._selection.choose(
+                run.request, run.service, run.tried, crashed_servers, run.priority
+            )
+            if await self._limits.admit(choice.server, run.priority):
+                return choice
+
     async def _run_attempt(self, run, number, crashed_servers):
         request = run.request
-        attempt = self._selection.start_attempt(
-            request, run.service, run.tried, crashed_servers
-        )
+        choice = await self._choose_server(run, crashed_servers)
+        attempt = self._selection.start_attempt(request, run.service, choice)
         server = attempt.server
         run.tried.add(server.id)
         _log.info(
@@ -293,7 +317,7 @@
             return False
         if not run.retries.may_move_on(self._runtime.now(), self._retry_share(run)):
             return False
-        return self._selection.has_other_server(run.service, run.tried)
+        return self._selection.has_other_server(run.service, run.tried, run.priority)
 
     async def _forward_answer(self, run, exchange, attempt, tracked, watch):
         request, events = run.request, run.events
@@ -304,7 +328,7 @@
             )
         last_id = events.last_id or None
         events.begin_continuation()
-        await exchange.send(left_s, last_id)
+        await self._send(exchange, left_s, last_id)
         head = exchange.head
         watch.record_part()
         tracked.record_begin()
@@ -321,6 +345,14 @@
             return
         await self._forward_stream(run, exchange, attempt, watch)
 
+    async def _send(self, exchange, left_s, last_id):
+        sent_at = self._runtime.now()
+        try:
+            await exchange.send(left_s, last_id)
+        finally:
+            if exchange.has_own_head:
+                self._limits.record_answer(exchange.server, exchange.head, sent_at)
+
     async def _forward_stream(self, run, exchange, attempt, watch):
         # Only complete events are sent, so that another server can continue a broken
         # stream with the event after the last one.
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -72,6 +72,11 @@
         """Whether the whole answer was read."""
         return self._is_complete
 
+    @property
+    def has_own_head(self):
+        """Whether the head of an answer to this request was read."""
+        return self.head is not None and self.head.request_id == self._request.id
+
     @property
     def is_framed(self):
         """Whether the answer tells its end, by a length or in chunks.
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -16,6 +16,7 @@
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
+from pistachiowell.gateway.server_limits import ServerLimits
 from pistachiowell.gateway.silence import SilenceMonitor
 from pistachiowell.gateway.spending import GatewaySpending
 from pistachiowell.gateway.state import GatewayState
@@ -96,8 +97,17 @@
             runtime, adapter.moves, self._moves.apply_orders
         )
         self._silence = SilenceMonitor(runtime, self._fleet, state.servers, handlers)
+        limits = ServerLimits(
+            runtime, self._fleet, handlers, lambda: self._router_count, rng
+        )
         self._selection = selection = Selection(
-            state.servers, self._moves, self._silence, settings, rng, runtime.now
+            state.servers,
+            self._moves,
+            self._silence,
+            limits,
+            settings,
+            rng,
+            runtime.now,
         )
         self._agent_reports = AgentReports(
             runtime,
@@ -124,6 +134,7 @@
             runtime,
             selection,
             self._silence,
+            limits,
             self._crashes,
             adapter.heads,
             lambda: self._router_count,
--- a/pistachiowell/gateway/messages.py
+++ b/pistachiowell/gateway/messages.py
@@ -122,6 +122,9 @@
         length: Announced length of the body; None if it is not announced.
         is_chunked: Whether the body is sent in chunks, the last of which ends it.
         headers: Pairs of bytes that are forwarded to the caller.
+        limit_per_s: Requests a second that the server takes from all gateways together;
+            None if it names no limit.
+        has_unreadable_limit: Whether it names a limit that is no rate.
     """
 
     status: int
@@ -133,6 +136,8 @@
     length: int | None
     is_chunked: bool
     headers: list
+    limit_per_s: float | None = None
+    has_unreadable_limit: bool = False
 
     @property
     def is_success(self):
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -1,5 +1,7 @@
 """Selection of the backend server for each attempt of a request."""
 
+from dataclasses import dataclass
+
 from pistachiowell.core.errors import NoServer
 from pistachiowell.routing import (
     PICKERS,
@@ -117,6 +119,21 @@
             self._move_attempt.stop_waiting()
 
 
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A server that was chosen for an attempt, before the attempt starts.
+
+    Attributes:
+        server: The ``BackendServer``.
+        work: The ``EngineRequest``; None at a server without an engine.
+        expected_wait_s: Expected wait for the first token in seconds.
+    """
+
+    server: object
+    work: EngineRequest | None = None
+    expected_wait_s: float = 0.0
+
+
 class Selection:
     """Selects servers by expected wait, health and data centre.
 
@@ -124,6 +141,7 @@
         servers: The ``ServerRegistry``.
         moves: The ``GatewayMoves``; restricts the versions that an attempt may go to.
         silence: The ``SilenceMonitor``; leaves out servers that do not answer.
+        limits: The ``ServerLimits``; leaves out servers whose limit is reached.
         settings: ``GatewaySettings``.
         rng: A ``Random``.
         now: Function that returns the monotonic time in seconds.
@@ -135,6 +153,7 @@
 
     __slots__ = (
         "_health",
+        "_limits",
         "_loads",
         "_moves",
         "_picker",
@@ -146,10 +165,11 @@
         "now",
     )
 
-    def __init__(self, servers, moves, silence, settings, rng, now):
+    def __init__(self, servers, moves, silence, limits, settings, rng, now):
         self._servers = servers
         self._moves = moves
         self._silence = silence
+        self._limits = limits
         self._settings = settings
         self.now = now
         routing = RoutingSettings()
@@ -164,21 +184,22 @@
         """Returns the failures of a server that count against its health."""
         return self._health.failures(server_id)
 
-    def has_other_server(self, service_name, tried):
-        """Returns whether a server that answers is left for another attempt.
+    def has_other_server(self, service_name, tried, priority):
+        """Returns whether a server that answers has room for another attempt.
 
         Args:
             service_name: Name of the service.
             tried: Ids of the servers of earlier attempts.
+            priority: Rank of the attempt; 0 is the most urgent.
         """
-        now = self.now()
-        available = self._servers.available_servers(service_name, now)
-        servers = self._moves.filter_servers(service_name, available)
+        available = self._servers.available_servers(service_name, self.now())
+        allowed = self._moves.filter_servers(service_name, available)
+        servers = self._limits.with_room(allowed, priority)
         names = [server.id for server in servers if server.id not in tried]
         return any(self._silence.is_answering(name) for name in names)
 
-    def start_attempt(self, request, service_name, tried, crashed_servers):
-        """Selects a server for an attempt and records that the attempt is sent to it.
+    def choose(self, request, service_name, tried, crashed_servers, priority):
+        """Chooses a server for an attempt.
 
         Args:
             request: The ``GatewayRequest``.
@@ -186,18 +207,23 @@
             tried: Ids of the servers of earlier attempts; avoided if there are others.
             crashed_servers: Ids of the servers that crashed while they ran the request;
                 empty if it is no crash candidate.
+            priority: Rank of the attempt; 0 is the most urgent.
 
         Returns:
-            An ``Attempt``.
+            A ``Choice``.
 
         Raises:
             NoServer: The service has no server that accepts requests.
+            NoRoom: The limits of all its servers are reached.
         """
         now = self.now()
         available = self._servers.available_servers(service_name, now)
-        servers = {s.id: s for s in self._moves.filter_servers(service_name, available)}
-        if not servers:
+        allowed = self._moves.filter_servers(service_name, available)
+        if not allowed:
             raise NoServer(f"Service {service_name} has no server that accepts work.")
+        servers = {s.id: s for s in self._limits.with_room(allowed, priority)}
+        if not servers:
+            raise self._limits.no_room(allowed, priority)
         names = [name for name in servers if name not in tried] or list(servers)
         answering = self._silence.usable(names, now)
         usable = self._health.usable(answering, now) or answering
@@ -207,14 +233,27 @@
                 place_crash_candidate(candidates, request.fingerprint, crashed_servers)
             ]
         engine = request.service.engine
-        placed, expected_wait_s = None, 0.0
         if engine is None or request.prompt is None:
             picked = self._picker.pick(candidates, "", now)
-        else:
-            work = _work(request.prompt)
-            picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
-            placed = self.engines.record_sent(picked.server, work, now)
-        server = servers[picked.server]
+            return Choice(servers[picked.server])
+        work = _work(request.prompt)
+        picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
+        return Choice(servers[picked.server], work, expected_wait_s)
+
+    def start_attempt(self, request, service_name, choice):
+        """Records that an attempt is sent to the chosen server.
+
+        Args:
+            request: The ``GatewayRequest``.
+            service_name: Name of the service.
+            choice: The ``Choice``.
+
+        Returns:
+            An ``Attempt``.
+        """
+        now, server, placed = self.now(), choice.server, None
+        if choice.work is not None:
+            placed = self.engines.record_sent(server.id, choice.work, now)
         self._loads.set_slots(server.id, server.slots)
         self._loads.record_sent(server.id)
         self._health.record_start(server.id, now)
@@ -223,7 +262,7 @@
             self,
             server,
             placed,
-            expected_wait_s,
+            choice.expected_wait_s,
             request.fingerprint,
             move_attempt,
             now,
--- /dev/null
+++ b/pistachiowell/gateway/server_limits.py
@@ -0,0 +1,196 @@
+"""The gate before each send to a backend server that may have named a rate limit."""
+
+from pistachiowell.admission import (
+    Incarnation,
+    Observation,
+    RateLimits,
+    RateSettings,
+    RateSlots,
+)
+from pistachiowell.budgets.page_owner import rank_owners
+from pistachiowell.core.errors import LinkLost, LinkTimeout, Overloaded
+from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.limit_owner import decode_limit, encode_limit
+from pistachiowell.schema.generated.messages_gateway import (
+    AskRoom,
+    LimitObserved,
+    RoomReply,
+)
+
+ASK_TIMEOUT_S = 0.15
+# An agent that has not answered is not asked again for this long.
+SILENT_AGENT_S = 1.0
+AGENTS_TOLD = 2
+MIN_RETRY_AFTER_S = 0.05
+
+_log = part_logger("limits")
+
+
+class NoRoom(Overloaded):
+    """All servers take fewer requests a second than there are; come back later."""
+
+
+class ServerLimits:
+    """Admits this gateway's requests to servers that have named a limit.
+
+    The agent that ranks first for a server admits the requests of all gateways. Without
+    its answer this gateway takes turns with the others by the clock.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        fleet: The ``Fleet`` with the agents.
+        handlers: Handlers of the links to agents; this registers its own.
+        router_count: Function that returns the number of gateways that may be running.
+        rng: A ``Random``.
+    """
+
+    __slots__ = (
+        "_asks_again_at",
+        "_fleet",
+        "_full_until",
+        "_limits",
+        "_rng",
+        "_router_count",
+        "_runtime",
+        "_settings",
+        "_slots",
+    )
+
+    def __init__(self, runtime, fleet, handlers, router_count, rng):
+        self._runtime = runtime
+        self._fleet = fleet
+        self._router_count = router_count
+        self._rng = rng
+        self._settings = RateSettings()
+        self._limits = RateLimits(self._settings)
+        self._slots = {}
+        self._full_until = {}
+        self._asks_again_at = {}
+        handlers.on(LimitObserved)(self._handle_limit)
+        runtime.metrics.watch("servers.limited", lambda: len(self._limits.in_force))
+
+    def record_answer(self, server, head, sent_at):
+        """Records what the head of an answer says of its server's limit.
+
+        Args:
+            server: The ``BackendServer``.
+            head: The ``AnswerHead``; it answers the request that was sent.
+            sent_at: Time at which the request was sent in seconds.
+        """
+        if head.has_unreadable_limit:
+            _log.info("Ignored a limit that is no rate.", server=server.id)
+            return
+        now = self._runtime.now()
+        incarnation = _incarnation(server)
+        observation = Observation(head.limit_per_s, sent_at)
+        if self._observe(incarnation, observation, now):
+            message = encode_limit(incarnation, observation, now)
+            for peer in self._owners(server.id)[:AGENTS_TOLD]:
+                self._tell(peer, message)
+
+    def with_room(self, servers, priority):
+        """Returns the ``BackendServer`` that may have room for a request."""
+        return [s for s in servers if not self.wait_s(s, priority)]
+
+    def wait_s(self, server, priority):
+        """Returns the seconds until a server may have room; 0.0 if it may have now.
+
+        Args:
+            server: The ``BackendServer``.
+            priority: Rank of the request; 0 is the most urgent.
+        """
+        full_until = self._full_until.get(_incarnation(server))
+        if full_until is None:
+            return 0.0
+        untils = [until for rank, until in full_until.items() if rank <= priority]
+        return max(0.0, max(untils, default=0.0) - self._runtime.now())
+
+    def no_room(self, servers, priority):
+        """Returns the error of a request for which no server has room."""
+        waits_s = [self.wait_s(server, priority) for server in servers]
+        return NoRoom(
+            "The servers take no more requests at present, as they have said.",
+            ran="no",
+            retry_after_s=max(MIN_RETRY_AFTER_S, min(waits_s)),
+        )
+
+    async def admit(self, server, priority):
+        """Returns whether a request may be sent to a server now.
+
+        Args:
+            server: The ``BackendServer``.
+            priority: Rank of the request; 0 is the most urgent.
+        """
+        incarnation = _incarnation(server)
+        observation = self._limits.latest(incarnation)
+        if observation is None or observation.per_s is None:
+            return True
+        wait_s = await self._ask(incarnation, observation, priority)
+        if wait_s is None:
+            slots = self._slots.get(incarnation)
+            if slots is None:
+                slots = RateSlots(self._settings, self._rng.random())
+                self._slots[incarnation] = slots
+            now = self._runtime.now()
+            wait_s = slots.try_take(observation.per_s, self._router_count(), now)
+        if not wait_s:
+            return True
+        full_until = self._full_until.setdefault(incarnation, {})
+        full_until[priority] = self._runtime.now() + wait_s
+        self._runtime.metrics.count("servers.limit_reached")
+        return False
+
+    async def _ask(self, incarnation, observation, priority):
+        """Returns what the agent answers: the seconds to wait; None without one."""
+        now = self._runtime.now()
+        owner = next(iter(self._owners(incarnation.server)), None)
+        if owner is None or now < self._asks_again_at.get(owner.record.id, now):
+            return None
+        message = AskRoom(encode_limit(incarnation, observation, now), priority)
+        try:
+            reply = await owner.link.call(message, ASK_TIMEOUT_S)
+        except (LinkLost, LinkTimeout) as error:
+            self._asks_again_at[owner.record.id] = now + SILENT_AGENT_S
+            _log.info(
+                "An agent does not answer for a server's limit.",
+                agent=owner.record.id,
+                server=incarnation.server,
+                error=str(error),
+            )
+            return None
+        return reply.wait_s if isinstance(reply, RoomReply) else None
+
+    def _owners(self, server_id):
+        agents = {n: peer for n, peer in self._fleet.agents.items() if peer.usable}
+        return [agents[name] for name in rank_owners(server_id, agents)]
+
+    def _tell(self, peer, message):
+        try:
+            peer.link.send(message)
+        except LinkLost as error:
+            _log.info(
+                "Telling an agent failed.", agent=peer.record.id, error=str(error)
+            )
+
+    async def _handle_limit(self, link, message):
+        del link
+        now = self._runtime.now()
+        self._observe(*decode_limit(message, now), now)
+
+    def _observe(self, incarnation, observation, now):
+        if not self._limits.observe(incarnation, observation, now):
+            return False
+        self._full_until.pop(incarnation, None)
+        if observation.per_s is None:
+            self._slots.pop(incarnation, None)
+        _log.info(
+            "A server's limit has changed.",
+            server=incarnation.server,
+            per_s=observation.per_s,
+            age_s=round(now - observation.at, 3),
+        )
+        return True
+
+
+def _incarnation(server):
+    return Incarnation(server.id, server.started_ms)
--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -30,15 +30,17 @@
         runtime: The process's ``Runtime``.
         state: The ``GatewayState``; its catalog has the paths of the health checks.
         links: The ``LinkSet`` of the gateways.
+        limits: The ``LimitOwner``; a probe is one of the requests that it admits.
         handlers: Handlers of the links to gateways; this registers its own.
     """
 
-    __slots__ = ("_group", "_links", "_probed", "_runtime", "_state")
+    __slots__ = ("_group", "_limits", "_links", "_probed", "_runtime", "_state")
 
-    def __init__(self, runtime, state, links, handlers):
+    def __init__(self, runtime, state, links, limits, handlers):
         self._runtime = runtime
         self._state = state
         self._links = links
+        self._limits = limits
         self._group = None
         self._probed = {}
         handlers.on(ServerSilent)(self._handle_silent)
@@ -82,6 +84,7 @@
     async def _probe_until_answered(self, report):
         """Returns whether the server, or what is left of it, has answered at last."""
         while self._runtime.now() - self._probed[report.server] < MAX_PROBING_S:
+            await self._limits.wait_for_room(report.server)
             with anyio.move_on_after(PROBE_TIMEOUT_S):
                 try:
                     await self._probe(report)
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -305,7 +305,9 @@
     registry.replace({SERVERS[0].id: SERVERS[0]}, 100.0)
     settings = SimpleNamespace(data_centre="dc-0")
     silence = SimpleNamespace(usable=lambda names, now: names)
-    return Selection(registry, moves, silence, settings, Random(1), now), moves
+    limits = SimpleNamespace(with_room=lambda servers, priority: servers)
+    selection = Selection(registry, moves, silence, limits, settings, Random(1), now)
+    return selection, moves
 
 
 @pytest.mark.parametrize(
@@ -321,7 +323,8 @@
     selection, moves = selection
     service = SimpleNamespace(engine=None)
     request = SimpleNamespace(service=service, prompt=None, fingerprint="f")
-    attempt = selection.start_attempt(request, "desk", set(), ())
+    choice = selection.choose(request, "desk", set(), (), 0)
+    attempt = selection.start_attempt(request, "desk", choice)
     tracker = moves.tracker("desk")
     assert sum(tracker.waits(100.0).values()) == 1
     if error == "abandoned":
--- a/pistachiowell/platform/headers.py
+++ b/pistachiowell/platform/headers.py
@@ -5,6 +5,8 @@
 are removed in both directions.
 """
 
+import re
+
 from pistachiowell.gateway.messages import AnswerHead, Prompt, RequestHead
 
 READY_PATH = "/pistachiowell/readyz"
@@ -20,6 +22,7 @@
 PRIORITY = b"pistachiowell-request-priority"
 API_KEY = b"api-key"
 LAST_EVENT_ID = b"last-event-id"
+LIMIT = b"server-limit"
 NOT_RUN_STATUS = 421
 
 # Priority that a server assumes for requests without one; a lower number goes first.
@@ -27,6 +30,8 @@
 MAX_PRIORITY = 9
 MAX_MILLISECONDS = 10**12
 
+# More digits would be no rate of a server.
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 _HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection"
     b" te trailer transfer-encoding upgrade expect content-length".split()
@@ -121,6 +126,8 @@
         values.setdefault(name.lower(), value)
     dropped = _HOP_BY_HOP | _connection_headers(values)
     length = values.get(b"content-length")
+    named = [value for name, value in headers if name.lower() == LIMIT]
+    limits = [float(value) for value in named if _DECIMAL.fullmatch(value.strip())]
     return AnswerHead(
         status=status,
         request_id=_text(values, REQUEST_ID),
@@ -131,6 +138,8 @@
         length=int(length) if length is not None and length.isdigit() else None,
         is_chunked=b"chunked" in values.get(b"transfer-encoding", b"").lower(),
         headers=[(n.lower(), v) for n, v in headers if n.lower() not in dropped],
+        limit_per_s=min(limits, default=None),
+        has_unreadable_limit=bool(named) and not limits,
     )
 
 
--- a/pistachiowell/platform/tests/test_decoding.py
+++ b/pistachiowell/platform/tests/test_decoding.py
@@ -139,3 +139,36 @@
 def test_keep_alive_of_an_answer(headers, keep_alive_s):
     pairs = [(n.encode(), v.encode()) for n, v in headers.items()]
     assert read_answer_head(200, pairs).keep_alive_s == keep_alive_s
+
+
+@pytest.mark.parametrize(
+    ("values", "limit_per_s", "is_unreadable"),
+    [
+        ([], None, False),
+        ([b"1.2"], 1.2, False),
+        ([b" 3 "], 3.0, False),
+        ([b".5"], 0.5, False),
+        ([b"0"], 0.0, False),
+        ([b"9", b"2.5"], 2.5, False),
+        ([b"many", b"2.5"], 2.5, False),
+        ([b"999999999999"], 999_999_999_999.0, False),
+        ([b"-1"], None, True),
+        ([b"nan"], None, True),
+        ([b"inf"], None, True),
+        ([b"1e9"], None, True),
+        ([b"9" * 400], None, True),
+        ([b"1,2"], None, True),
+        ([b""], None, True),
+        ([b"many"], None, True),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 429, 500, 503])
+def test_limit_of_a_server_is_read_from_any_answer(
+    status, values, limit_per_s, is_unreadable
+):
+    pairs = [(b"Server-Limit", value) for value in values]
+    head = read_answer_head(status, pairs)
+    assert head.limit_per_s == limit_per_s
+    assert head.has_unreadable_limit == is_unreadable
+    # Callers get what the server said.
+    assert [value for name, value in head.headers if name == b"server-limit"] == values
