Drop the undelivered bytes of a request that is given up

A request whose caller has left still reached a server that had read nothing yet: a plain close delivers what the kernel holds, however late (GONE). Of a request of 1,000,057 bytes given up before a server that did not read, all bytes arrived later.

An unanswered connection with bytes that the server has not acknowledged is reset now, so they are dropped; one whose bytes have arrived is closed as before, which tells its server to stop. test_given_up_request_still_reaches_its_server failed before.

--- a/pistachiowell/gateway/bounded_stream.py
+++ b/pistachiowell/gateway/bounded_stream.py
@@ -4,12 +4,20 @@
 for the end of the head, or skips one informational answer after the other.
 """
 
+import fcntl
+import socket
+import struct
+import termios
+
 import anyio
 import httpcore
 
 MAX_HEAD_BYTES = 65_536
 # From the first byte: a server may wait long before it answers, but not within a head.
 MAX_HEAD_S = 1.0
+# Lingering for a time of zero: closing resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_INTEGER = struct.Struct("i")
 
 
 class EndlessHeadError(Exception):
@@ -39,6 +47,11 @@
         self._bytes = 0
         self._ends_at = None
 
+    @property
+    def is_awaited(self):
+        """Whether the head is still awaited."""
+        return self._is_active
+
     def begin(self):
         """Starts to wait for a head."""
         self._is_active = True
@@ -110,7 +123,13 @@
         await self._stream.write(buffer, timeout)
 
     async def aclose(self):
-        """Closes the stream."""
+        """Closes the stream; drops what has not arrived of an unanswered request.
+
+        A plain close would still deliver it to a server that reads again later.
+        """
+        sock = self._stream.get_extra_info("socket")
+        if self._limit.is_awaited and sock is not None and _has_unsent_bytes(sock):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         await self._stream.aclose()
 
     def get_extra_info(self, info):
@@ -118,6 +137,17 @@
         return self._stream.get_extra_info(info)
 
 
+def _has_unsent_bytes(sock):
+    """Returns whether the peer has not acknowledged all that was sent to it."""
+    if sock.fileno() < 0:
+        return False  # closed before
+    try:
+        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, _INTEGER.pack(0))
+    except OSError:
+        return False
+    return _INTEGER.unpack(size)[0] > 0
+
+
 class BoundedBackend(httpcore.AsyncNetworkBackend):
     """Opens network streams that keep to a ``HeadLimit``.
 
