Do not suspect a slow server again and again

An agent's answer from a server is a sign of its life now: what waits there counts as slow, and the server is not suspected for a second. Requests move on only after a suspicion that no agent has denied for 0.1 s.

--- a/pistachiowell/routing/silence.py
+++ b/pistachiowell/routing/silence.py
@@ -39,8 +39,10 @@
             each further time, as long as nothing comes from it.
         max_hold_s: Longest such time.
         notice_s: Seconds for which a notice of a peer holds unless it is renewed.
-        denial_s: Seconds for which no notice is believed after a peer has reached the
-            server.
+        denial_s: Seconds for which a server is not suspected after a peer has reached
+            it.
+        confirm_s: Seconds after which a suspicion that no peer has denied lets requests
+            move on to other servers.
         max_left_out: Largest share of the servers that a router leaves out because of
             what it has seen alone.
         max_tick_s: Largest time between two ticks that counts as waiting.
@@ -48,7 +50,7 @@
 
     detector: str = "no_sign_of_life"
     min_patience_s: float = 0.15
-    first_patience_s: float = 0.5
+    first_patience_s: float = 1.0
     max_patience_s: float = 2.0
     min_gap_patience_s: float = 0.25
     usual_waits: float = 2.0
@@ -56,7 +58,8 @@
     hold_s: float = 2.0
     max_hold_s: float = 16.0
     notice_s: float = 1.5
-    denial_s: float = 2.0
+    denial_s: float = 1.0
+    confirm_s: float = 0.1
     max_left_out: float = 0.5
     max_tick_s: float = 0.1
 
@@ -142,6 +145,7 @@
         "held_until",
         "holds",
         "noticed_until",
+        "suspected_at",
         "usual",
         "waits",
     )
@@ -155,6 +159,7 @@
         self.holds = 0
         self.noticed_until = float("-inf")
         self.denied_until = float("-inf")
+        self.suspected_at = None
 
 
 class SilenceDetector:
@@ -184,7 +189,7 @@
         server = self._servers[wait.server]
         server.heard_at = clock
         server.holds = 0
-        server.held_until = server.noticed_until = float("-inf")
+        self._trust(server)
         last_at, wait.part_at = wait.part_at, clock
         if last_at is not None:
             server.gap.record(clock - last_at)
@@ -209,9 +214,13 @@
         state = self._servers.setdefault(server, _Server())
         clock = self._clock(now)
         if not is_silent:
-            state.noticed_until = state.held_until = float("-inf")
+            self._trust(state)
             state.denied_until = clock + self._settings.denial_s
+            state.heard_at = clock
+            for wait in state.waits:
+                wait.was_passed_over = True
         elif clock >= state.denied_until:
+            self._suspect(state, clock)
             state.noticed_until = clock + self._settings.notice_s
 
     def tick(self, now):
@@ -232,7 +241,7 @@
             name
             for name, server in self._servers.items()
             if server.waits
-            and self._awake_s >= server.held_until
+            and self._awake_s >= max(server.held_until, server.denied_until)
             and self._is_silent(server, self._awake_s)
         ]
         for name in silent:
@@ -244,7 +253,7 @@
         return [
             wait
             for server in self._servers.values()
-            if server.waits and self._is_suspected(server, self._awake_s)
+            if server.waits and self._is_confirmed(server)
             for wait in server.waits
             if not wait.is_paused and self._is_doubtful(wait, server, self._awake_s)
         ]
@@ -266,8 +275,21 @@
         state = self._servers.get(server)
         return state is not None and self._is_suspected(state, self._clock(now))
 
+    def _suspect(self, server, clock):
+        if not self._is_suspected(server, clock):
+            server.suspected_at = clock
+
+    def _trust(self, server):
+        server.held_until = server.noticed_until = float("-inf")
+
+    def _is_confirmed(self, server):
+        if not self._is_suspected(server, self._awake_s):
+            return False
+        return self._awake_s - server.suspected_at >= self._settings.confirm_s
+
     def _hold(self, server):
         settings = self._settings
+        self._suspect(server, self._awake_s)
         hold_s = min(settings.max_hold_s, settings.hold_s * 2**server.holds)
         server.held_until = self._awake_s + hold_s
         server.holds += 1
@@ -343,13 +365,13 @@
     Examples:
         >>> detector = SignOfLifeDetector(SilenceSettings())
         >>> wait = detector.record_start("s1", 0.0, 0.0)
-        >>> ticks = [detector.tick(number / 20) for number in range(1, 12)]
+        >>> ticks = [detector.tick(number / 20) for number in range(1, 22)]
         >>> [silent for silent in ticks if silent]
         [['s1']]
-        >>> detector.usable(["s1", "s2"], 0.6)
+        >>> detector.usable(["s1", "s2"], 1.1)
         ['s2']
-        >>> detector.record_part(wait, 0.7)
-        >>> detector.usable(["s1", "s2"], 0.8)
+        >>> detector.record_part(wait, 1.2)
+        >>> detector.usable(["s1", "s2"], 1.3)
         ['s1', 's2']
     """
 
