--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -18,8 +18,8 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.web import CallerGoneError, read_body, watch_disconnect
 from pistachiowell.gateway.answer_writer import AnswerWriter
-from pistachiowell.gateway.dispatch import Usage
 from pistachiowell.gateway.messages import GatewayRequest
+from pistachiowell.gateway.run import Usage
 from pistachiowell.routing import fingerprint, part_names
 
 NOT_READY_RETRY_AFTER_S = 0.5
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -13,12 +13,11 @@
 )
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.connections import ConnectionPool
-from pistachiowell.gateway.events import EventReader
 from pistachiowell.gateway.exchange import ConnectionBroken, Exchange, NotConnected
+from pistachiowell.gateway.run import Run
 from pistachiowell.gateway.server_limits import NoRoom
 from pistachiowell.gateway.silence import SilentServer
 from pistachiowell.routing import (
-    RETRIES,
     SPLITTERS,
     AttemptFailure,
     RetryShare,
@@ -33,89 +32,6 @@
 _log = part_logger("dispatch")
 
 
-class Usage:
-    """Records what a request has used of the tokens reserved for it.
-
-    Attributes:
-        may_have_run: Whether any server may have started to run it.
-        events: Number of events received, including an incomplete one.
-        has_unstreamed_answer: Whether an answer was received that is no event stream.
-    """
-
-    __slots__ = ("events", "has_unstreamed_answer", "may_have_run")
-
-    def __init__(self):
-        self.may_have_run = False
-        self.events = 0
-        self.has_unstreamed_answer = False
-
-    def used_tokens(self, request):
-        """Returns an upper bound of the tokens that the request has used.
-
-        A request costs nothing if no part of an answer was received, even if a server
-        has read its prompt. Without a count of events the whole bound is charged.
-        """
-        prompt = request.prompt
-        if prompt is None or not (self.events or self.has_unstreamed_answer):
-            return 0
-        engine = request.service.engine
-        if engine is None or self.has_unstreamed_answer:
-            return prompt.bound_tokens
-        output = self.events * engine.tokens_per_event
-        return prompt.tokens + min(output, prompt.max_output_tokens)
-
-
-class _Run:
-    """One request while it is dispatched.
-
-    Attributes:
-        request: The ``GatewayRequest``.
-        writer: The ``AnswerWriter``.
-        usage: The ``Usage``.
-        events: Reader of the stream, which attempts at several servers may continue.
-        retries: Decides whether the request is sent again.
-        tried: Ids of the servers of earlier attempts.
-        service: Name of the service that the next attempt goes to.
-    """
-
-    __slots__ = (
-        "events",
-        "request",
-        "retries",
-        "service",
-        "tried",
-        "usage",
-        "writer",
-    )
-
-    def __init__(self, request, writer, usage):
-        self.request = request
-        self.writer = writer
-        self.usage = usage
-        prompt = request.prompt
-        self.events = EventReader(prompt.max_output_tokens if prompt else None)
-        self.retries = RETRIES.find("by_route")(request.route, request.deadline)
-        self.tried = set()
-        self.service = None
-
-    @property
-    def priority(self):
-        """Rank of the next attempt; 0 is the most urgent.
-
-        The rest of a stream that the caller has begun to read goes before all else.
-        """
-        return 0 if self.writer.has_started else self.request.priority
-
-    def record_usage(self, exchange):
-        """Records what an exchange has used, whatever its end."""
-        head, usage, events = exchange.head, self.usage, self.events
-        may_have_run = head is None or head.ran
-        usage.may_have_run |= exchange.may_have_arrived and may_have_run
-        usage.events = max(usage.events, events.count)
-        if events.pending_bytes:
-            usage.events = max(usage.events, events.count + 1)
-
-
 class Dispatch:
     """Runs requests at backend servers and retries those that may be sent again.
 
@@ -186,7 +102,7 @@
             PistachiowellError: There is no complete answer; the caller has received
                 nothing, or a part of a stream that is not continued.
         """
-        run = _Run(request, writer, usage)
+        run = Run(request, writer, usage)
         run.service = self._choose_service(request)
         while True:
             crashed_servers = self._check_crashes(run)
--- /dev/null
+++ b/pistachiowell/gateway/ranked_agents.py
@@ -0,0 +1,38 @@
+"""The agents in the order in which the gateways choose them for a topic."""
+
+from pistachiowell.budgets.page_owner import rank_owners
+from pistachiowell.core.errors import LinkLost
+from pistachiowell.core.logs import part_logger
+
+# The agent on the VM of a server in trouble is often in trouble too.
+AGENTS_TOLD = 2
+
+_log = part_logger("agents")
+
+
+def ranked_agents(fleet, topic):
+    """Returns the usable agents as ``Peer``, best first, alike at all gateways.
+
+    Args:
+        fleet: The ``Fleet`` with the agents.
+        topic: What the agents are chosen for, such as the id of a server.
+    """
+    usable = {name: peer for name, peer in fleet.agents.items() if peer.usable}
+    return [usable[name] for name in rank_owners(topic, usable)]
+
+
+def tell_agents(fleet, topic, message):
+    """Sends a message to the first ``AGENTS_TOLD`` agents for a topic.
+
+    Args:
+        fleet: The ``Fleet`` with the agents.
+        topic: What the agents are chosen for, such as the id of a server.
+        message: The message.
+    """
+    for peer in ranked_agents(fleet, topic)[:AGENTS_TOLD]:
+        try:
+            peer.link.send(message)
+        except LinkLost as error:
+            _log.info(
+                "Telling an agent failed.", agent=peer.record.id, error=str(error)
+            )
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -7,10 +7,10 @@
     RateSettings,
     RateSlots,
 )
-from pistachiowell.budgets.page_owner import rank_owners
 from pistachiowell.core.errors import LinkLost, LinkTimeout, Overloaded
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.limit_owner import decode_limit, encode_limit
+from pistachiowell.gateway.ranked_agents import ranked_agents, tell_agents
 from pistachiowell.schema.generated.messages_gateway import (
     AskRoom,
     LimitObserved,
@@ -20,7 +20,6 @@
 ASK_TIMEOUT_S = 0.15
 # An agent that has not answered is not asked again for this long.
 SILENT_AGENT_S = 1.0
-AGENTS_TOLD = 2
 MIN_RETRY_AFTER_S = 0.05
 
 _log = part_logger("limits")
@@ -85,8 +84,7 @@
         observation = Observation(head.limit_per_s, sent_at)
         if self._observe(incarnation, observation, now):
             message = encode_limit(incarnation, observation, now)
-            for peer in self._owners(server.id)[:AGENTS_TOLD]:
-                self._tell(peer, message)
+            tell_agents(self._fleet, server.id, message)
 
     def with_room(self, servers, priority):
         """Returns the ``BackendServer`` that may have room for a request."""
@@ -143,7 +141,7 @@
     async def _ask(self, incarnation, observation, priority):
         """Returns what the agent answers: the seconds to wait; None without one."""
         now = self._runtime.now()
-        owner = next(iter(self._owners(incarnation.server)), None)
+        owner = next(iter(ranked_agents(self._fleet, incarnation.server)), None)
         if owner is None or now < self._asks_again_at.get(owner.record.id, now):
             return None
         message = AskRoom(encode_limit(incarnation, observation, now), priority)
@@ -160,18 +158,6 @@
             return None
         return reply.wait_s if isinstance(reply, RoomReply) else None
 
-    def _owners(self, server_id):
-        agents = {n: peer for n, peer in self._fleet.agents.items() if peer.usable}
-        return [agents[name] for name in rank_owners(server_id, agents)]
-
-    def _tell(self, peer, message):
-        try:
-            peer.link.send(message)
-        except LinkLost as error:
-            _log.info(
-                "Telling an agent failed.", agent=peer.record.id, error=str(error)
-            )
-
     async def _handle_limit(self, link, message):
         del link
         now = self._runtime.now()
--- a/pistachiowell/gateway/silence.py
+++ b/pistachiowell/gateway/silence.py
@@ -4,15 +4,13 @@
 
 import anyio
 
-from pistachiowell.budgets.page_owner import rank_owners
-from pistachiowell.core.errors import LinkLost, ServerFailed
+from pistachiowell.core.errors import ServerFailed
 from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.ranked_agents import tell_agents
 from pistachiowell.routing import SILENCE_DETECTORS, SilenceSettings
 from pistachiowell.schema.generated.messages_gateway import ServerSilent, SilenceNotice
 
 TICK_S = 0.05
-# The agent on the VM of a silent server is often silent too.
-AGENTS_TOLD = 2
 
 _log = part_logger("silence")
 
@@ -106,12 +104,7 @@
         if server is None:
             return
         message = ServerSilent(server.id, server.service, server.address)
-        agents = {n: peer for n, peer in self._fleet.agents.items() if peer.usable}
-        for name in rank_owners(server_id, agents)[:AGENTS_TOLD]:
-            try:
-                agents[name].link.send(message)
-            except LinkLost as error:
-                _log.info("Telling an agent failed.", agent=name, error=str(error))
+        tell_agents(self._fleet, server_id, message)
 
     async def _handle_notice(self, link, message):
         del link
--- a/pistachiowell/gateway/spending.py
+++ b/pistachiowell/gateway/spending.py
@@ -1,7 +1,6 @@
 """Reserves and settles tokens at the agents that own the budget pages."""
 
 from pistachiowell.budgets.page import page_number
-from pistachiowell.budgets.page_owner import rank_owners
 from pistachiowell.core.errors import (
     BudgetUnreachable,
     LinkLost,
@@ -10,6 +9,7 @@
     error_class,
 )
 from pistachiowell.core.ids import new_id
+from pistachiowell.gateway.ranked_agents import ranked_agents
 from pistachiowell.router.reservation import Reservation
 from pistachiowell.router.settlements import Settlements
 from pistachiowell.schema.generated.messages_budgets import (
@@ -97,9 +97,8 @@
         self._settlements.add(reservation.holder, message)
 
     def _owners(self, account):
-        usable = {n: peer for n, peer in self._fleet.agents.items() if peer.usable}
         page = page_number(account, self._runtime.settings.budget_pages)
-        return [usable[name] for name in rank_owners(page, usable)[:MAX_OWNERS]]
+        return ranked_agents(self._fleet, page)[:MAX_OWNERS]
 
     async def _reserve_at(self, peer, call):
         holder = peer.record.incarnation
