--- a/conftest.py
+++ b/conftest.py
@@ -1,11 +1,12 @@
 """Set-up shared by all tests."""
 
-import socket
 from pathlib import Path
 
 import pytest
 from hypothesis import HealthCheck, settings
 
+from pistachiowell.bench.ports import free_port
+
 settings.register_profile(
     "ci",
     derandomize=True,
@@ -33,16 +34,10 @@
     return "asyncio"
 
 
-@pytest.fixture
-def free_port():
+@pytest.fixture(name="free_port")
+def free_port_fixture():
     """Returns a function that finds an unused loopback port."""
-
-    def find():
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            return sock.getsockname()[1]
-
-    return find
+    return free_port
 
 
 def pytest_collection_modifyitems(items):
