--- a/pistachiowell/soak/tests/test_limited_servers.py
+++ b/pistachiowell/soak/tests/test_limited_servers.py
@@ -111,7 +111,7 @@
     assert len(times) >= 0.5 * 4.0 * REQUESTS_PER_S / SERVERS
 
 
-@pytest.mark.parametrize("absence", ["killed", "pause", "late"])
+@pytest.mark.parametrize("absence", ["killed", "pause", "late", "store"])
 async def test_limit_is_kept_while_an_agent_or_a_gateway_is_missing(tmp_path, absence):
     async with running_fleet(tmp_path, 4, 3, 0, SERVERS) as parts:
         fleet, servers, callers = parts
@@ -126,6 +126,8 @@
                 await fleet.add_gateway("gate-9")
                 await wait_until_served(callers, "gate-9")
                 group.start_soon(_send, callers, "read", ["gate-9"], 7.0, 20.0)
+            elif absence == "store":
+                fleet.store.mode = "silent"
             else:
                 for number in range(3):
                     kind = "kill" if absence == "killed" else absence
