Read only the head of a silent server's health check

An agent read the whole answer to its probe, so a server that answers a health check without end would have filled the agent's memory for five seconds a probe. test_health_answer_without_end_fills_the_agents_memory failed before. The probe uses the gateways' bounded connection now and reads no body. A probe that is cut off is repeated and no longer taken for an answer.

--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -10,6 +10,8 @@
 import httpcore
 
 from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.bounded_stream import EndlessHeadError
+from pistachiowell.gateway.connections import ServerConnection
 from pistachiowell.schema.generated.messages_gateway import ServerSilent, SilenceNotice
 from pistachiowell.store.calls import HTTP_ERRORS
 
@@ -88,20 +90,27 @@
             with anyio.move_on_after(PROBE_TIMEOUT_S):
                 try:
                     await self._probe(report)
-                except (httpcore.ConnectTimeout, httpcore.ReadTimeout) as error:
-                    _log.debug("A probe has timed out: {}", error)
-                except HTTP_ERRORS as error:
-                    # A server that has ended is no silent one.
-                    _log.info("A probe was refused.", error=str(error))
+                except (EndlessHeadError, httpcore.ConnectError) as error:
+                    # A server that sends anything, or has ended, is no silent one.
+                    _log.info("A probe ended without an answer.", error=str(error))
                     return True
+                except HTTP_ERRORS as error:
+                    _log.debug("A probe failed and is repeated: {}", error)
                 else:
                     return True
             await anyio.sleep(RENEW_INTERVAL_S)
         return False
 
     async def _probe(self, report):
+        """Sends a health check and reads the head of its answer, not the body."""
         catalog = self._state.catalog
         service = catalog.services.get(report.service) if catalog else None
         path = service.health_path if service else "/"
-        async with httpcore.AsyncConnectionPool() as pool:
-            await pool.request("GET", f"http://{report.address}{path}")
+        host, _, port = report.address.rpartition(":")
+        headers = [(b"Host", report.address.encode())]
+        connection = ServerConnection(host, int(port))
+        try:
+            await connection.request(host, int(port), "GET", path, headers, b"")
+        finally:
+            with anyio.CancelScope(shield=True):
+                await connection.aclose()
--- /dev/null
+++ b/pistachiowell/gateway/tests/test_silence_probes.py
@@ -0,0 +1,87 @@
+"""Probes of servers that a gateway has reported as silent."""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from pistachiowell.gateway.silence_probes import SilenceProbes
+from pistachiowell.schema.generated.messages_gateway import ServerSilent
+from pistachiowell.wire import Handlers
+
+pytestmark = pytest.mark.anyio
+
+BLOCK = b"x" * 65_536
+MAX_READ_BYTES = 16_000_000
+
+
+class Links:
+    """Records what is sent to all gateways."""
+
+    def __init__(self):
+        self.notices = []
+
+    def broadcast(self, message):
+        self.notices.append(message)
+
+
+class Limits:
+    async def wait_for_room(self, server_id):
+        del server_id
+
+
+@pytest.fixture
+async def probed():
+    """Probes a server with a given script and returns the notices and bytes sent."""
+
+    async def probe(script, until_s):
+        links, handlers = Links(), Handlers()
+        sent = []
+
+        async def serve(stream):
+            async with stream:
+                await stream.receive()
+                await script(stream, sent)
+
+        runtime = SimpleNamespace(now=anyio.current_time)
+        state = SimpleNamespace(catalog=None)
+        probes = SilenceProbes(runtime, state, links, Limits(), handlers)
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        message = ServerSilent("s1", "desk", f"127.0.0.1:{port}")
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            group.start_soon(probes.run)
+            await anyio.sleep(0.05)
+            handler = handlers.find(message)
+            await handler(None, message)
+            await anyio.sleep(until_s)
+            group.cancel_scope.cancel()
+        return [notice.is_silent for notice in links.notices], sum(sent)
+
+    return probe
+
+
+async def send_without_end(stream, sent):
+    await stream.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    try:
+        while True:
+            await stream.send(b"10000\r\n" + BLOCK + b"\r\n")
+            sent.append(len(BLOCK))
+    except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+        return
+
+
+async def stay_silent(stream, sent):
+    await anyio.sleep_forever()
+
+
+async def test_health_answer_without_end_fills_the_agents_memory(probed):
+    notices, size = await probed(send_without_end, 1.0)
+    assert notices == [True, False]
+    assert size < MAX_READ_BYTES
+
+
+async def test_silence_is_announced_again_until_the_server_answers(probed):
+    notices, _ = await probed(stay_silent, 1.3)
+    assert notices == [True, True, True]
