--- a/pistachiowell/routing/silence.py
+++ b/pistachiowell/routing/silence.py
@@ -43,6 +43,7 @@
         max_left_out: Largest share of the servers that a router leaves out because of
             what it has seen alone.
         max_tick_s: Largest time between two ticks that counts as waiting.
+        max_servers: Number of servers above which those without requests are forgotten.
     """
 
     detector: str = "no_sign_of_life"
@@ -59,6 +60,7 @@
     confirm_s: float = 0.1
     max_left_out: float = 0.5
     max_tick_s: float = 0.1
+    max_servers: int = 4_096
 
 
 class Wait:
@@ -136,8 +138,15 @@
         self._awake_s = 0.0
         self._ticked_at = None
 
+    @property
+    def server_count(self):
+        """Number of servers that are remembered."""
+        return len(self._servers)
+
     def record_start(self, server, expected_s, now):
         """Records that a request is sent to a server and returns its ``Wait``."""
+        if len(self._servers) > self._settings.max_servers:
+            self._servers = {n: s for n, s in self._servers.items() if s.waits}
         wait = Wait(server, expected_s, self._clock(now))
         self._servers.setdefault(server, _Server()).waits.add(wait)
         return wait
--- a/pistachiowell/routing/tests/test_silence.py
+++ b/pistachiowell/routing/tests/test_silence.py
@@ -193,3 +193,12 @@
     play.advance(5.0)
     assert not play.silences
     assert play.usable() == SERVERS
+
+
+def test_servers_that_are_gone_are_forgotten():
+    play = Play()
+    kept = play.start("kept")
+    for number in range(2 * SilenceSettings().max_servers):
+        play.detector.record_end(play.start(f"gone-{number}"))
+    assert play.detector.server_count <= SilenceSettings().max_servers + 1
+    play.answer(kept)
