Detect a crash although its check is reset with the port

Cause: after a lost connection a gateway connects to the server again to see whether its port is closed. Only a refusal counted; any other error ended the check with "no crash".

Evidence: test_crash_is_missed_as_its_check_is_reset_with_the_port failed before (no report) and passes now.

Why it works: a reset tells that the port had been open and says nothing about now, so the gateway tries again within the same second. Other errors, as of a host that is cut off, still end the check.

--- a/pistachiowell/gateway/server_crashes.py
+++ b/pistachiowell/gateway/server_crashes.py
@@ -216,15 +216,20 @@
 
     A server that does not answer at all may be cut off and still run its requests.
     """
-    try:
-        with anyio.move_on_after(WATCH_S):
-            while True:
+    with anyio.move_on_after(WATCH_S):
+        while True:
+            try:
                 stream = await anyio.connect_tcp(server.host, server.port)
+            except OSError as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    return True
+                # Connections that wait at a port as it is closed are reset.
+                if not isinstance(error.__cause__, ConnectionResetError):
+                    return False
+            else:
                 async with stream:
                     await _wait_until_closed(stream)
-                await anyio.sleep(RECHECK_DELAY_S)
-    except OSError as error:
-        return isinstance(error.__cause__, ConnectionRefusedError)
+            await anyio.sleep(RECHECK_DELAY_S)
     return False
 
 
--- a/pistachiowell/gateway/tests/test_server_crashes.py
+++ b/pistachiowell/gateway/tests/test_server_crashes.py
@@ -108,6 +108,25 @@
     assert candidates.reports == []
 
 
+async def test_crash_is_missed_as_its_check_is_reset_with_the_port(
+    crashes, candidates, free_port, monkeypatch
+):
+    connect, errors = anyio.connect_tcp, [ConnectionResetError(104, "reset")]
+
+    async def connect_to_port_that_closes(host, port):
+        if errors:
+            raise OSError("All connection attempts failed") from errors.pop()
+        return await connect(host, port)
+
+    monkeypatch.setattr(anyio, "connect_tcp", connect_to_port_that_closes)
+    crashed = ConnectionBroken("broke off")
+    await run_attempt(crashes, server(free_port()), "a", crashed)
+    with anyio.move_on_after(1.2):
+        while not candidates.reports:
+            await anyio.sleep(0.01)
+    assert candidates.reports == [("s", ("a",), ())]
+
+
 async def test_server_that_moved_is_not_checked_at_its_old_address(
     crashes, candidates, free_port
 ):
