Tell all gateways of a doubt before a server counts as silent

Cause: a gateway shared a suspicion only, after 0.15 s and a tick. A gateway's own doubt, which made it prefer other servers after 75 ms, stayed with it.

Why it works: a request that waits for longer than usual (mean and two deviations, 30 ms at least) makes its gateway prefer other servers at once, and one agent tells all gateways, which prefer them too for 0.2 s unless they have heard from the server meanwhile. A doubt costs no probe and takes no server away: where all are in doubt all are used.

--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -96,7 +96,7 @@
         self._move_watcher = MoveOrderWatcher(
             runtime, adapter.moves, self._moves.apply_orders
         )
-        self._silence = SilenceMonitor(runtime, self._fleet, state.servers, handlers)
+        self._silence = SilenceMonitor(runtime, self._fleet, state, handlers)
         limits = ServerLimits(
             runtime, self._fleet, handlers, lambda: self._router_count, rng
         )
--- a/pistachiowell/gateway/ranked_agents.py
+++ b/pistachiowell/gateway/ranked_agents.py
@@ -21,15 +21,16 @@
     return [usable[name] for name in rank_owners(topic, usable)]
 
 
-def tell_agents(fleet, topic, message):
-    """Sends a message to the first ``AGENTS_TOLD`` agents for a topic.
+def tell_agents(fleet, topic, message, count=AGENTS_TOLD):
+    """Sends a message to the first agents for a topic.
 
     Args:
         fleet: The ``Fleet`` with the agents.
         topic: What the agents are chosen for, such as the id of a server.
         message: The message.
+        count: Number of agents.
     """
-    for peer in ranked_agents(fleet, topic)[:AGENTS_TOLD]:
+    for peer in ranked_agents(fleet, topic)[:count]:
         try:
             peer.link.send(message)
         except LinkLost as error:
--- a/pistachiowell/gateway/silence.py
+++ b/pistachiowell/gateway/silence.py
@@ -8,9 +8,14 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.ranked_agents import tell_agents
 from pistachiowell.routing import SILENCE_DETECTORS, SilenceSettings
-from pistachiowell.schema.generated.messages_gateway import ServerSilent, SilenceNotice
+from pistachiowell.schema.generated.messages_gateway import (
+    ServerDoubted,
+    ServerSilent,
+    SilenceNotice,
+)
 
-TICK_S = 0.05
+TICK_S = 0.02
+IDLE_TICK_S = 0.05
 
 _log = part_logger("silence")
 
@@ -23,33 +28,37 @@
     """Watches the attempts of a gateway and gives up those at silent servers.
 
     What the gateway suspects it tells two agents, which probe the server and tell all
-    gateways; so the requests at a silent server do not grow with the fleet.
+    gateways; so the requests at a silent server do not grow with the fleet. Before, at
+    its first doubt, it has an agent tell all gateways to prefer other servers.
 
     Args:
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet`` with the agents.
-        servers: The ``ServerRegistry``.
+        state: The ``GatewayState``.
         handlers: Handlers of the links to agents; this registers its own.
     """
 
-    __slots__ = ("_detector", "_fleet", "_runtime", "_servers", "_watches")
+    __slots__ = ("_detector", "_fleet", "_runtime", "_state", "_watches")
 
-    def __init__(self, runtime, fleet, servers, handlers):
+    def __init__(self, runtime, fleet, state, handlers):
         self._runtime = runtime
         self._fleet = fleet
-        self._servers = servers
+        self._state = state
         settings = SilenceSettings()
         self._detector = SILENCE_DETECTORS.find(settings.detector)(settings)
         self._watches = {}
         handlers.on(SilenceNotice)(self._handle_notice)
+        handlers.on(ServerDoubted, quick=True)(self._handle_doubt)
         runtime.metrics.watch("servers.silent", self._count_suspected)
 
     async def run(self):
         """Looks for silent servers until cancelled."""
         while True:
-            await anyio.sleep(TICK_S)
+            await anyio.sleep(TICK_S if self._watches else IDLE_TICK_S)
             for server_id in self._detector.tick(self._runtime.now()):
                 self._report(server_id)
+            for server_id, waited_s in self._detector.new_doubts():
+                self._report_doubt(server_id, waited_s)
             for wait in self._detector.hopeless_waits():
                 watch = self._watches.get(wait)
                 if watch is not None:
@@ -100,12 +109,32 @@
             server=server_id,
             waiting=sum(wait.server == server_id for wait in self._watches),
         )
-        server = self._servers.known.get(server_id)
+        server = self._state.servers.known.get(server_id)
         if server is None:
             return
         message = ServerSilent(server.id, server.service, server.address)
         tell_agents(self._fleet, server_id, message)
 
+    def _report_doubt(self, server_id, waited_s):
+        if self._has_engine(server_id):
+            # The agent beside it reports its load, and requests keep to its cache.
+            return
+        self._runtime.metrics.count("servers.doubts")
+        _log.debug("Backend server is in doubt.", server=server_id, waited_s=waited_s)
+        message = ServerDoubted(server_id, round(waited_s, 3))
+        # One agent will do: a suspicion follows soon, which is told two.
+        tell_agents(self._fleet, server_id, message, count=1)
+
+    def _has_engine(self, server_id):
+        server, catalog = self._state.servers.known.get(server_id), self._state.catalog
+        service = catalog.services.get(server.service) if server and catalog else None
+        return service is None or service.engine is not None
+
+    async def _handle_doubt(self, link, message):
+        del link
+        now = self._runtime.now()
+        self._detector.record_doubt(message.server, message.waited_s, now)
+
     async def _handle_notice(self, link, message):
         del link
         now = self._runtime.now()
@@ -121,7 +150,7 @@
     def _count_suspected(self):
         now = self._runtime.now()
         return sum(
-            self._detector.is_suspected(name, now) for name in self._servers.known
+            self._detector.is_suspected(name, now) for name in self._state.servers.known
         )
 
 
--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -12,7 +12,11 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.bounded_stream import EndlessHeadError
 from pistachiowell.gateway.connections import ServerConnection
-from pistachiowell.schema.generated.messages_gateway import ServerSilent, SilenceNotice
+from pistachiowell.schema.generated.messages_gateway import (
+    ServerDoubted,
+    ServerSilent,
+    SilenceNotice,
+)
 from pistachiowell.store.calls import HTTP_ERRORS
 
 RENEW_INTERVAL_S = 0.5
@@ -21,6 +25,9 @@
 # A server that no gateway has reported for so long is not probed any more.
 MAX_PROBING_S = 15.0
 MAX_PROBED_SERVERS = 64
+# Doubts of several gateways about one server within this time are passed on once.
+DOUBT_INTERVAL_S = 0.1
+MAX_DOUBTED_SERVERS = 1_024
 
 _log = part_logger("silence")
 
@@ -36,7 +43,15 @@
         handlers: Handlers of the links to gateways; this registers its own.
     """
 
-    __slots__ = ("_group", "_limits", "_links", "_probed", "_runtime", "_state")
+    __slots__ = (
+        "_doubted",
+        "_group",
+        "_limits",
+        "_links",
+        "_probed",
+        "_runtime",
+        "_state",
+    )
 
     def __init__(self, runtime, state, links, limits, handlers):
         self._runtime = runtime
@@ -45,13 +60,27 @@
         self._limits = limits
         self._group = None
         self._probed = {}
+        self._doubted = {}
         handlers.on(ServerSilent)(self._handle_silent)
+        handlers.on(ServerDoubted, quick=True)(self._handle_doubted)
 
     async def run(self):
         """Runs the probes until cancelled."""
         async with anyio.create_task_group() as self._group:
             await anyio.sleep_forever()
 
+    async def _handle_doubted(self, link, message):
+        """Passes a doubt on to all gateways unless another one was just before."""
+        del link
+        now = self._runtime.now()
+        if now - self._doubted.get(message.server, float("-inf")) < DOUBT_INTERVAL_S:
+            return
+        self._doubted.pop(message.server, None)
+        self._doubted[message.server] = now
+        if len(self._doubted) > MAX_DOUBTED_SERVERS:
+            del self._doubted[next(iter(self._doubted))]
+        self._links.broadcast(message)
+
     async def _handle_silent(self, link, message):
         del link
         is_new = message.server not in self._probed
--- a/pistachiowell/gateway/tests/test_silence_probes.py
+++ b/pistachiowell/gateway/tests/test_silence_probes.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pistachiowell.gateway.silence_probes import SilenceProbes
-from pistachiowell.schema.generated.messages_gateway import ServerSilent
+from pistachiowell.schema.generated.messages_gateway import ServerDoubted, ServerSilent
 from pistachiowell.wire import Handlers
 
 pytestmark = pytest.mark.anyio
@@ -85,3 +85,16 @@
 async def test_silence_is_announced_again_until_the_server_answers(probed):
     notices, _ = await probed(stay_silent, 1.3)
     assert notices == [True, True, True]
+
+
+async def test_doubts_of_many_gateways_are_passed_on_once():
+    links, handlers, now = Links(), Handlers(), [0.0]
+    runtime = SimpleNamespace(now=lambda: now[0])
+    SilenceProbes(runtime, SimpleNamespace(catalog=None), links, Limits(), handlers)
+    doubts = [ServerDoubted("s1", 0.03), ServerDoubted("s1", 0.04)]
+    for doubt in [*doubts, ServerDoubted("s2", 0.05)]:
+        await handlers.find(doubt)(None, doubt)
+    assert [notice.server for notice in links.notices] == ["s1", "s2"]
+    now[0] = 0.2
+    await handlers.find(doubts[0])(None, doubts[1])
+    assert [notice.server for notice in links.notices] == ["s1", "s2", "s1"]
--- a/pistachiowell/routing/silence.py
+++ b/pistachiowell/routing/silence.py
@@ -32,6 +32,11 @@
             answer.
         usual_waits: Number of usual waits after which a server is silent.
         doubt_share: Share of the patience after which other servers are preferred.
+        min_doubt_s: Shortest wait for the first part of an answer in seconds after
+            which they are.
+        doubt_deviations: Number of deviations of the usual waits after which they are.
+        shared_doubt_s: Seconds for which a doubt that a peer has told of holds, and
+            between two reports of a doubt.
         hold_s: Seconds for which a silent server gets nothing at first; twice as long
             each further time, as long as nothing comes from it.
         max_hold_s: Longest such time.
@@ -53,6 +58,9 @@
     min_gap_patience_s: float = 0.25
     usual_waits: float = 2.0
     doubt_share: float = 0.5
+    min_doubt_s: float = 0.03
+    doubt_deviations: float = 2.0
+    shared_doubt_s: float = 0.2
     hold_s: float = 2.0
     max_hold_s: float = 16.0
     notice_s: float = 1.5
@@ -101,11 +109,13 @@
 class _Server:
     __slots__ = (
         "denied_until",
+        "doubted_until",
         "gap",
         "heard_at",
         "held_until",
         "holds",
         "noticed_until",
+        "reported_until",
         "suspected_at",
         "usual",
         "waits",
@@ -120,6 +130,8 @@
         self.holds = 0
         self.noticed_until = float("-inf")
         self.denied_until = float("-inf")
+        self.doubted_until = float("-inf")
+        self.reported_until = float("-inf")
         self.suspected_at = None
 
 
@@ -191,6 +203,37 @@
             self._suspect(state, clock)
             state.noticed_until = clock + self._settings.notice_s
 
+    def record_doubt(self, server, waited_s, now):
+        """Records that a request of a peer waits for a server in vain.
+
+        Args:
+            server: Id of the server.
+            waited_s: Seconds for which it has waited; what this router has heard from
+                the server meanwhile refutes the doubt.
+            now: Present time in seconds.
+        """
+        state = self._servers.setdefault(server, _Server())
+        clock = self._clock(now)
+        if state.heard_at < clock - waited_s:
+            state.doubted_until = clock + self._settings.shared_doubt_s
+
+    def new_doubts(self):
+        """Returns pairs of a server in doubt and how long it has sent nothing.
+
+        Peers are to be told of them. A doubt that lasts is returned again and again,
+        each time after ``shared_doubt_s``.
+        """
+        doubts = []
+        for name, server in self._servers.items():
+            if server.waits and self._awake_s >= server.reported_until:
+                waited_s = self._doubtful_wait_s(server, self._awake_s)
+                if waited_s:
+                    server.reported_until = (
+                        self._awake_s + self._settings.shared_doubt_s
+                    )
+                    doubts.append((name, waited_s))
+        return doubts
+
     def tick(self, now):
         """Advances the clock and returns the servers that have become silent.
 
@@ -223,7 +266,7 @@
             for server in self._servers.values()
             if server.waits and self._is_confirmed(server)
             for wait in server.waits
-            if not wait.is_paused and self._is_doubtful(wait, server, self._awake_s)
+            if self._is_doubtful(wait, server, self._awake_s)
         ]
 
     def usable(self, servers, now):
@@ -249,6 +292,7 @@
 
     def _trust(self, server):
         server.held_until = server.noticed_until = float("-inf")
+        server.doubted_until = float("-inf")
 
     def _is_confirmed(self, server):
         if not self._is_suspected(server, self._awake_s):
@@ -274,15 +318,32 @@
     def _is_silent(self, server, clock):
         return any(
             not wait.is_paused
-            and clock - max(wait.since, server.heard_at)
-            >= self._patience_s(wait, server)
+            and self._waited_s(wait, server, clock) >= self._patience_s(wait, server)
             for wait in server.waits
         )
 
     def _is_doubtful(self, wait, server, clock):
-        waited_s = clock - max(wait.since, server.heard_at)
-        patience_s = self._patience_s(wait, server)
-        return waited_s >= self._settings.doubt_share * patience_s
+        waited_s = self._waited_s(wait, server, clock)
+        return not wait.is_paused and waited_s >= self._doubt_s(wait, server)
+
+    def _doubtful_wait_s(self, server, clock):
+        """Returns for how long a doubtful request has waited; 0 if there is none."""
+        if clock - server.heard_at < self._settings.min_doubt_s:
+            return 0.0
+        doubtful = (w for w in server.waits if self._is_doubtful(w, server, clock))
+        return max((self._waited_s(w, server, clock) for w in doubtful), default=0.0)
+
+    @staticmethod
+    def _waited_s(wait, server, clock):
+        return clock - max(wait.since, server.heard_at)
+
+    def _doubt_s(self, wait, server):
+        settings = self._settings
+        usual_s = server.usual.bound_s(settings.doubt_deviations)
+        if wait.part_at is not None or wait.was_passed_over or usual_s is None:
+            return settings.doubt_share * self._patience_s(wait, server)
+        usual_s = min(usual_s, settings.doubt_share * settings.max_patience_s)
+        return max(settings.min_doubt_s, usual_s) + wait.expected_s
 
     def _patience_s(self, wait, server):
         settings = self._settings
@@ -296,9 +357,10 @@
 
     def _usual_patience_s(self, usual, min_s):
         settings = self._settings
-        if usual.bound_s is None:
+        bound_s = usual.bound_s()
+        if bound_s is None:
             return settings.first_patience_s
-        patience_s = max(min_s, settings.usual_waits * usual.bound_s)
+        patience_s = max(min_s, settings.usual_waits * bound_s)
         return min(patience_s, settings.max_patience_s)
 
 
@@ -317,6 +379,10 @@
         """Returns no wait; see ``SilenceDetector``."""
         return []
 
+    def new_doubts(self):
+        """Returns no doubt; see ``SilenceDetector``."""
+        return []
+
     def usable(self, servers, now):
         """Returns all servers; see ``SilenceDetector``."""
         return list(servers)
@@ -370,7 +436,6 @@
         return clock < state.held_until or bool(state.holds and state.waits)
 
     def _has_doubt(self, state, clock):
-        return state is not None and any(
-            not wait.is_paused and self._is_doubtful(wait, state, clock)
-            for wait in state.waits
-        )
+        if state is None:
+            return False
+        return clock < state.doubted_until or bool(self._doubtful_wait_s(state, clock))
--- a/pistachiowell/routing/tests/test_silence.py
+++ b/pistachiowell/routing/tests/test_silence.py
@@ -142,6 +142,38 @@
     assert play.usable() == SERVERS
 
 
+def test_doubt_of_a_peer_makes_a_server_the_last_choice_for_a_moment(play):
+    play.detector.record_doubt("s2", 0.05, play.now)
+    assert play.usable() == ["s1", "s3", "s4"]
+    assert play.detector.usable(["s2"], play.now) == ["s2"]
+    assert not play.detector.is_suspected("s2", play.now)
+    play.advance(0.25)
+    assert play.usable() == SERVERS
+
+
+def test_doubt_of_a_peer_is_refuted_by_what_came_from_the_server(play):
+    play.advance(0.05)
+    play.detector.record_doubt("s1", 0.1, play.now)
+    assert play.usable() == SERVERS
+    wait = play.start("s1")
+    play.detector.record_doubt("s1", 0.01, play.now)
+    assert play.usable() == SERVERS[1:]
+    play.answer(wait)
+    assert play.usable() == SERVERS
+
+
+def test_doubt_is_told_once_in_a_while_and_before_a_suspicion(play):
+    play.learn("s1", 0.01)
+    play.start("s1")
+    play.advance(0.05)
+    (doubt,) = play.detector.new_doubts()
+    assert doubt == ("s1", pytest.approx(0.05))
+    assert not play.silences
+    assert play.detector.new_doubts() == []
+    play.advance(0.3)
+    assert [server for server, _ in play.detector.new_doubts()] == ["s1"]
+
+
 def test_server_that_answers_a_peer_is_used_again(play):
     play.start("s2")
     play.advance(1.1)
--- a/pistachiowell/routing/usual_wait.py
+++ b/pistachiowell/routing/usual_wait.py
@@ -13,11 +13,11 @@
 
     Examples:
         >>> usual = UsualWait()
-        >>> usual.bound_s is None
+        >>> usual.bound_s() is None
         True
         >>> usual.record(0.1)
-        >>> round(usual.bound_s, 3)
-        0.3
+        >>> round(usual.bound_s(), 3), round(usual.bound_s(2.0), 3)
+        (0.3, 0.2)
     """
 
     __slots__ = ("_deviation_s", "_mean_s")
@@ -26,12 +26,15 @@
         self._mean_s = None
         self._deviation_s = 0.0
 
-    @property
-    def bound_s(self):
-        """Seconds that hardly any wait exceeds; None before the first."""
+    def bound_s(self, deviations=DEVIATIONS):
+        """Returns the seconds that hardly any wait exceeds; None before the first.
+
+        Args:
+            deviations: Number of deviations above the mean.
+        """
         if self._mean_s is None:
             return None
-        return self._mean_s + DEVIATIONS * self._deviation_s
+        return self._mean_s + deviations * self._deviation_s
 
     def record(self, wait_s):
         """Records a wait in seconds."""
