Share crash reports through two agents and merged

That the reports are the cause is suspected; their number is counted here.

Cause: each gateway that saw a crash told all agents, each agent told all gateways, and each gateway passed on to all agents what an agent had told it. The same held for each suspect that an answer cleared and for each quarantine. A report known under another id was passed on and logged again.

Gateways pass on nothing. A report that adds nothing to what is known of its crash, whatever its id, is neither logged nor passed on. Routers share as before, at once and with all.

--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -30,6 +30,8 @@
 from pistachiowell.wire.status import register_status_handlers
 
 COMPRESSION_LEVEL = 3
+# Reports of the gateways about one crash within this time are passed on as one.
+CRASH_MERGE_S = 0.05
 
 _log = part_logger("agent")
 
@@ -49,6 +51,7 @@
         "_catalog_watcher",
         "_compressed_document",
         "_compressed_source",
+        "_crash_candidates",
         "_handlers",
         "_links",
         "_load_reporter",
@@ -79,7 +82,13 @@
         # Gateways have no links to each other; each agent passes on their reports.
         self._links = LinkSet()
         self._links.add_link_listener(self._load_reporter.add_link)
-        CrashCandidates(runtime, self._links, self._handlers, SHARED_SERVER_CRASHES)
+        self._crash_candidates = CrashCandidates(
+            runtime,
+            self._links,
+            self._handlers,
+            SHARED_SERVER_CRASHES,
+            merge_s=CRASH_MERGE_S,
+        )
         limits = LimitOwner(runtime, self._links, self._handlers)
         self._silence_probes = SilenceProbes(
             runtime, state, self._links, limits, self._handlers
@@ -104,6 +113,7 @@
             group.start_soon(self._move_watcher.run)
             group.start_soon(self._move_judge.run)
             group.start_soon(self._load_reporter.run)
+            group.start_soon(self._crash_candidates.run_merging)
             group.start_soon(self._silence_probes.run)
             group.start_soon(serve_metrics, self._runtime)
             _log.info(
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -12,6 +12,7 @@
 from pistachiowell.core.web import http_server
 from pistachiowell.gateway.agents import AgentReports
 from pistachiowell.gateway.app import GatewayApp, ReadyApp
+from pistachiowell.gateway.crash_relays import CrashRelays
 from pistachiowell.gateway.dispatch import Dispatch
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.selection import Selection
@@ -120,8 +121,9 @@
         self._catalog_fallback = StoreFallback(
             self._catalog_watcher, self._agent_reports.has_enough_agents, runtime.now
         )
+        relays = CrashRelays(self._fleet)
         self._crash_candidates = CrashCandidates(
-            runtime, self._fleet, handlers, SHARED_SERVER_CRASHES
+            runtime, relays, handlers, SHARED_SERVER_CRASHES, passes_on=False
         )
         self._quarantine_fallback = StoreFallback(
             self._crash_candidates.store,
--- a/pistachiowell/router/crash_candidates.py
+++ b/pistachiowell/router/crash_candidates.py
@@ -45,19 +45,38 @@
 
     Args:
         runtime: The process's ``Runtime``.
-        peers: The links to the peers: a ``Fleet`` or ``LinkSet``.
+        peers: The links to the peers: a ``Fleet``, ``LinkSet`` or ``CrashRelays``.
         handlers: Handlers of the links to peers; this adds its own.
         settings: ``CrashSettings``.
+        passes_on: Whether peers are told what another peer tells.
+        merge_s: Seconds for which reports of peers about one crash are collected, to be
+            passed on as one; 0 to pass on each at once. Needs ``run_merging``.
 
     Attributes:
         store: The ``QuarantineStore``.
     """
 
-    __slots__ = ("_ledger", "_peers", "_runtime", "_uncounted_crashes", "store")
-
-    def __init__(self, runtime, peers, handlers, settings):
+    __slots__ = (
+        "_ledger",
+        "_merge_s",
+        "_passes_on",
+        "_peers",
+        "_runtime",
+        "_uncounted_crashes",
+        "_unsent",
+        "_wake",
+        "store",
+    )
+
+    def __init__(
+        self, runtime, peers, handlers, settings, *, passes_on=True, merge_s=0.0
+    ):
         self._runtime = runtime
         self._peers = peers
+        self._passes_on = passes_on
+        self._merge_s = merge_s
+        self._unsent = {}
+        self._wake = anyio.Event()
         self._ledger = CRASH_LEDGERS.find("count")(settings)
         self._uncounted_crashes = {}
         self.store = QuarantineStore(runtime.store, self._ledger, runtime.now)
@@ -71,9 +90,25 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self.store.run_writes)
             while True:
-                self._announce(self._ledger.judge(self._runtime.now()))
+                self.judge()
                 await anyio.sleep(JUDGE_INTERVAL_S)
 
+    def judge(self):
+        """Quarantines the candidates that caused their crashes, and tells the peers."""
+        self._announce(self._ledger.judge(self._runtime.now()))
+
+    async def run_merging(self):
+        """Passes on the collected reports about each crash as one until cancelled."""
+        while True:
+            await self._wake.wait()
+            await anyio.sleep(self._merge_s)
+            self._wake = anyio.Event()
+            unsent, self._unsent = self._unsent, {}
+            for crash in unsent.values():
+                self._peers.broadcast(
+                    _report_message(crash.report(self._runtime.now()))
+                )
+
     def check(self, fingerprint, parts=()):
         """Checks whether a request may run.
 
@@ -161,33 +196,42 @@
             fingerprints: Fingerprints of this process's requests in progress there.
             parts: A ``PartInProgress`` for each part of their prompts.
         """
-        crashed_parts = [
-            CrashedPart(part.name, list(part.begun), list(part.waiting))
-            for part in parts
-        ]
         crash_id = new_id("crash")
-        self._record(
-            CrashReport(crash_id, server, list(fingerprints), parts=crashed_parts)
-        )
+        crash = Crash(crash_id, server, tuple(fingerprints), parts=tuple(parts))
+        quarantined = self._record(crash)
+        if quarantined is not None:
+            self._peers.broadcast(_report_message(crash))
+            self._announce(quarantined)
 
     async def _handle_crash(self, link, message):
-        self._record(message)
-
-    def _record(self, message):
-        crash = Crash(
-            message.crash_id,
-            message.server,
-            tuple(message.fingerprints),
-            message.age_s,
-            tuple(
-                PartInProgress(part.part, tuple(part.begun), tuple(part.waiting))
-                for part in message.parts
-            ),
-        )
-        if self._ledger.is_known(crash):
+        crash = _reported_crash(message)
+        quarantined = self._record(crash)
+        if quarantined is None:
             return
-        quarantined = self._ledger.record_crash(crash, self._runtime.now())
-        self._peers.broadcast(message)
+        if self._merge_s:
+            record = self._ledger.find_crash(crash, self._runtime.now())
+            self._unsent[record.crash_id] = record
+            self._wake.set()
+        else:
+            self._pass_on(message)
+        self._announce(quarantined)
+
+    def _record(self, crash):
+        """Records a report.
+
+        Returns:
+            The suspects that are quarantined now; None if the report tells nothing new.
+        """
+        now = self._runtime.now()
+        if self._ledger.is_known(crash, now):
+            return None
+        is_new = self._ledger.find_crash(crash, now) is None
+        quarantined = self._ledger.record_crash(crash, now)
+        if is_new:
+            self._record_new(crash, quarantined)
+        return quarantined
+
+    def _record_new(self, crash, quarantined):
         if not quarantined:
             self._uncounted_crashes[crash.server] = True
             if len(self._uncounted_crashes) > MAX_UNCOUNTED_CRASHES:
@@ -201,7 +245,6 @@
             parts=[part.name for part in crash.parts if part.begun],
         )
         self._runtime.events.add(EventKind.server_crashed, text=crash.server)
-        self._announce(quarantined)
 
     def _announce(self, quarantined):
         now = self._runtime.now()
@@ -227,10 +270,14 @@
         now = self._runtime.now()
         if self._ledger.quarantine(message.fingerprint, now, message.left_s):
             self._record_quarantine(message.fingerprint, list(message.servers))
-            self._peers.broadcast(message)
+            self._pass_on(message)
 
     async def _handle_cleared(self, link, message):
         if self._clear(message.fingerprint):
+            self._pass_on(message)
+
+    def _pass_on(self, message):
+        if self._passes_on:
             self._peers.broadcast(message)
 
     def _clear(self, name):
@@ -248,18 +295,28 @@
             for known in self._ledger.quarantines(now)
         ]
         messages += [
-            CrashReport(
-                crash.crash_id,
-                crash.server,
-                list(crash.fingerprints),
-                crash.age_s,
-                [
-                    CrashedPart(part.name, list(part.begun), list(part.waiting))
-                    for part in crash.parts
-                ],
-            )
-            for crash in self._ledger.crashes_for_new_peer(now)
+            _report_message(crash) for crash in self._ledger.crashes_for_new_peer(now)
         ]
         with contextlib.suppress(LinkLost):
             for message in messages:
                 link.send(message)
+
+
+def _report_message(crash):
+    """Returns the ``CrashReport`` of a ``Crash``."""
+    parts = [
+        CrashedPart(part.name, list(part.begun), list(part.waiting))
+        for part in crash.parts
+    ]
+    names = list(crash.fingerprints)
+    return CrashReport(crash.crash_id, crash.server, names, crash.age_s, parts)
+
+
+def _reported_crash(message):
+    """Returns the ``Crash`` of a ``CrashReport``."""
+    parts = tuple(
+        PartInProgress(part.part, tuple(part.begun), tuple(part.waiting))
+        for part in message.parts
+    )
+    names = tuple(message.fingerprints)
+    return Crash(message.crash_id, message.server, names, message.age_s, parts)
--- a/pistachiowell/routing/crashes.py
+++ b/pistachiowell/routing/crashes.py
@@ -207,9 +207,11 @@
         Returns:
             A list of the suspects that are quarantined now; see ``judge``.
         """
-        record = self._report_ids.get(crash.crash_id)
+        record = self.find_crash(crash, now)
         if record is None:
-            record = self._find_crash(crash, now - crash.age_s)
+            at = now - crash.age_s
+            record = CrashRecord(crash.crash_id, crash.server, at)
+            self._evidence.crashes.append(record)
         self._report_ids[crash.crash_id] = record
         for name in record.add(crash, self._settings.max_crash_fingerprints):
             self._add_crash(name, record, now)
@@ -229,9 +231,26 @@
             names = nlargest(MAX_JUDGED, names, lambda n: len(suspects[n].crashes))
         return [name for name in names if self._judge(name, now)]
 
-    def is_known(self, crash):
-        """Returns whether a report adds nothing to what has been recorded."""
+    def find_crash(self, crash, now):
+        """Returns the ``CrashRecord`` that a report belongs to, or None.
+
+        Args:
+            crash: A ``Crash``.
+            now: Present time in seconds.
+        """
         record = self._report_ids.get(crash.crash_id)
+        if record is not None:
+            return record
+        at, same_crash_s = now - crash.age_s, self._settings.same_crash_s
+        for record in reversed(self._evidence.crashes):
+            is_near = abs(record.at - at) < same_crash_s
+            if is_near and record.server == crash.server:
+                return record
+        return None
+
+    def is_known(self, crash, now):
+        """Returns whether a report adds nothing to what has been recorded."""
+        record = self.find_crash(crash, now)
         if record is None:
             return False
         return record.has_all(crash, self._settings.max_crash_fingerprints)
@@ -340,16 +359,6 @@
         names = crash.fingerprints.union(crash.parts)
         return any(len(self._evidence.counted(name, now)) > 1 for name in names)
 
-    def _find_crash(self, crash, at):
-        """Returns the record of the crash that a report is about, or a new one."""
-        for record in reversed(self._evidence.crashes):
-            is_near = abs(record.at - at) < self._settings.same_crash_s
-            if is_near and record.server == crash.server:
-                return record
-        record = CrashRecord(crash.crash_id, crash.server, at)
-        self._evidence.crashes.append(record)
-        return record
-
     def _add_crash(self, name, crash, now):
         known = self._evidence.suspects.pop(name, None) or SuspectRecord()
         self._evidence.suspects[name] = known
--- a/pistachiowell/routing/tests/test_shared_crashes.py
+++ b/pistachiowell/routing/tests/test_shared_crashes.py
@@ -99,9 +99,9 @@
         crash_id, server = f"c{number}", f"s{number}"
         ledger.record_crash(Crash(crash_id, server, ("healthy",)), float(number))
         whole = Crash(crash_id, server, ("bad", "healthy"), age_s=0.1)
-        assert not ledger.is_known(whole)
+        assert not ledger.is_known(whole, number + 0.1)
         ledger.record_crash(whole, number + 0.1)
-        assert ledger.is_known(whole)
+        assert ledger.is_known(whole, number + 0.1)
         ledger.clear("healthy", number + 0.2)
     assert ledger.judge(2.6) == ["bad"]
 
