Bound the requests to an unproven version by their number

Cause: the stages of a move advance by time and share, however few answers have come. Callers of a slow version leave before its answers, and an answer that nobody waited for is no evidence; so half of the requests and more went to it with 23 or 24 answers to judge by.

Evidence: test_version_whose_callers_leave_gets_half_of_the_requests, a model with callers who wait 0.7 s.

Why it works: gateways report how many requests they have sent to each version since the order. The count is that of the order, so lost reports and another judge lose nothing. Proved is a version after 30 judged answers, with none overdue, no suspicion, and not many more requests without an answer than at the old one; without that no move is done.

--- a/pistachiowell/gateway/move_judge.py
+++ b/pistachiowell/gateway/move_judge.py
@@ -7,6 +7,7 @@
 from pistachiowell.gateway.move_orders import MoveState
 from pistachiowell.moves import EndDecision, MoveController
 from pistachiowell.moves.controller import DONE
+from pistachiowell.moves.exposure import ExposureAccount, ExposureSettings
 from pistachiowell.moves.traffic_tokens import TRAFFIC_TOKEN_S
 from pistachiowell.router.move_reports import read_counts
 from pistachiowell.schema.generated.messages_moves import MoveCounts, MovePermit
@@ -90,12 +91,14 @@
         reporter = link.hello.id if link.hello else ""
         waits = list(read_counts(message.waits, now))
         judged_move.controller.replace_waits(reporter, waits, now)
+        run = link.hello.incarnation if link.hello else ""
+        judged_move.exposure.record_sent(run, message.sent_old, message.sent_new)
         if message.tripped:
             judged_move.controller.suspect_version(now)
         return MovePermit(
             move=message.move,
             fence=order.object_version,
-            share=judged_move.controller.share(),
+            share=judged_move.controller.allowed_share(now),
             probes=judged_move.controller.grant_probes(
                 reporter, message.probes_left, now
             ),
@@ -106,7 +109,14 @@
         first_seen_at = self._first_seen_at[order.service]
         decide_by = first_seen_at + DECISION_TIME_SHARE * order.duration_s
         complete_by = first_seen_at + COMPLETION_TIME_SHARE * order.duration_s
-        controller = MoveController(self._runtime.now(), decide_by, order.duration_s)
+        settings = self._runtime.settings
+        exposure = ExposureAccount(
+            ExposureSettings(settings.exposure_share, settings.exposure_slack),
+            first_seen_at,
+        )
+        controller = MoveController(
+            self._runtime.now(), decide_by, order.duration_s, exposure=exposure
+        )
         controller.set_loaded()
         _log.info(
             "Judging a move.",
@@ -114,7 +124,7 @@
             target=order.target,
             decide_in_s=round(decide_by - self._runtime.now(), 2),
         )
-        return _JudgedMove(controller, complete_by)
+        return _JudgedMove(controller, exposure, complete_by)
 
     async def tick(self, service, judged_move):
         """Judges one move and writes its state if that changes."""
@@ -176,9 +186,10 @@
 
 
 class _JudgedMove:
-    __slots__ = ("complete_by", "controller", "decided_at")
+    __slots__ = ("complete_by", "controller", "decided_at", "exposure")
 
-    def __init__(self, controller, complete_by):
-        self.controller = controller
+    def __init__(self, controller, exposure, complete_by):
         self.complete_by = complete_by
+        self.controller = controller
+        self.exposure = exposure
         self.decided_at = None
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 from random import Random
 from types import SimpleNamespace
 
@@ -47,11 +48,13 @@
         self.version = 7
         self.state = MoveState.ordered
         self.states = []
-        runtime = SimpleNamespace(now=lambda: self.time, store=self)
+        settings = SimpleNamespace(exposure_share=0.1, exposure_slack=50.0)
+        runtime = SimpleNamespace(now=lambda: self.time, store=self, settings=settings)
         self.judge = MoveJudge(runtime, Handlers(), Codec)
         self.gateways = [GatewayMoves(runtime, None, Random(seed)) for seed in range(3)]
         self.links = [
-            SimpleNamespace(hello=SimpleNamespace(id=f"g{n}")) for n in range(3)
+            SimpleNamespace(hello=SimpleNamespace(id=f"g{n}", incarnation=f"run-{n}"))
+            for n in range(3)
         ]
 
     async def put_status(self, collection, name, value, version):
@@ -82,12 +85,15 @@
         if tracker is None:
             return
         counts, tripped = tracker.drain_report()
+        sent_old, sent_new = tracker.sent
         message = MoveCounts(
             "desk",
             count_messages(counts, self.time),
             tripped=tripped,
             probes_left=tracker.probes_left,
             waits=count_messages(tracker.waits(self.time), self.time),
+            sent_old=sent_old,
+            sent_new=sent_new,
         )
         reply = await self.judge.handle_counts(link, message)
         if reply is not None:
@@ -215,9 +221,15 @@
             there on.
         rate_rps: Requests per second.
         seed: Seed of the draws.
+        rest: Mean and deviation of the logarithm of the seconds after the first part.
+        wait_s: Seconds after which a caller leaves.
     """
 
-    def __init__(self, simulation, slowdown, rate_rps, seed):
+    def __init__(
+        self, simulation, slowdown, rate_rps, seed, rest=(1.5, 0.8), wait_s=math.inf
+    ):
+        self._rest = rest
+        self._wait_s = wait_s
         self._simulation = simulation
         self._slowdown = slowdown
         self._rate_rps = rate_rps
@@ -242,28 +254,34 @@
         server = self._rng.choice(gateway.filter_servers("desk", SERVERS))
         begin, pace = self._slowdown if server.version == "v2" else (1.0, 1.0)
         first_s = begin * self._rng.lognormvariate(-1.5, 0.5)
-        rest_s = pace * self._rng.lognormvariate(1.5, 0.8)
+        rest_s = pace * self._rng.lognormvariate(*self._rest)
         paced_s, whole_s = first_s + 0.05 * rest_s, first_s + rest_s
         attempt = gateway.record_start("desk", server, at)
         if attempt is not None:
+            self._record_until_left(attempt, at, first_s, paced_s, whole_s)
+        if whole_s < self._wait_s:
+            self._at(at + whole_s, gateway.record_end, "desk", server, False, at)
+        self.sent.append(server.version)
+
+    def _record_until_left(self, attempt, at, first_s, paced_s, whole_s):
+        if first_s < self._wait_s:
             self._at(at + first_s, attempt.record_first_part, at + first_s)
             self._at(at + first_s, attempt.record_events, 1, at + first_s)
+        if paced_s < self._wait_s:
             self._at(at + paced_s, attempt.record_events, 4, at + paced_s)
-            self._at(at + whole_s, attempt.stop_waiting)
-        self._at(at + whole_s, gateway.record_end, "desk", server, False, at)
-        self.sent.append(server.version)
+        self._at(at + min(whole_s, self._wait_s), attempt.stop_waiting)
 
     def _at(self, at, function, *args):
         heapq.heappush(self._events, (at, next(self._numbers), function, args))
 
 
-async def simulate_streams(slowdown, rate_rps, seed):
+async def simulate_streams(slowdown, rate_rps, seed, **options):
     """Returns the last state and the versions to which requests were sent."""
     simulation = Simulation()
     for gateway in simulation.gateways:
         gateway.filter_servers("desk", [s for s in SERVERS if s.version == "v1"])
     simulation.apply_orders()
-    streams = Streams(simulation, slowdown, rate_rps, seed)
+    streams = Streams(simulation, slowdown, rate_rps, seed, **options)
     while not simulation.state.has_ended and simulation.time < 100.0 + DURATION_S:
         await simulation.step()
         streams.step(0.1)
@@ -292,6 +310,28 @@
     assert state is MoveState.completed
 
 
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("rate_rps", [10, 30, 60])
+@pytest.mark.parametrize(
+    "slowdown", [(3, 3), (6, 6), (12, 12)], ids=["x3", "x6", "x12"]
+)
+async def test_version_whose_callers_leave_gets_half_of_the_requests(
+    slowdown, rate_rps, seed
+):
+    options = {"rest": (-1.0, 0.8), "wait_s": 0.7}
+    state, sent = await simulate_streams(slowdown, rate_rps, seed, **options)
+    assert state is MoveState.rolled_back
+    assert sent.count("v2") <= 0.1 * rate_rps * DURATION_S + 50
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("rate_rps", [20, 60])
+async def test_good_version_whose_callers_may_leave_is_completed(rate_rps, seed):
+    options = {"rest": (-1.0, 0.8), "wait_s": 0.7}
+    state, _ = await simulate_streams((1, 1), rate_rps, seed, **options)
+    assert state is MoveState.completed
+
+
 @pytest.fixture
 def selection():
     """Returns a ``Selection`` of one server while a move of its service is open."""
--- a/pistachiowell/moves/controller.py
+++ b/pistachiowell/moves/controller.py
@@ -1,5 +1,6 @@
 """Controller of a move: decides on its stages, on suspicion and on its end."""
 
+from collections import Counter
 from dataclasses import dataclass
 
 from pistachiowell.moves.evidence import AnswerPhase, Evidence
@@ -31,6 +32,9 @@
 WAITS_VALID_S = 1.5
 # Share of the answers that have begun at which a stage still ends.
 MAX_OVERDUE_SHARE = 0.15
+# Share of the requests to the new version, beyond that of the old one, that may have
+# ended without an answer, as their callers left.
+MAX_LACKING_SHARE = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +88,8 @@
         stage: Stage of the previous holder; ``LOADING`` at first.
         judged: Number of answers of the new version that earlier holders judged.
         judge: Name of the judge.
+        exposure: The ``ExposureAccount`` that bounds the requests to a version until
+            its answers show that it is as good; None without a bound.
     """
 
     __slots__ = (
@@ -91,10 +97,13 @@
         "_carried_score",
         "_end_decision",
         "_evidence",
+        "_exposure",
         "_judge",
         "_judged",
         "_last_judged_at",
         "_is_loaded",
+        "_is_proved",
+        "_old_answers",
         "_pending_decision",
         "_plan",
         "_probe_grants",
@@ -107,12 +116,22 @@
     )
 
     def __init__(
-        self, now, deadline, observation_s, stage=LOADING, judged=0, judge="sequential"
+        self,
+        now,
+        deadline,
+        observation_s,
+        stage=LOADING,
+        judged=0,
+        judge="sequential",
+        exposure=None,
     ):
         self._plan = MovePlan(now, deadline, observation_s)
         self._judge = find_judge(judge)
+        self._exposure = exposure
+        self._is_proved = exposure is None
         self._judged = judged
         self._begun = judged
+        self._old_answers = Counter()
         self._waits = {}
         self._last_judged_at = float("-inf")
         self._is_loaded = stage > LOADING
@@ -159,6 +178,16 @@
             return 0.0
         return min(STAGES[self._stage], 1.0 - CONTROL_SHARE)
 
+    def allowed_share(self, now):
+        """Returns the share, bounded by the exposure account before a good judgement.
+
+        Args:
+            now: Time in seconds.
+        """
+        if self._is_proved:
+            return self.share()
+        return min(self.share(), self._exposure.max_share(now))
+
     def record_answers(self, answer, began, count):
         """Records answers that a router has reported.
 
@@ -172,6 +201,8 @@
             self._judged += count
         elif answer.is_new and answer.phase is AnswerPhase.begun:
             self._begun += count
+        elif answer.phase in (AnswerPhase.ended, AnswerPhase.begun):
+            self._old_answers[answer.phase] += count
         if self._suspicion is not None and began >= self._suspicion.started_at:
             self._suspicion.add(answer, began, count)
             if answer.is_new and has_ended:
@@ -329,13 +360,15 @@
             return None
         if self._awaits_evidence():
             return None
+        if self.judged >= MIN_JUDGED_ANSWERS and not self._lacks_answers(now):
+            self._is_proved = True
         if self._stage < LAST_STAGE:
             if self._plan.may_advance(self._stage, self._stage_started_at, now):
                 self._carry_over(verdict.score)
                 return self._advance_to(self._stage + 1)
             return None
         is_observed = self._plan.is_observed(self._stage_started_at, now)
-        if is_observed and self.judged >= MIN_JUDGED_ANSWERS:
+        if is_observed and self._is_proved and self.judged >= MIN_JUDGED_ANSWERS:
             return self._end(DONE, "The new version is as good.", verdict)
         return None
 
@@ -362,6 +395,20 @@
         allowed = max(1, MAX_OVERDUE_SHARE * sum(sums.begun[new].values()))
         return overdue_answers(sums) > allowed
 
+    def _lacks_answers(self, now):
+        """Returns whether many more requests to the new version have got no answer."""
+        if self._exposure is None:
+            return False
+        waited_for = [0, 0]
+        for answer, _, count in self._valid_waits(now):
+            if answer.phase is AnswerPhase.waited_for:
+                waited_for[answer.is_new] += count
+        old, new = self._exposure.sent()
+        lacking_old = old - max(self._old_answers.values(), default=0) - waited_for[0]
+        lacking_new = new - self.judged - waited_for[1]
+        usual_share = lacking_old / old if old else 0.0
+        return lacking_new > (usual_share + MAX_LACKING_SHARE) * new
+
     def _carry_over(self, score):
         self._carried_score = max(
             0.0, self._carried_score + score - CARRY_OVER_DISCOUNT
--- a/pistachiowell/moves/tracker.py
+++ b/pistachiowell/moves/tracker.py
@@ -121,6 +121,7 @@
         "_row",
         "_has_tripped",
         "_is_urgent",
+        "_sent",
         "_waiting",
     )
 
@@ -132,6 +133,7 @@
         self._counts = defaultdict(int)
         self._is_urgent = False
         self._has_tripped = False
+        self._sent = [0, 0]
         self._waiting = set()
 
     @property
@@ -149,6 +151,11 @@
         """Number of probes of the traffic token that are not sent."""
         return self._probes_left
 
+    @property
+    def sent(self):
+        """Numbers of attempts at the old and at the new version so far."""
+        return tuple(self._sent)
+
     @property
     def is_urgent(self):
         """Whether a report should be sent to the holder at once."""
@@ -247,6 +254,7 @@
         """
         is_new = version == self._row.new
         attempt = MoveAttempt(self, is_new, server, data_centre, began)
+        self._sent[is_new] += 1
         self._waiting.add(attempt)
         return attempt
 
