Forget the closed links of crash relays

A gateway without crashes kept each link that it had ever opened to an agent in the set of those that know its crashes; found on reading the code again.

--- a/pistachiowell/gateway/crash_relays.py
+++ b/pistachiowell/gateway/crash_relays.py
@@ -30,7 +30,7 @@
         self._listeners = []
         # Links of the relays that have been told what this gateway knows.
         self._informed = set()
-        fleet.add_link_listener(self._handle_link)
+        fleet.add_link_listener(self._inform)
 
     def add_link_listener(self, function):
         """Registers a function that tells a new relay what is known."""
@@ -53,10 +53,7 @@
             except LinkLost as error:
                 _log.info("Telling an agent of a crash failed.", error=str(error))
 
-    def _handle_link(self, link):
-        self._inform(link)
-
     def _inform(self, link):
-        self._informed.add(link)
+        self._informed = {link for link in self._informed if not link.closed} | {link}
         for listener in self._listeners:
             listener(link)
--- a/pistachiowell/gateway/tests/test_crash_relays.py
+++ b/pistachiowell/gateway/tests/test_crash_relays.py
@@ -35,13 +35,13 @@
         self.process = process
         self.other = None
         self._sent = sent
-        self.is_open = True
+        self.closed = False
 
     def add_close_listener(self, function):
         del function
 
     def send(self, message):
-        if not self.is_open:
+        if self.closed:
             raise LinkLost("The link is closed.")
         self._sent.append((self.other, message))
 
@@ -123,7 +123,7 @@
     def lose_agent(self, name):
         agent = self.agents.pop(name)
         for gateway in self.gateways:
-            gateway.fleet.agents.pop(name).link.is_open = False
+            gateway.fleet.agents.pop(name).link.closed = True
         return agent
 
     async def deliver(self):
