Keep the link on a report of a crash that no longer counts

A gateway tells a new relay of crashes that count for a suspect together with later ones, also of one older than the ten minutes for which a crash counts. The relay's ledger drops such a crash at once, and passing it on raised an error that ended the link. Found on reading the code again; test_report_of_a_crash_that_no_longer_counts_ends_the_link_to_an_agent failed before (AttributeError) and passes now.

--- a/pistachiowell/gateway/tests/test_crash_relays.py
+++ b/pistachiowell/gateway/tests/test_crash_relays.py
@@ -15,6 +15,7 @@
 from pistachiowell.gateway.crash_relays import CrashRelays
 from pistachiowell.router.crash_candidates import CrashCandidates
 from pistachiowell.routing import SHARED_SERVER_CRASHES
+from pistachiowell.schema.generated.messages_membership import CrashReport
 from pistachiowell.wire import Handlers, LinkSet
 
 pytestmark = pytest.mark.anyio
@@ -200,3 +201,15 @@
     await fleet.deliver()
     assert servers_of(joined, bad) == ("s1",)
     assert servers_of(joined, "c" * 32) == ("s2",)
+
+
+async def test_report_of_a_crash_that_no_longer_counts_ends_the_link_to_an_agent():
+    fleet = CrashFleet(2, 2)
+    old = CrashReport(
+        "crash-1", "s1", ["b" * 32], SHARED_SERVER_CRASHES.candidate_s + 1
+    )
+    agent = next(iter(fleet.agents.values()))
+    await agent.handlers.find(old)(None, old)
+    fleet.delivered = 0
+    await fleet.deliver()
+    assert fleet.delivered == 0
--- a/pistachiowell/router/crash_candidates.py
+++ b/pistachiowell/router/crash_candidates.py
@@ -209,13 +209,18 @@
         if quarantined is None:
             return
         if self._merge_s:
-            record = self._ledger.find_crash(crash, self._runtime.now())
-            self._unsent[record.crash_id] = record
-            self._wake.set()
+            self._merge(crash)
         else:
             self._pass_on(message)
         self._announce(quarantined)
 
+    def _merge(self, crash):
+        record = self._ledger.find_crash(crash, self._runtime.now())
+        # The ledger keeps no crash that is too old to count.
+        if record is not None:
+            self._unsent[record.crash_id] = record
+            self._wake.set()
+
     def _record(self, crash):
         """Records a report.
 
