Play a limited server that starts again without its limit

Real processes: a server names a limit, is killed and starts again without it, with the same id and with another one.

--- a/pistachiowell/soak/tests/test_limited_servers.py
+++ b/pistachiowell/soak/tests/test_limited_servers.py
@@ -5,13 +5,18 @@
 """
 
 import itertools
+import signal
 import time
 
 import anyio
 import pytest
 
 from pistachiowell.soak.plan import Fault
-from pistachiowell.soak.tests.crashing_fleet import running_fleet, wait_until_served
+from pistachiowell.soak.tests.crashing_fleet import (
+    DOWN_S,
+    running_fleet,
+    wait_until_served,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -31,7 +36,7 @@
     return [
         line["at"]
         for line in servers.arrivals()
-        if line["server"].startswith(f"{name}.") and since <= line["at"] < until
+        if f"{line['server']}.".startswith(f"{name}.") and since <= line["at"] < until
     ]
 
 
@@ -138,6 +143,29 @@
     assert most_in_a_window(times) <= allowed(LIMIT)
 
 
+@pytest.mark.parametrize("keeps_ids", [False, True])
+async def test_server_that_starts_again_without_its_limit_stays_limited(
+    tmp_path, keeps_ids
+):
+    fleet_of = running_fleet(tmp_path, 4, 3, 0, SERVERS, keeps_ids=keeps_ids)
+    async with fleet_of as (fleet, servers, callers):
+        await _wait_until_all_serve(fleet, callers)
+        async with anyio.create_task_group() as group:
+            group.start_soon(_send, callers, "read", list(fleet.addresses), 18.0)
+            servers.name_limit("desk-1", LIMIT)
+            limited_since = time.time() + STABLE_S
+            await anyio.sleep(STABLE_S + 4.0)
+            servers.name_limit("desk-1")
+            servers.send_signal("desk-1", signal.SIGKILL)
+            ended_at = time.time()
+            await anyio.sleep(10.0)
+        free_since = ended_at + DOWN_S + STABLE_S
+        before = arrival_times(servers, "desk-1", limited_since, ended_at)
+        after = arrival_times(servers, "desk-1", free_since, free_since + 4.0)
+    assert most_in_a_window(before) <= allowed(LIMIT)
+    assert len(after) >= 0.5 * 4.0 * REQUESTS_PER_S / SERVERS
+
+
 async def test_requests_beyond_the_limits_of_all_servers_are_refused_at_once(tmp_path):
     async with running_fleet(tmp_path, 4, 3, 0, SERVERS) as parts:
         fleet, servers, callers = parts
