Leave half of the buffers free for new streams

Cause: a stream whose caller keeps up doubles its credit while less than half of the account's buffers is in use, but the doubling itself was bounded by what was free and not by that half: one stream of 100 KB takes 200 KB of 256. With a few such streams a new one finds no room until they end.

Why it works: credit beyond the first one of a stream is given out of that half only. Each stream keeps its first credit as before.

--- a/pistachiowell/routing/credits.py
+++ b/pistachiowell/routing/credits.py
@@ -185,8 +185,7 @@
         entry.consumed_at = now
         entry.reserved_bytes -= size
         self._add_reserved(entry.account, -size)
-        credit = max(0, self._target_bytes(entry) - entry.reserved_bytes)
-        credit = min(credit, self._free_bytes(entry.account))
+        credit = min(self._wanted_bytes(entry), self._free_bytes(entry.account))
         entry.reserved_bytes += credit
         self._add_reserved(entry.account, credit)
         return credit
@@ -198,20 +197,22 @@
             size = entry.reserved_bytes + self._settings.stream_overhead_bytes
             self._add_reserved(entry.account, -size)
 
-    def _target_bytes(self, entry):
+    def _wanted_bytes(self, entry):
+        """Returns the credit that a stream is to get, without more than half in use."""
         settings = self._settings
-        account_bytes = self._account_bytes.get(entry.account, 0)
-        account_bound = settings.process_bytes * settings.account_share
-        crowded = (
-            self._reserved_bytes * 2 > settings.process_bytes
-            or account_bytes * 2 > account_bound
+        least = max(0, settings.stream_min_bytes - entry.reserved_bytes)
+        if entry.held_bytes:
+            return least
+        account_bound = int(settings.process_bytes * settings.account_share)
+        room = min(
+            settings.process_bytes // 2 - self._reserved_bytes,
+            account_bound // 2 - self._account_bytes.get(entry.account, 0),
         )
-        if crowded or entry.held_bytes:
-            return settings.stream_min_bytes
-        return min(
-            settings.stream_max_bytes,
-            max(settings.stream_min_bytes, 2 * entry.reserved_bytes),
+        # Doubles the reservation.
+        growth = min(
+            entry.reserved_bytes, settings.stream_max_bytes - entry.reserved_bytes
         )
+        return max(least, min(growth, room))
 
     def _free_bytes(self, account):
         settings = self._settings
--- a/pistachiowell/routing/tests/test_credits.py
+++ b/pistachiowell/routing/tests/test_credits.py
@@ -121,3 +121,19 @@
 def test_unbounded_pool_does_not():
     with pytest.raises(AssertionError):
         run_machine("unbounded")
+
+
+@pytest.mark.parametrize("readers", [1, 3, 5])
+def test_streams_that_keep_up_leave_no_room_for_new_ones(readers):
+    settings = CreditSettings(process_bytes=512 * 1024)
+    pool = CREDIT_POOLS.find("bounded")(settings)
+    credit = {f"s{n}": pool.open(f"s{n}", "acme", 0.0)[0] for n in range(readers)}
+    for step in range(200):
+        for stream in credit:
+            size = min(1000, credit[stream])
+            pool.record_received(stream, size)
+            credit[stream] += pool.record_consumed(stream, size, step / 100) - size
+    assert sum(credit.values()) > readers * settings.stream_min_bytes
+    assert pool.reserved_bytes <= settings.account_share * settings.process_bytes / 2
+    for number in range(10):
+        assert pool.open(f"new-{number}", "acme", 2.0) == (4096, [])
