Link each gateway to eight agents, and wake agents for changes only

Callers: nothing directly.

Cause: each gateway kept a link to each agent (68 x 40), with two heartbeats a second and the load reports of each engine over each; agents built a report for each link ten times a second, changed or not, and looked for moves five times a second without any order.

Change: gateways link to the first eight agents of a ranking that is alike for all (membership/subset.py), and to as many more as have failed. The agents of the subset sum the loads of all engines; the gateways choose which by rendezvous hash. Reports follow changes and heartbeats; a judge without orders sleeps.

--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -6,7 +6,9 @@
 
 from pistachiowell.core.errors import LinkLost, LinkTimeout
 from pistachiowell.core.logs import part_logger
-from pistachiowell.routing import EngineLoad
+from pistachiowell.gateway.load_reports import encode_load
+from pistachiowell.gateway.ranked_agents import ranked_agents
+from pistachiowell.routing import NO_LOAD
 from pistachiowell.schema.generated.messages_gateway import (
     AgentReport,
     CatalogDocument,
@@ -16,7 +18,8 @@
 
 FETCH_DELAY_S = 0.25
 LOAD_INTERVAL_S = 0.05
-NO_LOAD = EngineLoad()
+# Finds a change of the agents while the loads stay as they are.
+LOAD_CHECK_INTERVAL_S = 0.5
 # A gateway relies on agents for its configuration only if at least this many follow the
 # store, so that the loss of one or two does not leave it with an old configuration.
 MIN_AGENTS = 3
@@ -42,10 +45,13 @@
         "_catalog_watcher",
         "_fleet",
         "_follows_store",
+        "_load_changed",
         "_newer_link",
         "_runtime",
         "_selection",
+        "_sent_loads",
         "_state",
+        "_summing_agents",
         "_wake",
     )
 
@@ -58,6 +64,10 @@
         self._follows_store = {}
         self._newer_link = None
         self._wake = anyio.Event()
+        self._load_changed = anyio.Event()
+        self._sent_loads = {}
+        self._summing_agents = _SummingAgents(fleet)
+        selection.engines.on_change = self._record_load_change
         handlers.on(AgentReport)(self._handle_report)
 
     async def _handle_report(self, link, message):
@@ -65,8 +75,7 @@
         if peer is None:
             return
         self._follows_store[peer.record.id] = message.follows_store
-        if message.address:
-            self._selection.record_load(message)
+        self._selection.record_loads(message.loads)
         current = self._state.catalog
         if message.catalog_revision > (current.revision if current else 0):
             self._newer_link = link
@@ -81,26 +90,53 @@
         )
         return following >= MIN_AGENTS
 
+    def _record_load_change(self):
+        self._load_changed.set()
+
     async def send_loads(self):
-        """Sends each agent the load of this gateway at its engine until cancelled."""
-        sent = {}
+        """Sends agents the loads of this gateway until cancelled.
+
+        Each engine's load goes to the agent that ranks first for the engine, alike at
+        all gateways, which sums the loads of all.
+        """
         while True:
+            with anyio.move_on_after(LOAD_CHECK_INTERVAL_S):
+                await self._load_changed.wait()
+            self._load_changed = anyio.Event()
+            self._send_loads()
             await anyio.sleep(LOAD_INTERVAL_S)
-            loads = self._selection.loads_by_address()
-            for peer in self._fleet.agents.values():
-                load = loads.get(peer.record.server, NO_LOAD)
-                if peer.link is None or sent.get(peer.link, NO_LOAD) == load:
-                    continue
-                sent[peer.link] = load
-                self._send_load(peer.link, load)
-            sent = {link: load for link, load in sent.items() if not link.closed}
-
-    def _send_load(self, link, load):
-        message = GatewayLoad(load.reading_tokens, load.running, load.kv_tokens)
+
+    def _send_loads(self):
+        self._sent_loads = {
+            link: sent for link, sent in self._sent_loads.items() if not link.closed
+        }
+        self._summing_agents.refresh()
+        changes = {link: {} for link in self._sent_loads}
+        loads = self._selection.loads_by_address()
+        for address, load in loads.items():
+            link = self._summing_agents.link(address)
+            if link is not None and self._sent(link, address) != load:
+                changes.setdefault(link, {})[address] = load
+        for link, sent in self._sent_loads.items():
+            for address, load in sent.items():
+                is_elsewhere = self._summing_agents.link(address) is not link
+                if load != NO_LOAD and (is_elsewhere or address not in loads):
+                    changes[link][address] = NO_LOAD
+        for link, changed in changes.items():
+            if changed:
+                self._send_changes(link, changed)
+
+    def _sent(self, link, address):
+        return self._sent_loads.get(link, {}).get(address, NO_LOAD)
+
+    def _send_changes(self, link, changed):
+        shares = [encode_load(address, load) for address, load in changed.items()]
         try:
-            link.send(message)
+            link.send(GatewayLoad(shares))
         except LinkLost as error:
-            _log.debug("Sending the load to an agent failed: {}", error)
+            _log.debug("Sending the loads to an agent failed: {}", error)
+        else:
+            self._sent_loads.setdefault(link, {}).update(changed)
 
     async def run(self):
         """Fetches newer configurations that agents report until cancelled."""
@@ -136,3 +172,32 @@
             )
             return
         self._catalog_watcher.apply(document, name)
+
+
+class _SummingAgents:
+    """The agents that sum the loads of the engines, by the engines' addresses.
+
+    Args:
+        fleet: The ``Fleet`` with the agents.
+    """
+
+    __slots__ = ("_fleet", "_links", "_usable")
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._usable = None
+        self._links = {}
+
+    def refresh(self):
+        """Chooses the agents again if others are usable than before."""
+        usable = {peer.link for peer in self._fleet.agents.values() if peer.usable}
+        if usable != self._usable:
+            self._usable = usable
+            self._links = {}
+
+    def link(self, address):
+        """Returns the link to the agent of an engine; None without an agent."""
+        if address not in self._links:
+            ranked = ranked_agents(self._fleet, address)
+            self._links[address] = ranked[0].link if ranked else None
+        return self._links[address]
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -29,6 +29,7 @@
     MoveOrderWatcher,
     ServerWatcher,
 )
+from pistachiowell.membership import PeerSubset, SubsetSettings
 from pistachiowell.router.api import error_document
 from pistachiowell.router.crash_candidates import CrashCandidates
 from pistachiowell.router.fleet import AGENTS, ROUTERS, Fleet
@@ -95,7 +96,8 @@
         self._server_watcher = ServerWatcher(runtime, state, adapter.servers)
         rng = random.Random()
         handlers = Handlers()
-        self._fleet = Fleet(runtime, handlers, (AGENTS,))
+        subset = PeerSubset(SubsetSettings())
+        self._fleet = Fleet(runtime, handlers, (AGENTS,), subset)
         self._moves = GatewayMoves(runtime, self._fleet, rng)
         self._move_watcher = MoveOrderWatcher(
             runtime, adapter.moves, self._moves.apply_orders
--- a/pistachiowell/gateway/load_reports.py
+++ b/pistachiowell/gateway/load_reports.py
@@ -1,5 +1,6 @@
-"""Reports of an agent to the gateways: heartbeats and the load of its engine."""
+"""Reports of an agent to the gateways: heartbeats and the loads of engines."""
 
+import math
 from dataclasses import dataclass
 
 import anyio
@@ -12,7 +13,13 @@
     LoadSums,
     SharingSettings,
 )
-from pistachiowell.schema.generated.messages_gateway import AgentReport, GatewayLoad
+from pistachiowell.schema.generated.messages_gateway import (
+    AgentReport,
+    EngineShare,
+    GatewayLoad,
+)
+
+MAX_ENGINES = 1_024
 
 _log = part_logger("agent")
 
@@ -33,8 +40,9 @@
 class LoadReporter:
     """Sums the loads of the gateways and reports to each the sum of the others.
 
-    The size of a report does not grow with the number of gateways: lists of all their
-    loads would fill the network links of the gateways in a large fleet.
+    The gateways choose the agent that sums the loads of an engine. The size of a report
+    does not grow with the number of gateways: lists of all their loads would fill the
+    network links of the gateways in a large fleet.
 
     Args:
         runtime: The process's ``Runtime``.
@@ -45,6 +53,7 @@
 
     __slots__ = (
         "_catalog_watcher",
+        "_changed",
         "_last_reports",
         "_pacer",
         "_runtime",
@@ -58,24 +67,43 @@
         self._catalog_watcher = catalog_watcher
         settings = SharingSettings(interval_s=runtime.settings.report_interval_s)
         self._pacer = REPORT_PACERS.find(settings.pacer)(settings)
-        self._sums = LoadSums()
+        self._sums = {}
         self._last_reports = {}
+        self._changed = anyio.Event()
+        catalog_watcher.on_change = lambda catalog: self._changed.set()
         handlers.on(GatewayLoad)(self._handle_load)
 
     def add_link(self, link):
         """Adds a new link to a gateway until it is closed."""
         self._last_reports[link] = _LastReport()
+        self._changed.set()
         link.add_close_listener(lambda: self._remove_link(link))
 
     async def run(self):
-        """Sends the reports that are due until cancelled."""
+        """Sends the reports that are due until cancelled.
+
+        A round follows a change or a heartbeat that is due, and no other wakes it.
+        """
         while True:
-            now = self._runtime.now()
-            for link, last in list(self._last_reports.items()):
-                report = self._report(link)
-                if self._pacer.is_due(report, last.report, last.at, now):
-                    self._send(link, report)
+            self._changed = anyio.Event()
+            self._send_due()
             await anyio.sleep(self._pacer.interval_s(len(self._last_reports)))
+            with anyio.move_on_after(self._heartbeat_left_s()):
+                await self._changed.wait()
+
+    def _send_due(self):
+        now = self._runtime.now()
+        for link, last in list(self._last_reports.items()):
+            report = self._report(link)
+            if self._pacer.is_due(report, last.report, last.at, now):
+                self._send(link, report)
+
+    def _heartbeat_left_s(self):
+        """Returns the seconds until the next heartbeat is due."""
+        oldest_at = min((last.at for last in self._last_reports.values()), default=None)
+        if oldest_at is None:
+            return math.inf
+        return max(0.0, self._pacer.heartbeat_s - (self._runtime.now() - oldest_at))
 
     def send_all(self):
         """Sends a report to each gateway immediately."""
@@ -84,12 +112,11 @@
 
     def _report(self, link):
         catalog = self._state.catalog
-        others = self._sums.total_except(link)
         return AgentReport(
-            address=self._runtime.settings.engine_address,
-            reading_tokens=others.reading_tokens,
-            running=others.running,
-            kv_tokens=others.kv_tokens,
+            loads=[
+                encode_load(address, sums.total_except(link))
+                for address, sums in self._sums.items()
+            ],
             catalog_revision=catalog.revision if catalog else 0,
             follows_store=self._catalog_watcher.follows_store,
             leaving=self._runtime.leaving,
@@ -105,11 +132,25 @@
 
     def _remove_link(self, link):
         self._last_reports.pop(link, None)
-        self._sums.remove(link)
+        for sums in self._sums.values():
+            sums.remove(link)
+        self._changed.set()
 
     async def _handle_load(self, link, message):
-        if link in self._last_reports:
-            load = EngineLoad(
-                message.reading_tokens, message.running, message.kv_tokens
-            )
-            self._sums.record_load(link, load)
+        if link not in self._last_reports:
+            return
+        for share in message.loads:
+            if share.address in self._sums or len(self._sums) < MAX_ENGINES:
+                sums = self._sums.setdefault(share.address, LoadSums())
+                sums.record_load(link, decode_load(share))
+        self._changed.set()
+
+
+def encode_load(address, load):
+    """Returns the ``EngineShare`` of an ``EngineLoad``."""
+    return EngineShare(address, load.reading_tokens, load.running, load.kv_tokens)
+
+
+def decode_load(share):
+    """Returns the ``EngineLoad`` of an ``EngineShare``."""
+    return EngineLoad(share.reading_tokens, share.running, share.kv_tokens)
--- a/pistachiowell/gateway/move_judge.py
+++ b/pistachiowell/gateway/move_judge.py
@@ -48,6 +48,7 @@
         "_ended_orders",
         "_first_seen_at",
         "_ledger",
+        "_ordered",
         "_orders",
         "_runtime",
         "_trials",
@@ -57,6 +58,7 @@
         self._runtime = runtime
         self._codec = codec
         self._ledger = ExposureLedger(runtime.store)
+        self._ordered = anyio.Event()
         self._orders = {}
         self._ended_orders = {}
         self._first_seen_at = {}
@@ -72,6 +74,7 @@
             elif not self._has_lost_status(order):
                 self._follow_order(order)
         self._orders = dict(orders)
+        self._ordered.set()
 
     def _has_lost_status(self, order):
         ended = self._ended_orders.get(order.service)
@@ -87,8 +90,11 @@
         self._first_seen_at.setdefault(key, self._runtime.now())
 
     async def run(self):
-        """Judges the moves in intervals until cancelled."""
+        """Judges the moves in intervals until cancelled; sleeps without orders."""
         while True:
+            if not self._orders:
+                self._ordered = anyio.Event()
+                await self._ordered.wait()
             await anyio.sleep(TICK_INTERVAL_S)
             await self.tick()
 
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -3,11 +3,12 @@
 from dataclasses import dataclass
 
 from pistachiowell.core.errors import NoServer
+from pistachiowell.gateway.load_reports import decode_load
 from pistachiowell.routing import (
+    NO_LOAD,
     PICKERS,
     PLACERS,
     Candidate,
-    EngineLoad,
     EngineRequest,
     EngineTable,
     HealthTable,
@@ -290,22 +291,26 @@
             now,
         )
 
-    def record_load(self, report):
-        """Records the load of the other gateways at an engine.
+    def record_loads(self, shares):
+        """Records the loads of the other gateways at engines.
 
         Args:
-            report: The ``AgentReport`` of the agent beside it.
+            shares: An ``EngineShare`` for each engine.
         """
-        server_id = self._servers.by_address.get(report.address)
-        if server_id is None:
-            return
-        load = EngineLoad(report.reading_tokens, report.running, report.kv_tokens)
-        self.engines.record_remote_load(server_id, load, self.now())
+        now = self.now()
+        for share in shares:
+            server_id = self._servers.by_address.get(share.address)
+            if server_id is not None:
+                self.engines.record_remote_load(server_id, decode_load(share), now)
 
     def loads_by_address(self):
-        """Returns the ``EngineLoad`` of this gateway's requests by server address."""
+        """Returns the ``EngineLoad`` of this gateway's requests by server address.
+
+        Engines without any are left out.
+        """
         ids = self._servers.by_address
-        return {address: self.engines.own_load(name) for address, name in ids.items()}
+        loads = {address: self.engines.own_load(name) for address, name in ids.items()}
+        return {address: load for address, load in loads.items() if load != NO_LOAD}
 
     def record_end(self, server, error, latency_s):
         """Records the end of an attempt; see ``Attempt.record_end``.
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -48,6 +48,8 @@
         now: Function that returns the monotonic time in seconds.
 
     Attributes:
+        is_chosen: Whether a link to the process is kept.
+        is_linking: Whether a task keeps the link.
         link: The ``Link``; None while it is not connected.
         registered: Whether the process is still registered. When it no longer is, the
             link stays open until the process closes it, so that requests in progress
@@ -58,6 +60,8 @@
     __slots__ = (
         "_now",
         "_peer_table",
+        "is_chosen",
+        "is_linking",
         "link",
         "record",
         "registered",
@@ -69,6 +73,8 @@
         self.registered_version = registered_version
         self._peer_table = peer_table
         self._now = now
+        self.is_chosen = False
+        self.is_linking = False
         self.link = None
         self.registered = True
 
@@ -98,9 +104,11 @@
         runtime: The process's ``Runtime``.
         handlers: Handlers of the messages that come over the links.
         collections: Names of the store collections with the registrations of the peers.
+        agent_subset: The ``PeerSubset`` of the agents to link to; None to link to all.
     """
 
     __slots__ = (
+        "_agent_subset",
         "_agents",
         "_announced_links",
         "_by_link",
@@ -112,9 +120,12 @@
         "_runtime",
     )
 
-    def __init__(self, runtime, handlers, collections=(AGENTS, ROUTERS)):
+    def __init__(
+        self, runtime, handlers, collections=(AGENTS, ROUTERS), agent_subset=None
+    ):
         self._runtime = runtime
         self._handlers = handlers
+        self._agent_subset = agent_subset
         self._collections = collections
         self._agents = {}
         self._routers = {}
@@ -168,8 +179,11 @@
                     self._follow_registrations, group, collection, *kinds[collection]
                 )
             group.start_soon(self._close_silent_links)
-            group.start_soon(self._ping_routers)
             group.start_soon(self._follow_vm_list)
+            if ROUTERS in self._collections:
+                group.start_soon(self._ping_routers)
+            if self._agent_subset is not None:
+                group.start_soon(self._choose_agents, group)
 
     def record_heartbeat(self, link, *, leaving=False):
         """Records a heartbeat of a peer.
@@ -222,14 +236,42 @@
             if name not in peers:
                 peer_table = self._peer_tables[type(record)]
                 peers[name] = Peer(record, version, peer_table, self._runtime.now)
-                group.start_soon(self._keep_link, peers[name])
+                if peers is not self._agents or self._agent_subset is None:
+                    peers[name].is_chosen = True
+                    group.start_soon(self._keep_link, peers[name])
+        self._link_chosen_agents(group)
+
+    async def _choose_agents(self, group):
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_S)
+            self._link_chosen_agents(group)
+
+    def _link_chosen_agents(self, group):
+        if self._agent_subset is None:
+            return
+        usable = {name for name, peer in self._agents.items() if peer.usable}
+        chosen = self._agent_subset.choose(
+            self._agents.keys(), usable, self._runtime.now()
+        )
+        for name, peer in self._agents.items():
+            if name in chosen and not peer.is_chosen:
+                peer.is_chosen = True
+                group.start_soon(self._keep_link, peer)
+            elif name not in chosen and peer.is_chosen:
+                peer.is_chosen = False
+                if peer.link is not None:
+                    peer.link.close()
 
     async def _keep_link(self, peer):
-        while peer.registered:
+        if peer.is_linking:
+            return
+        peer.is_linking = True
+        while peer.registered and peer.is_chosen:
             with contextlib.suppress(LinkLost):
                 await self._run_link(peer)
             peer.link = None
             await anyio.sleep(RECONNECT_DELAY_S)
+        peer.is_linking = False
 
     async def _run_link(self, peer):
         runtime = self._runtime
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -23,6 +23,7 @@
 from pistachiowell.routing.load import LoadTable
 from pistachiowell.routing.pick import PICKERS, Candidate, rendezvous
 from pistachiowell.routing.placement import (
+    NO_LOAD,
     PLACERS,
     EngineLoad,
     EngineRequest,
@@ -72,6 +73,7 @@
     "Finished",
     "HealthTable",
     "LoadSums",
+    "NO_LOAD",
     "LoadTable",
     "PartInProgress",
     "PlacedRequest",
--- a/pistachiowell/routing/placement.py
+++ b/pistachiowell/routing/placement.py
@@ -152,6 +152,9 @@
     Args:
         settings: ``PlacementSettings``.
 
+    Attributes:
+        on_change: Function that is called after each change of this router's own load.
+
     Examples:
         >>> table = EngineTable(PlacementSettings())
         >>> request = EngineRequest(1000, 10, (("a", 800), ("b", 200)))
@@ -162,12 +165,13 @@
         1000
     """
 
-    __slots__ = ("_engines", "_remote_loads", "_settings")
+    __slots__ = ("_engines", "_remote_loads", "_settings", "on_change")
 
     def __init__(self, settings):
         self._settings = settings
         self._engines = {}
         self._remote_loads = {}
+        self.on_change = lambda: None
 
     def record_sent(self, server, request, now):
         """Records a request sent to an engine and the prefixes that it caches there.
@@ -189,6 +193,7 @@
             engine.cached.move_to_end(key)
         while len(engine.cached) > self._settings.max_cached_prefixes:
             engine.cached.popitem(last=False)
+        self.on_change()
         return placed
 
     def record_first_token(self, placed):
@@ -196,6 +201,7 @@
         if placed.is_reading:
             placed.is_reading = False
             self._engine(placed.server).reading_tokens -= placed.prefill_tokens
+            self.on_change()
 
     def record_end(self, placed):
         """Records the end of a request."""
@@ -203,6 +209,7 @@
         engine = self._engine(placed.server)
         engine.running -= 1
         engine.kv_tokens -= placed.kv_tokens
+        self.on_change()
 
     def uncached_tokens(self, server, request, now):
         """Returns the prompt tokens that an engine is not expected to have cached."""
--- a/pistachiowell/routing/sharing.py
+++ b/pistachiowell/routing/sharing.py
@@ -78,6 +78,11 @@
     def __init__(self, settings):
         self._settings = settings
 
+    @property
+    def heartbeat_s(self):
+        """Maximum time between two reports to a router in seconds."""
+        return self._settings.heartbeat_s
+
     def interval_s(self, routers):
         """Returns the time until the next round of reports in seconds.
 
