Admit what a gateway can serve, and judge no server by a late clock

With its loop late the gateway took its own delay for that of the servers: 57 "refused the connection" in five seconds, 68 requests sent again, and runs that went on after their callers had left (GONE).

Cause: admission knew no limit of the process itself, and timeouts and silence were measured by the clock of the loop that was late.

Change: a watch of the event loop measures its lateness (core/loop_watch.py). Connects, heads of answers and silence count only time in which the loop was on time. A controller refuses the share of the requests that keeps the lateness at its target, from the accounts that send most (admission/overload.py), at once, as not run, with a time to come back, and closes the connection, so that the next one may go elsewhere.

--- a/pistachiowell/admission/__init__.py
+++ b/pistachiowell/admission/__init__.py
@@ -1,6 +1,7 @@
 """Admission control: decides which requests a backend server runs, and when."""
 
 from pistachiowell.admission.limits import LIMITS
+from pistachiowell.admission.overload import OVERLOAD_POLICIES, OverloadSettings
 from pistachiowell.admission.queue import AdmissionQueue
 from pistachiowell.admission.rates import (
     Incarnation,
@@ -14,11 +15,13 @@
 
 __all__ = [
     "LIMITS",
+    "OVERLOAD_POLICIES",
     "AdmissionQueue",
     "AdmissionSettings",
     "Incarnation",
     "Observation",
     "Outcome",
+    "OverloadSettings",
     "RateLimits",
     "RateSettings",
     "RateSlots",
--- /dev/null
+++ b/pistachiowell/admission/overload.py
@@ -0,0 +1,262 @@
+"""Admission by what a process itself can serve.
+
+Load pattern: one client account keeps to one VM, and sends many times what the process
+there can handle, while others send as usual. Whatever is begun delays all that is in
+progress, until each request ends too late.
+
+The sign of overload is the lateness of the event loop: each request in progress adds
+its step to each round of the loop, so the lateness grows as long as more is begun than
+is completed. A controller refuses the share of the requests that keeps it at its
+target, at once, so that they may be sent elsewhere.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass
+
+from pistachiowell.core.registry import Registry
+
+OVERLOAD_POLICIES = Registry("overload policy")
+
+
+@dataclass(frozen=True, slots=True)
+class OverloadSettings:
+    """Settings of the admission by lateness.
+
+    Attributes:
+        policy: Name of the policy in ``OVERLOAD_POLICIES``.
+        target_s: Mean lateness in seconds that is kept while requests are refused.
+        ticks: Number of ticks in a row that have to be late.
+        lateness_window_s: Time constant of that mean in seconds.
+        refused_per_late_s: Share of the requests refused for each second of lateness
+            above the target.
+        refused_per_late_s2: The same for each second that it lasts.
+        max_refused: Largest share of the requests that is refused.
+        rate_window_s: Time constant of the rates of requests in seconds.
+        adjust_interval_s: Seconds between two changes of the share.
+        min_retry_after_s: Shortest delay told with a refusal in seconds.
+        max_retry_after_s: Longest such delay in seconds.
+        max_accounts: Number of accounts above which idle ones are forgotten.
+    """
+
+    policy: str = "fair_share"
+    target_s: float = 0.0035
+    ticks: int = 2
+    lateness_window_s: float = 0.05
+    refused_per_late_s: float = 30.0
+    refused_per_late_s2: float = 30.0
+    max_refused: float = 0.95
+    rate_window_s: float = 2.0
+    adjust_interval_s: float = 0.05
+    min_retry_after_s: float = 0.25
+    max_retry_after_s: float = 2.0
+    max_accounts: int = 4_096
+
+
+class EventRate:
+    """Rate of events with exponential forgetting.
+
+    Args:
+        window_s: Time constant in seconds.
+
+    Examples:
+        >>> rate = EventRate(1.0)
+        >>> for number in range(500):
+        ...     rate.add(number / 100)
+        >>> round(rate.per_s(5.0), -1)
+        100.0
+    """
+
+    __slots__ = ("_at", "_count", "_window_s")
+
+    def __init__(self, window_s):
+        self._window_s = window_s
+        self._count = 0.0
+        self._at = 0.0
+
+    def add(self, now):
+        """Records one event."""
+        self._count = self._decayed(now) + 1.0
+        self._at = now
+
+    def per_s(self, now):
+        """Returns the events a second."""
+        return self._decayed(now) / self._window_s
+
+    def _decayed(self, now):
+        passed_s = max(0.0, now - self._at)
+        return self._count * math.exp(-passed_s / self._window_s)
+
+
+class OverloadPolicy:
+    """Base of the policies; admits all requests.
+
+    Args:
+        settings: ``OverloadSettings``.
+    """
+
+    __slots__ = ("_settings",)
+
+    def __init__(self, settings):
+        self._settings = settings
+
+    @property
+    def refused_share(self):
+        """Share of the requests that is refused at present."""
+        return 0.0
+
+    def record_lateness(self, late_s, now):
+        """Records how late the event loop runs at a time in seconds."""
+
+    def wait_s(self, account, now):
+        """Decides on a request that has just come.
+
+        Args:
+            account: Name of its client account.
+            now: Present time in seconds.
+
+        Returns:
+            0 if it is admitted, else the seconds after which it may be sent again.
+        """
+        del account, now
+        return 0.0
+
+
+@OVERLOAD_POLICIES.add("none")
+class NoOverloadPolicy(OverloadPolicy):
+    """Admits all requests; the baseline."""
+
+    __slots__ = ()
+
+
+class _Account:
+    __slots__ = ("credit", "rate", "share")
+
+    def __init__(self, window_s):
+        self.rate = EventRate(window_s)
+        self.share = 1.0
+        self.credit = 0.0
+
+
+@OVERLOAD_POLICIES.add("fair_share")
+class FairShareOverload(OverloadPolicy):
+    """Refuses a share that follows the lateness, of the accounts that send most.
+
+    A proportional and integral controller sets the share. All accounts get the same
+    rate at most, so that one that sends many times its usual takes nothing from the
+    others.
+
+    Examples:
+        >>> policy = FairShareOverload(OverloadSettings())
+        >>> policy.wait_s("shop", 0.0)
+        0.0
+        >>> policy.refused_share
+        0.0
+
+    References:
+        RFC 8033, Proportional Integral Controller Enhanced (PIE).
+    """
+
+    __slots__ = (
+        "_accounts",
+        "_adjusted_at",
+        "_late_s",
+        "_lasting_share",
+        "_recorded_at",
+        "_refused_share",
+        "_ticks",
+    )
+
+    def __init__(self, settings):
+        super().__init__(settings)
+        self._ticks = deque([0.0] * settings.ticks, maxlen=settings.ticks)
+        self._accounts = {}
+        self._late_s = 0.0
+        self._recorded_at = 0.0
+        self._adjusted_at = 0.0
+        self._lasting_share = 0.0
+        self._refused_share = 0.0
+
+    @property
+    def refused_share(self):
+        """Share of the requests that is refused at present."""
+        return self._refused_share
+
+    def record_lateness(self, late_s, now):
+        """Records the lateness and adjusts the share; see ``OverloadPolicy``."""
+        passed_s = max(0.0, now - self._recorded_at)
+        self._recorded_at = now
+        gain = min(1.0, passed_s / self._settings.lateness_window_s)
+        # One long callback makes one tick late, overload makes all late.
+        self._ticks.append(late_s)
+        self._late_s += gain * (min(self._ticks) - self._late_s)
+        since_s = now - self._adjusted_at
+        if since_s >= self._settings.adjust_interval_s:
+            self._adjusted_at = now
+            self._adjust(now, min(since_s, 2 * self._settings.adjust_interval_s))
+
+    def wait_s(self, account, now):
+        """Decides on a request that has just come; see ``OverloadPolicy``."""
+        state = self._accounts.get(account)
+        if state is None:
+            state = self._accounts[account] = _Account(self._settings.rate_window_s)
+        state.rate.add(now)
+        if not self._refused_share:
+            return 0.0
+        # Spread evenly: each request adds its share, and a whole one admits.
+        state.credit += state.share
+        if state.credit >= 1.0:
+            state.credit -= 1.0
+            return 0.0
+        return self._retry_after_s(state)
+
+    def _retry_after_s(self, state):
+        settings = self._settings
+        excess = 1.0 / max(state.share, 0.01) - 1.0
+        return min(settings.max_retry_after_s, settings.min_retry_after_s + excess)
+
+    def _adjust(self, now, passed_s):
+        settings = self._settings
+        error_s = self._late_s - settings.target_s
+        lasting = (
+            self._lasting_share + settings.refused_per_late_s2 * error_s * passed_s
+        )
+        self._lasting_share = min(settings.max_refused, max(0.0, lasting))
+        share = self._lasting_share + settings.refused_per_late_s * error_s
+        self._refused_share = min(settings.max_refused, max(0.0, share))
+        rates = {name: state.rate.per_s(now) for name, state in self._accounts.items()}
+        self._share_out(rates)
+        if len(self._accounts) > settings.max_accounts:
+            self._accounts = {
+                name: state
+                for name, state in self._accounts.items()
+                if rates[name] * settings.rate_window_s >= 1.0
+            }
+
+    def _share_out(self, rates):
+        admitted = (1.0 - self._refused_share) * sum(rates.values())
+        ceiling = fair_ceiling(list(rates.values()), admitted)
+        for name, rate in rates.items():
+            self._accounts[name].share = min(1.0, ceiling / rate) if rate else 1.0
+
+
+def fair_ceiling(rates, limit):
+    """Returns the rate that no account may exceed, so that all keep to a limit.
+
+    Args:
+        rates: Rates of the accounts.
+        limit: Limit of their sum.
+
+    Examples:
+        >>> fair_ceiling([1.0, 2.0, 9.0], 8.0)
+        5.0
+        >>> fair_ceiling([1.0, 2.0], 8.0)
+        inf
+    """
+    left = limit
+    for number, rate in enumerate(sorted(rates)):
+        ceiling = left / (len(rates) - number)
+        if rate > ceiling:
+            return ceiling
+        left -= rate
+    return math.inf
--- a/pistachiowell/core/errors.py
+++ b/pistachiowell/core/errors.py
@@ -22,11 +22,14 @@
             of the class.
 
     Attributes:
+        closes_connection: Whether an HTTP response that carries the error asks the
+            caller to close its connection.
         code: The ``ErrorCode`` of the class.
         http_status: Status of the HTTP response that carries the error.
         remedy: Remedy that the reader can apply, in one sentence.
     """
 
+    closes_connection = False
     code = None
     http_status = 500
     default_ran = MAY_HAVE_RUN
--- /dev/null
+++ b/pistachiowell/core/loop_watch.py
@@ -0,0 +1,86 @@
+"""Lateness of the event loop, and deadlines that do not count it.
+
+A process that is short of processor time runs its callbacks late. What it has not read
+yet, such as an answer, then looks like an answer that has not come.
+"""
+
+import asyncio
+from contextlib import contextmanager
+
+import anyio
+
+BUSY_TICK_S = 0.02
+IDLE_TICK_S = 0.05
+
+
+class LoopWatch:
+    """Calls listeners in short intervals and tells them how late the loop is.
+
+    Args:
+        is_busy: Function that returns whether the ticks shall be close.
+
+    Examples:
+        >>> async def measure():
+        ...     ticks, watch = [], LoopWatch()
+        ...     watch.add_listener(lambda now, late_s: ticks.append(late_s))
+        ...     with anyio.move_on_after(0.2):
+        ...         await watch.run()
+        ...     return len(ticks) > 0
+        >>> anyio.run(measure)
+        True
+    """
+
+    __slots__ = ("_due_at", "_is_busy", "_listeners", "_loop", "_scopes", "_timer")
+
+    def __init__(self, is_busy=lambda: False):
+        self._is_busy = is_busy
+        self._listeners = []
+        self._scopes = set()
+        self._due_at = 0.0
+        self._loop = None
+        self._timer = None
+
+    def add_listener(self, function):
+        """Registers a function of the present time and the lateness in seconds."""
+        self._listeners.append(function)
+
+    async def run(self):
+        """Ticks until cancelled."""
+        self._loop = asyncio.get_running_loop()
+        self._schedule()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self._timer.cancel()
+
+    @contextmanager
+    def deadline(self, timeout_s):
+        """Cancels the enclosed code after a timeout that does not count lateness.
+
+        Args:
+            timeout_s: Seconds for which the loop is on time.
+
+        Yields:
+            The ``anyio.CancelScope``.
+        """
+        with anyio.move_on_after(timeout_s) as scope:
+            self._scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._scopes.discard(scope)
+
+    def _schedule(self):
+        busy = self._scopes or self._is_busy()
+        self._due_at = self._loop.time() + (BUSY_TICK_S if busy else IDLE_TICK_S)
+        # A callback and no task: it runs before the deadlines that have passed since.
+        self._timer = self._loop.call_at(self._due_at, self._tick)
+
+    def _tick(self):
+        now = self._loop.time()
+        late_s = max(0.0, now - self._due_at)
+        for scope in self._scopes:
+            scope.deadline += late_s
+        for listener in self._listeners:
+            listener(now, late_s)
+        self._schedule()
--- a/pistachiowell/gateway/answer_writer.py
+++ b/pistachiowell/gateway/answer_writer.py
@@ -76,8 +76,7 @@
         if error.http_status in RETRY_AFTER_STATUSES and error.ran == NOT_RUN:
             delay_ms = math.ceil(max(error.retry_after_s, 0.05) * 1000)
             headers.append((b"retry-after", b"%.3f" % (delay_ms / 1000)))
-        if error.http_status == REQUEST_TIMEOUT_STATUS:
-            # The rest of the request may never arrive.
+        if error.closes_connection or error.http_status == REQUEST_TIMEOUT_STATUS:
             headers.append((b"connection", b"close"))
         await self._send_head(error.http_status, headers, len(body))
         await self._send({"type": "http.response.body", "body": body})
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -3,6 +3,7 @@
 import anyio
 
 from pistachiowell.core.errors import (
+    NOT_RUN,
     BodyTimeout,
     BodyTooLarge,
     DeadlineExceeded,
@@ -27,6 +28,12 @@
 _log = part_logger("gateway")
 
 
+class GatewayOverloaded(Overloaded):
+    """This gateway is at its limit; another one may have room."""
+
+    closes_connection = True
+
+
 class GatewayApp:
     """Validates requests, reserves their tokens and dispatches them.
 
@@ -34,6 +41,7 @@
         runtime: The process's ``Runtime``.
         state: The ``GatewayState``.
         codec: Codec of heads; see ``pistachiowell.platform.headers``.
+        overload: The ``OverloadPolicy``.
         spending: The ``GatewaySpending``.
         dispatch: The ``Dispatch``.
     """
@@ -42,13 +50,15 @@
         "_codec",
         "_dispatch",
         "_in_progress",
+        "_overload",
         "_runtime",
         "_spending",
         "_state",
     )
 
-    def __init__(self, runtime, state, codec, spending, dispatch):
+    def __init__(self, runtime, state, codec, overload, spending, dispatch):
         self._runtime = runtime
+        self._overload = overload
         self._state = state
         self._codec = codec
         self._spending = spending
@@ -112,6 +122,7 @@
         if route is None:
             raise NotFound("No route matches this host and path.")
         account = self._find_account(catalog, route, head)
+        self._check_overload(account, received_at)
         if not head.request_id:
             raise InvalidRequest("The request has no id.")
         if head.body_bytes > limits.body_bytes:
@@ -146,6 +157,15 @@
             return await read_body(receive, max_bytes)
         raise BodyTimeout("The body did not arrive by the deadline of the request.")
 
+    def _check_overload(self, account, received_at):
+        wait_s = self._overload.wait_s(account.name if account else "", received_at)
+        if wait_s:
+            raise GatewayOverloaded(
+                "The gateway has more requests than it can serve.",
+                ran=NOT_RUN,
+                retry_after_s=wait_s,
+            )
+
     def _find_account(self, catalog, route, head):
         if catalog.accounts is None or route.is_public:
             return None
--- a/pistachiowell/gateway/bounded_stream.py
+++ b/pistachiowell/gateway/bounded_stream.py
@@ -5,6 +5,7 @@
 """
 
 import fcntl
+import math
 import socket
 import struct
 import termios
@@ -97,13 +98,15 @@
     Args:
         stream: The ``httpcore.AsyncNetworkStream`` that does the I/O.
         limit: The ``HeadLimit``.
+        deadline: Function that returns a cancel scope of so many seconds.
     """
 
-    __slots__ = ("_limit", "_stream")
+    __slots__ = ("_deadline", "_limit", "_stream")
 
-    def __init__(self, stream, limit):
+    def __init__(self, stream, limit, deadline):
         self._stream = stream
         self._limit = limit
+        self._deadline = deadline
 
     async def read(self, max_bytes, timeout=None):
         """Reads bytes; see ``httpcore.AsyncNetworkStream.read``."""
@@ -111,7 +114,7 @@
         if left_s is None:
             data = await self._stream.read(max_bytes, timeout)
         else:
-            with anyio.move_on_after(left_s) as scope:
+            with self._deadline(left_s) as scope:
                 data = await self._stream.read(max_bytes, timeout)
             if scope.cancelled_caught:
                 raise EndlessHeadError(f"Its head did not end within {MAX_HEAD_S} s.")
@@ -153,19 +156,26 @@
 
     Args:
         limit: The ``HeadLimit``.
+        deadline: Function that returns a cancel scope of so many seconds, such as
+            ``LoopWatch.deadline``: a process that is late itself has not given the
+            server its time.
     """
 
-    __slots__ = ("_backend", "_limit")
+    __slots__ = ("_backend", "_deadline", "_limit")
 
-    def __init__(self, limit):
+    def __init__(self, limit, deadline=anyio.move_on_after):
         self._backend = httpcore.AnyIOBackend()
         self._limit = limit
+        self._deadline = deadline
 
     async def connect_tcp(
         self, host, port, timeout=None, local_address=None, socket_options=None
     ):
         """Connects to a server; see ``httpcore.AsyncNetworkBackend``."""
-        stream = await self._backend.connect_tcp(
-            host, port, timeout, local_address, socket_options
-        )
-        return BoundedStream(stream, self._limit)
+        with self._deadline(math.inf if timeout is None else timeout) as scope:
+            stream = await self._backend.connect_tcp(
+                host, port, None, local_address, socket_options
+            )
+        if scope.cancelled_caught:
+            raise httpcore.ConnectTimeout
+        return BoundedStream(stream, self._limit, self._deadline)
--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections.py
@@ -37,17 +37,18 @@
     Args:
         host: IP address of the server.
         port: Its TCP port.
+        deadline: See ``BoundedBackend``.
     """
 
     __slots__ = ("_head_limit", "_http", "_reusable_until")
 
-    def __init__(self, host, port):
+    def __init__(self, host, port, deadline=anyio.move_on_after):
         origin = httpcore.Origin(b"http", host.encode(), port)
         self._head_limit = HeadLimit(anyio.current_time)
         self._http = httpcore.AsyncHTTPConnection(
             origin,
             socket_options=_SOCKET_OPTIONS,
-            network_backend=BoundedBackend(self._head_limit),
+            network_backend=BoundedBackend(self._head_limit, deadline),
         )
         self._reusable_until = float("-inf")
 
@@ -148,17 +149,19 @@
 
     Args:
         now: Function that returns the monotonic time in seconds.
+        deadline: See ``BoundedBackend``.
 
     Attributes:
         buffered_bytes: Bytes of the bodies that are being read.
         opened: Number of connections opened so far.
     """
 
-    __slots__ = ("_idle", "_now", "buffered_bytes", "opened")
+    __slots__ = ("_deadline", "_idle", "_now", "buffered_bytes", "opened")
 
-    def __init__(self, now):
+    def __init__(self, now, deadline=anyio.move_on_after):
         self._idle = {}
         self._now = now
+        self._deadline = deadline
         self.buffered_bytes = 0
         self.opened = 0
 
@@ -189,7 +192,7 @@
 
     def _open(self, server):
         self.opened += 1
-        return ServerConnection(server.host, server.port)
+        return ServerConnection(server.host, server.port, self._deadline)
 
     async def release(self, server, connection, keep_alive_s):
         """Keeps a connection for reuse, or closes it if it must not be reused.
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -44,6 +44,7 @@
         silence: The ``SilenceMonitor``.
         limits: The ``ServerLimits``.
         crashes: The ``ServerCrashes``.
+        loop_watch: The ``LoopWatch``.
         codec: Codec of heads; see ``pistachiowell.platform.headers``.
         router_count: Function that returns the number of gateways that may be running;
             they are registered as routers.
@@ -65,7 +66,16 @@
     )
 
     def __init__(
-        self, runtime, selection, silence, limits, crashes, codec, router_count, rng
+        self,
+        runtime,
+        selection,
+        silence,
+        limits,
+        crashes,
+        loop_watch,
+        codec,
+        router_count,
+        rng,
     ):
         self._runtime = runtime
         self._selection = selection
@@ -74,7 +84,7 @@
         self._crashes = crashes
         self._codec = codec
         self._router_count = router_count
-        self._pool = ConnectionPool(runtime.now)
+        self._pool = ConnectionPool(runtime.now, loop_watch.deadline)
         self._retry_shares = {}
         self._started_at = runtime.now()
         self._splitter = SPLITTERS.find("smooth")(rng)
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -4,8 +4,10 @@
 
 import anyio
 
+from pistachiowell.admission import OVERLOAD_POLICIES, OverloadSettings
 from pistachiowell.core.errors import STORE_ERRORS, HeadersTooLarge
 from pistachiowell.core.logs import part_logger
+from pistachiowell.core.loop_watch import LoopWatch
 from pistachiowell.core.metrics_page import serve_metrics
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.core.signals import wait_for_signal
@@ -74,8 +76,10 @@
         "_fleet",
         "_grant_memory",
         "_http",
+        "_loop_watch",
         "_move_watcher",
         "_moves",
+        "_overload",
         "_quarantine_fallback",
         "_ready",
         "_router_count",
@@ -102,7 +106,18 @@
         self._move_watcher = MoveOrderWatcher(
             runtime, adapter.moves, self._moves.apply_orders
         )
-        self._silence = SilenceMonitor(runtime, self._fleet, state, handlers)
+        self._loop_watch = loop_watch = LoopWatch(lambda: self._silence.is_watching)
+        self._silence = SilenceMonitor(
+            runtime, self._fleet, state, handlers, loop_watch
+        )
+        overload = OverloadSettings()
+        self._overload = OVERLOAD_POLICIES.find(overload.policy)(overload)
+        loop_watch.add_listener(
+            lambda now, late_s: self._overload.record_lateness(late_s, now)
+        )
+        runtime.metrics.watch(
+            "requests.refused_share", lambda: self._overload.refused_share
+        )
         limits = ServerLimits(
             runtime, self._fleet, handlers, lambda: self._router_count, rng
         )
@@ -145,11 +160,19 @@
             self._silence,
             limits,
             self._crashes,
+            loop_watch,
             adapter.heads,
             lambda: self._router_count,
             rng,
         )
-        app = GatewayApp(runtime, state, adapter.heads, self._spending, self._dispatch)
+        app = GatewayApp(
+            runtime,
+            state,
+            adapter.heads,
+            self._overload,
+            self._spending,
+            self._dispatch,
+        )
         self._http = _server(app, settings.http_address, settings.shutdown_timeout_s)
         ready_app = ReadyApp(state, adapter.ready_path)
         self._ready = _server(
@@ -199,7 +222,7 @@
             group.start_soon(self._crashes.run)
             group.start_soon(self._quarantine_fallback.run)
             group.start_soon(self._server_watcher.run)
-            group.start_soon(self._silence.run)
+            group.start_soon(self._loop_watch.run)
             group.start_soon(self._fleet.run)
             group.start_soon(self._move_watcher.run)
             group.start_soon(self._moves.run)
--- a/pistachiowell/gateway/silence.py
+++ b/pistachiowell/gateway/silence.py
@@ -14,9 +14,6 @@
     SilenceNotice,
 )
 
-TICK_S = 0.02
-IDLE_TICK_S = 0.05
-
 _log = part_logger("silence")
 
 
@@ -36,33 +33,43 @@
         fleet: The ``Fleet`` with the agents.
         state: The ``GatewayState``.
         handlers: Handlers of the links to agents; this registers its own.
+        loop_watch: The ``LoopWatch`` whose ticks this follows.
     """
 
     __slots__ = ("_detector", "_fleet", "_runtime", "_state", "_watches")
 
-    def __init__(self, runtime, fleet, state, handlers):
+    def __init__(self, runtime, fleet, state, handlers, loop_watch):
         self._runtime = runtime
         self._fleet = fleet
         self._state = state
         settings = SilenceSettings()
         self._detector = SILENCE_DETECTORS.find(settings.detector)(settings)
         self._watches = {}
+        loop_watch.add_listener(self.tick)
         handlers.on(SilenceNotice)(self._handle_notice)
         handlers.on(ServerDoubted, quick=True)(self._handle_doubt)
         runtime.metrics.watch("servers.silent", self._count_suspected)
 
-    async def run(self):
-        """Looks for silent servers until cancelled."""
-        while True:
-            await anyio.sleep(TICK_S if self._watches else IDLE_TICK_S)
-            for server_id in self._detector.tick(self._runtime.now()):
-                self._report(server_id)
-            for server_id, waited_s in self._detector.new_doubts():
-                self._report_doubt(server_id, waited_s)
-            for wait in self._detector.hopeless_waits():
-                watch = self._watches.get(wait)
-                if watch is not None:
-                    watch.move_on()
+    @property
+    def is_watching(self):
+        """Whether there are attempts in progress."""
+        return bool(self._watches)
+
+    def tick(self, now, late_s):
+        """Looks for silent servers.
+
+        Args:
+            now: Present time in seconds.
+            late_s: Seconds by which the event loop is late.
+        """
+        for server_id in self._detector.tick(now, late_s):
+            self._report(server_id)
+        for server_id, waited_s in self._detector.new_doubts():
+            self._report_doubt(server_id, waited_s)
+        for wait in self._detector.hopeless_waits():
+            watch = self._watches.get(wait)
+            if watch is not None:
+                watch.move_on()
 
     def usable(self, server_ids, now):
         """Returns the servers that may get a request; see ``SilenceDetector``."""
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -44,6 +44,7 @@
 from pistachiowell.routing.sharing import REPORT_PACERS, LoadSums, SharingSettings
 from pistachiowell.routing.silence import SILENCE_DETECTORS, SilenceSettings
 from pistachiowell.routing.split import SPLITTERS
+from pistachiowell.routing.usual_wait import UsualWait
 
 __all__ = [
     "ASSEMBLERS",
@@ -92,4 +93,5 @@
     "place_crash_candidate",
     "rendezvous",
     "suspect_kind",
+    "UsualWait",
 ]
--- a/pistachiowell/routing/silence.py
+++ b/pistachiowell/routing/silence.py
@@ -234,19 +234,21 @@
                     doubts.append((name, waited_s))
         return doubts
 
-    def tick(self, now):
+    def tick(self, now, late_s=0.0):
         """Advances the clock and returns the servers that have become silent.
 
         Call it many times a second. Time in which it was not called counts as
-        ``max_tick_s`` at most: a router that stood still has not heard what came.
+        ``max_tick_s`` at most: a router that stood still has not heard what came. Nor
+        has one that is late, so the lateness does not count either.
 
         Args:
             now: Present time in seconds.
+            late_s: Seconds by which the call comes later than it was due.
 
         Returns:
             Ids of the servers that now count as silent for what this router has seen.
         """
-        self._awake_s = self._clock(now)
+        self._awake_s = max(self._awake_s, self._clock(now) - late_s)
         self._ticked_at = now
         silent = [
             name
@@ -370,9 +372,9 @@
 
     __slots__ = ()
 
-    def tick(self, now):
+    def tick(self, now, late_s=0.0):
         """Returns no server; see ``SilenceDetector``."""
-        super().tick(now)
+        super().tick(now, late_s)
         return []
 
     def hopeless_waits(self):
