Answer what a planned stop of a gateway cannot finish

Callers of a gateway in a planned stop got no answer, or the HTTP library's bare 500 without the project's error: requests that came late in the grace were taken and passed on although their time limit was longer than what was left, among them requests that may not be repeated. Connections that came after the notice were reset.

Cause: the time that is left was not looked at when a request came, and the end of the grace was the HTTP server's, which cancels its tasks.

Change: gateway/planned_stop.py. A request that must not run twice is begun only if its whole time limit fits into the grace, others if they usually fit; the rest is refused at once, as not run. Shortly before the end each request in progress is ended with the project's own answer: 502 with `ran` unknown if a server may have run it, 503 if none has got it. The listener stays open to the end, and late requests are refused.

Evidence: platform/tests/test_planned_stop.py sends SIGTERM to a gateway; four of its five tests failed on the code before (the fifth, a request that can end, passed), all pass now.

--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -42,6 +42,7 @@
         state: The ``GatewayState``.
         codec: Codec of heads; see ``pistachiowell.platform.headers``.
         overload: The ``OverloadPolicy``.
+        stop: The ``PlannedStop``.
         spending: The ``GatewaySpending``.
         dispatch: The ``Dispatch``.
     """
@@ -54,11 +55,13 @@
         "_runtime",
         "_spending",
         "_state",
+        "_stop",
     )
 
-    def __init__(self, runtime, state, codec, overload, spending, dispatch):
+    def __init__(self, runtime, state, codec, overload, stop, spending, dispatch):
         self._runtime = runtime
         self._overload = overload
+        self._stop = stop
         self._state = state
         self._codec = codec
         self._spending = spending
@@ -131,6 +134,7 @@
         if head.wait_limit_s is not None:
             wait_s = min(wait_s, head.wait_limit_s)
         deadline = received_at + wait_s
+        self._stop.check(route, deadline, received_at)
         body = await self._read_body(receive, limits.body_bytes, deadline)
         names = [name for name, weight in route.weights.items() if weight > 0]
         service = next(
@@ -153,8 +157,11 @@
         )
 
     async def _read_body(self, receive, max_bytes, deadline):
-        with anyio.move_on_after(max(0.0, deadline - self._runtime.now())):
+        left_s = max(0.0, deadline - self._runtime.now())
+        with anyio.move_on_after(left_s) as scope, self._stop.tracked(scope):
             return await read_body(receive, max_bytes)
+        if self._stop.has_ended:
+            raise self._stop.error(may_have_run=False)
         raise BodyTimeout("The body did not arrive by the deadline of the request.")
 
     def _check_overload(self, account, received_at):
@@ -202,12 +209,17 @@
         usage = Usage()
         left_s = request.deadline - self._runtime.now()
         try:
-            with anyio.move_on_after(max(0.0, left_s)) as scope:
+            with (
+                anyio.move_on_after(max(0.0, left_s)) as scope,
+                self._stop.tracked(scope),
+            ):
                 await self._run(request, writer, usage)
         except PistachiowellError as error:
             return error
         if not scope.cancelled_caught:
             return None
+        if self._stop.has_ended:
+            return self._stop.error(may_have_run=usage.may_have_run)
         if usage.may_have_run:
             return DeadlineExceeded("The deadline of the request has passed.")
         return Overloaded(
@@ -226,6 +238,7 @@
 
     def _record_end(self, request, usage, used):
         after_s = self._runtime.now() - request.received_at
+        self._stop.record_duration(request.route, after_s)
         self._runtime.metrics.timing(f"requests.{request.route.kind}", after_s)
         self._runtime.metrics.count("tokens.billed", used)
         _log.info(
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -18,6 +18,7 @@
 from pistachiowell.gateway.dispatch import Dispatch
 from pistachiowell.gateway.grant_notices import GrantMemory
 from pistachiowell.gateway.moves import GatewayMoves
+from pistachiowell.gateway.planned_stop import ENDING_S, PlannedStop
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
 from pistachiowell.gateway.server_limits import ServerLimits
@@ -51,6 +52,7 @@
 # first list.
 MIN_ROUTERS = 3
 UNREGISTER_TIMEOUT_S = 0.2
+STOP_CHECK_INTERVAL_S = 0.05
 MAX_KEEP_ALIVE_S = 3600
 
 _log = part_logger("gateway")
@@ -89,6 +91,7 @@
         "_silence",
         "_spending",
         "_state",
+        "_stop",
     )
 
     def __init__(self, settings, store, adapter):
@@ -110,6 +113,7 @@
         self._silence = SilenceMonitor(
             runtime, self._fleet, state, handlers, loop_watch
         )
+        self._stop = PlannedStop()
         overload = OverloadSettings()
         self._overload = OVERLOAD_POLICIES.find(overload.policy)(overload)
         loop_watch.add_listener(
@@ -170,6 +174,7 @@
             state,
             adapter.heads,
             self._overload,
+            self._stop,
             self._spending,
             self._dispatch,
         )
@@ -210,10 +215,36 @@
 
     def begin_leaving(self):
         """Reports not ready to the load balancer; requests in progress continue."""
+        settings = self._runtime.settings
+        grace_s = settings.leaving_notice_s + settings.shutdown_timeout_s
+        self._stop.begin(self._runtime.now() + grace_s - ENDING_S)
         self._state.is_leaving = True
         self._runtime.start_leaving()
         _log.info("Gateway is leaving; requests in progress go on.")
 
+    async def leave(self):
+        """Stops without cutting off requests that can end in time.
+
+        Connections that come late are accepted to the end, and their requests refused.
+        """
+        settings = self._runtime.settings
+        self.begin_leaving()
+        await anyio.sleep(settings.leaving_notice_s)
+        self._stop.refuse_all()
+        for connection in list(self._http.server_state.connections):
+            connection.shutdown()
+        with anyio.move_on_after(max(0.0, settings.shutdown_timeout_s - ENDING_S)):
+            while self._stop.in_progress:
+                await anyio.sleep(STOP_CHECK_INTERVAL_S)
+        if self._stop.in_progress:
+            _log.warning(
+                "Requests are ended as the gateway stops.",
+                requests=self._stop.in_progress,
+            )
+        self._stop.end_requests()
+        self._http.config.timeout_graceful_shutdown = ENDING_S / 2
+        self._http.should_exit = True
+
     async def run(self):
         """Runs until a signal arrives and the requests in progress have ended."""
         async with anyio.create_task_group() as group:
@@ -249,9 +280,7 @@
 
     async def _handle_signals(self):
         await wait_for_signal(_log_reload)
-        self.begin_leaving()
-        await anyio.sleep(self._runtime.settings.leaving_notice_s)
-        self._http.should_exit = True
+        await self.leave()
 
     async def _register(self):
         await keep_registered(self._runtime.store, ROUTERS, self._record())
--- /dev/null
+++ b/pistachiowell/gateway/planned_stop.py
@@ -0,0 +1,124 @@
+"""Planned stop of a gateway: what it still begins, and how the rest ends.
+
+Load pattern: callers keep sending over open connections to a gateway that has been told
+to stop, and some of their requests would last longer than it may run.
+"""
+
+from contextlib import contextmanager
+
+from pistachiowell.core.errors import Leaving, ServerFailed
+from pistachiowell.routing import UsualWait
+
+# The answers of the requests that are ended have to reach their callers.
+ENDING_S = 0.4
+RETRY_AFTER_S = 0.3
+
+
+class StoppedRequest(ServerFailed):
+    """The gateway stopped while a server ran the request."""
+
+    closes_connection = True
+
+
+class PlannedStop:
+    """Refuses what cannot end before the gateway stops, and ends what has not.
+
+    A request that must not run twice is begun only if its whole time limit fits; others
+    if they usually fit, as they can be sent again.
+
+    Examples:
+        >>> stop = PlannedStop()
+        >>> stop.has_begun
+        False
+    """
+
+    __slots__ = ("_durations", "_ends_at", "_has_ended", "_refuses_all", "_scopes")
+
+    def __init__(self):
+        self._durations = {}
+        self._ends_at = None
+        self._has_ended = False
+        self._refuses_all = False
+        self._scopes = set()
+
+    @property
+    def has_begun(self):
+        """Whether the gateway has been told to stop."""
+        return self._ends_at is not None
+
+    @property
+    def has_ended(self):
+        """Whether the requests in progress were ended."""
+        return self._has_ended
+
+    @property
+    def in_progress(self):
+        """Number of requests that have not ended."""
+        return len(self._scopes)
+
+    def begin(self, ends_at):
+        """Begins the stop.
+
+        Args:
+            ends_at: Time in seconds by which all requests will have ended.
+        """
+        self._ends_at = ends_at
+
+    def refuse_all(self):
+        """Refuses all requests from now on."""
+        self._refuses_all = True
+
+    def check(self, route, deadline, now):
+        """Checks that a request can end before the gateway stops.
+
+        Args:
+            route: The ``Route``.
+            deadline: Time in seconds at which it has to have ended.
+            now: Present time in seconds.
+
+        Raises:
+            Leaving: It cannot, or nothing is begun any more.
+        """
+        if self._ends_at is None:
+            return
+        ends_at = deadline
+        if route.is_idempotent or route.has_prompts:
+            usual = self._durations.get(route.name)
+            ends_at = now + (usual.bound_s() if usual else 0.0)
+        if self._refuses_all or ends_at > self._ends_at:
+            raise Leaving(
+                "The gateway stops before the request can end.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
+    def record_duration(self, route, duration_s):
+        """Records how long a request of a ``Route`` took in seconds."""
+        self._durations.setdefault(route.name, UsualWait()).record(duration_s)
+
+    @contextmanager
+    def tracked(self, scope):
+        """Lets the cancel scope of a request be cancelled at the end of the stop."""
+        self._scopes.add(scope)
+        try:
+            yield
+        finally:
+            self._scopes.discard(scope)
+
+    def end_requests(self):
+        """Ends all requests in progress; ``error`` says how."""
+        self._has_ended = True
+        for scope in list(self._scopes):
+            scope.cancel()
+
+    def error(self, *, may_have_run):
+        """Returns the error of a request that was ended.
+
+        Args:
+            may_have_run: Whether a server may have run it.
+        """
+        if may_have_run:
+            return StoppedRequest("The gateway stopped before the answer had ended.")
+        return Leaving(
+            "The gateway stopped before a server got the request.",
+            retry_after_s=RETRY_AFTER_S,
+        )
--- /dev/null
+++ b/pistachiowell/platform/tests/test_planned_stop.py
@@ -0,0 +1,104 @@
+"""Planned stop of a gateway in calm, with requests to the last moment.
+
+Guards against requests that are taken late in the grace, passed on and then cut off
+without an answer, or with one that promises that they have not run; and against
+connections that are reset although the process could still answer.
+"""
+
+import os
+import signal
+from contextlib import asynccontextmanager
+
+import anyio
+import msgspec
+import pytest
+
+from pistachiowell.platform.standins import answer_whole
+
+pytestmark = pytest.mark.anyio
+
+GRACE = {"shutdown_timeout_s": 1.0}
+NOTICE_S = 0.1
+
+
+async def never_answer(request, stream):
+    """Takes a request and sends nothing."""
+    del request, stream
+    await anyio.sleep_forever()
+
+
+async def answer_after(request, stream, seconds=0.3):
+    """Answers after some time."""
+    await anyio.sleep(seconds)
+    return await answer_whole(request, stream)
+
+
+@pytest.fixture
+def stopping_rig(start_rig):
+    """Returns a context manager with a gateway that gets SIGTERM by ``stop``."""
+
+    @asynccontextmanager
+    async def start(script):
+        async with start_rig() as rig:
+            await rig.add_server("desk-1", "desk", script)
+            await rig.add_gateway(**GRACE)
+            yield rig
+
+    return start
+
+
+async def stop(rig):
+    """Sends SIGTERM, which the gateway in this process handles."""
+    os.kill(os.getpid(), signal.SIGTERM)
+    await rig.until(lambda: rig.gateways[0].state.is_leaving)
+
+
+async def test_request_that_cannot_end_in_the_grace_is_refused_before_it_runs(
+    stopping_rig,
+):
+    async with stopping_rig(never_answer) as rig:
+        await stop(rig)
+        status, headers, body = await rig.send("/book/a", "POST", b"x")
+    answer = msgspec.json.decode(body)
+    assert (status, answer["ran"], answer["error"]) == (503, "no", "leaving")
+    assert float(headers[b"retry-after"]) > 0
+    assert not rig.servers["desk-1"].requests
+
+
+@pytest.mark.parametrize("path", ["/read/a", "/book/a"])
+async def test_request_in_progress_at_the_end_gets_an_answer_of_the_gateway(
+    stopping_rig, path
+):
+    answers = []
+
+    async def send():
+        answers.append(await rig.send(path))
+
+    async with stopping_rig(never_answer) as rig, anyio.create_task_group() as group:
+        group.start_soon(send)
+        await rig.until(lambda: rig.servers["desk-1"].requests)
+        await stop(rig)
+        await rig.until(lambda: answers, timeout_s=NOTICE_S + 1.0)
+    status, headers, body = answers[0]
+    assert status == 502
+    assert msgspec.json.decode(body)["ran"] == "unknown"
+    assert b"retry-after" not in headers
+
+
+async def test_request_that_can_end_in_the_grace_is_answered(stopping_rig):
+    async with stopping_rig(answer_after) as rig:
+        await stop(rig)
+        status, headers, _ = await rig.send("/read/a")
+        assert (status, headers[b"connection"]) == (200, b"close")
+
+
+async def test_connection_that_comes_late_is_answered_and_not_reset(stopping_rig):
+    async with stopping_rig(never_answer) as rig, anyio.create_task_group() as group:
+        group.start_soon(rig.send, "/read/a")
+        await rig.until(lambda: rig.servers["desk-1"].requests)
+        await stop(rig)
+        await anyio.sleep(NOTICE_S + 0.3)
+        status, _, body = await rig.send("/read/b")
+        answer = msgspec.json.decode(body)
+    assert (status, answer["ran"], answer["error"]) == (503, "no", "leaving")
+    assert len(rig.servers["desk-1"].requests) == 1
