Settle at agents that stop, so that a planned stop loses no grant

Cause: a stopping agent tried for a second to return idle tokens and ended, without its requests' settlements; and gateways sent settlements only to agents that accept new work, which one that leaves does not.

Change: an agent that stops waits up to 5 s until its reservations are settled, then closes its grants and unregisters. Gateways settle at any linked agent. The store's stand-in answers DELETE, so that a clean end can be tested.

Evidence: test_agent_that_stops_amid_a_request_charges_what_it_used failed before (nothing was closed, the grant stayed), passes now: exactly the used tokens are charged.

--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -179,6 +179,11 @@
         for ledger in self._ledgers.values():
             ledger.settle_fenced_router(router, reports)
 
+    @property
+    def has_reservations(self):
+        """Whether any reservation is not settled."""
+        return bool(self.reserving_routers())
+
     def has_reservations_of(self, router):
         """Returns whether a router has open reservations in any ledger."""
         return any(x.has_reservations_of(router) for x in self._ledgers.values())
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -33,6 +33,9 @@
 COMPRESSION_LEVEL = 3
 # Reports of the gateways about one crash within this time are passed on as one.
 CRASH_MERGE_S = 0.05
+# A stop waits for so long for the settlements of the requests in progress; their
+# tokens would stay charged in full.
+SETTLING_S = 5.0
 
 _log = part_logger("agent")
 
@@ -127,6 +130,8 @@
             await wait_for_signal(_log_reload)
             self._runtime.start_leaving()
             self._load_reporter.send_all()
+            with anyio.move_on_after(SETTLING_S):
+                await self._budget_owner.wait_until_settled()
             with anyio.move_on_after(1.0):
                 await self._budget_owner.return_idle_tokens()
                 await unregister_process(self._runtime.store, "agents", self._record())
--- a/pistachiowell/gateway/budget_owner.py
+++ b/pistachiowell/gateway/budget_owner.py
@@ -49,6 +49,7 @@
 # fit again.
 REFUSAL_CACHE_S = 0.3
 MAX_PAGE_WRITES = 3
+SETTLING_CHECK_INTERVAL_S = 0.1
 
 _log = part_logger("budgets")
 
@@ -178,6 +179,11 @@
         noticed = self._noticed.changes(number, self._runtime.now())
         return noticed + self._credit_changes(number, page)
 
+    async def wait_until_settled(self):
+        """Waits until all reservations are settled."""
+        while self._holder.has_reservations:
+            await anyio.sleep(SETTLING_CHECK_INTERVAL_S)
+
     async def return_idle_tokens(self):
         """Returns all idle tokens of the grants to their pages."""
         await self._pages.return_idle_tokens()
--- a/pistachiowell/gateway/spending.py
+++ b/pistachiowell/gateway/spending.py
@@ -38,7 +38,7 @@
     def __init__(self, runtime, fleet):
         self._runtime = runtime
         self._fleet = fleet
-        self._settlements = Settlements(fleet.agent_of, fleet.agents.values)
+        self._settlements = Settlements(fleet.linked_agent_of, fleet.agents.values)
 
     async def run(self):
         """Sends settlements until cancelled."""
--- a/pistachiowell/platform/standins.py
+++ b/pistachiowell/platform/standins.py
@@ -126,8 +126,19 @@
         if method == "GET":
             document = self.get(kind, parts[1])
             return (404, {}) if document is None else (200, document)
+        if method == "DELETE":
+            return self._delete(kind, parts[1], query)
         return self._write(method, kind, parts[1:], body)
 
+    def _delete(self, kind, name, query):
+        known = self.get(kind, name)
+        if known is None:
+            return 404, {}
+        if known["Metadata"]["Revision"] != int(query["Revision"]):
+            return 409, known
+        self.delete(kind, name)
+        return 200, known
+
     def _write(self, method, kind, rest, body):
         sent = msgspec.json.decode(body)
         name = sent["Metadata"]["Name"]
--- a/pistachiowell/platform/tests/test_money.py
+++ b/pistachiowell/platform/tests/test_money.py
@@ -11,7 +11,7 @@
 import httpcore
 import pytest
 
-from pistachiowell.gateway import budget_owner
+from pistachiowell.gateway import agent, budget_owner
 from pistachiowell.platform.standins import close_without_answer, refuse, stream_events
 from pistachiowell.platform.tests.conftest import configuration
 
@@ -154,3 +154,29 @@
         await rig.until(lambda: not agents[killed].usable)
         status, _, _ = await rig.send_chat()
     assert status == 402
+
+
+async def test_agent_that_stops_amid_a_request_charges_what_it_used(
+    budget_rig, monkeypatch
+):
+    stopped, statuses = anyio.Event(), []
+    monkeypatch.setattr(agent, "wait_for_signal", lambda on_reload: stopped.wait())
+    stream = stream_events(1, EVENTS_PER_ANSWER)
+
+    async def answer_later(request, connection):
+        await anyio.sleep(0.5)
+        return await stream(request, connection)
+
+    async def send(rig):
+        statuses.append((await rig.send_chat())[0])
+
+    async with budget_rig(answer_later) as rig, anyio.create_task_group() as group:
+        group.start_soon(send, rig)
+        await rig.until(lambda: rig.servers["pool-1"].requests)
+        stopped.set()
+        await rig.until(lambda: statuses)
+        await rig.until(lambda: not rig.store.names("agents"))
+        budget = rig.budget()
+    assert statuses == [200]
+    assert budget["closed"] == REQUEST_TOKENS
+    assert not budget.get("grants")
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -167,6 +167,17 @@
         """Returns the usable ``Peer`` of an agent incarnation, or None."""
         return _usable_peer(self._agents, incarnation)
 
+    def linked_agent_of(self, incarnation):
+        """Returns the linked ``Peer`` of an agent incarnation, or None.
+
+        One that leaves accepts no new work, but still the end of earlier work.
+        """
+        for peer in self._agents.values():
+            is_linked = peer.link is not None and not peer.link.closed
+            if peer.record.incarnation == incarnation and is_linked:
+                return peer
+        return None
+
     async def run(self):
         """Follows the registrations and maintains the links until cancelled."""
         async with anyio.create_task_group() as group:
