Let gateways do the work of agents while there are none

Callers of a fleet without a single agent (none from the start, or all lost at once) got 503 "No agent answers for the budget" for each paid request, although store and servers were well.

Cause: budgets, judgement of moves, limits and reports had no owner but agents.

After 3 s without an agent the first three gateways of a ranking run a GatewayAgent of their own, register like agents and are used like them; after each 2 s more as many more, as the first may be gone. Deputies end 5 s after an agent is usable again: they settle, close their grants and unregister. Each has grants of its own, so nothing is given twice while they overlap; while the store does not answer nobody begins.

--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -48,6 +48,7 @@
         store: The platform's store.
         adapter: Object with the codecs ``configuration`` and ``moves``; see
             ``pistachiowell.platform.main``.
+        is_deputy: Whether it runs in a gateway, in place of an agent.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         "_compressed_source",
         "_crash_candidates",
         "_handlers",
+        "_is_deputy",
         "_links",
         "_load_reporter",
         "_move_judge",
@@ -66,7 +68,8 @@
         "_state",
     )
 
-    def __init__(self, settings, store, adapter):
+    def __init__(self, settings, store, adapter, *, is_deputy=False):
+        self._is_deputy = is_deputy
         self._runtime = runtime = Runtime("agent", settings, store)
         self._state = state = GatewayState(settings)
         self._handlers = Handlers()
@@ -109,8 +112,12 @@
         """Unique id of this run of the process."""
         return self._runtime.incarnation
 
-    async def run(self):
-        """Runs until a signal arrives, then returns idle tokens and unregisters."""
+    async def run(self, wait_for_stop=lambda: wait_for_signal(_log_reload)):
+        """Runs until it is stopped, then returns idle tokens and unregisters.
+
+        Args:
+            wait_for_stop: Async function that returns when it has to stop.
+        """
         async with anyio.create_task_group() as group:
             await group.start(self._serve_gateways)
             group.start_soon(self._catalog_watcher.run)
@@ -127,7 +134,7 @@
                 engine=self._runtime.settings.engine_address,
             )
             group.start_soon(self._register)
-            await wait_for_signal(_log_reload)
+            await wait_for_stop()
             self._runtime.start_leaving()
             self._load_reporter.send_all()
             with anyio.move_on_after(SETTLING_S):
@@ -172,7 +179,8 @@
         return self._compressed_document
 
     def _record(self):
-        return agent_record(self._runtime, self._runtime.settings.engine_address)
+        address = self._runtime.settings.engine_address
+        return agent_record(self._runtime, address, is_deputy=self._is_deputy)
 
 
 def _log_reload():
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -15,6 +15,7 @@
 from pistachiowell.gateway.agents import AgentReports
 from pistachiowell.gateway.app import GatewayApp, ReadyApp
 from pistachiowell.gateway.crash_relays import CrashRelays
+from pistachiowell.gateway.deputy import Deputy
 from pistachiowell.gateway.dispatch import Dispatch
 from pistachiowell.gateway.grant_notices import GrantMemory
 from pistachiowell.gateway.moves import GatewayMoves
@@ -65,7 +66,8 @@
         settings: ``GatewaySettings``.
         store: The platform's store.
         adapter: Object with the codecs ``heads``, ``configuration``, ``servers`` and
-            ``moves``, and with ``ready_path``; see ``pistachiowell.platform.main``.
+            ``moves``, with ``make_store`` and with ``ready_path``; see
+            ``pistachiowell.platform.main``.
     """
 
     __slots__ = (
@@ -74,6 +76,7 @@
         "_catalog_watcher",
         "_crash_candidates",
         "_crashes",
+        "_deputy",
         "_dispatch",
         "_fleet",
         "_grant_memory",
@@ -105,6 +108,7 @@
         handlers = Handlers()
         subset = PeerSubset(SubsetSettings())
         self._fleet = Fleet(runtime, handlers, (AGENTS,), subset)
+        self._deputy = Deputy(runtime, self._fleet, adapter)
         self._moves = GatewayMoves(runtime, self._fleet, rng)
         self._move_watcher = MoveOrderWatcher(
             runtime, adapter.moves, self._moves.apply_orders
@@ -204,6 +208,11 @@
         """The ``Fleet`` with the agents."""
         return self._fleet
 
+    @property
+    def is_deputy(self):
+        """Whether this gateway does the work of an agent."""
+        return self._deputy.is_running
+
     @property
     def opened_connections(self):
         """Number of connections opened to backend servers so far."""
@@ -220,6 +229,7 @@
         self._stop.begin(self._runtime.now() + grace_s - ENDING_S)
         self._state.is_leaving = True
         self._runtime.start_leaving()
+        self._deputy.leave()
         _log.info("Gateway is leaving; requests in progress go on.")
 
     async def leave(self):
@@ -254,6 +264,7 @@
             group.start_soon(self._quarantine_fallback.run)
             group.start_soon(self._server_watcher.run)
             group.start_soon(self._loop_watch.run)
+            group.start_soon(self._deputy.run)
             group.start_soon(self._fleet.run)
             group.start_soon(self._move_watcher.run)
             group.start_soon(self._moves.run)
--- a/pistachiowell/platform/main.py
+++ b/pistachiowell/platform/main.py
@@ -26,6 +26,7 @@
     moves=moves,
     configuration=configuration,
     servers=servers,
+    make_store=ObjectStore,
     ready_path=headers.READY_PATH,
 )
 
--- a/pistachiowell/store/registration.py
+++ b/pistachiowell/store/registration.py
@@ -19,12 +19,13 @@
 _log = part_logger("registration")
 
 
-def agent_record(runtime, server):
+def agent_record(runtime, server, *, is_deputy=False):
     """Returns the ``AgentRecord`` of this process.
 
     Args:
         runtime: The process's ``Runtime``.
         server: Id of the backend server that runs beside this process.
+        is_deputy: Whether a gateway does an agent's work.
     """
     settings = runtime.settings
     return AgentRecord(
@@ -34,6 +35,7 @@
         host=settings.host,
         port=settings.advertised_port or settings.port,
         server=server,
+        is_deputy=is_deputy,
     )
 
 
