--- a/pistachiowell/admission/overload.py
+++ b/pistachiowell/admission/overload.py
@@ -31,6 +31,8 @@
         refused_per_late_s: Share of the requests refused for each second of lateness
             above the target.
         refused_per_late_s2: The same for each second that it lasts.
+        min_lasting: Share that lasting lateness has to reach before anything is
+            refused, so that a short burst is served late rather than refused.
         max_refused: Largest share of the requests that is refused.
         rate_window_s: Time constant of the rates of requests in seconds.
         adjust_interval_s: Seconds between two changes of the share.
@@ -40,11 +42,12 @@
     """
 
     policy: str = "fair_share"
-    target_s: float = 0.0035
+    target_s: float = 0.004
     ticks: int = 2
     lateness_window_s: float = 0.05
     refused_per_late_s: float = 30.0
     refused_per_late_s2: float = 30.0
+    min_lasting: float = 0.1
     max_refused: float = 0.95
     rate_window_s: float = 2.0
     adjust_interval_s: float = 0.05
@@ -222,7 +225,9 @@
             self._lasting_share + settings.refused_per_late_s2 * error_s * passed_s
         )
         self._lasting_share = min(settings.max_refused, max(0.0, lasting))
-        share = self._lasting_share + settings.refused_per_late_s * error_s
+        share = 0.0
+        if self._lasting_share > settings.min_lasting:
+            share = self._lasting_share + settings.refused_per_late_s * error_s
         self._refused_share = min(settings.max_refused, max(0.0, share))
         rates = {name: state.rate.per_s(now) for name, state in self._accounts.items()}
         self._share_out(rates)
--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -17,7 +17,7 @@
 )
 
 FETCH_DELAY_S = 0.25
-LOAD_INTERVAL_S = 0.05
+LOAD_INTERVAL_S = 0.1
 # Finds a change of the agents while the loads stay as they are.
 LOAD_CHECK_INTERVAL_S = 0.5
 # A gateway relies on agents for its configuration only if at least this many follow the
--- a/pistachiowell/membership/deputies.py
+++ b/pistachiowell/membership/deputies.py
@@ -23,7 +23,7 @@
         return_s: Seconds with an agent after which deputies end.
     """
 
-    wanted: int = 3
+    wanted: int = 5
     patience_s: float = 3.0
     step_s: float = 2.0
     return_s: float = 5.0
--- a/pistachiowell/schema/validate.py
+++ b/pistachiowell/schema/validate.py
@@ -9,6 +9,8 @@
 import yaml
 
 _SCHEMA_DIR = Path(__file__).parent
+# The parser in C is there only if PyYAML was built with libyaml.
+_SCHEMA_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
 def _is_integer(checker, value):
@@ -41,7 +43,7 @@
         The schema as a mapping.
     """
     text = (_SCHEMA_DIR / f"{name}.yaml").read_text(encoding="utf-8")
-    return yaml.safe_load(text)
+    return yaml.load(text, _SCHEMA_LOADER)
 
 
 @functools.cache
