Refill the accounts of a budget page by one write

Callers: nothing directly; calls to the store are priced. A page whose ten accounts are in use was written at nearly each check, twice a second, as each account got low at a moment of its own. A write that is due now refills the other accounts of its page too, below nine tenths of their target.

--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -17,6 +17,9 @@
 from pistachiowell.core.ids import new_id
 
 REFILL_BELOW_TARGET_SHARE = 0.5
+# Applies to the other accounts of a page that is written anyway, so that its accounts
+# are refilled by one write and not by one each.
+REFILL_TOGETHER_BELOW_TARGET_SHARE = 0.9
 RETURN_ABOVE_TARGETS = 4.0
 RECALL_HOLD_S = 2.0
 
@@ -216,10 +219,9 @@
             return restored + self._plan_use_records(number)
         changes, may_grow = [], not self.is_settling(number, now)
         for account in sorted(self._by_page[number]):
-            ledger = self._ledgers[account]
-            changes += self._plan_reductions(account, ledger)
-            if may_grow:
-                changes += self._plan_growth(account, ledger, now)
+            changes += self._plan_reductions(account, self._ledgers[account])
+        if may_grow:
+            changes += self._plan_growth(number, now)
         if changes and may_grow:
             changes.insert(0, MarkEra(self._restoration.era))
         if changes:
@@ -431,19 +433,27 @@
             for grant_id, grant in self._ledgers[account].grants.items()
         ]
 
-    def _plan_growth(self, account, ledger, now):
-        demand = ledger.demand(now)
+    def _plan_growth(self, number, now):
+        ledgers = {name: self._ledgers[name] for name in sorted(self._by_page[number])}
+        if not any(
+            _needs_growth(ledger, REFILL_BELOW_TARGET_SHARE, now)
+            for ledger in ledgers.values()
+        ):
+            return []
+        return [
+            self._plan_fund(account, ledger, now)
+            for account, ledger in ledgers.items()
+            if _needs_growth(ledger, REFILL_TOGETHER_BELOW_TARGET_SHARE, now)
+        ]
+
+    def _plan_fund(self, account, ledger, now):
         policy = self._policy
         if now - self._recalled_at.get(account, -RECALL_HOLD_S) < RECALL_HOLD_S:
             policy = "exact"
-        low = demand.available_tokens < REFILL_BELOW_TARGET_SHARE * demand.target_tokens
-        renewing = any(g.renewing and not g.draining for g in ledger.grants.values())
-        if not (demand.need_tokens or low or renewing):
-            return []
         grant_id, known = self._growing_grant(account, ledger)
         demand = ledger.demand_of(grant_id, now)
         version = self._versions.get(self.page_of(account), 0)
-        fund = FundGrant(
+        return FundGrant(
             account,
             grant_id,
             self._incarnation,
@@ -452,7 +462,6 @@
             demand,
             policy,
         )
-        return [fund]
 
     def _growing_grant(self, account, ledger):
         for grant_id, grant in ledger.grants.items():
@@ -462,10 +471,19 @@
         return grant_id, 0
 
 
-def _needs_change(ledger, now):
+def _is_low(demand, share):
+    return demand.available_tokens < share * demand.target_tokens
+
+
+def _needs_growth(ledger, share, now):
     demand = ledger.demand(now)
-    low = demand.available_tokens < REFILL_BELOW_TARGET_SHARE * demand.target_tokens
-    return low or any(
+    if demand.need_tokens or _is_low(demand, share):
+        return True
+    return any(g.renewing and not g.draining for g in ledger.grants.values())
+
+
+def _needs_change(ledger, now):
+    return _is_low(ledger.demand(now), REFILL_BELOW_TARGET_SHARE) or any(
         grant.ceiling is not None or grant.renewing or grant.draining
         for grant in ledger.grants.values()
     )
