Check the watch of the servers by what agents have read, and let it wait for long

Each gateway watched the servers with waits of 2.5 s, as a watch that has gone silent shows only when its wait is over, and listed the gateways every 15 s; agents that no gateway is linked to followed the configuration for nobody.

Change: agents read the servers too while gateways are linked to them, and report a digest of what they have read and the number of their links. Agents without links follow nothing.

--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -10,12 +10,17 @@
 from pistachiowell.core.signals import wait_for_signal
 from pistachiowell.gateway.budget_owner import BudgetOwner
 from pistachiowell.gateway.limit_owner import LimitOwner
+from pistachiowell.gateway.linked_watch import LinkedWatches
 from pistachiowell.gateway.load_reports import LoadReporter
 from pistachiowell.gateway.move_judge import MoveJudge
 from pistachiowell.gateway.silence_probes import SilenceProbes
 from pistachiowell.gateway.state import GatewayState
 from pistachiowell.gateway.store_returns import StoreReturns
-from pistachiowell.gateway.watchers import CatalogWatcher, MoveOrderWatcher
+from pistachiowell.gateway.watchers import (
+    CatalogWatcher,
+    MoveOrderWatcher,
+    ServerWatcher,
+)
 from pistachiowell.router.crash_candidates import CrashCandidates
 from pistachiowell.routing import SHARED_SERVER_CRASHES
 from pistachiowell.schema.generated.messages_gateway import (
@@ -46,8 +51,8 @@
     Args:
         settings: ``GatewayAgentSettings``.
         store: The platform's store.
-        adapter: Object with the codecs ``configuration`` and ``moves``; see
-            ``pistachiowell.platform.main``.
+        adapter: Object with the codecs ``configuration``, ``servers`` and ``moves``;
+            see ``pistachiowell.platform.main``.
         is_deputy: Whether it runs in a gateway, in place of an agent.
     """
 
@@ -66,6 +71,7 @@
         "_runtime",
         "_silence_probes",
         "_state",
+        "_watches",
     )
 
     def __init__(self, settings, store, adapter, *, is_deputy=False):
@@ -86,8 +92,14 @@
             runtime, adapter.moves, self._move_judge.apply_orders
         )
         self._handlers.on(FetchCatalog, quick=True)(self._handle_fetch)
+        server_watcher = ServerWatcher(runtime, state, adapter.servers)
         self._load_reporter = LoadReporter(
-            runtime, state, self._catalog_watcher, self._handlers
+            runtime, state, self._catalog_watcher, server_watcher, self._handlers
+        )
+        self._watches = LinkedWatches(
+            (self._catalog_watcher, server_watcher, self._move_watcher),
+            self._links,
+            runtime.now,
         )
         self._links.add_link_listener(self._load_reporter.add_link)
         self._crash_candidates = CrashCandidates(
@@ -120,9 +132,8 @@
         """
         async with anyio.create_task_group() as group:
             await group.start(self._serve_gateways)
-            group.start_soon(self._catalog_watcher.run)
+            group.start_soon(self._watches.run)
             group.start_soon(self._budget_owner.run)
-            group.start_soon(self._move_watcher.run)
             group.start_soon(self._move_judge.run)
             group.start_soon(self._load_reporter.run)
             group.start_soon(self._crash_candidates.run_merging)
--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -39,12 +39,17 @@
         handlers: Handlers of the links to agents; this registers its own.
         selection: The ``Selection``; records the loads that agents report and returns
             this gateway's own.
+
+    Attributes:
+        on_servers_digest: Function of an agent's name and the digest of the servers
+            that it reports.
     """
 
     __slots__ = (
         "_catalog_watcher",
         "_fleet",
         "_follows_store",
+        "_gateways",
         "_load_changed",
         "_newer_link",
         "_runtime",
@@ -53,6 +58,7 @@
         "_state",
         "_summing_agents",
         "_wake",
+        "on_servers_digest",
     )
 
     def __init__(self, runtime, fleet, state, catalog_watcher, handlers, selection):
@@ -62,6 +68,8 @@
         self._catalog_watcher = catalog_watcher
         self._selection = selection
         self._follows_store = {}
+        self._gateways = {}
+        self.on_servers_digest = lambda agent, digest: None
         self._newer_link = None
         self._wake = anyio.Event()
         self._load_changed = anyio.Event()
@@ -74,7 +82,10 @@
         peer = self._fleet.record_heartbeat(link, leaving=message.leaving)
         if peer is None:
             return
-        self._follows_store[peer.record.id] = message.follows_store
+        name = peer.record.id
+        self._follows_store[name] = message.follows_store
+        self._gateways[name] = message.gateways
+        self.on_servers_digest(name, message.servers_digest)
         self._selection.record_loads(message.loads)
         current = self._state.catalog
         if message.catalog_revision > (current.revision if current else 0):
@@ -93,6 +104,12 @@
     def _record_load_change(self):
         self._load_changed.set()
 
+    @property
+    def gateways(self):
+        """Largest number of gateways that a usable agent has links to."""
+        usable = [name for name, peer in self._fleet.agents.items() if peer.usable]
+        return max((self._gateways.get(name, 0) for name in usable), default=0)
+
     async def send_loads(self):
         """Sends agents the loads of this gateway until cancelled.
 
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -22,6 +22,7 @@
 from pistachiowell.gateway.planned_stop import ENDING_S, PlannedStop
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
+from pistachiowell.gateway.server_feed import ServerFeed
 from pistachiowell.gateway.server_limits import ServerLimits
 from pistachiowell.gateway.silence import SilenceMonitor
 from pistachiowell.gateway.spending import GatewaySpending
@@ -48,6 +49,8 @@
 
 MAX_HEADER_BYTES = 65_536
 ROUTER_LIST_INTERVAL_S = 15.0
+CHECKED_LIST_INTERVAL_S = 120.0
+ROUTER_COUNT_INTERVAL_S = 5.0
 # Gateways are registered as routers and share the fleet's fixed number of retries.
 # Assuming too few of them would give each one too large a share, for example before the
 # first list.
@@ -90,6 +93,7 @@
         "_router_count",
         "_runtime",
         "_selection",
+        "_server_feed",
         "_server_watcher",
         "_silence",
         "_spending",
@@ -146,6 +150,14 @@
             handlers,
             selection,
         )
+        self._server_feed = ServerFeed(
+            self._server_watcher,
+            state.servers,
+            self._fleet,
+            self._agent_reports.has_enough_agents,
+            runtime.now,
+        )
+        self._agent_reports.on_servers_digest = self._server_feed.check.record
         self._catalog_fallback = StoreFallback(
             self._catalog_watcher, self._agent_reports.has_enough_agents, runtime.now
         )
@@ -262,7 +274,7 @@
             group.start_soon(self._crash_candidates.run)
             group.start_soon(self._crashes.run)
             group.start_soon(self._quarantine_fallback.run)
-            group.start_soon(self._server_watcher.run)
+            group.start_soon(self._server_feed.run)
             group.start_soon(self._loop_watch.run)
             group.start_soon(self._deputy.run)
             group.start_soon(self._fleet.run)
@@ -297,13 +309,24 @@
         await keep_registered(self._runtime.store, ROUTERS, self._record())
 
     async def _count_routers(self):
+        listed_at = float("-inf")
+        listed = MIN_ROUTERS
         while True:
-            try:
-                entries, _ = await self._runtime.store.list(ROUTERS)
-                self._router_count = max(MIN_ROUTERS, len(entries))
-            except STORE_ERRORS as error:
-                _log.debug("Listing the routers failed; keeping their count: {}", error)
-            await anyio.sleep(ROUTER_LIST_INTERVAL_S)
+            now = self._runtime.now()
+            has_agents = self._agent_reports.has_enough_agents()
+            interval_s = (
+                CHECKED_LIST_INTERVAL_S if has_agents else ROUTER_LIST_INTERVAL_S
+            )
+            if now - listed_at >= interval_s:
+                listed_at = now
+                try:
+                    listed = len((await self._runtime.store.list(ROUTERS))[0])
+                except STORE_ERRORS as error:
+                    _log.debug("Listing the routers failed; keeping them: {}", error)
+            # Agents see those that have come since.
+            linked = self._agent_reports.gateways
+            self._router_count = max(MIN_ROUTERS, listed, linked)
+            await anyio.sleep(ROUTER_COUNT_INTERVAL_S)
 
     def _apply_limits(self, catalog):
         """Applies the idle timeout to all connections, including idle ones.
--- a/pistachiowell/gateway/load_reports.py
+++ b/pistachiowell/gateway/load_reports.py
@@ -48,6 +48,7 @@
         runtime: The process's ``Runtime``.
         state: The ``GatewayState``; its catalog's revision is reported too.
         catalog_watcher: The ``CatalogWatcher``.
+        server_watcher: The ``ServerWatcher``.
         handlers: Handlers of the links to gateways; this registers its own.
     """
 
@@ -57,11 +58,12 @@
         "_last_reports",
         "_pacer",
         "_runtime",
+        "_server_watcher",
         "_state",
         "_sums",
     )
 
-    def __init__(self, runtime, state, catalog_watcher, handlers):
+    def __init__(self, runtime, state, catalog_watcher, server_watcher, handlers):
         self._runtime = runtime
         self._state = state
         self._catalog_watcher = catalog_watcher
@@ -70,7 +72,9 @@
         self._sums = {}
         self._last_reports = {}
         self._changed = anyio.Event()
+        self._server_watcher = server_watcher
         catalog_watcher.on_change = lambda catalog: self._changed.set()
+        server_watcher.on_change = lambda: self._changed.set()
         handlers.on(GatewayLoad)(self._handle_load)
 
     def add_link(self, link):
@@ -119,6 +123,8 @@
             ],
             catalog_revision=catalog.revision if catalog else 0,
             follows_store=self._catalog_watcher.follows_store,
+            servers_digest=self._server_watcher.digest,
+            gateways=len(self._last_reports),
             leaving=self._runtime.leaving,
         )
 
--- a/pistachiowell/gateway/tests/test_load_reports.py
+++ b/pistachiowell/gateway/tests/test_load_reports.py
@@ -48,8 +48,10 @@
     """Returns a reporter with links to many gateways."""
     settings = SimpleNamespace(report_interval_s=0.1)
     runtime = SimpleNamespace(settings=settings, now=anyio.current_time, leaving=False)
-    watcher = SimpleNamespace(on_change=None, follows_store=True)
-    return LoadReporter(runtime, SimpleNamespace(catalog=None), watcher, handlers)
+    catalogs = SimpleNamespace(on_change=None, follows_store=True)
+    servers = SimpleNamespace(on_change=None, digest=7)
+    state = SimpleNamespace(catalog=None)
+    return LoadReporter(runtime, state, catalogs, servers, handlers)
 
 
 async def run_for(reporter, seconds):
--- a/pistachiowell/gateway/watchers.py
+++ b/pistachiowell/gateway/watchers.py
@@ -1,6 +1,7 @@
 """Watchers of the configuration, the servers and the move orders in the store."""
 
 from pistachiowell.core.errors import RowInvalid
+from pistachiowell.core.ids import stable_hash
 from pistachiowell.core.logs import part_logger
 from pistachiowell.store.follow import FollowObserver, follow_collection
 
@@ -10,6 +11,16 @@
 _log = part_logger("feeds")
 
 
+def content_digest(objects):
+    """Returns a digest of the names and versions of objects, alike in all processes.
+
+    Args:
+        objects: Mapping from names to ``Entry`` or ``Change``.
+    """
+    parts = [f"{name}:{item.version}" for name, item in sorted(objects.items())]
+    return stable_hash(*parts) >> 1
+
+
 class CatalogWatcher:
     """Keeps the configuration with the highest revision in force.
 
@@ -98,29 +109,54 @@
         runtime: The process's ``Runtime``.
         state: The ``GatewayState``.
         codec: The decoder; see ``pistachiowell.platform.servers``.
+
+    Attributes:
+        on_change: Function that is called after each change of the digest.
     """
 
-    __slots__ = ("_codec", "_decoded", "_runtime", "_state")
+    __slots__ = (
+        "_codec",
+        "_decoded",
+        "_digest",
+        "_observer",
+        "_runtime",
+        "_state",
+        "on_change",
+    )
 
     def __init__(self, runtime, state, codec):
         self._runtime = runtime
         self._state = state
         self._codec = codec
         self._decoded = {}
+        self._digest = 0
+        self._observer = _Observer(runtime, codec.COLLECTION, self._record_outage_end)
+        self.on_change = lambda: None
 
-    async def run(self):
-        """Follows the store until cancelled."""
-        registry = self._state.servers
-        observer = _Observer(
-            self._runtime,
-            self._codec.COLLECTION,
-            lambda: registry.record_outage_end(self._runtime.now()),
-        )
+    @property
+    def digest(self):
+        """Digest of the registrations as last read; 0 without a connection."""
+        return self._digest if self._observer.is_connected else 0
+
+    def _record_outage_end(self):
+        self._state.servers.record_outage_end(self._runtime.now())
+
+    def mark_stopped(self):
+        """Records that the store is no longer followed."""
+        self._observer.is_connected = False
+
+    async def run(self, wait_s=None):
+        """Follows the store until cancelled.
+
+        Args:
+            wait_s: See ``Store.watch``.
+        """
         async for objects in follow_collection(
             self._runtime.store,
             self._codec.COLLECTION,
-            observer=observer,
+            observer=self._observer,
             max_delay_s=MAX_RETRY_DELAY_S,
+            wait_s=wait_s,
         ):
             self._apply(objects)
 
@@ -135,6 +171,8 @@
         self._log_changes(servers)
         self._state.servers.replace(servers, self._runtime.now())
         self._state.has_servers = True
+        self._digest = content_digest(objects)
+        self.on_change()
 
     def _decode(self, name, item):
         known = self._decoded.get(name)
@@ -178,6 +216,9 @@
         self._codec = codec
         self._apply_orders = apply_orders
 
+    def mark_stopped(self):
+        """Records nothing: orders are kept until others are read."""
+
     async def run(self):
         """Follows the store until cancelled."""
         collection = self._codec.COLLECTION
--- a/pistachiowell/platform/objects.py
+++ b/pistachiowell/platform/objects.py
@@ -203,7 +203,7 @@
             after = page.items[-1].metadata.name
         raise StoreUnavailable(f"The list of {collection} has too many pages.")
 
-    async def watch(self, collection, after_version):
+    async def watch(self, collection, after_version, wait_s=None):
         """Yields each ``Change`` after a version; see ``Store.watch``.
 
         Also yields None after each answer of the store, which confirms that all changes
@@ -211,6 +211,8 @@
         """
         version = after_version
         wait_ms = _COLLECTION_WATCH_WAITS_MS.get(collection, WATCH_WAIT_MS)
+        if wait_s is not None:
+            wait_ms = int(wait_s * 1000)
         timeout_s = wait_ms / 1000 + WATCH_GRACE_S
         coalesce_delay_s = _COLLECTION_COALESCE_DELAYS_S.get(
             collection, COALESCE_DELAY_S
--- a/pistachiowell/store/follow.py
+++ b/pistachiowell/store/follow.py
@@ -45,7 +45,7 @@
 
 
 async def follow_collection(
-    store, collection, *, observer=None, max_delay_s=MAX_RETRY_DELAY_S
+    store, collection, *, observer=None, max_delay_s=MAX_RETRY_DELAY_S, wait_s=None
 ):
     """Yields the content of a collection each time it changes.
 
@@ -59,6 +59,7 @@
         collection: Name of the collection.
         observer: A ``FollowObserver``, or None.
         max_delay_s: Longest delay between attempts in seconds.
+        wait_s: See ``Store.watch``.
 
     Yields:
         A mapping from object names to ``Entry`` or ``Change``. Until the next list, the
@@ -80,7 +81,7 @@
             observer.on_confirmed()
             objects = {entry.name: entry for entry in entries}
             yield objects
-            async for change in store.watch(collection, version):
+            async for change in store.watch(collection, version, wait_s):
                 delay_s = RETRY_DELAY_S
                 observer.on_confirmed()
                 if change is None:
--- a/pistachiowell/store/http.py
+++ b/pistachiowell/store/http.py
@@ -101,7 +101,7 @@
         entries = [_entry(collection, item) for item in answer.items]
         return entries, _checked_version(answer.metadata)
 
-    async def watch(self, collection, after_version):
+    async def watch(self, collection, after_version, wait_s=None):
         """Yields each ``Change`` after a version; see ``Store.watch``.
 
         The store ends each watch after ``WATCH_TIMEOUT_S``, and another one continues
@@ -109,6 +109,7 @@
         ``MIN_WATCH_S`` is treated as failed, so that the loop does not flood it with
         requests.
         """
+        del wait_s
         version = after_version
         while True:
             started_at = anyio.current_time()
--- a/pistachiowell/store/memory.py
+++ b/pistachiowell/store/memory.py
@@ -188,8 +188,9 @@
         await self._start_call("delete")
         self._write(self.table.delete, collection, name, expected_version)
 
-    async def watch(self, collection, after_version):
+    async def watch(self, collection, after_version, wait_s=None):
         """Yields each ``Change`` after a version; see ``Store.watch``."""
+        del wait_s
         await self._start_call("watch")
         version = after_version
         while True:
--- a/pistachiowell/store/observed.py
+++ b/pistachiowell/store/observed.py
@@ -58,9 +58,9 @@
         with self._observe_call():
             return await self._store.list(collection)
 
-    def watch(self, collection, after_version):
+    def watch(self, collection, after_version, wait_s=None):
         """See ``Store.watch``; the end of a watch is not recorded as an outage."""
-        return self._store.watch(collection, after_version)
+        return self._store.watch(collection, after_version, wait_s)
 
     async def vms(self):
         """See ``Store.vms``."""
--- a/pistachiowell/store/store.py
+++ b/pistachiowell/store/store.py
@@ -114,9 +114,15 @@
     async def list(self, collection):
         """Returns ``(entries, version)``: all objects and the version of the list."""
 
-    def watch(self, collection, after_version):
+    def watch(self, collection, after_version, wait_s=None):
         """Returns an async iterator of each ``Change`` after a version.
 
+        Args:
+            collection: Name of the collection.
+            after_version: Version of the last list or change.
+            wait_s: Longest time in seconds that one call of an adapter waits for a
+                change; None for the adapter's own.
+
         An adapter may also yield None when the store confirms that there are no further
         changes.
 
--- a/pistachiowell/wire/link_set.py
+++ b/pistachiowell/wire/link_set.py
@@ -18,6 +18,9 @@
         self._links = {}
         self._listeners = []
 
+    def __len__(self):
+        return len(self._links)
+
     def add_link_listener(self, function):
         """Registers a function to call with each new link."""
         self._listeners.append(function)
