--- a/pistachiowell/budgets/tests/test_page_writes.py
+++ b/pistachiowell/budgets/tests/test_page_writes.py
@@ -45,5 +45,5 @@
                 holder.settle(*call)
         if step % CHECK_STEPS == 0 and holder.has_changes(0, now):
             write(now)
-    # One first write for each account; then grants are refilled at half of their horizon.
+    # A first write for each account; then grants are refilled at half their horizon.
     assert version <= accounts + 1.5 * DURATION_S / (HORIZON_S / 2)
