Keep away from servers that say that they leave or want a pause

Callers: a server that leaves says so in its answers (`Server-Leaving`), one that is full names a time in its 503 (`Retry-After`). Nothing here read either: requests went on to servers that had said so, and came back or were cut off.

Change: admission/closures.py remembers both for an incarnation of a server; they pass the gate before each send that limits pass already. Leaving is told two agents, which tell all gateways and each new one. A pause holds for this gateway, to its end; when all servers pause, requests are refused at once with the time at which the first one is open again.

--- a/pistachiowell/admission/__init__.py
+++ b/pistachiowell/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission control: decides which requests a backend server runs, and when."""
 
+from pistachiowell.admission.closures import ClosedBy, Closures
 from pistachiowell.admission.limits import LIMITS
 from pistachiowell.admission.overload import OVERLOAD_POLICIES, OverloadSettings
 from pistachiowell.admission.queue import AdmissionQueue
@@ -18,6 +19,8 @@
     "OVERLOAD_POLICIES",
     "AdmissionQueue",
     "AdmissionSettings",
+    "ClosedBy",
+    "Closures",
     "Incarnation",
     "Observation",
     "Outcome",
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -9,6 +9,7 @@
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.core.signals import wait_for_signal
 from pistachiowell.gateway.budget_owner import BudgetOwner
+from pistachiowell.gateway.leaving_servers import LeavingServers
 from pistachiowell.gateway.limit_owner import LimitOwner
 from pistachiowell.gateway.linked_watch import LinkedWatches
 from pistachiowell.gateway.load_reports import LoadReporter
@@ -110,6 +111,7 @@
             merge_s=CRASH_MERGE_S,
         )
         limits = LimitOwner(runtime, self._links, self._handlers)
+        LeavingServers(self._links, self._handlers)
         self._silence_probes = SilenceProbes(
             runtime, state, self._links, limits, self._handlers
         )
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -80,6 +80,16 @@
         """Whether the head of an answer to this request was read."""
         return self.head is not None and self.head.request_id == self._request.id
 
+    @property
+    def has_trusted_head(self):
+        """Whether the head is from the server that was meant.
+
+        An answer that names no request counts only on a new connection, which can bear
+        no late answer to another one.
+        """
+        is_anonymous = self.head is not None and not self.head.request_id
+        return self.has_own_head or (is_anonymous and not self._connection.was_used)
+
     @property
     def is_framed(self):
         """Whether the answer tells its end, by a length or in chunks.
@@ -186,8 +196,7 @@
 
     def _check_head(self):
         head, server = self.head, self.server
-        is_anonymous = not head.request_id and not self._connection.was_used
-        if head.request_id != self._request.id and (head.ran or not is_anonymous):
+        if not self.has_own_head and (head.ran or not self.has_trusted_head):
             raise AnswerBroken(
                 f"Server {server.id} sent the answer to another request."
             )
--- a/pistachiowell/gateway/messages.py
+++ b/pistachiowell/gateway/messages.py
@@ -127,6 +127,10 @@
         limit_per_s: Requests a second that the server takes from all gateways together;
             None if it names no limit.
         has_unreadable_limit: Whether it names a limit that is no rate.
+        is_leaving: Whether the server says that it leaves.
+        pause_s: Seconds for which the server wants nothing from this gateway; None if
+            it names none.
+        has_unreadable_pause: Whether it names a pause that is no number of seconds.
     """
 
     status: int
@@ -140,6 +144,9 @@
     headers: list
     limit_per_s: float | None = None
     has_unreadable_limit: bool = False
+    is_leaving: bool = False
+    pause_s: float | None = None
+    has_unreadable_pause: bool = False
 
     @property
     def is_success(self):
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -211,8 +211,7 @@
             tried: Ids of the servers of earlier attempts.
             priority: Rank of the attempt; 0 is the most urgent.
         """
-        available = self._servers.available_servers(service_name, self.now())
-        allowed = self._moves.filter_servers(service_name, available)
+        allowed = self._allowed_servers(service_name, self.now())
         servers = self._limits.with_room(allowed, priority)
         names = [server.id for server in servers if server.id not in tried]
         return any(self._silence.is_answering(name) for name in names)
@@ -236,8 +235,7 @@
             NoRoom: The limits of all its servers are reached.
         """
         now = self.now()
-        available = self._servers.available_servers(service_name, now)
-        allowed = self._moves.filter_servers(service_name, available)
+        allowed = self._allowed_servers(service_name, now)
         if not allowed:
             raise NoServer(f"Service {service_name} has no server that accepts work.")
         servers = {s.id: s for s in self._limits.with_room(allowed, priority)}
@@ -259,6 +257,11 @@
         picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
         return Choice(servers[picked.server], work, expected_wait_s)
 
+    def _allowed_servers(self, service_name, now):
+        available = self._servers.available_servers(service_name, now)
+        accepting = self._limits.accepting(available)
+        return self._moves.filter_servers(service_name, accepting)
+
     def may_start(self, service_name, choice):
         """Returns whether the version of a ``Choice`` may still get a request."""
         return self._moves.may_start(service_name, choice.server)
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -1,6 +1,8 @@
 """The gate before each send to a backend server that may have named a rate limit."""
 
 from pistachiowell.admission import (
+    ClosedBy,
+    Closures,
     Incarnation,
     Observation,
     RateLimits,
@@ -15,6 +17,7 @@
     AskRoom,
     LimitObserved,
     RoomReply,
+    ServerLeaving,
 )
 
 ASK_TIMEOUT_S = 0.15
@@ -45,6 +48,7 @@
 
     __slots__ = (
         "_asks_again_at",
+        "_closures",
         "_fleet",
         "_full_until",
         "_limits",
@@ -65,7 +69,9 @@
         self._slots = {}
         self._full_until = {}
         self._asks_again_at = {}
+        self._closures = Closures()
         handlers.on(LimitObserved)(self._handle_limit)
+        handlers.on(ServerLeaving, quick=True)(self._handle_leaving)
         runtime.metrics.watch("servers.limited", lambda: len(self._limits.in_force))
 
     def record_answer(self, server, head, sent_at):
@@ -86,6 +92,42 @@
             message = encode_limit(incarnation, observation, now)
             tell_agents(self._fleet, server.id, message)
 
+    def record_closure(self, server, head):
+        """Records whether a server has said that it leaves or wants a pause.
+
+        Args:
+            server: The ``BackendServer``.
+            head: The ``AnswerHead``.
+        """
+        incarnation, now = _incarnation(server), self._runtime.now()
+        if head.is_leaving and self._closures.leave(incarnation):
+            self._record_closed(server.id, ClosedBy.leaving)
+            message = ServerLeaving(incarnation.server, incarnation.started_ms)
+            tell_agents(self._fleet, server.id, message)
+        if head.pause_s and self._closures.pause(incarnation, head.pause_s, now):
+            self._record_closed(server.id, ClosedBy.pause, seconds=head.pause_s)
+        if head.has_unreadable_pause:
+            self._runtime.metrics.count("servers.unreadable_pauses")
+            _log.info("Ignored a pause that is no number.", server=server.id)
+
+    async def _handle_leaving(self, link, message):
+        del link
+        if self._closures.leave(Incarnation(message.server, message.started_ms)):
+            self._record_closed(message.server, ClosedBy.leaving)
+
+    def _record_closed(self, server_id, reason, seconds=None):
+        self._runtime.metrics.count(f"servers.closed.{reason}")
+        _log.info(
+            "A server takes no requests.",
+            server=server_id,
+            reason=str(reason),
+            seconds=seconds,
+        )
+
+    def accepting(self, servers):
+        """Returns the servers that have not said that they leave."""
+        return [s for s in servers if not self._closures.is_leaving(_incarnation(s))]
+
     def with_room(self, servers, priority):
         """Returns the ``BackendServer`` that may have room for a request."""
         return [s for s in servers if not self.wait_s(s, priority)]
@@ -97,11 +139,13 @@
             server: The ``BackendServer``.
             priority: Rank of the request; 0 is the most urgent.
         """
-        full_until = self._full_until.get(_incarnation(server))
+        now, incarnation = self._runtime.now(), _incarnation(server)
+        pause_s = self._closures.wait_s(incarnation, now)
+        full_until = self._full_until.get(incarnation)
         if full_until is None:
-            return 0.0
+            return pause_s
         untils = [until for rank, until in full_until.items() if rank <= priority]
-        return max(0.0, max(untils, default=0.0) - self._runtime.now())
+        return max(pause_s, max(untils, default=0.0) - now)
 
     def no_room(self, servers, priority):
         """Returns the error of a request for which no server has room."""
--- a/pistachiowell/platform/headers.py
+++ b/pistachiowell/platform/headers.py
@@ -23,6 +23,9 @@
 API_KEY = b"api-key"
 LAST_EVENT_ID = b"last-event-id"
 LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
+DELAY = b"retry-after"
+BUSY_STATUS = 503
 NOT_RUN_STATUS = 421
 
 # Priority that a server assumes for requests without one; a lower number goes first.
@@ -128,6 +131,8 @@
     length = values.get(b"content-length")
     named = [value for name, value in headers if name.lower() == LIMIT]
     limits = [float(value) for value in named if _DECIMAL.fullmatch(value.strip())]
+    delays = [v for n, v in headers if status == BUSY_STATUS and n.lower() == DELAY]
+    pauses = [float(value) for value in delays if _DECIMAL.fullmatch(value.strip())]
     return AnswerHead(
         status=status,
         request_id=_text(values, REQUEST_ID),
@@ -140,6 +145,9 @@
         headers=[(n.lower(), v) for n, v in headers if n.lower() not in dropped],
         limit_per_s=min(limits, default=None),
         has_unreadable_limit=bool(named) and not limits,
+        is_leaving=values.get(LEAVING, b"").strip() == b"1",
+        pause_s=max(pauses, default=None),
+        has_unreadable_pause=bool(delays) and not pauses,
     )
 
 
