--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -176,6 +176,13 @@
             taken = self.store.take_copy()
             await anyio.sleep(fault.duration_s)
             self.store.return_from_copy(taken)
+        elif fault.kind == "loss":
+            agents = [name for name, role in self._roles.items() if role == "agent"]
+            for name in agents:
+                await self._terminate(name, signal.SIGKILL)
+            await anyio.sleep(fault.duration_s)
+            for name in agents:
+                self._start_if_exited(name)
         elif fault.kind == "link":
             relay = self._relays[fault.target]
             relay.set_state(LINK_STATES[fault.mode])
@@ -191,8 +198,11 @@
                 fault.target, signal.SIGKILL if is_kill else signal.SIGTERM
             )
             await anyio.sleep(RESTART_DELAY_S)
-            if self._processes[fault.target].poll() is not None:
-                self._start_process(fault.target)
+            self._start_if_exited(fault.target)
+
+    def _start_if_exited(self, name):
+        if self._processes[name].poll() is not None:
+            self._start_process(name)
 
     async def _terminate(self, name, signal_number):
         # A process that another fault has paused could not handle SIGTERM.
--- a/pistachiowell/soak/plan.py
+++ b/pistachiowell/soak/plan.py
@@ -4,6 +4,8 @@
 from random import Random
 
 MAX_FAULT_S = 2.5
+# Gateways do the work of agents once there are none for some seconds.
+MAX_LOSS_S = 7.0
 # No fault starts this long before the end of the load, so that the load ends
 # without faults.
 NO_NEW_FAULT_S = 4.0
@@ -20,8 +22,9 @@
     Attributes:
         start_s: Seconds from the start of the load.
         kind: ``kill`` (SIGKILL, then a new start), ``pause`` (SIGSTOP), ``restart``
-            (SIGTERM, then a new start), ``store``, ``link`` or ``return`` (the store
-            returns from a copy that is taken now).
+            (SIGTERM, then a new start), ``loss`` (all agents are killed and start
+            again later), ``store``, ``link`` or ``return`` (the store returns from a
+            copy that is taken now).
         target: Name of the process or link; empty for the store.
         duration_s: Duration in seconds, or the age of the copy; of no effect for
             ``kill`` and ``restart``.
@@ -35,7 +38,7 @@
     mode: str = ""
 
 
-def draw_faults(seed, length_s, processes, links=()):
+def draw_faults(seed, length_s, processes, links=(), *, has_agents=False):
     """Draws the faults of a soak at random.
 
     Up to three faults start at the same time, and faults may overlap.
@@ -45,6 +48,7 @@
         length_s: Duration of the load in seconds.
         processes: Names of the processes.
         links: Names of the links.
+        has_agents: Whether there are agents, which may be lost together.
 
     Returns:
         List of ``Fault``, by the time at which they were drawn.
@@ -56,12 +60,14 @@
     rng = Random(seed)
     targets = dict.fromkeys(("kill", "pause", "restart"), processes)
     targets |= {"store": ("",), "link": links, "return": ("",)}
+    targets["loss"] = ("",) if has_agents else ()
     kinds = [kind for kind, names in targets.items() if names]
     faults, start_s = [], 0.5
     while start_s < length_s - NO_NEW_FAULT_S:
         for _ in range(rng.choice((1, 1, 2, 3))):
             kind = rng.choice(kinds)
-            duration_s = rng.uniform(0.2, MAX_FAULT_S)
+            longest_s = MAX_LOSS_S if kind == "loss" else MAX_FAULT_S
+            duration_s = rng.uniform(0.2, longest_s)
             mode = rng.choice(FAULT_MODES.get(kind, ("",)))
             target = rng.choice(targets[kind])
             faults.append(Fault(start_s, kind, target, duration_s, mode))
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -42,7 +42,13 @@
         fleet = Fleet(group, directory, free_port)
         try:
             await _start_fleet(fleet, oracle)
-            faults = draw_faults(seed, length_s, fleet.process_names, fleet.link_names)
+            faults = draw_faults(
+                seed,
+                length_s,
+                fleet.process_names,
+                fleet.link_names,
+                has_agents=True,
+            )
             async with anyio.create_task_group() as load:
                 load.start_soon(_send_load, fleet, oracle, Random(seed), length_s)
                 for fault in faults:
