Keep a gateway that cannot do an agent's work

Found on reading: an error in the agent's part of a gateway, such as a taken port, ended the whole process, as the task group passed it on. It is logged and tried again after 2 s. test_deputy_whose_port_is_taken_does_not_end_its_gateway failed before.

--- a/pistachiowell/gateway/deputy.py
+++ b/pistachiowell/gateway/deputy.py
@@ -12,6 +12,7 @@
 CHECK_INTERVAL_S = 0.25
 LIST_INTERVAL_S = 1.0
 CLOSE_TIMEOUT_S = 0.5
+RETRY_DELAY_S = 2.0
 
 _log = part_logger("deputy")
 
@@ -106,8 +107,10 @@
             agent = GatewayAgent(settings, store, self._adapter, is_deputy=True)
             await agent.run(stop.wait)
             _log.info("This gateway no longer does the work of an agent.")
-        except OSError as error:
-            _log.error("The part of an agent failed.", error=str(error))
+        except Exception:
+            # Requests of this gateway must go on, such as those without a budget.
+            _log.exception("The part of an agent failed; it is tried again.")
+            await anyio.sleep(RETRY_DELAY_S)
         finally:
             self._stop = None
             with (
--- a/pistachiowell/platform/tests/test_without_agents.py
+++ b/pistachiowell/platform/tests/test_without_agents.py
@@ -10,7 +10,7 @@
 import anyio
 import pytest
 
-from pistachiowell.gateway import deputy
+from pistachiowell.gateway import agent, deputy
 from pistachiowell.membership import DeputySettings
 from pistachiowell.platform.standins import event, stream_events
 from pistachiowell.platform.tests.conftest import configuration
@@ -99,3 +99,20 @@
     answered = sum(len(s.requests) for s in rig.servers.values())
     assert served
     assert answered * TOKENS <= PREPAID
+
+
+async def test_deputy_whose_port_is_taken_does_not_end_its_gateway(
+    start_rig, monkeypatch
+):
+    settings = DeputySettings(patience_s=0.1)
+    monkeypatch.setattr(deputy, "DeputySettings", lambda: settings)
+
+    async def fail(*args, **options):
+        raise OSError("The port is in use.")
+
+    monkeypatch.setattr(agent, "serve", fail)
+    async with start_rig() as rig:
+        await rig.add_server("desk-1", "desk")
+        await rig.add_gateway()
+        await anyio.sleep(1.0)
+        assert (await rig.send("/read/a"))[0] == 200
