Judge overload by the time that the loop takes for a request, not by late timers

Cause: the lateness of timers grows with the longest single callback, which on a slow VM is long without any overload.

Change: the watch of the loop estimates the time for the turns of a request by three turns at each tick (transit time), and the controller keeps that.

--- a/pistachiowell/admission/overload.py
+++ b/pistachiowell/admission/overload.py
@@ -4,20 +4,22 @@
 there can handle, while others send as usual. Whatever is begun delays all that is in
 progress, until each request ends too late.
 
-The sign of overload is the lateness of the event loop: each request in progress adds
-its step to each round of the loop, so the lateness grows as long as more is begun than
-is completed. A controller refuses the share of the requests that keeps it at its
-target, at once, so that they may be sent elsewhere.
+The sign of overload is the transit time: how long the event loop takes for so many
+turns as a request needs. Each request in progress adds its step to each turn, so the
+time grows as long as more is begun than is completed. A controller refuses the share of
+the requests that keeps it at its target, at once, so that they may be sent elsewhere.
 """
 
 import math
-from collections import deque
 from dataclasses import dataclass
 
 from pistachiowell.core.registry import Registry
 
 OVERLOAD_POLICIES = Registry("overload policy")
 
+# Longest time between two transit times that counts as such.
+MAX_STEP_S = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class OverloadSettings:
@@ -25,32 +27,28 @@
 
     Attributes:
         policy: Name of the policy in ``OVERLOAD_POLICIES``.
-        target_s: Mean lateness in seconds that is kept while requests are refused.
-        ticks: Number of ticks in a row that have to be late.
-        lateness_window_s: Time constant of that mean in seconds.
-        refused_per_late_s: Share of the requests refused for each second of lateness
+        target_s: Transit time in seconds that is kept while requests are refused.
+        transit_window_s: Time constant of its mean in seconds.
+        refused_per_s: Share of the requests refused for each second of transit time
             above the target.
-        refused_per_late_s2: The same for each second that it lasts.
-        min_lasting: Share that lasting lateness has to reach before anything is
+        refused_per_s2: The same for each second that it lasts.
+        min_lasting: Share that a lasting excess has to reach before anything is
             refused, so that a short burst is served late rather than refused.
         max_refused: Largest share of the requests that is refused.
         rate_window_s: Time constant of the rates of requests in seconds.
-        adjust_interval_s: Seconds between two changes of the share.
         min_retry_after_s: Shortest delay told with a refusal in seconds.
         max_retry_after_s: Longest such delay in seconds.
         max_accounts: Number of accounts above which idle ones are forgotten.
     """
 
     policy: str = "fair_share"
-    target_s: float = 0.004
-    ticks: int = 2
-    lateness_window_s: float = 0.05
-    refused_per_late_s: float = 30.0
-    refused_per_late_s2: float = 30.0
+    target_s: float = 0.13
+    transit_window_s: float = 0.05
+    refused_per_s: float = 2.0
+    refused_per_s2: float = 5.0
     min_lasting: float = 0.1
     max_refused: float = 0.95
     rate_window_s: float = 2.0
-    adjust_interval_s: float = 0.05
     min_retry_after_s: float = 0.25
     max_retry_after_s: float = 2.0
     max_accounts: int = 4_096
@@ -108,8 +106,8 @@
         """Share of the requests that is refused at present."""
         return 0.0
 
-    def record_lateness(self, late_s, now):
-        """Records how late the event loop runs at a time in seconds."""
+    def record_transit(self, transit_s, now):
+        """Records a transit time; both arguments are in seconds."""
 
     def wait_s(self, account, now):
         """Decides on a request that has just come.
@@ -143,7 +141,7 @@
 
 @OVERLOAD_POLICIES.add("fair_share")
 class FairShareOverload(OverloadPolicy):
-    """Refuses a share that follows the lateness, of the accounts that send most.
+    """Refuses a share that follows the transit time, of the accounts that send most.
 
     A proportional and integral controller sets the share. All accounts get the same
     rate at most, so that one that sends many times its usual takes nothing from the
@@ -162,21 +160,17 @@
 
     __slots__ = (
         "_accounts",
-        "_adjusted_at",
-        "_late_s",
         "_lasting_share",
         "_recorded_at",
         "_refused_share",
-        "_ticks",
+        "_transit_s",
     )
 
     def __init__(self, settings):
         super().__init__(settings)
-        self._ticks = deque([0.0] * settings.ticks, maxlen=settings.ticks)
         self._accounts = {}
-        self._late_s = 0.0
+        self._transit_s = 0.0
         self._recorded_at = 0.0
-        self._adjusted_at = 0.0
         self._lasting_share = 0.0
         self._refused_share = 0.0
 
@@ -185,18 +179,13 @@
         """Share of the requests that is refused at present."""
         return self._refused_share
 
-    def record_lateness(self, late_s, now):
-        """Records the lateness and adjusts the share; see ``OverloadPolicy``."""
-        passed_s = max(0.0, now - self._recorded_at)
+    def record_transit(self, transit_s, now):
+        """Records a transit time and adjusts the share; see ``OverloadPolicy``."""
+        passed_s = min(MAX_STEP_S, max(0.0, now - self._recorded_at))
         self._recorded_at = now
-        gain = min(1.0, passed_s / self._settings.lateness_window_s)
-        # One long callback makes one tick late, overload makes all late.
-        self._ticks.append(late_s)
-        self._late_s += gain * (min(self._ticks) - self._late_s)
-        since_s = now - self._adjusted_at
-        if since_s >= self._settings.adjust_interval_s:
-            self._adjusted_at = now
-            self._adjust(now, min(since_s, 2 * self._settings.adjust_interval_s))
+        gain = min(1.0, passed_s / self._settings.transit_window_s)
+        self._transit_s += gain * (transit_s - self._transit_s)
+        self._adjust(now, passed_s)
 
     def wait_s(self, account, now):
         """Decides on a request that has just come; see ``OverloadPolicy``."""
@@ -220,14 +209,12 @@
 
     def _adjust(self, now, passed_s):
         settings = self._settings
-        error_s = self._late_s - settings.target_s
-        lasting = (
-            self._lasting_share + settings.refused_per_late_s2 * error_s * passed_s
-        )
+        excess_s = self._transit_s - settings.target_s
+        lasting = self._lasting_share + settings.refused_per_s2 * excess_s * passed_s
         self._lasting_share = min(settings.max_refused, max(0.0, lasting))
         share = 0.0
         if self._lasting_share > settings.min_lasting:
-            share = self._lasting_share + settings.refused_per_late_s * error_s
+            share = self._lasting_share + settings.refused_per_s * excess_s
         self._refused_share = min(settings.max_refused, max(0.0, share))
         rates = {name: state.rate.per_s(now) for name, state in self._accounts.items()}
         self._share_out(rates)
--- a/pistachiowell/admission/tests/test_overload.py
+++ b/pistachiowell/admission/tests/test_overload.py
@@ -15,6 +15,8 @@
 COST_S = 0.015
 ROUNDS = 12
 IDLE_STEP_S = 0.0005
+PROBE_INTERVAL_S = 0.02
+PROBE_ROUNDS = 3
 REFUSAL_COST_S = 0.002
 SERVER_S = 0.08
 OBJECTIVE_S = 0.4
@@ -41,7 +43,7 @@
     def run(self, rates, surge):
         """Plays arrivals by account; the surge multiplies the first one's rate."""
         arrivals = self.arrivals(rates, surge)
-        due_at = 0.0
+        probe = None
         while self.now < DURATION_S:
             self.wake()
             round_s = 0.0
@@ -49,10 +51,20 @@
                 round_s += self.arrive(*arrivals.popleft())
             for _ in range(len(self.runnable)):
                 round_s += self.step(self.runnable.popleft())
+            probe = self.measure(probe)
             self.now += round_s or IDLE_STEP_S
-            if self.now >= due_at:
-                self.policy.record_lateness(self.now - due_at, self.now)
-                due_at = self.now + 0.02
+
+    def measure(self, probe):
+        """Measures how long the loop takes for the rounds of a request."""
+        if probe is None or (not probe[1] and self.now - probe[2] > PROBE_INTERVAL_S):
+            return [self.now, PROBE_ROUNDS, self.now]
+        if probe[1]:
+            probe[1] -= 1
+            if not probe[1]:
+                probe[2] = self.now
+                transit_s = (self.now - probe[0]) * ROUNDS / PROBE_ROUNDS
+                self.policy.record_transit(transit_s, self.now)
+        return probe
 
     def arrivals(self, rates, surge):
         """Returns times and accounts in order."""
@@ -141,5 +153,5 @@
     now = 0.0
     for number in range(300):
         now += 0.02
-        policy.record_lateness(0.1 if number == 100 else 0.001, now)
+        policy.record_transit(0.4 if number == 100 else 0.01, now)
         assert policy.wait_s("a", now) == 0.0
--- a/pistachiowell/core/loop_watch.py
+++ b/pistachiowell/core/loop_watch.py
@@ -11,6 +11,10 @@
 
 BUSY_TICK_S = 0.02
 IDLE_TICK_S = 0.05
+# Turns of the loop that a request takes from its head to the end of its answer, and the
+# number of them that is measured.
+TRANSIT_TURNS = 12
+MEASURED_TURNS = 3
 
 
 class LoopWatch:
@@ -30,12 +34,23 @@
         True
     """
 
-    __slots__ = ("_due_at", "_is_busy", "_listeners", "_loop", "_scopes", "_timer")
+    __slots__ = (
+        "_due_at",
+        "_is_busy",
+        "_is_measuring",
+        "_listeners",
+        "_loop",
+        "_scopes",
+        "_timer",
+        "_transit_listeners",
+    )
 
     def __init__(self, is_busy=lambda: False):
         self._is_busy = is_busy
         self._listeners = []
         self._scopes = set()
+        self._transit_listeners = []
+        self._is_measuring = False
         self._due_at = 0.0
         self._loop = None
         self._timer = None
@@ -44,6 +59,14 @@
         """Registers a function of the present time and the lateness in seconds."""
         self._listeners.append(function)
 
+    def add_transit_listener(self, function):
+        """Registers a function of a transit time and the present time in seconds.
+
+        The transit time is what the loop takes for ``TRANSIT_TURNS``, estimated at each
+        tick while the process is busy.
+        """
+        self._transit_listeners.append(function)
+
     async def run(self):
         """Ticks until cancelled."""
         self._loop = asyncio.get_running_loop()
@@ -83,4 +106,20 @@
             scope.deadline += late_s
         for listener in self._listeners:
             listener(now, late_s)
+        self._start_transit(now)
         self._schedule()
+
+    def _start_transit(self, now):
+        if self._transit_listeners and not self._is_measuring and self._is_busy():
+            self._is_measuring = True
+            self._loop.call_soon(self._pass_turn, now, MEASURED_TURNS)
+
+    def _pass_turn(self, started_at, turns):
+        if turns:
+            self._loop.call_soon(self._pass_turn, started_at, turns - 1)
+            return
+        self._is_measuring = False
+        now = self._loop.time()
+        transit_s = (now - started_at) * TRANSIT_TURNS / MEASURED_TURNS
+        for listener in self._transit_listeners:
+            listener(transit_s, now)
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -124,9 +124,7 @@
         self._stop = PlannedStop()
         overload = OverloadSettings()
         self._overload = OVERLOAD_POLICIES.find(overload.policy)(overload)
-        loop_watch.add_listener(
-            lambda now, late_s: self._overload.record_lateness(late_s, now)
-        )
+        loop_watch.add_transit_listener(self._overload.record_transit)
         runtime.metrics.watch(
             "requests.refused_share", lambda: self._overload.refused_share
         )
