--- a/pistachiowell/gateway/server_feed.py
+++ b/pistachiowell/gateway/server_feed.py
@@ -9,12 +9,12 @@
 import anyio
 
 from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.store_fallback import wait_for_stable_agents
 
 CHECK_INTERVAL_S = 0.25
 LONG_WAIT_S = 25.0
 # Agents and gateways read a change at slightly different times.
 MAX_DIFFERENCE_S = 1.5
-MIN_AGENTS_STABLE_S = 5.0
 
 _log = part_logger("feeds")
 
@@ -110,11 +110,7 @@
         return result
 
     async def _wait_for_stable_agents(self):
-        since = self._now()
-        while self._now() - since < MIN_AGENTS_STABLE_S:
-            await anyio.sleep(CHECK_INTERVAL_S)
-            if not self._has_enough_agents():
-                since = self._now()
+        await wait_for_stable_agents(self._has_enough_agents, self._now)
 
     async def _wait_for_difference(self):
         """Returns True once the agents differ, and False once they are too few."""
--- a/pistachiowell/gateway/store_fallback.py
+++ b/pistachiowell/gateway/store_fallback.py
@@ -13,6 +13,23 @@
 MIN_AGENTS_STABLE_S = 5.0
 
 
+async def wait_for_stable_agents(has_enough_agents, now):
+    """Waits until there were enough agents for ``MIN_AGENTS_STABLE_S``.
+
+    Agents that connect and disconnect in turn would otherwise start a watch again, and
+    with it a transfer of all that is watched, each time.
+
+    Args:
+        has_enough_agents: Function that returns whether enough agents follow the store.
+        now: Function that returns the monotonic time in seconds.
+    """
+    since = now()
+    while now() - since < MIN_AGENTS_STABLE_S:
+        await anyio.sleep(CHECK_INTERVAL_S)
+        if not has_enough_agents():
+            since = now()
+
+
 class StoreFallback:
     """Runs a gateway's own watch of the store while too few agents follow it.
 
@@ -36,20 +53,8 @@
         while True:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._watcher.run)
-                await self._wait_for_stable_agents()
+                await wait_for_stable_agents(self._has_enough_agents, self._now)
                 group.cancel_scope.cancel()
             self._watcher.mark_stopped()
             while self._has_enough_agents():
                 await anyio.sleep(CHECK_INTERVAL_S)
-
-    async def _wait_for_stable_agents(self):
-        """Waits until there were enough agents for ``MIN_AGENTS_STABLE_S``.
-
-        Agents that connect and disconnect in turn would otherwise restart the watch,
-        and with it a transfer of the whole configuration, each time.
-        """
-        since = self._now()
-        while self._now() - since < MIN_AGENTS_STABLE_S:
-            await anyio.sleep(CHECK_INTERVAL_S)
-            if not self._has_enough_agents():
-                since = self._now()
--- a/pistachiowell/gateway/tests/test_server_feed.py
+++ b/pistachiowell/gateway/tests/test_server_feed.py
@@ -9,7 +9,7 @@
 import anyio
 import pytest
 
-from pistachiowell.gateway import server_feed
+from pistachiowell.gateway import store_fallback
 from pistachiowell.gateway.server_feed import LONG_WAIT_S, MAX_DIFFERENCE_S, ServerFeed
 
 pytestmark = pytest.mark.anyio
@@ -56,7 +56,7 @@
 @pytest.fixture
 def play(monkeypatch):
     """Returns a feed whose agents count as stable at once."""
-    monkeypatch.setattr(server_feed, "MIN_AGENTS_STABLE_S", 0.0)
+    monkeypatch.setattr(store_fallback, "MIN_AGENTS_STABLE_S", 0.0)
     return Play()
 
 
@@ -78,7 +78,7 @@
         group.start_soon(play.feed.run)
         await anyio.sleep(0.1)
         play.has_agents = False
-        monkeypatch.setattr(server_feed, "MIN_AGENTS_STABLE_S", 60.0)
+        monkeypatch.setattr(store_fallback, "MIN_AGENTS_STABLE_S", 60.0)
         await anyio.sleep(0.5)
         group.cancel_scope.cancel()
     assert play.watcher.waits == [None, LONG_WAIT_S, None]
--- a/pistachiowell/platform/tests/test_store_calls.py
+++ b/pistachiowell/platform/tests/test_store_calls.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from pistachiowell.gateway import server_feed, store_fallback
+from pistachiowell.gateway import store_fallback
 
 pytestmark = pytest.mark.anyio
 
@@ -21,8 +21,7 @@
 async def test_idle_gateways_call_the_store_hardly_ever(
     start_rig, monkeypatch, gateways
 ):
-    for module in (server_feed, store_fallback):
-        monkeypatch.setattr(module, "MIN_AGENTS_STABLE_S", 0.2)
+    monkeypatch.setattr(store_fallback, "MIN_AGENTS_STABLE_S", 0.2)
     async with start_rig() as rig:
         await rig.add_server("desk-1", "desk")
         for number in range(AGENTS):
