Measure the loop while any request is there, and forget the share when none is

Found on reading: a gateway whose requests all wait before their attempt was not measured, and a refused share stayed as it was while nothing was in progress.

--- a/pistachiowell/core/loop_watch.py
+++ b/pistachiowell/core/loop_watch.py
@@ -63,7 +63,7 @@
         """Registers a function of a transit time and the present time in seconds.
 
         The transit time is what the loop takes for ``TRANSIT_TURNS``, estimated at each
-        tick while the process is busy.
+        tick while the process is busy, and 0 while it is not.
         """
         self._transit_listeners.append(function)
 
@@ -110,9 +110,13 @@
         self._schedule()
 
     def _start_transit(self, now):
-        if self._transit_listeners and not self._is_measuring and self._is_busy():
+        if not self._transit_listeners or self._is_measuring:
+            return
+        if self._is_busy():
             self._is_measuring = True
             self._loop.call_soon(self._pass_turn, now, MEASURED_TURNS)
+        else:
+            self._tell_transit(0.0, now)
 
     def _pass_turn(self, started_at, turns):
         if turns:
@@ -120,6 +124,8 @@
             return
         self._is_measuring = False
         now = self._loop.time()
-        transit_s = (now - started_at) * TRANSIT_TURNS / MEASURED_TURNS
+        self._tell_transit((now - started_at) * TRANSIT_TURNS / MEASURED_TURNS, now)
+
+    def _tell_transit(self, transit_s, now):
         for listener in self._transit_listeners:
             listener(transit_s, now)
--- a/pistachiowell/core/tests/test_loop_watch.py
+++ b/pistachiowell/core/tests/test_loop_watch.py
@@ -89,3 +89,27 @@
         ticks += 1
         silent = detector.tick(now, late_s)
     assert ticks == pytest.approx(SilenceSettings().first_patience_s / tick_s, abs=1)
+
+
+@pytest.mark.parametrize("is_busy", [False, True])
+async def test_transit_time_is_that_of_a_late_loop_only_while_requests_are_there(
+    is_busy,
+):
+    transits = []
+    watch = LoopWatch(lambda: is_busy)
+    watch.add_transit_listener(lambda transit_s, now: transits.append(transit_s))
+
+    async def block():
+        while True:
+            time.sleep(BLOCKED_S)
+            await anyio.sleep(0)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch.run)
+        group.start_soon(block)
+        await anyio.sleep(1.0)
+        group.cancel_scope.cancel()
+    if is_busy:
+        assert transits[-1] == pytest.approx(12 * BLOCKED_S, rel=0.5)
+    else:
+        assert set(transits) == {0.0}
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -117,7 +117,7 @@
         self._move_watcher = MoveOrderWatcher(
             runtime, adapter.moves, self._moves.apply_orders
         )
-        self._loop_watch = loop_watch = LoopWatch(lambda: self._silence.is_watching)
+        self._loop_watch = loop_watch = LoopWatch(lambda: bool(self._stop.in_progress))
         self._silence = SilenceMonitor(
             runtime, self._fleet, state, handlers, loop_watch
         )
--- a/pistachiowell/gateway/silence.py
+++ b/pistachiowell/gateway/silence.py
@@ -50,11 +50,6 @@
         handlers.on(ServerDoubted, quick=True)(self._handle_doubt)
         runtime.metrics.watch("servers.silent", self._count_suspected)
 
-    @property
-    def is_watching(self):
-        """Whether there are attempts in progress."""
-        return bool(self._watches)
-
     def tick(self, now, late_s):
         """Looks for silent servers.
 
