--- a/pistachiowell/admission/overload.py
+++ b/pistachiowell/admission/overload.py
@@ -191,6 +191,7 @@
         """Decides on a request that has just come; see ``OverloadPolicy``."""
         state = self._accounts.get(account)
         if state is None:
+            self._forget_idle_accounts(now)
             state = self._accounts[account] = _Account(self._settings.rate_window_s)
         state.rate.add(now)
         if not self._refused_share:
@@ -202,6 +203,15 @@
             return 0.0
         return self._retry_after_s(state)
 
+    def _forget_idle_accounts(self, now):
+        settings = self._settings
+        if len(self._accounts) >= settings.max_accounts:
+            self._accounts = {
+                name: state
+                for name, state in self._accounts.items()
+                if state.rate.per_s(now) * settings.rate_window_s >= 1.0
+            }
+
     def _retry_after_s(self, state):
         settings = self._settings
         excess = 1.0 / max(state.share, 0.01) - 1.0
@@ -216,16 +226,11 @@
         if self._lasting_share > settings.min_lasting:
             share = self._lasting_share + settings.refused_per_s * excess_s
         self._refused_share = min(settings.max_refused, max(0.0, share))
-        rates = {name: state.rate.per_s(now) for name, state in self._accounts.items()}
-        self._share_out(rates)
-        if len(self._accounts) > settings.max_accounts:
-            self._accounts = {
-                name: state
-                for name, state in self._accounts.items()
-                if rates[name] * settings.rate_window_s >= 1.0
-            }
+        if self._refused_share:
+            self._share_out(now)
 
-    def _share_out(self, rates):
+    def _share_out(self, now):
+        rates = {name: state.rate.per_s(now) for name, state in self._accounts.items()}
         admitted = (1.0 - self._refused_share) * sum(rates.values())
         ceiling = fair_ceiling(list(rates.values()), admitted)
         for name, rate in rates.items():
