Read servers that register one after the other by fewer calls

Callers: nothing directly. While the servers of a large fleet register, each gateway read each change within 0.25 s, four calls a second.

platform/tests/test_store_calls.py: 30 servers in 3 s, a gateway and an agent, failed before the change and passes after it.

--- a/pistachiowell/platform/objects.py
+++ b/pistachiowell/platform/objects.py
@@ -33,7 +33,7 @@
 MIN_WATCH_S = 0.02
 # Delay after an answer with changes, so that the next call returns several at once.
 COALESCE_DELAY_S = 0.25
-_COLLECTION_COALESCE_DELAYS_S = {"agents": 0.8}
+_COLLECTION_COALESCE_DELAYS_S = {"agents": 0.8, "servers": 0.6}
 MAX_PAGES = 1_000
 HTTP_UNAVAILABLE = 503
 
--- a/pistachiowell/platform/tests/test_store_calls.py
+++ b/pistachiowell/platform/tests/test_store_calls.py
@@ -1,7 +1,7 @@
-"""Calls to the store by a fleet in which nothing happens.
+"""Calls to the store by a fleet in which little happens.
 
 Guards against calls that grow with the number of gateways, each of which watched the
-servers and listed the others by itself.
+servers and listed the others by itself, and with each server that starts.
 """
 
 import anyio
@@ -15,6 +15,9 @@
 IDLE_S = 6.0
 # An agent watches the configuration and the servers for 2.5 s a call.
 CALLS_OF_AN_AGENT = 5
+REGISTERED = 30
+REGISTERING_S = 3.0
+MAX_CALLS_PER_S = 2.0
 
 
 @pytest.mark.parametrize("gateways", [1, 10])
@@ -33,3 +36,23 @@
         await anyio.sleep(IDLE_S)
         calls = rig.store.calls - before
     assert calls <= AGENTS * CALLS_OF_AN_AGENT
+
+
+async def test_servers_that_register_one_after_the_other_are_read_a_few_at_a_time(
+    start_rig,
+):
+    async with start_rig() as rig:
+        await rig.add_server("desk-0", "desk")
+        await rig.add_agent("agent-1")
+        await rig.add_gateway()
+        await anyio.sleep(1.0)
+        before = rig.store.calls
+        for number in range(REGISTERED):
+            rig.servers[f"desk-{number}"] = rig.servers["desk-0"]
+            rig.register(f"desk-{number}", "desk", Address=f"127.0.0.1:{2000 + number}")
+            await anyio.sleep(REGISTERING_S / REGISTERED)
+        calls = rig.store.calls - before
+        registry = rig.gateways[0].state.servers
+        await rig.until(lambda: len(registry.known) == REGISTERED, timeout_s=1.0)
+    # The gateway and the agent read them, and the configuration now and then.
+    assert calls <= 2 * MAX_CALLS_PER_S * REGISTERING_S + 4
