Go on ticking after an error of a listener, and let a deputy settle before its gateway ends

An error in a listener ended the ticks of the loop's watch, and with them the detection of silent servers (test_error_in_a_listener_does_not_end_the_ticks failed before). A gateway that stopped without requests in progress ended its deputy before the requests of others were settled there; it waits for it within the grace now (test_deputy_that_stops_settles_and_unregisters passed before too, by chance of time).

--- a/pistachiowell/core/loop_watch.py
+++ b/pistachiowell/core/loop_watch.py
@@ -102,12 +102,13 @@
     def _tick(self):
         now = self._loop.time()
         late_s = max(0.0, now - self._due_at)
+        # First, so that an error in a listener does not end the ticks.
+        self._schedule()
         for scope in self._scopes:
             scope.deadline += late_s
         for listener in self._listeners:
             listener(now, late_s)
         self._start_transit(now)
-        self._schedule()
 
     def _start_transit(self, now):
         if not self._transit_listeners or self._is_measuring:
--- a/pistachiowell/core/tests/test_loop_watch.py
+++ b/pistachiowell/core/tests/test_loop_watch.py
@@ -5,6 +5,7 @@
 suspicions, each of which costs a second attempt.
 """
 
+import asyncio
 import time
 from contextlib import asynccontextmanager
 
@@ -113,3 +114,18 @@
         assert transits[-1] == pytest.approx(12 * BLOCKED_S, rel=0.5)
     else:
         assert set(transits) == {0.0}
+
+
+async def test_error_in_a_listener_does_not_end_the_ticks():
+    ticks = []
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+
+    def fail(now, late_s):
+        ticks.append(now)
+        raise ValueError("A listener failed.")
+
+    watch = LoopWatch()
+    watch.add_listener(fail)
+    with anyio.move_on_after(0.5):
+        await watch.run()
+    assert len(ticks) > 1
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -254,7 +254,7 @@
         for connection in list(self._http.server_state.connections):
             connection.shutdown()
         with anyio.move_on_after(max(0.0, settings.shutdown_timeout_s - ENDING_S)):
-            while self._stop.in_progress:
+            while self._stop.in_progress or self._deputy.is_running:
                 await anyio.sleep(STOP_CHECK_INTERVAL_S)
         if self._stop.in_progress:
             _log.warning(
--- a/pistachiowell/platform/tests/test_without_agents.py
+++ b/pistachiowell/platform/tests/test_without_agents.py
@@ -116,3 +116,13 @@
         await rig.add_gateway()
         await anyio.sleep(1.0)
         assert (await rig.send("/read/a"))[0] == 200
+
+
+async def test_deputy_that_stops_settles_and_unregisters(fleet):
+    async with fleet() as rig:
+        await send_until_served(rig)
+        first = rig.gateways[0]
+        await rig.until(lambda: first.is_deputy)
+        await first.leave()
+        await rig.until(lambda: "gate-1-deputy" not in rig.store.names("agents"), 2.0)
+        assert not first.is_deputy
