--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -393,7 +393,9 @@
     registry.replace({SERVERS[0].id: SERVERS[0]}, 100.0)
     settings = SimpleNamespace(data_centre="dc-0")
     silence = SimpleNamespace(usable=lambda names, now: names)
-    limits = SimpleNamespace(with_room=lambda servers, priority: servers)
+    limits = SimpleNamespace(
+        accepting=lambda servers: servers, with_room=lambda servers, priority: servers
+    )
     selection = Selection(registry, moves, silence, limits, settings, Random(1), now)
     return selection, moves
 
