Give new work only to the agents that all gateways need

Cause: a gateway that could not reach the eight for a while linked to others too, and kept these for 20 s. All linked agents were ranked for the budget pages, so gateways chose different owners, and each owner set tokens aside.

Change: agents that are linked but not needed get no new work; only settlements go there.

--- a/pistachiowell/membership/subset.py
+++ b/pistachiowell/membership/subset.py
@@ -49,12 +49,20 @@
         4
     """
 
-    __slots__ = ("_chosen_at", "_names", "_needed_at", "_ranking", "_settings")
+    __slots__ = (
+        "_chosen_at",
+        "_names",
+        "_needed",
+        "_needed_at",
+        "_ranking",
+        "_settings",
+    )
 
     def __init__(self, settings):
         self._settings = settings
         self._names = frozenset()
         self._ranking = []
+        self._needed = []
         self._chosen_at = {}
         self._needed_at = {}
 
@@ -67,7 +75,8 @@
             now: Present time in seconds.
         """
         self._rank(names)
-        for name in self._needed(usable, now):
+        self._needed = self._find_needed(usable, now)
+        for name in self._needed:
             self._chosen_at.setdefault(name, now)
             self._needed_at[name] = now
         oldest = now - self._settings.linger_s
@@ -76,6 +85,14 @@
                 del self._needed_at[name], self._chosen_at[name]
         return set(self._needed_at)
 
+    def is_needed(self, name):
+        """Returns whether a chosen peer gets new work.
+
+        One that lingers gets none: processes that have failed to reach different peers
+        would choose different ones for the same work.
+        """
+        return name in self._needed
+
     def _rank(self, names):
         if self._names != names:
             self._names = frozenset(names)
@@ -83,7 +100,7 @@
                 names, key=lambda name: (stable_hash(TOPIC, name), name)
             )
 
-    def _needed(self, usable, now):
+    def _find_needed(self, usable, now):
         needed, count, failed = [], 0, 0
         for name in self._ranking:
             # As many more are tried as have failed, so that the loss of most peers at
--- a/pistachiowell/membership/tests/test_subset.py
+++ b/pistachiowell/membership/tests/test_subset.py
@@ -50,6 +50,16 @@
     assert run(subset, NAMES, set(), 15.0, 2 * SETTINGS.linger_s) == first
 
 
+def test_gateways_that_have_lost_different_agents_agree_again_at_once():
+    cut, other = PeerSubset(SETTINGS), PeerSubset(SETTINGS)
+    first = run(other, NAMES, set(), 0.0, 10.0)
+    run(cut, NAMES, set(), 0.0, 2.0)
+    run(cut, NAMES, set(NAMES), 2.0, 8.0)
+    chosen = run(cut, NAMES, set(), 10.0, 2.0)
+    assert chosen > first
+    assert {name for name in chosen if cut.is_needed(name)} == first
+
+
 @given(st.sets(st.sampled_from(sorted(NAMES))), st.sets(st.sampled_from(sorted(NAMES))))
 def test_only_registered_agents_are_chosen(names, later):
     subset = PeerSubset(SETTINGS)
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -49,6 +49,7 @@
 
     Attributes:
         is_chosen: Whether a link to the process is kept.
+        is_needed: Whether the process gets new work.
         is_linking: Whether a task keeps the link.
         link: The ``Link``; None while it is not connected.
         registered: Whether the process is still registered. When it no longer is, the
@@ -62,6 +63,7 @@
         "_peer_table",
         "is_chosen",
         "is_linking",
+        "is_needed",
         "link",
         "record",
         "registered",
@@ -75,11 +77,17 @@
         self._now = now
         self.is_chosen = False
         self.is_linking = False
+        self.is_needed = True
         self.link = None
         self.registered = True
 
     @property
     def usable(self):
+        """Whether the link is open and the process gets and accepts new work."""
+        return self.is_needed and self.is_well
+
+    @property
+    def is_well(self):
         """Whether the link is open and the process accepts new work."""
         linked = self.link is not None and not self.link.closed
         return linked and self._peer_table.usable(self.record.id, self._now())
@@ -260,11 +268,12 @@
     def _link_chosen_agents(self, group):
         if self._agent_subset is None:
             return
-        usable = {name for name, peer in self._agents.items() if peer.usable}
+        well = {name for name, peer in self._agents.items() if peer.is_well}
         chosen = self._agent_subset.choose(
-            self._agents.keys(), usable, self._runtime.now()
+            self._agents.keys(), well, self._runtime.now()
         )
         for name, peer in self._agents.items():
+            peer.is_needed = self._agent_subset.is_needed(name)
             if name in chosen and not peer.is_chosen:
                 peer.is_chosen = True
                 group.start_soon(self._keep_link, peer)
