--- a/pistachiowell/gateway/tests/test_agent_choice.py
+++ b/pistachiowell/gateway/tests/test_agent_choice.py
@@ -1,8 +1,8 @@
 """Agents that a gateway chooses for a topic while it is linked to more than it needs.
 
 Guards against page owners that differ between gateways while some of them keep links to
-more agents: tokens are then set aside at several owners, and accounts that have paid are
-refused.
+more agents: tokens are then set aside at several owners, and accounts that have paid
+are refused.
 """
 
 from types import SimpleNamespace
