--- a/pistachiowell/platform/tests/test_lost_registrations.py
+++ b/pistachiowell/platform/tests/test_lost_registrations.py
@@ -15,4 +15,6 @@
         rig.store.return_from_copy(taken)
         await rig.until(lambda: "agent-1" in rig.store.names("agents"))
         await rig.until(lambda: "gate-1" in rig.store.names("routers"))
+        # The gateway reads the registration a moment after the store has it.
+        await rig.until(lambda: "agent-1" in gateway.fleet.agents)
         await rig.until(lambda: gateway.fleet.agents["agent-1"].usable)
