Log which answer closes a server, and each health check that an agent sends

What callers saw: the reports on servers that leave or want a rest could not be told apart by the logs. A request that comes late may be a probe, may have been sent before its gateway was told, or may follow an answer that nobody read. `told` names the answer; `Server is probed.` and `Probe is answered.` show the agents' part.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -301,7 +301,9 @@
             if exchange.has_own_head:
                 self._limits.record_answer(exchange.server, exchange.head, sent_at)
             if exchange.has_trusted_head:
-                self._limits.record_closure(exchange.server, exchange.head)
+                self._limits.record_closure(
+                    exchange.server, exchange.head, exchange.request_id
+                )
 
     async def _forward_stream(self, run, exchange, attempt, watch):
         # Only complete events are sent, so that another server can continue a broken
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -70,6 +70,11 @@
         self.head = None
         self.may_have_arrived = False
 
+    @property
+    def request_id(self):
+        """Id of the request."""
+        return self._request.id
+
     @property
     def is_complete(self):
         """Whether the whole answer was read."""
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -24,6 +24,7 @@
 # An agent that has not answered is not asked again for this long.
 SILENT_AGENT_S = 1.0
 MIN_RETRY_AFTER_S = 0.05
+TOLD_BY_AGENT = "agent"
 
 _log = part_logger("limits")
 
@@ -92,20 +93,21 @@
             message = encode_limit(incarnation, observation, now)
             tell_agents(self._fleet, server.id, message)
 
-    def record_closure(self, server, head):
+    def record_closure(self, server, head, told):
         """Records whether a server has said that it leaves or wants a pause.
 
         Args:
             server: The ``BackendServer``.
             head: The ``AnswerHead``.
+            told: Id of the request whose answer says so, for the log.
         """
         incarnation, now = _incarnation(server), self._runtime.now()
         if head.is_leaving and self._closures.leave(incarnation):
-            self._record_closed(server.id, ClosedBy.leaving)
+            self._record_closed(server.id, ClosedBy.leaving, told)
             message = ServerLeaving(incarnation.server, incarnation.started_ms)
             tell_agents(self._fleet, server.id, message)
         if head.pause_s and self._closures.pause(incarnation, head.pause_s, now):
-            self._record_closed(server.id, ClosedBy.pause, seconds=head.pause_s)
+            self._record_closed(server.id, ClosedBy.pause, told, head.pause_s)
         if head.has_unreadable_pause:
             self._runtime.metrics.count("servers.unreadable_pauses")
             _log.info("Ignored a pause that is no number.", server=server.id)
@@ -113,14 +115,15 @@
     async def _handle_leaving(self, link, message):
         del link
         if self._closures.leave(Incarnation(message.server, message.started_ms)):
-            self._record_closed(message.server, ClosedBy.leaving)
+            self._record_closed(message.server, ClosedBy.leaving, TOLD_BY_AGENT)
 
-    def _record_closed(self, server_id, reason, seconds=None):
+    def _record_closed(self, server_id, reason, told, seconds=None):
         self._runtime.metrics.count(f"servers.closed.{reason}")
         _log.info(
             "A server takes no requests.",
             server=server_id,
             reason=str(reason),
+            told=told,
             seconds=seconds,
         )
 
--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -116,6 +116,7 @@
         """Returns whether the server, or what is left of it, has answered at last."""
         while self._runtime.now() - self._probed[report.server] < MAX_PROBING_S:
             await self._limits.wait_for_room(report.server)
+            _log.info("Server is probed.", server=report.server)
             with anyio.move_on_after(PROBE_TIMEOUT_S):
                 try:
                     await self._probe(report)
@@ -139,7 +140,12 @@
         headers = [(b"Host", report.address.encode())]
         connection = ServerConnection(host, int(port))
         try:
-            await connection.request(host, int(port), "GET", path, headers, b"")
+            response = await connection.request(
+                host, int(port), "GET", path, headers, b""
+            )
+            _log.info(
+                "Probe is answered.", server=report.server, status=response.status
+            )
         finally:
             with anyio.CancelScope(shield=True):
                 await connection.aclose()
