Failing tests: parts that talk to servers do not know what these have said

What callers and servers saw, measured on this code with real parts: a server that hangs and answers health checks with 503 and a rest of 2.5 s is probed again after 1.5 s; each answered probe lets the gateways send again; a server that tells a probe that it leaves gets requests; callers that leave before the 503 comes: 11 requests in the rest, 2 are allowed; requests that wait for their connection: 9 sent after the gateway was told; a deputy is told a rest and its gateway sends on. The stand-in answers health checks as a test says.

--- a/pistachiowell/platform/standins.py
+++ b/pistachiowell/platform/standins.py
@@ -251,6 +251,8 @@
     A ``GET`` request without an id is a health check; the script does not see it.
 
     Attributes:
+        health_answer: Bytes of the answer to each health check.
+        health_checks: Times of the health checks in seconds, in order.
         server_id: Id of the server.
         script: Async function ``script(request, stream)`` that answers a
             ``ReceivedRequest`` and returns whether the connection stays open.
@@ -262,6 +264,8 @@
         self.server_id = server_id
         self.script = script
         self.requests = []
+        self.health_answer = HEALTHY_ANSWER
+        self.health_checks = []
         self.port = port
 
     async def serve(self, *, task_status):
@@ -291,7 +295,8 @@
             request.method == "GET"
             and "pistachiowell-attempt-id" not in request.headers
         ):
-            await stream.send(HEALTHY_ANSWER)
+            self.health_checks.append(anyio.current_time())
+            await stream.send(self.health_answer)
             return True
         self.requests.append(request)
         try:
