Read what a server says in its answer to a health check

What servers saw: a server that hangs and answers health checks with 503 and a rest got the next one 1.5 s later from each of two agents, and requests after each, as an answered probe ends the silence; one that says there that it leaves got requests on and on.

Cause: the agent closes the connection of its probe after the head and reads nothing in it. What servers say was kept in the gate of a gateway's requests, which agents don't have.

Change: ClosedServers keeps it for a process; the agent's probes pass it and record what they are told, unless the health check was answered by another server at the address. A rest: no probe before its end; the first answer still ends the silence (the server may be busy and alive), a second report within the rest holds until the probe after it. Leaving: no probe, and all gateways are told.

Evidence: three tests failed before (probes 1.5 s apart, three probes in a rest, 2 requests in a rest at one gateway); they pass now. The test on hanging servers now plays four gateways and a rest of 10 s and asks for one probe and no request after each gateway had its try: seven requests and three probes before in 2 s, none now.

--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -9,6 +9,7 @@
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.core.signals import wait_for_signal
 from pistachiowell.gateway.budget_owner import BudgetOwner
+from pistachiowell.gateway.closed_servers import ClosedServers
 from pistachiowell.gateway.leaving_servers import LeavingServers
 from pistachiowell.gateway.limit_owner import LimitOwner
 from pistachiowell.gateway.linked_watch import LinkedWatches
@@ -52,9 +53,10 @@
     Args:
         settings: ``GatewayAgentSettings``.
         store: The platform's store.
-        adapter: Object with the codecs ``configuration``, ``servers`` and ``moves``;
-            see ``pistachiowell.platform.main``.
+        adapter: Object with the codecs ``heads``, ``configuration``, ``servers`` and
+            ``moves``; see ``pistachiowell.platform.main``.
         is_deputy: Whether it runs in a gateway, in place of an agent.
+        closed: The ``ClosedServers`` of its gateway; None to keep its own.
     """
 
     __slots__ = (
@@ -75,7 +77,7 @@
         "_watches",
     )
 
-    def __init__(self, settings, store, adapter, *, is_deputy=False):
+    def __init__(self, settings, store, adapter, *, is_deputy=False, closed=None):
         self._is_deputy = is_deputy
         self._runtime = runtime = Runtime("agent", settings, store)
         self._state = state = GatewayState(settings)
@@ -111,9 +113,17 @@
             merge_s=CRASH_MERGE_S,
         )
         limits = LimitOwner(runtime, self._links, self._handlers)
-        LeavingServers(self._links, self._handlers)
+        closed = closed or ClosedServers(runtime)
+        leaving = LeavingServers(self._links, closed, self._handlers)
         self._silence_probes = SilenceProbes(
-            runtime, state, self._links, limits, self._handlers
+            runtime,
+            state,
+            adapter.heads,
+            self._links,
+            limits,
+            closed,
+            leaving,
+            self._handlers,
         )
 
     @property
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -14,6 +14,7 @@
 from pistachiowell.core.web import http_server
 from pistachiowell.gateway.agents import AgentReports
 from pistachiowell.gateway.app import GatewayApp, ReadyApp
+from pistachiowell.gateway.closed_servers import ClosedServers
 from pistachiowell.gateway.crash_relays import CrashRelays
 from pistachiowell.gateway.deputy import Deputy
 from pistachiowell.gateway.dispatch import Dispatch
@@ -128,8 +129,9 @@
         runtime.metrics.watch(
             "requests.refused_share", lambda: self._overload.refused_share
         )
+        closed = ClosedServers(runtime)
         limits = ServerLimits(
-            runtime, self._fleet, handlers, lambda: self._router_count, rng
+            runtime, self._fleet, closed, handlers, lambda: self._router_count, rng
         )
         self._selection = selection = Selection(
             state.servers,
--- a/pistachiowell/gateway/leaving_servers.py
+++ b/pistachiowell/gateway/leaving_servers.py
@@ -3,6 +3,7 @@
 The fleet would otherwise learn it server by server and gateway by gateway.
 """
 
+from pistachiowell.admission import Incarnation
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
 from pistachiowell.schema.generated.messages_gateway import ServerLeaving
@@ -17,12 +18,14 @@
 
     Args:
         links: The ``LinkSet`` of the gateways.
+        closed: The ``ClosedServers``.
         handlers: Handlers of the links to gateways; this registers its own.
     """
 
-    __slots__ = ("_known", "_links")
+    __slots__ = ("_closed", "_known", "_links")
 
-    def __init__(self, links, handlers):
+    def __init__(self, links, closed, handlers):
+        self._closed = closed
         self._links = links
         self._known = {}
         links.add_link_listener(self._tell_new_gateway)
@@ -30,6 +33,15 @@
 
     async def _handle(self, link, message):
         del link
+        self._closed.record_leaving(Incarnation(message.server, message.started_ms))
+        self.tell(message)
+
+    def tell(self, message):
+        """Tells all gateways that a server leaves, unless they know it.
+
+        Args:
+            message: The ``ServerLeaving``.
+        """
         if message in self._known:
             return
         self._known[message] = None
--- a/pistachiowell/gateway/messages.py
+++ b/pistachiowell/gateway/messages.py
@@ -131,6 +131,7 @@
         pause_s: Seconds for which the server wants nothing from this gateway; None if
             it names none.
         has_unreadable_pause: Whether it names a pause that is no number of seconds.
+        server_id: Id of the server that answers a health check; empty if it names none.
     """
 
     status: int
@@ -147,6 +148,7 @@
     is_leaving: bool = False
     pause_s: float | None = None
     has_unreadable_pause: bool = False
+    server_id: str = ""
 
     @property
     def is_success(self):
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -1,8 +1,6 @@
 """The gate before each send to a backend server that may have named a rate limit."""
 
 from pistachiowell.admission import (
-    ClosedBy,
-    Closures,
     Incarnation,
     Observation,
     RateLimits,
@@ -11,6 +9,7 @@
 )
 from pistachiowell.core.errors import LinkLost, LinkTimeout, Overloaded
 from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.closed_servers import incarnation_of
 from pistachiowell.gateway.limit_owner import decode_limit, encode_limit
 from pistachiowell.gateway.ranked_agents import ranked_agents, tell_agents
 from pistachiowell.schema.generated.messages_gateway import (
@@ -24,7 +23,6 @@
 # An agent that has not answered is not asked again for this long.
 SILENT_AGENT_S = 1.0
 MIN_RETRY_AFTER_S = 0.05
-TOLD_BY_AGENT = "agent"
 
 _log = part_logger("limits")
 
@@ -42,6 +40,7 @@
     Args:
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet`` with the agents.
+        closed: The ``ClosedServers``.
         handlers: Handlers of the links to agents; this registers its own.
         router_count: Function that returns the number of gateways that may be running.
         rng: A ``Random``.
@@ -49,7 +48,7 @@
 
     __slots__ = (
         "_asks_again_at",
-        "_closures",
+        "_closed",
         "_fleet",
         "_full_until",
         "_limits",
@@ -60,9 +59,10 @@
         "_slots",
     )
 
-    def __init__(self, runtime, fleet, handlers, router_count, rng):
+    def __init__(self, runtime, fleet, closed, handlers, router_count, rng):
         self._runtime = runtime
         self._fleet = fleet
+        self._closed = closed
         self._router_count = router_count
         self._rng = rng
         self._settings = RateSettings()
@@ -70,7 +70,6 @@
         self._slots = {}
         self._full_until = {}
         self._asks_again_at = {}
-        self._closures = Closures()
         handlers.on(LimitObserved)(self._handle_limit)
         handlers.on(ServerLeaving, quick=True)(self._handle_leaving)
         runtime.metrics.watch("servers.limited", lambda: len(self._limits.in_force))
@@ -87,7 +86,7 @@
             _log.info("Ignored a limit that is no rate.", server=server.id)
             return
         now = self._runtime.now()
-        incarnation = _incarnation(server)
+        incarnation = incarnation_of(server)
         observation = Observation(head.limit_per_s, sent_at)
         if self._observe(incarnation, observation, now):
             message = encode_limit(incarnation, observation, now)
@@ -101,35 +100,18 @@
             head: The ``AnswerHead``.
             told: Id of the request whose answer says so, for the log.
         """
-        incarnation, now = _incarnation(server), self._runtime.now()
-        if head.is_leaving and self._closures.leave(incarnation):
-            self._record_closed(server.id, ClosedBy.leaving, told)
+        incarnation = incarnation_of(server)
+        if self._closed.record_answer(incarnation, head, told):
             message = ServerLeaving(incarnation.server, incarnation.started_ms)
             tell_agents(self._fleet, server.id, message)
-        if head.pause_s and self._closures.pause(incarnation, head.pause_s, now):
-            self._record_closed(server.id, ClosedBy.pause, told, head.pause_s)
-        if head.has_unreadable_pause:
-            self._runtime.metrics.count("servers.unreadable_pauses")
-            _log.info("Ignored a pause that is no number.", server=server.id)
 
     async def _handle_leaving(self, link, message):
         del link
-        if self._closures.leave(Incarnation(message.server, message.started_ms)):
-            self._record_closed(message.server, ClosedBy.leaving, TOLD_BY_AGENT)
-
-    def _record_closed(self, server_id, reason, told, seconds=None):
-        self._runtime.metrics.count(f"servers.closed.{reason}")
-        _log.info(
-            "A server takes no requests.",
-            server=server_id,
-            reason=str(reason),
-            told=told,
-            seconds=seconds,
-        )
+        self._closed.record_leaving(Incarnation(message.server, message.started_ms))
 
     def accepting(self, servers):
         """Returns the servers that have not said that they leave."""
-        return [s for s in servers if not self._closures.is_leaving(_incarnation(s))]
+        return [s for s in servers if not self._closed.is_leaving(incarnation_of(s))]
 
     def with_room(self, servers, priority):
         """Returns the ``BackendServer`` that may have room for a request."""
@@ -142,8 +124,8 @@
             server: The ``BackendServer``.
             priority: Rank of the request; 0 is the most urgent.
         """
-        now, incarnation = self._runtime.now(), _incarnation(server)
-        pause_s = self._closures.wait_s(incarnation, now)
+        now, incarnation = self._runtime.now(), incarnation_of(server)
+        pause_s = self._closed.wait_s(incarnation)
         full_until = self._full_until.get(incarnation)
         if full_until is None:
             return pause_s
@@ -166,7 +148,7 @@
             server: The ``BackendServer``.
             priority: Rank of the request; 0 is the most urgent.
         """
-        incarnation = _incarnation(server)
+        incarnation = incarnation_of(server)
         observation = self._limits.latest(incarnation)
         if observation is None or observation.per_s is None:
             return True
@@ -223,7 +205,3 @@
             age_s=round(now - observation.at, 3),
         )
         return True
-
-
-def _incarnation(server):
-    return Incarnation(server.id, server.started_ms)
--- a/pistachiowell/gateway/silence.py
+++ b/pistachiowell/gateway/silence.py
@@ -114,7 +114,9 @@
         server = self._state.servers.known.get(server_id)
         if server is None:
             return
-        message = ServerSilent(server.id, server.service, server.address)
+        message = ServerSilent(
+            server.id, server.service, server.address, server.started_ms
+        )
         tell_agents(self._fleet, server_id, message)
 
     def _report_doubt(self, server_id, waited_s):
--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -9,11 +9,13 @@
 import anyio
 import httpcore
 
+from pistachiowell.admission import Incarnation
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.bounded_stream import EndlessHeadError
 from pistachiowell.gateway.connections import ServerConnection
 from pistachiowell.schema.generated.messages_gateway import (
     ServerDoubted,
+    ServerLeaving,
     ServerSilent,
     SilenceNotice,
 )
@@ -28,6 +30,7 @@
 # Doubts of several gateways about one server within this time are passed on once.
 DOUBT_INTERVAL_S = 0.1
 MAX_DOUBTED_SERVERS = 1_024
+TOLD_BY_PROBE = "probe"
 
 _log = part_logger("silence")
 
@@ -38,14 +41,21 @@
     Args:
         runtime: The process's ``Runtime``.
         state: The ``GatewayState``; its catalog has the paths of the health checks.
+        codec: Codec of heads; see ``pistachiowell.platform.headers``.
         links: The ``LinkSet`` of the gateways.
         limits: The ``LimitOwner``; a probe is one of the requests that it admits.
+        closed: The ``ClosedServers``, which get no probes.
+        leaving: The ``LeavingServers``; told of the servers that tell a probe that they
+            leave.
         handlers: Handlers of the links to gateways; this registers its own.
     """
 
     __slots__ = (
+        "_closed",
+        "_codec",
         "_doubted",
         "_group",
+        "_leaving",
         "_limits",
         "_links",
         "_probed",
@@ -53,11 +63,14 @@
         "_state",
     )
 
-    def __init__(self, runtime, state, links, limits, handlers):
+    def __init__(self, runtime, state, codec, links, limits, closed, leaving, handlers):
         self._runtime = runtime
         self._state = state
+        self._codec = codec
         self._links = links
         self._limits = limits
+        self._closed = closed
+        self._leaving = leaving
         self._group = None
         self._probed = {}
         self._doubted = {}
@@ -83,6 +96,9 @@
 
     async def _handle_silent(self, link, message):
         del link
+        incarnation = Incarnation(message.server, message.started_ms)
+        if self._closed.is_leaving(incarnation):
+            return
         is_new = message.server not in self._probed
         if self._group is None or (is_new and len(self._probed) >= MAX_PROBED_SERVERS):
             return
@@ -114,12 +130,18 @@
 
     async def _probe_until_answered(self, report):
         """Returns whether the server, or what is left of it, has answered at last."""
+        incarnation = Incarnation(report.server, report.started_ms)
         while self._runtime.now() - self._probed[report.server] < MAX_PROBING_S:
+            if self._closed.is_leaving(incarnation):
+                return False
+            await anyio.sleep(min(self._closed.wait_s(incarnation), RENEW_INTERVAL_S))
             await self._limits.wait_for_room(report.server)
+            if self._closed.closed_by(incarnation):
+                continue
             _log.info("Server is probed.", server=report.server)
             with anyio.move_on_after(PROBE_TIMEOUT_S):
                 try:
-                    await self._probe(report)
+                    head = await self._probe(report)
                 except (EndlessHeadError, httpcore.ConnectError) as error:
                     # A server that sends anything, or has ended, is no silent one.
                     _log.info("A probe ended without an answer.", error=str(error))
@@ -127,12 +149,27 @@
                 except HTTP_ERRORS as error:
                     _log.debug("A probe failed and is repeated: {}", error)
                 else:
+                    self._record_answer(incarnation, head)
                     return True
             await anyio.sleep(RENEW_INTERVAL_S)
         return False
 
+    def _record_answer(self, incarnation, head):
+        _log.info(
+            "Probe is answered.",
+            server=incarnation.server,
+            status=head.status,
+            answered_by=head.server_id,
+        )
+        # The address of a server that has ended may be used by another one.
+        if head.server_id not in ("", incarnation.server):
+            return
+        if self._closed.record_answer(incarnation, head, TOLD_BY_PROBE):
+            message = ServerLeaving(incarnation.server, incarnation.started_ms)
+            self._leaving.tell(message)
+
     async def _probe(self, report):
-        """Sends a health check and reads the head of its answer, not the body."""
+        """Sends a health check and returns the ``AnswerHead``; reads no body."""
         catalog = self._state.catalog
         service = catalog.services.get(report.service) if catalog else None
         path = service.health_path if service else "/"
@@ -143,9 +180,7 @@
             response = await connection.request(
                 host, int(port), "GET", path, headers, b""
             )
-            _log.info(
-                "Probe is answered.", server=report.server, status=response.status
-            )
+            return self._codec.read_answer_head(response.status, response.headers)
         finally:
             with anyio.CancelScope(shield=True):
                 await connection.aclose()
--- a/pistachiowell/gateway/tests/test_silence_probes.py
+++ b/pistachiowell/gateway/tests/test_silence_probes.py
@@ -5,7 +5,9 @@
 import anyio
 import pytest
 
+from pistachiowell.gateway.closed_servers import ClosedServers
 from pistachiowell.gateway.silence_probes import SilenceProbes
+from pistachiowell.platform import headers
 from pistachiowell.schema.generated.messages_gateway import ServerDoubted, ServerSilent
 from pistachiowell.wire import Handlers
 
@@ -30,6 +32,16 @@
         del server_id
 
 
+def make_probes(runtime, links, handlers):
+    """Returns the probes of an agent without a configuration."""
+    closed = ClosedServers(runtime)
+    state = SimpleNamespace(catalog=None)
+    leaving = SimpleNamespace(tell=links.broadcast)
+    return SilenceProbes(
+        runtime, state, headers, links, Limits(), closed, leaving, handlers
+    )
+
+
 @pytest.fixture
 async def probed():
     """Probes a server with a given script and returns the notices and bytes sent."""
@@ -44,8 +56,7 @@
                 await script(stream, sent)
 
         runtime = SimpleNamespace(now=anyio.current_time)
-        state = SimpleNamespace(catalog=None)
-        probes = SilenceProbes(runtime, state, links, Limits(), handlers)
+        probes = make_probes(runtime, links, handlers)
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         message = ServerSilent("s1", "desk", f"127.0.0.1:{port}")
@@ -90,7 +101,7 @@
 async def test_doubts_of_many_gateways_are_passed_on_once():
     links, handlers, now = Links(), Handlers(), [0.0]
     runtime = SimpleNamespace(now=lambda: now[0])
-    SilenceProbes(runtime, SimpleNamespace(catalog=None), links, Limits(), handlers)
+    make_probes(runtime, links, handlers)
     doubts = [ServerDoubted("s1", 0.03), ServerDoubted("s1", 0.04)]
     for doubt in [*doubts, ServerDoubted("s2", 0.05)]:
         await handlers.find(doubt)(None, doubt)
--- a/pistachiowell/platform/headers.py
+++ b/pistachiowell/platform/headers.py
@@ -20,6 +20,7 @@
 ACCOUNT = b"pistachiowell-tenant"
 SERVER_ID = b"pistachiowell-expected-instance"
 PRIORITY = b"pistachiowell-request-priority"
+HEALTHY_ID = b"pistachiowell-instance-id"
 API_KEY = b"api-key"
 LAST_EVENT_ID = b"last-event-id"
 LIMIT = b"server-limit"
@@ -148,6 +149,7 @@
         is_leaving=values.get(LEAVING, b"").strip() == b"1",
         pause_s=max(pauses, default=None),
         has_unreadable_pause=bool(delays) and not pauses,
+        server_id=_text(values, HEALTHY_ID),
     )
 
 
--- a/pistachiowell/platform/tests/test_told_processes.py
+++ b/pistachiowell/platform/tests/test_told_processes.py
@@ -4,6 +4,7 @@
 it to the other parts of their VM, and against sends that were admitted before.
 """
 
+import itertools
 from contextlib import asynccontextmanager
 
 import anyio
@@ -39,33 +40,37 @@
 
 @pytest.fixture
 def told_rig(start_rig):
-    """Returns a context manager with a server that hangs, another one and a gateway."""
+    """Returns a context manager with a server that hangs, another one and gateways."""
 
     @asynccontextmanager
-    async def start(health, script=hang, agents=1):
+    async def start(health, script=hang, agents=1, gateways=1):
         async with start_rig() as rig:
             server = await rig.add_server("desk-1", "desk", script)
             server.health_answer = health
             await rig.add_server("desk-2", "desk")
             for number in range(agents):
                 await rig.add_agent(f"agent-{number}")
-            await rig.add_gateway()
+            rig.addresses = []
+            for number in range(gateways):
+                await rig.add_gateway(f"gate-{number}")
+                rig.addresses.append(rig.address)
             yield rig, server
 
     return start
 
 
 async def keep_sending(rig, length_s, wait_s=1.5):
-    """Sends requests whose callers leave after some time."""
+    """Sends requests to all gateways in turn; their callers leave after some time."""
 
-    async def send():
+    async def send(address):
+        rig.address = address
         with anyio.move_on_after(wait_s):
             await rig.send("/read/a")
 
-    end = anyio.current_time() + length_s
+    addresses, end = itertools.cycle(rig.addresses), anyio.current_time() + length_s
     async with anyio.create_task_group() as group:
         while anyio.current_time() < end:
-            group.start_soon(send)
+            group.start_soon(send, next(addresses))
             await anyio.sleep(SEND_INTERVAL_S)
 
 
@@ -84,11 +89,15 @@
 async def test_hanging_server_that_wants_a_rest_gets_requests_after_each_probe(
     told_rig,
 ):
-    async with told_rig(WANTS_REST) as (rig, server):
-        await keep_sending(rig, 0.5)
+    wants_rest = health_answer("503 Busy", "Retry-After: 10")
+    async with told_rig(wants_rest, gateways=4) as (rig, server):
+        while not server.health_checks:
+            await keep_sending(rig, 0.1)
+        # Each gateway may try it once after the answer to the probe.
+        await keep_sending(rig, 2.0)
         reached = len(server.requests)
-        await keep_sending(rig, REST_S - 0.8)
-    assert server.health_checks
+        await keep_sending(rig, 2.0)
+    assert len(server.health_checks) == 1
     assert len(server.requests) == reached
 
 
