Let a gateway and its deputy know the same of what servers say

What servers saw: a deputy's probe was told a rest of 2.5 s, and its gateway, on the same VM, sent requests within it.

Cause: a rest is asked of a VM and was kept by process part: the agent's part that a gateway runs had its own memory.

Change: both are given one ClosedServers.

Evidence: test_deputy_and_its_gateway_know_different_rests[deputy] failed before (1 or 2 requests in the rest), passes now.

--- a/pistachiowell/gateway/deputy.py
+++ b/pistachiowell/gateway/deputy.py
@@ -26,11 +26,13 @@
     Args:
         runtime: The gateway's ``Runtime``.
         fleet: The ``Fleet`` with the agents.
+        closed: The ``ClosedServers`` of the gateway.
         adapter: See ``Gateway``; ``make_store`` opens a store of the deputy's own.
     """
 
     __slots__ = (
         "_adapter",
+        "_closed",
         "_fleet",
         "_gateways",
         "_leaving",
@@ -40,10 +42,11 @@
         "_stop",
     )
 
-    def __init__(self, runtime, fleet, adapter):
+    def __init__(self, runtime, fleet, closed, adapter):
         self._runtime = runtime
         self._fleet = fleet
         self._adapter = adapter
+        self._closed = closed
         self._rule = DeputyRule(DeputySettings(), runtime.settings.id)
         self._gateways = None
         self._listed_at = float("-inf")
@@ -104,7 +107,9 @@
         settings = self._agent_settings()
         store = self._adapter.make_store(settings.store_address)
         try:
-            agent = GatewayAgent(settings, store, self._adapter, is_deputy=True)
+            agent = GatewayAgent(
+                settings, store, self._adapter, is_deputy=True, closed=self._closed
+            )
             await agent.run(stop.wait)
             _log.info("This gateway no longer does the work of an agent.")
         except Exception:
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -113,7 +113,8 @@
         handlers = Handlers()
         subset = PeerSubset(SubsetSettings())
         self._fleet = Fleet(runtime, handlers, (AGENTS,), subset)
-        self._deputy = Deputy(runtime, self._fleet, adapter)
+        closed = ClosedServers(runtime)
+        self._deputy = Deputy(runtime, self._fleet, closed, adapter)
         self._moves = GatewayMoves(runtime, self._fleet, rng)
         self._move_watcher = MoveOrderWatcher(
             runtime, adapter.moves, self._moves.apply_orders
@@ -129,7 +130,6 @@
         runtime.metrics.watch(
             "requests.refused_share", lambda: self._overload.refused_share
         )
-        closed = ClosedServers(runtime)
         limits = ServerLimits(
             runtime, self._fleet, closed, handlers, lambda: self._router_count, rng
         )
