Ask once more, when the connection is open, whether a server takes requests

Cause: the gate was asked when the server was chosen. An agent's answer on a limit (0.15 s) and the connection (0.4 s) come after it, longer together than the half second that a server has to bear.

Change: a connection is opened by a call of its own; between it and the send the gate looks again. The request then goes to another server without a retry of the budget, and counts neither as a failure nor as a crash. The time left is now also read after that wait, so no server is told a later deadline than the caller's.

--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections.py
@@ -34,22 +34,30 @@
 class ServerConnection:
     """One connection to a backend server; carries one request at a time.
 
+    Call ``open`` before each request. Whoever has to check something just before a
+    request is sent does so after it, as opening may take some time.
+
     Args:
         host: IP address of the server.
         port: Its TCP port.
         deadline: See ``BoundedBackend``.
     """
 
-    __slots__ = ("_head_limit", "_http", "_reusable_until")
+    __slots__ = (
+        "_backend",
+        "_head_limit",
+        "_host",
+        "_http",
+        "_port",
+        "_reusable_until",
+    )
 
     def __init__(self, host, port, deadline=anyio.move_on_after):
-        origin = httpcore.Origin(b"http", host.encode(), port)
+        self._host = host
+        self._port = port
         self._head_limit = HeadLimit(anyio.current_time)
-        self._http = httpcore.AsyncHTTPConnection(
-            origin,
-            socket_options=_SOCKET_OPTIONS,
-            network_backend=BoundedBackend(self._head_limit, deadline),
-        )
+        self._backend = BoundedBackend(self._head_limit, deadline)
+        self._http = None
         self._reusable_until = float("-inf")
 
     @property
@@ -57,7 +65,22 @@
         """Whether it has carried a request before, whose late answers may arrive."""
         return self._reusable_until > float("-inf")
 
-    async def request(self, host, port, method, target, headers, body):
+    async def open(self):
+        """Connects to the server unless that was done before.
+
+        Raises:
+            httpcore.ConnectError: The server did not accept the connection.
+            httpcore.ConnectTimeout: It did not do so in time.
+        """
+        if self._http is not None:
+            return
+        stream = await self._backend.connect_tcp(
+            self._host, self._port, CONNECT_TIMEOUT_S, socket_options=_SOCKET_OPTIONS
+        )
+        origin = httpcore.Origin(b"http", self._host.encode(), self._port)
+        self._http = httpcore.AsyncHTTP11Connection(origin, stream)
+
+    async def request(self, method, target, headers, body):
         """Sends a request and reads the head of the answer.
 
         Returns:
@@ -66,11 +89,10 @@
         Raises:
             EndlessHeadError: The head does not end within its limits.
         """
-        url = httpcore.URL(scheme=b"http", host=host.encode(), port=port, target=target)
-        timeouts = {"timeout": {"connect": CONNECT_TIMEOUT_S}}
-        request = httpcore.Request(
-            method, url, headers=headers, content=body, extensions=timeouts
+        url = httpcore.URL(
+            scheme=b"http", host=self._host.encode(), port=self._port, target=target
         )
+        request = httpcore.Request(method, url, headers=headers, content=body)
         self._head_limit.begin()
         response = await self._http.handle_async_request(request)
         self._head_limit.end()
@@ -101,7 +123,8 @@
 
     async def aclose(self):
         """Closes the connection."""
-        await self._http.aclose()
+        if self._http is not None:
+            await self._http.aclose()
 
 
 class BodyBuffer:
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -15,7 +15,7 @@
 from pistachiowell.gateway.connections import ConnectionPool
 from pistachiowell.gateway.exchange import ConnectionBroken, Exchange, NotConnected
 from pistachiowell.gateway.run import Run
-from pistachiowell.gateway.server_limits import NoRoom
+from pistachiowell.gateway.server_limits import NoRoom, ServerClosed
 from pistachiowell.gateway.silence import SilentServer
 from pistachiowell.routing import (
     SPLITTERS,
@@ -163,7 +163,7 @@
         failure = AttemptFailure(
             str(error.code),
             error.ran,
-            may_have_arrived=not isinstance(error, NotConnected),
+            may_have_arrived=not isinstance(error, (NotConnected, ServerClosed)),
         )
         now = self._runtime.now()
         if not run.retries.may_retry(failure, now, self._retry_share(run)):
@@ -251,14 +251,9 @@
 
     async def _forward_answer(self, run, exchange, attempt, tracked, watch):
         request, events = run.request, run.events
-        left_s = request.deadline - self._runtime.now()
-        if left_s <= 0:
-            raise DeadlineExceeded(
-                "The deadline of the request has passed.", ran=NOT_RUN
-            )
         last_id = events.last_id or None
         events.begin_continuation()
-        await self._send(exchange, left_s, last_id)
+        await self._send(exchange, request.deadline, last_id)
         head = exchange.head
         attempt.record_status(head.status)
         self._check_continuation(run, exchange)
@@ -293,8 +288,16 @@
             " of a stream."
         )
 
-    async def _send(self, exchange, left_s, last_id):
+    async def _send(self, exchange, deadline, last_id):
+        await exchange.open()
+        # The server may have closed itself while the request waited for its connection.
+        self._limits.check_open(exchange.server)
         sent_at = self._runtime.now()
+        left_s = deadline - sent_at
+        if left_s <= 0:
+            raise DeadlineExceeded(
+                "The deadline of the request has passed.", ran=NOT_RUN
+            )
         try:
             await exchange.send(left_s, last_id)
         finally:
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -117,16 +117,30 @@
             else:
                 await self._connection.aclose()
 
+    async def open(self):
+        """Connects to the server unless the connection is reused.
+
+        Raises:
+            NotConnected: The server does not accept a connection.
+        """
+        try:
+            await self._connection.open()
+        except _CONNECT_ERRORS as error:
+            raise NotConnected(
+                f"Server {self.server.id} refused the connection."
+            ) from error
+
     async def send(self, left_s, last_event_id=None):
         """Sends the request and reads the head of the answer.
 
+        The exchange must be open.
+
         Args:
             left_s: Seconds after which the server shall stop.
             last_event_id: Id of the event after which a stream continues; None to
                 forward the caller's header.
 
         Raises:
-            NotConnected: The server has not received the request.
             Overloaded: The server answered that it has not run the request.
             ConnectionBroken: The connection broke; the request may have run.
             AnswerBroken: The answer does not belong to this request or was not sent by
@@ -138,15 +152,8 @@
         )
         try:
             response = await self._connection.request(
-                server.host,
-                server.port,
-                request.head.method,
-                request.head.target,
-                headers,
-                request.body,
+                request.head.method, request.head.target, headers, request.body
             )
-        except _CONNECT_ERRORS as error:
-            raise NotConnected(f"Server {server.id} refused the connection.") from error
         except EndlessHeadError as error:
             self.may_have_arrived = True
             raise AnswerBroken(f"Server {server.id}: {error}") from error
--- a/pistachiowell/gateway/server_crashes.py
+++ b/pistachiowell/gateway/server_crashes.py
@@ -9,6 +9,7 @@
 from pistachiowell.core.errors import Quarantined
 from pistachiowell.engines import CrashDetection
 from pistachiowell.gateway.exchange import ConnectionBroken, NotConnected
+from pistachiowell.gateway.server_limits import ServerClosed
 from pistachiowell.routing import PartInProgress
 
 FIRST_SERVER_ERROR_STATUS = 500
@@ -95,7 +96,7 @@
             is_innocent = not attempt.may_hide_crash
             if attempt.may_hide_crash:
                 self._question(incarnation, detection)
-        except NotConnected:
+        except (NotConnected, ServerClosed):
             is_innocent = True
             raise
         except ConnectionBroken:
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -31,6 +31,10 @@
     """All servers take fewer requests a second than there are; come back later."""
 
 
+class ServerClosed(Overloaded):
+    """A server has closed itself while a request was on its way there."""
+
+
 class ServerLimits:
     """Admits this gateway's requests to servers that have named a limit.
 
@@ -109,6 +113,18 @@
         del link
         self._closed.record_leaving(Incarnation(message.server, message.started_ms))
 
+    def check_open(self, server):
+        """Checks, just before a request is sent, that its server is still open.
+
+        Raises:
+            ServerClosed: The server leaves or wants a rest. The request may be sent to
+                another one.
+        """
+        reason = self._closed.closed_by(incarnation_of(server))
+        if reason is not None:
+            self._runtime.metrics.count("attempts.closed_meanwhile")
+            raise ServerClosed(f"Server {server.id} is closed: {reason}.", ran="no")
+
     def accepting(self, servers):
         """Returns the servers that have not said that they leave."""
         return [s for s in servers if not self._closed.is_leaving(incarnation_of(s))]
--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -177,9 +177,8 @@
         headers = [(b"Host", report.address.encode())]
         connection = ServerConnection(host, int(port))
         try:
-            response = await connection.request(
-                host, int(port), "GET", path, headers, b""
-            )
+            await connection.open()
+            response = await connection.request("GET", path, headers, b"")
             return self._codec.read_answer_head(response.status, response.headers)
         finally:
             with anyio.CancelScope(shield=True):
--- a/pistachiowell/gateway/tests/test_abandoned_requests.py
+++ b/pistachiowell/gateway/tests/test_abandoned_requests.py
@@ -39,9 +39,8 @@
     connection = ServerConnection("127.0.0.1", port)
     headers = [(b"Host", b"desk"), (b"Content-Length", b"%d" % BODY_BYTES)]
     with anyio.move_on_after(0.3):
-        await connection.request(
-            "127.0.0.1", port, "POST", b"/x", headers, b"x" * BODY_BYTES
-        )
+        await connection.open()
+        await connection.request("POST", b"/x", headers, b"x" * BODY_BYTES)
     await connection.aclose()
     accepted, _ = slow_server.accept()
     with accepted:
