Read the head of an answer for a moment after its request was given up

What servers saw: the 503 with a rest comes after 0.25 s, the callers leave after 0.15 s: 8 to 11 requests reached the server in the rest, where two are allowed; a process that hangs up learns nothing.

Weighed: to read on for as long as half a second leaves the server at work for nobody; to hang up tells nothing. Change: the gateway ends its side of the connection at once, which tells the server that nobody waits, reads for 0.25 s more and closes. It is done beside the request, whose end, next attempt and answer do not wait for it; at most 256 at a time. What was not delivered yet is reset as before.

--- a/pistachiowell/gateway/bounded_stream.py
+++ b/pistachiowell/gateway/bounded_stream.py
@@ -99,25 +99,39 @@
         stream: The ``httpcore.AsyncNetworkStream`` that does the I/O.
         limit: The ``HeadLimit``.
         deadline: Function that returns a cancel scope of so many seconds.
+        hand_over: Function of the stream that does the I/O; called in place of closing
+            it after a wait for a head was cancelled. Returns whether the stream is
+            closed elsewhere.
     """
 
-    __slots__ = ("_deadline", "_limit", "_stream")
+    __slots__ = (
+        "_deadline",
+        "_hand_over",
+        "_is_handed_over",
+        "_limit",
+        "_stream",
+        "_was_cancelled",
+    )
 
-    def __init__(self, stream, limit, deadline):
+    def __init__(self, stream, limit, deadline, hand_over):
         self._stream = stream
         self._limit = limit
         self._deadline = deadline
+        self._hand_over = hand_over
+        self._was_cancelled = False
+        self._is_handed_over = False
 
     async def read(self, max_bytes, timeout=None):
         """Reads bytes; see ``httpcore.AsyncNetworkStream.read``."""
         left_s = self._limit.left_s()
-        if left_s is None:
-            data = await self._stream.read(max_bytes, timeout)
-        else:
-            with self._deadline(left_s) as scope:
+        try:
+            with self._deadline(math.inf if left_s is None else left_s) as scope:
                 data = await self._stream.read(max_bytes, timeout)
-            if scope.cancelled_caught:
-                raise EndlessHeadError(f"Its head did not end within {MAX_HEAD_S} s.")
+        except anyio.get_cancelled_exc_class():
+            self._was_cancelled = True
+            raise
+        if scope.cancelled_caught:
+            raise EndlessHeadError(f"Its head did not end within {MAX_HEAD_S} s.")
         self._limit.record(len(data))
         return data
 
@@ -130,9 +144,15 @@
 
         A plain close would still deliver it to a server that reads again later.
         """
+        if self._is_handed_over:
+            return
         sock = self._stream.get_extra_info("socket")
-        if self._limit.is_awaited and sock is not None and _has_unsent_bytes(sock):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        if self._limit.is_awaited and sock is not None:
+            if _has_unsent_bytes(sock):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            elif self._was_cancelled and self._hand_over(self._stream):
+                self._is_handed_over = True
+                return
         await self._stream.aclose()
 
     def get_extra_info(self, info):
@@ -159,11 +179,13 @@
         deadline: Function that returns a cancel scope of so many seconds, such as
             ``LoopWatch.deadline``: a process that is late itself has not given the
             server its time.
+        hand_over: See ``BoundedStream``; None to close the stream always.
     """
 
-    __slots__ = ("_backend", "_deadline", "_limit")
+    __slots__ = ("_backend", "_deadline", "_hand_over", "_limit")
 
-    def __init__(self, limit, deadline=anyio.move_on_after):
+    def __init__(self, limit, deadline=anyio.move_on_after, hand_over=None):
+        self._hand_over = hand_over or (lambda stream: False)
         self._backend = httpcore.AnyIOBackend()
         self._limit = limit
         self._deadline = deadline
@@ -178,4 +200,4 @@
             )
         if scope.cancelled_caught:
             raise httpcore.ConnectTimeout
-        return BoundedStream(stream, self._limit, self._deadline)
+        return BoundedStream(stream, self._limit, self._deadline, self._hand_over)
--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections.py
@@ -41,9 +41,15 @@
         host: IP address of the server.
         port: Its TCP port.
         deadline: See ``BoundedBackend``.
+
+    Attributes:
+        on_given_up: Function to call with the open network stream in place of closing
+            it, if the wait for a head is cancelled; see ``BoundedStream``. None to
+            close it.
     """
 
     __slots__ = (
+        "on_given_up",
         "_backend",
         "_head_limit",
         "_host",
@@ -56,9 +62,10 @@
         self._host = host
         self._port = port
         self._head_limit = HeadLimit(anyio.current_time)
-        self._backend = BoundedBackend(self._head_limit, deadline)
+        self._backend = BoundedBackend(self._head_limit, deadline, self._hand_over)
         self._http = None
         self._reusable_until = float("-inf")
+        self.on_given_up = None
 
     @property
     def was_used(self):
@@ -98,6 +105,9 @@
         self._head_limit.end()
         return response
 
+    def _hand_over(self, stream):
+        return self.on_given_up is not None and self.on_given_up(stream)
+
     def mark_idle(self, keep_alive_s, now):
         """Marks the connection as idle after an answer was read completely.
 
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -14,6 +14,7 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.connections import ConnectionPool
 from pistachiowell.gateway.exchange import ConnectionBroken, Exchange, NotConnected
+from pistachiowell.gateway.late_heads import LateHeads
 from pistachiowell.gateway.run import Run
 from pistachiowell.gateway.server_limits import NoRoom, ServerClosed
 from pistachiowell.gateway.silence import SilentServer
@@ -54,6 +55,7 @@
     __slots__ = (
         "_codec",
         "_crashes",
+        "_late_heads",
         "_limits",
         "_pool",
         "_retry_shares",
@@ -85,6 +87,7 @@
         self._codec = codec
         self._router_count = router_count
         self._pool = ConnectionPool(runtime.now, loop_watch.deadline)
+        self._late_heads = LateHeads(codec, limits.record_closure)
         self._retry_shares = {}
         self._started_at = runtime.now()
         self._splitter = SPLITTERS.find("smooth")(rng)
@@ -94,8 +97,14 @@
         """Number of connections opened to backend servers so far."""
         return self._pool.opened
 
-    async def close_idle_connections(self):
-        """Closes idle connections before their servers do until cancelled."""
+    async def run_connections(self):
+        """Closes idle connections and reads late heads until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._late_heads.run)
+            group.start_soon(self._close_idle_connections)
+
+    async def _close_idle_connections(self):
+        """Closes idle connections before their servers do."""
         while True:
             await anyio.sleep(CLOSE_IDLE_INTERVAL_S)
             await self._pool.close_idle()
@@ -224,7 +233,12 @@
             async with (
                 self._crashes.tracked_attempt(server, request) as tracked,
                 Exchange(
-                    self._pool, self._codec, server, request, is_repeat=is_repeat
+                    self._pool,
+                    self._codec,
+                    server,
+                    request,
+                    self._late_heads,
+                    is_repeat=is_repeat,
                 ) as exchange,
             ):
                 try:
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -36,6 +36,7 @@
         codec: Codec of heads; see ``pistachiowell.platform.headers``.
         server: The ``BackendServer``.
         request: The ``GatewayRequest``.
+        late_heads: The ``LateHeads``; reads the head if this is left before it.
         is_repeat: Whether an earlier attempt of the request went to this server.
 
     Attributes:
@@ -51,6 +52,7 @@
         "_connection",
         "_is_complete",
         "_is_repeat",
+        "_late_heads",
         "_pool",
         "_request",
         "head",
@@ -58,11 +60,12 @@
         "server",
     )
 
-    def __init__(self, pool, codec, server, request, *, is_repeat=False):
+    def __init__(self, pool, codec, server, request, late_heads, *, is_repeat=False):
         self._pool = pool
         self._is_repeat = is_repeat
         self._codec = codec
         self._request = request
+        self._late_heads = late_heads
         self._connection = None
         self._body = None
         self._is_complete = False
@@ -107,6 +110,7 @@
         self._connection = await self._pool.acquire(
             self.server, is_repeat=self._is_repeat
         )
+        self._connection.on_given_up = self._give_up
         return self
 
     async def __aexit__(self, *exc_info):
@@ -117,6 +121,9 @@
             else:
                 await self._connection.aclose()
 
+    def _give_up(self, stream):
+        return self._late_heads.take(self.server, self._request.id, stream)
+
     async def open(self):
         """Connects to the server unless the connection is reused.
 
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -284,7 +284,7 @@
             group.start_soon(self._agent_reports.send_loads)
             group.start_soon(self._spending.run)
             group.start_soon(self._grant_memory.run)
-            group.start_soon(self._dispatch.close_idle_connections)
+            group.start_soon(self._dispatch.run_connections)
             group.start_soon(self._ready.serve)
             group.start_soon(serve_metrics, self._runtime)
             group.start_soon(self._register)
--- /dev/null
+++ b/pistachiowell/gateway/tests/test_late_heads.py
@@ -0,0 +1,102 @@
+"""What becomes of a connection whose request is given up before the head has come."""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from pistachiowell.gateway.connections import ServerConnection
+from pistachiowell.gateway.late_heads import LateHeads
+from pistachiowell.platform import headers
+
+pytestmark = pytest.mark.anyio
+
+SERVER = SimpleNamespace(id="s1")
+GIVEN_UP_AFTER_S = 0.1
+# A server may be at work on a given-up request for so long.
+MAX_WORK_S = 0.5
+REFUSAL = b"HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.fixture
+def given_up():
+    """Gives a request up and returns the pauses that were read, and the server's times.
+
+    The times are seconds from the moment of giving up to the end of the request and to
+    the end of the connection, as the server sees them.
+    """
+
+    async def give_up(parts, first_after_s):
+        pauses, ends = [], []
+
+        async def serve(stream):
+            async with stream, anyio.create_task_group() as group:
+                await stream.receive()
+                group.start_soon(answer, stream)
+                try:
+                    await stream.receive()
+                except anyio.EndOfStream:
+                    ends.append(anyio.current_time())
+
+        async def answer(stream):
+            await anyio.sleep(first_after_s)
+            try:
+                for part in parts:
+                    await stream.send(part)
+                while True:
+                    await anyio.sleep(0.01)
+                    await stream.send(b"x")
+            except anyio.BrokenResourceError:
+                ends.append(anyio.current_time())
+
+        late_heads = LateHeads(
+            headers, lambda server, head, told: pauses.append((head.pause_s, told))
+        )
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            group.start_soon(late_heads.run)
+            await anyio.sleep(0.02)
+            connection = ServerConnection("127.0.0.1", port)
+            connection.on_given_up = lambda stream: late_heads.take(
+                SERVER, "request-1", stream
+            )
+            with anyio.move_on_after(GIVEN_UP_AFTER_S):
+                await connection.open()
+                await connection.request("GET", b"/", [(b"Host", b"desk")], b"")
+            await connection.aclose()
+            given_up_at = anyio.current_time()
+            await anyio.sleep(first_after_s + MAX_WORK_S)
+            group.cancel_scope.cancel()
+        return pauses, [end - given_up_at for end in ends]
+
+    return give_up
+
+
+async def test_head_that_comes_after_its_caller_has_left_is_read(given_up):
+    pauses, ends = await given_up([REFUSAL], 0.2)
+    assert pauses == [(3.0, "request-1")]
+    assert max(ends) < MAX_WORK_S
+
+
+async def test_server_is_told_at_once_and_cut_off_soon(given_up):
+    pauses, ends = await given_up([REFUSAL], 0.7)
+    assert pauses == []
+    assert min(ends) < 0.1
+
+
+@pytest.mark.parametrize(
+    ("parts", "pauses"),
+    [
+        ([b"HTTP/1.1 100 Continue\r\nRetry-After: 9\r\n\r\n", REFUSAL], [3.0]),
+        ([REFUSAL[:20], REFUSAL[20:]], [3.0]),
+        ([REFUSAL + REFUSAL.replace(b": 3", b": 7")], [3.0]),
+        ([b"\x00 no answer \r\n\r\n"], []),
+        ([REFUSAL[:20]], []),
+    ],
+    ids=["informational", "in-parts", "two-answers", "garbage", "cut"],
+)
+async def test_late_bytes_are_read_as_heads_only(given_up, parts, pauses):
+    read, _ = await given_up(parts, 0.15)
+    assert [pause_s for pause_s, _ in read] == pauses
