Believe a rest that a kept connection's answer names without an id

What servers saw: on a connection that had carried a request before, a 503 with a rest of 5 s and without an id of a request; the same gateway sent the next request at once.

Cause: an answer without an id counts as the request's own on a new connection only, as a late answer to another request must not pass for it. What it says of its server was thrown away with it, though that is true whichever request it answers.

Evidence: test_rest_without_an_id_on_a_kept_connection_is_overlooked failed before (2 requests), passes now.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -317,7 +317,7 @@
         finally:
             if exchange.has_own_head:
                 self._limits.record_answer(exchange.server, exchange.head, sent_at)
-            if exchange.has_trusted_head:
+            if exchange.tells_of_server:
                 self._limits.record_closure(
                     exchange.server, exchange.head, exchange.request_id
                 )
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -98,6 +98,16 @@
         is_anonymous = self.head is not None and not self.head.request_id
         return self.has_own_head or (is_anonymous and not self._connection.was_used)
 
+    @property
+    def tells_of_server(self):
+        """Whether what the head says of its server itself counts.
+
+        An answer that names no request counts on each connection: at worst it repeats
+        what an earlier one has said. One that names another request is a late copy.
+        """
+        is_anonymous = self.head is not None and not self.head.request_id
+        return self.has_own_head or is_anonymous
+
     @property
     def is_framed(self):
         """Whether the answer tells its end, by a length or in chunks.
--- a/pistachiowell/platform/tests/test_closed_servers.py
+++ b/pistachiowell/platform/tests/test_closed_servers.py
@@ -124,6 +124,22 @@
     assert len(rig.servers["desk-1"].requests) > reached
 
 
+async def test_rest_without_an_id_on_a_kept_connection_is_overlooked(closing_rig):
+    refused = []
+
+    async def refuse_second(request, stream):
+        if len(refused) or len(rig.servers["desk-1"].requests) > 1:
+            refused.append(request)
+            text = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nRetry-After: 5\r\n\r\n"
+            await stream.send(text.encode())
+            return True
+        return await answer_whole(request, stream)
+
+    async with closing_rig(refuse_second) as rig:
+        await send(rig, 20)
+    assert len(refused) == 1
+
+
 async def test_pause_of_all_servers_is_told_at_once(closing_rig):
     busy = refuse_for(str(PAUSE_S))
     async with closing_rig(busy, busy) as rig:
