Let servers of the soak say that they leave or are full, and check who keeps to it

Drawn now: a server that says leaving for up to 7 s and then starts again under its id, and one that turns requests away for up to 2.5 s and names the time. Plain requests no longer name tokens: the account was spent after some 90 answers, and nothing reached a server after that. After a return of the store servers register again, as they do on the platform.

--- a/pistachiowell/gateway/closed_servers.py
+++ b/pistachiowell/gateway/closed_servers.py
@@ -1,4 +1,4 @@
-"""What backend servers have said to this process: that they leave, or want a rest."""
+"""What backend servers have said to this process: that they leave, or want a pause."""
 
 from pistachiowell.admission import ClosedBy, Closures, Incarnation
 from pistachiowell.core.logs import part_logger
@@ -16,7 +16,7 @@
 class ClosedServers:
     """Remembers for all parts of a process which servers take no requests.
 
-    A server that wants a rest wants it from the whole VM, so a gateway and the agent's
+    A server that wants a pause wants it from the whole VM, so a gateway and the agent's
     part that it may run share one of these.
 
     Args:
@@ -60,7 +60,7 @@
         return self._closures.is_leaving(incarnation)
 
     def wait_s(self, incarnation):
-        """Returns the seconds until the end of the rest of a server; 0 without one."""
+        """Returns the seconds until the end of the pause of a server; 0 without one."""
         return self._closures.wait_s(incarnation, self._runtime.now())
 
     def closed_by(self, incarnation):
--- a/pistachiowell/gateway/late_heads.py
+++ b/pistachiowell/gateway/late_heads.py
@@ -1,7 +1,7 @@
 """Reads the heads of answers to requests that were given up meanwhile.
 
 Load pattern: callers leave before a full server has turned them away. A gateway that
-hangs up at once never reads that the server wants a rest, and sends it the next one.
+hangs up at once never reads that the server wants a pause, and sends it the next one.
 """
 
 import socket
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -117,7 +117,7 @@
         """Checks, just before a request is sent, that its server is still open.
 
         Raises:
-            ServerClosed: The server leaves or wants a rest. The request may be sent to
+            ServerClosed: The server leaves or wants a pause. The request may be sent to
                 another one.
         """
         reason = self._closed.closed_by(incarnation_of(server))
--- a/pistachiowell/platform/standin_documents.py
+++ b/pistachiowell/platform/standin_documents.py
@@ -2,6 +2,7 @@
 
 HOST = "soak.example"
 KEY = "k-soak"
+USAGE_HEADER = b"Pistachiowell-Token-Usage"
 
 
 def soak_configuration(prepaid, timeout_ms=3000):
@@ -75,7 +76,7 @@
         "Api-Key": KEY,
         "Pistachiowell-Attempt-Id": request_id,
         "Pistachiowell-Deadline-Ms": str(int(wait_limit_s * 1000)),
-        "Pistachiowell-Token-Usage": f"{prompt_tokens},{output_tokens}",
+        USAGE_HEADER.decode(): f"{prompt_tokens},{output_tokens}",
     }
     if parts:
         items = [f"{part}:{prompt_tokens // len(parts)}" for part in parts]
--- a/pistachiowell/platform/tests/test_closed_servers.py
+++ b/pistachiowell/platform/tests/test_closed_servers.py
@@ -124,7 +124,7 @@
     assert len(rig.servers["desk-1"].requests) > reached
 
 
-async def test_rest_without_an_id_on_a_kept_connection_is_overlooked(closing_rig):
+async def test_pause_without_an_id_on_a_kept_connection_is_overlooked(closing_rig):
     refused = []
 
     async def refuse_second(request, stream):
--- a/pistachiowell/platform/tests/test_told_processes.py
+++ b/pistachiowell/platform/tests/test_told_processes.py
@@ -1,4 +1,4 @@
-"""Servers that tell one part of the fleet that they want a rest, or leave.
+"""Servers that tell one part of the fleet that they want a pause, or leave.
 
 Guards against parts that talk to servers and do not read what these say, or do not tell
 it to the other parts of their VM, and against sends that were admitted before.
@@ -17,10 +17,10 @@
 
 pytestmark = pytest.mark.anyio
 
-REST_S = 2.5
+PAUSE_S = 2.5
 SEND_INTERVAL_S = 0.05
-# A rest may get as many requests, from this long after its answer on.
-ALLOWED_IN_REST = 2
+# A pause may get as many requests, from this long after its answer on.
+ALLOWED_IN_PAUSE = 2
 SLACK_S = 0.5
 
 
@@ -35,7 +35,7 @@
     return f"HTTP/1.1 {status}\r\n{fields}\r\n".encode()
 
 
-WANTS_REST = health_answer("503 Busy", f"Retry-After: {REST_S}")
+WANTS_PAUSE = health_answer("503 Busy", f"Retry-After: {PAUSE_S}")
 
 
 @pytest.fixture
@@ -79,18 +79,18 @@
     return min(b - a for a, b in zip(times, times[1:], strict=False))
 
 
-async def test_agent_probes_a_server_within_the_rest_that_its_probe_was_told(told_rig):
-    async with told_rig(WANTS_REST) as (rig, server):
-        await keep_sending(rig, 2 * REST_S)
+async def test_agent_probes_a_server_within_the_pause_that_its_probe_was_told(told_rig):
+    async with told_rig(WANTS_PAUSE) as (rig, server):
+        await keep_sending(rig, 2 * PAUSE_S)
     assert len(server.health_checks) >= 2
-    assert shortest_gap_s(server.health_checks) >= REST_S
+    assert shortest_gap_s(server.health_checks) >= PAUSE_S
 
 
-async def test_hanging_server_that_wants_a_rest_gets_requests_after_each_probe(
+async def test_hanging_server_that_wants_a_pause_gets_requests_after_each_probe(
     told_rig,
 ):
-    wants_rest = health_answer("503 Busy", "Retry-After: 10")
-    async with told_rig(wants_rest, gateways=4) as (rig, server):
+    wants_pause = health_answer("503 Busy", "Retry-After: 10")
+    async with told_rig(wants_pause, gateways=4) as (rig, server):
         while not server.health_checks:
             await keep_sending(rig, 0.1)
         # Each gateway may try it once after the answer to the probe.
@@ -111,7 +111,7 @@
     assert len(server.requests) == reached
 
 
-async def test_rest_of_another_server_at_the_address_stops_the_probes(told_rig):
+async def test_pause_of_another_server_at_the_address_stops_the_probes(told_rig):
     other = health_answer(
         "503 Busy", "Retry-After: 60", "Pistachiowell-Instance-Id: other"
     )
@@ -121,21 +121,21 @@
 
 
 @pytest.mark.parametrize("value", ["soon", "-1", "1e3", ""])
-async def test_unreadable_rest_stops_the_probes(told_rig, value):
+async def test_unreadable_pause_stops_the_probes(told_rig, value):
     async with told_rig(health_answer("503 Busy", f"Retry-After: {value}")) as parts:
         rig, server = parts
         await keep_sending(rig, 4.0)
     assert len(server.health_checks) > 1
 
 
-async def test_callers_that_leave_early_hide_the_rest_of_their_server(told_rig):
+async def test_callers_that_leave_early_hide_the_pause_of_their_server(told_rig):
     answered_at = []
 
     async def refuse_late(request, stream):
         await anyio.sleep(0.25)
         if request.caller_left:
             return False
-        text = head(request, "503 Busy", Content_Length="0", Retry_After=str(REST_S))
+        text = head(request, "503 Busy", Content_Length="0", Retry_After=str(PAUSE_S))
         await stream.send((text + "Pistachiowell-Not-Executed: 1\r\n\r\n").encode())
         answered_at.append(anyio.current_time())
         return True
@@ -147,18 +147,18 @@
         return await refuse_late(request, stream)
 
     async with told_rig(b"", record) as (rig, _):
-        await keep_sending(rig, REST_S, wait_s=0.15)
+        await keep_sending(rig, PAUSE_S, wait_s=0.15)
     since = answered_at[0] + SLACK_S
-    in_rest = [time for time in arrivals if since < time < answered_at[0] + REST_S]
-    assert len(in_rest) <= ALLOWED_IN_REST
+    in_pause = [time for time in arrivals if since < time < answered_at[0] + PAUSE_S]
+    assert len(in_pause) <= ALLOWED_IN_PAUSE
 
 
-async def test_request_that_waits_for_its_connection_is_sent_into_a_rest(
+async def test_request_that_waits_for_its_connection_is_sent_into_a_pause(
     told_rig, monkeypatch
 ):
     async def refuse(request, stream):
         await anyio.sleep(0.15)
-        text = head(request, "503 Busy", Content_Length="0", Retry_After=str(REST_S))
+        text = head(request, "503 Busy", Content_Length="0", Retry_After=str(PAUSE_S))
         await stream.send((text + "Pistachiowell-Not-Executed: 1\r\n\r\n").encode())
         return True
 
@@ -191,7 +191,9 @@
 
 
 @pytest.mark.parametrize("told", ["deputy", "gateway"])
-async def test_deputy_and_its_gateway_know_different_rests(told_rig, told, monkeypatch):
+async def test_deputy_and_its_gateway_know_different_pauses(
+    told_rig, told, monkeypatch
+):
     settings = DeputySettings(patience_s=0.2, step_s=0.2, return_s=0.2)
     monkeypatch.setattr(deputy, "DeputySettings", lambda: settings)
     arrivals, told_at = [], []
@@ -200,27 +202,27 @@
         arrivals.append(anyio.current_time())
         if told == "deputy" or len(arrivals) > 1:
             await anyio.sleep_forever()
-        text = head(request, "503 Busy", Content_Length="0", Retry_After=str(REST_S))
+        text = head(request, "503 Busy", Content_Length="0", Retry_After=str(PAUSE_S))
         await stream.send((text + "Pistachiowell-Not-Executed: 1\r\n\r\n").encode())
         told_at.append(anyio.current_time())
         return True
 
-    async with told_rig(WANTS_REST, refuse_once, agents=0) as (rig, server):
+    async with told_rig(WANTS_PAUSE, refuse_once, agents=0) as (rig, server):
         await rig.until(lambda: rig.gateways[0].is_deputy)
         await anyio.sleep(0.5)
-        await keep_sending(rig, REST_S)
+        await keep_sending(rig, PAUSE_S)
         times = arrivals + server.health_checks
         told_at += server.health_checks
     since = min(told_at) + SLACK_S
-    in_rest = [time for time in times if since < time < min(told_at) + REST_S]
-    assert in_rest == []
+    in_pause = [time for time in times if since < time < min(told_at) + PAUSE_S]
+    assert in_pause == []
 
 
-async def test_server_that_rests_is_used_after_it(told_rig):
-    async with told_rig(WANTS_REST) as (rig, server):
+async def test_server_that_pauses_is_used_after_it(told_rig):
+    async with told_rig(WANTS_PAUSE) as (rig, server):
         await keep_sending(rig, 1.0)
         server.script = answer_whole
         server.health_answer = health_answer("200 OK")
         server.requests.clear()
-        await keep_sending(rig, REST_S + 1.5)
+        await keep_sending(rig, PAUSE_S + 1.5)
     assert server.requests
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import anyio
@@ -12,6 +13,7 @@
 from pistachiowell.platform.main import SETTINGS_VARIABLE
 from pistachiowell.platform.standin_documents import registration
 from pistachiowell.platform.standins import BackendStandIn, ObjectServer, serve_app
+from pistachiowell.soak.closing import ClosingOracle, ServerState
 from pistachiowell.standins.relay import LinkState, Relay
 
 RESTART_DELAY_S = 0.3
@@ -44,6 +46,8 @@
 
     Attributes:
         addresses: HTTP address by name of the gateway.
+        closing: The ``ClosingOracle``.
+        server_states: The ``ServerState`` of each backend server by id.
         servers: The ``BackendStandIn`` of each backend server.
         store: The ``ObjectServer`` that stands in for the store.
         store_address: Host and port of the store, without a relay.
@@ -55,9 +59,12 @@
         "_gateway_settings",
         "_group",
         "_processes",
+        "_registrations",
         "_relays",
         "_roles",
         "addresses",
+        "closing",
+        "server_states",
         "servers",
         "store",
         "store_address",
@@ -70,8 +77,11 @@
         self._free_port = free_port
         self._processes = {}
         self._relays = {}
+        self._registrations = {}
         self._roles = {}
         self.addresses = {}
+        self.closing = ClosingOracle()
+        self.server_states = {}
         self.servers = []
         self.store = ObjectServer()
         self.store_address = ""
@@ -112,6 +122,26 @@
         self.servers.append(server)
         port = await self._add_link(f"server-{server_id}", server.port)
         spec = registration(service, f"{HOST}:{port}")
+        self._registrations[server_id] = spec
+        self.server_states[server_id] = ServerState()
+        self.store.put("servers", server_id, spec)
+
+    def run_of(self, server_id):
+        """Returns the id of a server and the number of its run."""
+        return server_id, self._registrations[server_id]["born"]
+
+    async def _let_leave(self, server_id, duration_s):
+        """Lets a server say that it leaves, and start again under its id after it."""
+        state = self.server_states[server_id]
+        if state.is_leaving:
+            return
+        state.is_leaving = True
+        await anyio.sleep(duration_s)
+        while self.store.mode != "up":
+            await anyio.sleep(0.05)
+        spec = self._registrations[server_id]
+        spec = self._registrations[server_id] = {**spec, "born": spec["born"] + 1}
+        state.is_leaving = False
         self.store.put("servers", server_id, spec)
 
     async def add_agent(self, name):
@@ -168,6 +198,17 @@
         A killed or stopped process is started again after ``RESTART_DELAY_S``, unless
         an overlapping fault has done so.
         """
+        if fault.kind == "leave":
+            await self._let_leave(fault.target, fault.duration_s)
+        elif fault.kind == "full":
+            until = time.monotonic() + fault.duration_s
+            self.server_states[fault.target].paused_until = until
+        else:
+            duration_s = fault.duration_s + RESTART_DELAY_S
+            self.closing.record_fault(fault.target.removeprefix("server-"), duration_s)
+            await self._inject_failure(fault)
+
+    async def _inject_failure(self, fault):
         if fault.kind == "store":
             self.store.mode = fault.mode
             await anyio.sleep(fault.duration_s)
@@ -176,6 +217,9 @@
             taken = self.store.take_copy()
             await anyio.sleep(fault.duration_s)
             self.store.return_from_copy(taken)
+            # Servers write again what the store has lost.
+            for server_id, spec in self._registrations.items():
+                self.store.put("servers", server_id, spec)
         elif fault.kind == "loss":
             agents = [name for name, role in self._roles.items() if role == "agent"]
             for name in agents:
--- a/pistachiowell/soak/oracle.py
+++ b/pistachiowell/soak/oracle.py
@@ -23,6 +23,7 @@
         prompt_tokens_of: Prompt tokens by request id, of requests that have run.
         violations: One sentence per broken promise.
         status_counts: Number of answers by status; 0 for a lost connection.
+        sent_at: Time at which its caller sent it, in seconds, by request id.
     """
 
     prepaid_tokens: int
@@ -31,6 +32,7 @@
     prompt_tokens_of: dict = field(default_factory=dict)
     violations: list = field(default_factory=list)
     status_counts: Counter = field(default_factory=Counter)
+    sent_at: dict = field(default_factory=dict)
 
     def record_run(self, request_id, prompt_tokens):
         """Records that a server has started to run a request."""
--- a/pistachiowell/soak/plan.py
+++ b/pistachiowell/soak/plan.py
@@ -4,8 +4,10 @@
 from random import Random
 
 MAX_FAULT_S = 2.5
-# Gateways do the work of agents once there are none for some seconds.
-MAX_LOSS_S = 7.0
+# Gateways do the work of agents once there are none for some seconds, and a server that
+# leaves accepts requests for some seconds.
+MAX_LONG_FAULT_S = 7.0
+LONG_FAULTS = ("loss", "leave")
 # No fault starts this long before the end of the load, so that the load ends
 # without faults.
 NO_NEW_FAULT_S = 4.0
@@ -23,9 +25,10 @@
         start_s: Seconds from the start of the load.
         kind: ``kill`` (SIGKILL, then a new start), ``pause`` (SIGSTOP), ``restart``
             (SIGTERM, then a new start), ``loss`` (all agents are killed and start
-            again later), ``store``, ``link`` or ``return`` (the store returns from a
-            copy that is taken now).
-        target: Name of the process or link; empty for the store.
+            again later), ``store``, ``link``, ``return`` (the store returns from a
+            copy that is taken now), ``leave`` (a server says that it leaves, and then
+            starts again) or ``full`` (a server turns requests away and names a pause).
+        target: Name of the process, link or server; empty for the store.
         duration_s: Duration in seconds, or the age of the copy; of no effect for
             ``kill`` and ``restart``.
         mode: Kind of failure of the store or link; empty for processes.
@@ -38,7 +41,7 @@
     mode: str = ""
 
 
-def draw_faults(seed, length_s, processes, links=(), *, has_agents=False):
+def draw_faults(seed, length_s, processes, links=(), *, has_agents=False, servers=()):
     """Draws the faults of a soak at random.
 
     Up to three faults start at the same time, and faults may overlap.
@@ -49,6 +52,7 @@
         processes: Names of the processes.
         links: Names of the links.
         has_agents: Whether there are agents, which may be lost together.
+        servers: Ids of the servers that may close themselves.
 
     Returns:
         List of ``Fault``, by the time at which they were drawn.
@@ -61,12 +65,13 @@
     targets = dict.fromkeys(("kill", "pause", "restart"), processes)
     targets |= {"store": ("",), "link": links, "return": ("",)}
     targets["loss"] = ("",) if has_agents else ()
+    targets |= {"leave": servers, "full": servers}
     kinds = [kind for kind, names in targets.items() if names]
     faults, start_s = [], 0.5
     while start_s < length_s - NO_NEW_FAULT_S:
         for _ in range(rng.choice((1, 1, 2, 3))):
             kind = rng.choice(kinds)
-            longest_s = MAX_LOSS_S if kind == "loss" else MAX_FAULT_S
+            longest_s = MAX_LONG_FAULT_S if kind in LONG_FAULTS else MAX_FAULT_S
             duration_s = rng.uniform(0.2, longest_s)
             mode = rng.choice(FAULT_MODES.get(kind, ("",)))
             target = rng.choice(targets[kind])
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -1,6 +1,7 @@
 """Runs one soak: starts the programs, sends load, injects faults, checks answers."""
 
 import itertools
+import time
 from pathlib import Path
 from random import Random
 
@@ -10,6 +11,7 @@
 from pistachiowell.bench.ports import free_port
 from pistachiowell.budgets.restoring import SETTLE_S
 from pistachiowell.platform.standin_documents import (
+    USAGE_HEADER,
     caller_headers,
     soak_configuration,
 )
@@ -48,6 +50,7 @@
                 fleet.process_names,
                 fleet.link_names,
                 has_agents=True,
+                servers=list(fleet.server_states),
             )
             async with anyio.create_task_group() as load:
                 load.start_soon(_send_load, fleet, oracle, Random(seed), length_s)
@@ -57,6 +60,7 @@
             fleet.stop()
             group.cancel_scope.cancel()
     oracle.check_totals()
+    oracle.violations += fleet.closing.violations()
     return oracle
 
 
@@ -65,8 +69,10 @@
     await fleet.start_store()
     fleet.store.put("config", "main", soak_configuration(PREPAID_TOKENS))
     for number in (1, 2):
-        await fleet.add_server(f"desk-{number}", "desk", _plain_handler(oracle))
-        await fleet.add_server(f"pool-{number}", "pool", _stream_handler(oracle))
+        for service, handler in (("desk", _plain_handler), ("pool", _stream_handler)):
+            name = f"{service}-{number}"
+            handle = _closing_handler(fleet, oracle, name, handler(oracle))
+            await fleet.add_server(name, service, handle)
         await fleet.add_agent(f"agent-{number}")
     for number in (1, 2):
         await fleet.add_gateway(f"gate-{number}")
@@ -87,18 +93,24 @@
             while True:
                 await anyio.sleep(rng.expovariate(REQUESTS_PER_S))
                 kind = rng.choice(("read", "book", "chat"))
-                address = rng.choice(list(fleet.addresses.values()))
-                request_id = f"{kind}-{next(request_numbers)}"
-                group.start_soon(_send_request, oracle, address, kind, request_id)
+                gateway = rng.choice(list(fleet.addresses))
+                request_id = f"{kind}-{next(request_numbers)}-at-{gateway}"
+                oracle.sent_at[request_id] = time.monotonic()
+                group.start_soon(
+                    _send_request, fleet, oracle, gateway, kind, request_id
+                )
 
 
-async def _send_request(oracle, address, kind, request_id):
+async def _send_request(fleet, oracle, gateway, kind, request_id):
     max_output_tokens = 2 * EVENTS_PER_STREAM * TOKENS_PER_EVENT
     headers = caller_headers(
         request_id, CALLER_TIMEOUT_S, PROMPT_TOKENS, max_output_tokens
     )
+    if kind != "chat":
+        # Requests without a prompt cost nothing, so they go on when all is spent.
+        headers = [pair for pair in headers if pair[0] != USAGE_HEADER]
     status, body = 0, None
-    url = f"http://{address}/{kind}/{request_id}"
+    url = f"http://{fleet.addresses[gateway]}/{kind}/{request_id}"
     method = "GET" if kind == "read" else "POST"
     try:
         with anyio.move_on_after(CALLER_TIMEOUT_S):
@@ -108,6 +120,8 @@
             ):
                 status = response.status
                 body = await response.aread()
+                if (b"server-leaving", b"1") in response.headers:
+                    fleet.closing.record_leaving(request_id, gateway)
     except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
         body = None
     expected = _stream_body() if kind == "chat" else request_id.encode()
@@ -118,24 +132,48 @@
     return b"".join(event(number) for number in range(1, EVENTS_PER_STREAM + 1))
 
 
-def _plain_handler(oracle):
+def _closing_handler(fleet, oracle, server_id, handle_open):
+    """Returns a handler that answers as the state of a server says."""
+    closing = fleet.closing
+
     async def handle(request, stream):
+        request_id = request.headers["pistachiowell-attempt-id"]
+        gateway = request_id.partition("-at-")[2]
+        state, run = fleet.server_states[server_id], fleet.run_of(server_id)
+        closing.record_arrival(run, gateway, oracle.sent_at[request_id])
+        refusal = state.refusal(request)
+        if state.is_leaving:
+            closing.record_answer(run, request_id)
+        if refusal is None:
+            return await handle_open(request, stream, state.headers())
+        await stream.send(refusal)
+        closing.record_pause(run, gateway, state.paused_until - time.monotonic())
+        return True
+
+    return handle
+
+
+def _plain_handler(oracle):
+    async def handle(request, stream, more):
         request_id = request.headers["pistachiowell-attempt-id"]
         oracle.record_run(request_id, 0)
         await anyio.sleep(0.01)
-        data = head(request, Content_Length=str(len(request_id))) + "\r\n" + request_id
-        await stream.send(data.encode())
+        text = head(request, Content_Length=str(len(request_id)), **more)
+        await stream.send(f"{text}\r\n{request_id}".encode())
         return True
 
     return handle
 
 
 def _stream_handler(oracle):
-    async def handle(request, stream):
+    async def handle(request, stream, more):
         request_id = request.headers["pistachiowell-attempt-id"]
         oracle.record_run(request_id, PROMPT_TOKENS)
         text = head(
-            request, Content_Type="text/event-stream", Transfer_Encoding="chunked"
+            request,
+            Content_Type="text/event-stream",
+            Transfer_Encoding="chunked",
+            **more,
         )
         await stream.send((text + "\r\n").encode())
         # A resumed stream goes on after the last event that the caller has received.
--- a/pistachiowell/soak/tests/crashing_fleet.py
+++ b/pistachiowell/soak/tests/crashing_fleet.py
@@ -11,6 +11,7 @@
 
 from pistachiowell.bench.ports import free_port
 from pistachiowell.platform.standin_documents import (
+    USAGE_HEADER,
     caller_headers,
     soak_configuration,
 )
@@ -25,7 +26,6 @@
 KNOWN_EVERYWHERE_S = 3.0
 MAX_LATE_SENDS = 3
 AWAY = "gate-1"
-USAGE_HEADER = b"Pistachiowell-Token-Usage"
 DOWN_S = 1.0
 LEASE_S = 0.6
 
--- a/pistachiowell/soak/tests/test_soak.py
+++ b/pistachiowell/soak/tests/test_soak.py
@@ -1,7 +1,16 @@
 """A short soak under faults, and checks that the oracle detects broken promises."""
 
+import time
+
+import anyio
 import pytest
 
+from pistachiowell.soak.closing import (
+    ALLOWED_IN_PAUSE,
+    DRAIN_S,
+    PAUSE_SLACK_S,
+    ClosingOracle,
+)
 from pistachiowell.soak.oracle import Oracle
 from pistachiowell.soak.run import soak
 
@@ -47,3 +56,40 @@
 async def test_oracle_sees_a_wrong_answer(oracle):
     oracle.check_answer("read-1", "read", 200, b"y", b"x")
     assert "wrong answer" in oracle.violations[0]
+
+
+@pytest.fixture
+def closing():
+    oracle = ClosingOracle()
+    oracle.record_answer(("desk-1", 1), "read-1")
+    return oracle
+
+
+async def test_oracle_sees_a_request_at_a_leaving_server(closing):
+    closing.record_leaving("read-1", "gate-1")
+    soon, late = time.monotonic() + 1.0, time.monotonic() + DRAIN_S + 0.1
+    closing.record_arrival(("desk-1", 1), "gate-1", soon)
+    closing.record_arrival(("desk-1", 2), "gate-1", late)
+    closing.record_arrival(("desk-1", 1), "gate-2", late)
+    assert closing.violations() == []
+    closing.record_arrival(("desk-1", 1), "gate-1", late)
+    assert "had said that it leaves" in closing.violations()[0]
+
+
+@pytest.mark.parametrize(("target", "kept"), [("gate-1", True), ("gate-2", False)])
+async def test_oracle_excuses_gateways_in_trouble_only(closing, target, kept):
+    closing.record_leaving("read-1", "gate-1")
+    closing.record_fault(target, 0.0)
+    closing.record_arrival(("desk-1", 1), "gate-1", time.monotonic() + DRAIN_S + 0.1)
+    assert (closing.violations() == []) == kept
+
+
+async def test_oracle_sees_requests_in_a_pause(closing):
+    run = ("desk-1", 1)
+    closing.record_pause(run, "gate-1", 5.0)
+    await anyio.sleep(PAUSE_SLACK_S + 0.05)
+    for _ in range(ALLOWED_IN_PAUSE):
+        closing.record_arrival(run, "gate-1", 0.0)
+    assert closing.violations() == []
+    closing.record_arrival(run, "gate-1", 0.0)
+    assert "wanted a pause" in closing.violations()[0]
