--- a/pistachiowell/platform/standin_program.py
+++ b/pistachiowell/platform/standin_program.py
@@ -6,7 +6,8 @@
 part does not count.
 
 While the file of limits has a text, the server names it in its answers as its limit;
-the texts of several lines are several headers.
+the texts of several lines are several headers. The file of its state is JSON with
+``is_leaving`` and ``paused_until``, a wall time until which it turns requests away.
 """
 
 import json
@@ -23,7 +24,7 @@
 
 USAGE = (
     "Usage: --port PORT --record FILE [--crash_marker TEXT] [--crash_delay_s S]"
-    " [--limits FILE]"
+    " [--limits FILE] [--state FILE]"
 )
 PLAIN_WORK_S = 0.02
 EVENT_INTERVAL_S = 0.03
@@ -44,12 +45,14 @@
         self._path = Path(path)
         self._path.touch()
 
-    def add(self, request, *, crashes):
+    def add(self, request, *, crashes, is_leaving=False, paused_until=0.0):
         """Adds an arrival.
 
         Args:
             request: The ``ReceivedRequest``.
             crashes: Whether the request ends the process.
+            is_leaving: Whether the answer says that the server leaves.
+            paused_until: End of the pause that the answer names, as a wall time.
         """
         line = {
             "at": time.time(),
@@ -59,12 +62,14 @@
             "request": request.headers["pistachiowell-attempt-id"],
             "body": request.body.decode(),
             "crashes": crashes,
+            "is_leaving": is_leaving,
+            "paused_until": paused_until,
         }
         with self._path.open("a", encoding="utf-8") as file:
             file.write(json.dumps(line) + "\n")
 
 
-def make_script(record, crash_marker, crash_delay_s, limits_path=None):
+def make_script(record, crash_marker, crash_delay_s, limits_path=None, state_path=None):
     """Returns the script of the server; see ``BackendStandIn``.
 
     Args:
@@ -72,8 +77,14 @@
         crash_marker: Bytes in the body of a request that crashes the server.
         crash_delay_s: Seconds from the start of such a request to the crash.
         limits_path: Path of the file of limits; None for a server without limits.
+        state_path: Path of the file of its state; None for one that is always open.
     """
 
+    def read_state():
+        if state_path is None or not state_path.exists():
+            return {}
+        return json.loads(state_path.read_text(encoding="utf-8"))
+
     def limit_headers():
         if limits_path is None or not limits_path.exists():
             return ""
@@ -83,16 +94,26 @@
     async def answer(request, stream):
         has_crashing_part = bool(crash_marker) and _has_part(request, crash_marker)
         crashes = bool(crash_marker) and crash_marker in request.body
-        record.add(request, crashes=crashes or has_crashing_part)
+        state = read_state()
+        record.add(request, crashes=crashes or has_crashing_part, **state)
+        more = limit_headers()
+        if state.get("is_leaving"):
+            more += "Server-Leaving: 1\r\n"
+        pause_s = state.get("paused_until", 0.0) - time.time()
+        if pause_s > 0:
+            more += f"Retry-After: {pause_s:.3f}\r\nPistachiowell-Not-Executed: 1\r\n"
+            text = head(request, "503 Busy", Content_Length="0") + more
+            await stream.send((text + "\r\n").encode())
+            return True
         if has_crashing_part:
             await stream.send(_stream_head(request, ""))
         if crashes or has_crashing_part:
             await anyio.sleep(crash_delay_s)
             os._exit(1)
         if request.target.startswith(STREAM_PATHS):
-            return await _answer_with_events(request, stream, limit_headers())
+            return await _answer_with_events(request, stream, more)
         await anyio.sleep(PLAIN_WORK_S)
-        text = head(request, Content_Length="2") + limit_headers()
+        text = head(request, Content_Length="2") + more
         await stream.send((text + "\r\nok").encode())
         return True
 
@@ -128,13 +149,16 @@
     flags.DEFINE_string("crash_marker", "", "Marker of crashing requests.", **define)
     flags.DEFINE_float("crash_delay_s", 0.01, "Delay of a crash.", **define)
     flags.DEFINE_string("limits", None, "File with the limits to name.", **define)
+    flags.DEFINE_string("state", None, "File with the state of the server.", **define)
     if parse_flags(values, sys.argv, USAGE) or not values.record:
         print(USAGE, file=sys.stderr)
         return 2
     record = ArrivalRecord(values.record)
     marker = values.crash_marker.encode()
     limits_path = Path(values.limits) if values.limits else None
-    script = make_script(record, marker, values.crash_delay_s, limits_path)
+    state_path = Path(values.state) if values.state else None
+    delay_s = values.crash_delay_s
+    script = make_script(record, marker, delay_s, limits_path, state_path)
     anyio.run(_serve, BackendStandIn("", script, port=values.port))
     return 0
 
--- a/pistachiowell/soak/server_processes.py
+++ b/pistachiowell/soak/server_processes.py
@@ -76,6 +76,14 @@
         """Lets a server name a limit in its answers, or none without a text."""
         self._limits_path(name).write_text("\n".join(texts), encoding="utf-8")
 
+    def set_state(self, name, *, is_leaving=False, paused_until=0.0):
+        """Lets a server say that it leaves or is paused; see ``standin_program``."""
+        state = {"is_leaving": is_leaving, "paused_until": paused_until}
+        path = self._state_path(name)
+        written = path.with_suffix(".new")
+        written.write_text(json.dumps(state), encoding="utf-8")
+        written.replace(path)
+
     def arrivals(self):
         """Returns the recorded arrivals of all servers as mappings, oldest first."""
         lines = [
@@ -131,6 +139,9 @@
     def _limits_path(self, name):
         return self._directory / f"{name}.limits"
 
+    def _state_path(self, name):
+        return self._directory / f"{name}.state"
+
     def _start_process(self, name, port):
         command = [
             sys.executable,
@@ -140,6 +151,7 @@
             f"--record={self._directory / name}.arrivals",
             f"--crash_marker={self._crash_marker}",
             f"--limits={self._limits_path(name)}",
+            f"--state={self._state_path(name)}",
         ]
         with (self._directory / f"{name}.log").open("ab") as log:
             process = subprocess.Popen(command, stdout=log, stderr=log)
--- a/pistachiowell/soak/tests/crashing_fleet.py
+++ b/pistachiowell/soak/tests/crashing_fleet.py
@@ -40,6 +40,8 @@
         answers: Triples of body, status and code of the error; the code is empty for
             other answers, and the status 0 if the answer is incomplete.
         sent_at: Wall time of the latest sending in seconds by body.
+        gateway_of: Name of the gateway by id of the request.
+        started_at: Wall time of the sending in seconds by id of the request.
         ends: Pairs of the wall time at which the caller left, served or not, and of the
             status, by id of the request.
     """
@@ -50,6 +52,8 @@
         self.answers = []
         self.sent_at = {}
         self.ends = {}
+        self.gateway_of = {}
+        self.started_at = {}
 
     async def send(self, kind, body, gateway, parts=(), wait_s=CALLER_TIMEOUT_S):
         """Sends one request with a new id and records its answer.
@@ -63,6 +67,8 @@
         """
         self.sent_at[body] = time.time()
         request_id = f"{kind}-{next(self._numbers)}"
+        self.gateway_of[request_id] = gateway
+        self.started_at[request_id] = time.time()
         answer = (0, "")
         with anyio.move_on_after(wait_s):
             with suppress(httpcore.NetworkError, httpcore.ProtocolError, OSError):
