Spread the return of callers over the time after a pause

What servers saw: when all servers of a service want a pause, every refused caller is told its exact end, and all come back in that moment: 50 of 50 within 50 ms in the test.

Change: each is told a time up to a quarter of the wait, half a second at most, later. None is told to come before a server is open.

--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -23,6 +23,8 @@
 # An agent that has not answered is not asked again for this long.
 SILENT_AGENT_S = 1.0
 MIN_RETRY_AFTER_S = 0.05
+RETURN_SPREAD_SHARE = 0.25
+MAX_RETURN_SPREAD_S = 0.5
 
 _log = part_logger("limits")
 
@@ -149,12 +151,19 @@
         return max(pause_s, max(untils, default=0.0) - now)
 
     def no_room(self, servers, priority):
-        """Returns the error of a request for which no server has room."""
-        waits_s = [self.wait_s(server, priority) for server in servers]
+        """Returns the error of a request for which no server has room.
+
+        The callers are told somewhat different times, none before the first server has
+        room, so that they don't come back in the same moment.
+        """
+        wait_s = min(self.wait_s(server, priority) for server in servers)
+        spread_s = min(MAX_RETURN_SPREAD_S, RETURN_SPREAD_SHARE * wait_s)
         return NoRoom(
             "The servers take no more requests at present, as they have said.",
             ran="no",
-            retry_after_s=max(MIN_RETRY_AFTER_S, min(waits_s)),
+            retry_after_s=max(
+                MIN_RETRY_AFTER_S, wait_s + spread_s * self._rng.random()
+            ),
         )
 
     async def admit(self, server, priority):
