Log an unreadable limit or pause once for a server

Bad input was logged with each answer, up to the bound of the logs, and limits were not counted. Now the first of each run of a server is logged and all are counted (servers.unreadable_limits and _pauses); at most 1,024 are remembered. test_each_unreadable_pause_is_logged is new; without the memory it has three lines for two servers.

--- a/pistachiowell/gateway/closed_servers.py
+++ b/pistachiowell/gateway/closed_servers.py
@@ -4,6 +4,7 @@
 from pistachiowell.core.logs import part_logger
 
 TOLD_BY_OTHERS = "others"
+MAX_UNREADABLE = 1_024
 
 _log = part_logger("limits")
 
@@ -23,11 +24,12 @@
         runtime: The process's ``Runtime``.
     """
 
-    __slots__ = ("_closures", "_runtime")
+    __slots__ = ("_closures", "_runtime", "_unreadable")
 
     def __init__(self, runtime):
         self._runtime = runtime
         self._closures = Closures()
+        self._unreadable = {}
 
     def record_answer(self, incarnation, head, told):
         """Records what the head of an answer says.
@@ -42,8 +44,7 @@
         """
         now = self._runtime.now()
         if head.has_unreadable_pause:
-            self._runtime.metrics.count("servers.unreadable_pauses")
-            _log.info("Ignored a pause that is no number.", server=incarnation.server)
+            self.record_unreadable(incarnation, "pauses")
         if head.pause_s and self._closures.pause(incarnation, head.pause_s, now):
             self._log_closed(incarnation, ClosedBy.pause, told, head.pause_s)
         return head.is_leaving and self.record_leaving(incarnation, told)
@@ -55,6 +56,24 @@
         self._log_closed(incarnation, ClosedBy.leaving, told)
         return True
 
+    def record_unreadable(self, incarnation, what):
+        """Counts a value that cannot be read, and logs the first of a server.
+
+        Args:
+            incarnation: The ``Incarnation`` of the server.
+            what: Kind of the value, ``limits`` or ``pauses``.
+        """
+        self._runtime.metrics.count(f"servers.unreadable_{what}")
+        key = incarnation, what
+        if key in self._unreadable:
+            return
+        self._unreadable[key] = None
+        if len(self._unreadable) > MAX_UNREADABLE:
+            del self._unreadable[next(iter(self._unreadable))]
+        _log.info(
+            "Ignored a value that is no number.", server=incarnation.server, what=what
+        )
+
     def is_leaving(self, incarnation):
         """Returns whether a server has said that it leaves."""
         return self._closures.is_leaving(incarnation)
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -89,7 +89,7 @@
             sent_at: Time at which the request was sent in seconds.
         """
         if head.has_unreadable_limit:
-            _log.info("Ignored a limit that is no rate.", server=server.id)
+            self._closed.record_unreadable(incarnation_of(server), "limits")
             return
         now = self._runtime.now()
         incarnation = incarnation_of(server)
