Show in explain which servers had closed themselves for a refused request

On-call sees 'The servers take no more requests at present' or 'no server that accepts work' and not why: the lines that say so name no request, and may be older than the three seconds of context. explain now adds the closures that held at the process of the request, with the request whose answer told them. test_refusal_hides_that_its_servers_are_closed (pause and leaving) finds no line without the change.

--- a/pistachiowell/ctl/log_lines.py
+++ b/pistachiowell/ctl/log_lines.py
@@ -11,6 +11,8 @@
 # Texts that the gateway logs for a retry and for the end of a request.
 RETRY_TEXT = "Request is sent again."
 END_TEXTS = ("Request has ended.", "Request is refused.", "Request has failed.")
+# Text that a process logs when it learns that a server has closed itself.
+CLOSED_TEXT = "A server takes no requests."
 _HEAD_FIELDS = ("at", "level", "process", "part", "text", "wall_ns", "logical")
 
 
@@ -25,7 +27,8 @@
         has_end: Whether one of them reports the end of the request.
         context: Lines about no request, from ``CONTEXT_BEFORE_S`` seconds before the
             first to the last line of this one, that name its servers or account or
-            are warnings or errors of its processes.
+            are warnings or errors of its processes. Besides, the servers that its
+            processes took for closed, however long before they were told so.
     """
 
     lines: list
@@ -104,19 +107,32 @@
     servers = {line["server"] for line in lines if "server" in line}
     accounts = {line["account"] for line in lines if line.get("account")}
     processes = {line["process"] for line in lines}
-    return [
-        line
-        for line in merged
-        if begin <= line["at"] <= end
-        and "request" not in line
-        and (
+
+    def is_near(line):
+        return begin <= line["at"] <= end and (
             line.get("server") in servers
             or line.get("account") in accounts
             or (line["process"] in processes and line.get("level") in FAULT_LEVELS)
         )
+
+    def is_closure(line):
+        return line["process"] in processes and _is_closed(line, lines[0]["at"], end)
+
+    return [
+        line
+        for line in merged
+        if "request" not in line and (is_near(line) or is_closure(line))
     ]
 
 
+def _is_closed(line, begin, end):
+    """Returns whether a line tells of a server that was closed in that time."""
+    if line["text"] != CLOSED_TEXT or line["at"] > end:
+        return False
+    seconds = line.get("seconds")
+    return seconds is None or line["at"] + seconds >= begin
+
+
 def line_text(line):
     """Returns a log line as one line of text."""
     fields = [
--- a/pistachiowell/soak/tests/test_explaining.py
+++ b/pistachiowell/soak/tests/test_explaining.py
@@ -13,11 +13,13 @@
 import httpcore
 import pytest
 
+from pistachiowell.ctl.log_lines import CLOSED_TEXT
 from pistachiowell.platform.standin_documents import (
     caller_headers,
     soak_configuration,
 )
 from pistachiowell.platform.standins import chunk, close_without_answer, event, head
+from pistachiowell.soak.closing import ServerState
 from pistachiowell.soak.fleet import Fleet
 
 pytestmark = pytest.mark.anyio
@@ -95,6 +97,30 @@
     assert "Service desk has no server" in fault["cause"]
 
 
+@pytest.mark.parametrize("reason", ["pause", "leaving"])
+async def test_refusal_hides_that_its_servers_are_closed(fleet, tmp_path, reason):
+    paused_until = anyio.current_time() + 20.0 if reason == "pause" else 0.0
+
+    async def close(request, stream):
+        state = ServerState(reason == "leaving", paused_until)
+        answer = state.refusal(request)
+        if answer is None:
+            text = head(request, Content_Length="2", **state.headers())
+            answer = (text + "\r\nok").encode()
+        await stream.send(answer)
+        return True
+
+    fleet.servers[0].script = close
+    await send_request(fleet, "book", "told-1")
+    # Longer than the context that is shown of other lines.
+    await anyio.sleep(3.5)
+    assert await send_request(fleet, "book", "refused-1") == 503
+    context = run_explain(tmp_path, "refused-1")["context"]
+    closed = [line for line in context if line["text"] == CLOSED_TEXT]
+    assert [(line["server"], line["reason"]) for line in closed] == [("desk-1", reason)]
+    assert closed[0]["told"] == "told-1"
+
+
 async def test_store_outage_shows_behind_a_refused_budget(fleet, tmp_path):
     fleet.store.mode = "busy"
     assert await send_request(fleet, "chat", "money-1") == 503
