Raise a store error when the store never answers a change of the table

What operators saw: 'TypeError: exceptions must derive from BaseException' from ctl apply while the store hangs: the writer raises its last error, and there is none yet when its time is over.

Evidence: test_change_that_the_store_never_answers_raises_no_error_of_its_own failed with that TypeError, passes now.

--- a/pistachiowell/store/table_writer.py
+++ b/pistachiowell/store/table_writer.py
@@ -21,6 +21,7 @@
     OutcomeUnresolved,
     StoreAnswerLost,
     StoreConflict,
+    StoreUnavailable,
 )
 from pistachiowell.core.logs import part_logger
 from pistachiowell.store.store import ABSENT
@@ -118,7 +119,9 @@
                 "does not answer reads; read the table later to see whether the change "
                 "was accepted."
             )
-        raise attempt.last_error
+        raise attempt.last_error or StoreUnavailable(
+            f"The store has answered nothing within {self._retry_timeout_s} s."
+        )
 
     async def _read(self):
         entries, _ = await self._store.list(ROWS)
