Read a line end that arrives in two parts

What callers saw: an engine that ends its lines with CRLF and whose chunk ends between the two bytes: the event stays in the agent's buffer until the next blank line, is passed on joined with the next event, and a final one is never passed on, so the stream looks cut off.

Cause: line ends were replaced in each chunk by itself.

Evidence: test_line_end_that_is_cut_in_two_hides_an_event failed before, passes now for each cut.

--- a/pistachiowell/agent/sse.py
+++ b/pistachiowell/agent/sse.py
@@ -56,7 +56,9 @@
         Raises:
             AnswerBroken: An event does not end within ``MAX_EVENT_BYTES``.
         """
-        events = (self._buffer + data.replace(b"\r\n", b"\n")).split(END_OF_EVENT)
+        # A line end may arrive in two parts.
+        text = (self._buffer + data).replace(b"\r\n", b"\n")
+        events = text.split(END_OF_EVENT)
         self._buffer = events.pop()
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise AnswerBroken(f"An event exceeds {MAX_EVENT_BYTES} bytes.")
--- a/pistachiowell/agent/tests/test_sse.py
+++ b/pistachiowell/agent/tests/test_sse.py
@@ -13,3 +13,13 @@
     assert reader.feed(b"data: " + block) == b""
     with pytest.raises(AnswerBroken):
         reader.feed(block)
+
+
+def test_line_end_that_is_cut_in_two_hides_an_event():
+    stream = b'data: {"choices": [1]}\r\n\r\ndata: [DONE]\r\n\r\n'
+    for cut in range(1, len(stream)):
+        reader = UsageReader(include_usage=True)
+        forwarded = reader.feed(stream[:cut]) + reader.feed(stream[cut:])
+        assert forwarded == stream.replace(b"\r\n", b"\n")
+        assert reader.done
+        assert reader.completion_tokens == 1
