Survive a peer that reads no replies

What callers saw: nothing yet here; read in the code. A peer that asks and does not read fills its link's queue; the link was closed, and the error of the reply that found it full went through the link's task group to the listener, which ended with all links of the process: an agent would be gone for all gateways.

Change: the reply that cannot be sent ends with its link, as a lost peer's does.

--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -223,8 +223,10 @@
 
     async def _reply_to_call(self, frame):
         reply = await self._run_handler(frame.message)
-        if not self.closed:
+        try:
             self.send(reply or Failure("message_invalid", "No reply."), -frame.call)
+        except LinkLost as error:
+            _log.debug("A reply was not sent: {}", error)
 
     async def _run_handler(self, message):
         if isinstance(message, Hello):
