--- a/pistachiowell/admission/closures.py
+++ b/pistachiowell/admission/closures.py
@@ -12,10 +12,19 @@
 
 
 class ClosedBy(StrEnum):
-    """Why a server gets no requests."""
+    """Why a server gets no requests.
+
+    Attributes:
+        leaving: It has said that it leaves.
+        limit: Its limit of requests a second is reached.
+        pause: It has named a time in which it wants nothing.
+        silence: It does not answer.
+    """
 
     leaving = "leaving"
+    limit = "limit"
     pause = "pause"
+    silence = "silence"
 
 
 class Closures:
@@ -79,7 +88,7 @@
         return max(0.0, self._paused_until.get(incarnation, now) - now)
 
     def closed_by(self, incarnation, now):
-        """Returns the ``ClosedBy`` of an incarnation; None if it is open."""
+        """Returns by what an incarnation has closed itself; None if it has not."""
         if self.is_leaving(incarnation):
             return ClosedBy.leaving
         return ClosedBy.pause if self.wait_s(incarnation, now) else None
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -25,6 +25,7 @@
 from pistachiowell.gateway.server_crashes import ServerCrashes
 from pistachiowell.gateway.server_feed import ServerFeed
 from pistachiowell.gateway.server_limits import ServerLimits
+from pistachiowell.gateway.server_states import ServerStates
 from pistachiowell.gateway.silence import SilenceMonitor
 from pistachiowell.gateway.spending import GatewaySpending
 from pistachiowell.gateway.state import GatewayState
@@ -138,6 +139,7 @@
             self._moves,
             self._silence,
             limits,
+            ServerStates(runtime, state, closed, limits, self._silence),
             settings,
             rng,
             runtime.now,
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -161,6 +161,7 @@
         moves: The ``GatewayMoves``; restricts the versions that an attempt may go to.
         silence: The ``SilenceMonitor``; leaves out servers that do not answer.
         limits: The ``ServerLimits``; leaves out servers whose limit is reached.
+        states: The ``ServerStates``; tells in errors why servers are closed.
         settings: ``GatewaySettings``.
         rng: A ``Random``.
         now: Function that returns the monotonic time in seconds.
@@ -180,15 +181,17 @@
         "_servers",
         "_settings",
         "_silence",
+        "_states",
         "engines",
         "now",
     )
 
-    def __init__(self, servers, moves, silence, limits, settings, rng, now):
+    def __init__(self, servers, moves, silence, limits, states, settings, rng, now):
         self._servers = servers
         self._moves = moves
         self._silence = silence
         self._limits = limits
+        self._states = states
         self._settings = settings
         self.now = now
         routing = RoutingSettings()
@@ -237,10 +240,11 @@
         now = self.now()
         allowed = self._allowed_servers(service_name, now)
         if not allowed:
-            raise NoServer(f"Service {service_name} has no server that accepts work.")
+            raise self._no_server(service_name, now)
         servers = {s.id: s for s in self._limits.with_room(allowed, priority)}
         if not servers:
-            raise self._limits.no_room(allowed, priority)
+            states = self._states.describe(allowed, priority)
+            raise self._limits.no_room(allowed, priority, states)
         names = [name for name in servers if name not in tried] or list(servers)
         answering = self._silence.usable(names, now)
         usable = self._health.usable(answering, now) or answering
@@ -257,6 +261,13 @@
         picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
         return Choice(servers[picked.server], work, expected_wait_s)
 
+    def _no_server(self, service_name, now):
+        text = f"Service {service_name} has no server that accepts work"
+        available = self._servers.available_servers(service_name, now)
+        if not available:
+            return NoServer(f"{text}.")
+        return NoServer(f"{text} ({self._states.describe(available)}).")
+
     def _allowed_servers(self, service_name, now):
         available = self._servers.available_servers(service_name, now)
         accepting = self._limits.accepting(available)
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -150,16 +150,21 @@
         untils = [until for rank, until in full_until.items() if rank <= priority]
         return max(pause_s, max(untils, default=0.0) - now)
 
-    def no_room(self, servers, priority):
+    def no_room(self, servers, priority, states):
         """Returns the error of a request for which no server has room.
 
         The callers are told somewhat different times, none before the first server has
         room, so that they don't come back in the same moment.
+
+        Args:
+            servers: Each ``BackendServer`` that the request may go to.
+            priority: Rank of the request; 0 is the most urgent.
+            states: Their states as text.
         """
         wait_s = min(self.wait_s(server, priority) for server in servers)
         spread_s = min(MAX_RETURN_SPREAD_S, RETURN_SPREAD_SHARE * wait_s)
         return NoRoom(
-            "The servers take no more requests at present, as they have said.",
+            f"The servers take no more requests at present ({states}).",
             ran="no",
             retry_after_s=max(
                 MIN_RETRY_AFTER_S, wait_s + spread_s * self._rng.random()
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -396,7 +396,9 @@
     limits = SimpleNamespace(
         accepting=lambda servers: servers, with_room=lambda servers, priority: servers
     )
-    selection = Selection(registry, moves, silence, limits, settings, Random(1), now)
+    selection = Selection(
+        registry, moves, silence, limits, None, settings, Random(1), now
+    )
     return selection, moves
 
 
