Take no room of a limit in a pause, and read streams without a scope each

Found in reading the diff: an agent's probe that waits for the end of a pause asked the limit for room every half second and used it up; each read of a stream opened a scope without a deadline.

--- a/pistachiowell/gateway/bounded_stream.py
+++ b/pistachiowell/gateway/bounded_stream.py
@@ -123,18 +123,23 @@
 
     async def read(self, max_bytes, timeout=None):
         """Reads bytes; see ``httpcore.AsyncNetworkStream.read``."""
-        left_s = self._limit.left_s()
         try:
-            with self._deadline(math.inf if left_s is None else left_s) as scope:
-                data = await self._stream.read(max_bytes, timeout)
+            data = await self._read_in_time(max_bytes, timeout)
         except anyio.get_cancelled_exc_class():
             self._was_cancelled = True
             raise
-        if scope.cancelled_caught:
-            raise EndlessHeadError(f"Its head did not end within {MAX_HEAD_S} s.")
         self._limit.record(len(data))
         return data
 
+    async def _read_in_time(self, max_bytes, timeout):
+        left_s = self._limit.left_s()
+        if left_s is None:
+            return await self._stream.read(max_bytes, timeout)
+        with self._deadline(left_s) as scope:
+            return await self._stream.read(max_bytes, timeout)
+        if scope.cancelled_caught:
+            raise EndlessHeadError(f"Its head did not end within {MAX_HEAD_S} s.")
+
     async def write(self, buffer, timeout=None):
         """Writes bytes; see ``httpcore.AsyncNetworkStream.write``."""
         await self._stream.write(buffer, timeout)
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -1,4 +1,4 @@
-"""The gate before each send to a backend server that may have named a rate limit."""
+"""The gate before each send to a backend server, by what the server has said."""
 
 from pistachiowell.admission import (
     Incarnation,
@@ -38,7 +38,7 @@
 
 
 class ServerLimits:
-    """Admits this gateway's requests to servers that have named a limit.
+    """Admits this gateway's requests to servers that are open and have room.
 
     The agent that ranks first for a server admits the requests of all gateways. Without
     its answer this gateway takes turns with the others by the clock.
--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -134,7 +134,9 @@
         while self._runtime.now() - self._probed[report.server] < MAX_PROBING_S:
             if self._closed.is_leaving(incarnation):
                 return False
-            await anyio.sleep(min(self._closed.wait_s(incarnation), RENEW_INTERVAL_S))
+            if pause_s := self._closed.wait_s(incarnation):
+                await anyio.sleep(min(pause_s, RENEW_INTERVAL_S))
+                continue
             await self._limits.wait_for_room(report.server)
             if self._closed.closed_by(incarnation):
                 continue
