Ignore a report on a silent server that names no address

Read in the code: an agent takes the port out of the address in a gateway's report on a silent server. An address without one raised ValueError in the probe's task, which ended the agent with all its work for all gateways.

Change: such a report changes nothing, is counted (silence.malformed_reports) and logged.

Evidence: test_report_with_an_odd_address_ends_all_probes failed for four addresses before (the agent's tasks had ended), passes now, and the next report is still probed.

--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -6,6 +6,8 @@
 ends with the answer to the probe, after some milliseconds.
 """
 
+import ipaddress
+
 import anyio
 import httpcore
 
@@ -31,6 +33,7 @@
 DOUBT_INTERVAL_S = 0.1
 MAX_DOUBTED_SERVERS = 1_024
 TOLD_BY_PROBE = "probe"
+MAX_PORT = 65_535
 
 _log = part_logger("silence")
 
@@ -99,6 +102,10 @@
         incarnation = Incarnation(message.server, message.started_ms)
         if self._closed.is_leaving(incarnation):
             return
+        if _parse_address(message.address) is None:
+            self._runtime.metrics.count("silence.malformed_reports")
+            _log.warning("Ignored a report with an odd address.", server=message.server)
+            return
         is_new = message.server not in self._probed
         if self._group is None or (is_new and len(self._probed) >= MAX_PROBED_SERVERS):
             return
@@ -175,9 +182,8 @@
         catalog = self._state.catalog
         service = catalog.services.get(report.service) if catalog else None
         path = service.health_path if service else "/"
-        host, _, port = report.address.rpartition(":")
         headers = [(b"Host", report.address.encode())]
-        connection = ServerConnection(host, int(port))
+        connection = ServerConnection(*_parse_address(report.address))
         try:
             await connection.open()
             response = await connection.request("GET", path, headers, b"")
@@ -185,3 +191,19 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await connection.aclose()
+
+
+def _parse_address(text):
+    """Returns the IP address and port of a text; None if it has none.
+
+    Examples:
+        >>> _parse_address("10.0.0.1:80"), _parse_address("10.0.0.1")
+        (('10.0.0.1', 80), None)
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        number = int(port)
+    except ValueError:
+        return None
+    return (host, number) if 0 < number <= MAX_PORT else None
--- a/pistachiowell/gateway/tests/test_silence_probes.py
+++ b/pistachiowell/gateway/tests/test_silence_probes.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from pistachiowell.core.metrics import Metrics
 from pistachiowell.gateway.closed_servers import ClosedServers
 from pistachiowell.gateway.silence_probes import SilenceProbes
 from pistachiowell.platform import headers
@@ -109,3 +110,21 @@
     now[0] = 0.2
     await handlers.find(doubts[0])(None, doubts[1])
     assert [notice.server for notice in links.notices] == ["s1", "s2", "s1"]
+
+
+@pytest.mark.parametrize("address", ["nonsense", "", "127.0.0.1:", "127.0.0.1:99999"])
+async def test_report_with_an_odd_address_ends_all_probes(address, free_port):
+    links, handlers = Links(), Handlers()
+    metrics = Metrics()
+    runtime = SimpleNamespace(now=anyio.current_time, metrics=metrics)
+    probes = make_probes(runtime, links, handlers)
+    reports = [("s1", address), ("s2", f"127.0.0.1:{free_port()}")]
+    async with anyio.create_task_group() as group:
+        group.start_soon(probes.run)
+        await anyio.sleep(0.02)
+        for report in [ServerSilent(name, "desk", at) for name, at in reports]:
+            await handlers.find(report)(None, report)
+            await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+    assert {notice.server for notice in links.notices} == {"s2"}
+    assert metrics.values["silence.malformed_reports"] == 1
