Take a server that accepts no connection in time for no crash

What callers saw: read in the code. A backend server that stands still has a full queue of connections; the agent's check after a lost connection timed out three times and counted a crash: its requests in progress became crash candidates and after a second time were refused for good.

Cause: errors that leave a request unsent, a refused connection and a timeout, were one error, and the check asked only whether the request was sent.

Change: a refused connection is an error of its own, ServerRefused, and only that is a crash.

--- a/pistachiowell/agent/crashes.py
+++ b/pistachiowell/agent/crashes.py
@@ -11,7 +11,7 @@
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.ids import new_id
 from pistachiowell.core.logs import part_logger
-from pistachiowell.engines import CrashDetection
+from pistachiowell.engines import CrashDetection, ServerRefused
 from pistachiowell.routing import CRASH_LEDGERS, Crash, FingerprintStatus
 from pistachiowell.schema.generated.messages_membership import (
     CrashReport,
@@ -87,10 +87,11 @@
             await anyio.sleep(delay_s)
             try:
                 await self._backend.load()
-            except ServerFailed as error:
-                if error.ran != "no":
-                    continue
+            except ServerRefused:
                 return True
+            except ServerFailed:
+                # A server that stands still may go on with its requests.
+                continue
             return False
         return False
 
--- a/pistachiowell/engines/__init__.py
+++ b/pistachiowell/engines/__init__.py
@@ -3,7 +3,12 @@
 from pistachiowell.engines.crash_detection import CrashDetection
 from pistachiowell.engines.http import HttpBackend
 from pistachiowell.engines.limits import MAX_BODY_BYTES, MAX_EVENT_BYTES
-from pistachiowell.engines.port import Backend, BackendResponse, ServerLoad
+from pistachiowell.engines.port import (
+    Backend,
+    BackendResponse,
+    ServerLoad,
+    ServerRefused,
+)
 
 __all__ = [
     "Backend",
@@ -13,4 +18,5 @@
     "MAX_BODY_BYTES",
     "MAX_EVENT_BYTES",
     "ServerLoad",
+    "ServerRefused",
 ]
--- a/pistachiowell/engines/http.py
+++ b/pistachiowell/engines/http.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from pistachiowell.core.errors import MAY_HAVE_RUN, NOT_RUN, ServerFailed
-from pistachiowell.engines.port import ServerLoad
+from pistachiowell.engines.port import ServerLoad, ServerRefused
 
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 2.0
@@ -14,17 +14,16 @@
 IDLE_CONNECTION_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 1024
 
-_NOT_SENT_ERRORS = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-)
+_NOT_SENT_ERRORS = (httpcore.ConnectTimeout, httpcore.PoolTimeout)
 
 
 @contextmanager
 def _translate_errors():
     try:
         yield
+    except httpcore.ConnectError as error:
+        message = f"The backend server refuses connections: {error!r}."
+        raise ServerRefused(message, ran=NOT_RUN) from error
     except _NOT_SENT_ERRORS as error:
         message = f"The backend server cannot be reached: {error!r}."
         raise ServerFailed(message, ran=NOT_RUN) from error
--- a/pistachiowell/engines/port.py
+++ b/pistachiowell/engines/port.py
@@ -8,6 +8,12 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from pistachiowell.core.errors import ServerFailed
+
+
+class ServerRefused(ServerFailed):
+    """Nothing listens at the address of the server."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
