Keep an error in what one server says from ending a process

An unexpected error while a late head or the answer to a health check is read went through its task group to the gateway or agent and ended it. Now it is logged, and the next one is read.

Evidence: test_error_in_a_late_head_ends_the_gateway and test_error_in_the_answer_to_a_probe_ends_all_probes failed before, pass now.

--- a/pistachiowell/gateway/late_heads.py
+++ b/pistachiowell/gateway/late_heads.py
@@ -73,9 +73,14 @@
             self._open -= 1
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
-        if parser.is_complete:
+        if not parser.is_complete:
+            return
+        try:
             head = self._codec.read_answer_head(parser.status, parser.headers)
             self._record(server, head, request_id)
+        except Exception:
+            # What one server says must not end the process.
+            _log.exception("A late head cannot be read.", server=server.id)
 
 
 class _HeadParser:
--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -115,11 +115,15 @@
 
     async def _watch(self, report):
         """Notifies the gateways of a server's silence until it answers."""
+        has_answered = False
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._renew, report.server)
                 has_answered = await self._probe_until_answered(report)
                 group.cancel_scope.cancel()
+        except Exception:
+            # What one server says must not end the process.
+            _log.exception("A probe failed.", server=report.server)
         finally:
             del self._probed[report.server]
         _log.info(
--- a/pistachiowell/gateway/tests/test_late_heads.py
+++ b/pistachiowell/gateway/tests/test_late_heads.py
@@ -26,7 +26,7 @@
     the end of the connection, as the server sees them.
     """
 
-    async def give_up(parts, first_after_s):
+    async def give_up(parts, first_after_s, record=None):
         pauses, ends = [], []
 
         async def serve(stream):
@@ -50,7 +50,8 @@
                 ends.append(anyio.current_time())
 
         late_heads = LateHeads(
-            headers, lambda server, head, told: pauses.append((head.pause_s, told))
+            headers,
+            record or (lambda server, head, told: pauses.append((head.pause_s, told))),
         )
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
@@ -100,3 +101,11 @@
 async def test_late_bytes_are_read_as_heads_only(given_up, parts, pauses):
     read, _ = await given_up(parts, 0.15)
     assert [pause_s for pause_s, _ in read] == pauses
+
+
+async def test_error_in_a_late_head_ends_the_gateway(given_up):
+    def fail(server, head, told):
+        raise ValueError("a fault")
+
+    # An error that went on would leave the fixture's task group.
+    await given_up([REFUSAL], 0.15, fail)
--- a/pistachiowell/gateway/tests/test_silence_probes.py
+++ b/pistachiowell/gateway/tests/test_silence_probes.py
@@ -33,13 +33,13 @@
         del server_id
 
 
-def make_probes(runtime, links, handlers):
+def make_probes(runtime, links, handlers, codec=headers):
     """Returns the probes of an agent without a configuration."""
     closed = ClosedServers(runtime)
     state = SimpleNamespace(catalog=None)
     leaving = SimpleNamespace(tell=links.broadcast)
     return SilenceProbes(
-        runtime, state, headers, links, Limits(), closed, leaving, handlers
+        runtime, state, codec, links, Limits(), closed, leaving, handlers
     )
 
 
@@ -128,3 +128,32 @@
         group.cancel_scope.cancel()
     assert {notice.server for notice in links.notices} == {"s2"}
     assert metrics.values["silence.malformed_reports"] == 1
+
+
+async def test_error_in_the_answer_to_a_probe_ends_all_probes():
+    links, handlers, answers = Links(), Handlers(), []
+
+    def fail(status, headers):
+        answers.append(status)
+        raise ValueError("a fault")
+
+    async def answer(stream):
+        async with stream:
+            await stream.receive()
+            await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    runtime = SimpleNamespace(now=anyio.current_time)
+    codec = SimpleNamespace(read_answer_head=fail)
+    probes = make_probes(runtime, links, handlers, codec)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, answer)
+        group.start_soon(probes.run)
+        await anyio.sleep(0.02)
+        for name in ("s1", "s2"):
+            report = ServerSilent(name, "desk", f"127.0.0.1:{port}")
+            await handlers.find(report)(None, report)
+            await anyio.sleep(0.1)
+        group.cancel_scope.cancel()
+    assert answers == [200, 200]
