Wait in tests for an agent's first configuration

Since an agent follows the store from its first link on; the test asked it in the milliseconds between the link and the list. The six other tests that read a revision the same way wait for it too.

--- a/pistachiowell/platform/tests/conftest.py
+++ b/pistachiowell/platform/tests/conftest.py
@@ -179,6 +179,13 @@
         """Returns the ``GatewayState`` of an agent."""
         return self._agents[name].state
 
+    async def until_revision(self, state, revision):
+        """Waits until a ``GatewayState`` has a configuration.
+
+        An agent follows the store from its first link on, so it may have none yet.
+        """
+        await self.until(lambda: state.catalog and state.catalog.revision == revision)
+
     def incarnation(self, name):
         """Returns the incarnation of an agent."""
         return self._agents[name].incarnation
--- a/pistachiowell/platform/tests/test_gateway.py
+++ b/pistachiowell/platform/tests/test_gateway.py
@@ -293,7 +293,7 @@
     async with small_rig() as rig:
         state = rig.gateways[0].state
         rig.store.put("config", "main", configuration(5, keys=("k-two",)))
-        await rig.until(lambda: state.catalog.revision == 5)
+        await rig.until_revision(state, 5)
         assert (await rig.send("/read/a"))[0] == 401
         rig.store.put("config", "main", configuration(4))
         await anyio.sleep(0.1)
@@ -304,7 +304,7 @@
     async with small_rig() as rig:
         rig.store.discard_history()
         rig.store.put("config", "main", configuration(9))
-        await rig.until(lambda: rig.gateways[0].state.catalog.revision == 9)
+        await rig.until_revision(rig.gateways[0].state, 9)
 
 
 async def test_gateway_without_the_store_gets_the_configuration_from_an_agent(
@@ -317,8 +317,8 @@
         agent_state = rig.agent_state("agent-1")
         gateway.state.catalog = None
         rig.store.put("config", "main", configuration(7))
-        await rig.until(lambda: agent_state.catalog.revision == 7)
-        await rig.until(lambda: gateway.state.catalog.revision == 7)
+        await rig.until_revision(agent_state, 7)
+        await rig.until_revision(gateway.state, 7)
 
 
 async def test_unreadable_configuration_of_an_agent_harms_nothing(
@@ -430,8 +430,8 @@
             await rig.add_agent(name)
         await rig.until(lambda: not gateway.follows_store)
         rig.store.put("config", "main", configuration(5))
-        await rig.until(lambda: gateway.state.catalog.revision == 5)
+        await rig.until_revision(gateway.state, 5)
         rig.kill("agent-2")
         await rig.until(lambda: gateway.follows_store)
         rig.store.put("config", "main", configuration(6))
-        await rig.until(lambda: gateway.state.catalog.revision == 6)
+        await rig.until_revision(gateway.state, 6)
--- a/pistachiowell/platform/tests/test_money.py
+++ b/pistachiowell/platform/tests/test_money.py
@@ -96,9 +96,9 @@
     async with budget_rig() as rig:
         await count_served(rig, 20)
         rig.store.put("config", "main", configuration(3, prepaid=2 * PREPAID_TOKENS))
-        await rig.until(lambda: rig.gateways[0].state.catalog.revision == 3)
-        await rig.until(lambda: rig.agent_state("agent-1").catalog.revision == 3)
-        await rig.until(lambda: rig.agent_state("agent-2").catalog.revision == 3)
+        await rig.until_revision(rig.gateways[0].state, 3)
+        await rig.until_revision(rig.agent_state("agent-1"), 3)
+        await rig.until_revision(rig.agent_state("agent-2"), 3)
         assert await count_served(rig, 20) >= 10
 
 
@@ -141,7 +141,7 @@
 
     async with budget_rig(budget_horizon_s=6.0) as rig:
         rig.store.put("config", "main", configuration(3, prepaid=10_000_000))
-        await rig.until(lambda: rig.gateways[0].state.catalog.revision == 3)
+        await rig.until_revision(rig.gateways[0].state, 3)
         await send_for(6.0)
         statuses.clear()
         rig.store.mode = "silent"
--- a/pistachiowell/platform/tests/test_money_over_returns.py
+++ b/pistachiowell/platform/tests/test_money_over_returns.py
@@ -86,7 +86,7 @@
         lost = LOST_BY_A_KILL if killed else 2 * 150
         assert tokens >= PREPAID_TOKENS - lost
         rig.store.put("config", "main", configuration(3, prepaid=2 * PREPAID_TOKENS))
-        await rig.until(lambda: rig.gateways[-1].state.catalog.revision == 3)
-        await rig.until(lambda: rig.agent_state("agent-1").catalog.revision == 3)
-        await rig.until(lambda: rig.agent_state("agent-2").catalog.revision == 3)
+        await rig.until_revision(rig.gateways[-1].state, 3)
+        await rig.until_revision(rig.agent_state("agent-1"), 3)
+        await rig.until_revision(rig.agent_state("agent-2"), 3)
         assert await count_served(rig, 20) >= (PREPAID_TOKENS - lost) // REQUEST_TOKENS
