Ask another agent when an owner cannot tell what is left of an account

Callers with paid accounts were refused with 402, as if all was spent, by an agent that had no configuration or an older one than the gateway: a page without the account's credit was taken for an empty account. Others got 503 to the end of an outage that only the owner of their page had, as the answer of a cut-off owner ended the search.

Cause: an owner answered for what it could not know. It says owner_unready now, and the gateway asks the next agent that the store answers; requests name the revision of the configuration their account was found in. While the store is away one request at a time finds out whether it is back; the others are refused or passed on at once.

--- a/pistachiowell/core/errors.py
+++ b/pistachiowell/core/errors.py
@@ -121,6 +121,9 @@
 BudgetUnreachable = _define(
     "budget_unreachable", 503, "Send the request again later.", retry_after_s=2.0
 )
+OwnerUnready = _define(
+    "owner_unready", 503, "Ask another owner of the page.", retry_after_s=1.0
+)
 AccountLimit = _define(
     "account_limit", 429, "Wait for requests in progress to end.", retry_after_s=1.0
 )
--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -92,10 +92,14 @@
             self._newer_link = link
             self._wake.set()
 
+    def follows_store(self, name):
+        """Returns whether an agent's last report says that the store answers it."""
+        return self._follows_store.get(name, False)
+
     def has_enough_agents(self):
         """Returns whether enough agents follow the store's configuration."""
         following = sum(
-            self._follows_store.get(name, False)
+            self.follows_store(name)
             for name, peer in self._fleet.agents.items()
             if peer.usable
         )
--- a/pistachiowell/gateway/budget_owner.py
+++ b/pistachiowell/gateway/budget_owner.py
@@ -20,7 +20,11 @@
     unspent_elsewhere,
 )
 from pistachiowell.budgets.sizing import SizingSettings
-from pistachiowell.core.errors import BudgetExhausted, BudgetUnreachable
+from pistachiowell.core.errors import (
+    BudgetExhausted,
+    BudgetUnreachable,
+    OwnerUnready,
+)
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.grant_notices import GrantTeller, NoticedGrants
 from pistachiowell.router.grant_pages import GrantPages
@@ -46,6 +50,7 @@
 # of them would wait for a write to time out.
 OUTAGE_CACHE_S = 0.5
 OUTAGE_RETRY_AFTER_S = 1.5
+NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 # A refusal is repeated for this long without a write to the page. Otherwise each
 # request for a spent budget would cost one. A longer time refuses requests that would
 # fit again.
@@ -228,6 +233,9 @@
         raise self._record_refusal(message, account)
 
     async def _sync(self, account):
+        if self._outage_until > float("-inf"):
+            # One request at a time finds out whether the outage is over.
+            self._record_outage()
         page = None
         try:
             with anyio.move_on_after(WRITE_TIMEOUT_S):
@@ -236,11 +244,12 @@
             raise self._record_outage() from error
         if page is None:
             raise self._record_outage()
+        self._outage_until = float("-inf")
         return page
 
     def _record_outage(self):
         self._outage_until = self._runtime.now() + OUTAGE_CACHE_S
-        return BudgetUnreachable(
+        return OwnerUnready(
             "The store does not answer, and the grants are used up.",
             retry_after_s=OUTAGE_RETRY_AFTER_S,
         )
@@ -248,13 +257,13 @@
     def _check_recent_refusals(self, message):
         now = self._runtime.now()
         if now < self._outage_until:
-            raise BudgetUnreachable(
+            raise OwnerUnready(
                 "The store has not answered, and the grants are used up.",
                 retry_after_s=OUTAGE_RETRY_AFTER_S,
             )
         refusal = self._recent_refusals.get(message.account)
         if refusal is not None and refusal.covers(message, self._state.catalog, now):
-            raise refusal.error_class(refusal.text)
+            raise self._refusal_error(message, refusal)
 
     def _record_refusal(self, message, account):
         free, granted = free_tokens(account), granted_tokens(account)
@@ -272,7 +281,7 @@
                 f"The rest of the budget of {message.account} is granted or reserved."
             )
         until = self._runtime.now() + REFUSAL_CACHE_S
-        self._recent_refusals[message.account] = _Refusal(
+        refusal = self._recent_refusals[message.account] = _Refusal(
             until, message.tokens, self._state.catalog, cls, text
         )
         _log.warning(
@@ -288,7 +297,18 @@
             credited=account.credited,
             closed=account.closed,
         )
-        return cls(text)
+        return self._refusal_error(message, refusal)
+
+    def _refusal_error(self, message, refusal):
+        """Returns the error of a refusal, or that a top-up may not be known here."""
+        catalog = self._state.catalog
+        revision = catalog.revision if catalog else 0
+        if revision >= message.catalog_revision:
+            return refusal.error_class(refusal.text)
+        return OwnerUnready(
+            f"Configuration {message.catalog_revision} has not arrived yet.",
+            retry_after_s=NO_CONFIGURATION_RETRY_AFTER_S,
+        )
 
     def _credit_changes(self, number, page):
         catalog = self._state.catalog
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -172,7 +172,9 @@
             self._agent_reports.has_enough_agents,
             runtime.now,
         )
-        self._spending = GatewaySpending(runtime, self._fleet)
+        self._spending = GatewaySpending(
+            runtime, self._fleet, state, self._agent_reports.follows_store
+        )
         self._grant_memory = GrantMemory(runtime, self._fleet, handlers)
         StoreReturns(runtime, self._fleet, handlers)
         self._crashes = ServerCrashes(self._crash_candidates, runtime.now)
--- a/pistachiowell/gateway/spending.py
+++ b/pistachiowell/gateway/spending.py
@@ -5,7 +5,7 @@
     BudgetUnreachable,
     LinkLost,
     LinkTimeout,
-    PistachiowellError,
+    OwnerUnready,
     error_class,
 )
 from pistachiowell.core.ids import new_id
@@ -25,19 +25,25 @@
 class GatewaySpending:
     """Reserves tokens at the owner agent of an account's page, and settles them there.
 
-    If the owner does not answer, the agent that ranks next for the page is asked, which
-    reserves from grants of its own. The loss of an agent thus blocks no accounts.
+    If the owner does not answer or cannot tell what is left, the agent that ranks next
+    for the page is asked, which reserves from grants of its own. An agent that is lost,
+    or cut off from the store, thus blocks no accounts.
 
     Args:
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet`` with the agents.
+        state: The ``GatewayState``; its catalog contains the accounts.
+        follows_store: Function that returns whether the store answers an agent, which
+            is given by its name.
     """
 
-    __slots__ = ("_fleet", "_runtime", "_settlements")
+    __slots__ = ("_fleet", "_follows_store", "_runtime", "_settlements", "_state")
 
-    def __init__(self, runtime, fleet):
+    def __init__(self, runtime, fleet, state, follows_store):
         self._runtime = runtime
         self._fleet = fleet
+        self._state = state
+        self._follows_store = follows_store
         self._settlements = Settlements(fleet.linked_agent_of, fleet.agents.values)
 
     async def run(self):
@@ -57,8 +63,8 @@
 
         Raises:
             BudgetExhausted: The budget is spent.
-            BudgetUnreachable: No owner answers, or the owner cannot tell whether the
-                budget is spent.
+            BudgetUnreachable: No owner answers, or none can tell whether the budget is
+                spent.
         """
         if account is None or account.prepaid_tokens is None or not tokens:
             return None
@@ -68,21 +74,20 @@
             tokens,
             reservation_id=new_id("reservation"),
             router=self._runtime.incarnation,
+            catalog_revision=self._state.catalog.revision,
         )
         last_error = None
         for peer in self._owners(account.name):
+            if isinstance(last_error, OwnerUnready) and not self._follows_store(
+                peer.record.id
+            ):
+                # It would find the store away too, and the caller would wait for it.
+                continue
             try:
                 return await self._reserve_at(peer, call)
-            except PistachiowellError as error:
+            except (LinkLost, LinkTimeout, OwnerUnready) as error:
                 last_error = error
-                if not isinstance(error, LinkLost | LinkTimeout):
-                    break
-        if last_error is None or isinstance(last_error, LinkLost | LinkTimeout):
-            raise BudgetUnreachable(
-                f"No agent answers for the budget of {account.name}.",
-                retry_after_s=NO_OWNER_RETRY_AFTER_S,
-            ) from last_error
-        raise last_error
+        raise _no_owner(account.name, last_error) from last_error
 
     def settle(self, reservation, used_tokens):
         """Queues the settlement of a reservation at the end of its request.
@@ -113,3 +118,13 @@
             error = error_class(reply.code)
             raise error(reply.message, retry_after_s=reply.retry_after_s)
         return Reservation.from_reply(call, reply)
+
+
+def _no_owner(account, last_error):
+    if isinstance(last_error, OwnerUnready):
+        text, retry_after_s = last_error.message, last_error.retry_after_s
+    else:
+        text, retry_after_s = "no answer", NO_OWNER_RETRY_AFTER_S
+    return BudgetUnreachable(
+        f"No agent can reserve tokens of {account}: {text}", retry_after_s=retry_after_s
+    )
--- a/pistachiowell/platform/tests/conftest.py
+++ b/pistachiowell/platform/tests/conftest.py
@@ -80,6 +80,27 @@
     }
 
 
+class StoreEntry:
+    """An address of the store for one program, which can be turned away there.
+
+    Attributes:
+        is_open: Whether calls reach the store; otherwise they are answered 503.
+    """
+
+    def __init__(self, store):
+        self._store = store
+        self.is_open = True
+
+    async def __call__(self, scope, receive, send):
+        """Passes on one call, or rejects it."""
+        if self.is_open:
+            await self._store(scope, receive, send)
+            return
+        start = {"type": "http.response.start", "status": 503, "headers": []}
+        await send(start)
+        await send({"type": "http.response.body", "body": b""})
+
+
 class Rig:
     """The processes and stand-ins of a test.
 
@@ -98,6 +119,7 @@
         self._agents = {}
         self._requests = 0
         self._store_address = ""
+        self._entries = {}
         self.store = ObjectServer()
         self.servers = {}
         self.gateways = []
@@ -131,20 +153,30 @@
         }
         self.store.put("servers", server_id, spec)
 
-    async def add_agent(self, name, **settings):
-        """Starts an agent and waits until it is registered."""
+    async def add_agent(self, name, *, has_entry=False, **settings):
+        """Starts an agent and waits until it is registered.
+
+        Args:
+            name: Id of the agent.
+            has_entry: Whether it reaches the store through a ``StoreEntry`` of its own.
+            **settings: More settings of the agent.
+        """
+        address = self._store_address
+        if has_entry:
+            entry = self._entries[name] = StoreEntry(self.store)
+            address = f"127.0.0.1:{await self._group.start(serve_app, entry)}"
         values = GatewayAgentSettings(
             id=name,
             region="south",
             data_centre="east",
             host="127.0.0.1",
             port=self._free_port(),
-            store_address=self._store_address,
+            store_address=address,
             report_interval_s=0.05,
             budget_pages=1,
             **settings,
         )
-        agent = GatewayAgent(values, ObjectStore(self._store_address), ADAPTER)
+        agent = GatewayAgent(values, ObjectStore(address), ADAPTER)
         self._agents[name] = agent
         self._start(name, agent)
         await self.until(lambda: name in self.store.names("agents"))
@@ -190,6 +222,10 @@
         """Returns the incarnation of an agent."""
         return self._agents[name].incarnation
 
+    def cut_from_store(self, name):
+        """Lets the store turn away an agent that was added with an entry."""
+        self._entries[name].is_open = False
+
     def kill(self, name):
         """Ends a program at once, without a shutdown."""
         self._scopes[name].cancel()
