--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -143,9 +143,20 @@
         self.apply_orders()
 
 
-async def simulate(is_bad, rate_per_step=2):
-    """Returns the simulation, and the time, version and failure of each request."""
-    simulation, rng, sent = Simulation(), Random(3), []
+async def simulate(is_bad, rate_per_step=2, seed=3, old_rate=0.0):
+    """Plays a move of requests that end within a step.
+
+    Args:
+        is_bad: Function of the seconds since the order and a generator that returns
+            whether an answer of the new version fails.
+        rate_per_step: Requests in each tenth of a second.
+        seed: Seed of the draws.
+        old_rate: Share of the answers of the old version that fail.
+
+    Returns:
+        The simulation, and the time, version and failure of each request.
+    """
+    simulation, rng, sent = Simulation(), Random(seed), []
     for gateway in simulation.gateways:
         gateway.filter_servers("desk", [s for s in SERVERS if s.version == "v1"])
     simulation.apply_orders()
@@ -154,7 +165,10 @@
         for _ in range(rate_per_step):
             gateway = rng.choice(simulation.gateways)
             server = rng.choice(gateway.filter_servers("desk", SERVERS))
-            failed = server.version == "v2" and is_bad(simulation.time - 100.0, rng)
+            if server.version == "v2":
+                failed = is_bad(simulation.time - 100.0, rng)
+            else:
+                failed = old_rate > 0 and rng.random() < old_rate
             attempt = gateway.record_start("desk", server, simulation.time - 0.02)
             if attempt is not None:
                 attempt.stop_waiting()
@@ -185,6 +199,24 @@
     assert exposed <= 0.1 * len(sent) + 50
 
 
+@pytest.mark.parametrize("seed", range(10))
+async def test_version_that_fails_somewhat_more_is_taken_for_good(seed):
+    number = itertools.count(1)
+    simulation, _ = await simulate(
+        lambda at, rng: next(number) % 7 == 0, 1, seed, old_rate=0.02
+    )
+    assert simulation.states[-1][1] is MoveState.rolled_back
+
+
+@pytest.mark.parametrize("seed", range(10))
+async def test_version_that_fails_as_often_as_the_old_one_is_completed(seed):
+    number = itertools.count(1)
+    simulation, _ = await simulate(
+        lambda at, rng: next(number) % 20 == 0, 1, seed, old_rate=0.05
+    )
+    assert simulation.states[-1][1] is MoveState.completed
+
+
 async def test_version_without_an_order_gets_nothing_while_others_serve():
     gateway = Simulation().gateways[0]
     gateway.filter_servers("desk", [s for s in SERVERS if s.version == "v1"])
--- a/pistachiowell/moves/scores.py
+++ b/pistachiowell/moves/scores.py
@@ -16,9 +16,10 @@
 BAD_SCORE = math.log(1.0 / ERROR_RATE)
 MIN_FAILURE_EFFECT = 0.03
 MIN_LATENCY_EFFECT = 0.15
-# Failure rates beyond that of the old version, of a version that is often bad and of
-# one that is good.
+# Failure rates beyond that of the old version, of a version that often fails, of one
+# that fails somewhat more and of one that is good.
 BAD_FAILURE_EXCESS = 0.28
+SLIGHT_FAILURE_EXCESS = 0.1
 GOOD_FAILURE_EXCESS = 0.03
 LATENCY_QUANTILE = 0.9
 # Exponents of the alternatives that a whole distribution is compared with.
@@ -87,15 +88,16 @@
     )
 
 
-def failure_clearance(sums):
-    """Scores how far the answers speak against a version that often fails.
+def failure_clearance(sums, excess=BAD_FAILURE_EXCESS):
+    """Scores how far the answers speak against a version that fails more often.
 
     Args:
         sums: The ``AnswerSums``.
+        excess: Failure rate beyond that of the old version.
 
     Returns:
         The natural logarithm of the likelihood ratio of a good version against one
-        that fails more often than the old one by ``BAD_FAILURE_EXCESS``.
+        with the excess.
 
     Examples:
         >>> from pistachiowell.moves.evidence import AnswerSums
@@ -106,11 +108,14 @@
         >>> sums.failures = [0, 2]
         >>> failure_clearance(sums) < 0
         True
+        >>> sums.answers, sums.failures = [500, 35], [25, 5]
+        >>> failure_clearance(sums) > 0, failure_clearance(sums, 0.1) > 0
+        (True, False)
     """
     old, new = 0, 1
     rate = (sums.failures[old] + 0.5) / (sums.answers[old] + 1)
     good = min(0.9, rate + GOOD_FAILURE_EXCESS)
-    bad = min(0.95, rate + BAD_FAILURE_EXCESS)
+    bad = min(0.95, rate + excess)
     failed = sums.failures[new]
     passed = sums.answers[new] - failed
     return failed * math.log(good / bad) + passed * math.log((1 - good) / (1 - bad))
--- a/pistachiowell/moves/trial.py
+++ b/pistachiowell/moves/trial.py
@@ -10,6 +10,7 @@
 from pistachiowell.moves.judges import SUSPECT_SCORE, Spread, find_judge
 from pistachiowell.moves.scores import (
     MIN_OLD_LATENCIES,
+    SLIGHT_FAILURE_EXCESS,
     failure_clearance,
     overdue_answers,
 )
@@ -325,6 +326,8 @@
             return "The new version is suspected of being worse."
         if failure_clearance(sums) < MIN_CLEARANCE:
             return "The answers are too few for the failures among them."
+        if failure_clearance(sums, SLIGHT_FAILURE_EXCESS) < 0.0:
+            return "It rather fails more than the old version."
         if overdue_answers(sums) > max(1, MAX_OVERDUE_SHARE * begun[new]):
             return "Too many answers of the new version are overdue."
         return ""
