Load neither the operators' table nor the callers' API in gateways and agents

The counts in reports about moves and the documents of errors are modules of their own; what else those modules loaded (tables, claims, idempotency keys) neither program uses.

--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -37,8 +37,8 @@
     ServerWatcher,
 )
 from pistachiowell.membership import PeerSubset, SubsetSettings
-from pistachiowell.router.api import error_document
 from pistachiowell.router.crash_candidates import CrashCandidates
+from pistachiowell.router.error_documents import error_document
 from pistachiowell.router.fleet import AGENTS, ROUTERS, Fleet
 from pistachiowell.router.http_protocol import bounded_protocol
 from pistachiowell.routing import SHARED_SERVER_CRASHES
--- a/pistachiowell/gateway/move_judge.py
+++ b/pistachiowell/gateway/move_judge.py
@@ -11,7 +11,7 @@
 from pistachiowell.moves.exposure import ExposureSettings
 from pistachiowell.moves.traffic_tokens import TRAFFIC_TOKEN_S
 from pistachiowell.moves.trial import TrialEnd, TrialSettings, VersionTrial
-from pistachiowell.router.move_reports import read_counts
+from pistachiowell.router.answer_counts import read_counts
 from pistachiowell.schema.generated.messages_moves import TrialPermit, TrialReport
 
 TICK_INTERVAL_S = 0.2
--- a/pistachiowell/gateway/moves.py
+++ b/pistachiowell/gateway/moves.py
@@ -10,7 +10,7 @@
 from pistachiowell.gateway.move_orders import MoveState, has_lost_status
 from pistachiowell.moves.standings import VersionStandings
 from pistachiowell.moves.tracker import MoveTracker
-from pistachiowell.router.move_reports import count_messages
+from pistachiowell.router.answer_counts import count_messages
 from pistachiowell.schema.generated.messages_moves import TrialPermit, TrialReport
 from pistachiowell.schema.generated.table import MoveRow
 from pistachiowell.store.era import era_of
--- a/pistachiowell/router/api.py
+++ b/pistachiowell/router/api.py
@@ -26,6 +26,7 @@
     parse_request,
     read_body,
 )
+from pistachiowell.router.error_documents import error_document
 from pistachiowell.schema.generated.messages_requests import (
     AnswerChunk,
     AnswerEnd,
@@ -252,34 +253,6 @@
     return error
 
 
-def error_body(error):
-    """Returns the OpenAI error object of an error.
-
-    Args:
-        error: A ``PistachiowellError``.
-
-    Examples:
-        >>> from pistachiowell.core.errors import Overloaded
-        >>> error_body(Overloaded("Full."))["ran"]
-        'no'
-    """
-    error_type = "invalid_request_error" if error.http_status < 500 else "server_error"
-    return {
-        "message": f"{error.message} {error.remedy}".strip(),
-        "type": error_type,
-        "param": None,
-        "code": str(error.code),
-        "ran": error.ran,
-        "remedy": error.remedy,
-        "retry_after_s": error.retry_after_s,
-    }
-
-
-def error_document(error):
-    """Returns the JSON body of an error's HTTP answer as bytes."""
-    return json.dumps({"error": error_body(error)}).encode()
-
-
 class _InFlight:
     __slots__ = ("_counts", "_name")
 
--- a/pistachiowell/router/main.py
+++ b/pistachiowell/router/main.py
@@ -13,9 +13,10 @@
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.core.signals import wait_for_signal
 from pistachiowell.core.web import http_server
-from pistachiowell.router.api import Api, error_document
+from pistachiowell.router.api import Api
 from pistachiowell.router.crash_candidates import CrashCandidates
 from pistachiowell.router.dispatch import Dispatch
+from pistachiowell.router.error_documents import error_document
 from pistachiowell.router.fleet import Fleet
 from pistachiowell.router.http_protocol import bounded_protocol
 from pistachiowell.router.journal import Journal
