Keep room for a few requests in the grant of an account that sends few

Cause: idle tokens of a grant are returned every 5 s, down to what an hour takes at the recent rate. A request reserves its largest possible answer and uses a hundredth of it, so the rest was less than one request reserves. On a fast machine the test ended before the return. Grants of the product's routers keep room for four requests of the largest recent size now.

The state machine of budgets also runs with room kept; the one that is there keeps none, as before.

--- a/pistachiowell/budgets/ledger.py
+++ b/pistachiowell/budgets/ledger.py
@@ -137,6 +137,7 @@
     __slots__ = (
         "_ended",
         "_ended_order",
+        "_largest",
         "_meter",
         "_sizing",
         "_waiting",
@@ -151,6 +152,7 @@
         self.grants = {}
         self.last_request_at = float("-inf")
         self._waiting = {}
+        self._largest = (0, float("-inf"))
         self._meter = RateMeter(self._sizing.rate_window_s)
         self._ended = set()
         self._ended_order = deque()
@@ -183,6 +185,7 @@
             demand until it is reserved, settled or cancelled.
         """
         self.last_request_at = now
+        self._record_size(tokens, now)
         for grant_id, grant in self.grants.items():
             if reservation_id in grant.reservations:
                 reserved = grant.reservations[reservation_id][1]
@@ -276,6 +279,11 @@
         available = max(grant.available_tokens, 0) if grant is not None else 0
         return self._demand(now, available)
 
+    def _record_size(self, tokens, now):
+        largest, at = self._largest
+        if tokens >= largest or now - at > self._sizing.rate_window_s:
+            self._largest = (tokens, now)
+
     def _demand(self, now, available):
         waiting = [tokens for _, tokens in self._waiting.values()]
         total = sum(waiting)
@@ -287,6 +295,7 @@
             available,
             self._sizing,
             self.free_tokens,
+            0 if self.is_inactive(now) else self._largest[0],
         )
 
     def observe(self, grant_id, amount, now, page_version=0):
--- a/pistachiowell/budgets/sizing.py
+++ b/pistachiowell/budgets/sizing.py
@@ -23,6 +23,9 @@
             ``horizon_s``.
         first_grant_requests: Size of a first grant, as a multiple of the tokens that
             waiting requests lack.
+        kept_requests: Requests of the size of the largest recent one that a grant is to
+            cover at least; an account with few requests can send some in an outage of
+            the store, too.
         rate_window_s: Window in seconds over which the rate of use is measured.
         renew_after_s: Age in seconds from which a grant is replaced.
         close_idle_after_s: Time in seconds without a request after which grants are
@@ -34,6 +37,7 @@
     long_horizon_s: float = 0.0
     long_share: float = 0.05
     first_grant_requests: int = 16
+    kept_requests: int = 0
     rate_window_s: float = 300.0
     renew_after_s: float = 300.0
     close_idle_after_s: float = math.inf
@@ -51,6 +55,7 @@
             of the one with the most left.
         sizing: The ``SizingSettings``.
         free_tokens: Tokens of the budget that were free when its page was last read.
+        request_tokens: Tokens of the largest recent request.
 
     Examples:
         >>> sizing = SizingSettings(horizon_s=6.0, long_horizon_s=24.0)
@@ -65,6 +70,7 @@
     available_tokens: int = 0
     sizing: SizingSettings = SizingSettings()
     free_tokens: int = 0
+    request_tokens: int = 0
 
     @property
     def horizon_s(self):
@@ -78,7 +84,8 @@
     def target_tokens(self):
         """Available tokens that the holder aims at."""
         forecast = int(self.rate_tokens_per_s * self.horizon_s)
-        return max(forecast, self.sizing.first_grant_requests * self.need_tokens)
+        first = self.sizing.first_grant_requests * self.need_tokens
+        return max(forecast, first, self.sizing.kept_requests * self.request_tokens)
 
 
 def register_policy(name):
--- a/pistachiowell/budgets/tests/test_budget_machine.py
+++ b/pistachiowell/budgets/tests/test_budget_machine.py
@@ -313,6 +313,10 @@
     sizing = SizingSettings(policy="proportional", close_idle_after_s=1.0)
 
 
+class KeepsRequests(Fleet):
+    sizing = SizingSettings(kept_requests=4)
+
+
 class RefundsOnTimeout(Fleet):
     def time_out(self, router, call):
         if call.state != "done":
@@ -359,7 +363,7 @@
     )
 
 
-@pytest.mark.parametrize("fleet", [Fleet, ClosesIdleGrants])
+@pytest.mark.parametrize("fleet", [Fleet, ClosesIdleGrants, KeepsRequests])
 def test_budgets_hold_under_faults(fleet):
     run_machine(fleet, 300)
 
--- a/pistachiowell/budgets/tests/test_growth.py
+++ b/pistachiowell/budgets/tests/test_growth.py
@@ -110,3 +110,28 @@
     budget = page.accounts["shop"]
     granted = sum(grant.amount for grant in budget.grants.values())
     assert unspent_elsewhere(budget, own_grants=()) == granted - 700
+
+
+def test_idle_account_has_no_room_for_a_request_in_an_outage(page):
+    sizing = SizingSettings(kept_requests=4)
+    holder = GrantHolder("router-1", 1, sizing=sizing)
+    for number in range(24):
+        holder.reserve("shop", f"a{number}", "router-1", 4_100, 0.1 * number)
+        page = write_plan(holder, page, number, 0.1 * number)
+        assert holder.reserve("shop", f"a{number}", "router-1", 4_100, 0.1 * number)
+        holder.settle("shop", f"a{number}", "router-1", 10, 0.1 * number)
+    holder.retire_idle("shop", 8.0)
+    write_plan(holder, page, 24, 8.0)
+    assert holder.reserve("shop", "b", "router-1", 4_100, 9.0) is not None
+
+
+def test_accounts_few_requests_keep_more_than_its_budget(page):
+    page = apply_changes(BudgetPage(), [TopUp("shop", "t", 5_000)])
+    sizing = SizingSettings(kept_requests=4)
+    holder = GrantHolder("router-1", 1, sizing=sizing)
+    holder.reserve("shop", "a", "router-1", 4_100, 0.0)
+    page = write_plan(holder, page, 1, 0.0)
+    holder.settle("shop", "a", "router-1", 10, 0.1)
+    page = write_plan(holder, page, 2, 1.0)
+    assert free_tokens(page.accounts["shop"]) >= 0
+    assert holder.reserve("shop", "b", "router-1", 4_100, 1.0) is not None
--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -6,6 +6,7 @@
 from pistachiowell.budgets.page import page_name as name_of_page
 from pistachiowell.budgets.page import page_number
 from pistachiowell.budgets.page_owner import refusal_is_final
+from pistachiowell.budgets.sizing import SizingSettings
 from pistachiowell.core.errors import (
     BudgetExhausted,
     BudgetUnreachable,
@@ -32,6 +33,7 @@
 
 GRANT_CHECK_INTERVAL_S = 0.5
 REFUSAL_CACHE_S = 0.2
+_SIZING = SizingSettings(kept_requests=4)
 
 _log = part_logger("budgets")
 
@@ -67,7 +69,8 @@
         self._journal = journal
         self._outcomes = OutcomeResolver(runtime, fleet)
         self._fleet = fleet
-        self._holder = GrantHolder(runtime.incarnation, runtime.settings.budget_pages)
+        pages = runtime.settings.budget_pages
+        self._holder = GrantHolder(runtime.incarnation, pages, sizing=_SIZING)
         self._pages = GrantPages(runtime, fleet.agents.values, self._holder)
         self._recent_refusals = {}
         self._settlements = Settlements(fleet.router_of, fleet.routers.values)
@@ -157,7 +160,7 @@
         incarnation settles its reservations from the agents' sums.
         """
         pages = self._runtime.settings.budget_pages
-        self._holder = GrantHolder(self._runtime.incarnation, pages)
+        self._holder = GrantHolder(self._runtime.incarnation, pages, sizing=_SIZING)
         self._pages = GrantPages(self._runtime, self._fleet.agents.values, self._holder)
         self._settlements.clear()
         self._recent_refusals.clear()
