--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -199,22 +199,29 @@
     assert exposed <= 0.1 * len(sent) + 50
 
 
-@pytest.mark.parametrize("seed", range(10))
-async def test_version_that_fails_somewhat_more_is_taken_for_good(seed):
+async def end_of_move(fails_each, old_rate, seed):
+    """Returns the state in which a move ends.
+
+    Args:
+        fails_each: Number of answers of the new version for one that fails.
+        old_rate: Share of the answers of the old version that fail.
+        seed: Seed of the draws.
+    """
     number = itertools.count(1)
     simulation, _ = await simulate(
-        lambda at, rng: next(number) % 7 == 0, 1, seed, old_rate=0.02
+        lambda at, rng: next(number) % fails_each == 0, 1, seed, old_rate
     )
-    assert simulation.states[-1][1] is MoveState.rolled_back
+    return simulation.states[-1][1]
+
+
+@pytest.mark.parametrize("seed", range(10))
+async def test_version_that_fails_somewhat_more_is_taken_for_good(seed):
+    assert await end_of_move(7, 0.02, seed) is MoveState.rolled_back
 
 
 @pytest.mark.parametrize("seed", range(10))
 async def test_version_that_fails_as_often_as_the_old_one_is_completed(seed):
-    number = itertools.count(1)
-    simulation, _ = await simulate(
-        lambda at, rng: next(number) % 20 == 0, 1, seed, old_rate=0.05
-    )
-    assert simulation.states[-1][1] is MoveState.completed
+    assert await end_of_move(20, 0.05, seed) is MoveState.completed
 
 
 async def test_version_without_an_order_gets_nothing_while_others_serve():
