--- a/pistachiowell/soak/oracle.py
+++ b/pistachiowell/soak/oracle.py
@@ -2,13 +2,16 @@
 
 The promises are: an answer that looks complete is correct; a refusal with a status of
 ``RETRY_STATUSES`` means that the request has not run; a non-idempotent request runs at
-most once; no more tokens are spent than were prepaid.
+most once; no more tokens are spent than were prepaid; no request meets an unexpected
+exception.
 """
 
 from collections import Counter
 from dataclasses import dataclass, field
 
 RETRY_STATUSES = (429, 503)
+# The servers of a soak never answer with it.
+EXCEPTION_STATUS = 500
 
 
 @dataclass(slots=True)
@@ -64,6 +67,8 @@
         self.status_counts[status] += 1
         if status == 200 and body is not None and body != expected:
             self.violations.append(f"{kind} {request_id}: a wrong answer looked whole")
+        if status == EXCEPTION_STATUS:
+            self.violations.append(f"{kind} {request_id}: an unexpected exception")
         if kind == "book" and status in RETRY_STATUSES and self.run_counts[request_id]:
             self.violations.append(
                 f"{kind} {request_id}: refused as not run, and had run"
--- a/pistachiowell/soak/tests/test_soak.py
+++ b/pistachiowell/soak/tests/test_soak.py
@@ -53,6 +53,11 @@
     assert oracle.check_totals() == ["1001 tokens spent of 1000"]
 
 
+async def test_oracle_sees_an_unexpected_exception(oracle):
+    oracle.check_answer("chat-1", "chat", 500, b"", b"x")
+    assert "unexpected exception" in oracle.violations[0]
+
+
 async def test_oracle_sees_a_wrong_answer(oracle):
     oracle.check_answer("read-1", "read", 200, b"y", b"x")
     assert "wrong answer" in oracle.violations[0]
