--- a/review/common.py
+++ b/review/common.py
@@ -59,6 +59,7 @@
         super().__init__()
         self.era = 1
         self._outages = 0
+        self._cut = anyio.Event()
 
     def go_away(self):
         """Answers nothing from now on, until ``come_back``."""
@@ -70,7 +71,37 @@
         self.return_from_copy(copy)
         self.mode = "up"
 
+    def cut_watches(self):
+        """Cuts off the watches of servers that are waiting."""
+        cut, self._cut = self._cut, anyio.Event()
+        cut.set()
+
     async def __call__(self, scope, receive, send):
+        """Answers one call, unless its watch is cut off."""
+        is_watch = b"Watch=" in scope["query_string"]
+        if not is_watch or not scope["path"].endswith("/servers"):
+            await self._answer_call(scope, receive, send)
+            return
+        cut, was_answered = self._cut, False
+        async with anyio.create_task_group() as group:
+
+            async def answer():
+                nonlocal was_answered
+                await self._answer_call(scope, receive, send)
+                was_answered = True
+                group.cancel_scope.cancel()
+
+            group.start_soon(answer)
+            await cut.wait()
+            group.cancel_scope.cancel()
+        if not was_answered:
+            # An answer that is shorter than its length: the channel is closed.
+            headers = [(b"content-length", b"2"), (b"store-era", b"%d" % self.era)]
+            await send(
+                {"type": "http.response.start", "status": 200, "headers": headers}
+            )
+
+    async def _answer_call(self, scope, receive, send):
         """Answers one call, unless the store has gone away meanwhile."""
         outages = self._outages
 
@@ -126,6 +157,11 @@
         self._specs[server_id] = {**self._specs[server_id], "State": state}
         self.store.put("servers", server_id, self._specs[server_id])
 
+    def remove_entry(self, server_id):
+        """Removes the entry of a server, which never reports that it drains."""
+        del self._specs[server_id]
+        self.store.delete("servers", server_id)
+
     def start_agent(self, name):
         """Starts an agent with the settings of ``deploy/agent.yaml``."""
         self._start(
