--- a/review/common.py
+++ b/review/common.py
@@ -128,6 +128,7 @@
         self._documents = {}
         self._processes = {}
         self._roles = {}
+        self._scopes = {}
         self._specs = {}
         self.addresses = {}
         self.store = Store()
@@ -141,12 +142,23 @@
     async def add_server(self, server_id, service, script, **more):
         """Starts a backend server and registers it; returns the stand-in."""
         server = BackendStandIn(server_id, script)
-        await self._group.start(server.serve)
+        self._scopes[server_id] = anyio.CancelScope()
+        await self._group.start(self._serve, server)
         address = f"{LOOPBACK}:{server.port}"
         self._specs[server_id] = {**registration(service, address), **more}
         self.store.put("servers", server_id, self._specs[server_id])
         return server
 
+    async def _serve(self, server, *, task_status):
+        with self._scopes[server.server_id]:
+            await server.serve(task_status=task_status)
+
+    def stop_server(self, server_id):
+        """Stops a server at once, without draining; its entry stays."""
+        self._scopes[server_id].cancel()
+        self._specs.pop(server_id)
+        self._record.add(f"server {server_id} has stopped")
+
     def write_servers(self):
         """Writes the registrations of all servers again, as after a return."""
         for server_id, spec in self._specs.items():
