Handle signals from the first statement of a program to its end

Callers saw all their requests in progress at a gateway cut off (LOST): a SIGHUP, or a second SIGTERM or SIGINT, that came after the gateway's first SIGTERM ended it at once, and so did each signal in the first 0.6 s of any program.

Cause: wait_for_signal() left open_signal_receiver at the first signal to stop, which puts the default actions back while the program still ends its requests for seconds. The handlers were set only after the imports, the settings and, in the router and agent of the product, the registration. Those two did not handle SIGHUP at any time.

Why this works: each program installs its handlers before its other imports and keeps them for the life of the process; signals wait in a pipe that the event loop reads until the end, and are ignored after it. The first signal to stop counts, and all others are noted in a log line. A stop during the start of the product's router or agent cancels the start, which may wait for the store without end.

Handlers stand 0.055 s after the start of a process, of 0.73 s of imports; before that the interpreter still ends at a signal.

The modules main of the programs are now small; their former contents are in platform/programs.py, router/router.py and agent/agent.py.

--- a/pistachiowell/bench/capacity.py
+++ b/pistachiowell/bench/capacity.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from pistachiowell.agent.main import LOAD_INTERVAL_S
+from pistachiowell.agent.agent import LOAD_INTERVAL_S
 from pistachiowell.bench.marginal_costs import US_PER_S, MarginalCost
 from pistachiowell.budgets.sizing import SizingSettings
 from pistachiowell.router.fleet import vm_list_interval_s
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -7,7 +7,6 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.metrics_page import serve_metrics
 from pistachiowell.core.runtime import Runtime
-from pistachiowell.core.signals import wait_for_signal
 from pistachiowell.gateway.budget_owner import BudgetOwner
 from pistachiowell.gateway.closed_servers import ClosedServers
 from pistachiowell.gateway.leaving_servers import LeavingServers
@@ -29,6 +28,7 @@
     CatalogDocument,
     FetchCatalog,
 )
+from pistachiowell.signals.watch import SignalWatch
 from pistachiowell.store.registration import (
     agent_record,
     keep_registered,
@@ -54,7 +54,7 @@
         settings: ``GatewayAgentSettings``.
         store: The platform's store.
         adapter: Object with the codecs ``heads``, ``configuration``, ``servers`` and
-            ``moves``; see ``pistachiowell.platform.main``.
+            ``moves``; see ``pistachiowell.platform.programs``.
         is_deputy: Whether it runs in a gateway, in place of an agent.
         closed: The ``ClosedServers`` of its gateway; None to keep its own.
     """
@@ -136,13 +136,18 @@
         """Unique id of this run of the process."""
         return self._runtime.incarnation
 
-    async def run(self, wait_for_stop=lambda: wait_for_signal(_log_reload)):
+    async def run(self, wait_for_stop=None):
         """Runs until it is stopped, then returns idle tokens and unregisters.
 
         Args:
-            wait_for_stop: Async function that returns when it has to stop.
+            wait_for_stop: Async function that returns when it has to stop; None to
+                follow the signals of the process.
         """
         async with anyio.create_task_group() as group:
+            if wait_for_stop is None:
+                signals = SignalWatch()
+                group.start_soon(signals.run)
+                wait_for_stop = signals.wait_for_stop
             await group.start(self._serve_gateways)
             group.start_soon(self._watches.run)
             group.start_soon(self._budget_owner.run)
@@ -204,7 +209,3 @@
     def _record(self):
         address = self._runtime.settings.engine_address
         return agent_record(self._runtime, address, is_deputy=self._is_deputy)
-
-
-def _log_reload():
-    _log.info("Ignored the reload signal; the settings cannot be reloaded.")
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -10,7 +10,6 @@
 from pistachiowell.core.loop_watch import LoopWatch
 from pistachiowell.core.metrics_page import serve_metrics
 from pistachiowell.core.runtime import Runtime
-from pistachiowell.core.signals import wait_for_signal
 from pistachiowell.core.web import http_server
 from pistachiowell.gateway.agents import AgentReports
 from pistachiowell.gateway.app import GatewayApp, ReadyApp
@@ -42,6 +41,7 @@
 from pistachiowell.router.fleet import AGENTS, ROUTERS, Fleet
 from pistachiowell.router.http_protocol import bounded_protocol
 from pistachiowell.routing import SHARED_SERVER_CRASHES
+from pistachiowell.signals.watch import SignalWatch
 from pistachiowell.store.registration import (
     keep_registered,
     router_record,
@@ -72,7 +72,7 @@
         store: The platform's store.
         adapter: Object with the codecs ``heads``, ``configuration``, ``servers`` and
             ``moves``, with ``make_store`` and with ``ready_path``; see
-            ``pistachiowell.platform.main``.
+            ``pistachiowell.platform.programs``.
     """
 
     __slots__ = (
@@ -293,7 +293,7 @@
             group.start_soon(serve_metrics, self._runtime)
             group.start_soon(self._register)
             group.start_soon(self._count_routers)
-            group.start_soon(self._handle_signals)
+            group.start_soon(self._leave_on_signal, group)
             _log.info(
                 "Gateway starts.",
                 incarnation=self._runtime.incarnation,
@@ -305,8 +305,10 @@
             _log.info("Gateway stops.")
             group.cancel_scope.cancel()
 
-    async def _handle_signals(self):
-        await wait_for_signal(_log_reload)
+    async def _leave_on_signal(self, group):
+        signals = SignalWatch()
+        group.start_soon(signals.run)
+        await signals.wait_for_stop()
         await self.leave()
 
     async def _register(self):
@@ -354,10 +356,6 @@
         return router_record(self._runtime, *_split_address(address))
 
 
-def _log_reload():
-    _log.info("Ignored the reload signal; the settings cannot be reloaded.")
-
-
 def _split_address(address):
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/pistachiowell/platform/tests/conftest.py
+++ b/pistachiowell/platform/tests/conftest.py
@@ -8,8 +8,8 @@
 
 from pistachiowell.gateway.agent import GatewayAgent
 from pistachiowell.gateway.gateway import Gateway
-from pistachiowell.platform.main import ADAPTER
 from pistachiowell.platform.objects import ObjectStore
+from pistachiowell.platform.programs import ADAPTER
 from pistachiowell.platform.standins import (
     BackendStandIn,
     ObjectServer,
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -10,7 +10,8 @@
 import anyio
 import yaml
 
-from pistachiowell.platform.main import SETTINGS_VARIABLE
+from pistachiowell.bench.signals import has_handlers
+from pistachiowell.platform.programs import SETTINGS_VARIABLE
 from pistachiowell.platform.standin_documents import registration
 from pistachiowell.platform.standins import BackendStandIn, ObjectServer, serve_app
 from pistachiowell.soak.closing import ClosingOracle, ServerState
@@ -47,6 +48,7 @@
     Attributes:
         addresses: HTTP address by name of the gateway.
         closing: The ``ClosingOracle``.
+        early_ends: One sentence per process that ended by itself or out of order.
         server_states: The ``ServerState`` of each backend server by id.
         servers: The ``BackendStandIn`` of each backend server.
         store: The ``ObjectServer`` that stands in for the store.
@@ -58,12 +60,14 @@
         "_free_port",
         "_gateway_settings",
         "_group",
+        "_killed",
         "_processes",
         "_registrations",
         "_relays",
         "_roles",
         "addresses",
         "closing",
+        "early_ends",
         "server_states",
         "servers",
         "store",
@@ -75,12 +79,14 @@
         self._group = group
         self._directory = Path(directory)
         self._free_port = free_port
+        self._killed = set()
         self._processes = {}
         self._relays = {}
         self._registrations = {}
         self._roles = {}
         self.addresses = {}
         self.closing = ClosingOracle()
+        self.early_ends = []
         self.server_states = {}
         self.servers = []
         self.store = ObjectServer()
@@ -232,6 +238,8 @@
             relay.set_state(LINK_STATES[fault.mode])
             await anyio.sleep(fault.duration_s)
             relay.set_state(FAULT_FREE_LINK)
+        elif fault.kind == "signals":
+            await self._send_series(fault)
         elif fault.kind == "pause":
             self.send_signal(fault.target, signal.SIGSTOP)
             await anyio.sleep(fault.duration_s)
@@ -246,14 +254,51 @@
 
     def _start_if_exited(self, name):
         if self._processes[name].poll() is not None:
+            self._record_end(name)
             self._start_process(name)
 
+    def _record_end(self, name):
+        process = self._processes[name]
+        code = process.poll()
+        if code and process not in self._killed:
+            self.early_ends.append(f"{name} ended with exit code {code}")
+
     async def _terminate(self, name, signal_number):
         # A process that another fault has paused could not handle SIGTERM.
         self.send_signal(name, signal.SIGCONT)
+        if signal_number != signal.SIGKILL:
+            await self._wait_for_handlers(name)
         self.send_signal(name, signal_number)
         await self.wait_until_exited(name)
 
+    async def _send_series(self, fault):
+        """Sends signals at intervals, and one to the new run of a process they end."""
+        name = fault.target
+        numbers = [signal.Signals[f"SIG{text}"] for text in fault.mode.split(",")]
+        await self._wait_for_handlers(name)
+        process = self._processes[name]
+        for number in numbers:
+            # Another fault may have started the next run, which has no handlers yet.
+            if self._processes[name] is process:
+                self.send_signal(name, number)
+            await anyio.sleep(fault.duration_s / len(numbers))
+        if {signal.SIGTERM, signal.SIGINT}.isdisjoint(numbers):
+            return
+        while process.poll() is None:
+            await anyio.sleep(0.02)
+        await anyio.sleep(RESTART_DELAY_S)
+        self._start_if_exited(name)
+        await self._wait_for_handlers(name)
+        self.send_signal(name, signal.SIGHUP)
+
+    async def _wait_for_handlers(self, name):
+        """Waits until a process handles signals, which the interpreter does not."""
+        while True:
+            process = self._processes[name]
+            if process.poll() is not None or has_handlers(process.pid):
+                return
+            await anyio.sleep(0.01)
+
     async def wait_until_registered(self, count):
         """Waits until ``count`` programs are registered and have time to connect."""
         with anyio.fail_after(START_TIMEOUT_S):
@@ -269,15 +314,22 @@
         while self._processes[name].poll() is None:
             await anyio.sleep(0.02)
 
+    def exit_code(self, name):
+        """Returns the exit code of a process; None while it runs."""
+        return self._processes[name].poll()
+
     def send_signal(self, name, signal_number):
         """Sends a signal to a process of this fleet if it still runs."""
         process = self._processes[name]
         if process.poll() is None:
+            if signal_number == signal.SIGKILL:
+                self._killed.add(process)
             process.send_signal(signal_number)
 
     def stop(self):
         """Kills all processes that this fleet has started and waits for their exit."""
-        for process in self._processes.values():
+        for name, process in self._processes.items():
+            self._record_end(name)
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
--- a/pistachiowell/soak/plan.py
+++ b/pistachiowell/soak/plan.py
@@ -14,6 +14,15 @@
 FAULT_MODES = {
     "store": ("busy", "many", "silent"),
     "link": ("cut", "delay", "drop_up", "drop_down", "silent"),
+    "signals": (
+        "HUP",
+        "HUP,HUP,HUP",
+        "TERM,HUP",
+        "TERM,TERM",
+        "TERM,INT,HUP",
+        "HUP,TERM,HUP,INT,TERM",
+        "INT,HUP,INT",
+    ),
 }
 
 
@@ -24,14 +33,16 @@
     Attributes:
         start_s: Seconds from the start of the load.
         kind: ``kill`` (SIGKILL, then a new start), ``pause`` (SIGSTOP), ``restart``
-            (SIGTERM, then a new start), ``loss`` (all agents are killed and start
-            again later), ``store``, ``link``, ``return`` (the store returns from a
-            copy that is taken now), ``leave`` (a server says that it leaves, and then
+            (SIGTERM, then a new start), ``signals`` (a series of signals; if they end
+            the process, a new start with a SIGHUP), ``loss`` (all agents are killed and
+            start again later), ``store``, ``link``, ``return`` (the store returns from
+            a copy that is taken now), ``leave`` (a server says that it leaves, and then
             starts again) or ``full`` (a server turns requests away and names a pause).
         target: Name of the process, link or server; empty for the store.
         duration_s: Duration in seconds, or the age of the copy; of no effect for
             ``kill`` and ``restart``.
-        mode: Kind of failure of the store or link; empty for processes.
+        mode: Kind of failure of the store or link; names of the signals of a series,
+            separated by commas; otherwise empty.
     """
 
     start_s: float
@@ -62,7 +73,7 @@
         True
     """
     rng = Random(seed)
-    targets = dict.fromkeys(("kill", "pause", "restart"), processes)
+    targets = dict.fromkeys(("kill", "pause", "restart", "signals"), processes)
     targets |= {"store": ("",), "link": links, "return": ("",)}
     targets["loss"] = ("",) if has_agents else ()
     targets |= {"leave": servers, "full": servers}
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -61,6 +61,7 @@
             group.cancel_scope.cancel()
     oracle.check_totals()
     oracle.violations += fleet.closing.violations()
+    oracle.violations += fleet.early_ends
     return oracle
 
 
