Bound the heads of answers whose requests were given up

A server that sends a head without end made a gateway run out of memory and of time (LOST for all other requests), if the callers of its requests had left before: up to 256 such heads were read at a time, for 0.25 s each, and all their headers were kept.

Cause: LateHeads read the network stream itself, past the limits of BoundedStream, with a limit of time only.

Why this works: each head has 16,384 bytes and 100 headers, and 64 are read at a time, of which each may hold one read of the event loop. Further ones are closed at once, as before beyond 256. All six cases pass, and the eight of test_late_heads.py.

--- a/pistachiowell/gateway/late_heads.py
+++ b/pistachiowell/gateway/late_heads.py
@@ -15,8 +15,10 @@
 
 # The server is told at once that nobody waits, and need not bear the connection longer.
 LATE_HEAD_S = 0.25
-MAX_CONNECTIONS = 256
-READ_BYTES = 65_536
+# Each may hold one read of the event loop, which is of up to 256 KiB.
+MAX_CONNECTIONS = 64
+MAX_HEAD_BYTES = 16_384
+MAX_HEADERS = 100
 FIRST_FINAL_STATUS = 200
 
 _log = part_logger("dispatch")
@@ -25,6 +27,9 @@
 class LateHeads:
     """Waits a moment for the heads of given-up answers and reports what they say.
 
+    Time, bytes and headers of each are limited, and so is their number: the server may
+    be in trouble and send bytes without end.
+
     Args:
         codec: Codec of heads; see ``pistachiowell.platform.headers``.
         record: Function of the ``BackendServer``, the ``AnswerHead`` and the id of the
@@ -97,18 +102,23 @@
         self.headers = []
         self.is_complete = False
         self.status = 0
+        self._is_too_long = False
 
     async def read(self, stream):
-        """Reads until the head is complete or the connection ends."""
-        while not self.is_complete:
-            data = await stream.read(READ_BYTES)
+        """Reads until the head is complete, too large or the connection ends."""
+        left_bytes = MAX_HEAD_BYTES
+        while not self.is_complete and left_bytes > 0 and not self._is_too_long:
+            data = await stream.read(left_bytes)
             if not data:
                 return
+            left_bytes -= len(data)
             self._parser.feed_data(data)
 
     def on_header(self, name, value):
         """Stores a header."""
-        if not self.is_complete:
+        if len(self.headers) >= MAX_HEADERS:
+            self._is_too_long = True
+        elif not self.is_complete:
             self.headers.append((name, value))
 
     def on_headers_complete(self):
@@ -116,6 +126,8 @@
         if self.is_complete:
             return
         self.status = self._parser.get_status_code()
+        if self._is_too_long:
+            return
         self.is_complete = self.status >= FIRST_FINAL_STATUS
         if not self.is_complete:
             self.headers.clear()
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -314,6 +314,10 @@
         while self._processes[name].poll() is None:
             await anyio.sleep(0.02)
 
+    def pid(self, name):
+        """Returns the process id of a program."""
+        return self._processes[name].pid
+
     def exit_code(self, name):
         """Returns the exit code of a process; None while it runs."""
         return self._processes[name].poll()
