Bound the trailers and chunk sizes of callers' requests

A caller that sends trailers without end, one endless trailer, or the extension of a chunk without end made a gateway or router run out of memory (LOST for all others): the protocol class counted bytes until the head was complete only, and uvicorn keeps each trailer.

Why this works: all bytes that arrive without ending a head or a part of a body count against the limit of headers; trailers are dropped. The page of metrics, which had no limit, uses the same class. It moves from router to core, as the page is there.

--- a/pistachiowell/router/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -1,4 +1,4 @@
-"""HTTP protocol class for uvicorn that limits the size of request headers."""
+"""HTTP protocol class for uvicorn that limits what a caller sends beside bodies."""
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
@@ -15,8 +15,8 @@
 def bounded_protocol(max_header_bytes, body):
     """Returns a protocol class that refuses requests with too large headers.
 
-    uvicorn's own httptools protocol buffers headers without a limit, so a caller that
-    sends headers without end would exhaust the memory of the process.
+    uvicorn's own httptools protocol buffers headers and trailers without a limit, so a
+    caller that sends them without end would exhaust the memory of the process.
 
     Args:
         max_header_bytes: Largest head of a request in bytes.
@@ -27,11 +27,11 @@
     """
 
     class BoundedProtocol(HttpToolsProtocol):
-        """Counts the bytes of a request's head until it is complete."""
+        """Counts the bytes that belong to no body, until a head or body part ends."""
 
         def __init__(self, *args, **kwargs):
             super().__init__(*args, **kwargs)
-            self._head_bytes = 0
+            self._other_bytes = 0
 
         def connection_made(self, transport):
             """Limits the connection's write buffer.
@@ -50,19 +50,34 @@
         def on_headers_complete(self):
             """Stops counting the header bytes of a request."""
             self._is_in_head = False
-            self._head_bytes = 0
+            self._has_ended_part = True
             super().on_headers_complete()
 
+        def on_header(self, name, value):
+            """Stores a header, and drops a trailer."""
+            if self._is_in_head:
+                super().on_header(name, value)
+
+        def on_body(self, body):
+            """Stores a part of a body."""
+            self._has_ended_part = True
+            super().on_body(body)
+
         def data_received(self, data):
-            """Parses data of the caller and refuses a head that is too large."""
+            """Parses data of the caller; refuses a head or trailers without end."""
+            self._has_ended_part = False
             super().data_received(data)
-            if not self._is_in_head:
+            if self._has_ended_part:
+                self._other_bytes = 0
+                return
+            self._other_bytes += len(data)
+            if self._other_bytes <= max_header_bytes or self.transport.is_closing():
                 return
-            self._head_bytes += len(data)
-            if self._head_bytes > max_header_bytes and not self.transport.is_closing():
+            if self._is_in_head:
                 self.transport.write(_TOO_LARGE % (len(body), body))
-                self.transport.close()
+            self.transport.close()
 
+        _has_ended_part = False
         _is_in_head = True
 
     return BoundedProtocol
--- a/pistachiowell/core/metrics_page.py
+++ b/pistachiowell/core/metrics_page.py
@@ -1,9 +1,11 @@
 """HTTP page with the metrics of a process."""
 
+from pistachiowell.core.http_protocol import bounded_protocol
 from pistachiowell.core.web import http_server
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 PATH = "/metrics"
+MAX_HEADER_BYTES = 65_536
 
 
 class MetricsPage:
@@ -47,4 +49,9 @@
     if not settings.metrics_port:
         return
     page = MetricsPage(runtime.metrics)
-    await http_server(page, settings.metrics_host, settings.metrics_port).serve()
+    await http_server(
+        page,
+        settings.metrics_host,
+        settings.metrics_port,
+        http=bounded_protocol(MAX_HEADER_BYTES, b"{}"),
+    ).serve()
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -6,6 +6,7 @@
 
 from pistachiowell.admission import OVERLOAD_POLICIES, OverloadSettings
 from pistachiowell.core.errors import STORE_ERRORS, HeadersTooLarge
+from pistachiowell.core.http_protocol import bounded_protocol
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.loop_watch import LoopWatch
 from pistachiowell.core.metrics_page import serve_metrics
@@ -39,7 +40,6 @@
 from pistachiowell.router.crash_candidates import CrashCandidates
 from pistachiowell.router.error_documents import error_document
 from pistachiowell.router.fleet import AGENTS, ROUTERS, Fleet
-from pistachiowell.router.http_protocol import bounded_protocol
 from pistachiowell.routing import SHARED_SERVER_CRASHES
 from pistachiowell.signals.watch import SignalWatch
 from pistachiowell.store.registration import (
--- a/pistachiowell/router/router.py
+++ b/pistachiowell/router/router.py
@@ -7,6 +7,7 @@
 
 from pistachiowell.core.errors import HeadersTooLarge
 from pistachiowell.core.events import EventKind
+from pistachiowell.core.http_protocol import bounded_protocol
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.metrics_page import serve_metrics
 from pistachiowell.core.program import run_program
@@ -17,7 +18,6 @@
 from pistachiowell.router.dispatch import Dispatch
 from pistachiowell.router.error_documents import error_document
 from pistachiowell.router.fleet import Fleet
-from pistachiowell.router.http_protocol import bounded_protocol
 from pistachiowell.router.journal import Journal
 from pistachiowell.router.moves import Moves
 from pistachiowell.router.recovery import Recovery
