Draw servers that send without end and callers that leave early in the soak

No draw sent bytes without end, and no caller left before its answer, so heads of answers that nobody waits for any more were never read. Servers now go on without end at a random point of a head or between two parts of an answer, 15 in 100 callers leave within 0.2 s, and a process that has taken more memory than the smallest VM of the users has breaks the run.

--- /dev/null
+++ b/pistachiowell/soak/endless.py
@@ -0,0 +1,59 @@
+"""Answers of a soak's servers that go on without end."""
+
+import re
+from pathlib import Path
+
+import anyio
+
+BLOCK_BYTES = 65_536
+# Nothing here is an event, and nothing completes an answer with a length.
+UNITS = (
+    b"a",
+    b"a: b\r\n",
+    b"HTTP/1.1 102 Processing\r\n\r\n",
+    b"\n\n",
+    b"\x00",
+    b"fffffff0\r\n",
+)
+# Memory of the smallest VM of the users, of which each process may use all.
+MAX_MEMORY_BYTES = 300_000_000
+
+
+class EndlessStream:
+    """Connection to a gateway on which an answer goes on without end.
+
+    The answer is broken off at a random point of its head, or between two of its parts.
+
+    Args:
+        stream: The connection.
+        rng: ``random.Random``.
+    """
+
+    __slots__ = ("_rng", "_stream")
+
+    def __init__(self, stream, rng):
+        self._stream = stream
+        self._rng = rng
+
+    async def send(self, data):
+        """Sends a part of an answer whole, or a part of it and bytes without end."""
+        if self._rng.random() < 0.5:
+            return await self._stream.send(data)
+        head_end = data.find(b"\r\n\r\n") + 1 if data.startswith(b"HTTP") else 0
+        await self._stream.send(data[: self._rng.randint(0, head_end)])
+        unit = self._rng.choice(UNITS)
+        block = unit * (BLOCK_BYTES // len(unit))
+        while True:
+            await self._stream.send(block)
+            await anyio.sleep(0)
+
+
+def peak_memory_bytes(pid):
+    """Returns the largest memory that a process has had.
+
+    References:
+        proc_pid_status(5): the field ``VmHWM``.
+    """
+    text = Path(f"/proc/{pid}/status").read_text(encoding="ascii", errors="replace")
+    match = re.search(r"VmHWM:\s*(\d+) kB", text)
+    return int(match.group(1)) * 1024 if match else 0
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -15,6 +15,7 @@
 from pistachiowell.platform.standin_documents import registration
 from pistachiowell.platform.standins import BackendStandIn, ObjectServer, serve_app
 from pistachiowell.soak.closing import ClosingOracle, ServerState
+from pistachiowell.soak.endless import MAX_MEMORY_BYTES, peak_memory_bytes
 from pistachiowell.standins.relay import LinkState, Relay
 
 RESTART_DELAY_S = 0.3
@@ -48,7 +49,8 @@
     Attributes:
         addresses: HTTP address by name of the gateway.
         closing: The ``ClosingOracle``.
-        early_ends: One sentence per process that ended by itself or out of order.
+        early_ends: One sentence per process that ended by itself or out of order, or
+            that the users' VMs would have ended.
         server_states: The ``ServerState`` of each backend server by id.
         servers: The ``BackendStandIn`` of each backend server.
         store: The ``ObjectServer`` that stands in for the store.
@@ -209,6 +211,9 @@
         elif fault.kind == "full":
             until = time.monotonic() + fault.duration_s
             self.server_states[fault.target].paused_until = until
+        elif fault.kind == "endless":
+            until = time.monotonic() + fault.duration_s
+            self.server_states[fault.target].endless_until = until
         else:
             duration_s = fault.duration_s + RESTART_DELAY_S
             self.closing.record_fault(fault.target.removeprefix("server-"), duration_s)
@@ -260,6 +265,8 @@
     def _record_end(self, name):
         process = self._processes[name]
         code = process.poll()
+        if code is None and peak_memory_bytes(process.pid) > MAX_MEMORY_BYTES:
+            self.early_ends.append(f"{name} would run out of memory")
         if code and process not in self._killed:
             self.early_ends.append(f"{name} ended with exit code {code}")
 
--- a/pistachiowell/soak/plan.py
+++ b/pistachiowell/soak/plan.py
@@ -37,7 +37,8 @@
             the process, a new start with a SIGHUP), ``loss`` (all agents are killed and
             start again later), ``store``, ``link``, ``return`` (the store returns from
             a copy that is taken now), ``leave`` (a server says that it leaves, and then
-            starts again) or ``full`` (a server turns requests away and names a pause).
+            starts again), ``full`` (a server turns requests away and names a pause) or
+            ``endless`` (a server sends bytes without end in its answers).
         target: Name of the process, link or server; empty for the store.
         duration_s: Duration in seconds, or the age of the copy; of no effect for
             ``kill`` and ``restart``.
@@ -76,7 +77,7 @@
     targets = dict.fromkeys(("kill", "pause", "restart", "signals"), processes)
     targets |= {"store": ("",), "link": links, "return": ("",)}
     targets["loss"] = ("",) if has_agents else ()
-    targets |= {"leave": servers, "full": servers}
+    targets |= dict.fromkeys(("leave", "full", "endless"), servers)
     kinds = [kind for kind, names in targets.items() if names]
     faults, start_s = [], 0.5
     while start_s < length_s - NO_NEW_FAULT_S:
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -16,12 +16,16 @@
     soak_configuration,
 )
 from pistachiowell.platform.standins import chunk, event, head
+from pistachiowell.soak.endless import EndlessStream
 from pistachiowell.soak.fleet import Fleet
 from pistachiowell.soak.oracle import Oracle
 from pistachiowell.soak.plan import draw_faults
 
 REQUESTS_PER_S = 25.0
 CALLER_TIMEOUT_S = 3.0
+# Share of the callers that leave early, and the latest time at which they do.
+LEAVING_SHARE = 0.15
+MAX_STAY_S = 0.2
 PROMPT_TOKENS = 100
 EVENTS_PER_STREAM = 4
 TOKENS_PER_EVENT = 5
@@ -43,7 +47,7 @@
     async with anyio.create_task_group() as group:
         fleet = Fleet(group, directory, free_port)
         try:
-            await _start_fleet(fleet, oracle)
+            await _start_fleet(fleet, oracle, Random(seed))
             faults = draw_faults(
                 seed,
                 length_s,
@@ -65,14 +69,14 @@
     return oracle
 
 
-async def _start_fleet(fleet, oracle):
+async def _start_fleet(fleet, oracle, rng):
     fleet.store.era = 1
     await fleet.start_store()
     fleet.store.put("config", "main", soak_configuration(PREPAID_TOKENS))
     for number in (1, 2):
         for service, handler in (("desk", _plain_handler), ("pool", _stream_handler)):
             name = f"{service}-{number}"
-            handle = _closing_handler(fleet, oracle, name, handler(oracle))
+            handle = _closing_handler(fleet, oracle, rng, name, handler(oracle))
             await fleet.add_server(name, service, handle)
         await fleet.add_agent(f"agent-{number}")
     for number in (1, 2):
@@ -96,13 +100,15 @@
                 kind = rng.choice(("read", "book", "chat"))
                 gateway = rng.choice(list(fleet.addresses))
                 request_id = f"{kind}-{next(request_numbers)}-at-{gateway}"
+                leaves = rng.random() < LEAVING_SHARE
+                stay_s = rng.uniform(0.0, MAX_STAY_S) if leaves else CALLER_TIMEOUT_S
                 oracle.sent_at[request_id] = time.monotonic()
                 group.start_soon(
-                    _send_request, fleet, oracle, gateway, kind, request_id
+                    _send_request, fleet, oracle, gateway, kind, request_id, stay_s
                 )
 
 
-async def _send_request(fleet, oracle, gateway, kind, request_id):
+async def _send_request(fleet, oracle, gateway, kind, request_id, stay_s):
     max_output_tokens = 2 * EVENTS_PER_STREAM * TOKENS_PER_EVENT
     headers = caller_headers(
         request_id, CALLER_TIMEOUT_S, PROMPT_TOKENS, max_output_tokens
@@ -114,7 +120,7 @@
     url = f"http://{fleet.addresses[gateway]}/{kind}/{request_id}"
     method = "GET" if kind == "read" else "POST"
     try:
-        with anyio.move_on_after(CALLER_TIMEOUT_S):
+        with anyio.move_on_after(stay_s):
             async with (
                 httpcore.AsyncConnectionPool() as pool,
                 pool.stream(method, url, headers=headers) as response,
@@ -133,7 +139,7 @@
     return b"".join(event(number) for number in range(1, EVENTS_PER_STREAM + 1))
 
 
-def _closing_handler(fleet, oracle, server_id, handle_open):
+def _closing_handler(fleet, oracle, rng, server_id, handle_open):
     """Returns a handler that answers as the state of a server says."""
     closing = fleet.closing
 
@@ -145,6 +151,8 @@
         refusal = state.refusal(request)
         if state.is_leaving:
             closing.record_answer(run, request_id)
+        if state.is_endless:
+            stream = EndlessStream(stream, rng)
         if refusal is None:
             return await handle_open(request, stream, state.headers())
         await stream.send(refusal)
