Keep a server leaving over a return of the store from an older copy

Cause: ServerRegistry.replace took each list as the whole truth, also the first one after a return, whose entries may be older than what was read before.

Evidence: two tests of test_returned_store.py fail without the change to watchers.py: one on a server that drains, one on a server whose entry had been removed after that.

Why this works: leaving is never taken back by the same run of a server, so an entry of the first list of a new era that says otherwise is of the copy; it counts once it has been written again.

--- a/pistachiowell/catalog/__init__.py
+++ b/pistachiowell/catalog/__init__.py
@@ -9,6 +9,7 @@
     Route,
     Service,
 )
+from pistachiowell.catalog.leavings import Leavings
 from pistachiowell.catalog.servers import BackendServer, ServerRegistry
 
 __all__ = [
@@ -17,6 +18,7 @@
     "Catalog",
     "EngineLimits",
     "HttpLimits",
+    "Leavings",
     "RequestKind",
     "Route",
     "ServerRegistry",
--- a/pistachiowell/gateway/watchers.py
+++ b/pistachiowell/gateway/watchers.py
@@ -1,5 +1,6 @@
 """Watchers of the configuration, the servers and the move orders in the store."""
 
+from pistachiowell.catalog import Leavings
 from pistachiowell.core.errors import RowInvalid
 from pistachiowell.core.ids import stable_hash
 from pistachiowell.core.logs import part_logger
@@ -118,6 +119,7 @@
         "_codec",
         "_decoded",
         "_digest",
+        "_leavings",
         "_observer",
         "_runtime",
         "_state",
@@ -130,7 +132,10 @@
         self._codec = codec
         self._decoded = {}
         self._digest = 0
-        self._observer = _Observer(runtime, codec.COLLECTION, self._record_outage_end)
+        self._leavings = Leavings()
+        self._observer = _ServersObserver(
+            runtime, codec.COLLECTION, self._record_outage_end, self._leavings
+        )
         self.on_change = lambda: None
 
     @property
@@ -161,15 +166,16 @@
             self._apply(objects)
 
     def _apply(self, objects):
-        servers = {}
+        servers, now = {}, self._runtime.now()
         for name, item in objects.items():
             server = self._decode(name, item)
             if server is not None:
-                servers[name] = server
+                servers[name] = self._leavings.corrected(server, item.version, now)
         for name in self._decoded.keys() - objects.keys():
             del self._decoded[name]
+        self._leavings.end_list()
         self._log_changes(servers)
-        self._state.servers.replace(servers, self._runtime.now())
+        self._state.servers.replace(servers, now)
         self._state.has_servers = True
         self._digest = content_digest(objects)
         self.on_change()
@@ -281,3 +287,24 @@
 
     def on_return(self):
         self._on_recovery()
+
+
+class _ServersObserver(_Observer):
+    """Lets the next list of servers be taken as one that may be older.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        collection: Name of the followed collection.
+        on_recovery: See ``_Observer``.
+        leavings: The ``Leavings``.
+    """
+
+    __slots__ = ("_leavings",)
+
+    def __init__(self, runtime, collection, on_recovery, leavings):
+        super().__init__(runtime, collection, on_recovery)
+        self._leavings = leavings
+
+    def on_return(self):
+        super().on_return()
+        self._leavings.begin_older_list()
--- a/pistachiowell/platform/tests/test_returned_store.py
+++ b/pistachiowell/platform/tests/test_returned_store.py
@@ -172,3 +172,47 @@
         rig.store.discard_history()
         await anyio.sleep(APPLY_S)
         assert known.known["desk-1"].is_leaving
+
+
+async def test_server_that_drains_is_used_again_as_the_copy_calls_it_ready(start_rig):
+    async with start_rig() as rig:
+        rig.store.era = 1
+        await rig.add_server("desk-1", "desk")
+        await rig.add_server("desk-2", "desk")
+        await rig.add_agent("agent-1")
+        gateway = await rig.add_gateway()
+        known = gateway.state.servers
+        taken = rig.store.take_copy()
+        rig.register("desk-1", "desk", "draining")
+        await rig.until(lambda: known.known["desk-1"].is_leaving)
+        rig.store.return_from_copy(taken)
+        rig.register("desk-2", "desk", Slots=9)
+        await rig.until(lambda: known.known["desk-2"].slots == 9)
+        for _ in range(5):
+            await rig.send("/read/a")
+        assert not rig.servers["desk-1"].requests
+        rig.register("desk-1", "desk")
+        await rig.until(lambda: not known.known["desk-1"].is_leaving)
+
+
+async def test_server_that_has_gone_after_draining_is_used_again_after_a_return(
+    start_rig,
+):
+    async with start_rig() as rig:
+        rig.store.era = 1
+        await rig.add_server("desk-1", "desk")
+        await rig.add_server("desk-2", "desk")
+        await rig.add_agent("agent-1")
+        gateway = await rig.add_gateway()
+        known = gateway.state.servers
+        taken = rig.store.take_copy()
+        rig.register("desk-1", "desk", "draining")
+        await rig.until(lambda: known.known["desk-1"].is_leaving)
+        rig.store.delete("servers", "desk-1")
+        await rig.until(lambda: "desk-1" not in known.known)
+        rig.store.return_from_copy(taken)
+        rig.register("desk-2", "desk", Slots=9)
+        await rig.until(lambda: known.known["desk-2"].slots == 9)
+        for _ in range(5):
+            await rig.send("/read/a")
+        assert not rig.servers["desk-1"].requests
