Let servers of the soak answer twice, and judge answers and repeats by what servers saw

No server of the soak answered twice, and its oracle compared statuses with nothing. Servers now fail some requests and answer some twice: glued, late, in two parts or before the next answer, with another status or no id. An answer that a gateway passes on must be one that a server wrote first, and the repeats of each service are counted over every window of 10 s.

The check of prepaid tokens counted all output that servers had sent. It now counts what callers have received, also of answers that were broken off.

--- a/pistachiowell/soak/closing.py
+++ b/pistachiowell/soak/closing.py
@@ -26,17 +26,24 @@
         is_leaving: Whether it says in its answers that it leaves.
         paused_until: Time until which it turns requests away in seconds.
         endless_until: Time until which it sends bytes without end in seconds.
+        double_until: Time until which it answers some requests twice in seconds.
     """
 
     is_leaving: bool = False
     paused_until: float = 0.0
     endless_until: float = 0.0
+    double_until: float = 0.0
 
     @property
     def is_endless(self):
         """Whether it sends bytes without end."""
         return time.monotonic() < self.endless_until
 
+    @property
+    def is_double(self):
+        """Whether it answers some requests twice."""
+        return time.monotonic() < self.double_until
+
     def headers(self):
         """Returns more headers of an answer by name with ``_`` for ``-``."""
         return {"Server_Leaving": "1"} if self.is_leaving else {}
--- a/pistachiowell/soak/endless.py
+++ b/pistachiowell/soak/endless.py
@@ -29,7 +29,7 @@
         rng: ``random.Random``.
     """
 
-    __slots__ = ("_rng", "_stream")
+    __slots__ = ("__weakref__", "_rng", "_stream")
 
     def __init__(self, stream, rng):
         self._stream = stream
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -214,6 +214,9 @@
         elif fault.kind == "endless":
             until = time.monotonic() + fault.duration_s
             self.server_states[fault.target].endless_until = until
+        elif fault.kind == "double":
+            until = time.monotonic() + fault.duration_s
+            self.server_states[fault.target].double_until = until
         else:
             duration_s = fault.duration_s + RESTART_DELAY_S
             self.closing.record_fault(fault.target.removeprefix("server-"), duration_s)
--- a/pistachiowell/soak/oracle.py
+++ b/pistachiowell/soak/oracle.py
@@ -1,17 +1,74 @@
 """Checks what callers and backend servers observed against the fleet's promises.
 
-The promises are: an answer that looks complete is correct; a refusal with a status of
-``RETRY_STATUSES`` means that the request has not run; a non-idempotent request runs at
-most once; no more tokens are spent than were prepaid; no request meets an unexpected
+The promises are: an answer that looks complete is the one that its server wrote first;
+a refusal with a status of ``RETRY_STATUSES`` means that the request has not run; a
+non-idempotent request runs at most once; no more tokens are spent than were prepaid; in
+no window more requests are repeated than is allowed; no request meets an unexpected
 exception.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 RETRY_STATUSES = (429, 503)
 # The servers of a soak never answer with it.
 EXCEPTION_STATUS = 500
+# Answers with which a gateway passes on what a server has written.
+SERVER_STATUSES = (200, 409, 507)
+
+
+class RepeatOracle:
+    """Counts the arrivals of each service beyond the first of each request.
+
+    Attributes:
+        ratio: Repeats that are allowed for each request.
+        fixed: Repeats that are allowed in each window in addition.
+        window_s: Length of the window in seconds.
+    """
+
+    __slots__ = ("_arrivals", "_seen", "_sent_at", "fixed", "ratio", "window_s")
+
+    def __init__(self, ratio=0.2, fixed=50.0, window_s=10.0):
+        self.ratio = ratio
+        self.fixed = fixed
+        self.window_s = window_s
+        self._arrivals = defaultdict(list)
+        self._seen = set()
+        self._sent_at = defaultdict(list)
+
+    def record_request(self, service, now):
+        """Records that a caller sends a request for a service."""
+        self._sent_at[service].append(now)
+
+    def record_arrival(self, service, request_id, now):
+        """Records that a request has reached a server."""
+        if request_id in self._seen:
+            self._arrivals[service].append(now)
+        self._seen.add(request_id)
+
+    def violations(self):
+        """Returns a sentence for each service with a window of too many repeats."""
+        found = []
+        for service, repeats in self._arrivals.items():
+            begin = max(repeats, key=lambda at: self._excess(service, at))
+            if self._excess(service, begin) > 0:
+                found.append(
+                    f"{service}: {_count(repeats, begin, self.window_s)} repeats in"
+                    f" {self.window_s} s"
+                )
+        return found
+
+    def _excess(self, service, begin):
+        requests = max(
+            _count(self._sent_at[service], begin - share * self.window_s, self.window_s)
+            for share in (0.0, 0.5, 1.0)
+        )
+        repeats = _count(self._arrivals[service], begin, self.window_s)
+        return repeats - self.ratio * requests - self.fixed
+
+
+def _count(times, begin, length_s):
+    return sum(begin <= at < begin + length_s for at in times)
 
 
 @dataclass(slots=True)
@@ -21,12 +78,15 @@
     Attributes:
         prepaid_tokens: Tokens that the tenant has prepaid.
         run_counts: Number of runs by request id.
-        spent_tokens: Tokens by request id. The prompt counts once, from the first
-            event on, however often the request runs; generated tokens always count.
+        spent_tokens: Tokens by request id: output that its caller has received, and the
+            prompt once if it has received any.
         prompt_tokens_of: Prompt tokens by request id, of requests that have run.
         violations: One sentence per broken promise.
         status_counts: Number of answers by status; 0 for a lost connection.
         sent_at: Time at which its caller sent it, in seconds, by request id.
+        first_statuses: Statuses of the first answer to each of its attempts, by request
+            id; without those of servers that answer once.
+        repeats: The ``RepeatOracle``.
     """
 
     prepaid_tokens: int
@@ -36,18 +96,24 @@
     violations: list = field(default_factory=list)
     status_counts: Counter = field(default_factory=Counter)
     sent_at: dict = field(default_factory=dict)
+    first_statuses: dict = field(default_factory=lambda: defaultdict(set))
+    repeats: RepeatOracle = field(default_factory=RepeatOracle)
 
     def record_run(self, request_id, prompt_tokens):
         """Records that a server has started to run a request."""
         self.run_counts[request_id] += 1
         self.prompt_tokens_of[request_id] = prompt_tokens
 
-    def record_generated_tokens(self, request_id, tokens):
-        """Records output tokens that a server has sent."""
+    def record_delivered_tokens(self, request_id, tokens):
+        """Records output tokens that a caller has received."""
         if not self.spent_tokens[request_id]:
             self.spent_tokens[request_id] = self.prompt_tokens_of[request_id]
         self.spent_tokens[request_id] += tokens
 
+    def record_first_answer(self, request_id, status):
+        """Records the first answer of a server to an attempt of a request."""
+        self.first_statuses[request_id].add(status)
+
     def check_answer(self, request_id, kind, status, body, expected):
         """Records an answer as its caller received it and checks it.
 
@@ -67,6 +133,11 @@
         self.status_counts[status] += 1
         if status == 200 and body is not None and body != expected:
             self.violations.append(f"{kind} {request_id}: a wrong answer looked whole")
+        first = self.first_statuses.get(request_id, {200})
+        if status in SERVER_STATUSES and body is not None and status not in first:
+            self.violations.append(
+                f"{kind} {request_id}: got {status}, its servers wrote {first} first"
+            )
         if status == EXCEPTION_STATUS:
             self.violations.append(f"{kind} {request_id}: an unexpected exception")
         if kind == "book" and status in RETRY_STATUSES and self.run_counts[request_id]:
@@ -90,6 +161,7 @@
         spent = sum(self.spent_tokens.values())
         if spent > self.prepaid_tokens:
             self.violations.append(f"{spent} tokens spent of {self.prepaid_tokens}")
+        self.violations += self.repeats.violations()
         if not self.status_counts[200]:
             self.violations.append("nothing was served")
         return self.violations
--- a/pistachiowell/soak/plan.py
+++ b/pistachiowell/soak/plan.py
@@ -37,8 +37,9 @@
             the process, a new start with a SIGHUP), ``loss`` (all agents are killed and
             start again later), ``store``, ``link``, ``return`` (the store returns from
             a copy that is taken now), ``leave`` (a server says that it leaves, and then
-            starts again), ``full`` (a server turns requests away and names a pause) or
-            ``endless`` (a server sends bytes without end in its answers).
+            starts again), ``full`` (a server turns requests away and names a pause),
+            ``endless`` (a server sends bytes without end in its answers) or ``double``
+            (a server fails some requests and answers some twice).
         target: Name of the process, link or server; empty for the store.
         duration_s: Duration in seconds, or the age of the copy; of no effect for
             ``kill`` and ``restart``.
@@ -77,7 +78,7 @@
     targets = dict.fromkeys(("kill", "pause", "restart", "signals"), processes)
     targets |= {"store": ("",), "link": links, "return": ("",)}
     targets["loss"] = ("",) if has_agents else ()
-    targets |= dict.fromkeys(("leave", "full", "endless"), servers)
+    targets |= dict.fromkeys(("leave", "full", "endless", "double"), servers)
     kinds = [kind for kind, names in targets.items() if names]
     faults, start_s = [], 0.5
     while start_s < length_s - NO_NEW_FAULT_S:
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -10,15 +10,17 @@
 
 from pistachiowell.bench.ports import free_port
 from pistachiowell.budgets.restoring import SETTLE_S
+from pistachiowell.gateway.events import EVENT_END
 from pistachiowell.platform.standin_documents import (
     USAGE_HEADER,
     caller_headers,
     soak_configuration,
 )
 from pistachiowell.platform.standins import chunk, event, head
+from pistachiowell.soak.doubles import DoubleAnswers
 from pistachiowell.soak.endless import EndlessStream
 from pistachiowell.soak.fleet import Fleet
-from pistachiowell.soak.oracle import Oracle
+from pistachiowell.soak.oracle import Oracle, RepeatOracle
 from pistachiowell.soak.plan import draw_faults
 
 REQUESTS_PER_S = 25.0
@@ -30,6 +32,14 @@
 EVENTS_PER_STREAM = 4
 TOKENS_PER_EVENT = 5
 PREPAID_TOKENS = 12_000
+SERVICES = {"read": "desk", "book": "desk", "chat": "pool"}
+# Few, so that a soak may reach the limit of repeats.
+RETRY_RATIO, RETRY_FIXED, RETRY_WINDOW_S = 0.2, 12.0, 10.0
+RETRY_SETTINGS = {
+    "retry_ratio": RETRY_RATIO,
+    "retry_fixed": RETRY_FIXED,
+    "retry_window_s": RETRY_WINDOW_S,
+}
 
 
 async def soak(seed, length_s, directory):
@@ -43,9 +53,11 @@
     Returns:
         The ``Oracle`` after its last check.
     """
-    oracle = Oracle(PREPAID_TOKENS)
+    oracle = Oracle(
+        PREPAID_TOKENS, repeats=RepeatOracle(RETRY_RATIO, RETRY_FIXED, RETRY_WINDOW_S)
+    )
     async with anyio.create_task_group() as group:
-        fleet = Fleet(group, directory, free_port)
+        fleet = Fleet(group, directory, free_port, RETRY_SETTINGS)
         try:
             await _start_fleet(fleet, oracle, Random(seed))
             faults = draw_faults(
@@ -102,7 +114,8 @@
                 request_id = f"{kind}-{next(request_numbers)}-at-{gateway}"
                 leaves = rng.random() < LEAVING_SHARE
                 stay_s = rng.uniform(0.0, MAX_STAY_S) if leaves else CALLER_TIMEOUT_S
-                oracle.sent_at[request_id] = time.monotonic()
+                oracle.sent_at[request_id] = now = time.monotonic()
+                oracle.repeats.record_request(SERVICES[kind], now)
                 group.start_soon(
                     _send_request, fleet, oracle, gateway, kind, request_id, stay_s
                 )
@@ -116,7 +129,7 @@
     if kind != "chat":
         # Requests without a prompt cost nothing, so they go on when all is spent.
         headers = [pair for pair in headers if pair[0] != USAGE_HEADER]
-    status, body = 0, None
+    status, body, received = 0, None, b""
     url = f"http://{fleet.addresses[gateway]}/{kind}/{request_id}"
     method = "GET" if kind == "read" else "POST"
     try:
@@ -126,11 +139,16 @@
                 pool.stream(method, url, headers=headers) as response,
             ):
                 status = response.status
-                body = await response.aread()
+                async for part in response.aiter_stream():
+                    received += part
+                body = received
                 if (b"server-leaving", b"1") in response.headers:
                     fleet.closing.record_leaving(request_id, gateway)
     except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
         body = None
+    events = received.count(EVENT_END) if kind == "chat" else 0
+    if events:
+        oracle.record_delivered_tokens(request_id, events * TOKENS_PER_EVENT)
     expected = _stream_body() if kind == "chat" else request_id.encode()
     oracle.check_answer(request_id, kind, status, body, expected)
 
@@ -142,18 +160,25 @@
 def _closing_handler(fleet, oracle, rng, server_id, handle_open):
     """Returns a handler that answers as the state of a server says."""
     closing = fleet.closing
+    service = server_id.partition("-")[0]
+    doubles = DoubleAnswers(rng, oracle)
 
     async def handle(request, stream):
         request_id = request.headers["pistachiowell-attempt-id"]
         gateway = request_id.partition("-at-")[2]
         state, run = fleet.server_states[server_id], fleet.run_of(server_id)
         closing.record_arrival(run, gateway, oracle.sent_at[request_id])
+        now = time.monotonic()
+        oracle.repeats.record_arrival(service, request_id, now)
         refusal = state.refusal(request)
         if state.is_leaving:
             closing.record_answer(run, request_id)
         if state.is_endless:
             stream = EndlessStream(stream, rng)
+        if refusal is None and state.is_double and service == "desk":
+            return await doubles.answer(request, stream, state.headers())
         if refusal is None:
+            oracle.record_first_answer(request_id, 200)
             return await handle_open(request, stream, state.headers())
         await stream.send(refusal)
         closing.record_pause(run, gateway, state.paused_until - time.monotonic())
@@ -190,7 +215,6 @@
         for number in range(first, EVENTS_PER_STREAM + 1):
             await anyio.sleep(0.03)
             await stream.send(chunk(event(number)))
-            oracle.record_generated_tokens(request_id, TOKENS_PER_EVENT)
         await stream.send(b"0\r\n\r\n")
         return True
 
--- a/pistachiowell/soak/tests/test_soak.py
+++ b/pistachiowell/soak/tests/test_soak.py
@@ -11,7 +11,7 @@
     PAUSE_SLACK_S,
     ClosingOracle,
 )
-from pistachiowell.soak.oracle import Oracle
+from pistachiowell.soak.oracle import Oracle, RepeatOracle
 from pistachiowell.soak.run import soak
 
 pytestmark = pytest.mark.anyio
@@ -47,9 +47,9 @@
 async def test_oracle_sees_overspending(oracle):
     oracle.status_counts[200] += 1
     oracle.record_run("chat-1", 996)
-    oracle.record_generated_tokens("chat-1", 3)
+    oracle.record_delivered_tokens("chat-1", 3)
     oracle.record_run("chat-1", 996)
-    oracle.record_generated_tokens("chat-1", 2)
+    oracle.record_delivered_tokens("chat-1", 2)
     assert oracle.check_totals() == ["1001 tokens spent of 1000"]
 
 
@@ -63,6 +63,24 @@
     assert "wrong answer" in oracle.violations[0]
 
 
+async def test_oracle_sees_an_answer_that_its_server_has_not_written_first(oracle):
+    oracle.record_first_answer("book-1", 507)
+    oracle.check_answer("book-1", "book", 507, b"", b"x")
+    assert oracle.violations == []
+    oracle.check_answer("book-1", "book", 200, b"x", b"x")
+    assert "got 200" in oracle.violations[0]
+
+
+@pytest.mark.parametrize(("gap_s", "is_kept"), [(0.4, False), (1.2, True)])
+async def test_oracle_sees_a_window_of_too_many_repeats(gap_s, is_kept):
+    repeats = RepeatOracle(ratio=0.2, fixed=5.0, window_s=10.0)
+    for number in range(20):
+        repeats.record_request("desk", number * gap_s)
+        for _ in range(2):
+            repeats.record_arrival("desk", f"read-{number}", 10 + number * gap_s)
+    assert (repeats.violations() == []) == is_kept
+
+
 @pytest.fixture
 def closing():
     oracle = ClosingOracle()
