Take no fixed retries before the other gateways are counted

Many gateways that start at once beside a silent store add up to more than is allowed.

Evidence: test_gateway_that_has_not_counted_the_others_repeats_as_one_of_three fails before (14 arrivals for 12 requests without a ratio), passes now.

Why this works: until a list has succeeded the share of the fixed number is nothing, and a failed list is tried again after 5 s; retries for a share of its own requests go on. Shares of limits of servers are as before.

--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -1,5 +1,6 @@
 """Assembles the parts of one gateway."""
 
+import math
 import random
 
 import anyio
@@ -92,6 +93,7 @@
         "_overload",
         "_quarantine_fallback",
         "_ready",
+        "_are_routers_listed",
         "_router_count",
         "_runtime",
         "_selection",
@@ -106,6 +108,7 @@
     def __init__(self, settings, store, adapter):
         self._runtime = runtime = Runtime("router", settings, store)
         self._state = state = GatewayState(settings)
+        self._are_routers_listed = False
         self._router_count = MIN_ROUTERS
         self._catalog_watcher = CatalogWatcher(runtime, state, adapter.configuration)
         self._catalog_watcher.on_change = self._apply_limits
@@ -186,7 +189,7 @@
             self._crashes,
             loop_watch,
             adapter.heads,
-            lambda: self._router_count,
+            self._count_sharing_routers,
             rng,
         )
         app = GatewayApp(
@@ -324,16 +327,26 @@
                 CHECKED_LIST_INTERVAL_S if has_agents else ROUTER_LIST_INTERVAL_S
             )
             if now - listed_at >= interval_s:
-                listed_at = now
                 try:
                     listed = len((await self._runtime.store.list(ROUTERS))[0])
                 except STORE_ERRORS as error:
                     _log.debug("Listing the routers failed; keeping them: {}", error)
+                else:
+                    self._are_routers_listed = True
+                if self._are_routers_listed:
+                    listed_at = now
             # Agents see those that have come since.
             linked = self._agent_reports.gateways
             self._router_count = max(MIN_ROUTERS, listed, linked)
             await anyio.sleep(ROUTER_COUNT_INTERVAL_S)
 
+    def _count_sharing_routers(self):
+        """Returns the number of routers that share the fixed number of retries.
+
+        Before the first list any number may run, so a router takes nothing of it.
+        """
+        return self._router_count if self._are_routers_listed else math.inf
+
     def _apply_limits(self, catalog):
         """Applies the idle timeout to all connections, including idle ones.
 
--- a/pistachiowell/platform/tests/test_gateway.py
+++ b/pistachiowell/platform/tests/test_gateway.py
@@ -7,8 +7,10 @@
 import httpcore
 import pytest
 
+from pistachiowell.core.errors import StoreUnavailable
 from pistachiowell.gateway import store_fallback
 from pistachiowell.gateway.gateway import MIN_ROUTERS
+from pistachiowell.platform.objects import ObjectStore
 from pistachiowell.platform.standins import (
     SIGNATURE,
     answer_of_another,
@@ -22,6 +24,7 @@
     stream_events,
 )
 from pistachiowell.platform.tests.conftest import configuration
+from pistachiowell.router.fleet import ROUTERS
 
 pytestmark = pytest.mark.anyio
 
@@ -150,6 +153,28 @@
     assert arrivals - 24 <= 24 / MIN_ROUTERS
 
 
+async def test_gateway_that_has_not_counted_the_others_repeats_as_one_of_three(
+    start_rig, monkeypatch
+):
+    list_collection = ObjectStore.list
+
+    async def list_no_routers(store, collection):
+        if collection == ROUTERS:
+            raise StoreUnavailable("No answer.")
+        return await list_collection(store, collection)
+
+    monkeypatch.setattr(ObjectStore, "list", list_no_routers)
+    async with start_rig() as rig:
+        for name in ("desk-1", "desk-2"):
+            await rig.add_server(name, "desk", close_without_answer)
+        await rig.add_agent("agent-1")
+        await rig.add_gateway(retry_ratio=0.0, retry_fixed=24)
+        for number in range(12):
+            await rig.send(f"/read/{number}")
+    arrivals = sum(len(server.requests) for server in rig.servers.values())
+    assert arrivals == 12
+
+
 async def test_refused_request_goes_to_another_server(small_rig):
     async with small_rig(desk=refuse, spare=answer_whole) as rig:
         answers = [await rig.send("/book/a", "POST", b"x") for _ in range(6)]
