--- a/pistachiowell/platform/tests/test_returned_store.py
+++ b/pistachiowell/platform/tests/test_returned_store.py
@@ -174,45 +174,53 @@
         assert known.known["desk-1"].is_leaving
 
 
-async def test_server_that_drains_is_used_again_as_the_copy_calls_it_ready(start_rig):
-    async with start_rig() as rig:
-        rig.store.era = 1
-        await rig.add_server("desk-1", "desk")
-        await rig.add_server("desk-2", "desk")
-        await rig.add_agent("agent-1")
-        gateway = await rig.add_gateway()
-        known = gateway.state.servers
-        taken = rig.store.take_copy()
-        rig.register("desk-1", "desk", "draining")
-        await rig.until(lambda: known.known["desk-1"].is_leaving)
-        rig.store.return_from_copy(taken)
-        rig.register("desk-2", "desk", Slots=9)
-        await rig.until(lambda: known.known["desk-2"].slots == 9)
-        for _ in range(5):
-            await rig.send("/read/a")
+@pytest.fixture
+def draining_rig(start_rig):
+    """Returns a context manager with desk-1, which drains, and an older copy.
+
+    ``bring_back`` lets the store return from the copy, in which desk-1 is ready, and
+    waits until the gateway has read it.
+    """
+
+    @asynccontextmanager
+    async def start():
+        async with start_rig() as rig:
+            rig.store.era = 1
+            await rig.add_server("desk-1", "desk")
+            await rig.add_server("desk-2", "desk")
+            await rig.add_agent("agent-1")
+            known = (await rig.add_gateway()).state.servers
+            taken = rig.store.take_copy()
+            rig.register("desk-1", "desk", "draining")
+            await rig.until(lambda: known.known["desk-1"].is_leaving)
+
+            async def bring_back():
+                rig.store.return_from_copy(taken)
+                rig.register("desk-2", "desk", Slots=9)
+                await rig.until(lambda: known.known["desk-2"].slots == 9)
+                for _ in range(5):
+                    await rig.send("/read/a")
+
+            yield rig, known, bring_back
+
+    return start
+
+
+async def test_server_that_drains_is_used_again_as_the_copy_calls_it_ready(
+    draining_rig,
+):
+    async with draining_rig() as (rig, known, bring_back):
+        await bring_back()
         assert not rig.servers["desk-1"].requests
         rig.register("desk-1", "desk")
         await rig.until(lambda: not known.known["desk-1"].is_leaving)
 
 
 async def test_server_that_has_gone_after_draining_is_used_again_after_a_return(
-    start_rig,
+    draining_rig,
 ):
-    async with start_rig() as rig:
-        rig.store.era = 1
-        await rig.add_server("desk-1", "desk")
-        await rig.add_server("desk-2", "desk")
-        await rig.add_agent("agent-1")
-        gateway = await rig.add_gateway()
-        known = gateway.state.servers
-        taken = rig.store.take_copy()
-        rig.register("desk-1", "desk", "draining")
-        await rig.until(lambda: known.known["desk-1"].is_leaving)
+    async with draining_rig() as (rig, known, bring_back):
         rig.store.delete("servers", "desk-1")
         await rig.until(lambda: "desk-1" not in known.known)
-        rig.store.return_from_copy(taken)
-        rig.register("desk-2", "desk", Slots=9)
-        await rig.until(lambda: known.known["desk-2"].slots == 9)
-        for _ in range(5):
-            await rig.send("/read/a")
+        await bring_back()
         assert not rig.servers["desk-1"].requests
--- a/pistachiowell/soak/tests/test_leaving.py
+++ b/pistachiowell/soak/tests/test_leaving.py
@@ -15,8 +15,8 @@
     caller_headers,
     soak_configuration,
 )
-from pistachiowell.platform.standins import chunk, event, head
 from pistachiowell.soak.fleet import Fleet
+from pistachiowell.soak.tests.slow_streams import WHOLE_STREAM, stream_slowly
 
 pytestmark = pytest.mark.anyio
 
@@ -27,15 +27,6 @@
 EXIT_LIMIT_S = 8.0
 
 
-async def stream_slowly(request, stream):
-    """Streams the first event at once and the last one after ``STREAM_S``."""
-    text = head(request, Content_Type="text/event-stream", Transfer_Encoding="chunked")
-    await stream.send((text + "\r\n").encode() + chunk(event(1)))
-    await anyio.sleep(STREAM_S)
-    await stream.send(chunk(event(2)) + b"0\r\n\r\n")
-    return True
-
-
 async def request_stream(address):
     """Sends a request and returns the whole answer."""
     headers = caller_headers("chat-1", 9.0, 10, 10)
@@ -57,7 +48,7 @@
         try:
             await fleet.start_store()
             fleet.store.put("config", "main", soak_configuration(10_000, 9_000))
-            await fleet.add_server("pool-1", "pool", stream_slowly)
+            await fleet.add_server("pool-1", "pool", stream_slowly(STREAM_S))
             await fleet.add_agent("agent-1")
             await fleet.add_gateway("gate-1")
             await fleet.wait_until_registered(2)
@@ -73,7 +64,7 @@
         finally:
             fleet.stop()
             group.cancel_scope.cancel()
-    assert bodies == [event(1) + event(2)]
+    assert bodies == [WHOLE_STREAM]
     refusal = msgspec.json.decode(late.content)
     assert (late.status, refusal["error"], refusal["ran"]) == (503, "leaving", "no")
     assert len(fleet.servers[0].requests) == 1
--- a/pistachiowell/soak/tests/test_signals_in_series.py
+++ b/pistachiowell/soak/tests/test_signals_in_series.py
@@ -15,8 +15,8 @@
     caller_headers,
     soak_configuration,
 )
-from pistachiowell.platform.standins import chunk, event, head
 from pistachiowell.soak.fleet import Fleet
+from pistachiowell.soak.tests.slow_streams import WHOLE_STREAM, stream_slowly
 
 pytestmark = pytest.mark.anyio
 
@@ -39,15 +39,6 @@
     return "-".join(signal.Signals(number).name for number in series)
 
 
-async def stream_slowly(request, stream):
-    """Streams the first event at once and the last one after ``STREAM_S``."""
-    text = head(request, Content_Type="text/event-stream", Transfer_Encoding="chunked")
-    await stream.send((text + "\r\n").encode() + chunk(event(1)))
-    await anyio.sleep(STREAM_S)
-    await stream.send(chunk(event(2)) + b"0\r\n\r\n")
-    return True
-
-
 async def request_streams(address, bodies):
     """Sends requests at the same time and records their bodies; None if cut off."""
 
@@ -79,7 +70,7 @@
             await fleet.start_store()
             configuration = soak_configuration(PREPAID_TOKENS, int(TIMEOUT_S * 1000))
             fleet.store.put("config", "main", configuration)
-            await fleet.add_server("pool-1", "pool", stream_slowly)
+            await fleet.add_server("pool-1", "pool", stream_slowly(STREAM_S))
             await fleet.add_agent("agent-1")
             await fleet.add_gateway("gate-1")
             await fleet.wait_until_registered(2)
@@ -97,5 +88,5 @@
         finally:
             fleet.stop()
             group.cancel_scope.cancel()
-    assert list(bodies.values()) == [event(1) + event(2)] * CALLERS
+    assert list(bodies.values()) == [WHOLE_STREAM] * CALLERS
     assert exit_code == 0
