--- a/pistachiowell/gateway/late_heads.py
+++ b/pistachiowell/gateway/late_heads.py
@@ -88,6 +88,10 @@
             _log.exception("A late head cannot be read.", server=server.id)
 
 
+class _HeadTooLongError(Exception):
+    """A head has more headers than ``MAX_HEADERS``."""
+
+
 class _HeadParser:
     """Reads the head of an answer, and no body.
 
@@ -99,15 +103,19 @@
 
     def __init__(self):
         self._parser = httptools.HttpResponseParser(self)
+        self._left_headers = MAX_HEADERS
         self.headers = []
         self.is_complete = False
         self.status = 0
-        self._is_too_long = False
 
     async def read(self, stream):
-        """Reads until the head is complete, too large or the connection ends."""
+        """Reads until the head is complete, too large or the connection ends.
+
+        Raises:
+            httptools.HttpParserError: The bytes are no head, or it has too many lines.
+        """
         left_bytes = MAX_HEAD_BYTES
-        while not self.is_complete and left_bytes > 0 and not self._is_too_long:
+        while not self.is_complete and left_bytes > 0:
             data = await stream.read(left_bytes)
             if not data:
                 return
@@ -116,18 +124,22 @@
 
     def on_header(self, name, value):
         """Stores a header."""
-        if len(self.headers) >= MAX_HEADERS:
-            self._is_too_long = True
-        elif not self.is_complete:
+        self._count_line()
+        if not self.is_complete:
             self.headers.append((name, value))
 
     def on_headers_complete(self):
         """Ends the head, unless it is that of an informational answer."""
+        self._count_line()
         if self.is_complete:
             return
         self.status = self._parser.get_status_code()
-        if self._is_too_long:
-            return
         self.is_complete = self.status >= FIRST_FINAL_STATUS
         if not self.is_complete:
             self.headers.clear()
+
+    def _count_line(self):
+        # An error ends the parsing of what was read with it.
+        self._left_headers -= 1
+        if self._left_headers < 0:
+            raise _HeadTooLongError
--- a/pistachiowell/gateway/tests/test_heads_without_end.py
+++ b/pistachiowell/gateway/tests/test_heads_without_end.py
@@ -6,6 +6,7 @@
 
 import subprocess
 import sys
+import time
 import tracemalloc
 from types import SimpleNamespace
 
@@ -75,12 +76,16 @@
     await connection.aclose()
 
 
-async def watch_loop(delays):
-    """Records by how much the event loop is late until cancelled."""
+async def watch_loop(busy):
+    """Records the processor time between two turns of the event loop until cancelled.
+
+    Other processes that keep the processor from this one make it late, too, and are not
+    what is measured.
+    """
     while True:
-        due_at = anyio.current_time() + 0.005
-        await anyio.sleep(0.005)
-        delays.append(anyio.current_time() - due_at)
+        begun_at = time.thread_time()
+        await anyio.sleep(0)
+        busy.append(time.thread_time() - begun_at)
 
 
 @pytest.fixture
@@ -111,6 +116,6 @@
 
 
 async def test_heads_without_end_hold_the_event_loop(give_up_all):
-    delays = []
-    await give_up_all(lambda group: group.start_soon(watch_loop, delays))
-    assert max(delays) < MAX_LATE_S
+    busy = []
+    await give_up_all(lambda group: group.start_soon(watch_loop, busy))
+    assert max(busy) < MAX_LATE_S
