--- a/pistachiowell/bench/signals.py
+++ b/pistachiowell/bench/signals.py
@@ -1,4 +1,4 @@
-"""Observes which signals a process on this machine handles."""
+"""Observes which signals a local process handles."""
 
 import re
 import signal
