Draw no blank lines in a head that the soak breaks off

Blank lines after Content-Length end the head: 17 bytes of line ends then are a whole, signed answer of the server (h11 fed with all cuts of a head shows three that do so, for blank lines only), which the oracle took for a wrong one. Between parts of a stream blank lines are drawn as before. Not run after this change but for the import and the linter.

--- a/pistachiowell/soak/endless.py
+++ b/pistachiowell/soak/endless.py
@@ -11,10 +11,11 @@
     b"a",
     b"a: b\r\n",
     b"HTTP/1.1 102 Processing\r\n\r\n",
-    b"\n\n",
     b"\x00",
     b"fffffff0\r\n",
 )
+# Ends a head whose length is in it already, and is then a whole answer of the server.
+BLANK_LINES = b"\n\n"
 # Memory of the smallest VM of the users, of which each process may use all.
 MAX_MEMORY_BYTES = 300_000_000
 
@@ -41,7 +42,7 @@
             return await self._stream.send(data)
         head_end = data.find(b"\r\n\r\n") + 1 if data.startswith(b"HTTP") else 0
         await self._stream.send(data[: self._rng.randint(0, head_end)])
-        unit = self._rng.choice(UNITS)
+        unit = self._rng.choice(UNITS if head_end else (*UNITS, BLANK_LINES))
         block = unit * (BLOCK_BYTES // len(unit))
         while True:
             await self._stream.send(block)
