--- a/pistachiowell/platform/tests/test_settings_templates.py
+++ b/pistachiowell/platform/tests/test_settings_templates.py
@@ -11,6 +11,7 @@
     GatewayAgentSettings,
     GatewaySettings,
 )
+from pistachiowell.schema.settings import read_settings
 
 DEPLOY = Path(__file__).parents[3] / "deploy"
 FIELDS = {
@@ -33,23 +34,42 @@
 }
 
 
-def read_template(name):
-    """Returns the settings that a template gives for ``FIELDS``."""
+SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+PLACEHOLDER = re.compile(r"\{\{([\w.]+)(?:\|json)?\}\}")
+TEMPLATES = [("agent.yaml", GatewayAgentSettings), ("router.yaml", GatewaySettings)]
+
+
+def find_field(fields, path):
+    """Returns the value of a field, or None if a deployment has no such field."""
+    found = fields
+    for part in path.split("."):
+        found = found[int(part)] if isinstance(found, list) else found.get(part)
+        if found is None:
+            return None
+    return found
+
+
+def render(name, fields):
+    """Returns the settings file that a template gives for the fields."""
+
+    def section(match):
+        found = find_field(fields, match[1])
+        return "" if found is None or found is False else match[2]
 
     def value(match):
-        found = FIELDS
-        for part in match[1].split("."):
-            found = found[int(part)] if part.isdigit() else found[part]
-        return json.dumps(found)
+        found = find_field(fields, match[1])
+        return "" if found is None else json.dumps(found)
 
     text = (DEPLOY / name).read_text(encoding="utf-8")
-    return yaml.safe_load(re.sub(r"\{\{([\w.]+)(?:\|json)?\}\}", value, text))
+    return PLACEHOLDER.sub(value, SECTION.sub(section, text))
 
 
-@pytest.mark.parametrize(
-    ("name", "settings_class"),
-    [("agent.yaml", GatewayAgentSettings), ("router.yaml", GatewaySettings)],
-)
+def read_template(name):
+    """Returns the settings that a template gives for ``FIELDS``."""
+    return yaml.safe_load(render(name, FIELDS))
+
+
+@pytest.mark.parametrize(("name", "settings_class"), TEMPLATES)
 def test_template_gives_settings_of_its_program(name, settings_class):
     settings_class(**read_template(name))
 
@@ -57,3 +77,29 @@
 def test_judge_keeps_to_other_bounds_than_its_deployment_has():
     settings = GatewayAgentSettings(**read_template("agent.yaml"))
     assert (settings.exposure_share, settings.exposure_slack) == (0.07, 33)
+
+
+@pytest.mark.parametrize("bound", sorted(FIELDS["Bounds"]))
+@pytest.mark.parametrize(("name", "settings_class"), TEMPLATES)
+def test_program_starts_without_a_bound_that_its_deployment_lacks(
+    name, settings_class, bound, tmp_path
+):
+    # A deployment without roll-outs has no bounds for them. The programs refused the
+    # empty values and ended at each start.
+    bounds = {key: value for key, value in FIELDS["Bounds"].items() if key != bound}
+    path = tmp_path / name
+    path.write_text(render(name, {**FIELDS, "Bounds": bounds}), encoding="utf-8")
+    read_settings(path, settings_class)
+
+
+@pytest.mark.parametrize(("name", "settings_class"), TEMPLATES)
+def test_program_starts_without_any_bounds(name, settings_class, tmp_path):
+    path = tmp_path / name
+    path.write_text(render(name, {**FIELDS, "Bounds": {}}), encoding="utf-8")
+    read_settings(path, settings_class)
+
+
+def test_bound_of_zero_is_kept():
+    # Zero is a value, not a missing one: it must not become the default.
+    fields = {**FIELDS, "Bounds": {**FIELDS["Bounds"], "RetryBudgetSlack": 0}}
+    assert yaml.safe_load(render("router.yaml", fields))["retry_fixed"] == 0
