Relay connections of an overloaded gateway to others of its data centre

Cause: callers are spread by a hash of the client, so that one account's surge stays on one gateway while its neighbours are idle.

Change: a gateway whose busy share or transit time is near its limit relays a share of its new connections to gateways with room, chosen at random in proportion to it. The bytes are copied with back-pressure; small reads of a stream are joined for 40 ms. The receiving gateway serves one request on each connection and relays nothing further. While it relays, a gateway closes its connections after each answer. It is in force only with a relay_port.

--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -12,7 +12,7 @@
 )
 
 
-def bounded_protocol(max_header_bytes, body):
+def bounded_protocol(max_header_bytes, body, take_over=None):
     """Returns a protocol class that refuses requests with too large headers.
 
     uvicorn's own httptools protocol buffers headers and trailers without a limit, so a
@@ -21,6 +21,9 @@
     Args:
         max_header_bytes: Largest head of a request in bytes.
         body: JSON body of the refusal as bytes.
+        take_over: Function of the transport of a new connection and of a function
+            that serves it here after all; returns whether it takes the connection
+            over. None to serve all connections here.
 
     Returns:
         A class for ``uvicorn.Config(http=...)``.
@@ -40,6 +43,12 @@
             reaches the agent and the memory per caller stays bounded.
             """
             transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+            if take_over is None or not take_over(transport, self.serve):
+                super().connection_made(transport)
+
+        def serve(self, transport):
+            """Serves a connection that was taken over, of which nothing was read."""
+            transport.set_protocol(self)
             super().connection_made(transport)
 
         def on_message_begin(self):
--- a/pistachiowell/gateway/answer_writer.py
+++ b/pistachiowell/gateway/answer_writer.py
@@ -15,15 +15,15 @@
 
     Args:
         send: ASGI send function.
-        is_leaving: Function that returns whether the process has begun to shut down;
-            answers then ask the caller to close its connection.
+        closes_connection: Function that returns whether answers ask the caller to
+            close its connection, as when the process has begun to shut down.
     """
 
-    __slots__ = ("_has_started", "_is_leaving", "_send")
+    __slots__ = ("_closes_connection", "_has_started", "_send")
 
-    def __init__(self, send, is_leaving):
+    def __init__(self, send, closes_connection):
         self._send = send
-        self._is_leaving = is_leaving
+        self._closes_connection = closes_connection
         self._has_started = False
 
     @property
@@ -86,7 +86,7 @@
         headers = list(headers)
         if length is not None:
             headers.append((b"content-length", b"%d" % length))
-        if self._is_leaving() and (b"connection", b"close") not in headers:
+        if self._closes_connection() and (b"connection", b"close") not in headers:
             headers.append((b"connection", b"close"))
         self._has_started = True
         await self._send(
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -45,12 +45,14 @@
         stop: The ``PlannedStop``.
         spending: The ``GatewaySpending``.
         dispatch: The ``Dispatch``.
+        load: The ``LoadSharing``.
     """
 
     __slots__ = (
         "_codec",
         "_dispatch",
         "_in_progress",
+        "_load",
         "_overload",
         "_runtime",
         "_spending",
@@ -58,8 +60,9 @@
         "_stop",
     )
 
-    def __init__(self, runtime, state, codec, overload, stop, spending, dispatch):
+    def __init__(self, runtime, state, codec, overload, stop, spending, dispatch, load):
         self._runtime = runtime
+        self._load = load
         self._overload = overload
         self._stop = stop
         self._state = state
@@ -75,7 +78,7 @@
             return
         received_at = self._runtime.now()
         head = self._codec.read_request_head(scope)
-        writer = AnswerWriter(send, lambda: self._state.is_leaving)
+        writer = AnswerWriter(send, lambda: self._closes_connection(scope))
         self._in_progress += 1
         try:
             request = await self._read_request(scope, head, receive, received_at)
@@ -94,6 +97,13 @@
         finally:
             self._in_progress -= 1
 
+    def _closes_connection(self, scope):
+        return (
+            self._state.is_leaving
+            or self._load.is_relayed(scope)
+            or self._load.closes_connections
+        )
+
     async def _send_error(self, head, writer, error, received_at):
         self._runtime.metrics.count(f"refused.{error.code}")
         was_sent = await writer.send_error(error)
@@ -182,6 +192,7 @@
         return account
 
     async def _serve(self, request, receive, writer):
+        self._load.add_request()
         has_ended, error = False, None
         # If the caller disconnects, the group is cancelled, and with it the request at
         # its server: nobody waits for the answer any more.
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -20,6 +20,7 @@
 from pistachiowell.gateway.deputy import Deputy
 from pistachiowell.gateway.dispatch import Dispatch
 from pistachiowell.gateway.grant_notices import GrantMemory
+from pistachiowell.gateway.load_sharing import LoadSharing
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.planned_stop import ENDING_S, PlannedStop
 from pistachiowell.gateway.selection import Selection
@@ -78,6 +79,7 @@
 
     __slots__ = (
         "_agent_reports",
+        "_caller_servers",
         "_catalog_fallback",
         "_catalog_watcher",
         "_crash_candidates",
@@ -87,6 +89,7 @@
         "_fleet",
         "_grant_memory",
         "_http",
+        "_load",
         "_loop_watch",
         "_move_watcher",
         "_moves",
@@ -128,8 +131,11 @@
             runtime, self._fleet, state, handlers, loop_watch
         )
         self._stop = PlannedStop()
+        self._load = LoadSharing(runtime, self._fleet, loop_watch, handlers, rng)
         overload = OverloadSettings()
-        self._overload = OVERLOAD_POLICIES.find(overload.policy)(overload)
+        self._overload = OVERLOAD_POLICIES.find(overload.policy)(
+            overload, self._load.peers, rng if self._load.is_on else None
+        )
         loop_watch.add_transit_listener(self._overload.record_transit)
         runtime.metrics.watch(
             "requests.refused_share", lambda: self._overload.refused_share
@@ -200,8 +206,17 @@
             self._stop,
             self._spending,
             self._dispatch,
+            self._load,
+        )
+        take_over = self._load.relay.take_over if self._load.is_on else None
+        self._http = _server(
+            app, settings.http_address, settings.shutdown_timeout_s, take_over
         )
-        self._http = _server(app, settings.http_address, settings.shutdown_timeout_s)
+        self._caller_servers = [self._http]
+        if self._load.is_on:
+            address = f"{settings.peer_host}:{settings.relay_port}"
+            relayed = _server(app, address, settings.shutdown_timeout_s)
+            self._caller_servers.append(relayed)
         ready_app = ReadyApp(state, adapter.ready_path)
         self._ready = _server(
             ready_app, settings.ready_address, settings.shutdown_timeout_s
@@ -249,6 +264,7 @@
         self._state.is_leaving = True
         self._runtime.start_leaving()
         self._deputy.leave()
+        self._load.leave()
         _log.info("Gateway is leaving; requests in progress go on.")
 
     async def leave(self):
@@ -260,10 +276,12 @@
         self.begin_leaving()
         await anyio.sleep(settings.leaving_notice_s)
         self._stop.refuse_all()
-        for connection in list(self._http.server_state.connections):
+        for connection in self._caller_connections():
             connection.shutdown()
+        relay = self._load.relay
+        relay.close_idle()
         with anyio.move_on_after(max(0.0, settings.shutdown_timeout_s - ENDING_S)):
-            while self._stop.in_progress or self._deputy.is_running:
+            while self._stop.in_progress or relay.in_progress or self.is_deputy:
                 await anyio.sleep(STOP_CHECK_INTERVAL_S)
         if self._stop.in_progress:
             _log.warning(
@@ -271,8 +289,10 @@
                 requests=self._stop.in_progress,
             )
         self._stop.end_requests()
-        self._http.config.timeout_graceful_shutdown = ENDING_S / 2
-        self._http.should_exit = True
+        relay.end()
+        for server in self._caller_servers:
+            server.config.timeout_graceful_shutdown = ENDING_S / 2
+            server.should_exit = True
 
     async def run(self):
         """Runs until a signal arrives and the requests in progress have ended."""
@@ -289,6 +309,7 @@
             group.start_soon(self._moves.run)
             group.start_soon(self._agent_reports.run)
             group.start_soon(self._agent_reports.send_loads)
+            group.start_soon(self._load.run)
             group.start_soon(self._spending.run)
             group.start_soon(self._grant_memory.run)
             group.start_soon(self._dispatch.run_connections)
@@ -302,7 +323,9 @@
                 incarnation=self._runtime.incarnation,
                 data_centre=self._runtime.settings.data_centre,
             )
-            await self._http.serve()
+            async with anyio.create_task_group() as servers:
+                for server in self._caller_servers:
+                    servers.start_soon(server.serve)
             with anyio.move_on_after(UNREGISTER_TIMEOUT_S):
                 await unregister_process(self._runtime.store, ROUTERS, self._record())
             _log.info("Gateway stops.")
@@ -354,8 +377,9 @@
         that runs with the old limit is replaced.
         """
         limit_s = min(MAX_KEEP_ALIVE_S, catalog.limits.idle_timeout_s)
-        self._http.config.timeout_keep_alive = limit_s
-        for protocol in list(self._http.server_state.connections):
+        for server in self._caller_servers:
+            server.config.timeout_keep_alive = limit_s
+        for protocol in self._caller_connections():
             protocol.timeout_keep_alive = limit_s
             timer = protocol.timeout_keep_alive_task
             if timer is not None:
@@ -364,6 +388,13 @@
                     limit_s, protocol.timeout_keep_alive_handler
                 )
 
+    def _caller_connections(self):
+        return [
+            connection
+            for server in self._caller_servers
+            for connection in server.server_state.connections
+        ]
+
     def _record(self):
         address = self._runtime.settings.http_address
         return router_record(self._runtime, *_split_address(address))
@@ -374,7 +405,7 @@
     return host, int(port)
 
 
-def _server(app, address, shutdown_timeout_s):
+def _server(app, address, shutdown_timeout_s, take_over=None):
     host, port = _split_address(address)
     refusal = error_document(
         HeadersTooLarge(f"The headers exceed {MAX_HEADER_BYTES} bytes.")
@@ -383,7 +414,7 @@
         app,
         host,
         port,
-        http=bounded_protocol(MAX_HEADER_BYTES, refusal),
+        http=bounded_protocol(MAX_HEADER_BYTES, refusal, take_over),
         server_header=False,
         date_header=False,
         timeout_graceful_shutdown=shutdown_timeout_s,
--- /dev/null
+++ b/pistachiowell/gateway/load_sharing.py
@@ -0,0 +1,130 @@
+"""Shares the load of a gateway with the others of its data centre."""
+
+import anyio
+
+from pistachiowell.admission import (
+    GatewayLoadSettings,
+    LoadMeter,
+    PeerRooms,
+    PeerRoomSettings,
+    RelaySettings,
+    RelayShare,
+)
+from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.relay import ConnectionRelay
+from pistachiowell.gateway.room_reports import RoomReports
+
+_log = part_logger("relay")
+
+
+class LoadSharing:
+    """Measures the load of this gateway and relays connections that exceed it.
+
+    It does so only if the settings have a ``relay_port``.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        fleet: The ``Fleet`` with the agents.
+        loop_watch: The ``LoopWatch``.
+        handlers: Handlers of the links to agents.
+        rng: A ``random.Random``.
+    """
+
+    __slots__ = (
+        "_is_relaying",
+        "_meter",
+        "_relay",
+        "_reports",
+        "_rng",
+        "_rooms",
+        "_runtime",
+        "_share",
+    )
+
+    def __init__(self, runtime, fleet, loop_watch, handlers, rng):
+        settings = runtime.settings
+        self._runtime = runtime
+        self._rng = rng
+        self._is_relaying = False
+        self._meter = LoadMeter(
+            GatewayLoadSettings(), settings.cpu_share, settings.cores
+        )
+        self._share = RelayShare(RelaySettings())
+        self._rooms = PeerRooms(PeerRoomSettings())
+        self._relay = ConnectionRelay(runtime, self._choose, self._record_failure)
+        self._reports = RoomReports(runtime, fleet, self._meter, self._rooms, handlers)
+        loop_watch.add_load_listener(self._record_load)
+        loop_watch.add_transit_listener(self._share.record_transit)
+        metrics = runtime.metrics
+        metrics.watch("load.busy", lambda: self._meter.busy)
+        metrics.watch("load.room_per_s", lambda: self._meter.room_per_s)
+        metrics.watch("load.peer_room_per_s", self.peer_room_per_s)
+        metrics.watch("relay.share", lambda: self._share.share)
+
+    @property
+    def is_on(self):
+        """Whether the settings ask for it."""
+        return self._runtime.settings.relay_port > 0
+
+    @property
+    def peers(self):
+        """The ``PeerRooms``."""
+        return self._rooms
+
+    @property
+    def relay(self):
+        """The ``ConnectionRelay``."""
+        return self._relay
+
+    @property
+    def closes_connections(self):
+        """Whether answers close their connections, so that the next can be relayed."""
+        return self._share.share > 0.0 and self.peer_room_per_s() > 0.0
+
+    def peer_room_per_s(self):
+        """Returns the requests a second that other gateways are known to take."""
+        return self._rooms.room_per_s(self._runtime.now())
+
+    def is_relayed(self, scope):
+        """Returns whether a request came from another gateway, by its ASGI scope."""
+        server = scope.get("server")
+        port = self._runtime.settings.relay_port
+        return self.is_on and server is not None and server[1] == port
+
+    def add_request(self):
+        """Counts a request that is served here."""
+        self._meter.add_request()
+
+    async def run(self):
+        """Reports the room until cancelled."""
+        if self.is_on:
+            await self._reports.run()
+        await anyio.sleep_forever()
+
+    def leave(self):
+        """Relays and receives nothing more."""
+        self._relay.stop()
+        if self.is_on:
+            self._reports.announce_leaving()
+
+    def _choose(self):
+        if not self._share.takes_next():
+            return None
+        return self._rooms.choose(self._runtime.now(), self._rng)
+
+    def _record_failure(self, address):
+        self._rooms.record_failure(address, self._runtime.now())
+
+    def _record_load(self, cpu_s, now):
+        self._meter.record(cpu_s, now)
+        if not self.is_on:
+            return
+        self._share.record(self._meter.busy, now)
+        is_relaying = self._share.share > 0.0
+        if is_relaying != self._is_relaying:
+            self._is_relaying = is_relaying
+            _log.info(
+                "Relaying begins." if is_relaying else "Relaying ends.",
+                busy=round(self._meter.busy, 2),
+                peer_room_per_s=round(self.peer_room_per_s(), 1),
+            )
--- /dev/null
+++ b/pistachiowell/gateway/relay.py
@@ -0,0 +1,269 @@
+"""Relays connections of callers to other gateways of the data centre.
+
+The bytes are copied as they are, so that exactly one gateway handles the request.
+"""
+
+import asyncio
+
+from pistachiowell.core.logs import part_logger
+
+# Accepting takes about a millisecond within a data centre. A caller waits for this
+# longer only if the gateway is in trouble.
+CONNECT_TIMEOUT_S = 0.15
+READ_BYTES = 16_384
+WRITE_BUFFER_BYTES = 4096
+# Each takes two descriptors, of 1,535 on a small VM, and at most 41 KB of buffers.
+MAX_CONNECTIONS = 256
+# Joins the events of a stream; an event may be delayed by 100 ms at most. Answers that
+# are no streams take fewer reads and are not delayed.
+JOIN_S = 0.04
+UNDELAYED_READS = 4
+SMALL_READ_BYTES = 4096
+# A caller that does not read the end of its answer holds its connection for so long.
+FLUSH_TIMEOUT_S = 5.0
+
+_log = part_logger("relay")
+
+
+class _Side(asyncio.BufferedProtocol):
+    """One of the two connections; writes through what it reads to the other.
+
+    The other one stops reading while this one's peer does not take what was written,
+    so at most a read and a write buffer are held in each direction.
+
+    Args:
+        relay: The ``ConnectionRelay``.
+
+    Attributes:
+        other: The ``_Side`` of the other connection.
+        transport: The transport; None until it is connected.
+    """
+
+    __slots__ = ("_is_held", "_relay", "other", "transport")
+
+    def __init__(self, relay):
+        self._relay = relay
+        self._is_held = False
+        self.other = None
+        self.transport = None
+
+    def connection_made(self, transport):
+        """Bounds the write buffer of a new connection."""
+        self.transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+
+    def get_buffer(self, sizehint):
+        """Returns the buffer to read into, which all connections share."""
+        del sizehint
+        return self._relay.buffer
+
+    def buffer_updated(self, nbytes):
+        """Writes what was read to the other connection."""
+        self.other.transport.write(bytes(self._relay.buffer[:nbytes]))
+
+    def pause_writing(self):
+        """Stops reading what could not be written here."""
+        self.other.hold()
+
+    def resume_writing(self):
+        """Reads again."""
+        self.other.release()
+
+    def hold(self):
+        """Stops reading until ``release``."""
+        self._is_held = True
+        self.transport.pause_reading()
+
+    def release(self):
+        """Reads again after ``hold``."""
+        self._is_held = False
+        self.transport.resume_reading()
+
+
+class CallerSide(_Side):
+    """The connection of the caller.
+
+    Attributes:
+        has_request: Whether the caller has sent anything.
+    """
+
+    __slots__ = ("has_request",)
+
+    def __init__(self, relay):
+        super().__init__(relay)
+        self.has_request = False
+
+    def buffer_updated(self, nbytes):
+        """Passes on a part of the request."""
+        self.has_request = True
+        super().buffer_updated(nbytes)
+
+    def connection_lost(self, exc):
+        """Closes the other connection, which cancels the request there."""
+        del exc
+        self._relay.remove(self)
+        if self.other.transport is not None:
+            self.other.transport.abort()
+
+    def finish(self):
+        """Closes the connection once what was written has been sent."""
+        transport = self.transport
+        transport.close()
+        if transport.get_write_buffer_size():
+            loop = asyncio.get_running_loop()
+            loop.call_later(FLUSH_TIMEOUT_S, transport.abort)
+
+
+class GatewaySide(_Side):
+    """The connection to the other gateway.
+
+    Small reads of a stream are joined: each wakes two processes and the caller.
+    """
+
+    __slots__ = ("_reads", "_timer")
+
+    def __init__(self, relay):
+        super().__init__(relay)
+        self._reads = 0
+        self._timer = None
+
+    def buffer_updated(self, nbytes):
+        """Passes on a part of the answer."""
+        super().buffer_updated(nbytes)
+        self._reads += 1
+        is_stream = self._reads > UNDELAYED_READS and nbytes < SMALL_READ_BYTES
+        if is_stream and not self._is_held:
+            self.transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(JOIN_S, self._read_on)
+
+    def release(self):
+        """Reads again, unless small reads are being joined."""
+        self._is_held = False
+        if self._timer is None:
+            self.transport.resume_reading()
+
+    def connection_lost(self, exc):
+        """Closes the connection of the caller."""
+        del exc
+        if self._timer is not None:
+            self._timer.cancel()
+        self.other.finish()
+
+    def _read_on(self):
+        self._timer = None
+        if not self._is_held:
+            self.transport.resume_reading()
+
+
+class ConnectionRelay:
+    """Takes over new connections and relays them.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        choose: Function that returns the relay address for a new connection, or None
+            if it is to be served here.
+        record_failure: Function of a relay address that could not be reached.
+
+    Attributes:
+        buffer: View of the bytes that a connection has just read.
+    """
+
+    __slots__ = (
+        "_callers",
+        "_choose",
+        "_connecting",
+        "_has_stopped",
+        "_record_failure",
+        "_runtime",
+        "buffer",
+    )
+
+    def __init__(self, runtime, choose, record_failure):
+        self._runtime = runtime
+        self._choose = choose
+        self._record_failure = record_failure
+        self._callers = set()
+        self._connecting = set()
+        self._has_stopped = False
+        self.buffer = memoryview(bytearray(READ_BYTES))
+        runtime.metrics.watch("relay.in_progress", lambda: len(self._callers))
+
+    @property
+    def in_progress(self):
+        """Number of relayed connections with a request."""
+        return sum(caller.has_request for caller in self._callers)
+
+    def take_over(self, transport, serve):
+        """Takes over a new connection, of which nothing has been read.
+
+        Args:
+            transport: Its transport.
+            serve: Function that serves it here after all.
+
+        Returns:
+            Whether it is taken over.
+        """
+        if self._has_stopped or len(self._callers) >= MAX_CONNECTIONS:
+            return False
+        address = self._choose()
+        if address is None:
+            return False
+        caller = CallerSide(self)
+        caller.connection_made(transport)
+        caller.hold()
+        transport.set_protocol(caller)
+        self._callers.add(caller)
+        task = asyncio.ensure_future(self._connect(caller, address, serve))
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+        return True
+
+    def stop(self):
+        """Relays nothing more; what is relayed goes on."""
+        self._has_stopped = True
+
+    def close_idle(self):
+        """Closes the relayed connections without a request."""
+        for caller in list(self._callers):
+            if not caller.has_request:
+                caller.transport.abort()
+
+    def end(self):
+        """Closes all relayed connections."""
+        for caller in list(self._callers):
+            caller.transport.abort()
+
+    def remove(self, caller):
+        """Forgets a relayed connection that is closed."""
+        self._callers.discard(caller)
+
+    async def _connect(self, caller, address, serve):
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        gateway = GatewaySide(self)
+        gateway.other, caller.other = caller, gateway
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.create_connection(lambda: gateway, host, int(port))
+        except (OSError, TimeoutError, ValueError) as error:
+            self._serve_here(caller, address, serve, error)
+            return
+        if caller.transport.is_closing():
+            gateway.transport.abort()
+            return
+        self._runtime.metrics.count("relay.connections")
+        caller.release()
+
+    def _serve_here(self, caller, address, serve, error):
+        self._record_failure(address)
+        self._runtime.metrics.count("relay.unreachable")
+        _log.warning(
+            "A gateway cannot be reached; its connection is served here.",
+            gateway=address,
+            error=str(error) or type(error).__name__,
+        )
+        self._callers.discard(caller)
+        if not caller.transport.is_closing():
+            serve(caller.transport)
+            caller.transport.resume_reading()
--- /dev/null
+++ b/pistachiowell/gateway/tests/test_relay.py
@@ -0,0 +1,122 @@
+"""Copying of bytes between a caller and another gateway.
+
+Guards against memory that grows with what a slow caller does not read, against a wake
+for each event of a stream, and against events that are held back.
+"""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from pistachiowell.core.metrics import Metrics
+from pistachiowell.gateway.relay import (
+    JOIN_S,
+    UNDELAYED_READS,
+    CallerSide,
+    ConnectionRelay,
+    GatewaySide,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+class FakeTransport:
+    """Records what is written and whether it is read from."""
+
+    def __init__(self):
+        self.written = []
+        self.is_reading = True
+        self.end = None
+
+    def write(self, data):
+        """Records data."""
+        self.written.append(data)
+
+    def set_write_buffer_limits(self, high):
+        """Takes a limit."""
+
+    def get_write_buffer_size(self):
+        """Returns that all was sent."""
+        return 0
+
+    def pause_reading(self):
+        """Stops reading."""
+        self.is_reading = False
+
+    def resume_reading(self):
+        """Reads again."""
+        self.is_reading = True
+
+    def close(self):
+        """Records the end after what was written."""
+        self.end = "close"
+
+    def abort(self):
+        """Records the immediate end."""
+        self.end = "abort"
+
+
+@pytest.fixture
+def sides():
+    """Returns the caller's side and the other gateway's side of a connection."""
+    runtime = SimpleNamespace(metrics=Metrics())
+    relay = ConnectionRelay(runtime, lambda: None, lambda address: None)
+    caller, gateway = CallerSide(relay), GatewaySide(relay)
+    caller.other, gateway.other = gateway, caller
+    for side in (caller, gateway):
+        side.connection_made(FakeTransport())
+    return caller, gateway
+
+
+def feed(side, data):
+    """Lets a side read data."""
+    side.get_buffer(-1)[: len(data)] = data
+    side.buffer_updated(len(data))
+
+
+async def test_both_ways_are_written_through(sides):
+    caller, gateway = sides
+    feed(caller, b"request")
+    feed(gateway, b"answer")
+    assert gateway.transport.written == [b"request"]
+    assert caller.transport.written == [b"answer"]
+
+
+@pytest.mark.parametrize("number", [0, 1])
+async def test_nothing_is_read_for_a_peer_that_does_not_read(sides, number):
+    slow, source = sides[number], sides[1 - number]
+    slow.pause_writing()
+    assert not source.transport.is_reading
+    slow.resume_writing()
+    assert source.transport.is_reading
+
+
+async def test_small_reads_of_a_stream_are_joined_for_a_moment(sides):
+    _, gateway = sides
+    for _ in range(UNDELAYED_READS):
+        feed(gateway, b"event")
+        assert gateway.transport.is_reading
+    feed(gateway, b"event")
+    assert not gateway.transport.is_reading
+    await anyio.sleep(2 * JOIN_S)
+    assert gateway.transport.is_reading
+
+
+async def test_joining_reads_nothing_for_a_caller_that_does_not_read(sides):
+    caller, gateway = sides
+    for _ in range(UNDELAYED_READS + 1):
+        feed(gateway, b"event")
+    caller.pause_writing()
+    await anyio.sleep(2 * JOIN_S)
+    assert not gateway.transport.is_reading
+    caller.resume_writing()
+    assert gateway.transport.is_reading
+
+
+async def test_end_of_either_side_ends_the_other(sides):
+    caller, gateway = sides
+    caller.connection_lost(None)
+    gateway.connection_lost(None)
+    # What the other gateway has sent is delivered; for a caller that left, nothing is.
+    assert (gateway.transport.end, caller.transport.end) == ("abort", "close")
