Refuse the least urgent requests first at a gateway at its limit

Cause: requests of all ranks were refused alike, and refused callers of one account came back together.

Change: a policy by rank, and by account within a rank, with a share of 5 % of the admitted requests kept for each rank. The more urgent are told shorter times, and all times are spread at random by up to half. It is used where the settings have a relay_port.

--- a/pistachiowell/admission/__init__.py
+++ b/pistachiowell/admission/__init__.py
@@ -6,6 +6,7 @@
 from pistachiowell.admission.overload import OVERLOAD_POLICIES, OverloadSettings
 from pistachiowell.admission.peer_rooms import PeerRooms, PeerRoomSettings
 from pistachiowell.admission.queue import AdmissionQueue
+from pistachiowell.admission.rank_shares import RankedShareOverload
 from pistachiowell.admission.rates import (
     Incarnation,
     Observation,
@@ -35,6 +36,7 @@
     "RateLimits",
     "RateSettings",
     "RateSlots",
+    "RankedShareOverload",
     "Refuse",
     "RelaySettings",
     "RelayShare",
--- a/pistachiowell/admission/overload.py
+++ b/pistachiowell/admission/overload.py
@@ -42,6 +42,8 @@
             attempt reaches another one.
         retry_after_spread: Largest part of a delay that is added at random, so that
             those refused together do not come back together.
+        min_rank_share: Share of the admitted requests that each rank keeps if it has
+            the demand, in policies by rank.
         max_accounts: Number of accounts above which idle ones are forgotten.
     """
 
@@ -57,6 +59,7 @@
     max_retry_after_s: float = 2.0
     elsewhere_retry_after_s: float = 0.05
     retry_after_spread: float = 0.5
+    min_rank_share: float = 0.05
     max_accounts: int = 4_096
 
 
@@ -119,17 +122,18 @@
     def record_transit(self, transit_s, now):
         """Records a transit time; both arguments are in seconds."""
 
-    def wait_s(self, account, now):
+    def wait_s(self, account, now, rank=0):
         """Decides on a request that has just come.
 
         Args:
             account: Name of its client account.
             now: Present time in seconds.
+            rank: Rank of the request; 0 is the most urgent.
 
         Returns:
             0 if it is admitted, else the seconds after which it may be sent again.
         """
-        del account, now
+        del account, now, rank
         return 0.0
 
 
@@ -199,7 +203,7 @@
         self._transit_s += gain * (transit_s - self._transit_s)
         self._adjust(now, passed_s)
 
-    def wait_s(self, account, now):
+    def wait_s(self, account, now, rank=0):
         """Decides on a request that has just come; see ``OverloadPolicy``."""
         state = self._accounts.get(account)
         if state is None:
@@ -213,7 +217,7 @@
         if state.credit >= 1.0:
             state.credit -= 1.0
             return 0.0
-        return self._retry_after_s(state, now)
+        return self._retry_after_s(state, now, rank)
 
     def _forget_idle_accounts(self, now):
         settings = self._settings
@@ -224,7 +228,7 @@
                 if state.rate.per_s(now) * settings.rate_window_s >= 1.0
             }
 
-    def _retry_after_s(self, state, now):
+    def _retry_after_s(self, state, now, rank):
         settings = self._settings
         self._refusals.add(now)
         spread = 1.0
@@ -232,9 +236,14 @@
             spread += settings.retry_after_spread * self._rng.random()
         if self._have_peers_room(now):
             return spread * settings.elsewhere_retry_after_s
+        return spread * self._delay_s(state, rank)
+
+    def _delay_s(self, state, rank):
+        """Returns the seconds after which the excess may have ended."""
+        del rank
+        settings = self._settings
         excess = 1.0 / max(state.share, 0.01) - 1.0
-        delay_s = min(settings.max_retry_after_s, settings.min_retry_after_s + excess)
-        return spread * delay_s
+        return min(settings.max_retry_after_s, settings.min_retry_after_s + excess)
 
     def _have_peers_room(self, now):
         """Returns whether others can take all that is refused here."""
@@ -257,7 +266,9 @@
     def _share_out(self, now):
         rates = {name: state.rate.per_s(now) for name, state in self._accounts.items()}
         admitted = (1.0 - self._refused_share) * sum(rates.values())
-        ceiling = fair_ceiling(list(rates.values()), admitted)
+        self._set_shares(rates, fair_ceiling(list(rates.values()), admitted))
+
+    def _set_shares(self, rates, ceiling):
         for name, rate in rates.items():
             self._accounts[name].share = min(1.0, ceiling / rate) if rate else 1.0
 
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -19,7 +19,7 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.web import CallerGoneError, read_body, watch_disconnect
 from pistachiowell.gateway.answer_writer import AnswerWriter
-from pistachiowell.gateway.messages import GatewayRequest
+from pistachiowell.gateway.messages import GatewayRequest, request_rank
 from pistachiowell.gateway.run import Usage
 from pistachiowell.routing import fingerprint, part_names
 
@@ -135,7 +135,7 @@
         if route is None:
             raise NotFound("No route matches this host and path.")
         account = self._find_account(catalog, route, head)
-        self._check_overload(account, received_at)
+        self._check_overload(account, route, received_at)
         if not head.request_id:
             raise InvalidRequest("The request has no id.")
         if head.body_bytes > limits.body_bytes:
@@ -174,8 +174,10 @@
             raise self._stop.error(may_have_run=False)
         raise BodyTimeout("The body did not arrive by the deadline of the request.")
 
-    def _check_overload(self, account, received_at):
-        wait_s = self._overload.wait_s(account.name if account else "", received_at)
+    def _check_overload(self, account, route, received_at):
+        name = account.name if account else ""
+        rank = request_rank(account, route)
+        wait_s = self._overload.wait_s(name, received_at, rank)
         if wait_s:
             raise GatewayOverloaded(
                 "The gateway has more requests than it can serve.",
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -5,7 +5,6 @@
 
 import anyio
 
-from pistachiowell.admission import OVERLOAD_POLICIES, OverloadSettings
 from pistachiowell.core.errors import STORE_ERRORS, HeadersTooLarge
 from pistachiowell.core.http_protocol import bounded_protocol
 from pistachiowell.core.logs import part_logger
@@ -132,10 +131,7 @@
         )
         self._stop = PlannedStop()
         self._load = LoadSharing(runtime, self._fleet, loop_watch, handlers, rng)
-        overload = OverloadSettings()
-        self._overload = OVERLOAD_POLICIES.find(overload.policy)(
-            overload, self._load.peers, rng if self._load.is_on else None
-        )
+        self._overload = self._load.make_overload_policy()
         loop_watch.add_transit_listener(self._overload.record_transit)
         runtime.metrics.watch(
             "requests.refused_share", lambda: self._overload.refused_share
--- a/pistachiowell/gateway/load_sharing.py
+++ b/pistachiowell/gateway/load_sharing.py
@@ -3,8 +3,10 @@
 import anyio
 
 from pistachiowell.admission import (
+    OVERLOAD_POLICIES,
     GatewayLoadSettings,
     LoadMeter,
+    OverloadSettings,
     PeerRooms,
     PeerRoomSettings,
     RelaySettings,
@@ -66,11 +68,6 @@
         """Whether the settings ask for it."""
         return self._runtime.settings.relay_port > 0
 
-    @property
-    def peers(self):
-        """The ``PeerRooms``."""
-        return self._rooms
-
     @property
     def relay(self):
         """The ``ConnectionRelay``."""
@@ -85,6 +82,15 @@
         """Returns the requests a second that other gateways are known to take."""
         return self._rooms.room_per_s(self._runtime.now())
 
+    def make_overload_policy(self):
+        """Returns the ``OverloadPolicy`` for what cannot be relayed."""
+        if not self.is_on:
+            settings = OverloadSettings()
+            return OVERLOAD_POLICIES.find(settings.policy)(settings)
+        settings = OverloadSettings(policy="ranked_share")
+        policy = OVERLOAD_POLICIES.find(settings.policy)
+        return policy(settings, self._rooms, self._rng)
+
     def is_relayed(self, scope):
         """Returns whether a request came from another gateway, by its ASGI scope."""
         server = scope.get("server")
--- a/pistachiowell/gateway/messages.py
+++ b/pistachiowell/gateway/messages.py
@@ -62,6 +62,18 @@
     headers: list
 
 
+def request_rank(account, route):
+    """Returns the rank of a request; 0 is the most urgent.
+
+    Args:
+        account: Its ``Account``, whose rank takes precedence; None on a public route.
+        route: Its ``Route``.
+    """
+    if account is not None and account.priority is not None:
+        return account.priority
+    return route.priority
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayRequest:
     """A validated request.
@@ -96,10 +108,7 @@
     @property
     def priority(self):
         """Priority of the request; 0 is the most urgent."""
-        account = self.account
-        if account is not None and account.priority is not None:
-            return account.priority
-        return self.route.priority
+        return request_rank(self.account, self.route)
 
     @property
     def prompt(self):
