Give each overloaded gateway its part of the others' room, and model the ways

Joining the events of a stream for 40 ms was assumed to save processor time.

Change: a gateway reports the connections a second that it would relay, and the agents divide the room in proportion. The room includes what the gateway takes at present, and each peer gets connections at no more than this rate. Events are passed on at once.

--- a/pistachiowell/admission/__init__.py
+++ b/pistachiowell/admission/__init__.py
@@ -4,7 +4,7 @@
 from pistachiowell.admission.gateway_load import GatewayLoadSettings, LoadMeter
 from pistachiowell.admission.limits import LIMITS
 from pistachiowell.admission.overload import OVERLOAD_POLICIES, OverloadSettings
-from pistachiowell.admission.peer_rooms import PeerRooms, PeerRoomSettings
+from pistachiowell.admission.peer_rooms import PeerRooms, PeerRoomSettings, room_shares
 from pistachiowell.admission.queue import AdmissionQueue
 from pistachiowell.admission.rank_shares import RankedShareOverload
 from pistachiowell.admission.rates import (
@@ -42,4 +42,5 @@
     "RelayShare",
     "Start",
     "Ticket",
+    "room_shares",
 ]
--- a/pistachiowell/admission/gateway_load.py
+++ b/pistachiowell/admission/gateway_load.py
@@ -9,6 +9,8 @@
 import math
 from dataclasses import dataclass
 
+from pistachiowell.admission.overload import EventRate
+
 
 @dataclass(frozen=True, slots=True)
 class GatewayLoadSettings:
@@ -53,6 +55,7 @@
         "_busy",
         "_cpu_s",
         "_cpu_share",
+        "_received",
         "_recent_cpu_s",
         "_recent_requests",
         "_requests",
@@ -64,6 +67,7 @@
         self._cpu_share = cpu_share
         cost_s = settings.request_cost_s * cpu_share / cores
         self._assumed_cpu_s = settings.assumed_requests * cost_s
+        self._received = EventRate(settings.busy_window_s)
         self._at = None
         self._busy = 0.0
         self._cpu_s = 0.0
@@ -85,13 +89,24 @@
 
     @property
     def room_per_s(self):
-        """Requests a second that the gateway can serve beside the present ones."""
-        free = max(0.0, self._settings.full_busy - self._busy)
-        return free * self.capacity_per_s
+        """Requests a second that the gateway can take from others, present ones too.
+
+        What it has begun for others but not yet done does not show in the busy share.
+        The whole capacity bounds what this adds.
+        """
+        most = self._settings.full_busy * self.capacity_per_s
+        free = (self._settings.full_busy - self._busy) * self.capacity_per_s
+        return min(most, max(0.0, free + self._received.per_s(self._at or 0.0)))
+
+    def add_request(self, *, is_received=False):
+        """Counts a request that is served here.
 
-    def add_request(self):
-        """Counts a request that is served here."""
+        Args:
+            is_received: Whether another gateway has relayed it.
+        """
         self._requests += 1
+        if is_received and self._at is not None:
+            self._received.add(self._at)
 
     def record(self, cpu_s, now):
         """Records the processor time of the process so far and the present time."""
--- a/pistachiowell/admission/peer_rooms.py
+++ b/pistachiowell/admission/peer_rooms.py
@@ -1,11 +1,18 @@
 """Room of the other gateways of a data centre, and the choice among them.
 
 Load pattern: several gateways are overloaded at once. If all of them chose the one with
-the most room, they would overload it before its next report.
+the most room, they would overload it before its next report. Each is therefore told
+its own part of the room, in proportion to its excess, and keeps to this rate.
 """
 
 from dataclasses import dataclass
 
+from pistachiowell.admission.overload import EventRate
+
+# Requests a second that a gateway near its limit counts for before it has an excess, so
+# that it is told of some room in advance.
+MIN_EXCESS_PER_S = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class PeerRoomSettings:
@@ -18,6 +25,8 @@
         failed_s: Seconds for which a gateway that could not be reached is left out.
         max_peers: Number of gateways that are kept.
         max_room_per_s: Largest room that is believed.
+        burst_s: Seconds of its room that a gateway may get at once.
+        rate_window_s: Time constant of the rate of the choices in seconds.
     """
 
     max_age_s: float = 1.5
@@ -25,26 +34,52 @@
     failed_s: float = 2.0
     max_peers: int = 16
     max_room_per_s: float = 100_000.0
+    burst_s: float = 0.25
+    rate_window_s: float = 0.5
+
+
+def room_shares(excesses):
+    """Returns the share of the others' room that each of some gateways may use.
+
+    Args:
+        excesses: Requests a second that each would relay.
+
+    Examples:
+        >>> room_shares([30.0, 9.0, 0.0])
+        [0.75, 0.225, 0.025]
+    """
+    weights = [max(MIN_EXCESS_PER_S, excess) for excess in excesses]
+    return [weight / sum(weights) for weight in weights]
 
 
 class _Peer:
-    __slots__ = ("reported_at", "room_per_s", "taken")
+    """A gateway with room; connections to it are spaced by a token bucket."""
+
+    __slots__ = ("_saved", "_saved_at", "reported_at", "room_per_s")
 
     def __init__(self, room_per_s, reported_at):
         self.room_per_s = room_per_s
         self.reported_at = reported_at
-        self.taken = 0
+        self._saved = 1.0
+        self._saved_at = reported_at
+
+    def has_room(self, now, burst_s):
+        """Returns whether it takes one more connection at present."""
+        passed_s = max(0.0, now - self._saved_at)
+        self._saved_at = max(now, self._saved_at)
+        most = max(1.0, self.room_per_s * burst_s)
+        self._saved = min(most, self._saved + self.room_per_s * passed_s)
+        return self._saved >= 1.0
 
-    @property
-    def left(self):
-        return max(0.0, self.room_per_s - self.taken)
+    def take(self):
+        """Records one more connection."""
+        self._saved -= 1.0
 
 
 class PeerRooms:
     """What is known of the room of the other gateways.
 
-    A gateway gets at most as many connections as a second of its room takes, until its
-    next report shows what they have done.
+    The room of a gateway is the rate of all that this gateway relays to it.
 
     Args:
         settings: ``PeerRoomSettings``.
@@ -57,10 +92,11 @@
         (20.0, 0.0)
     """
 
-    __slots__ = ("_failed_at", "_peers", "_settings")
+    __slots__ = ("_choices", "_failed_at", "_peers", "_settings")
 
     def __init__(self, settings):
         self._settings = settings
+        self._choices = EventRate(settings.rate_window_s)
         self._peers = {}
         self._failed_at = {}
 
@@ -69,7 +105,7 @@
 
         Args:
             address: Its relay address.
-            room_per_s: Its room in requests a second.
+            room_per_s: Requests a second that it takes from this gateway.
             reported_at: Time of the report in seconds.
 
         Returns:
@@ -79,12 +115,11 @@
         if not 0.0 <= room_per_s <= settings.max_room_per_s:
             return False
         known = self._peers.get(address)
-        if known is not None:
-            is_newer = reported_at > known.reported_at + settings.same_report_s
-        else:
-            is_newer = self._has_place(reported_at)
-        if is_newer:
-            self._peers[address] = _Peer(room_per_s, reported_at)
+        if known is None:
+            if self._has_place(reported_at):
+                self._peers[address] = _Peer(room_per_s, reported_at)
+        elif reported_at > known.reported_at + settings.same_report_s:
+            known.room_per_s, known.reported_at = room_per_s, reported_at
         return True
 
     def remove(self, address):
@@ -97,8 +132,9 @@
         self._failed_at[address] = now
 
     def room_per_s(self, now):
-        """Returns the room of all gateways together that is known to be left."""
-        return sum((left for _, left in self._candidates(now)), 0.0)
+        """Returns the requests a second that the others take beside the present."""
+        room = sum(peer.room_per_s for peer in self._reachable(now).values())
+        return max(0.0, room - self._choices.per_s(now))
 
     def choose(self, now, rng):
         """Chooses a gateway for one more connection, in proportion to its room.
@@ -110,21 +146,24 @@
         Returns:
             Its relay address; None if none is known to have room.
         """
-        candidates = self._candidates(now)
-        if not candidates:
+        burst_s = self._settings.burst_s
+        peers = self._reachable(now)
+        ready = [name for name, peer in peers.items() if peer.has_room(now, burst_s)]
+        weights = [peers[name].room_per_s for name in ready]
+        if not sum(weights):
             return None
-        addresses, weights = zip(*candidates, strict=True)
-        address = rng.choices(addresses, weights)[0]
-        self._peers[address].taken += 1
+        address = rng.choices(ready, weights)[0]
+        peers[address].take()
+        self._choices.add(now)
         return address
 
-    def _candidates(self, now):
+    def _reachable(self, now):
         self._forget_old(now)
-        return [
-            (address, peer.left)
+        return {
+            address: peer
             for address, peer in self._peers.items()
-            if peer.left >= 1.0 and address not in self._failed_at
-        ]
+            if address not in self._failed_at
+        }
 
     def _forget_old(self, now):
         settings = self._settings
--- a/pistachiowell/admission/relay_share.py
+++ b/pistachiowell/admission/relay_share.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass
 
+from pistachiowell.admission.overload import EventRate
+
 # Longest time between two samples that counts as such.
 MAX_STEP_S = 0.5
 
@@ -21,6 +23,7 @@
         late_s: Transit time of the event loop in seconds from which the gateway counts
             as late; half of what refuses requests.
         transit_window_s: Time constant of its mean in seconds.
+        rate_window_s: Time constant of the rate of connections in seconds.
         gain_per_s: Change of the share in a second for each unit of busy share above
             what is kept.
         late_gain_per_s: Change in a second while the gateway is late.
@@ -32,6 +35,7 @@
     kept_busy: float = 0.75
     late_s: float = 0.065
     transit_window_s: float = 0.1
+    rate_window_s: float = 0.5
     gain_per_s: float = 4.0
     late_gain_per_s: float = 2.0
     max_share: float = 0.95
@@ -52,16 +56,25 @@
         ...     share.record(1.0, tick * 0.05)
         >>> share.share
         0.95
-        >>> share.takes_next()
+        >>> share.takes_next(2.0)
         False
-        >>> share.takes_next()
+        >>> share.takes_next(2.0)
         True
     """
 
-    __slots__ = ("_at", "_credit", "_settings", "_share", "_transit_at", "_transit_s")
+    __slots__ = (
+        "_at",
+        "_connections",
+        "_credit",
+        "_settings",
+        "_share",
+        "_transit_at",
+        "_transit_s",
+    )
 
     def __init__(self, settings):
         self._settings = settings
+        self._connections = EventRate(settings.rate_window_s)
         self._at = None
         self._credit = 0.0
         self._share = 0.0
@@ -96,11 +109,16 @@
         share = self._share + change * passed_s
         self._share = min(settings.max_share, max(0.0, share))
 
-    def takes_next(self):
-        """Returns whether the next new connection shall be relayed.
+    def excess_per_s(self, now):
+        """Returns the connections a second that would be relayed."""
+        return self._share * self._connections.per_s(now)
+
+    def takes_next(self, now):
+        """Returns whether a new connection shall be relayed.
 
         The relayed ones are spread evenly: each connection adds its share.
         """
+        self._connections.add(now)
         if not self._share:
             return False
         self._credit += self._share
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -82,6 +82,7 @@
         self._in_progress += 1
         try:
             request = await self._read_request(scope, head, receive, received_at)
+            self._load.add_request(scope)
             await self._serve(request, receive, writer)
         except CallerGoneError:
             _log.info(
@@ -194,7 +195,6 @@
         return account
 
     async def _serve(self, request, receive, writer):
-        self._load.add_request()
         has_ended, error = False, None
         # If the caller disconnects, the group is cancelled, and with it the request at
         # its server: nobody waits for the answer any more.
--- a/pistachiowell/gateway/load_sharing.py
+++ b/pistachiowell/gateway/load_sharing.py
@@ -54,7 +54,9 @@
         self._share = RelayShare(RelaySettings())
         self._rooms = PeerRooms(PeerRoomSettings())
         self._relay = ConnectionRelay(runtime, self._choose, self._record_failure)
-        self._reports = RoomReports(runtime, fleet, self._meter, self._rooms, handlers)
+        self._reports = RoomReports(
+            runtime, fleet, self._meter, self._share, self._rooms, handlers
+        )
         loop_watch.add_load_listener(self._record_load)
         loop_watch.add_transit_listener(self._share.record_transit)
         metrics = runtime.metrics
@@ -97,9 +99,9 @@
         port = self._runtime.settings.relay_port
         return self.is_on and server is not None and server[1] == port
 
-    def add_request(self):
-        """Counts a request that is served here."""
-        self._meter.add_request()
+    def add_request(self, scope):
+        """Counts a request that is served here, by its ASGI scope."""
+        self._meter.add_request(is_received=self.is_relayed(scope))
 
     async def run(self):
         """Reports the room until cancelled."""
@@ -114,9 +116,10 @@
             self._reports.announce_leaving()
 
     def _choose(self):
-        if not self._share.takes_next():
+        now = self._runtime.now()
+        if not self._share.takes_next(now):
             return None
-        return self._rooms.choose(self._runtime.now(), self._rng)
+        return self._rooms.choose(now, self._rng)
 
     def _record_failure(self, address):
         self._rooms.record_failure(address, self._runtime.now())
--- a/pistachiowell/gateway/relay.py
+++ b/pistachiowell/gateway/relay.py
@@ -14,11 +14,6 @@
 WRITE_BUFFER_BYTES = 4096
 # Each takes two descriptors, of 1,535 on a small VM, and at most 41 KB of buffers.
 MAX_CONNECTIONS = 256
-# Joins the events of a stream; an event may be delayed by 100 ms at most. Answers that
-# are no streams take fewer reads and are not delayed.
-JOIN_S = 0.04
-UNDELAYED_READS = 4
-SMALL_READ_BYTES = 4096
 # A caller that does not read the end of its answer holds its connection for so long.
 FLUSH_TIMEOUT_S = 5.0
 
@@ -39,11 +34,10 @@
         transport: The transport; None until it is connected.
     """
 
-    __slots__ = ("_is_held", "_relay", "other", "transport")
+    __slots__ = ("_relay", "other", "transport")
 
     def __init__(self, relay):
         self._relay = relay
-        self._is_held = False
         self.other = None
         self.transport = None
 
@@ -71,12 +65,10 @@
 
     def hold(self):
         """Stops reading until ``release``."""
-        self._is_held = True
         self.transport.pause_reading()
 
     def release(self):
         """Reads again after ``hold``."""
-        self._is_held = False
         self.transport.resume_reading()
 
 
@@ -117,44 +109,17 @@
 class GatewaySide(_Side):
     """The connection to the other gateway.
 
-    Small reads of a stream are joined: each wakes two processes and the caller.
+    Each event of a stream is written at once: to join those of 40 ms was measured to
+    cost as much processor time as it saves; see ``docs/design/gateway_load.md``.
     """
 
-    __slots__ = ("_reads", "_timer")
-
-    def __init__(self, relay):
-        super().__init__(relay)
-        self._reads = 0
-        self._timer = None
-
-    def buffer_updated(self, nbytes):
-        """Passes on a part of the answer."""
-        super().buffer_updated(nbytes)
-        self._reads += 1
-        is_stream = self._reads > UNDELAYED_READS and nbytes < SMALL_READ_BYTES
-        if is_stream and not self._is_held:
-            self.transport.pause_reading()
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(JOIN_S, self._read_on)
-
-    def release(self):
-        """Reads again, unless small reads are being joined."""
-        self._is_held = False
-        if self._timer is None:
-            self.transport.resume_reading()
+    __slots__ = ()
 
     def connection_lost(self, exc):
         """Closes the connection of the caller."""
         del exc
-        if self._timer is not None:
-            self._timer.cancel()
         self.other.finish()
 
-    def _read_on(self):
-        self._timer = None
-        if not self._is_held:
-            self.transport.resume_reading()
-
 
 class ConnectionRelay:
     """Takes over new connections and relays them.
--- a/pistachiowell/gateway/room_owner.py
+++ b/pistachiowell/gateway/room_owner.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from pistachiowell.admission import room_shares
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
 from pistachiowell.schema.generated.messages_gateway import (
@@ -87,18 +88,22 @@
         return sum(self._tell(group, now) for group in by_data_centre.values())
 
     def _tell(self, group, now):
+        """Tells the gateways of a data centre, and returns how many were told."""
+        told = [(link, r.room) for link, r in group if r.room.busy >= TOLD_BUSY]
         with_room = [report for _, report in group if report.room.room_per_s >= 1.0]
         with_room.sort(key=lambda report: report.room.room_per_s, reverse=True)
         # One more than is told, as a gateway is not told of itself.
-        most = [_peer_room(report, now) for report in with_room[: MAX_TOLD + 1]]
-        told = 0
-        for link, report in group:
-            own = report.room.address
-            rooms = [room for room in most if room.address != own][:MAX_TOLD]
-            if report.room.busy >= TOLD_BUSY and rooms:
-                self._send(link, PeerRooms(rooms))
-                told += 1
-        return told
+        del with_room[MAX_TOLD + 1 :]
+        shares = room_shares([room.excess_per_s for _, room in told])
+        for (link, room), share in zip(told, shares, strict=True):
+            rooms = [
+                _peer_room(report, share, now)
+                for report in with_room
+                if report.room.address != room.address
+            ]
+            if rooms:
+                self._send(link, PeerRooms(rooms[:MAX_TOLD]))
+        return len(told)
 
     def _send(self, link, message):
         try:
@@ -107,10 +112,12 @@
             _log.debug("Telling a gateway of the others' room failed: {}", error)
 
 
-def _peer_room(report, now):
+def _peer_room(report, share, now):
     room = report.room
-    return PeerRoom(room.address, room.room_per_s, round(now - report.at, 2))
+    age_s = round(now - report.at, 2)
+    return PeerRoom(room.address, round(share * room.room_per_s, 2), age_s)
 
 
 def _is_plausible(message):
-    return math.isfinite(message.busy) and math.isfinite(message.room_per_s)
+    values = (message.busy, message.room_per_s, message.excess_per_s)
+    return all(math.isfinite(value) and value >= 0.0 for value in values)
--- a/pistachiowell/gateway/room_reports.py
+++ b/pistachiowell/gateway/room_reports.py
@@ -11,6 +11,8 @@
 MIN_INTERVAL_S = 0.25
 # Change of the busy share that is reported before the next report is due.
 NOTICED_CHANGE = 0.08
+# The same for the excess, in requests a second.
+NOTICED_EXCESS_PER_S = 5.0
 
 _log = part_logger("rooms")
 
@@ -22,6 +24,7 @@
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet`` with the agents.
         meter: The ``LoadMeter``.
+        share: The ``RelayShare``.
         rooms: The ``PeerRooms``.
         handlers: Handlers of the links to agents; this registers its own.
     """
@@ -35,13 +38,15 @@
         "_runtime",
         "_sent",
         "_sent_at",
+        "_share",
     )
 
-    def __init__(self, runtime, fleet, meter, rooms, handlers):
+    def __init__(self, runtime, fleet, meter, share, rooms, handlers):
         settings = runtime.settings
         self._runtime = runtime
         self._fleet = fleet
         self._meter = meter
+        self._share = share
         self._rooms = rooms
         self._address = f"{settings.peer_host}:{settings.relay_port}"
         self._sent = None
@@ -68,13 +73,18 @@
             self._address,
             round(self._meter.busy, 3),
             0.0 if leaving else round(self._meter.room_per_s, 1),
+            round(self._share.excess_per_s(self._runtime.now()), 1),
             leaving,
         )
 
     def _is_due(self, report):
         if self._runtime.now() - self._sent_at >= REPORT_INTERVAL_S:
             return True
-        return abs(report.busy - self._sent.busy) >= NOTICED_CHANGE
+        excess_change = abs(report.excess_per_s - self._sent.excess_per_s)
+        return (
+            abs(report.busy - self._sent.busy) >= NOTICED_CHANGE
+            or excess_change >= NOTICED_EXCESS_PER_S
+        )
 
     def _send(self, report):
         tell_agents(self._fleet, report.data_centre, report)
