--- a/pistachiowell/gateway/room_reports.py
+++ b/pistachiowell/gateway/room_reports.py
@@ -6,8 +6,8 @@
 from pistachiowell.gateway.ranked_agents import tell_agents
 from pistachiowell.schema.generated.messages_gateway import GatewayRoom, PeerRooms
 
-# A report counts for 1.5 s, so each may come 0.7 s late. At 148 bytes, an agent receives
-# 6.5 KB/s from 35 gateways at rest.
+# A report counts for 1.5 s, so each may come 0.7 s late. At 148 bytes each, an agent
+# receives 6.5 KB/s from 35 gateways at rest.
 REPORT_INTERVAL_S = 0.8
 MIN_INTERVAL_S = 0.25
 # Change of the busy share that is reported before the next report is due.
