--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -19,7 +19,7 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.web import CallerGoneError, read_body, watch_disconnect
 from pistachiowell.gateway.answer_writer import AnswerWriter
-from pistachiowell.gateway.messages import GatewayRequest
+from pistachiowell.gateway.messages import GatewayRequest, request_rank
 from pistachiowell.gateway.run import Usage
 from pistachiowell.routing import fingerprint, part_names
 
@@ -45,12 +45,14 @@
         stop: The ``PlannedStop``.
         spending: The ``GatewaySpending``.
         dispatch: The ``Dispatch``.
+        load: The ``LoadSharing``.
     """
 
     __slots__ = (
         "_codec",
         "_dispatch",
         "_in_progress",
+        "_load",
         "_overload",
         "_runtime",
         "_spending",
@@ -58,8 +60,9 @@
         "_stop",
     )
 
-    def __init__(self, runtime, state, codec, overload, stop, spending, dispatch):
+    def __init__(self, runtime, state, codec, overload, stop, spending, dispatch, load):
         self._runtime = runtime
+        self._load = load
         self._overload = overload
         self._stop = stop
         self._state = state
@@ -75,10 +78,11 @@
             return
         received_at = self._runtime.now()
         head = self._codec.read_request_head(scope)
-        writer = AnswerWriter(send, lambda: self._state.is_leaving)
+        writer = AnswerWriter(send, lambda: self._closes_connection(scope))
         self._in_progress += 1
         try:
             request = await self._read_request(scope, head, receive, received_at)
+            self._load.add_request(scope)
             await self._serve(request, receive, writer)
         except CallerGoneError:
             _log.info(
@@ -94,6 +98,13 @@
         finally:
             self._in_progress -= 1
 
+    def _closes_connection(self, scope):
+        return (
+            self._state.is_leaving
+            or self._load.is_relayed(scope)
+            or self._load.closes_connections
+        )
+
     async def _send_error(self, head, writer, error, received_at):
         self._runtime.metrics.count(f"refused.{error.code}")
         was_sent = await writer.send_error(error)
@@ -125,7 +136,7 @@
         if route is None:
             raise NotFound("No route matches this host and path.")
         account = self._find_account(catalog, route, head)
-        self._check_overload(account, received_at)
+        self._check_overload(account, route, received_at)
         if not head.request_id:
             raise InvalidRequest("The request has no id.")
         if head.body_bytes > limits.body_bytes:
@@ -164,8 +175,10 @@
             raise self._stop.error(may_have_run=False)
         raise BodyTimeout("The body did not arrive by the deadline of the request.")
 
-    def _check_overload(self, account, received_at):
-        wait_s = self._overload.wait_s(account.name if account else "", received_at)
+    def _check_overload(self, account, route, received_at):
+        name = account.name if account else ""
+        rank = request_rank(account, route)
+        wait_s = self._overload.wait_s(name, received_at, rank)
         if wait_s:
             raise GatewayOverloaded(
                 "The gateway has more requests than it can serve.",
