Measure the load of a gateway by the waits of its event loop

Cause: on the users' platform the clock of processor time runs on while a process waits, so each gateway took itself for full and none had room. Connections that were not accepted within 0.15 s of a late loop, or over a full network link, left all other gateways out for seconds.

Change: a selector sums the waits of the loop; the busy share is the rest. The time to connect counts only while the loop is on time, and a gateway is not left out while another one does not answer either.

--- a/pistachiowell/admission/gateway_load.py
+++ b/pistachiowell/admission/gateway_load.py
@@ -18,7 +18,7 @@
 
     Attributes:
         busy_window_s: Time constant of the busy share in seconds.
-        cost_window_s: Time constant of the processor time of a request in seconds.
+        cost_window_s: Time constant of the busy time of a request in seconds.
         full_busy: Busy share up to which a gateway has room. Above it, requests wait
             noticeably for the event loop.
         request_cost_s: Seconds of a whole core that a request is assumed to take; most
@@ -39,54 +39,50 @@
 
     Args:
         settings: ``GatewayLoadSettings``.
-        cpu_share: Seconds of processor time that the process may use in a second.
-        cores: Work that it does with them, in cores.
+        cores: Work that the process can do, in whole cores.
 
     Examples:
-        >>> meter = LoadMeter(GatewayLoadSettings(), 0.5, 0.5)
+        >>> meter = LoadMeter(GatewayLoadSettings(), 0.5)
         >>> for tick in range(100):
-        ...     meter.record(tick * 0.01, tick * 0.05)
+        ...     meter.record(tick * 0.02, tick * 0.05)
         >>> round(meter.busy, 2), round(meter.room_per_s)
         (0.4, 3)
     """
 
     __slots__ = (
-        "_assumed_cpu_s",
+        "_assumed_busy_s",
         "_at",
         "_busy",
-        "_cpu_s",
-        "_cpu_share",
+        "_busy_s",
         "_received",
-        "_recent_cpu_s",
+        "_recent_busy_s",
         "_recent_requests",
         "_requests",
         "_settings",
     )
 
-    def __init__(self, settings, cpu_share, cores):
+    def __init__(self, settings, cores):
         self._settings = settings
-        self._cpu_share = cpu_share
-        cost_s = settings.request_cost_s * cpu_share / cores
-        self._assumed_cpu_s = settings.assumed_requests * cost_s
+        cost_s = settings.request_cost_s / cores
+        self._assumed_busy_s = settings.assumed_requests * cost_s
         self._received = EventRate(settings.busy_window_s)
         self._at = None
         self._busy = 0.0
-        self._cpu_s = 0.0
-        self._recent_cpu_s = 0.0
+        self._busy_s = 0.0
+        self._recent_busy_s = 0.0
         self._recent_requests = 0.0
         self._requests = 0
 
     @property
     def busy(self):
-        """Share of the processor time of the gateway that is in use."""
+        """Share of the time in which the gateway is busy."""
         return self._busy
 
     @property
     def capacity_per_s(self):
         """Requests a second that the gateway can serve at most."""
         requests = self._recent_requests + self._settings.assumed_requests
-        cost_s = (self._recent_cpu_s + self._assumed_cpu_s) / requests
-        return self._cpu_share / cost_s
+        return requests / (self._recent_busy_s + self._assumed_busy_s)
 
     @property
     def room_per_s(self):
@@ -109,17 +105,17 @@
         if is_received and self._at is not None:
             self._received.add(self._at)
 
-    def record(self, cpu_s, now):
-        """Records the processor time of the process so far and the present time."""
+    def record(self, busy_s, now):
+        """Records the busy time of the process so far and the present time."""
         at, self._at = self._at, now
-        used_s, self._cpu_s = cpu_s - self._cpu_s, cpu_s
+        used_s, self._busy_s = busy_s - self._busy_s, busy_s
         requests, self._requests = self._requests, 0
         if at is None or now <= at:
             return
         settings, passed_s = self._settings, now - at
         gain = 1.0 - math.exp(-passed_s / settings.busy_window_s)
-        busy = min(1.0, used_s / passed_s / self._cpu_share)
+        busy = min(1.0, used_s / passed_s)
         self._busy += gain * (busy - self._busy)
         kept = math.exp(-passed_s / settings.cost_window_s)
-        self._recent_cpu_s = self._recent_cpu_s * kept + used_s
+        self._recent_busy_s = self._recent_busy_s * kept + used_s
         self._recent_requests = self._recent_requests * kept + requests
--- a/pistachiowell/bench/gateway_load.py
+++ b/pistachiowell/bench/gateway_load.py
@@ -54,7 +54,7 @@
         self.cores = cores
         self.backlog_s = 0.0
         self.cpu_s = 0.0
-        self.meter = LoadMeter(GatewayLoadSettings(), cores, cores)
+        self.meter = LoadMeter(GatewayLoadSettings(), cores)
         self.share = RelayShare(RelaySettings())
         self.rooms = PeerRooms(PeerRoomSettings())
         self.policy = OVERLOAD_POLICIES.find(policy)(
@@ -69,7 +69,7 @@
         self.cpu_s += used_s
         delay_s = self.backlog_s / self.cores
         self.policy.record_transit(delay_s, now)
-        self.meter.record(self.cpu_s, now)
+        self.meter.record(self.cpu_s / self.cores, now)
         self.share.record_transit(delay_s, now)
         self.share.record(self.meter.busy, now)
 
--- a/pistachiowell/core/loop_watch.py
+++ b/pistachiowell/core/loop_watch.py
@@ -10,6 +10,8 @@
 
 import anyio
 
+from pistachiowell.core.event_loop import waited_s
+
 BUSY_TICK_S = 0.02
 IDLE_TICK_S = 0.05
 # Turns of the loop that a request takes from its head to the end of its answer, and the
@@ -71,10 +73,10 @@
         self._transit_listeners.append(function)
 
     def add_load_listener(self, function):
-        """Registers a function of the process's processor time and the present time.
+        """Registers a function of the loop's busy time so far and the present time.
 
-        Both are in seconds. The processor time tells how busy the process is even on a
-        VM that gets only a share of a core.
+        Both are in seconds. The busy time is that in which the loop does not wait; on a
+        loop that does not measure its waits it is the processor time.
         """
         self._load_listeners.append(function)
 
@@ -124,9 +126,10 @@
 
     def _tell_load(self, now):
         if self._load_listeners:
-            cpu_s = time.process_time()
+            idle_s = waited_s(self._loop)
+            busy_s = time.process_time() if idle_s is None else now - idle_s
             for listener in self._load_listeners:
-                listener(cpu_s, now)
+                listener(busy_s, now)
 
     def _start_transit(self, now):
         if not self._transit_listeners or self._is_measuring:
--- a/pistachiowell/gateway/load_sharing.py
+++ b/pistachiowell/gateway/load_sharing.py
@@ -49,11 +49,13 @@
         self._rng = rng
         self._is_relaying = False
         self._meter = LoadMeter(
-            GatewayLoadSettings(), settings.cpu_share, settings.cores
+            GatewayLoadSettings(), settings.cpu_share * settings.cores
         )
         self._share = RelayShare(RelaySettings())
         self._rooms = PeerRooms(PeerRoomSettings())
-        self._relay = ConnectionRelay(runtime, self._choose, self._record_failure)
+        self._relay = ConnectionRelay(
+            runtime, loop_watch.deadline, self._choose, self._record_failure
+        )
         self._reports = RoomReports(
             runtime, fleet, self._meter, self._share, self._rooms, handlers
         )
@@ -124,8 +126,8 @@
     def _record_failure(self, address):
         self._rooms.record_failure(address, self._runtime.now())
 
-    def _record_load(self, cpu_s, now):
-        self._meter.record(cpu_s, now)
+    def _record_load(self, busy_s, now):
+        self._meter.record(busy_s, now)
         if not self.is_on:
             return
         self._share.record(self._meter.busy, now)
--- a/pistachiowell/gateway/relay.py
+++ b/pistachiowell/gateway/relay.py
@@ -9,7 +9,9 @@
 
 # Accepting takes about a millisecond within a data centre. A caller waits for this
 # longer only if the gateway is in trouble.
-CONNECT_TIMEOUT_S = 0.15
+CONNECT_TIMEOUT_S = 0.3
+# If two gateways do not answer within this time, this VM's own link is full.
+OWN_LINK_WINDOW_S = 1.0
 READ_BYTES = 16_384
 WRITE_BUFFER_BYTES = 4096
 # Each takes two descriptors, of 1,535 on a small VM, and at most 41 KB of buffers.
@@ -127,6 +129,9 @@
 
     Args:
         runtime: The process's ``Runtime``.
+        deadline: Function that returns a cancel scope of so many seconds, such as
+            ``LoopWatch.deadline``: the gateway that relays is late itself, which says
+            nothing about the others.
         choose: Function that returns the relay address for a new connection, or None
             if it is to be served here.
         record_failure: Function of a relay address that could not be reached.
@@ -139,16 +144,20 @@
         "_callers",
         "_choose",
         "_connecting",
+        "_deadline",
         "_has_stopped",
         "_record_failure",
         "_runtime",
+        "_timed_out",
         "buffer",
     )
 
-    def __init__(self, runtime, choose, record_failure):
+    def __init__(self, runtime, deadline, choose, record_failure):
         self._runtime = runtime
+        self._deadline = deadline
         self._choose = choose
         self._record_failure = record_failure
+        self._timed_out = {}
         self._callers = set()
         self._connecting = set()
         self._has_stopped = False
@@ -210,8 +219,10 @@
         gateway = GatewaySide(self)
         gateway.other, caller.other = caller, gateway
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            with self._deadline(CONNECT_TIMEOUT_S) as scope:
                 await loop.create_connection(lambda: gateway, host, int(port))
+            if scope.cancelled_caught:
+                raise TimeoutError
         except (OSError, OverflowError, TimeoutError, ValueError) as error:
             # Its end, which may still come, does not concern the caller any more.
             gateway.other = None
@@ -224,7 +235,7 @@
         caller.release()
 
     def _serve_here(self, caller, address, serve, error):
-        self._record_failure(address)
+        self._judge(address, error)
         self._runtime.metrics.count("relay.unreachable")
         _log.warning(
             "A gateway cannot be reached; its connection is served here.",
@@ -235,3 +246,18 @@
         if not caller.transport.is_closing():
             serve(caller.transport)
             caller.transport.resume_reading()
+
+    def _judge(self, address, error):
+        """Leaves a gateway out unless this VM's own link delays all connections."""
+        if isinstance(error, TimeoutError):
+            now = self._runtime.now()
+            self._timed_out = {
+                other: at
+                for other, at in self._timed_out.items()
+                if now - at < OWN_LINK_WINDOW_S
+            }
+            has_others = bool(self._timed_out.keys() - {address})
+            self._timed_out[address] = now
+            if has_others:
+                return
+        self._record_failure(address)
--- a/pistachiowell/platform/programs.py
+++ b/pistachiowell/platform/programs.py
@@ -7,6 +7,7 @@
 import anyio
 
 from pistachiowell.core.errors import SettingsInvalid
+from pistachiowell.core.event_loop import make_event_loop
 from pistachiowell.core.logs import configure_logs
 from pistachiowell.gateway.agent import GatewayAgent
 from pistachiowell.gateway.gateway import Gateway
@@ -68,4 +69,9 @@
         print(error, file=sys.stderr)
         sys.exit(EXIT_USAGE)
     configure_logs(settings)
-    anyio.run(_serve, program_class, settings)
+    anyio.run(
+        _serve,
+        program_class,
+        settings,
+        backend_options={"loop_factory": make_event_loop},
+    )
