Send nothing to evacuated data centres, and follow move orders only where there are any

Operators evacuate a data centre by an object in the store, which nothing read, so requests, retries, continuations and probes went on there. Each gateway and agent also followed the orders of version moves in deployments without moves.

Agents follow the evacuations for the gateways that are linked to them and report them with era and revision, so that nothing older replaces newer. A gateway follows the store itself only while fewer than three agents do, and sends nothing before the store has confirmed the evacuations once, also after an outage in which nobody told it anything. The check is made at each choice and again before the bytes leave. Move orders are read only where follows_moves is set, which the templates leave out without the bound ExposureShare.

--- a/pistachiowell/admission/closures.py
+++ b/pistachiowell/admission/closures.py
@@ -15,12 +15,14 @@
     """Why a server gets no requests.
 
     Attributes:
+        evacuation: Its data centre has been evacuated.
         leaving: It has said that it leaves.
         limit: Its limit of requests a second is reached.
         pause: It has named a time in which it wants nothing.
         silence: It does not answer.
     """
 
+    evacuation = "evacuation"
     leaving = "leaving"
     limit = "limit"
     pause = "pause"
--- a/pistachiowell/catalog/__init__.py
+++ b/pistachiowell/catalog/__init__.py
@@ -9,6 +9,7 @@
     Route,
     Service,
 )
+from pistachiowell.catalog.evacuations import Evacuations
 from pistachiowell.catalog.leavings import Leavings
 from pistachiowell.catalog.servers import BackendServer, ServerRegistry
 
@@ -17,6 +18,7 @@
     "BackendServer",
     "Catalog",
     "EngineLimits",
+    "Evacuations",
     "HttpLimits",
     "Leavings",
     "RequestKind",
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -9,11 +9,13 @@
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.gateway.budget_owner import BudgetOwner
 from pistachiowell.gateway.closed_servers import ClosedServers
+from pistachiowell.gateway.evacuation_watch import EvacuationWatcher
 from pistachiowell.gateway.leaving_servers import LeavingServers
 from pistachiowell.gateway.limit_owner import LimitOwner
 from pistachiowell.gateway.linked_watch import LinkedWatches
 from pistachiowell.gateway.load_reports import LoadReporter
 from pistachiowell.gateway.move_judge import MoveJudge
+from pistachiowell.gateway.places import Places
 from pistachiowell.gateway.silence_probes import SilenceProbes
 from pistachiowell.gateway.state import GatewayState
 from pistachiowell.gateway.store_returns import StoreReturns
@@ -53,8 +55,8 @@
     Args:
         settings: ``GatewayAgentSettings``.
         store: The platform's store.
-        adapter: Object with the codecs ``heads``, ``configuration``, ``servers`` and
-            ``moves``; see ``pistachiowell.platform.programs``.
+        adapter: Object with the codecs ``heads``, ``configuration``, ``servers``,
+            ``evacuations`` and ``moves``; see ``pistachiowell.platform.programs``.
         is_deputy: Whether it runs in a gateway, in place of an agent.
         closed: The ``ClosedServers`` of its gateway; None to keep its own.
     """
@@ -96,14 +98,21 @@
         )
         self._handlers.on(FetchCatalog, quick=True)(self._handle_fetch)
         server_watcher = ServerWatcher(runtime, state, adapter.servers)
+        evacuation_watcher = EvacuationWatcher(runtime, state, adapter.evacuations)
         self._load_reporter = LoadReporter(
-            runtime, state, self._catalog_watcher, server_watcher, self._handlers
-        )
-        self._watches = LinkedWatches(
-            (self._catalog_watcher, server_watcher, self._move_watcher),
-            self._links,
-            runtime.now,
+            runtime,
+            state,
+            self._catalog_watcher,
+            server_watcher,
+            evacuation_watcher,
+            self._handlers,
         )
+        watchers = [self._catalog_watcher, server_watcher]
+        if state.evacuations.is_used:
+            watchers.append(evacuation_watcher)
+        if settings.follows_moves:
+            watchers.append(self._move_watcher)
+        self._watches = LinkedWatches(watchers, self._links, runtime.now)
         self._links.add_link_listener(self._load_reporter.add_link)
         self._crash_candidates = CrashCandidates(
             runtime,
@@ -123,6 +132,7 @@
             limits,
             closed,
             leaving,
+            Places(runtime, state),
             self._handlers,
         )
 
--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -43,11 +43,14 @@
     Attributes:
         on_servers_digest: Function of an agent's name and the digest of the servers
             that it reports.
+        on_evacuations: Function of an agent's name and its ``AgentReport``, for the
+            evacuated data centres.
     """
 
     __slots__ = (
         "_catalog_watcher",
         "_fleet",
+        "_follows_evacuations",
         "_follows_store",
         "_gateways",
         "_load_changed",
@@ -58,6 +61,7 @@
         "_state",
         "_summing_agents",
         "_wake",
+        "on_evacuations",
         "on_servers_digest",
     )
 
@@ -67,9 +71,11 @@
         self._state = state
         self._catalog_watcher = catalog_watcher
         self._selection = selection
+        self._follows_evacuations = {}
         self._follows_store = {}
         self._gateways = {}
         self.on_servers_digest = lambda agent, digest: None
+        self.on_evacuations = lambda agent, report: None
         self._newer_link = None
         self._wake = anyio.Event()
         self._load_changed = anyio.Event()
@@ -85,7 +91,9 @@
         name = peer.record.id
         self._follows_store[name] = message.follows_store
         self._gateways[name] = message.gateways
+        self._follows_evacuations[name] = message.follows_evacuations
         self.on_servers_digest(name, message.servers_digest)
+        self.on_evacuations(name, message)
         self._selection.record_loads(message.loads)
         current = self._state.catalog
         if message.catalog_revision > (current.revision if current else 0):
@@ -98,12 +106,16 @@
 
     def has_enough_agents(self):
         """Returns whether enough agents follow the store's configuration."""
-        following = sum(
-            self.follows_store(name)
-            for name, peer in self._fleet.agents.items()
-            if peer.usable
-        )
-        return following >= MIN_AGENTS
+        return self._count_usable(self._follows_store) >= MIN_AGENTS
+
+    def has_enough_for_evacuations(self):
+        """Returns whether enough agents follow the store's evacuations."""
+        return self._count_usable(self._follows_evacuations) >= MIN_AGENTS
+
+    def _count_usable(self, follows):
+        """Returns the number of usable agents that a mapping says yes of."""
+        agents = self._fleet.agents.items()
+        return sum(follows.get(name, False) for name, peer in agents if peer.usable)
 
     def _record_load_change(self):
         self._load_changed.set()
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -117,6 +117,11 @@
                 "The gateway has no configuration yet.",
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
+        if not self._state.evacuations.is_known:
+            raise Leaving(
+                "The gateway does not know yet which data centres are evacuated.",
+                retry_after_s=NOT_READY_RETRY_AFTER_S,
+            )
         limits = catalog.limits
         size = sum(len(name) + len(value) for name, value in scope["headers"])
         if size > limits.header_bytes:
--- a/pistachiowell/gateway/deputy.py
+++ b/pistachiowell/gateway/deputy.py
@@ -141,4 +141,7 @@
             report_interval_s=settings.report_interval_s,
             exposure_share=settings.exposure_share,
             exposure_slack=settings.exposure_slack,
+            evacuation_ms=settings.evacuation_ms,
+            regions=settings.regions,
+            follows_moves=settings.follows_moves,
         )
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -19,8 +19,10 @@
 from pistachiowell.gateway.crash_relays import CrashRelays
 from pistachiowell.gateway.deputy import Deputy
 from pistachiowell.gateway.dispatch import Dispatch
+from pistachiowell.gateway.evacuation_watch import EvacuationWatcher
 from pistachiowell.gateway.grant_notices import GrantMemory
 from pistachiowell.gateway.moves import GatewayMoves
+from pistachiowell.gateway.places import Places
 from pistachiowell.gateway.planned_stop import ENDING_S, PlannedStop
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
@@ -71,9 +73,9 @@
     Args:
         settings: ``GatewaySettings``.
         store: The platform's store.
-        adapter: Object with the codecs ``heads``, ``configuration``, ``servers`` and
-            ``moves``, with ``make_store`` and with ``ready_path``; see
-            ``pistachiowell.platform.programs``.
+        adapter: Object with the codecs ``heads``, ``configuration``, ``servers``,
+            ``evacuations`` and ``moves``, with ``make_store`` and with ``ready_path``;
+            see ``pistachiowell.platform.programs``.
     """
 
     __slots__ = (
@@ -84,6 +86,7 @@
         "_crashes",
         "_deputy",
         "_dispatch",
+        "_evacuation_fallback",
         "_fleet",
         "_grant_memory",
         "_http",
@@ -123,6 +126,9 @@
         self._move_watcher = MoveOrderWatcher(
             runtime, adapter.moves, self._moves.apply_orders
         )
+        if not settings.follows_moves:
+            self._moves.apply_orders({})
+        places = Places(runtime, state)
         self._loop_watch = loop_watch = LoopWatch(lambda: bool(self._stop.in_progress))
         self._silence = SilenceMonitor(
             runtime, self._fleet, state, handlers, loop_watch
@@ -135,14 +141,20 @@
             "requests.refused_share", lambda: self._overload.refused_share
         )
         limits = ServerLimits(
-            runtime, self._fleet, closed, handlers, lambda: self._router_count, rng
+            runtime,
+            self._fleet,
+            closed,
+            places,
+            handlers,
+            lambda: self._router_count,
+            rng,
         )
         self._selection = selection = Selection(
             state.servers,
             self._moves,
             self._silence,
             limits,
-            ServerStates(runtime, state, closed, limits, self._silence),
+            ServerStates(runtime, state, closed, limits, self._silence, places),
             settings,
             rng,
             runtime.now,
@@ -166,6 +178,13 @@
         self._catalog_fallback = StoreFallback(
             self._catalog_watcher, self._agent_reports.has_enough_agents, runtime.now
         )
+        evacuation_watcher = EvacuationWatcher(runtime, state, adapter.evacuations)
+        self._agent_reports.on_evacuations = evacuation_watcher.apply_report
+        self._evacuation_fallback = StoreFallback(
+            evacuation_watcher,
+            self._agent_reports.has_enough_for_evacuations,
+            runtime.now,
+        )
         relays = CrashRelays(self._fleet)
         self._crash_candidates = CrashCandidates(
             runtime, relays, handlers, SHARED_SERVER_CRASHES, passes_on=False
@@ -285,7 +304,10 @@
             group.start_soon(self._loop_watch.run)
             group.start_soon(self._deputy.run)
             group.start_soon(self._fleet.run)
-            group.start_soon(self._move_watcher.run)
+            if self._state.evacuations.is_used:
+                group.start_soon(self._evacuation_fallback.run)
+            if self._runtime.settings.follows_moves:
+                group.start_soon(self._move_watcher.run)
             group.start_soon(self._moves.run)
             group.start_soon(self._agent_reports.run)
             group.start_soon(self._agent_reports.send_loads)
--- a/pistachiowell/gateway/load_reports.py
+++ b/pistachiowell/gateway/load_reports.py
@@ -7,6 +7,7 @@
 
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.evacuation_watch import encode_version
 from pistachiowell.routing import (
     REPORT_PACERS,
     EngineLoad,
@@ -49,12 +50,14 @@
         state: The ``GatewayState``; its catalog's revision is reported too.
         catalog_watcher: The ``CatalogWatcher``.
         server_watcher: The ``ServerWatcher``.
+        evacuation_watcher: The ``EvacuationWatcher``.
         handlers: Handlers of the links to gateways; this registers its own.
     """
 
     __slots__ = (
         "_catalog_watcher",
         "_changed",
+        "_evacuation_watcher",
         "_last_reports",
         "_pacer",
         "_runtime",
@@ -63,7 +66,15 @@
         "_sums",
     )
 
-    def __init__(self, runtime, state, catalog_watcher, server_watcher, handlers):
+    def __init__(
+        self,
+        runtime,
+        state,
+        catalog_watcher,
+        server_watcher,
+        evacuation_watcher,
+        handlers,
+    ):
         self._runtime = runtime
         self._state = state
         self._catalog_watcher = catalog_watcher
@@ -73,8 +84,10 @@
         self._last_reports = {}
         self._changed = anyio.Event()
         self._server_watcher = server_watcher
+        self._evacuation_watcher = evacuation_watcher
         catalog_watcher.on_change = lambda catalog: self._changed.set()
         server_watcher.on_change = lambda: self._changed.set()
+        evacuation_watcher.on_change = lambda: self._changed.set()
         handlers.on(GatewayLoad)(self._handle_load)
 
     def add_link(self, link):
@@ -124,6 +137,9 @@
             catalog_revision=catalog.revision if catalog else 0,
             follows_store=self._catalog_watcher.follows_store,
             servers_digest=self._server_watcher.digest,
+            evacuations=self._evacuation_watcher.reported(),
+            evacuations_version=encode_version(self._state.evacuations.version),
+            follows_evacuations=self._evacuation_watcher.follows_store,
             gateways=len(self._last_reports),
             leaving=self._runtime.leaving,
         )
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -47,6 +47,7 @@
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet`` with the agents.
         closed: The ``ClosedServers``.
+        places: The ``Places``.
         handlers: Handlers of the links to agents; this registers its own.
         router_count: Function that returns the number of gateways that may be running.
         rng: A ``Random``.
@@ -58,6 +59,7 @@
         "_fleet",
         "_full_until",
         "_limits",
+        "_places",
         "_rng",
         "_router_count",
         "_runtime",
@@ -65,10 +67,11 @@
         "_slots",
     )
 
-    def __init__(self, runtime, fleet, closed, handlers, router_count, rng):
+    def __init__(self, runtime, fleet, closed, places, handlers, router_count, rng):
         self._runtime = runtime
         self._fleet = fleet
         self._closed = closed
+        self._places = places
         self._router_count = router_count
         self._rng = rng
         self._settings = RateSettings()
@@ -119,17 +122,31 @@
         """Checks, just before a request is sent, that its server is still open.
 
         Raises:
-            ServerClosed: The server leaves or wants a pause. The request may be sent to
-                another one.
+            ServerClosed: The server leaves or wants a pause, or its data centre has
+                been evacuated. The request may be sent to another one.
         """
+        if self._places.is_evacuated(server):
+            self._runtime.metrics.count("attempts.evacuated_meanwhile")
+            raise ServerClosed(
+                f"Data centre {server.data_centre} of server {server.id} is evacuated.",
+                ran="no",
+            )
         reason = self._closed.closed_by(incarnation_of(server))
         if reason is not None:
             self._runtime.metrics.count("attempts.closed_meanwhile")
             raise ServerClosed(f"Server {server.id} is closed: {reason}.", ran="no")
 
     def accepting(self, servers):
-        """Returns the servers that have not said that they leave."""
-        return [s for s in servers if not self._closed.is_leaving(incarnation_of(s))]
+        """Returns the servers that nothing has closed for good.
+
+        They have not said that they leave, and their data centres are not evacuated.
+        """
+        return [
+            server
+            for server in servers
+            if not self._closed.is_leaving(incarnation_of(server))
+            and not self._places.is_evacuated(server)
+        ]
 
     def with_room(self, servers, priority):
         """Returns the ``BackendServer`` that may have room for a request."""
--- a/pistachiowell/gateway/server_states.py
+++ b/pistachiowell/gateway/server_states.py
@@ -44,15 +44,17 @@
         closed: The ``ClosedServers``.
         limits: The ``ServerLimits``.
         silence: The ``SilenceMonitor``.
+        places: The ``Places``.
     """
 
-    __slots__ = ("_closed", "_limits", "_silence", "_state")
+    __slots__ = ("_closed", "_limits", "_places", "_silence", "_state")
 
-    def __init__(self, runtime, state, closed, limits, silence):
+    def __init__(self, runtime, state, closed, limits, silence, places):
         self._state = state
         self._closed = closed
         self._limits = limits
         self._silence = silence
+        self._places = places
         for reason in ClosedBy:
             runtime.metrics.watch(
                 f"servers.now.{reason}", lambda reason=reason: self._count(reason)
@@ -65,6 +67,8 @@
             server: The ``BackendServer``.
             priority: Rank of the request; 0 is the most urgent.
         """
+        if self._places.is_evacuated(server):
+            return ServerState(ClosedBy.evacuation)
         reason = self._closed.closed_by(incarnation_of(server))
         if reason is ClosedBy.leaving:
             return ServerState(reason)
--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -50,6 +50,7 @@
         closed: The ``ClosedServers``, which get no probes.
         leaving: The ``LeavingServers``; told of the servers that tell a probe that they
             leave.
+        places: The ``Places``; servers of evacuated data centres get no probes.
         handlers: Handlers of the links to gateways; this registers its own.
     """
 
@@ -61,12 +62,15 @@
         "_leaving",
         "_limits",
         "_links",
+        "_places",
         "_probed",
         "_runtime",
         "_state",
     )
 
-    def __init__(self, runtime, state, codec, links, limits, closed, leaving, handlers):
+    def __init__(
+        self, runtime, state, codec, links, limits, closed, leaving, places, handlers
+    ):
         self._runtime = runtime
         self._state = state
         self._codec = codec
@@ -74,6 +78,7 @@
         self._limits = limits
         self._closed = closed
         self._leaving = leaving
+        self._places = places
         self._group = None
         self._probed = {}
         self._doubted = {}
@@ -148,6 +153,9 @@
             if pause_s := self._closed.wait_s(incarnation):
                 await anyio.sleep(min(pause_s, RENEW_INTERVAL_S))
                 continue
+            if not self._places.may_probe(report.server):
+                await anyio.sleep(RENEW_INTERVAL_S)
+                continue
             await self._limits.wait_for_room(report.server)
             if self._closed.closed_by(incarnation):
                 continue
@@ -161,6 +169,8 @@
                     return True
                 except HTTP_ERRORS as error:
                     _log.debug("A probe failed and is repeated: {}", error)
+                except _PutOffError:
+                    _log.info("A probe is put off.", server=report.server)
                 else:
                     self._record_answer(incarnation, head)
                     return True
@@ -190,6 +200,9 @@
         connection = ServerConnection(*_parse_address(report.address))
         try:
             await connection.open()
+            # The data centre may have been evacuated while the probe connected.
+            if not self._places.may_probe(report.server):
+                raise _PutOffError
             response = await connection.request("GET", path, headers, b"")
             return self._codec.read_answer_head(response.status, response.headers)
         finally:
@@ -197,6 +210,10 @@
                 await connection.aclose()
 
 
+class _PutOffError(Exception):
+    """The server must get nothing now."""
+
+
 def _parse_address(text):
     """Returns the IP address and port of a text; None if it has none.
 
--- a/pistachiowell/gateway/tests/test_load_reports.py
+++ b/pistachiowell/gateway/tests/test_load_reports.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 
+from pistachiowell.catalog import Evacuations
 from pistachiowell.gateway.load_reports import LoadReporter, encode_load
 from pistachiowell.routing import NO_LOAD, EngineLoad
 from pistachiowell.schema.generated.messages_gateway import AgentReport, GatewayLoad
@@ -50,8 +51,9 @@
     runtime = SimpleNamespace(settings=settings, now=anyio.current_time, leaving=False)
     catalogs = SimpleNamespace(on_change=None, follows_store=True)
     servers = SimpleNamespace(on_change=None, digest=7)
-    state = SimpleNamespace(catalog=None)
-    return LoadReporter(runtime, state, catalogs, servers, handlers)
+    state = SimpleNamespace(catalog=None, evacuations=Evacuations(is_used=False))
+    evacuations = SimpleNamespace(on_change=None, follows_store=False, reported=list)
+    return LoadReporter(runtime, state, catalogs, servers, evacuations, handlers)
 
 
 async def run_for(reporter, seconds):
--- a/pistachiowell/gateway/tests/test_server_states.py
+++ b/pistachiowell/gateway/tests/test_server_states.py
@@ -25,6 +25,7 @@
     """Returns states of seven servers and what closes them."""
     runtime = SimpleNamespace(now=lambda: 5.0, metrics=Metrics())
     closed, silent, full = ClosedServers(runtime), set(), {}
+    evacuated = set()
 
     def wait_s(server, priority):
         pause_s = closed.wait_s(Incarnation(server.id, server.started_ms))
@@ -34,9 +35,15 @@
     silence = SimpleNamespace(is_answering=lambda name: name not in silent)
     known = {server.id: server for server in SERVERS}
     state = SimpleNamespace(servers=SimpleNamespace(known=known))
-    states = ServerStates(runtime, state, closed, limits, silence)
+    places = SimpleNamespace(is_evacuated=lambda server: server.id in evacuated)
+    states = ServerStates(runtime, state, closed, limits, silence, places)
     return SimpleNamespace(
-        states=states, closed=closed, silent=silent, full=full, runtime=runtime
+        states=states,
+        closed=closed,
+        evacuated=evacuated,
+        silent=silent,
+        full=full,
+        runtime=runtime,
     )
 
 
@@ -48,6 +55,9 @@
     rig.full["s0", 1] = 0.4
     assert rig.states.of(server, 1).closed_by is ClosedBy.limit
     assert rig.states.of(server, 0).closed_by is ClosedBy.silence
+    rig.evacuated.add("s0")
+    assert rig.states.of(server, 1).closed_by is ClosedBy.evacuation
+    rig.evacuated.clear()
     rig.closed.record_answer(Incarnation("s0", server.started_ms), PAUSE, "r1")
     assert str(rig.states.of(server, 1)) == "pause for 2.5 s"
     rig.closed.record_leaving(Incarnation("s0", server.started_ms))
--- a/pistachiowell/gateway/tests/test_silence_probes.py
+++ b/pistachiowell/gateway/tests/test_silence_probes.py
@@ -38,8 +38,9 @@
     closed = ClosedServers(runtime)
     state = SimpleNamespace(catalog=None)
     leaving = SimpleNamespace(tell=links.broadcast)
+    places = SimpleNamespace(may_probe=lambda server_id: True)
     return SilenceProbes(
-        runtime, state, codec, links, Limits(), closed, leaving, handlers
+        runtime, state, codec, links, Limits(), closed, leaving, places, handlers
     )
 
 
--- a/pistachiowell/gateway/watchers.py
+++ b/pistachiowell/gateway/watchers.py
@@ -45,7 +45,7 @@
         self._runtime = runtime
         self._state = state
         self._codec = codec
-        self._observer = _Observer(runtime, codec.COLLECTION)
+        self._observer = StoreObserver(runtime, codec.COLLECTION)
         self.on_change = lambda catalog: None
         self.document = None
 
@@ -144,7 +144,9 @@
         return self._digest if self._observer.is_connected else 0
 
     def _record_outage_end(self):
-        self._state.servers.record_outage_end(self._runtime.now())
+        now = self._runtime.now()
+        self._state.servers.record_outage_end(now)
+        self._state.evacuations.require_confirmation(now)
 
     def mark_stopped(self):
         """Records that the store is no longer followed."""
@@ -231,7 +233,7 @@
         async for objects in follow_collection(
             self._runtime.store,
             collection,
-            observer=_Observer(self._runtime, collection),
+            observer=StoreObserver(self._runtime, collection),
             max_delay_s=MAX_MOVES_RETRY_DELAY_S,
         ):
             orders = {}
@@ -244,7 +246,7 @@
             self._apply_orders(orders)
 
 
-class _Observer(FollowObserver):
+class StoreObserver(FollowObserver):
     """Records whether the store answers, and calls a function once it does again.
 
     Args:
@@ -267,9 +269,11 @@
         self.is_connected = False
 
     def on_confirmed(self):
+        """Records that the store answers."""
         self.is_connected = True
 
     def on_outage(self, error):
+        """Records and logs that the store does not answer."""
         self.is_connected = False
         self._lost_at = self._runtime.now()
         self._runtime.metrics.count("store.losses")
@@ -278,6 +282,7 @@
         )
 
     def on_recovery(self):
+        """Logs that the store answers again."""
         _log.info(
             "The store answers again.",
             collection=self._collection,
@@ -286,16 +291,17 @@
         self._on_recovery()
 
     def on_return(self):
+        """Handles a return like the end of an outage."""
         self._on_recovery()
 
 
-class _ServersObserver(_Observer):
+class _ServersObserver(StoreObserver):
     """Lets the next list of servers be taken as one that may be older.
 
     Args:
         runtime: The process's ``Runtime``.
         collection: Name of the followed collection.
-        on_recovery: See ``_Observer``.
+        on_recovery: See ``StoreObserver``.
         leavings: The ``Leavings``.
     """
 
--- a/pistachiowell/platform/objects.py
+++ b/pistachiowell/platform/objects.py
@@ -27,8 +27,8 @@
 WATCH_WAIT_MS = 10_000
 # A store that stops answering during a watch, or has returned from an older copy before
 # it, is detected only after the wait. The wait is shorter for what only the store
-# reports: that a server is leaving, and a new configuration.
-_COLLECTION_WATCH_WAITS_MS = {"servers": 2_500, "config": 2_500}
+# reports: that a server is leaving, a new configuration, and evacuations.
+_COLLECTION_WATCH_WAITS_MS = {"servers": 2_500, "config": 2_500, "evacuations": 2_500}
 WATCH_GRACE_S = 0.8
 MIN_WATCH_S = 0.02
 # Delay after an answer with changes, so that the next call returns several at once.
--- a/pistachiowell/platform/programs.py
+++ b/pistachiowell/platform/programs.py
@@ -10,7 +10,13 @@
 from pistachiowell.core.logs import configure_logs
 from pistachiowell.gateway.agent import GatewayAgent
 from pistachiowell.gateway.gateway import Gateway
-from pistachiowell.platform import configuration, headers, moves, servers
+from pistachiowell.platform import (
+    configuration,
+    evacuations,
+    headers,
+    moves,
+    servers,
+)
 from pistachiowell.platform.objects import ObjectStore
 from pistachiowell.schema.generated.settings import (
     GatewayAgentSettings,
@@ -25,6 +31,7 @@
     heads=headers,
     moves=moves,
     configuration=configuration,
+    evacuations=evacuations,
     servers=servers,
     make_store=ObjectStore,
     ready_path=headers.READY_PATH,
--- a/pistachiowell/platform/standins.py
+++ b/pistachiowell/platform/standins.py
@@ -31,6 +31,7 @@
 
     Attributes:
         mode: ``"up"``, ``"busy"`` (503), ``"many"`` (429) or ``"silent"``.
+        missing_kinds: Kinds of objects that the store answers 404 for.
         lost_answers: Number of next writes that take effect but get no answer.
         calls: Number of calls received.
         call_log: Method, path and query of each call as text, in order.
@@ -42,6 +43,7 @@
         self.mode = "up"
         self.lost_answers = 0
         self.calls = 0
+        self.missing_kinds = set()
         self.call_log = []
         self.revision = 10
         self.era = None
@@ -118,6 +120,8 @@
 
     async def _answer(self, method, parts, query, body):
         kind = parts[0]
+        if kind in self.missing_kinds:
+            return 404, {}
         if method == "GET" and "Watch" in query:
             return await self._watch(kind, query)
         if method == "GET" and len(parts) == 1:
--- a/pistachiowell/platform/tests/test_settings_templates.py
+++ b/pistachiowell/platform/tests/test_settings_templates.py
@@ -30,11 +30,15 @@
         "RetryBudgetRatio": 0.3,
         "RetryBudgetSlack": 44,
         "BudgetWindowS": 9,
+        "EvacuateMs": 5000,
+        "ColdOvershoot": 1.5,
+        "ColdExtra": 5,
     },
+    "Zones": {"east": "south", "west": "north"},
 }
 
 
-SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+SECTION = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)(?:\|json)?\}\}")
 TEMPLATES = [("agent.yaml", GatewayAgentSettings), ("router.yaml", GatewaySettings)]
 
@@ -53,8 +57,9 @@
     """Returns the settings file that a template gives for the fields."""
 
     def section(match):
-        found = find_field(fields, match[1])
-        return "" if found is None or found is False else match[2]
+        found = find_field(fields, match[2])
+        is_present = found is not None and found is not False
+        return match[3] if is_present == (match[1] == "#") else ""
 
     def value(match):
         found = find_field(fields, match[1])
@@ -103,3 +108,23 @@
     # Zero is a value, not a missing one: it must not become the default.
     fields = {**FIELDS, "Bounds": {**FIELDS["Bounds"], "RetryBudgetSlack": 0}}
     assert yaml.safe_load(render("router.yaml", fields))["retry_fixed"] == 0
+
+
+@pytest.mark.parametrize(("name", "settings_class"), TEMPLATES)
+def test_parts_are_used_only_where_their_deployment_asks_for_them(
+    name, settings_class, tmp_path
+):
+    # A deployment without evacuations, cold servers, regions or version moves would
+    # pay for calls to the store, and one with them would serve without the bounds.
+    settings = settings_class(**read_template(name))
+    assert settings.evacuation_ms == 5000
+    assert (settings.cold_overshoot, settings.cold_extra) == (1.5, 5)
+    assert settings.regions == FIELDS["Zones"]
+    assert settings.follows_moves
+    fields = {key: value for key, value in FIELDS.items() if key != "Zones"}
+    path = tmp_path / name
+    path.write_text(render(name, {**fields, "Bounds": {}}), encoding="utf-8")
+    settings = read_settings(path, settings_class)
+    assert (settings.evacuation_ms, settings.cold_overshoot) == (0, 0)
+    assert (settings.cold_extra, settings.regions) == (-1, {})
+    assert not settings.follows_moves
--- a/pistachiowell/store/follow.py
+++ b/pistachiowell/store/follow.py
@@ -37,6 +37,13 @@
     def on_recovery(self):
         """Handles the end of an outage; the next content is from a new list."""
 
+    def on_content(self, version):
+        """Handles the version of the content that is yielded next.
+
+        Args:
+            version: Version of the list, or of the change after it.
+        """
+
     def on_return(self):
         """Handles a return of the store from an older copy of its content.
 
@@ -80,6 +87,7 @@
                 observer.on_recovery()
             observer.on_confirmed()
             objects = {entry.name: entry for entry in entries}
+            observer.on_content(version)
             yield objects
             async for change in store.watch(collection, version, wait_s):
                 delay_s = RETRY_DELAY_S
@@ -90,6 +98,7 @@
                     objects.pop(change.name, None)
                 else:
                     objects[change.name] = change
+                observer.on_content(change.version)
                 yield objects
         except StoreConflict:
             _log.debug(
