Bound the requests that cold servers get from all gateways and agents together

A server is slow after its start, and servers that come back together crash under the usual share of each gateway.

The bound is divided for good: two agents admit evenly and save nothing, 10 each in any second, and gateways that get no answer take turns by the clock, 3 in any second. An admission lasts 0.2 s, also while a request waits for its connection. Only the first two of the agents that all gateways link to are asked. A server is cold by its registration, by the header of an answer, after its start and after an evacuation; agents tell the gateways, so that one that is cut off from the store knows it too. Placement prefers warm servers. Rates that are no rates are logged once and ignored.

--- a/pistachiowell/admission/__init__.py
+++ b/pistachiowell/admission/__init__.py
@@ -1,6 +1,13 @@
 """Admission control: decides which requests a backend server runs, and when."""
 
 from pistachiowell.admission.closures import ClosedBy, Closures
+from pistachiowell.admission.cold import (
+    ColdAdmission,
+    ColdSettings,
+    ColdTimes,
+    ColdTurns,
+    divide_bound,
+)
 from pistachiowell.admission.limits import LIMITS
 from pistachiowell.admission.overload import OVERLOAD_POLICIES, OverloadSettings
 from pistachiowell.admission.queue import AdmissionQueue
@@ -21,6 +28,10 @@
     "AdmissionSettings",
     "ClosedBy",
     "Closures",
+    "ColdAdmission",
+    "ColdSettings",
+    "ColdTimes",
+    "ColdTurns",
     "Incarnation",
     "Observation",
     "Outcome",
@@ -31,4 +42,5 @@
     "Refuse",
     "Start",
     "Ticket",
+    "divide_bound",
 ]
--- a/pistachiowell/catalog/catalog.py
+++ b/pistachiowell/catalog/catalog.py
@@ -87,12 +87,17 @@
         max_connections: Number of connections that one server accepts in total.
         engine: ``EngineLimits``; None for a plain service.
         health_path: Path of the health check of its servers.
+        cold_s: Seconds for which a server is slow after its start.
+        cold_per_s: Requests a second that a slow server takes from all gateways
+            together; 0 if the service states none.
     """
 
     name: str
     max_connections: int
     engine: EngineLimits | None = None
     health_path: str = "/"
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiowell/catalog/servers.py
+++ b/pistachiowell/catalog/servers.py
@@ -17,7 +17,8 @@
         slots: Number of requests that it runs at once.
         is_leaving: Whether it accepts no new work.
         started_ms: Unix time of its start in milliseconds; 0 if unknown.
-        cold_left_s: Seconds for which it said that it stays slow after its start.
+        cold_left_s: Seconds for which it said that it stays slow; None if it has not
+            said anything.
     """
 
     id: str
@@ -29,7 +30,7 @@
     slots: int = 1
     is_leaving: bool = False
     started_ms: int = 0
-    cold_left_s: float = 0.0
+    cold_left_s: float | None = None
 
     @property
     def address(self):
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -9,6 +9,8 @@
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.gateway.budget_owner import BudgetOwner
 from pistachiowell.gateway.closed_servers import ClosedServers
+from pistachiowell.gateway.cold_reports import ColdReports
+from pistachiowell.gateway.cold_servers import ColdServers
 from pistachiowell.gateway.evacuation_watch import EvacuationWatcher
 from pistachiowell.gateway.leaving_servers import LeavingServers
 from pistachiowell.gateway.limit_owner import LimitOwner
@@ -64,6 +66,7 @@
     __slots__ = (
         "_budget_owner",
         "_catalog_watcher",
+        "_cold_reports",
         "_compressed_document",
         "_compressed_source",
         "_crash_candidates",
@@ -121,7 +124,10 @@
             SHARED_SERVER_CRASHES,
             merge_s=CRASH_MERGE_S,
         )
-        limits = LimitOwner(runtime, self._links, self._handlers)
+        cold = ColdServers(runtime, state)
+        server_watcher.on_registration = cold.record_registration
+        self._cold_reports = ColdReports(runtime, self._links, cold, self._handlers)
+        limits = LimitOwner(runtime, self._links, state, cold, self._handlers)
         closed = closed or ClosedServers(runtime)
         leaving = LeavingServers(self._links, closed, self._handlers)
         self._silence_probes = SilenceProbes(
@@ -131,6 +137,7 @@
             self._links,
             limits,
             closed,
+            cold,
             leaving,
             Places(runtime, state),
             self._handlers,
@@ -165,6 +172,7 @@
             group.start_soon(self._load_reporter.run)
             group.start_soon(self._crash_candidates.run_merging)
             group.start_soon(self._silence_probes.run)
+            group.start_soon(self._cold_reports.run)
             group.start_soon(serve_metrics, self._runtime)
             _log.info(
                 "Agent starts.",
--- a/pistachiowell/gateway/deputy.py
+++ b/pistachiowell/gateway/deputy.py
@@ -143,5 +143,7 @@
             exposure_slack=settings.exposure_slack,
             evacuation_ms=settings.evacuation_ms,
             regions=settings.regions,
+            cold_overshoot=settings.cold_overshoot,
+            cold_extra=settings.cold_extra,
             follows_moves=settings.follows_moves,
         )
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -267,7 +267,7 @@
         request, events = run.request, run.events
         last_id = events.last_id or None
         events.begin_continuation()
-        await self._send(exchange, request.deadline, last_id)
+        await self._send(exchange, attempt, request.deadline, last_id)
         head = exchange.head
         attempt.record_status(head.status)
         self._check_continuation(run, exchange)
@@ -302,10 +302,10 @@
             " of a stream."
         )
 
-    async def _send(self, exchange, deadline, last_id):
+    async def _send(self, exchange, attempt, deadline, last_id):
         await exchange.open()
         # The server may have closed itself while the request waited for its connection.
-        self._limits.check_open(exchange.server)
+        self._limits.check_open(exchange.server, attempt.age_s)
         sent_at = self._runtime.now()
         left_s = deadline - sent_at
         if left_s <= 0:
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -16,6 +16,7 @@
 from pistachiowell.gateway.agents import AgentReports
 from pistachiowell.gateway.app import GatewayApp, ReadyApp
 from pistachiowell.gateway.closed_servers import ClosedServers
+from pistachiowell.gateway.cold_servers import ColdServers
 from pistachiowell.gateway.crash_relays import CrashRelays
 from pistachiowell.gateway.deputy import Deputy
 from pistachiowell.gateway.dispatch import Dispatch
@@ -56,6 +57,8 @@
 ROUTER_LIST_INTERVAL_S = 15.0
 CHECKED_LIST_INTERVAL_S = 120.0
 ROUTER_COUNT_INTERVAL_S = 5.0
+# Gateways that start together are not all registered when the first one lists them.
+NAMES_AFTER_S = 5.0
 # Gateways are registered as routers and share the fleet's fixed number of retries.
 # Assuming too few of them would give each one too large a share, for example before the
 # first list.
@@ -98,6 +101,7 @@
         "_ready",
         "_are_routers_listed",
         "_router_count",
+        "_router_names",
         "_runtime",
         "_selection",
         "_server_feed",
@@ -113,6 +117,7 @@
         self._state = state = GatewayState(settings)
         self._are_routers_listed = False
         self._router_count = MIN_ROUTERS
+        self._router_names = frozenset()
         self._catalog_watcher = CatalogWatcher(runtime, state, adapter.configuration)
         self._catalog_watcher.on_change = self._apply_limits
         self._server_watcher = ServerWatcher(runtime, state, adapter.servers)
@@ -129,6 +134,9 @@
         if not settings.follows_moves:
             self._moves.apply_orders({})
         places = Places(runtime, state)
+        cold = ColdServers(runtime, state)
+        cold.gateways = lambda: self._router_names
+        self._server_watcher.on_registration = cold.record_registration
         self._loop_watch = loop_watch = LoopWatch(lambda: bool(self._stop.in_progress))
         self._silence = SilenceMonitor(
             runtime, self._fleet, state, handlers, loop_watch
@@ -145,6 +153,7 @@
             self._fleet,
             closed,
             places,
+            cold,
             handlers,
             lambda: self._router_count,
             rng,
@@ -340,6 +349,7 @@
         await keep_registered(self._runtime.store, ROUTERS, self._record())
 
     async def _count_routers(self):
+        started_at = self._runtime.now()
         listed_at = float("-inf")
         listed = MIN_ROUTERS
         while True:
@@ -350,10 +360,14 @@
             )
             if now - listed_at >= interval_s:
                 try:
-                    listed = len((await self._runtime.store.list(ROUTERS))[0])
+                    entries, _ = await self._runtime.store.list(ROUTERS)
                 except STORE_ERRORS as error:
                     _log.debug("Listing the routers failed; keeping them: {}", error)
                 else:
+                    listed = len(entries)
+                    if now - started_at >= NAMES_AFTER_S:
+                        names = frozenset(entry.name for entry in entries)
+                        self._router_names = names
                     self._are_routers_listed = True
                 if self._are_routers_listed:
                     listed_at = now
--- a/pistachiowell/gateway/limit_owner.py
+++ b/pistachiowell/gateway/limit_owner.py
@@ -8,6 +8,7 @@
 import anyio
 
 from pistachiowell.admission import (
+    ColdAdmission,
     Incarnation,
     Observation,
     RateLimits,
@@ -48,14 +49,19 @@
     Args:
         runtime: The process's ``Runtime``.
         links: The ``LinkSet`` of the gateways.
+        state: The ``GatewayState``.
+        cold: The ``ColdServers``.
         handlers: Handlers of the links to gateways; this registers its own.
     """
 
-    __slots__ = ("_limits", "_links", "_runtime")
+    __slots__ = ("_cold", "_cold_admission", "_limits", "_links", "_runtime", "_state")
 
-    def __init__(self, runtime, links, handlers):
+    def __init__(self, runtime, links, state, cold, handlers):
         self._runtime = runtime
         self._links = links
+        self._state = state
+        self._cold = cold
+        self._cold_admission = ColdAdmission()
         self._limits = RateLimits(RateSettings())
         links.add_link_listener(self._tell_new_gateway)
         handlers.on(LimitObserved)(self._handle_limit)
@@ -68,11 +74,28 @@
 
     def _wait_s(self, server_id):
         now = self._runtime.now()
+        server = self._state.servers.known.get(server_id)
+        shares = self._cold.shares(server) if server is not None else None
+        if shares is not None:
+            per_s = shares.agent_per_s
+            if wait_s := self._cold_admission.try_take(server_id, per_s, now):
+                return wait_s
         for incarnation in self._limits.in_force:
             if incarnation.server == server_id:
                 return self._limits.try_take(incarnation, 0, now)
         return 0.0
 
+    def may_send(self, server_id, admitted_at):
+        """Returns whether a request that was admitted may still be sent.
+
+        Args:
+            server_id: Id of the server.
+            admitted_at: Time of its admission in seconds.
+        """
+        server = self._state.servers.known.get(server_id)
+        age_s = self._runtime.now() - admitted_at
+        return server is None or not self._cold.needs_permit(server, age_s)
+
     async def _handle_limit(self, link, message):
         del link
         self._observe(message)
@@ -83,8 +106,14 @@
         latest = self._limits.latest(incarnation)
         if latest is not None and latest.per_s is None:
             self._send(link, encode_limit(incarnation, latest, now))
-        wait_s = self._limits.try_take(incarnation, message.priority, now)
-        return RoomReply(wait_s)
+        wait_s, is_cold = 0.0, message.cold_per_s >= 0
+        if is_cold:
+            wait_s = self._cold_admission.try_take(
+                incarnation.server, message.cold_per_s, now
+            )
+        if not wait_s:
+            wait_s = self._limits.try_take(incarnation, message.priority, now)
+        return RoomReply(wait_s, covers_cold=is_cold)
 
     def _observe(self, message):
         now = self._runtime.now()
--- a/pistachiowell/gateway/messages.py
+++ b/pistachiowell/gateway/messages.py
@@ -132,6 +132,8 @@
             it names none.
         has_unreadable_pause: Whether it names a pause that is no number of seconds.
         server_id: Id of the server that answers a health check; empty if it names none.
+        cold_left_s: Seconds for which the server is slow; None if it names none.
+        has_unreadable_cold_time: Whether it names such a time that is no number.
     """
 
     status: int
@@ -149,6 +151,8 @@
     pause_s: float | None = None
     has_unreadable_pause: bool = False
     server_id: str = ""
+    cold_left_s: float | None = None
+    has_unreadable_cold_time: bool = False
 
     @property
     def is_success(self):
--- a/pistachiowell/gateway/ranked_agents.py
+++ b/pistachiowell/gateway/ranked_agents.py
@@ -3,6 +3,7 @@
 from pistachiowell.budgets.page_owner import rank_owners
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
+from pistachiowell.membership import SubsetSettings, first_peers
 
 # The agent on the VM of a server in trouble is often in trouble too.
 AGENTS_TOLD = 2
@@ -21,6 +22,21 @@
     return [usable[name] for name in rank_owners(topic, usable)]
 
 
+def lasting_agents(fleet, topic):
+    """Returns the first two agents for a topic as ``Peer``, usable or not.
+
+    They are chosen among the agents that all gateways link to at first. Those that
+    stand in for agents that fail are left out, so that never more than two agents take
+    themselves for the first, whichever agents a gateway reaches.
+
+    Args:
+        fleet: The ``Fleet`` with the agents.
+        topic: What the agents are chosen for, such as the id of a server.
+    """
+    names = first_peers(fleet.agents, SubsetSettings().usable)
+    return [fleet.agents[name] for name in rank_owners(topic, names)[:AGENTS_TOLD]]
+
+
 def tell_agents(fleet, topic, message, count=AGENTS_TOLD):
     """Sends a message to the first agents for a topic.
 
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -357,7 +357,8 @@
 
     def _candidate(self, server):
         is_near = server.data_centre == self._settings.data_centre
-        return Candidate(server.id, server.data_centre, 0 if is_near else 1)
+        is_cold = self._limits.is_cold(server)
+        return Candidate(server.id, server.data_centre, 0 if is_near else 1, is_cold)
 
 
 def _work(prompt):
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -10,19 +10,28 @@
 from pistachiowell.core.errors import LinkLost, LinkTimeout, Overloaded
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.closed_servers import incarnation_of
+from pistachiowell.gateway.cold_servers import encode_cold
 from pistachiowell.gateway.limit_owner import decode_limit, encode_limit
-from pistachiowell.gateway.ranked_agents import ranked_agents, tell_agents
+from pistachiowell.gateway.ranked_agents import (
+    lasting_agents,
+    ranked_agents,
+    tell_agents,
+)
 from pistachiowell.schema.generated.messages_gateway import (
     AskRoom,
     LimitObserved,
     RoomReply,
     ServerLeaving,
+    ServersCold,
 )
 
 ASK_TIMEOUT_S = 0.15
 # An agent that has not answered is not asked again for this long.
 SILENT_AGENT_S = 1.0
 MIN_RETRY_AFTER_S = 0.05
+NOT_COLD = -1.0
+# Older than any answer, so that it replaces nothing that an agent knows.
+NO_OBSERVATION_AGE_S = 1_000_000.0
 RETURN_SPREAD_SHARE = 0.25
 MAX_RETURN_SPREAD_S = 0.5
 
@@ -48,6 +57,7 @@
         fleet: The ``Fleet`` with the agents.
         closed: The ``ClosedServers``.
         places: The ``Places``.
+        cold: The ``ColdServers``.
         handlers: Handlers of the links to agents; this registers its own.
         router_count: Function that returns the number of gateways that may be running.
         rng: A ``Random``.
@@ -56,6 +66,7 @@
     __slots__ = (
         "_asks_again_at",
         "_closed",
+        "_cold",
         "_fleet",
         "_full_until",
         "_limits",
@@ -67,11 +78,14 @@
         "_slots",
     )
 
-    def __init__(self, runtime, fleet, closed, places, handlers, router_count, rng):
+    def __init__(
+        self, runtime, fleet, closed, places, cold, handlers, router_count, rng
+    ):
         self._runtime = runtime
         self._fleet = fleet
         self._closed = closed
         self._places = places
+        self._cold = cold
         self._router_count = router_count
         self._rng = rng
         self._settings = RateSettings()
@@ -81,6 +95,7 @@
         self._asks_again_at = {}
         handlers.on(LimitObserved)(self._handle_limit)
         handlers.on(ServerLeaving, quick=True)(self._handle_leaving)
+        handlers.on(ServersCold, quick=True)(self._handle_cold)
         runtime.metrics.watch("servers.limited", lambda: len(self._limits.in_force))
 
     def record_answer(self, server, head, sent_at):
@@ -91,6 +106,9 @@
             head: The ``AnswerHead``; it answers the request that was sent.
             sent_at: Time at which the request was sent in seconds.
         """
+        if self._cold.record_answer(incarnation_of(server), head):
+            message = encode_cold({incarnation_of(server): head.cold_left_s})
+            tell_agents(self._fleet, server.id, message)
         if head.has_unreadable_limit:
             self._closed.record_unreadable(incarnation_of(server), "limits")
             return
@@ -118,12 +136,24 @@
         del link
         self._closed.record_leaving(Incarnation(message.server, message.started_ms))
 
-    def check_open(self, server):
+    async def _handle_cold(self, link, message):
+        del link
+        self._cold.record_told(message)
+
+    def is_cold(self, server):
+        """Returns whether a server is cold, so that its answers are slow."""
+        return self._cold.is_cold(server)
+
+    def check_open(self, server, age_s):
         """Checks, just before a request is sent, that its server is still open.
 
+        Args:
+            server: The ``BackendServer``.
+            age_s: Seconds since the request was admitted.
+
         Raises:
-            ServerClosed: The server leaves or wants a pause, or its data centre has
-                been evacuated. The request may be sent to another one.
+            ServerClosed: The server leaves, wants a pause or has become cold, or its
+                data centre has been evacuated. The request may be sent to another one.
         """
         if self._places.is_evacuated(server):
             self._runtime.metrics.count("attempts.evacuated_meanwhile")
@@ -135,6 +165,12 @@
         if reason is not None:
             self._runtime.metrics.count("attempts.closed_meanwhile")
             raise ServerClosed(f"Server {server.id} is closed: {reason}.", ran="no")
+        if self._cold.needs_permit(server, age_s):
+            self._runtime.metrics.count("attempts.cold_meanwhile")
+            raise ServerClosed(
+                f"Server {server.id} is cold; the request must be admitted again.",
+                ran="no",
+            )
 
     def accepting(self, servers):
         """Returns the servers that nothing has closed for good.
@@ -197,16 +233,15 @@
         """
         incarnation = incarnation_of(server)
         observation = self._limits.latest(incarnation)
-        if observation is None or observation.per_s is None:
+        shares = self._cold.shares(server)
+        is_limited = observation is not None and observation.per_s is not None
+        if not is_limited and shares is None:
             return True
-        wait_s = await self._ask(incarnation, observation, priority)
+        wait_s = await self._ask(incarnation, observation, shares, priority)
         if wait_s is None:
-            slots = self._slots.get(incarnation)
-            if slots is None:
-                slots = RateSlots(self._settings, self._rng.random())
-                self._slots[incarnation] = slots
-            now = self._runtime.now()
-            wait_s = slots.try_take(observation.per_s, self._router_count(), now)
+            wait_s = 0.0 if shares is None else self._cold.take_turn(server, shares)
+            if not wait_s and is_limited:
+                wait_s = self._take_slot(incarnation, observation)
         if not wait_s:
             return True
         full_until = self._full_until.setdefault(incarnation, {})
@@ -214,15 +249,38 @@
         self._runtime.metrics.count("servers.limit_reached")
         return False
 
-    async def _ask(self, incarnation, observation, priority):
-        """Returns what the agent answers: the seconds to wait; None without one."""
+    def _take_slot(self, incarnation, observation):
+        slots = self._slots.get(incarnation)
+        if slots is None:
+            slots = RateSlots(self._settings, self._rng.random())
+            self._slots[incarnation] = slots
         now = self._runtime.now()
-        owner = next(iter(ranked_agents(self._fleet, incarnation.server)), None)
-        if owner is None or now < self._asks_again_at.get(owner.record.id, now):
+        return slots.try_take(observation.per_s, self._router_count(), now)
+
+    def _owner(self, server_id, is_cold, now):
+        """Returns the ``Peer`` to ask for room at a server, or None."""
+        if not is_cold:
+            owner = next(iter(ranked_agents(self._fleet, server_id)), None)
+            owners = [owner] if owner is not None else []
+        else:
+            lasting = lasting_agents(self._fleet, server_id)
+            owners = [peer for peer in lasting if peer.usable]
+        asks_again_at = self._asks_again_at
+        askable = (p for p in owners if now >= asks_again_at.get(p.record.id, now))
+        return next(askable, None)
+
+    async def _ask(self, incarnation, observation, shares, priority):
+        """Returns what the agent answers: the seconds to wait; None without one."""
+        now, is_cold = self._runtime.now(), shares is not None
+        owner = self._owner(incarnation.server, is_cold, now)
+        if owner is None:
             return None
-        message = AskRoom(encode_limit(incarnation, observation, now), priority)
+        limit = encode_limit(incarnation, observation or _unlimited(now), now)
+        cold_per_s = shares.agent_per_s if is_cold else NOT_COLD
+        timeout_s = self._cold.ask_timeout_s if is_cold else ASK_TIMEOUT_S
+        message = AskRoom(limit, priority, cold_per_s)
         try:
-            reply = await owner.link.call(message, ASK_TIMEOUT_S)
+            reply = await owner.link.call(message, timeout_s)
         except (LinkLost, LinkTimeout) as error:
             self._asks_again_at[owner.record.id] = now + SILENT_AGENT_S
             _log.info(
@@ -232,7 +290,9 @@
                 error=str(error),
             )
             return None
-        return reply.wait_s if isinstance(reply, RoomReply) else None
+        if not isinstance(reply, RoomReply) or (is_cold and not reply.covers_cold):
+            return None
+        return reply.wait_s
 
     async def _handle_limit(self, link, message):
         del link
@@ -252,3 +312,7 @@
             age_s=round(now - observation.at, 3),
         )
         return True
+
+
+def _unlimited(now):
+    return Observation(None, now - NO_OBSERVATION_AGE_S)
--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -48,6 +48,7 @@
         links: The ``LinkSet`` of the gateways.
         limits: The ``LimitOwner``; a probe is one of the requests that it admits.
         closed: The ``ClosedServers``, which get no probes.
+        cold: The ``ColdServers``; told what the answers say.
         leaving: The ``LeavingServers``; told of the servers that tell a probe that they
             leave.
         places: The ``Places``; servers of evacuated data centres get no probes.
@@ -57,6 +58,7 @@
     __slots__ = (
         "_closed",
         "_codec",
+        "_cold",
         "_doubted",
         "_group",
         "_leaving",
@@ -69,7 +71,17 @@
     )
 
     def __init__(
-        self, runtime, state, codec, links, limits, closed, leaving, places, handlers
+        self,
+        runtime,
+        state,
+        codec,
+        links,
+        limits,
+        closed,
+        cold,
+        leaving,
+        places,
+        handlers,
     ):
         self._runtime = runtime
         self._state = state
@@ -77,6 +89,7 @@
         self._links = links
         self._limits = limits
         self._closed = closed
+        self._cold = cold
         self._leaving = leaving
         self._places = places
         self._group = None
@@ -157,12 +170,13 @@
                 await anyio.sleep(RENEW_INTERVAL_S)
                 continue
             await self._limits.wait_for_room(report.server)
+            admitted_at = self._runtime.now()
             if self._closed.closed_by(incarnation):
                 continue
             _log.info("Server is probed.", server=report.server)
             with anyio.move_on_after(PROBE_TIMEOUT_S):
                 try:
-                    head = await self._probe(report)
+                    head = await self._probe(report, admitted_at)
                 except (EndlessHeadError, httpcore.ConnectError) as error:
                     # A server that sends anything, or has ended, is no silent one.
                     _log.info("A probe ended without an answer.", error=str(error))
@@ -187,11 +201,12 @@
         # The address of a server that has ended may be used by another one.
         if head.server_id not in ("", incarnation.server):
             return
+        self._cold.record_answer(incarnation, head)
         if self._closed.record_answer(incarnation, head, TOLD_BY_PROBE):
             message = ServerLeaving(incarnation.server, incarnation.started_ms)
             self._leaving.tell(message)
 
-    async def _probe(self, report):
+    async def _probe(self, report, admitted_at):
         """Sends a health check and returns the ``AnswerHead``; reads no body."""
         catalog = self._state.catalog
         service = catalog.services.get(report.service) if catalog else None
@@ -201,7 +216,8 @@
         try:
             await connection.open()
             # The data centre may have been evacuated while the probe connected.
-            if not self._places.may_probe(report.server):
+            is_open = self._places.may_probe(report.server)
+            if not is_open or not self._limits.may_send(report.server, admitted_at):
                 raise _PutOffError
             response = await connection.request("GET", path, headers, b"")
             return self._codec.read_answer_head(response.status, response.headers)
--- a/pistachiowell/gateway/tests/test_silence_probes.py
+++ b/pistachiowell/gateway/tests/test_silence_probes.py
@@ -32,15 +32,19 @@
     async def wait_for_room(self, server_id):
         del server_id
 
+    def may_send(self, server_id, admitted_at):
+        return True
+
 
 def make_probes(runtime, links, handlers, codec=headers):
     """Returns the probes of an agent without a configuration."""
     closed = ClosedServers(runtime)
     state = SimpleNamespace(catalog=None)
     leaving = SimpleNamespace(tell=links.broadcast)
+    cold = SimpleNamespace(record_answer=lambda incarnation, head: None)
     places = SimpleNamespace(may_probe=lambda server_id: True)
     return SilenceProbes(
-        runtime, state, codec, links, Limits(), closed, leaving, places, handlers
+        runtime, state, codec, links, Limits(), closed, cold, leaving, places, handlers
     )
 
 
--- a/pistachiowell/gateway/watchers.py
+++ b/pistachiowell/gateway/watchers.py
@@ -113,6 +113,8 @@
 
     Attributes:
         on_change: Function that is called after each change of the digest.
+        on_registration: Function that is called with each ``BackendServer`` whose
+            registration has been written again.
     """
 
     __slots__ = (
@@ -124,6 +126,7 @@
         "_runtime",
         "_state",
         "on_change",
+        "on_registration",
     )
 
     def __init__(self, runtime, state, codec):
@@ -137,6 +140,7 @@
             runtime, codec.COLLECTION, self._record_outage_end, self._leavings
         )
         self.on_change = lambda: None
+        self.on_registration = lambda server: None
 
     @property
     def digest(self):
@@ -188,6 +192,8 @@
             server = self._codec.decode_server(name, item.value)
             if server is None:
                 _log.warning("Ignored a registration without a server.", server=name)
+            else:
+                self.on_registration(server)
             known = self._decoded[name] = (item.version, server)
         return known[1]
 
--- a/pistachiowell/membership/__init__.py
+++ b/pistachiowell/membership/__init__.py
@@ -2,7 +2,7 @@
 
 from pistachiowell.membership.deputies import DeputyRule, DeputySettings
 from pistachiowell.membership.peers import MembershipSettings, PeerState, PeerTable
-from pistachiowell.membership.subset import PeerSubset, SubsetSettings
+from pistachiowell.membership.subset import PeerSubset, SubsetSettings, first_peers
 
 __all__ = [
     "DeputyRule",
@@ -12,4 +12,5 @@
     "PeerSubset",
     "PeerTable",
     "SubsetSettings",
+    "first_peers",
 ]
--- a/pistachiowell/membership/subset.py
+++ b/pistachiowell/membership/subset.py
@@ -30,6 +30,16 @@
     linger_s: float = 20.0
 
 
+def first_peers(names, count):
+    """Returns the first peers of the ranking that is alike for all processes.
+
+    Args:
+        names: Names of all peers.
+        count: Number of peers.
+    """
+    return sorted(names, key=lambda name: (stable_hash(TOPIC, name), name))[:count]
+
+
 class PeerSubset:
     """Chooses the first peers of a ranking until enough of them are usable.
 
@@ -96,9 +106,7 @@
     def _rank(self, names):
         if self._names != names:
             self._names = frozenset(names)
-            self._ranking = sorted(
-                names, key=lambda name: (stable_hash(TOPIC, name), name)
-            )
+            self._ranking = first_peers(names, len(names))
 
     def _find_needed(self, usable, now):
         needed, count, failed = [], 0, 0
--- a/pistachiowell/platform/configuration.py
+++ b/pistachiowell/platform/configuration.py
@@ -1,6 +1,7 @@
 """Decodes the platform's configuration object into a ``Catalog``."""
 
 from collections import defaultdict
+from functools import lru_cache
 
 import msgspec
 
@@ -15,9 +16,17 @@
 )
 from pistachiowell.core.decoding import DECODE_ERRORS
 from pistachiowell.core.errors import RowInvalid
+from pistachiowell.core.logs import part_logger
 
 COLLECTION = "config"
 NAME = "main"
+# Larger values are taken for mistakes in the unit.
+MAX_COLD_S = 300.0
+MAX_COLD_PER_S = 100_000.0
+MAX_LOGGED = 100
+MAX_LOGGED_NUMBERS = 1_024
+
+_log = part_logger("feeds")
 
 
 _DEFAULTS = HttpLimits()
@@ -86,12 +95,16 @@
         max_conns: Connections that one backend server accepts from all clients.
         engine: Limits of its model engines; None if it has none.
         health_path: Path of the health check of its servers.
+        cold_s: Seconds for which a server is slow after its start.
+        cold_per_s: Requests a second that a slow server takes.
     """
 
     name: str
     max_conns: int = 0
     engine: _Engine | None = None
     health_path: str = "/"
+    cold_s: object = 0.0
+    cold_per_s: object = 0.0
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -193,7 +206,34 @@
     limits = engine and EngineLimits(
         engine.slots, engine.kv_capacity_tokens, max(1, engine.stride)
     )
-    return Service(item.name, item.max_conns, limits, item.health_path)
+    cold_s = _number(item, "ColdS", item.cold_s, MAX_COLD_S)
+    cold_per_s = _number(item, "ColdPerS", item.cold_per_s, MAX_COLD_PER_S)
+    return Service(
+        item.name, item.max_conns, limits, item.health_path, cold_s, cold_per_s
+    )
+
+
+def _number(item, field, value, largest):
+    """Returns a number of a service; 0.0 if it is none or out of range.
+
+    A mistake in it must not keep the rest of the configuration from being used.
+    """
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if is_number and 0 <= value <= largest:
+        return float(value)
+    _log_odd_number(item.name, field, repr(value)[:MAX_LOGGED])
+    return 0.0
+
+
+@lru_cache(maxsize=MAX_LOGGED_NUMBERS)
+def _log_odd_number(service, field, value):
+    """Logs a value once, however often its configuration is read."""
+    _log.warning(
+        "Ignored a number that is out of range.",
+        service=service,
+        field=field,
+        value=value,
+    )
 
 
 def _build_accounts(items):
--- a/pistachiowell/platform/headers.py
+++ b/pistachiowell/platform/headers.py
@@ -26,6 +26,7 @@
 LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
 DELAY = b"retry-after"
+COLD = b"pistachiowell-cold-ms"
 BUSY_STATUS = 503
 NOT_RUN_STATUS = 421
 
@@ -135,6 +136,8 @@
     named = [value for name, value in headers if name.lower() == LIMIT]
     limits = [float(value) for value in named if _DECIMAL.fullmatch(value.strip())]
     delays = [v for n, v in headers if status == BUSY_STATUS and n.lower() == DELAY]
+    cold_times = [value for name, value in headers if name.lower() == COLD]
+    cold_ms = [_parse_milliseconds(v) for v in cold_times if _DECIMAL.fullmatch(v)]
     pauses = [float(value) for value in delays if _DECIMAL.fullmatch(value.strip())]
     return AnswerHead(
         status=status,
@@ -152,6 +155,8 @@
         pause_s=max(pauses, default=None),
         has_unreadable_pause=bool(delays) and not pauses,
         server_id=_text(values, HEALTHY_ID),
+        cold_left_s=max((s for s in cold_ms if s is not None), default=None),
+        has_unreadable_cold_time=len(cold_ms) < len(cold_times),
     )
 
 
--- a/pistachiowell/platform/servers.py
+++ b/pistachiowell/platform/servers.py
@@ -24,7 +24,7 @@
         slots: Number of requests that it runs at once.
         state: ``ready`` to accept new requests, ``draining`` to get none.
         started_ms: Unix time of its start in milliseconds.
-        cold_left_ms: Milliseconds for which the server stays slow after its start.
+        cold_left_ms: Milliseconds for which the server stays slow.
     """
 
     service: str
@@ -36,7 +36,7 @@
     started_ms: Annotated[int, msgspec.Meta(le=MAX_TIME_MS)] = msgspec.field(
         default=0, name="born"
     )
-    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_TIME_MS)] = 0.0
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_TIME_MS)] | None = None
 
 
 def decode_server(name, value):
@@ -70,5 +70,9 @@
         slots=max(1, entry.slots),
         is_leaving=entry.state == "draining",
         started_ms=entry.started_ms,
-        cold_left_s=max(0.0, entry.cold_left_ms / 1000),
+        cold_left_s=_seconds(entry.cold_left_ms),
     )
+
+
+def _seconds(milliseconds):
+    return None if milliseconds is None else max(0.0, milliseconds / 1000)
--- a/pistachiowell/routing/pick.py
+++ b/pistachiowell/routing/pick.py
@@ -16,11 +16,13 @@
         server: Name of the server.
         data_centre: Its data centre.
         distance: 0 in the same data centre, 1 in the same region, 2 beyond.
+        is_cold: Whether its answers are slow for a while.
     """
 
     server: str
     data_centre: str = ""
     distance: int = 0
+    is_cold: bool = False
 
 
 class Picker:
@@ -104,7 +106,9 @@
             if self._keeps_prefix(owner, near, now):
                 return owner
         pair = self._rng.sample(near, min(2, len(near)))
-        return min(pair, key=lambda c: self._loads.load_per_slot(c.server, now))
+        return min(
+            pair, key=lambda c: (c.is_cold, self._loads.load_per_slot(c.server, now))
+        )
 
     def _near(self, candidates, now):
         for distance in sorted({c.distance for c in candidates}):
--- a/pistachiowell/routing/placement.py
+++ b/pistachiowell/routing/placement.py
@@ -35,6 +35,7 @@
         distance_cost_s: Cost of each step of distance, such as another data centre, in
             seconds of wait.
         running_cost_s: Cost of each running request in seconds of wait.
+        cold_cost_s: Cost of an engine that is slow for a while, in seconds of wait.
         full_cost_s: Cost of an engine without free slots or memory in seconds of wait.
         max_cached_prefixes: Maximum number of cached prefixes recorded for one server.
         report_timeout_s: Age in seconds above which the reported load of other routers
@@ -48,6 +49,7 @@
     recompute_weight: float = 3.0
     distance_cost_s: float = 0.01
     running_cost_s: float = 0.002
+    cold_cost_s: float = 0.25
     full_cost_s: float = 5.0
     max_cached_prefixes: int = 4096
     report_timeout_s: float = 1.5
@@ -347,6 +349,7 @@
         cost = tokens / settings.prefill_tokens_per_s
         cost += load.running * settings.running_cost_s
         cost += candidate.distance * settings.distance_cost_s
+        cost += candidate.is_cold * settings.cold_cost_s
         needed = request.prompt_tokens + request.output_tokens
         is_full = load.running >= limits.slots
         if is_full or load.kv_tokens + needed > limits.kv_tokens:
