Keep requests in the home regions of their route and account

The configuration may name regions that the requests of a route or of an account must not leave, which nothing read: a retry or the rest of a stream went to whichever server was free.

HomeRegions of both apply where both are given, at each choice of a server.

--- a/pistachiowell/catalog/catalog.py
+++ b/pistachiowell/catalog/catalog.py
@@ -38,6 +38,8 @@
         is_public: Whether requests need no API key.
         is_resumable: Whether a broken stream may be resumed at another server.
         has_prompts: Whether requests describe a prompt for a model engine.
+        home_regions: Names of the regions whose servers requests may be sent to; empty
+            for all.
     """
 
     name: str
@@ -53,6 +55,7 @@
     is_public: bool = False
     is_resumable: bool = False
     has_prompts: bool = False
+    home_regions: frozenset = frozenset()
 
     @property
     def is_idempotent(self):
@@ -108,11 +111,14 @@
         name: Name of the account.
         priority: Rank that overrides the rank of the route; None to keep that.
         prepaid_tokens: Number of tokens paid for; None for an account without a budget.
+        home_regions: Names of the regions whose servers its requests may be sent to;
+            empty for all.
     """
 
     name: str
     priority: int | None = None
     prepaid_tokens: int | None = None
+    home_regions: frozenset = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -261,7 +261,9 @@
             return False
         if not run.retries.may_move_on(self._runtime.now(), self._retry_share(run)):
             return False
-        return self._selection.has_other_server(run.service, run.tried, run.priority)
+        return self._selection.has_other_server(
+            run.request, run.service, run.tried, run.priority
+        )
 
     async def _forward_answer(self, run, exchange, attempt, tracked, watch):
         request, events = run.request, run.events
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -163,6 +163,7 @@
             self._moves,
             self._silence,
             limits,
+            places,
             ServerStates(runtime, state, closed, limits, self._silence, places),
             settings,
             rng,
--- a/pistachiowell/gateway/places.py
+++ b/pistachiowell/gateway/places.py
@@ -1,5 +1,11 @@
 """Which data centres a request, or a probe, may be sent to now."""
 
+from pistachiowell.core.logs import part_logger
+
+MAX_UNKNOWN = 1_024
+
+_log = part_logger("places")
+
 
 class Places:
     """Leaves out evacuated data centres and those outside the home regions.
@@ -9,11 +15,12 @@
         state: The ``GatewayState``.
     """
 
-    __slots__ = ("_runtime", "_state")
+    __slots__ = ("_runtime", "_state", "_unknown")
 
     def __init__(self, runtime, state):
         self._runtime = runtime
         self._state = state
+        self._unknown = set()
 
     def is_evacuated(self, server):
         """Returns whether nothing may be sent to the data centre of a server.
@@ -26,6 +33,43 @@
         is_evacuated = evacuations.is_evacuated(server.data_centre, now)
         return is_evacuated or not evacuations.is_known
 
+    def home_regions(self, request):
+        """Returns the names of the regions that a request must not leave; None for all.
+
+        Those of its route and those of its account both apply.
+
+        Args:
+            request: The ``GatewayRequest``.
+        """
+        regions = self._runtime.settings.regions
+        limits = [request.route.home_regions]
+        if request.account is not None:
+            limits.append(request.account.home_regions)
+        limits = [homes for homes in limits if homes]
+        if not regions or not limits:
+            return None
+        self._log_unknown(frozenset.union(*limits) - set(regions.values()))
+        return frozenset.intersection(*limits)
+
+    def at_home(self, servers, request):
+        """Returns the servers in the home regions of a request.
+
+        Args:
+            servers: Each ``BackendServer``.
+            request: The ``GatewayRequest``.
+        """
+        homes = self.home_regions(request)
+        if homes is None:
+            return servers
+        regions = self._runtime.settings.regions
+        return [s for s in servers if regions.get(s.data_centre) in homes]
+
+    def _log_unknown(self, names):
+        for name in sorted(names - self._unknown):
+            if len(self._unknown) < MAX_UNKNOWN:
+                self._unknown.add(name)
+                _log.warning("A home region is not known.", region=name)
+
     def may_probe(self, server_id):
         """Returns whether a server may get a health check.
 
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -161,6 +161,7 @@
         moves: The ``GatewayMoves``; restricts the versions that an attempt may go to.
         silence: The ``SilenceMonitor``; leaves out servers that do not answer.
         limits: The ``ServerLimits``; leaves out servers whose limit is reached.
+        places: The ``Places``; tells in errors which regions a request must not leave.
         states: The ``ServerStates``; tells in errors why servers are closed.
         settings: ``GatewaySettings``.
         rng: A ``Random``.
@@ -178,6 +179,7 @@
         "_moves",
         "_picker",
         "_placer",
+        "_places",
         "_servers",
         "_settings",
         "_silence",
@@ -186,11 +188,14 @@
         "now",
     )
 
-    def __init__(self, servers, moves, silence, limits, states, settings, rng, now):
+    def __init__(
+        self, servers, moves, silence, limits, places, states, settings, rng, now
+    ):
         self._servers = servers
         self._moves = moves
         self._silence = silence
         self._limits = limits
+        self._places = places
         self._states = states
         self._settings = settings
         self.now = now
@@ -206,15 +211,16 @@
         """Returns the failures of a server that count against its health."""
         return self._health.failures(server_id)
 
-    def has_other_server(self, service_name, tried, priority):
+    def has_other_server(self, request, service_name, tried, priority):
         """Returns whether a server that answers has room for another attempt.
 
         Args:
+            request: The ``GatewayRequest``.
             service_name: Name of the service.
             tried: Ids of the servers of earlier attempts.
             priority: Rank of the attempt; 0 is the most urgent.
         """
-        allowed = self._allowed_servers(service_name, self.now())
+        allowed = self._allowed_servers(request, service_name, self.now())
         servers = self._limits.with_room(allowed, priority)
         names = [server.id for server in servers if server.id not in tried]
         return any(self._silence.is_answering(name) for name in names)
@@ -238,9 +244,9 @@
             NoRoom: The limits of all its servers are reached.
         """
         now = self.now()
-        allowed = self._allowed_servers(service_name, now)
+        allowed = self._allowed_servers(request, service_name, now)
         if not allowed:
-            raise self._no_server(service_name, now)
+            raise self._no_server(request, service_name, now)
         servers = {s.id: s for s in self._limits.with_room(allowed, priority)}
         if not servers:
             states = self._states.describe(allowed, priority)
@@ -261,16 +267,20 @@
         picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
         return Choice(servers[picked.server], work, expected_wait_s)
 
-    def _no_server(self, service_name, now):
+    def _no_server(self, request, service_name, now):
         text = f"Service {service_name} has no server that accepts work"
         available = self._servers.available_servers(service_name, now)
         if not available:
             return NoServer(f"{text}.")
-        return NoServer(f"{text} ({self._states.describe(available)}).")
+        at_home = self._places.at_home(available, request)
+        if not at_home:
+            homes = ", ".join(sorted(self._places.home_regions(request))) or "none"
+            return NoServer(f"{text} in the home regions of the request ({homes}).")
+        return NoServer(f"{text} ({self._states.describe(at_home)}).")
 
-    def _allowed_servers(self, service_name, now):
+    def _allowed_servers(self, request, service_name, now):
         available = self._servers.available_servers(service_name, now)
-        accepting = self._limits.accepting(available)
+        accepting = self._limits.accepting(available, request)
         return self._moves.filter_servers(service_name, accepting)
 
     def may_start(self, service_name, choice):
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -172,14 +172,19 @@
                 ran="no",
             )
 
-    def accepting(self, servers):
+    def accepting(self, servers, request):
         """Returns the servers that nothing has closed for good.
 
-        They have not said that they leave, and their data centres are not evacuated.
+        They have not said that they leave, their data centres are not evacuated, and
+        they are in the home regions of the request.
+
+        Args:
+            servers: Each ``BackendServer``.
+            request: The ``GatewayRequest``.
         """
         return [
             server
-            for server in servers
+            for server in self._places.at_home(servers, request)
             if not self._closed.is_leaving(incarnation_of(server))
             and not self._places.is_evacuated(server)
         ]
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -433,12 +433,12 @@
     settings = SimpleNamespace(data_centre="dc-0")
     silence = SimpleNamespace(usable=lambda names, now: names)
     limits = SimpleNamespace(
-        accepting=lambda servers: servers,
+        accepting=lambda servers, request: servers,
         with_room=lambda servers, priority: servers,
         is_cold=lambda server: False,
     )
     selection = Selection(
-        registry, moves, silence, limits, None, settings, Random(1), now
+        registry, moves, silence, limits, None, None, settings, Random(1), now
     )
     return selection, moves
 
--- a/pistachiowell/platform/configuration.py
+++ b/pistachiowell/platform/configuration.py
@@ -55,6 +55,7 @@
         resumable: Whether another server can continue a stream that broke off.
         service: The only service; empty if ``split`` names several.
         split: Services and their weights.
+        home_regions: Regions that its requests must not leave; None for all.
     """
 
     name: str
@@ -71,6 +72,7 @@
     resumable: bool = False
     service: str = ""
     split: list[_Split] = []
+    home_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct, rename="pascal"):
@@ -122,12 +124,14 @@
         api_keys: Keys that identify its requests.
         priority: Rank of its requests; None for that of the route.
         prepaid: Tokens paid for; None for an account without a budget.
+        home_regions: Regions that its requests must not leave; None for all.
     """
 
     name: str
     api_keys: list[str] = []
     priority: int | None = None
     prepaid: int | None = None
+    home_regions: list[str] | None = None
 
 
 class _Manifest(msgspec.Struct, rename="pascal"):
@@ -198,6 +202,7 @@
         is_public=item.public,
         is_resumable=item.resumable,
         has_prompts=item.sticky,
+        home_regions=frozenset(item.home_regions or ()),
     )
 
 
@@ -239,11 +244,12 @@
 def _build_accounts(items):
     if items is None:
         return None
-    return {
-        key: Account(item.name, item.priority, item.prepaid)
-        for item in items
-        for key in item.api_keys
-    }
+    return {key: _build_account(item) for item in items for key in item.api_keys}
+
+
+def _build_account(item):
+    homes = frozenset(item.home_regions or ())
+    return Account(item.name, item.priority, item.prepaid, homes)
 
 
 def _build_limits(item):
--- a/pistachiowell/platform/tests/test_evacuations.py
+++ b/pistachiowell/platform/tests/test_evacuations.py
@@ -49,16 +49,22 @@
         await rig.until(lambda: not evacuated(gateway), timeout_s=2.0)
 
 
-async def test_evacuation_is_learned_from_the_store_only(start_rig, monkeypatch):
+@pytest.mark.parametrize("gateways", [1, 5])
+async def test_evacuation_is_learned_from_the_store_only(
+    start_rig, monkeypatch, gateways
+):
     # Each gateway would watch the evacuations by itself, and calls grow with the fleet.
     monkeypatch.setattr(store_fallback, "MIN_AGENTS_STABLE_S", 0.2)
     async with start_rig() as rig:
         await add_servers(rig)
-        gateway = await add_linked_gateway(rig)
+        await add_linked_gateway(rig)
+        for number in range(1, gateways):
+            await rig.add_gateway(f"other-{number}", **SETTINGS)
         await anyio.sleep(1.0)
         before = rig.store.calls
         rig.store.put("evacuations", "east", "no object")
-        await rig.until(lambda: evacuated(gateway), timeout_s=2.0)
+        for gateway in rig.gateways:
+            await rig.until(lambda g=gateway: evacuated(g), timeout_s=2.0)
         await anyio.sleep(0.5)
         calls = rig.store.call_log[before:]
     assert sum("evacuations" in call for call in calls) <= 2 * AGENTS
@@ -180,3 +186,26 @@
         assert not [call for call in rig.store.call_log if "evacuations" in call]
         # Neither does one without version moves ask for their orders.
         assert not [call for call in rig.store.call_log if "rollouts" in call]
+
+
+async def test_silent_server_is_probed_after_its_evacuation(start_rig):
+    async def hang(request, stream):
+        await anyio.sleep_forever()
+
+    async with start_rig() as rig:
+        await add_servers(rig, script=hang)
+        server = rig.servers["a-1"]
+        gateway = await add_linked_gateway(rig)
+
+        server.health_answer = b""
+        async with anyio.create_task_group() as group:
+            while not server.health_checks:
+                group.start_soon(rig.send, "/read/x")
+                await anyio.sleep(0.05)
+        rig.store.put("evacuations", "east", {})
+        await rig.until(lambda: evacuated(gateway), timeout_s=2.0)
+        await anyio.sleep(0.2)
+        checks = len(server.health_checks)
+        # A probe that gets no answer is repeated after 5 s.
+        await anyio.sleep(6.0)
+        assert len(server.health_checks) == checks
