--- a/pistachiowell/catalog/leavings.py
+++ b/pistachiowell/catalog/leavings.py
@@ -36,6 +36,11 @@
         self._older_versions = {}
         self._seen_at = {}
 
+    @property
+    def is_older_list(self):
+        """Whether the present list may be of an older copy."""
+        return self._is_older_list
+
     def begin_older_list(self):
         """Lets the next list count as one that may be of an older copy."""
         self._is_older_list = True
--- a/pistachiowell/gateway/cold_servers.py
+++ b/pistachiowell/gateway/cold_servers.py
@@ -73,11 +73,13 @@
         """Seconds for which an agent's answer is waited for."""
         return self._settings.permit_s - self._settings.sent_within_s
 
-    def record_registration(self, server):
+    def record_registration(self, server, is_older=False):
         """Records a registration that has been written again.
 
         Args:
             server: The ``BackendServer``.
+            is_older: Whether it may be of an older copy of the store, which ends
+                nothing that is known.
         """
         if not self._settings.is_used:
             return
@@ -86,7 +88,9 @@
             self._begun_at[incarnation] = self._begin(server)
             if len(self._begun_at) > MAX_SERVERS:
                 del self._begun_at[next(iter(self._begun_at))]
-        if server.cold_left_s is not None:
+        now = self._runtime.now()
+        is_shorter = (server.cold_left_s or 0.0) < self._times.left_s(incarnation, now)
+        if server.cold_left_s is not None and not (is_older and is_shorter):
             self._record(incarnation, server.cold_left_s)
 
     def record_answer(self, incarnation, head):
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -173,6 +173,7 @@
     """
 
     __slots__ = (
+        "_cold_cost_s",
         "_health",
         "_limits",
         "_loads",
@@ -204,6 +205,7 @@
         self._health = HealthTable(routing)
         self._loads = LoadTable(routing)
         self._picker = PICKERS.find(routing.picker)(routing, self._loads, rng)
+        self._cold_cost_s = placement.cold_cost_s
         self.engines = EngineTable(placement)
         self._placer = PLACERS.find(placement.placer)(placement, self.engines, rng)
 
@@ -262,7 +264,8 @@
         engine = request.service.engine
         if engine is None or request.prompt is None:
             picked = self._picker.pick(candidates, "", now)
-            return Choice(servers[picked.server])
+            wait_s = self._cold_cost_s if picked.is_cold else 0.0
+            return Choice(servers[picked.server], expected_wait_s=wait_s)
         work = _work(request.prompt)
         picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
         return Choice(servers[picked.server], work, expected_wait_s)
--- a/pistachiowell/gateway/tests/test_cold_servers.py
+++ b/pistachiowell/gateway/tests/test_cold_servers.py
@@ -111,6 +111,13 @@
     assert not cold.is_cold(server(WALL_S - 900))
 
 
+def test_older_copy_of_the_store_ends_the_time_that_a_server_is_cold(cold, clock):
+    cold.record_registration(server(WALL_S - 900, 5.0))
+    clock.now_s += 2.0
+    cold.record_registration(server(WALL_S - 900, 0.0), is_older=True)
+    assert cold.left_s(server(WALL_S - 900)) == 3.0
+
+
 def test_deployment_without_a_bound_has_cold_servers(clock, state):
     settings = SimpleNamespace(id="g1", cold_overshoot=1.5, cold_extra=-1.0)
     runtime = SimpleNamespace(now=clock.now, metrics=Metrics(), settings=settings)
--- a/pistachiowell/gateway/watchers.py
+++ b/pistachiowell/gateway/watchers.py
@@ -114,7 +114,8 @@
     Attributes:
         on_change: Function that is called after each change of the digest.
         on_registration: Function that is called with each ``BackendServer`` whose
-            registration has been written again.
+            registration has been written again, and whether it may be of an older copy
+            of the store.
     """
 
     __slots__ = (
@@ -140,7 +141,7 @@
             runtime, codec.COLLECTION, self._record_outage_end, self._leavings
         )
         self.on_change = lambda: None
-        self.on_registration = lambda server: None
+        self.on_registration = lambda server, is_older: None
 
     @property
     def digest(self):
@@ -193,7 +194,7 @@
             if server is None:
                 _log.warning("Ignored a registration without a server.", server=name)
             else:
-                self.on_registration(server)
+                self.on_registration(server, self._leavings.is_older_list)
             known = self._decoded[name] = (item.version, server)
         return known[1]
 
--- a/pistachiowell/platform/tests/test_server_statements.py
+++ b/pistachiowell/platform/tests/test_server_statements.py
@@ -27,6 +27,7 @@
     (200, "Server-Leaving", "1", "is_leaving", True),
     (503, "Retry-After", "1.5", "pause_s", 1.5),
     (200, "Pistachiowell-Instance-Id", "i-1", "server_id", "i-1"),
+    (200, "Pistachiowell-Cold-Ms", "1500", "cold_left_s", 1.5),
 ]
 FIELDS = [
     ("Service", "desk", "service", "desk"),
