--- a/pistachiowell/gateway/evacuation_watch.py
+++ b/pistachiowell/gateway/evacuation_watch.py
@@ -103,6 +103,8 @@
     def reported(self):
         """Returns the evacuated data centres as reports to gateways name them."""
         names = self._state.evacuations.names
+        if not names:
+            return []
         known = self._known_data_centres()
         return sorted(names, key=lambda name: (name not in known, name))[:MAX_REPORTED]
 
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -244,7 +244,7 @@
             return True
         wait_s = await self._ask(incarnation, observation, shares, priority)
         if wait_s is None:
-            wait_s = 0.0 if shares is None else self._cold.take_turn(server, shares)
+            wait_s = self._wait_for_turn(server, shares) if shares is not None else 0.0
             if not wait_s and is_limited:
                 wait_s = self._take_slot(incarnation, observation)
         if not wait_s:
@@ -254,6 +254,10 @@
         self._runtime.metrics.count("servers.limit_reached")
         return False
 
+    def _wait_for_turn(self, server, shares):
+        self._runtime.metrics.count("servers.cold_turns")
+        return self._cold.take_turn(server, shares)
+
     def _take_slot(self, incarnation, observation):
         slots = self._slots.get(incarnation)
         if slots is None:
