--- a/pistachiowell/admission/__init__.py
+++ b/pistachiowell/admission/__init__.py
@@ -1,6 +1,13 @@
 """Admission control: decides which requests a backend server runs, and when."""
 
 from pistachiowell.admission.closures import ClosedBy, Closures
+from pistachiowell.admission.cold import (
+    ColdAdmission,
+    ColdSettings,
+    ColdTimes,
+    ColdTurns,
+    divide_bound,
+)
 from pistachiowell.admission.gateway_load import GatewayLoadSettings, LoadMeter
 from pistachiowell.admission.limits import LIMITS
 from pistachiowell.admission.overload import OVERLOAD_POLICIES, OverloadSettings
@@ -26,6 +33,10 @@
     "ClosedBy",
     "Closures",
     "GatewayLoadSettings",
+    "ColdAdmission",
+    "ColdSettings",
+    "ColdTimes",
+    "ColdTurns",
     "Incarnation",
     "LoadMeter",
     "Observation",
@@ -43,4 +54,5 @@
     "Start",
     "Ticket",
     "room_shares",
+    "divide_bound",
 ]
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -9,11 +9,15 @@
 from pistachiowell.core.runtime import Runtime
 from pistachiowell.gateway.budget_owner import BudgetOwner
 from pistachiowell.gateway.closed_servers import ClosedServers
+from pistachiowell.gateway.cold_reports import ColdReports
+from pistachiowell.gateway.cold_servers import ColdServers
+from pistachiowell.gateway.evacuation_watch import EvacuationWatcher
 from pistachiowell.gateway.leaving_servers import LeavingServers
 from pistachiowell.gateway.limit_owner import LimitOwner
 from pistachiowell.gateway.linked_watch import LinkedWatches
 from pistachiowell.gateway.load_reports import LoadReporter
 from pistachiowell.gateway.move_judge import MoveJudge
+from pistachiowell.gateway.places import Places
 from pistachiowell.gateway.room_owner import RoomOwner
 from pistachiowell.gateway.silence_probes import SilenceProbes
 from pistachiowell.gateway.state import GatewayState
@@ -54,8 +58,8 @@
     Args:
         settings: ``GatewayAgentSettings``.
         store: The platform's store.
-        adapter: Object with the codecs ``heads``, ``configuration``, ``servers`` and
-            ``moves``; see ``pistachiowell.platform.programs``.
+        adapter: Object with the codecs ``heads``, ``configuration``, ``servers``,
+            ``evacuations`` and ``moves``; see ``pistachiowell.platform.programs``.
         is_deputy: Whether it runs in a gateway, in place of an agent.
         closed: The ``ClosedServers`` of its gateway; None to keep its own.
     """
@@ -63,6 +67,7 @@
     __slots__ = (
         "_budget_owner",
         "_catalog_watcher",
+        "_cold_reports",
         "_compressed_document",
         "_compressed_source",
         "_crash_candidates",
@@ -99,14 +104,21 @@
         )
         self._handlers.on(FetchCatalog, quick=True)(self._handle_fetch)
         server_watcher = ServerWatcher(runtime, state, adapter.servers)
+        evacuation_watcher = EvacuationWatcher(runtime, state, adapter.evacuations)
         self._load_reporter = LoadReporter(
-            runtime, state, self._catalog_watcher, server_watcher, self._handlers
-        )
-        self._watches = LinkedWatches(
-            (self._catalog_watcher, server_watcher, self._move_watcher),
-            self._links,
-            runtime.now,
+            runtime,
+            state,
+            self._catalog_watcher,
+            server_watcher,
+            evacuation_watcher,
+            self._handlers,
         )
+        watchers = [self._catalog_watcher, server_watcher]
+        if state.evacuations.is_used:
+            watchers.append(evacuation_watcher)
+        if settings.follows_moves:
+            watchers.append(self._move_watcher)
+        self._watches = LinkedWatches(watchers, self._links, runtime.now)
         self._links.add_link_listener(self._load_reporter.add_link)
         self._crash_candidates = CrashCandidates(
             runtime,
@@ -115,7 +127,10 @@
             SHARED_SERVER_CRASHES,
             merge_s=CRASH_MERGE_S,
         )
-        limits = LimitOwner(runtime, self._links, self._handlers)
+        cold = ColdServers(runtime, state)
+        server_watcher.on_registration = cold.record_registration
+        self._cold_reports = ColdReports(runtime, self._links, cold, self._handlers)
+        limits = LimitOwner(runtime, self._links, state, cold, self._handlers)
         closed = closed or ClosedServers(runtime)
         leaving = LeavingServers(self._links, closed, self._handlers)
         self._silence_probes = SilenceProbes(
@@ -125,7 +140,9 @@
             self._links,
             limits,
             closed,
+            cold,
             leaving,
+            Places(runtime, state),
             self._handlers,
         )
 
@@ -159,6 +176,7 @@
             group.start_soon(self._room_owner.run)
             group.start_soon(self._crash_candidates.run_merging)
             group.start_soon(self._silence_probes.run)
+            group.start_soon(self._cold_reports.run)
             group.start_soon(serve_metrics, self._runtime)
             _log.info(
                 "Agent starts.",
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -15,12 +15,15 @@
 from pistachiowell.gateway.agents import AgentReports
 from pistachiowell.gateway.app import GatewayApp, ReadyApp
 from pistachiowell.gateway.closed_servers import ClosedServers
+from pistachiowell.gateway.cold_servers import ColdServers
 from pistachiowell.gateway.crash_relays import CrashRelays
 from pistachiowell.gateway.deputy import Deputy
 from pistachiowell.gateway.dispatch import Dispatch
+from pistachiowell.gateway.evacuation_watch import EvacuationWatcher
 from pistachiowell.gateway.grant_notices import GrantMemory
 from pistachiowell.gateway.load_sharing import LoadSharing
 from pistachiowell.gateway.moves import GatewayMoves
+from pistachiowell.gateway.places import Places
 from pistachiowell.gateway.planned_stop import ENDING_S, PlannedStop
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
@@ -54,6 +57,8 @@
 ROUTER_LIST_INTERVAL_S = 15.0
 CHECKED_LIST_INTERVAL_S = 120.0
 ROUTER_COUNT_INTERVAL_S = 5.0
+# Gateways that start together are not all registered when the first one lists them.
+NAMES_AFTER_S = 5.0
 # Gateways are registered as routers and share the fleet's fixed number of retries.
 # Assuming too few of them would give each one too large a share, for example before the
 # first list.
@@ -71,9 +76,9 @@
     Args:
         settings: ``GatewaySettings``.
         store: The platform's store.
-        adapter: Object with the codecs ``heads``, ``configuration``, ``servers`` and
-            ``moves``, with ``make_store`` and with ``ready_path``; see
-            ``pistachiowell.platform.programs``.
+        adapter: Object with the codecs ``heads``, ``configuration``, ``servers``,
+            ``evacuations`` and ``moves``, with ``make_store`` and with ``ready_path``;
+            see ``pistachiowell.platform.programs``.
     """
 
     __slots__ = (
@@ -85,6 +90,7 @@
         "_crashes",
         "_deputy",
         "_dispatch",
+        "_evacuation_fallback",
         "_fleet",
         "_grant_memory",
         "_http",
@@ -97,6 +103,7 @@
         "_ready",
         "_are_routers_listed",
         "_router_count",
+        "_router_names",
         "_runtime",
         "_selection",
         "_server_feed",
@@ -112,6 +119,7 @@
         self._state = state = GatewayState(settings)
         self._are_routers_listed = False
         self._router_count = MIN_ROUTERS
+        self._router_names = frozenset()
         self._catalog_watcher = CatalogWatcher(runtime, state, adapter.configuration)
         self._catalog_watcher.on_change = self._apply_limits
         self._server_watcher = ServerWatcher(runtime, state, adapter.servers)
@@ -125,6 +133,12 @@
         self._move_watcher = MoveOrderWatcher(
             runtime, adapter.moves, self._moves.apply_orders
         )
+        if not settings.follows_moves:
+            self._moves.apply_orders({})
+        places = Places(runtime, state)
+        cold = ColdServers(runtime, state)
+        cold.gateways = lambda: self._router_names
+        self._server_watcher.on_registration = cold.record_registration
         self._loop_watch = loop_watch = LoopWatch(lambda: bool(self._stop.in_progress))
         self._silence = SilenceMonitor(
             runtime, self._fleet, state, handlers, loop_watch
@@ -137,14 +151,22 @@
             "requests.refused_share", lambda: self._overload.refused_share
         )
         limits = ServerLimits(
-            runtime, self._fleet, closed, handlers, lambda: self._router_count, rng
+            runtime,
+            self._fleet,
+            closed,
+            places,
+            cold,
+            handlers,
+            lambda: self._router_count,
+            rng,
         )
         self._selection = selection = Selection(
             state.servers,
             self._moves,
             self._silence,
             limits,
-            ServerStates(runtime, state, closed, limits, self._silence),
+            places,
+            ServerStates(runtime, state, closed, limits, self._silence, places),
             settings,
             rng,
             runtime.now,
@@ -168,6 +190,13 @@
         self._catalog_fallback = StoreFallback(
             self._catalog_watcher, self._agent_reports.has_enough_agents, runtime.now
         )
+        evacuation_watcher = EvacuationWatcher(runtime, state, adapter.evacuations)
+        self._agent_reports.on_evacuations = evacuation_watcher.apply_report
+        self._evacuation_fallback = StoreFallback(
+            evacuation_watcher,
+            self._agent_reports.has_enough_for_evacuations,
+            runtime.now,
+        )
         relays = CrashRelays(self._fleet)
         self._crash_candidates = CrashCandidates(
             runtime, relays, handlers, SHARED_SERVER_CRASHES, passes_on=False
@@ -301,7 +330,10 @@
             group.start_soon(self._loop_watch.run)
             group.start_soon(self._deputy.run)
             group.start_soon(self._fleet.run)
-            group.start_soon(self._move_watcher.run)
+            if self._state.evacuations.is_used:
+                group.start_soon(self._evacuation_fallback.run)
+            if self._runtime.settings.follows_moves:
+                group.start_soon(self._move_watcher.run)
             group.start_soon(self._moves.run)
             group.start_soon(self._agent_reports.run)
             group.start_soon(self._agent_reports.send_loads)
@@ -337,6 +369,7 @@
         await keep_registered(self._runtime.store, ROUTERS, self._record())
 
     async def _count_routers(self):
+        started_at = self._runtime.now()
         listed_at = float("-inf")
         listed = MIN_ROUTERS
         while True:
@@ -347,10 +380,14 @@
             )
             if now - listed_at >= interval_s:
                 try:
-                    listed = len((await self._runtime.store.list(ROUTERS))[0])
+                    entries, _ = await self._runtime.store.list(ROUTERS)
                 except STORE_ERRORS as error:
                     _log.debug("Listing the routers failed; keeping them: {}", error)
                 else:
+                    listed = len(entries)
+                    if now - started_at >= NAMES_AFTER_S:
+                        names = frozenset(entry.name for entry in entries)
+                        self._router_names = names
                     self._are_routers_listed = True
                 if self._are_routers_listed:
                     listed_at = now
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -161,6 +161,7 @@
         moves: The ``GatewayMoves``; restricts the versions that an attempt may go to.
         silence: The ``SilenceMonitor``; leaves out servers that do not answer.
         limits: The ``ServerLimits``; leaves out servers whose limit is reached.
+        places: The ``Places``; tells in errors which regions a request must not leave.
         states: The ``ServerStates``; tells in errors why servers are closed.
         settings: ``GatewaySettings``.
         rng: A ``Random``.
@@ -172,12 +173,14 @@
     """
 
     __slots__ = (
+        "_cold_cost_s",
         "_health",
         "_limits",
         "_loads",
         "_moves",
         "_picker",
         "_placer",
+        "_places",
         "_servers",
         "_settings",
         "_silence",
@@ -186,11 +189,14 @@
         "now",
     )
 
-    def __init__(self, servers, moves, silence, limits, states, settings, rng, now):
+    def __init__(
+        self, servers, moves, silence, limits, places, states, settings, rng, now
+    ):
         self._servers = servers
         self._moves = moves
         self._silence = silence
         self._limits = limits
+        self._places = places
         self._states = states
         self._settings = settings
         self.now = now
@@ -199,6 +205,7 @@
         self._health = HealthTable(routing)
         self._loads = LoadTable(routing)
         self._picker = PICKERS.find(routing.picker)(routing, self._loads, rng)
+        self._cold_cost_s = placement.cold_cost_s
         self.engines = EngineTable(placement)
         self._placer = PLACERS.find(placement.placer)(placement, self.engines, rng)
 
@@ -206,15 +213,16 @@
         """Returns the failures of a server that count against its health."""
         return self._health.failures(server_id)
 
-    def has_other_server(self, service_name, tried, priority):
+    def has_other_server(self, request, service_name, tried, priority):
         """Returns whether a server that answers has room for another attempt.
 
         Args:
+            request: The ``GatewayRequest``.
             service_name: Name of the service.
             tried: Ids of the servers of earlier attempts.
             priority: Rank of the attempt; 0 is the most urgent.
         """
-        allowed = self._allowed_servers(service_name, self.now())
+        allowed = self._allowed_servers(request, service_name, self.now())
         servers = self._limits.with_room(allowed, priority)
         names = [server.id for server in servers if server.id not in tried]
         return any(self._silence.is_answering(name) for name in names)
@@ -238,9 +246,9 @@
             NoRoom: The limits of all its servers are reached.
         """
         now = self.now()
-        allowed = self._allowed_servers(service_name, now)
+        allowed = self._allowed_servers(request, service_name, now)
         if not allowed:
-            raise self._no_server(service_name, now)
+            raise self._no_server(request, service_name, now)
         servers = {s.id: s for s in self._limits.with_room(allowed, priority)}
         if not servers:
             states = self._states.describe(allowed, priority)
@@ -256,21 +264,26 @@
         engine = request.service.engine
         if engine is None or request.prompt is None:
             picked = self._picker.pick(candidates, "", now)
-            return Choice(servers[picked.server])
+            wait_s = self._cold_cost_s if picked.is_cold else 0.0
+            return Choice(servers[picked.server], expected_wait_s=wait_s)
         work = _work(request.prompt)
         picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
         return Choice(servers[picked.server], work, expected_wait_s)
 
-    def _no_server(self, service_name, now):
+    def _no_server(self, request, service_name, now):
         text = f"Service {service_name} has no server that accepts work"
         available = self._servers.available_servers(service_name, now)
         if not available:
             return NoServer(f"{text}.")
-        return NoServer(f"{text} ({self._states.describe(available)}).")
+        at_home = self._places.at_home(available, request)
+        if not at_home:
+            homes = ", ".join(sorted(self._places.home_regions(request))) or "none"
+            return NoServer(f"{text} in the home regions of the request ({homes}).")
+        return NoServer(f"{text} ({self._states.describe(at_home)}).")
 
-    def _allowed_servers(self, service_name, now):
+    def _allowed_servers(self, request, service_name, now):
         available = self._servers.available_servers(service_name, now)
-        accepting = self._limits.accepting(available)
+        accepting = self._limits.accepting(available, request)
         return self._moves.filter_servers(service_name, accepting)
 
     def may_start(self, service_name, choice):
@@ -357,7 +370,8 @@
 
     def _candidate(self, server):
         is_near = server.data_centre == self._settings.data_centre
-        return Candidate(server.id, server.data_centre, 0 if is_near else 1)
+        is_cold = self._limits.is_cold(server)
+        return Candidate(server.id, server.data_centre, 0 if is_near else 1, is_cold)
 
 
 def _work(prompt):
--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/silence_probes.py
@@ -48,32 +48,50 @@
         links: The ``LinkSet`` of the gateways.
         limits: The ``LimitOwner``; a probe is one of the requests that it admits.
         closed: The ``ClosedServers``, which get no probes.
+        cold: The ``ColdServers``; told what the answers say.
         leaving: The ``LeavingServers``; told of the servers that tell a probe that they
             leave.
+        places: The ``Places``; servers of evacuated data centres get no probes.
         handlers: Handlers of the links to gateways; this registers its own.
     """
 
     __slots__ = (
         "_closed",
         "_codec",
+        "_cold",
         "_doubted",
         "_group",
         "_leaving",
         "_limits",
         "_links",
+        "_places",
         "_probed",
         "_runtime",
         "_state",
     )
 
-    def __init__(self, runtime, state, codec, links, limits, closed, leaving, handlers):
+    def __init__(
+        self,
+        runtime,
+        state,
+        codec,
+        links,
+        limits,
+        closed,
+        cold,
+        leaving,
+        places,
+        handlers,
+    ):
         self._runtime = runtime
         self._state = state
         self._codec = codec
         self._links = links
         self._limits = limits
         self._closed = closed
+        self._cold = cold
         self._leaving = leaving
+        self._places = places
         self._group = None
         self._probed = {}
         self._doubted = {}
@@ -148,19 +166,25 @@
             if pause_s := self._closed.wait_s(incarnation):
                 await anyio.sleep(min(pause_s, RENEW_INTERVAL_S))
                 continue
+            if not self._places.may_probe(report.server):
+                await anyio.sleep(RENEW_INTERVAL_S)
+                continue
             await self._limits.wait_for_room(report.server)
+            admitted_at = self._runtime.now()
             if self._closed.closed_by(incarnation):
                 continue
             _log.info("Server is probed.", server=report.server)
             with anyio.move_on_after(PROBE_TIMEOUT_S):
                 try:
-                    head = await self._probe(report)
+                    head = await self._probe(report, admitted_at)
                 except (EndlessHeadError, httpcore.ConnectError) as error:
                     # A server that sends anything, or has ended, is no silent one.
                     _log.info("A probe ended without an answer.", error=str(error))
                     return True
                 except HTTP_ERRORS as error:
                     _log.debug("A probe failed and is repeated: {}", error)
+                except _PutOffError:
+                    _log.info("A probe is put off.", server=report.server)
                 else:
                     self._record_answer(incarnation, head)
                     return True
@@ -177,11 +201,12 @@
         # The address of a server that has ended may be used by another one.
         if head.server_id not in ("", incarnation.server):
             return
+        self._cold.record_answer(incarnation, head)
         if self._closed.record_answer(incarnation, head, TOLD_BY_PROBE):
             message = ServerLeaving(incarnation.server, incarnation.started_ms)
             self._leaving.tell(message)
 
-    async def _probe(self, report):
+    async def _probe(self, report, admitted_at):
         """Sends a health check and returns the ``AnswerHead``; reads no body."""
         catalog = self._state.catalog
         service = catalog.services.get(report.service) if catalog else None
@@ -190,6 +215,10 @@
         connection = ServerConnection(*_parse_address(report.address))
         try:
             await connection.open()
+            # The data centre may have been evacuated while the probe connected.
+            is_open = self._places.may_probe(report.server)
+            if not is_open or not self._limits.may_send(report.server, admitted_at):
+                raise _PutOffError
             response = await connection.request("GET", path, headers, b"")
             return self._codec.read_answer_head(response.status, response.headers)
         finally:
@@ -197,6 +226,10 @@
                 await connection.aclose()
 
 
+class _PutOffError(Exception):
+    """The server must get nothing now."""
+
+
 def _parse_address(text):
     """Returns the IP address and port of a text; None if it has none.
 
--- a/pistachiowell/gateway/watchers.py
+++ b/pistachiowell/gateway/watchers.py
@@ -45,7 +45,7 @@
         self._runtime = runtime
         self._state = state
         self._codec = codec
-        self._observer = _Observer(runtime, codec.COLLECTION)
+        self._observer = StoreObserver(runtime, codec.COLLECTION)
         self.on_change = lambda catalog: None
         self.document = None
 
@@ -113,6 +113,9 @@
 
     Attributes:
         on_change: Function that is called after each change of the digest.
+        on_registration: Function that is called with each ``BackendServer`` whose
+            registration has been written again, and whether it may be of an older copy
+            of the store.
     """
 
     __slots__ = (
@@ -124,6 +127,7 @@
         "_runtime",
         "_state",
         "on_change",
+        "on_registration",
     )
 
     def __init__(self, runtime, state, codec):
@@ -137,6 +141,7 @@
             runtime, codec.COLLECTION, self._record_outage_end, self._leavings
         )
         self.on_change = lambda: None
+        self.on_registration = lambda server, is_older: None
 
     @property
     def digest(self):
@@ -144,7 +149,9 @@
         return self._digest if self._observer.is_connected else 0
 
     def _record_outage_end(self):
-        self._state.servers.record_outage_end(self._runtime.now())
+        now = self._runtime.now()
+        self._state.servers.record_outage_end(now)
+        self._state.evacuations.require_confirmation(now)
 
     def mark_stopped(self):
         """Records that the store is no longer followed."""
@@ -186,6 +193,8 @@
             server = self._codec.decode_server(name, item.value)
             if server is None:
                 _log.warning("Ignored a registration without a server.", server=name)
+            else:
+                self.on_registration(server, self._leavings.is_older_list)
             known = self._decoded[name] = (item.version, server)
         return known[1]
 
@@ -231,7 +240,7 @@
         async for objects in follow_collection(
             self._runtime.store,
             collection,
-            observer=_Observer(self._runtime, collection),
+            observer=StoreObserver(self._runtime, collection),
             max_delay_s=MAX_MOVES_RETRY_DELAY_S,
         ):
             orders = {}
@@ -244,7 +253,7 @@
             self._apply_orders(orders)
 
 
-class _Observer(FollowObserver):
+class StoreObserver(FollowObserver):
     """Records whether the store answers, and calls a function once it does again.
 
     Args:
@@ -267,9 +276,11 @@
         self.is_connected = False
 
     def on_confirmed(self):
+        """Records that the store answers."""
         self.is_connected = True
 
     def on_outage(self, error):
+        """Records and logs that the store does not answer."""
         self.is_connected = False
         self._lost_at = self._runtime.now()
         self._runtime.metrics.count("store.losses")
@@ -278,6 +289,7 @@
         )
 
     def on_recovery(self):
+        """Logs that the store answers again."""
         _log.info(
             "The store answers again.",
             collection=self._collection,
@@ -286,16 +298,17 @@
         self._on_recovery()
 
     def on_return(self):
+        """Handles a return like the end of an outage."""
         self._on_recovery()
 
 
-class _ServersObserver(_Observer):
+class _ServersObserver(StoreObserver):
     """Lets the next list of servers be taken as one that may be older.
 
     Args:
         runtime: The process's ``Runtime``.
         collection: Name of the followed collection.
-        on_recovery: See ``_Observer``.
+        on_recovery: See ``StoreObserver``.
         leavings: The ``Leavings``.
     """
 
