Avoid servers that refuse connections after the first refusal

Cause: a refused connection counted against a server's health like a failed request, and only the third in a row ejected it. A crashed server is idle, so the placement by expected wait preferred it to all that worked, each refused attempt marked the prefix of its prompt as cached there, and sends that reached no server used up the two that a request has beyond its route's attempts. So a request met three crashed servers and was refused with no_server. An ejection by id also outlived the restart of a server.

Change: one refused connection has the server left out for all requests of the gateway, for 0.5 s and twice as long each further time, until its registration changes, it answers a request or no other server is left; one request at a time tries it again. It no longer counts for the ejection. The cache estimate of the engine is dropped. A send that did not arrive counts only once no other server is left.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -173,6 +173,7 @@
             str(error.code),
             error.ran,
             may_have_arrived=not isinstance(error, (NotConnected, ServerClosed)),
+            has_other_server=self._has_other_server(run),
         )
         now = self._runtime.now()
         if not run.retries.may_retry(failure, now, self._retry_share(run)):
@@ -261,6 +262,9 @@
             return False
         if not run.retries.may_move_on(self._runtime.now(), self._retry_share(run)):
             return False
+        return self._has_other_server(run)
+
+    def _has_other_server(self, run):
         return self._selection.has_other_server(run.service, run.tried, run.priority)
 
     async def _forward_answer(self, run, exchange, attempt, tracked, watch):
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -147,6 +147,7 @@
             rng,
             runtime.now,
         )
+        runtime.metrics.watch("servers.avoided", lambda: selection.avoided_servers)
         self._agent_reports = AgentReports(
             runtime,
             self._fleet,
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from pistachiowell.core.errors import NoServer
+from pistachiowell.gateway.exchange import NotConnected
 from pistachiowell.gateway.load_reports import decode_load
 from pistachiowell.routing import (
     NO_LOAD,
@@ -15,13 +16,15 @@
     LoadTable,
     PlacementSettings,
     RoutingSettings,
+    UnreachableServers,
+    UnreachableSettings,
     place_crash_candidate,
 )
 
 # Codes of errors that count against the health of a server, and against the version
 # that it runs while a move is open. A version that refuses work which the old one
 # accepts is worse.
-HEALTH_FAULTS = frozenset({"server_failed", "answer_broken", "no_server"})
+HEALTH_FAULTS = frozenset({"server_failed", "answer_broken"})
 VERSION_FAULTS = frozenset(
     {"server_failed", "answer_broken", "deadline_exceeded", "overloaded"}
 )
@@ -43,7 +46,9 @@
 
     Attributes:
         server: The ``BackendServer``.
+        started_at: Time of the start in seconds.
         expected_wait_s: Expected wait for the first token in seconds.
+        has_answered: Whether the head of an answer has come.
         latency_s: Seconds from the start to the first byte of the answer; None before.
     """
 
@@ -53,10 +58,11 @@
         "_move_attempt",
         "_placed",
         "_selection",
-        "_started_at",
         "expected_wait_s",
+        "has_answered",
         "latency_s",
         "server",
+        "started_at",
     )
 
     def __init__(
@@ -74,15 +80,16 @@
         self._fingerprint = fingerprint
         self._has_failed = False
         self._placed = placed
-        self._started_at = now
+        self.started_at = now
         self.server = server
         self.expected_wait_s = expected_wait_s
+        self.has_answered = False
         self.latency_s = None
 
     @property
     def age_s(self):
         """Seconds since the start."""
-        return self._selection.now() - self._started_at
+        return self._selection.now() - self.started_at
 
     def record_status(self, status):
         """Records the status of the answer.
@@ -90,6 +97,7 @@
         An answer that is passed on to the caller as it is may still be a failure of the
         version that gave it.
         """
+        self.has_answered = True
         self._has_failed = status >= SERVER_ERROR_STATUS
 
     def record_first_byte(self):
@@ -97,7 +105,7 @@
         if self.latency_s is not None:
             return
         now = self._selection.now()
-        self.latency_s = now - self._started_at
+        self.latency_s = now - self.started_at
         if self._move_attempt is not None:
             self._move_attempt.record_first_part(now)
         if self._placed is not None:
@@ -120,11 +128,11 @@
         if self._move_attempt is not None:
             self._move_attempt.stop_waiting()
         exempt = error is not None and is_exempt(self._fingerprint, self.server.id)
-        self._selection.record_end(self.server, error, self.latency_s)
+        self._selection.record_end(self, error)
         code = str(error.code) if error is not None else ""
         if error is None or (code in VERSION_FAULTS and not exempt):
             failed = error is not None or self._has_failed
-            self._selection.record_version_answer(self.server, failed, self._started_at)
+            self._selection.record_version_answer(self.server, failed, self.started_at)
 
     def record_abandoned(self):
         """Records that the attempt was given up and shows nothing about its server."""
@@ -182,6 +190,7 @@
         "_settings",
         "_silence",
         "_states",
+        "_unreachable",
         "engines",
         "now",
     )
@@ -198,10 +207,16 @@
         placement = PlacementSettings()
         self._health = HealthTable(routing)
         self._loads = LoadTable(routing)
+        self._unreachable = UnreachableServers(UnreachableSettings())
         self._picker = PICKERS.find(routing.picker)(routing, self._loads, rng)
         self.engines = EngineTable(placement)
         self._placer = PLACERS.find(placement.placer)(placement, self.engines, rng)
 
+    @property
+    def avoided_servers(self):
+        """Number of servers that are avoided because they refused a connection."""
+        return self._unreachable.count(self.now())
+
     def failures(self, server_id):
         """Returns the failures of a server that count against its health."""
         return self._health.failures(server_id)
@@ -214,10 +229,14 @@
             tried: Ids of the servers of earlier attempts.
             priority: Rank of the attempt; 0 is the most urgent.
         """
-        allowed = self._allowed_servers(service_name, self.now())
-        servers = self._limits.with_room(allowed, priority)
-        names = [server.id for server in servers if server.id not in tried]
-        return any(self._silence.is_answering(name) for name in names)
+        now = self.now()
+        allowed = self._allowed_servers(service_name, now)
+        return any(
+            server.id not in tried
+            and not self._unreachable.is_avoided(_registration(server), now)
+            and self._silence.is_answering(server.id)
+            for server in self._limits.with_room(allowed, priority)
+        )
 
     def choose(self, request, service_name, tried, crashed_servers, priority):
         """Chooses a server for an attempt.
@@ -241,7 +260,7 @@
         allowed = self._allowed_servers(service_name, now)
         if not allowed:
             raise self._no_server(service_name, now)
-        servers = {s.id: s for s in self._limits.with_room(allowed, priority)}
+        servers = self._reachable(self._limits.with_room(allowed, priority), now)
         if not servers:
             states = self._states.describe(allowed, priority)
             raise self._limits.no_room(allowed, priority, states)
@@ -261,6 +280,12 @@
         picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
         return Choice(servers[picked.server], work, expected_wait_s)
 
+    def _reachable(self, servers, now):
+        """Returns the servers by id without those that refuse connections."""
+        by_registration = {_registration(server): server for server in servers}
+        usable = self._unreachable.usable(by_registration, now)
+        return {by_registration[r].id: by_registration[r] for r in usable}
+
     def _no_server(self, service_name, now):
         text = f"Service {service_name} has no server that accepts work"
         available = self._servers.available_servers(service_name, now)
@@ -294,6 +319,7 @@
         self._loads.set_slots(server.id, server.slots)
         self._loads.record_sent(server.id)
         self._health.record_start(server.id, now)
+        self._unreachable.record_start(_registration(server), now)
         move_attempt = self._moves.record_start(service_name, server, now)
         return Attempt(
             self,
@@ -326,15 +352,17 @@
         loads = {address: self.engines.own_load(name) for address, name in ids.items()}
         return {address: load for address, load in loads.items() if load != NO_LOAD}
 
-    def record_end(self, server, error, latency_s):
+    def record_end(self, attempt, error):
         """Records the end of an attempt; see ``Attempt.record_end``.
 
         A server that refuses requests because of overload is healthy, and an attempt
         that ended for another reason without a fault of the server shows nothing about
-        its health. Neither counts as a failure of the server.
+        its health. Neither counts as a failure of the server. A refused connection has
+        the server avoided at once.
         """
-        now = self.now()
-        server_id = server.id
+        now, latency_s = self.now(), attempt.latency_s
+        server_id = attempt.server.id
+        self._record_reachability(attempt, error, now)
         self._loads.record_end(server_id)
         if error is None and latency_s is not None:
             self._health.record_success(server_id, latency_s, now)
@@ -346,6 +374,16 @@
         else:
             self._health.record_inconclusive(server_id)
 
+    def _record_reachability(self, attempt, error, now):
+        registration = _registration(attempt.server)
+        if isinstance(error, NotConnected):
+            self._unreachable.record_refusal(registration, now)
+            self.engines.record_gone(attempt.server.id)
+        elif attempt.has_answered:
+            self._unreachable.record_answer(registration, attempt.started_at)
+        else:
+            self._unreachable.record_inconclusive(registration)
+
     def record_version_answer(self, server, failed, started_at):
         """Records an answer that counts for the version of its server."""
         self._moves.record_end(server.service, server, failed, started_at)
@@ -354,12 +392,17 @@
         """Records the end of an attempt that was given up; see ``Attempt``."""
         self._loads.record_end(server.id)
         self._health.record_inconclusive(server.id)
+        self._unreachable.record_inconclusive(_registration(server))
 
     def _candidate(self, server):
         is_near = server.data_centre == self._settings.data_centre
         return Candidate(server.id, server.data_centre, 0 if is_near else 1)
 
 
+def _registration(server):
+    return (server.id, server.address, server.started_ms)
+
+
 def _work(prompt):
     output_tokens = int(EXPECTED_OUTPUT_SHARE * prompt.max_output_tokens)
     return EngineRequest(prompt.tokens, output_tokens, prompt.parts)
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -44,6 +44,10 @@
 from pistachiowell.routing.sharing import REPORT_PACERS, LoadSums, SharingSettings
 from pistachiowell.routing.silence import SILENCE_DETECTORS, SilenceSettings
 from pistachiowell.routing.split import SPLITTERS
+from pistachiowell.routing.unreachable import (
+    UnreachableServers,
+    UnreachableSettings,
+)
 from pistachiowell.routing.usual_wait import UsualWait
 
 __all__ = [
@@ -88,6 +92,8 @@
     "SharingSettings",
     "SilenceSettings",
     "SuspectKind",
+    "UnreachableServers",
+    "UnreachableSettings",
     "fingerprint",
     "part_names",
     "place_crash_candidate",
--- a/pistachiowell/routing/placement.py
+++ b/pistachiowell/routing/placement.py
@@ -211,6 +211,12 @@
         engine.kv_tokens -= placed.kv_tokens
         self.on_change()
 
+    def record_gone(self, server):
+        """Records that an engine refuses connections, so that its cache is lost."""
+        engine = self._engines.get(server)
+        if engine is not None:
+            engine.cached.clear()
+
     def uncached_tokens(self, server, request, now):
         """Returns the prompt tokens that an engine is not expected to have cached."""
         engine = self._engines.get(server)
--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -32,6 +32,8 @@
         retry_after_s: Delay in seconds that the refusal asks for.
         delivered_bytes: Bytes of its answer that the caller already has.
         may_have_arrived: Whether the server may have received the request.
+        has_other_server: Whether a server that has not refused a connection is left for
+            the next attempt.
     """
 
     code: str
@@ -39,6 +41,7 @@
     retry_after_s: float = 0.0
     delivered_bytes: int = 0
     may_have_arrived: bool = True
+    has_other_server: bool = False
 
 
 class RetryBudget:
@@ -278,7 +281,9 @@
     only. One that may have run counts against the attempts that the route allows, too.
     A request that the server cannot have received is sent again without spending a
     retry. In all at most ``MAX_EXTRA_SENDS`` more attempts start than the route allows
-    to run.
+    to run. An attempt that did not arrive is not among them while another server is
+    left: each server is avoided once it has refused a connection, so these attempts are
+    bounded by the servers, for all requests together.
 
     Args:
         route: The ``Route``.
@@ -289,11 +294,19 @@
             caller must say.
     """
 
-    __slots__ = ("_deadline", "_route", "_runs", "_sends", "may_have_run")
+    __slots__ = (
+        "_deadline",
+        "_free_sends",
+        "_route",
+        "_runs",
+        "_sends",
+        "may_have_run",
+    )
 
     def __init__(self, route, deadline):
         self._route = route
         self._deadline = deadline
+        self._free_sends = 0
         self._runs = 0
         self._sends = 0
         self.may_have_run = False
@@ -326,6 +339,8 @@
         if failure.ran != "no":
             self.may_have_run = True
             self._runs += 1
+        if not failure.may_have_arrived and failure.has_other_server:
+            self._free_sends += 1
         if not self._may_send_again(now, self._runs, self.may_have_run):
             return False
         return failure.may_have_arrived is False or share.try_spend(now)
@@ -347,6 +362,7 @@
             return False
         if runs >= self._route.max_attempts:
             return False
-        if self._sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
+        sends = self._sends - self._free_sends
+        if sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
             return False
         return self._deadline - now >= MIN_RETRY_TIME_S
