Decide when a second attempt is sent beside a slow first one

Cause: a few slow answers set the latency that callers notice, though other servers are idle meanwhile.

Change: the decision without I/O: a histogram of the recent times to the answer by service and kind of request, the delay as their 95th percentile, a budget that saves a part of a hedge with each request and also spends a retry of the fleet, of which half stays for failures, and the signs of load at which hedges stop.

--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -20,6 +20,11 @@
 )
 from pistachiowell.routing.credits import CREDIT_POOLS, AbortStream, CreditSettings
 from pistachiowell.routing.health import HealthTable
+from pistachiowell.routing.hedging import (
+    HEDGE_POLICIES,
+    HedgeDenial,
+    HedgeSettings,
+)
 from pistachiowell.routing.load import LoadTable
 from pistachiowell.routing.pick import PICKERS, Candidate, rendezvous
 from pistachiowell.routing.placement import (
@@ -54,6 +59,7 @@
     "ASSEMBLERS",
     "CRASH_LEDGERS",
     "CREDIT_POOLS",
+    "HEDGE_POLICIES",
     "PART_CRASHES",
     "PICKERS",
     "PLACERS",
@@ -77,6 +83,8 @@
     "FingerprintStatus",
     "Finished",
     "HealthTable",
+    "HedgeDenial",
+    "HedgeSettings",
     "LoadSums",
     "NO_LOAD",
     "LoadTable",
--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -249,22 +249,27 @@
         self._remove_before_window(now)
         self._requests_at.append(now)
 
-    def try_spend(self, now):
-        """Spends one retry of the share; returns whether one was left."""
-        if not self.has_left(now):
+    def try_spend(self, now, kept_share=0.0):
+        """Spends one retry of the share; returns whether one was left.
+
+        Args:
+            now: Present time in seconds.
+            kept_share: Share of the allowance that is kept for others.
+        """
+        if not self.has_left(now, kept_share):
             return False
         self._retries_at.append(now)
         return True
 
-    def has_left(self, now):
-        """Returns whether a retry of the share is left."""
+    def has_left(self, now, kept_share=0.0):
+        """Returns whether a retry of the share is left; see ``try_spend``."""
         self._remove_before_window(now)
         settings = self._settings
         fixed = settings.fixed / max(1, self._routers())
         is_starting = now < self._started_at + settings.start_s
         fixed *= 1 - settings.safety if is_starting else settings.safety
         allowed = settings.safety * settings.ratio * len(self._requests_at) + fixed
-        return len(self._retries_at) + 1 <= allowed
+        return len(self._retries_at) + 1 <= (1.0 - kept_share) * allowed
 
     def _remove_before_window(self, now):
         begin = now - self._settings.window_s
@@ -328,6 +333,16 @@
         self._sends += 1
         return self._sends
 
+    def record_failure(self, failure):
+        """Records the failure of an attempt beside which another one goes on.
+
+        Args:
+            failure: The ``AttemptFailure``.
+        """
+        if failure.ran != "no":
+            self.may_have_run = True
+            self._runs += 1
+
     def may_retry(self, failure, now, share):
         """Decides whether another attempt may start, and spends a retry if so.
 
@@ -336,9 +351,7 @@
             now: Present time in seconds.
             share: The ``RetryShare`` of the service that the next attempt goes to.
         """
-        if failure.ran != "no":
-            self.may_have_run = True
-            self._runs += 1
+        self.record_failure(failure)
         if not failure.may_have_arrived and failure.has_other_server:
             self._free_sends += 1
         if not self._may_send_again(now, self._runs, self.may_have_run):
@@ -346,9 +359,9 @@
         return failure.may_have_arrived is False or share.try_spend(now)
 
     def may_move_on(self, now, share):
-        """Returns whether a retry would be allowed if the attempt were given up now.
+        """Returns whether another attempt would be allowed before the present one ends.
 
-        The attempt may have run. Nothing is spent.
+        The present one may have run. Nothing is spent.
 
         Args:
             now: Present time in seconds.
