Send a second attempt beside one whose answer is slow

Cause: one server that is held up for a moment keeps its callers waiting while others are idle.

Change: a plain request that may be repeated runs its first attempt in a race. Once the learned delay has passed, a second attempt goes to another server against which nothing speaks. The first complete answer wins and the other attempt is cancelled, which closes its connection; an error of one does not end the other. The answer is sent after both have ended.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -1,31 +1,23 @@
 """Runs requests at backend servers, with retries, and forwards their answers."""
 
-from contextlib import contextmanager
-
 import anyio
 
 from pistachiowell.core.errors import (
-    AnswerBroken,
     DeadlineExceeded,
     NoServer,
     PistachiowellError,
     ServerFailed,
 )
 from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.attempt_records import attempt_failure, recorded_attempt
 from pistachiowell.gateway.connections import ConnectionPool
-from pistachiowell.gateway.exchange import ConnectionBroken, Exchange, NotConnected
+from pistachiowell.gateway.exchange import Exchange
+from pistachiowell.gateway.forwarding import AnswerForwarder, ServerErrorAnswer
 from pistachiowell.gateway.late_heads import LateHeads
 from pistachiowell.gateway.run import Run
-from pistachiowell.gateway.server_limits import NoRoom, ServerClosed
-from pistachiowell.gateway.silence import SilentServer
-from pistachiowell.routing import (
-    SPLITTERS,
-    AttemptFailure,
-    RetryShare,
-    RetryShareSettings,
-)
+from pistachiowell.gateway.server_limits import NoRoom
+from pistachiowell.routing import SPLITTERS
 
-SERVER_ERROR_STATUS = 500
 DEFAULT_RETRY_AFTER_S = 0.3
 CLOSE_IDLE_INTERVAL_S = 0.25
 NOT_RUN = "no"
@@ -45,26 +37,25 @@
         silence: The ``SilenceMonitor``.
         limits: The ``ServerLimits``.
         crashes: The ``ServerCrashes``.
+        retry_shares: The ``RetryShares``.
+        hedges: The ``Hedges``.
         loop_watch: The ``LoopWatch``.
         codec: Codec of heads; see ``pistachiowell.platform.headers``.
-        router_count: Function that returns the number of gateways that may be running;
-            they are registered as routers.
         rng: A ``Random``.
     """
 
     __slots__ = (
         "_codec",
         "_crashes",
+        "_hedges",
         "_late_heads",
         "_limits",
         "_pool",
         "_retry_shares",
-        "_router_count",
         "_runtime",
         "_selection",
         "_silence",
         "_splitter",
-        "_started_at",
     )
 
     def __init__(
@@ -74,9 +65,10 @@
         silence,
         limits,
         crashes,
+        retry_shares,
+        hedges,
         loop_watch,
         codec,
-        router_count,
         rng,
     ):
         self._runtime = runtime
@@ -84,12 +76,11 @@
         self._silence = silence
         self._limits = limits
         self._crashes = crashes
+        self._retry_shares = retry_shares
+        self._hedges = hedges
         self._codec = codec
-        self._router_count = router_count
         self._pool = ConnectionPool(runtime.now, loop_watch.deadline)
         self._late_heads = LateHeads(codec, limits.record_closure)
-        self._retry_shares = {}
-        self._started_at = runtime.now()
         self._splitter = SPLITTERS.find("smooth")(rng)
 
     @property
@@ -127,7 +118,7 @@
             crashed_servers = self._check_crashes(run)
             number = run.retries.start(self._runtime.now(), self._retry_share(run))
             try:
-                await self._run_attempt(run, number, crashed_servers)
+                await self._run_attempts(run, number, crashed_servers)
                 return
             except NoRoom as error:
                 raise self._final_error(run, error) from error
@@ -169,12 +160,8 @@
         # caller would receive parts of two different answers as one.
         if run.writer.has_started and not run.request.route.is_resumable:
             return False
-        failure = AttemptFailure(
-            str(error.code),
-            error.ran,
-            may_have_arrived=not isinstance(error, (NotConnected, ServerClosed)),
-            has_other_server=self._has_other_server(run),
-        )
+        has_other_server = self._has_other_server(run)
+        failure = attempt_failure(error, has_other_server=has_other_server)
         now = self._runtime.now()
         if not run.retries.may_retry(failure, now, self._retry_share(run)):
             return False
@@ -191,7 +178,7 @@
             cause=error.message,
             retries=retry_share.retries,
             requests=retry_share.requests,
-            routers=self._router_count(),
+            routers=self._retry_shares.routers,
         )
 
     def _final_error(self, run, error):
@@ -213,9 +200,21 @@
             if is_admitted and self._selection.may_start(run.service, choice):
                 return choice
 
-    async def _run_attempt(self, run, number, crashed_servers):
+    async def _run_attempts(self, run, number, crashed_servers):
+        """Runs an attempt, and a second one beside it if its answer is slow."""
+
+        async def first(lane):
+            choice = await self._choose_server(run, crashed_servers)
+            await self._run_attempt(run, number, choice, lane)
+
+        async def second(choice, lane):
+            now, share = self._runtime.now(), self._retry_share(run)
+            await self._run_attempt(run, run.retries.start(now, share), choice, lane)
+
+        await self._hedges.run(run, first, second)
+
+    async def _run_attempt(self, run, number, choice, lane):
         request = run.request
-        choice = await self._choose_server(run, crashed_servers)
         attempt = self._selection.start_attempt(request, run.service, choice)
         server = attempt.server
         is_repeat = server.id in run.tried
@@ -230,7 +229,7 @@
             wait_s=round(attempt.expected_wait_s, 4),
             left_s=round(request.deadline - self._runtime.now(), 3),
         )
-        with self._recorded_attempt(run, attempt):
+        with recorded_attempt(self._runtime, self._crashes, run, attempt):
             async with (
                 self._crashes.tracked_attempt(server, request) as tracked,
                 Exchange(
@@ -246,10 +245,23 @@
                     with self._silence.watched_attempt(
                         server, attempt.expected_wait_s, lambda: self._may_move_on(run)
                     ) as watch:
-                        await self._forward_answer(
-                            run, exchange, attempt, tracked, watch
+                        await self._send_in_turn(run, exchange)
+                        attempt.record_status(exchange.head.status)
+                        forwarder = AnswerForwarder(
+                            run,
+                            exchange,
+                            attempt,
+                            watch,
+                            lane,
+                            self._runtime.metrics,
                         )
+                        forwarder.check_continuation()
+                        watch.record_part()
+                        tracked.record_begin()
+                        await forwarder.forward()
                 finally:
+                    if exchange.was_refused:
+                        self._hedges.record_refusal(run.service)
                     if exchange.is_complete:
                         tracked.record_answer(
                             exchange.head, is_framed=exchange.is_framed
@@ -257,6 +269,9 @@
                     run.record_usage(exchange)
 
     def _may_move_on(self, run):
+        if run.running > 1:
+            # Another server is at work on the request.
+            return False
         route = run.request.route
         if run.writer.has_started and not route.is_resumable:
             return False
@@ -267,44 +282,11 @@
     def _has_other_server(self, run):
         return self._selection.has_other_server(run.service, run.tried, run.priority)
 
-    async def _forward_answer(self, run, exchange, attempt, tracked, watch):
-        request, events = run.request, run.events
-        last_id = events.last_id or None
-        events.begin_continuation()
-        await self._send(exchange, request.deadline, last_id)
-        head = exchange.head
-        attempt.record_status(head.status)
-        self._check_continuation(run, exchange)
-        watch.record_part()
-        tracked.record_begin()
-        if not request.route.has_prompts or not head.is_success:
-            attempt.record_first_byte()
-            run.usage.has_unstreamed_answer |= head.is_success
-            # The body is read to its end before any of it is sent, so that a body that
-            # is cut off can be retried and never looks complete to the caller.
-            body = await exchange.read_body(watch.record_part)
-            if head.status >= SERVER_ERROR_STATUS and request.route.is_idempotent:
-                raise ServerErrorAnswer(head, body)
-            with watch.paused():
-                await run.writer.send_complete(head, body)
-            return
-        await self._forward_stream(run, exchange, attempt, watch)
-
-    def _check_continuation(self, run, exchange):
-        """Checks that an answer goes on with the stream that the caller reads.
-
-        Raises:
-            AnswerBroken: It is no stream; nothing of it may reach the caller, who has
-                received the head of another answer.
-        """
-        head = exchange.head
-        if not run.writer.has_started or (head.is_success and head.is_event_stream):
-            return
-        self._runtime.metrics.count("streams.not_continued")
-        raise AnswerBroken(
-            f"Server {exchange.server.id} answered {head.status} in place of the rest"
-            " of a stream."
-        )
+    async def _send_in_turn(self, run, exchange):
+        """Sends a request so that its stream goes on after what the caller has."""
+        last_id = run.events.last_id or None
+        run.events.begin_continuation()
+        await self._send(exchange, run.request.deadline, last_id)
 
     async def _send(self, exchange, deadline, last_id):
         await exchange.open()
@@ -326,94 +308,5 @@
                     exchange.server, exchange.head, exchange.request_id
                 )
 
-    async def _forward_stream(self, run, exchange, attempt, watch):
-        # Only complete events are sent, so that another server can continue a broken
-        # stream with the event after the last one.
-        head, has_data = exchange.head, False
-        async for data in exchange.chunks():
-            if not data:
-                continue
-            has_data = True
-            watch.record_part()
-            attempt.record_first_byte()
-            complete = run.events.feed(data)
-            attempt.record_events(len(complete))
-            if complete:
-                with watch.paused():
-                    await run.writer.send_chunk(head, b"".join(complete))
-            if run.events.fault:
-                raise AnswerBroken(run.events.fault)
-        if run.events.pending_bytes:
-            raise ConnectionBroken("The stream ended inside an event.")
-        if not has_data and not exchange.is_framed:
-            raise ConnectionBroken("The connection ended before the first event.")
-        with watch.paused():
-            await run.writer.finish(head)
-
     def _retry_share(self, run):
-        retry_share = self._retry_shares.get(run.service)
-        if retry_share is None:
-            settings = self._runtime.settings
-            retry_share = self._retry_shares[run.service] = RetryShare(
-                RetryShareSettings(
-                    settings.retry_ratio, settings.retry_fixed, settings.retry_window_s
-                ),
-                self._router_count,
-                self._started_at,
-            )
-        return retry_share
-
-    @contextmanager
-    def _recorded_attempt(self, run, attempt):
-        error, was_abandoned = None, False
-        try:
-            yield
-        except SilentServer:
-            # A VM that stands still says nothing about the version that it runs.
-            was_abandoned = True
-            raise
-        except PistachiowellError as caught:
-            error = caught
-            raise
-        except anyio.get_cancelled_exc_class():
-            was_abandoned = self._runtime.now() < run.request.deadline
-            error = _fault_at_deadline(run, attempt)
-            raise
-        finally:
-            if was_abandoned:
-                attempt.record_abandoned()
-                _log.info(
-                    "Attempt is given up before its end.",
-                    request=run.request.id,
-                    server=attempt.server.id,
-                    after_s=round(attempt.age_s, 3),
-                    first_byte_s=attempt.latency_s,
-                )
-            else:
-                attempt.record_end(error, self._crashes.is_exempt)
-            if attempt.latency_s is not None:
-                self._runtime.metrics.timing("servers.first_byte", attempt.latency_s)
-
-
-def _fault_at_deadline(run, attempt):
-    """Returns the error of an attempt whose deadline has passed at its server."""
-    if attempt.latency_s is not None and not run.events.count:
-        return AnswerBroken("The answer has begun and not ended by the deadline.")
-    return DeadlineExceeded("The answer had not ended by the deadline.")
-
-
-class ServerErrorAnswer(ServerFailed):
-    """A server answered an idempotent request with an error status.
-
-    The request may be sent to another server. If it may not, the answer is sent to the
-    caller as it is.
-
-    Args:
-        head: The ``AnswerHead``.
-        body: The complete body.
-    """
-
-    def __init__(self, head, body):
-        super().__init__(f"The server answered with status {head.status}.")
-        self.head = head
-        self.body = body
+        return self._retry_shares.of(run.service)
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -108,6 +108,11 @@
         is_anonymous = self.head is not None and not self.head.request_id
         return self.has_own_head or is_anonymous
 
+    @property
+    def was_refused(self):
+        """Whether the server answered that it has not run the request."""
+        return self.head is not None and not self.head.ran
+
     @property
     def is_framed(self):
         """Whether the answer tells its end, by a length or in chunks.
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -20,8 +20,10 @@
 from pistachiowell.gateway.deputy import Deputy
 from pistachiowell.gateway.dispatch import Dispatch
 from pistachiowell.gateway.grant_notices import GrantMemory
+from pistachiowell.gateway.hedges import Hedges
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.planned_stop import ENDING_S, PlannedStop
+from pistachiowell.gateway.retry_shares import RetryShares
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
 from pistachiowell.gateway.server_feed import ServerFeed
@@ -182,15 +184,25 @@
         self._grant_memory = GrantMemory(runtime, self._fleet, handlers)
         StoreReturns(runtime, self._fleet, handlers)
         self._crashes = ServerCrashes(self._crash_candidates, runtime.now)
+        retry_shares = RetryShares(settings, self._count_sharing_routers, runtime.now())
+        hedges = Hedges(
+            runtime,
+            selection,
+            self._crashes,
+            retry_shares,
+            loop_watch,
+            lambda: self._overload.refused_share,
+        )
         self._dispatch = Dispatch(
             runtime,
             selection,
             self._silence,
             limits,
             self._crashes,
+            retry_shares,
+            hedges,
             loop_watch,
             adapter.heads,
-            self._count_sharing_routers,
             rng,
         )
         app = GatewayApp(
--- a/pistachiowell/gateway/run.py
+++ b/pistachiowell/gateway/run.py
@@ -45,6 +45,7 @@
         usage: The ``Usage``.
         events: Reader of the stream, which attempts at several servers may continue.
         retries: Decides whether the request is sent again.
+        running: Number of attempts in progress.
         tried: Ids of the servers of earlier attempts.
         service: Name of the service that the next attempt goes to.
     """
@@ -53,6 +54,7 @@
         "events",
         "request",
         "retries",
+        "running",
         "service",
         "tried",
         "usage",
@@ -66,6 +68,7 @@
         prompt = request.prompt
         self.events = EventReader(prompt.max_output_tokens if prompt else None)
         self.retries = RETRIES.find("by_route")(request.route, request.deadline)
+        self.running = 0
         self.tried = set()
         self.service = None
 
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -280,6 +280,48 @@
         picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
         return Choice(servers[picked.server], work, expected_wait_s)
 
+    def has_open_move(self, service_name):
+        """Returns whether a version of a service is on trial."""
+        return self._moves.tracker(service_name) is not None
+
+    def choose_hedge(self, service_name, tried, priority, max_load_per_slot):
+        """Chooses a server for a second attempt beside one that is in progress.
+
+        Nothing speaks against it: it is no server to fall back on.
+
+        Args:
+            service_name: Name of the service.
+            tried: Ids of the servers of the attempts so far.
+            priority: Rank of the attempt; 0 is the most urgent.
+            max_load_per_slot: Load per slot above which a server is left out.
+
+        Returns:
+            A ``Choice``; None if no server is left.
+        """
+        now = self.now()
+        allowed = self._allowed_servers(service_name, now)
+        servers = {
+            server.id: server
+            for server in self._limits.with_room(allowed, priority)
+            if server.id not in tried
+            and self._is_sound(server, now)
+            and self._loads.load_per_slot(server.id, now) < max_load_per_slot
+        }
+        if not servers:
+            return None
+        candidates = [self._candidate(server) for server in servers.values()]
+        return Choice(servers[self._picker.pick(candidates, "", now).server])
+
+    def _is_sound(self, server, now):
+        return (
+            not server.cold_left_s
+            and not self._limits.is_limited(server)
+            and not self._unreachable.is_avoided(_registration(server), now)
+            and self._health.is_usable(server.id, now)
+            and self._silence.is_answering(server.id)
+            and not self._silence.is_doubted(server.id)
+        )
+
     def _reachable(self, servers, now):
         """Returns the servers by id without those that refuse connections."""
         by_registration = {_registration(server): server for server in servers}
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -135,6 +135,11 @@
         """Returns the ``BackendServer`` that may have room for a request."""
         return [s for s in servers if not self.wait_s(s, priority)]
 
+    def is_limited(self, server):
+        """Returns whether a server has named a rate that is in force."""
+        observation = self._limits.latest(incarnation_of(server))
+        return observation is not None and observation.per_s is not None
+
     def wait_s(self, server, priority):
         """Returns the seconds until a server may have room; 0.0 if it may have now.
 
@@ -179,9 +184,9 @@
             priority: Rank of the request; 0 is the most urgent.
         """
         incarnation = incarnation_of(server)
-        observation = self._limits.latest(incarnation)
-        if observation is None or observation.per_s is None:
+        if not self.is_limited(server):
             return True
+        observation = self._limits.latest(incarnation)
         wait_s = await self._ask(incarnation, observation, priority)
         if wait_s is None:
             slots = self._slots.get(incarnation)
--- a/pistachiowell/gateway/silence.py
+++ b/pistachiowell/gateway/silence.py
@@ -74,6 +74,10 @@
         """Returns whether a server is not known to be silent."""
         return not self._detector.is_suspected(server_id, self._runtime.now())
 
+    def is_doubted(self, server_id):
+        """Returns whether a request waits doubtfully long for a server."""
+        return self._detector.is_doubted(server_id, self._runtime.now())
+
     @contextmanager
     def watched_attempt(self, server, expected_wait_s, may_move_on):
         """Watches an attempt while the context is open.
--- a/pistachiowell/routing/health.py
+++ b/pistachiowell/routing/health.py
@@ -106,13 +106,14 @@
             those ejected most often first.
         """
         self._eject_slow(servers, now)
-        unusable = [server for server in servers if not self._is_usable(server, now)]
+        unusable = [server for server in servers if not self.is_usable(server, now)]
         unusable.sort(key=self._ejections, reverse=True)
         max_ejected = int(len(servers) * self._settings.eject_max_share)
         ejected = set(unusable[:max_ejected])
         return [server for server in servers if server not in ejected]
 
-    def _is_usable(self, server, now):
+    def is_usable(self, server, now):
+        """Returns whether a server is neither ejected nor being probed."""
         health = self._servers.get(server)
         if health is None:
             return True
--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -359,16 +359,23 @@
         return failure.may_have_arrived is False or share.try_spend(now)
 
     def may_move_on(self, now, share):
-        """Returns whether another attempt would be allowed before the present one ends.
+        """Returns whether a retry would be allowed if the attempt were given up now.
 
-        The present one may have run. Nothing is spent.
+        The attempt may have run. Nothing is spent.
 
         Args:
             now: Present time in seconds.
             share: The ``RetryShare`` of the service that the next attempt goes to.
         """
-        may_send_again = self._may_send_again(now, self._runs + 1, may_have_run=True)
-        return may_send_again and share.has_left(now)
+        return self.may_send_beside(now) and share.has_left(now)
+
+    def may_send_beside(self, now):
+        """Returns whether the route allows another attempt beside the present one.
+
+        Args:
+            now: Present time in seconds.
+        """
+        return self._may_send_again(now, self._runs + 1, may_have_run=True)
 
     def _may_send_again(self, now, runs, may_have_run):
         if may_have_run and not self._route.is_idempotent:
--- a/pistachiowell/routing/silence.py
+++ b/pistachiowell/routing/silence.py
@@ -288,6 +288,11 @@
         state = self._servers.get(server)
         return state is not None and self._is_suspected(state, self._clock(now))
 
+    def is_doubted(self, server, now):
+        """Returns whether a request waits doubtfully long for a server."""
+        state = self._servers.get(server)
+        return state is not None and self._has_doubt(state, self._clock(now))
+
     def _suspect(self, server, clock):
         if not self._is_suspected(server, clock):
             server.suspected_at = clock
@@ -328,6 +333,10 @@
         waited_s = self._waited_s(wait, server, clock)
         return not wait.is_paused and waited_s >= self._doubt_s(wait, server)
 
+    def _has_doubt(self, server, clock):
+        doubtful_s = self._doubtful_wait_s(server, clock)
+        return clock < server.doubted_until or doubtful_s > 0
+
     def _doubtful_wait_s(self, server, clock):
         """Returns for how long a doubtful request has waited; 0 if there is none."""
         if clock - server.heard_at < self._settings.min_doubt_s:
@@ -430,14 +439,13 @@
         if len(held) > self._settings.max_left_out * len(states):
             held = set()
         sound = [name for name in servers if name not in noticed and name not in held]
-        certain = [name for name in sound if not self._has_doubt(states[name], clock)]
+        certain = [
+            name
+            for name in sound
+            if states[name] is None or not self._has_doubt(states[name], clock)
+        ]
         return certain or sound or list(servers)
 
     def _is_held(self, state, clock):
         # One request at a time tries a server whose hold is over.
         return clock < state.held_until or bool(state.holds and state.waits)
-
-    def _has_doubt(self, state, clock):
-        if state is None:
-            return False
-        return clock < state.doubted_until or bool(self._doubtful_wait_s(state, clock))
