--- a/pistachiowell/platform/tests/test_settings_templates.py
+++ b/pistachiowell/platform/tests/test_settings_templates.py
@@ -34,7 +34,7 @@
 }
 
 
-SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+SECTION = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)(?:\|json)?\}\}")
 TEMPLATES = [("agent.yaml", GatewayAgentSettings), ("router.yaml", GatewaySettings)]
 
@@ -53,8 +53,9 @@
     """Returns the settings file that a template gives for the fields."""
 
     def section(match):
-        found = find_field(fields, match[1])
-        return "" if found is None or found is False else match[2]
+        found = find_field(fields, match[2])
+        is_absent = found is None or found is False
+        return match[3] if is_absent == (match[1] == "^") else ""
 
     def value(match):
         found = find_field(fields, match[1])
@@ -99,6 +100,12 @@
     read_settings(path, settings_class)
 
 
+@pytest.mark.parametrize(("bounds", "share"), [(FIELDS["Bounds"], None), ({}, 0.05)])
+def test_requests_are_hedged_where_versions_are_judged(bounds, share):
+    text = render("router.yaml", {**FIELDS, "Bounds": bounds})
+    assert yaml.safe_load(text).get("hedge_share") == share
+
+
 def test_bound_of_zero_is_kept():
     # Zero is a value, not a missing one: it must not become the default.
     fields = {**FIELDS, "Bounds": {**FIELDS["Bounds"], "RetryBudgetSlack": 0}}
