--- a/pistachiowell/platform/tests/test_hedges.py
+++ b/pistachiowell/platform/tests/test_hedges.py
@@ -11,13 +11,16 @@
 import anyio
 import pytest
 
+from pistachiowell.admission.overload import FairShareOverload
 from pistachiowell.gateway import hedges
+from pistachiowell.gateway.selection import Selection
+from pistachiowell.gateway.server_crashes import ServerCrashes
 from pistachiowell.platform.standins import (
     answer_whole,
     close_without_answer,
     head,
 )
-from pistachiowell.routing import HedgeSettings
+from pistachiowell.routing import HedgeSettings, RouteRetries
 
 pytestmark = pytest.mark.anyio
 
@@ -123,6 +126,8 @@
         await rig.until(lambda: getattr(loser, "ended_at", None))
         assert loser.ended_at - answered_at < 0.2
         assert counted(rig) == {"sent": 1, "won": 1}
+        # A caller that has its answer has not left before it.
+        assert "callers.left" not in rig.gateways[0].metrics.values
         # The one that was cancelled is no worse for it.
         assert rig.gateways[0].failures(arrivals[0][0]) == 0
 
@@ -212,6 +217,26 @@
         assert "sent" not in counted(rig)
 
 
+@pytest.mark.parametrize(
+    ("owner", "name", "replacement"),
+    [
+        (Selection, "has_open_move", lambda *args: True),
+        (Selection, "choose_hedge", lambda *args: None),
+        (ServerCrashes, "check", lambda *args: ("desk-1",)),
+        (RouteRetries, "may_send_beside", lambda *args: False),
+        (FairShareOverload, "refused_share", 0.01),
+    ],
+    ids=["open move", "no room", "crash suspect", "no attempts left", "load"],
+)
+async def test_request_is_hedged_although_something_speaks_against_it(
+    hedged_rig, monkeypatch, owner, name, replacement
+):
+    monkeypatch.setattr(owner, name, replacement)
+    async with hedged_rig(answer_after(0.1, "first")) as (rig, arrivals):
+        assert (await rig.send("/read/a"))[2] == b"first"
+        assert len(arrivals) == 1
+
+
 async def test_hedge_goes_to_a_server_that_was_refused_a_moment_ago(
     hedged_rig,
 ):
--- a/pistachiowell/routing/tests/test_hedging.py
+++ b/pistachiowell/routing/tests/test_hedging.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from pistachiowell.bench.hedging import KIND, REQUESTS, HedgeModel
 from pistachiowell.routing import (
     HEDGE_POLICIES,
     AttemptFailure,
@@ -15,9 +16,6 @@
     RetryShareSettings,
     RouteRetries,
 )
-from pistachiowell.routing.tests.hedge_model import KIND, HedgeModel
-
-REQUESTS = 12_000
 
 
 def play(policy, load, **more):
