--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -21,10 +21,12 @@
 from pistachiowell.gateway.dispatch import Dispatch
 from pistachiowell.gateway.evacuation_watch import EvacuationWatcher
 from pistachiowell.gateway.grant_notices import GrantMemory
+from pistachiowell.gateway.hedges import Hedges
 from pistachiowell.gateway.load_sharing import LoadSharing
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.places import Places
 from pistachiowell.gateway.planned_stop import ENDING_S, PlannedStop
+from pistachiowell.gateway.retry_shares import RetryShares
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
 from pistachiowell.gateway.server_feed import ServerFeed
@@ -171,6 +173,7 @@
             rng,
             runtime.now,
         )
+        runtime.metrics.watch("servers.avoided", lambda: selection.avoided_servers)
         self._agent_reports = AgentReports(
             runtime,
             self._fleet,
@@ -212,15 +215,25 @@
         self._grant_memory = GrantMemory(runtime, self._fleet, handlers)
         StoreReturns(runtime, self._fleet, handlers)
         self._crashes = ServerCrashes(self._crash_candidates, runtime.now)
+        retry_shares = RetryShares(settings, self._count_sharing_routers, runtime.now())
+        hedges = Hedges(
+            runtime,
+            selection,
+            self._crashes,
+            retry_shares,
+            loop_watch,
+            lambda: self._overload.refused_share,
+        )
         self._dispatch = Dispatch(
             runtime,
             selection,
             self._silence,
             limits,
             self._crashes,
+            retry_shares,
+            hedges,
             loop_watch,
             adapter.heads,
-            self._count_sharing_routers,
             rng,
         )
         app = GatewayApp(
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -193,6 +193,11 @@
         """Returns the ``BackendServer`` that may have room for a request."""
         return [s for s in servers if not self.wait_s(s, priority)]
 
+    def is_limited(self, server):
+        """Returns whether a server has named a rate that is in force."""
+        observation = self._limits.latest(incarnation_of(server))
+        return observation is not None and observation.per_s is not None
+
     def wait_s(self, server, priority):
         """Returns the seconds until a server may have room; 0.0 if it may have now.
 
@@ -239,7 +244,7 @@
         incarnation = incarnation_of(server)
         observation = self._limits.latest(incarnation)
         shares = self._cold.shares(server)
-        is_limited = observation is not None and observation.per_s is not None
+        is_limited = self.is_limited(server)
         if not is_limited and shares is None:
             return True
         wait_s = await self._ask(incarnation, observation, shares, priority)
--- a/pistachiowell/platform/tests/test_settings_templates.py
+++ b/pistachiowell/platform/tests/test_settings_templates.py
@@ -53,11 +53,24 @@
     return found
 
 
+def repeat(text, table):
+    """Returns the text of a section once for each entry of a table."""
+    last = len(table) - 1
+    return "".join(
+        text.replace("{{@}}", key)
+        .replace("{{.}}", value)
+        .replace("{{,}}", "," if number < last else "")
+        for number, (key, value) in enumerate(table.items())
+    )
+
+
 def render(name, fields):
     """Returns the settings file that a template gives for the fields."""
 
     def section(match):
         found = find_field(fields, match[2])
+        if match[1] == "#" and isinstance(found, dict):
+            return repeat(match[3], found)
         is_present = found is not None and found is not False
         return match[3] if is_present == (match[1] == "#") else ""
 
@@ -104,6 +117,12 @@
     read_settings(path, settings_class)
 
 
+@pytest.mark.parametrize(("bounds", "share"), [(FIELDS["Bounds"], None), ({}, 0.05)])
+def test_requests_are_hedged_where_versions_are_judged(bounds, share):
+    text = render("router.yaml", {**FIELDS, "Bounds": bounds})
+    assert yaml.safe_load(text).get("hedge_share") == share
+
+
 def test_bound_of_zero_is_kept():
     # Zero is a value, not a missing one: it must not become the default.
     fields = {**FIELDS, "Bounds": {**FIELDS["Bounds"], "RetryBudgetSlack": 0}}
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -20,6 +20,11 @@
 )
 from pistachiowell.routing.credits import CREDIT_POOLS, AbortStream, CreditSettings
 from pistachiowell.routing.health import HealthTable
+from pistachiowell.routing.hedging import (
+    HEDGE_POLICIES,
+    HedgeDenial,
+    HedgeSettings,
+)
 from pistachiowell.routing.load import LoadTable
 from pistachiowell.routing.pick import PICKERS, Candidate, rendezvous
 from pistachiowell.routing.placement import (
@@ -44,12 +49,17 @@
 from pistachiowell.routing.sharing import REPORT_PACERS, LoadSums, SharingSettings
 from pistachiowell.routing.silence import SILENCE_DETECTORS, SilenceSettings
 from pistachiowell.routing.split import SPLITTERS
+from pistachiowell.routing.unreachable import (
+    UnreachableServers,
+    UnreachableSettings,
+)
 from pistachiowell.routing.usual_wait import UsualWait
 
 __all__ = [
     "ASSEMBLERS",
     "CRASH_LEDGERS",
     "CREDIT_POOLS",
+    "HEDGE_POLICIES",
     "PART_CRASHES",
     "PICKERS",
     "PLACERS",
@@ -73,6 +83,8 @@
     "FingerprintStatus",
     "Finished",
     "HealthTable",
+    "HedgeDenial",
+    "HedgeSettings",
     "LoadSums",
     "NO_LOAD",
     "LoadTable",
@@ -88,6 +100,8 @@
     "SharingSettings",
     "SilenceSettings",
     "SuspectKind",
+    "UnreachableServers",
+    "UnreachableSettings",
     "fingerprint",
     "part_names",
     "place_crash_candidate",
--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -32,6 +32,8 @@
         retry_after_s: Delay in seconds that the refusal asks for.
         delivered_bytes: Bytes of its answer that the caller already has.
         may_have_arrived: Whether the server may have received the request.
+        has_other_server: Whether a server that has not refused a connection is left for
+            the next attempt.
     """
 
     code: str
@@ -39,6 +41,7 @@
     retry_after_s: float = 0.0
     delivered_bytes: int = 0
     may_have_arrived: bool = True
+    has_other_server: bool = False
 
 
 class RetryBudget:
@@ -246,22 +249,27 @@
         self._remove_before_window(now)
         self._requests_at.append(now)
 
-    def try_spend(self, now):
-        """Spends one retry of the share; returns whether one was left."""
-        if not self.has_left(now):
+    def try_spend(self, now, kept_share=0.0):
+        """Spends one retry of the share; returns whether one was left.
+
+        Args:
+            now: Present time in seconds.
+            kept_share: Share of the allowance that is kept for others.
+        """
+        if not self.has_left(now, kept_share):
             return False
         self._retries_at.append(now)
         return True
 
-    def has_left(self, now):
-        """Returns whether a retry of the share is left."""
+    def has_left(self, now, kept_share=0.0):
+        """Returns whether a retry of the share is left; see ``try_spend``."""
         self._remove_before_window(now)
         settings = self._settings
         fixed = settings.fixed / max(1, self._routers())
         is_starting = now < self._started_at + settings.start_s
         fixed *= 1 - settings.safety if is_starting else settings.safety
         allowed = settings.safety * settings.ratio * len(self._requests_at) + fixed
-        return len(self._retries_at) + 1 <= allowed
+        return len(self._retries_at) + 1 <= (1.0 - kept_share) * allowed
 
     def _remove_before_window(self, now):
         begin = now - self._settings.window_s
@@ -278,7 +286,9 @@
     only. One that may have run counts against the attempts that the route allows, too.
     A request that the server cannot have received is sent again without spending a
     retry. In all at most ``MAX_EXTRA_SENDS`` more attempts start than the route allows
-    to run.
+    to run. An attempt that did not arrive is not among them while another server is
+    left: each server is avoided once it has refused a connection, so these attempts are
+    bounded by the servers, for all requests together.
 
     Args:
         route: The ``Route``.
@@ -289,11 +299,19 @@
             caller must say.
     """
 
-    __slots__ = ("_deadline", "_route", "_runs", "_sends", "may_have_run")
+    __slots__ = (
+        "_deadline",
+        "_free_sends",
+        "_route",
+        "_runs",
+        "_sends",
+        "may_have_run",
+    )
 
     def __init__(self, route, deadline):
         self._route = route
         self._deadline = deadline
+        self._free_sends = 0
         self._runs = 0
         self._sends = 0
         self.may_have_run = False
@@ -315,6 +333,16 @@
         self._sends += 1
         return self._sends
 
+    def record_failure(self, failure):
+        """Records the failure of an attempt beside which another one goes on.
+
+        Args:
+            failure: The ``AttemptFailure``.
+        """
+        if failure.ran != "no":
+            self.may_have_run = True
+            self._runs += 1
+
     def may_retry(self, failure, now, share):
         """Decides whether another attempt may start, and spends a retry if so.
 
@@ -323,9 +351,9 @@
             now: Present time in seconds.
             share: The ``RetryShare`` of the service that the next attempt goes to.
         """
-        if failure.ran != "no":
-            self.may_have_run = True
-            self._runs += 1
+        self.record_failure(failure)
+        if not failure.may_have_arrived and failure.has_other_server:
+            self._free_sends += 1
         if not self._may_send_again(now, self._runs, self.may_have_run):
             return False
         return failure.may_have_arrived is False or share.try_spend(now)
@@ -339,14 +367,22 @@
             now: Present time in seconds.
             share: The ``RetryShare`` of the service that the next attempt goes to.
         """
-        may_send_again = self._may_send_again(now, self._runs + 1, may_have_run=True)
-        return may_send_again and share.has_left(now)
+        return self.may_send_beside(now) and share.has_left(now)
+
+    def may_send_beside(self, now):
+        """Returns whether the route allows another attempt beside the present one.
+
+        Args:
+            now: Present time in seconds.
+        """
+        return self._may_send_again(now, self._runs + 1, may_have_run=True)
 
     def _may_send_again(self, now, runs, may_have_run):
         if may_have_run and not self._route.is_idempotent:
             return False
         if runs >= self._route.max_attempts:
             return False
-        if self._sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
+        sends = self._sends - self._free_sends
+        if sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
             return False
         return self._deadline - now >= MIN_RETRY_TIME_S
