Refuse no account while its free tokens suffice

Causes, each shown by a test that failed before: - The gateway gives a call up after 0.8 s or when its caller leaves, and cancels the reservation. The owner went on for up to three writes, got nothing for a cancelled reservation, and logged a refusal with millions of free tokens. That refusal was then repeated to each request of at least that size for 0.3 s. - A write granted what waiting requests lacked beyond the available tokens. Requests that arrived during the write reserved these, so a large request lost the race three times (27,332 tokens refused beside free tokens for ten of them). - A cached refusal did not end when settlements had released enough tokens. - Own tokens in several grants were not put together.

Change: a grant grows by all that waits, and the waiting requests get their tokens as soon as the page is read or a reservation is settled, the earliest first. A cancelled reservation refuses nobody else. A cached refusal ends when the next write would cover the request. If a page is still not written after three writes although tokens are free, the next agent is asked.

Also: a write whose task was cancelled with the link of its caller counts as in doubt. It may have lowered a grant, and after a conflict its tokens were reserved again before the page was read (15,000 tokens above the grant in the new test).

--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -188,6 +188,40 @@
         """Whether any reservation is not settled."""
         return bool(self.reserving_routers())
 
+    def can_fit(self, account, tokens, now):
+        """Returns whether the next write of a page would cover a request.
+
+        Args:
+            account: Client account.
+            tokens: Size of the request in tokens.
+            now: Time in seconds.
+
+        Returns:
+            True if the request fits into the free tokens of the page as last read and
+            what is left in the grant that grows; False if not, or as long as grants
+            must not grow.
+        """
+        if self._fenced or self.is_settling(self.page_of(account), now):
+            return False
+        ledger = self.ledger(account)
+        grant_id = _growing_id(ledger)
+        left = ledger.grants[grant_id].available_tokens if grant_id else 0
+        return max(left, 0) + ledger.free_tokens >= tokens
+
+    def can_gather(self, account, tokens):
+        """Returns whether a request would fit if all own grants were put together.
+
+        A request is paid out of one grant; ``recall`` returns what is idle in all of
+        them, out of which a new grant is opened.
+
+        Args:
+            account: Client account.
+            tokens: Size of the request in tokens.
+        """
+        ledger = self.ledger(account)
+        idle = sum(max(g.available_tokens, 0) for g in ledger.grants.values())
+        return idle + ledger.free_tokens >= tokens
+
     def has_reservations_of(self, router):
         """Returns whether a router has open reservations in any ledger."""
         return any(x.has_reservations_of(router) for x in self._ledgers.values())
@@ -317,6 +351,9 @@
                     self._fenced |= grant.sealing
                     self._apply_grant(name, grant_id, grant, now)
         self._remove_absent(number, present, now)
+        if not self._fenced:
+            for account in self._by_page[number]:
+                self._ledgers[account].serve_waiting()
 
     def _take_as_restored(self, number, page, now):
         """Ends the restoration of a page that has everything again.
@@ -467,13 +504,21 @@
         )
 
     def _growing_grant(self, account, ledger):
-        for grant_id, grant in ledger.grants.items():
-            if not grant.renewing and not grant.draining and grant.ceiling is None:
-                return grant_id, grant.amount
+        grant_id = _growing_id(ledger)
+        if grant_id is not None:
+            return grant_id, ledger.grants[grant_id].amount
         grant_id = self._opening.setdefault(account, self._make_id())
         return grant_id, 0
 
 
+def _growing_id(ledger):
+    """Returns the id of the open grant that grows next, or None."""
+    for grant_id, grant in ledger.grants.items():
+        if not grant.renewing and not grant.draining and grant.ceiling is None:
+            return grant_id
+    return None
+
+
 def _is_low(demand, share):
     return demand.available_tokens < share * demand.target_tokens
 
--- a/pistachiowell/budgets/ledger.py
+++ b/pistachiowell/budgets/ledger.py
@@ -192,12 +192,31 @@
                 return Reserved(grant_id, reserved, grant.page_version)
         if reservation_id in self._ended:
             return None
+        reserved = self._reserve_now(reservation_id, router, tokens)
+        if reserved is None:
+            self._waiting[reservation_id] = (router, tokens)
+        return reserved
+
+    def serve_waiting(self):
+        """Reserves tokens for the requests that wait, the earliest first.
+
+        Called as soon as tokens become available. Otherwise requests that arrive in
+        the same moment would reserve the tokens that were granted for those that wait.
+        Each of them gets its ``Reserved`` when it calls ``reserve`` again.
+        """
+        for reservation_id, (router, tokens) in list(self._waiting.items()):
+            self._reserve_now(reservation_id, router, tokens)
+
+    def has_ended(self, reservation_id):
+        """Returns whether a reservation was settled or cancelled by its router."""
+        return reservation_id in self._ended
+
+    def _reserve_now(self, reservation_id, router, tokens):
         for grant_id, grant in self.grants.items():
             if not grant.draining and grant.available_tokens >= tokens:
                 grant.reservations[reservation_id] = (router, tokens)
                 self._waiting.pop(reservation_id, None)
                 return Reserved(grant_id, tokens, grant.page_version)
-        self._waiting[reservation_id] = (router, tokens)
         return None
 
     def settle(self, reservation_id, router, tokens, now):
@@ -220,6 +239,7 @@
                 used = min(tokens, reservation[1])
                 grant.used[router] = grant.used.get(router, 0) + used
                 self._meter.add(used, now)
+                self.serve_waiting()
                 return True
         return False
 
@@ -289,7 +309,7 @@
         total = sum(waiting)
         smallest = min(waiting, default=0)
         return Demand(
-            max(total - available, 0),
+            total if total > available else 0,
             max(smallest - available, 0),
             0.0 if self.is_inactive(now) else self._meter.rate(now),
             available,
--- a/pistachiowell/budgets/sizing.py
+++ b/pistachiowell/budgets/sizing.py
@@ -48,7 +48,8 @@
     """Demand of one holder for one account.
 
     Attributes:
-        need_tokens: Tokens that all waiting requests lack.
+        need_tokens: Tokens of all waiting requests; 0 if they fit. What is available
+            is not subtracted: later requests may reserve it before the grant grows.
         smallest_need_tokens: Tokens that the smallest waiting request lacks.
         rate_tokens_per_s: Recent rate of use.
         available_tokens: Unreserved tokens of one grant: of the one that is to grow, or
--- a/pistachiowell/gateway/budget_owner.py
+++ b/pistachiowell/gateway/budget_owner.py
@@ -56,6 +56,8 @@
 # fit again.
 REFUSAL_CACHE_S = 0.3
 MAX_PAGE_WRITES = 3
+# Another agent writes the page too; the next one in rank is asked, or the caller again.
+CONFLICT_RETRY_AFTER_S = 0.3
 SETTLING_CHECK_INTERVAL_S = 0.1
 
 _log = part_logger("budgets")
@@ -69,6 +71,7 @@
         until: Time until which it applies.
         tokens: Size of the refused request; smaller ones may fit.
         catalog: The ``Catalog`` at the refusal; a newer one may contain a top-up.
+        is_settling: Whether grants could not grow, as the store had returned.
         error_class: Class of the error.
         text: Message of the error.
     """
@@ -76,13 +79,15 @@
     until: float
     tokens: int
     catalog: object
+    is_settling: bool
     error_class: type
     text: str
 
-    def covers(self, message, catalog, now):
+    def covers(self, message, catalog, is_settling, now):
         """Returns whether it applies to a request."""
         is_recent = now < self.until and catalog is self.catalog
-        return is_recent and message.tokens >= self.tokens
+        is_same = is_settling is self.is_settling
+        return is_recent and is_same and message.tokens >= self.tokens
 
 
 class BudgetOwner:
@@ -200,11 +205,11 @@
         del link
         reserved = self._pages.reserve(message)
         if reserved is None:
+            ledger = self._holder.ledger(message.account)
             try:
-                reserved = await self._reserve_from_page(message)
+                reserved = await self._reserve_from_page(message, ledger)
             finally:
                 if reserved is None:
-                    ledger = self._holder.ledger(message.account)
                     ledger.cancel(message.reservation_id)
         return TokensReserved(
             message.request_id,
@@ -218,19 +223,54 @@
         self._pages.settle(message)
         return TokensSettled(message.request_id)
 
-    async def _reserve_from_page(self, message):
+    async def _reserve_from_page(self, message, ledger):
+        """Reserves out of what the next writes of the page grant.
+
+        A write grants what all waiting requests need, and they get it at once. More
+        than one is needed only if the page had been written by others, or if tokens of
+        several grants have to be put together.
+        """
         self._check_recent_refusals(message)
         for _ in range(MAX_PAGE_WRITES):
-            page = await self._sync(message.account)
-            reserved = self._pages.reserve(message)
+            if ledger.has_ended(message.reservation_id):
+                # The gateway has given the call up. No later request is affected.
+                raise BudgetUnreachable("The reservation was cancelled meanwhile.")
+            reserved = await self._sync_for(message)
             if reserved is not None:
                 return reserved
-            account = page.accounts.get(message.account, BudgetAccount())
-            # Another request may have reserved the tokens that were granted for this
-            # one. The page is written again if it has enough free tokens.
-            if free_tokens(account) < message.tokens:
-                break
-        raise self._record_refusal(message, account)
+            if not self._may_fit(message) and not self._gather(message):
+                raise self._record_refusal(message)
+        raise OwnerUnready(
+            f"Page writes of {message.account} met those of other owners.",
+            retry_after_s=CONFLICT_RETRY_AFTER_S,
+        )
+
+    async def _sync_for(self, message):
+        """Writes the page and returns what was reserved for a request, or None."""
+        try:
+            await self._sync(message.account)
+        except OwnerUnready:
+            # A settlement may have released enough tokens meanwhile.
+            reserved = self._pages.reserve(message)
+            if reserved is None:
+                raise
+            return reserved
+        return self._pages.reserve(message)
+
+    def _may_fit(self, message):
+        now = self._runtime.now()
+        return self._holder.can_fit(message.account, message.tokens, now)
+
+    def _gather(self, message):
+        """Returns idle tokens of all own grants if they and the free ones suffice."""
+        page = self._holder.page_of(message.account)
+        now = self._runtime.now()
+        if self._holder.is_settling(page, now):
+            return False
+        if not self._holder.can_gather(message.account, message.tokens):
+            return False
+        self._holder.recall(message.account, now)
+        return True
 
     async def _sync(self, account):
         if self._outage_until > float("-inf"):
@@ -262,10 +302,16 @@
                 retry_after_s=OUTAGE_RETRY_AFTER_S,
             )
         refusal = self._recent_refusals.get(message.account)
-        if refusal is not None and refusal.covers(message, self._state.catalog, now):
+        if refusal is None or self._may_fit(message):
+            return
+        page = self._holder.page_of(message.account)
+        is_settling = self._holder.is_settling(page, now)
+        if refusal.covers(message, self._state.catalog, is_settling, now):
             raise self._refusal_error(message, refusal)
 
-    def _record_refusal(self, message, account):
+    def _record_refusal(self, message):
+        page = self._pages.page_of(message.account).page
+        account = page.accounts.get(message.account, BudgetAccount())
         free, granted = free_tokens(account), granted_tokens(account)
         own = self._holder.ledger(message.account).grants
         elsewhere = unspent_elsewhere(account, own)
@@ -282,7 +328,7 @@
             )
         until = self._runtime.now() + REFUSAL_CACHE_S
         refusal = self._recent_refusals[message.account] = _Refusal(
-            until, message.tokens, self._state.catalog, cls, text
+            until, message.tokens, self._state.catalog, is_settling, cls, text
         )
         _log.warning(
             "Account refused.",
--- a/pistachiowell/router/pages.py
+++ b/pistachiowell/router/pages.py
@@ -187,6 +187,10 @@
         except StoreAnswerLost:
             self._holder.on_answer_lost(self._number, version)
             return False
+        except anyio.get_cancelled_exc_class():
+            # The request that led the write was cut off. The write may take effect.
+            self._holder.on_answer_lost(self._number, version)
+            raise
         self._observe(new_version, new)
         return True
 
--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -217,6 +217,9 @@
                 if reserved is None:
                     self._holder.ledger(call.account).cancel(call.reservation_id)
                     raise
+            except anyio.get_cancelled_exc_class():
+                self._end_own_reservation(call)
+                raise
         if reserved is None:
             raise self._refusal_error(call)
         return TokensReserved(
@@ -227,6 +230,16 @@
             reserved.page_version,
         )
 
+    def _end_own_reservation(self, call):
+        """Ends a reservation whose caller has left while it waited.
+
+        Routers that called this one end theirs themselves.
+        """
+        if call.router == self._holder.incarnation:
+            ledger = self._holder.ledger(call.account)
+            now = self._runtime.now()
+            ledger.settle(call.reservation_id, call.router, 0, now)
+
     async def _reserve_from_page(self, call):
         """Reserves after growing the grant from the budget page.
 
