Tell at each refusal of an account where its tokens are

The log line had the sums of all grants, so tokens of killed runs looked like those of live agents, and reserved tokens like unused ones. Refusals during an outage had no line.

Each refusal of a page owner is counted as budgets.refused.<code>. Its log line and the gauges budgets.at_refusal.<place> state what was credited, used, reserved and available here, granted to live holders, to lost runs and to holders of which nothing is known, and what is free; the places add up to the credit. Refusals of one account within 0.3 s share one line, which counts those left out.

Agents have no links to each other. An agent asks a gateway which holders are registered (FindHolders), which costs no call to the store. Without an answer the tokens are reported as unknown.

--- a/pistachiowell/gateway/budget_owner.py
+++ b/pistachiowell/gateway/budget_owner.py
@@ -16,7 +16,6 @@
 from pistachiowell.budgets.page import (
     SetCredit,
     free_tokens,
-    granted_tokens,
     unspent_elsewhere,
 )
 from pistachiowell.budgets.sizing import SizingSettings
@@ -24,9 +23,12 @@
     BudgetExhausted,
     BudgetUnreachable,
     OwnerUnready,
+    PistachiowellError,
 )
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.grant_notices import GrantTeller, NoticedGrants
+from pistachiowell.gateway.holder_states import HolderStates
+from pistachiowell.gateway.refusal_log import RefusalLog
 from pistachiowell.router.grant_pages import GrantPages
 from pistachiowell.schema.generated.messages_budgets import (
     GrantNotice,
@@ -111,7 +113,9 @@
         "_pages",
         "_prepaid_by_page",
         "_prepaid_catalog",
+        "_holder_states",
         "_recent_refusals",
+        "_refusal_log",
         "_runtime",
         "_returned",
         "_state",
@@ -152,6 +156,10 @@
             self._first_changes,
             teller.tell,
         )
+        self._holder_states = HolderStates(links, runtime.now)
+        self._refusal_log = RefusalLog(
+            runtime, self._holder, self._pages, self._holder_states
+        )
         runtime.store.era.add_listener(self._record_return)
         handlers.on(GrantNotice, quick=True)(self._handle_notice)
         handlers.on(ReserveTokens)(self._handle_reserve)
@@ -159,6 +167,11 @@
 
     async def run(self):
         """Adjusts the grants to the demand until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._holder_states.run)
+            await self._keep_grants()
+
+    async def _keep_grants(self):
         while True:
             await self._restore_noticed()
             await self._pages.keep_grants()
@@ -208,6 +221,10 @@
             ledger = self._holder.ledger(message.account)
             try:
                 reserved = await self._reserve_from_page(message, ledger)
+            except PistachiowellError as error:
+                if not ledger.has_ended(message.reservation_id):
+                    self._refusal_log.record(message, error)
+                raise
             finally:
                 if reserved is None:
                     ledger.cancel(message.reservation_id)
@@ -312,7 +329,7 @@
     def _record_refusal(self, message):
         page = self._pages.page_of(message.account).page
         account = page.accounts.get(message.account, BudgetAccount())
-        free, granted = free_tokens(account), granted_tokens(account)
+        free = free_tokens(account)
         own = self._holder.ledger(message.account).grants
         elsewhere = unspent_elsewhere(account, own)
         unused = sum(g.amount - g.used_tokens for g in own.values())
@@ -330,19 +347,6 @@
         refusal = self._recent_refusals[message.account] = _Refusal(
             until, message.tokens, self._state.catalog, is_settling, cls, text
         )
-        _log.warning(
-            "Account refused.",
-            request=message.request_id,
-            account=message.account,
-            code=str(cls.code),
-            tokens=message.tokens,
-            free=free,
-            granted=granted,
-            elsewhere=elsewhere,
-            unused=unused,
-            credited=account.credited,
-            closed=account.closed,
-        )
         return self._refusal_error(message, refusal)
 
     def _refusal_error(self, message, refusal):
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -20,6 +20,7 @@
 from pistachiowell.gateway.deputy import Deputy
 from pistachiowell.gateway.dispatch import Dispatch
 from pistachiowell.gateway.grant_notices import GrantMemory
+from pistachiowell.gateway.holder_states import HolderDirectory
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.planned_stop import ENDING_S, PlannedStop
 from pistachiowell.gateway.selection import Selection
@@ -179,6 +180,7 @@
             runtime, self._fleet, state, self._agent_reports.follows_store
         )
         self._grant_memory = GrantMemory(runtime, self._fleet, handlers)
+        HolderDirectory(self._fleet, handlers)
         StoreReturns(runtime, self._fleet, handlers)
         self._crashes = ServerCrashes(self._crash_candidates, runtime.now)
         self._dispatch = Dispatch(
--- a/pistachiowell/gateway/tests/test_budget_owner.py
+++ b/pistachiowell/gateway/tests/test_budget_owner.py
@@ -11,6 +11,7 @@
 from pistachiowell.budgets.page import (
     COLLECTION,
     RestoreClosed,
+    RestoreGrant,
     SetCredit,
     apply_changes,
     decode_page,
@@ -56,8 +57,8 @@
 class Caller:
     """Calls the handlers of an owner as gateways do."""
 
-    def __init__(self, owner, handlers):
-        self.owner = owner
+    def __init__(self, runtime, handlers):
+        self.metrics = runtime.metrics
         self.answers = {}
         self._handlers = handlers
 
@@ -94,10 +95,11 @@
 def start_owner(store):
     """Returns a function that starts an owner beside a budget."""
 
-    async def start(credited, charged=0):
+    async def start(credited, charged=0, elsewhere=0):
         changes = [
             SetCredit(ACCOUNT, credited, 1),
             RestoreClosed(ACCOUNT, "earlier", charged),
+            RestoreGrant(ACCOUNT, "other", "agent-lost", elsewhere),
         ]
         page = encode_page(apply_changes(BudgetPage(), changes))
         store.table.put(COLLECTION, page_name(0), page, ABSENT)
@@ -113,7 +115,8 @@
         handlers = Handlers()
         runtime = Runtime("agent", settings, store)
         state = SimpleNamespace(catalog=None)
-        return Caller(BudgetOwner(runtime, state, handlers, LinkSet()), handlers)
+        BudgetOwner(runtime, state, handlers, LinkSet())
+        return Caller(runtime, handlers)
 
     return start
 
@@ -182,3 +185,19 @@
         await anyio.sleep(0)
         await caller.settle("running", 1_000)
     assert not caller.refused
+
+
+async def test_refusal_does_not_say_where_the_tokens_are(start_owner):
+    caller = await start_owner(100_000, charged=10_000, elsewhere=20_000)
+    await caller.reserve("running", 60_000)
+    await caller.settle("running", 25_000)
+    await caller.reserve("running-2", 30_000)
+    for name in ("refused", "refused again"):
+        await caller.reserve(name, 50_000)
+    values = caller.metrics.values
+    assert values["budgets.refused.budget_unreachable"] == 2
+    places = ("used", "reserved", "available", "live", "lost", "unknown", "free")
+    tokens = {place: values[f"budgets.at_refusal.{place}"] for place in places}
+    assert sum(tokens.values()) == 100_000
+    assert (tokens["used"], tokens["reserved"]) == (35_000, 30_000)
+    assert tokens["unknown"] == 20_000
--- a/pistachiowell/wire/link_set.py
+++ b/pistachiowell/wire/link_set.py
@@ -21,6 +21,11 @@
     def __len__(self):
         return len(self._links)
 
+    @property
+    def links(self):
+        """The open links, the oldest first."""
+        return list(self._links)
+
     def add_link_listener(self, function):
         """Registers a function to call with each new link."""
         self._listeners.append(function)
