--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -14,14 +14,9 @@
     page_number,
 )
 from pistachiowell.budgets.restoring import Restoration, has_all
-from pistachiowell.budgets.sizing import SizingSettings
+from pistachiowell.budgets.sizing import SizingSettings, wanted_tokens
 from pistachiowell.core.ids import new_id
 
-REFILL_BELOW_TARGET_SHARE = 0.5
-# Applies to the other accounts of a page that is written anyway, so that its accounts
-# are refilled by one write and not by one each.
-REFILL_TOGETHER_BELOW_TARGET_SHARE = 0.9
-RETURN_ABOVE_TARGETS = 4.0
 RECALL_HOLD_S = 2.0
 
 
@@ -345,6 +340,7 @@
         for name, account in page.accounts.items():
             if name in self._by_page[number]:
                 self._ledgers[name].free_tokens = free_tokens(account)
+                self._ledgers[name].credited_tokens = account.credited
             for grant_id, grant in account.grants.items():
                 if grant.holder == self._incarnation:
                     present.add(grant_id)
@@ -377,7 +373,7 @@
         """
         version = self._versions.get(number)
         return self._restoration.is_due(number, version) or any(
-            _needs_change(self._ledgers[account], now)
+            self._needs_change(self._ledgers[account], now)
             for account in self._by_page[number]
         )
 
@@ -393,8 +389,8 @@
     def retire_idle(self, account, now):
         """Retires idle grants: the next plan lowers, replaces or closes them.
 
-        Available tokens above ``RETURN_ABOVE_TARGETS`` times the target are returned
-        down to the target. A grant older than ``renew_after_s`` is replaced: after an
+        Available tokens above ``return_share`` times the target are returned down to
+        the target. A grant older than ``renew_after_s`` is replaced: after an
         agent crash, grants opened before it cannot be closed by recovery, and short
         lives keep these few. Without a request for ``close_idle_after_s`` the grants
         are closed, as another holder may have the demand now.
@@ -411,11 +407,9 @@
             if ledger.is_inactive(now) and not grant.reservations:
                 grant.draining = True
                 continue
-            surplus = grant.available_tokens - int(
-                RETURN_ABOVE_TARGETS * demand.target_tokens
-            )
-            if surplus > 0:
-                grant.ceiling = grant.committed_tokens + demand.target_tokens
+            wanted = wanted_tokens(self._policy, demand)
+            if grant.available_tokens > self._sizing.return_share * wanted:
+                grant.ceiling = grant.committed_tokens + wanted
             elif now - grant.opened_at >= self._sizing.renew_after_s:
                 grant.renewing = True
 
@@ -475,17 +469,36 @@
 
     def _plan_growth(self, number, now):
         ledgers = {name: self._ledgers[name] for name in sorted(self._by_page[number])}
-        if not any(
-            _needs_growth(ledger, REFILL_BELOW_TARGET_SHARE, now)
+        is_due = any(
+            ledger.can_grow(now) or self._is_low(ledger, now, self._sizing.refill_share)
             for ledger in ledgers.values()
-        ):
-            return []
+        )
+        share = self._sizing.refill_together_share
         return [
             self._plan_fund(account, ledger, now)
             for account, ledger in ledgers.items()
-            if _needs_growth(ledger, REFILL_TOGETHER_BELOW_TARGET_SHARE, now)
+            if ledger.demand(now).need_tokens
+            or (is_due and self._is_low(ledger, now, share))
         ]
 
+    def _is_low(self, ledger, now, share):
+        """Returns whether an account has too little, or a grant to be replaced."""
+        demand = ledger.demand(now)
+        wanted = wanted_tokens(self._policy, demand)
+        is_low = demand.available_tokens < share * wanted
+        can_grow = demand.free_tokens >= max(demand.smallest_need_tokens, 1)
+        return (is_low and can_grow) or any(
+            g.renewing and not g.draining for g in ledger.grants.values()
+        )
+
+    def _needs_change(self, ledger, now):
+        if ledger.demand(now).need_tokens:
+            return True
+        return self._is_low(ledger, now, self._sizing.refill_share) or any(
+            grant.ceiling is not None or grant.renewing or grant.draining
+            for grant in ledger.grants.values()
+        )
+
     def _plan_fund(self, account, ledger, now):
         policy = self._policy
         if now - self._recalled_at.get(account, -RECALL_HOLD_S) < RECALL_HOLD_S:
@@ -517,21 +530,3 @@
         if not grant.renewing and not grant.draining and grant.ceiling is None:
             return grant_id
     return None
-
-
-def _is_low(demand, share):
-    return demand.available_tokens < share * demand.target_tokens
-
-
-def _needs_growth(ledger, share, now):
-    demand = ledger.demand(now)
-    if demand.need_tokens or _is_low(demand, share):
-        return True
-    return any(g.renewing and not g.draining for g in ledger.grants.values())
-
-
-def _needs_change(ledger, now):
-    return _is_low(ledger.demand(now), REFILL_BELOW_TARGET_SHARE) or any(
-        grant.ceiling is not None or grant.renewing or grant.draining
-        for grant in ledger.grants.values()
-    )
--- a/pistachiowell/budgets/ledger.py
+++ b/pistachiowell/budgets/ledger.py
@@ -77,18 +77,27 @@
 
     Args:
         window_s: Time constant of the decay in seconds.
+        first_s: Least time in seconds over which a meter that is younger than the
+            window measures; 0 to measure over the whole window from the start.
 
     Examples:
         >>> meter = RateMeter()
         >>> meter.add(300, 0.0)
         >>> meter.rate(0.0)
         1.0
+        >>> meter = RateMeter(10.0, first_s=2.0)
+        >>> for second in range(5):
+        ...     meter.add(100, float(second))
+        >>> round(meter.rate(5.0))
+        95
     """
 
-    __slots__ = ("_at", "_sum", "_window_s")
+    __slots__ = ("_at", "_began_at", "_first_s", "_sum", "_window_s")
 
-    def __init__(self, window_s=300.0):
+    def __init__(self, window_s=300.0, first_s=0.0):
         self._window_s = window_s
+        self._first_s = first_s
+        self._began_at = None
         self._sum = 0.0
         self._at = 0.0
 
@@ -96,11 +105,16 @@
         """Adds tokens used at a time in seconds."""
         self._decay(now)
         self._sum += tokens
+        if self._began_at is None:
+            self._began_at = now
 
     def rate(self, now):
         """Returns tokens per second."""
         self._decay(now)
-        return self._sum / self._window_s
+        if not self._first_s or self._began_at is None:
+            return self._sum / self._window_s
+        age_s = max(now - self._began_at, self._first_s)
+        return self._sum / (self._window_s * -math.expm1(-age_s / self._window_s))
 
     def _decay(self, now):
         if now > self._at:
@@ -115,6 +129,7 @@
         sizing: The ``SizingSettings``.
 
     Attributes:
+        credited_tokens: Tokens paid for when the account's page was last read.
         free_tokens: Free tokens of the account when its page was last read.
         grants: ``HeldGrant`` by id.
         last_request_at: Time of the last call of ``reserve`` in seconds.
@@ -141,6 +156,7 @@
         "_meter",
         "_sizing",
         "_waiting",
+        "credited_tokens",
         "free_tokens",
         "grants",
         "last_request_at",
@@ -148,12 +164,13 @@
 
     def __init__(self, sizing=None):
         self._sizing = sizing or SizingSettings()
+        self.credited_tokens = 0
         self.free_tokens = 0
         self.grants = {}
         self.last_request_at = float("-inf")
         self._waiting = {}
         self._largest = (0, float("-inf"))
-        self._meter = RateMeter(self._sizing.rate_window_s)
+        self._meter = RateMeter(self._sizing.rate_window_s, self._sizing.first_rate_s)
         self._ended = set()
         self._ended_order = deque()
 
@@ -286,6 +303,17 @@
         """Returns the ``Demand`` of the account."""
         return self._demand(now, max(self.available_tokens, 0))
 
+    def can_grow(self, now):
+        """Returns whether the free tokens suffice for the smallest waiting request.
+
+        A page is not written for the others, which would cost a write for each request
+        of a spent account.
+        """
+        demand = self.demand(now)
+        return bool(demand.need_tokens) and (
+            demand.smallest_need_tokens <= self.free_tokens
+        )
+
     def demand_of(self, grant_id, now):
         """Returns the ``Demand`` that one grant has to meet alone.
 
@@ -316,6 +344,7 @@
             self._sizing,
             self.free_tokens,
             0 if self.is_inactive(now) else self._largest[0],
+            self.credited_tokens,
         )
 
     def observe(self, grant_id, amount, now, page_version=0):
--- a/pistachiowell/budgets/page.py
+++ b/pistachiowell/budgets/page.py
@@ -275,6 +275,25 @@
     return page
 
 
+def apply_plan(page, changes):
+    """Applies a plan unless it would only record what was used.
+
+    Otherwise each refused request of a spent account would cost a write: its
+    ``FundGrant`` has no effect, but the use of the other accounts has grown.
+
+    Args:
+        page: A ``BudgetPage``.
+        changes: List of changes.
+
+    Returns:
+        The new page; the same object if nothing else changed.
+    """
+    effective = [c for c in changes if not isinstance(c, RecordUse)]
+    if apply_changes(page, effective) is page:
+        return page
+    return apply_changes(page, changes)
+
+
 def _applies_to_page(change_class):
     def decorate(function):
         _APPLIERS[change_class] = function
--- a/pistachiowell/budgets/sizing.py
+++ b/pistachiowell/budgets/sizing.py
@@ -7,7 +7,6 @@
 
 FREE_TOKENS_DIVISOR = 4
 FIXED_GRANT_TOKENS = 10_000
-PROPORTIONAL_SHARE = 0.35
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,9 +26,20 @@
             cover at least; an account with few requests can send some in an outage of
             the store, too.
         rate_window_s: Window in seconds over which the rate of use is measured.
+        first_rate_s: Least time in seconds over which the rate of an account is
+            measured whose first use is more recent than ``rate_window_s``; 0 to measure
+            over the whole window, which takes the rate for too low at first.
         renew_after_s: Age in seconds from which a grant is replaced.
         close_idle_after_s: Time in seconds without a request after which grants are
             closed.
+        free_share: Share of the free tokens that a proportional grant may cover while
+            nothing of the budget is spent.
+        least_horizon_s: Time in seconds that a growth is to last, however little is
+            left of the budget; otherwise each request near the end costs a write.
+        refill_share: Share of the target below which a grant is refilled.
+        refill_together_share: The same for the other accounts of a page that is written
+            anyway, so that its accounts are refilled by one write and not by one each.
+        return_share: Multiple of the target above which idle tokens are returned.
     """
 
     policy: str = "adaptive"
@@ -39,8 +49,14 @@
     first_grant_requests: int = 16
     kept_requests: int = 0
     rate_window_s: float = 300.0
+    first_rate_s: float = 0.0
     renew_after_s: float = 300.0
     close_idle_after_s: float = math.inf
+    free_share: float = 0.35
+    least_horizon_s: float = 0.0
+    refill_share: float = 0.5
+    refill_together_share: float = 0.9
+    return_share: float = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +73,7 @@
         sizing: The ``SizingSettings``.
         free_tokens: Tokens of the budget that were free when its page was last read.
         request_tokens: Tokens of the largest recent request.
+        credited_tokens: Tokens paid for since the account began.
 
     Examples:
         >>> sizing = SizingSettings(horizon_s=6.0, long_horizon_s=24.0)
@@ -72,6 +89,7 @@
     sizing: SizingSettings = SizingSettings()
     free_tokens: int = 0
     request_tokens: int = 0
+    credited_tokens: int = 0
 
     @property
     def horizon_s(self):
@@ -106,6 +124,23 @@
     return decorate
 
 
+def wanted_tokens(policy, demand):
+    """Returns the available tokens that a policy aims at out of what is left.
+
+    Args:
+        policy: Name of a registered policy.
+        demand: A ``Demand``.
+
+    Examples:
+        >>> demand = Demand(rate_tokens_per_s=10.0, free_tokens=100)
+        >>> wanted_tokens("adaptive", demand), wanted_tokens("proportional", demand)
+        (36000, 35)
+    """
+    if policy == "proportional":
+        return _proportional_target(demand, demand.free_tokens, demand.credited_tokens)
+    return demand.target_tokens
+
+
 def grant_growth(policy, demand, free_tokens, credited_tokens=0):
     """Computes by how much a grant grows.
 
@@ -149,10 +184,16 @@
     killed enough remains. Near the end the lost tokens would be those that callers
     still need, so grants are small.
     """
-    left_share = free_tokens / max(credited_tokens, 1)
-    bound = int(PROPORTIONAL_SHARE * free_tokens * left_share)
-    missing = min(demand.target_tokens, bound) - demand.available_tokens
-    return max(demand.need_tokens, missing)
+    target = _proportional_target(demand, free_tokens, credited_tokens)
+    return max(demand.need_tokens, target - demand.available_tokens)
+
+
+def _proportional_target(demand, free_tokens, credited_tokens):
+    left_share = free_tokens / max(credited_tokens, free_tokens, 1)
+    bound = int(demand.sizing.free_share * free_tokens * left_share)
+    least = demand.need_tokens
+    least += int(demand.rate_tokens_per_s * demand.sizing.least_horizon_s)
+    return min(demand.target_tokens, max(bound, least))
 
 
 @register_policy("fixed")
--- a/pistachiowell/router/pages.py
+++ b/pistachiowell/router/pages.py
@@ -7,6 +7,7 @@
 from pistachiowell.budgets.page import (
     COLLECTION,
     apply_changes,
+    apply_plan,
     decode_page,
     encode_page,
     page_name,
@@ -201,7 +202,7 @@
     def _planned_page(self):
         changes = self._first_changes(self._number, self.page)
         changes += self._holder.plan(self._number, self._runtime.now())
-        return apply_changes(self.page, changes)
+        return apply_plan(self.page, changes)
 
     def _has_work(self):
         return self._holder.has_changes(self._number, self._runtime.now())
