End reservations that no gateway settles any more

Causes of tokens that stayed reserved: - A request that was given up at one agent has the same reservation id at the next one. Settlements were kept by this id, so the settlement at the second agent replaced the cancellation at the first, or the confirmation of the first removed the second. - A settlement was discarded as soon as the registration of its agent was missing, as after a return of the store. - Nobody ended the reservations of a killed gateway.

Change: settlements are kept by agent and reservation id, and for 10 s while an agent is not registered. Every 2 s an agent asks each gateway which of its reservations older than 5 s are still open there (CheckReservations), counting those that are requested or not yet settled.

--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -15,6 +15,7 @@
 )
 from pistachiowell.budgets.restoring import Restoration, has_all
 from pistachiowell.budgets.sizing import SizingSettings, wanted_tokens
+from pistachiowell.budgets.stale import OpenReservation
 from pistachiowell.core.ids import new_id
 
 RECALL_HOLD_S = 2.0
@@ -217,6 +218,15 @@
         idle = sum(max(g.available_tokens, 0) for g in ledger.grants.values())
         return idle + ledger.free_tokens >= tokens
 
+    def open_reservations(self):
+        """Returns an ``OpenReservation`` for each reservation that is not settled."""
+        return [
+            OpenReservation(account, reservation_id, router, tokens)
+            for account, ledger in self._ledgers.items()
+            for grant in ledger.grants.values()
+            for reservation_id, (router, tokens) in grant.reservations.items()
+        ]
+
     def has_reservations_of(self, router):
         """Returns whether a router has open reservations in any ledger."""
         return any(x.has_reservations_of(router) for x in self._ledgers.values())
--- a/pistachiowell/gateway/budget_owner.py
+++ b/pistachiowell/gateway/budget_owner.py
@@ -29,6 +29,7 @@
 from pistachiowell.gateway.grant_notices import GrantTeller, NoticedGrants
 from pistachiowell.gateway.holder_states import HolderStates
 from pistachiowell.gateway.refusal_log import RefusalLog
+from pistachiowell.gateway.reservation_checks import ReservationChecks
 from pistachiowell.router.grant_pages import GrantPages
 from pistachiowell.schema.generated.messages_budgets import (
     GrantNotice,
@@ -130,6 +131,7 @@
     """
 
     __slots__ = (
+        "_checks",
         "_holder",
         "_noticed",
         "_outage_until",
@@ -171,6 +173,7 @@
             self._first_changes,
             teller.tell,
         )
+        self._checks = ReservationChecks(runtime, self._holder, links)
         self._holder_states = HolderStates(links, runtime.now)
         self._refusal_log = RefusalLog(
             runtime, self._holder, self._pages, self._holder_states
@@ -184,6 +187,7 @@
         """Adjusts the grants to the demand until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._holder_states.run)
+            group.start_soon(self._checks.run)
             await self._keep_grants()
 
     async def _keep_grants(self):
@@ -230,7 +234,7 @@
         await self._pages.return_idle_tokens()
 
     async def _handle_reserve(self, link, message):
-        del link
+        self._checks.record_gateway(link)
         reserved = self._pages.reserve(message)
         if reserved is None:
             ledger = self._holder.ledger(message.account)
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -23,6 +23,7 @@
 from pistachiowell.gateway.holder_states import HolderDirectory
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.planned_stop import ENDING_S, PlannedStop
+from pistachiowell.gateway.reservation_checks import ReservationAnswers
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
 from pistachiowell.gateway.server_feed import ServerFeed
@@ -179,6 +180,7 @@
         self._spending = GatewaySpending(
             runtime, self._fleet, state, self._agent_reports.follows_store
         )
+        ReservationAnswers(self._spending, handlers)
         self._grant_memory = GrantMemory(runtime, self._fleet, handlers)
         HolderDirectory(self._fleet, handlers)
         StoreReturns(runtime, self._fleet, handlers)
--- a/pistachiowell/gateway/spending.py
+++ b/pistachiowell/gateway/spending.py
@@ -37,13 +37,21 @@
             is given by its name.
     """
 
-    __slots__ = ("_fleet", "_follows_store", "_runtime", "_settlements", "_state")
+    __slots__ = (
+        "_fleet",
+        "_follows_store",
+        "_open",
+        "_runtime",
+        "_settlements",
+        "_state",
+    )
 
     def __init__(self, runtime, fleet, state, follows_store):
         self._runtime = runtime
         self._fleet = fleet
         self._state = state
         self._follows_store = follows_store
+        self._open = set()
         self._settlements = Settlements(fleet.linked_agent_of, fleet.agents.values)
 
     async def run(self):
@@ -100,6 +108,17 @@
             return
         message = reservation.settlement(used_tokens)
         self._settlements.add(reservation.holder, message)
+        self._open.discard((reservation.holder, reservation.reservation_id))
+
+    def is_open(self, holder, reservation_id):
+        """Returns whether a reservation is requested, used or going to be settled.
+
+        Args:
+            holder: Incarnation of the process that holds the grant.
+            reservation_id: Id of the reservation.
+        """
+        key = (holder, reservation_id)
+        return key in self._open or self._settlements.is_pending(*key)
 
     def _owners(self, account):
         page = page_number(account, self._runtime.settings.budget_pages)
@@ -109,14 +128,18 @@
         holder, link = peer.record.incarnation, peer.link
         if link is None:
             raise LinkLost(f"The link to {peer.record.id} was lost meanwhile.")
+        key = (holder, call.reservation_id)
+        self._open.add(key)
         try:
             reply = await link.call(call, CALL_TIMEOUT_S)
         except BaseException:
             # The owner may have reserved the tokens although its answer was lost. The
             # reservation is cancelled, or the tokens would stay reserved.
             self._settlements.cancel_reservation(holder, call)
+            self._open.discard(key)
             raise
         if not isinstance(reply, TokensReserved):
+            self._open.discard(key)
             error = error_class(reply.code)
             raise error(reply.message, retry_after_s=reply.retry_after_s)
         return Reservation.from_reply(call, reply)
--- a/pistachiowell/router/settlements.py
+++ b/pistachiowell/router/settlements.py
@@ -8,6 +8,9 @@
 
 CALL_TIMEOUT_S = 1.0
 SEND_INTERVAL_S = 0.1
+# A holder whose registration is missing may have lost it in a return of the store, and
+# registers again within seconds.
+HOLDER_MISSING_S = 10.0
 
 _log = part_logger("budgets")
 
@@ -27,13 +30,24 @@
         peers: Function that returns all registered holders as ``Peer``.
     """
 
-    __slots__ = ("_new_ids", "_pending", "_find_peer", "_peers", "_sending", "_wake")
+    __slots__ = (
+        "_find_peer",
+        "_missing_since",
+        "_new_keys",
+        "_peers",
+        "_pending",
+        "_sending",
+        "_wake",
+    )
 
     def __init__(self, find_peer, peers):
         self._find_peer = find_peer
         self._peers = peers
+        # By holder and reservation id: a request that was given up at one holder has
+        # the same id at the next one.
         self._pending = {}
-        self._new_ids = []
+        self._missing_since = {}
+        self._new_keys = []
         self._sending = set()
         self._wake = anyio.Event()
 
@@ -44,10 +58,15 @@
             holder: Incarnation of the process that holds the grant.
             message: The ``SettleTokens``.
         """
-        self._pending[message.reservation_id] = (holder, message)
-        self._new_ids.append(message.reservation_id)
+        key = (holder, message.reservation_id)
+        self._pending[key] = message
+        self._new_keys.append(key)
         self._wake.set()
 
+    def is_pending(self, holder, reservation_id):
+        """Returns whether a settlement is not confirmed by its holder yet."""
+        return (holder, reservation_id) in self._pending
+
     def cancel_reservation(self, holder, call):
         """Queues the cancellation of a reservation whose answer was lost.
 
@@ -84,33 +103,42 @@
         while True:
             await self._wake.wait()
             self._wake = anyio.Event()
-            new_ids, self._new_ids = self._new_ids, []
-            self._send_all(group, new_ids)
+            new_keys, self._new_keys = self._new_keys, []
+            self._send_all(group, new_keys)
 
-    def _send_all(self, group, reservation_ids):
-        for reservation_id in reservation_ids:
-            if reservation_id in self._pending and reservation_id not in self._sending:
-                self._sending.add(reservation_id)
-                group.start_soon(self._send, reservation_id)
+    def _send_all(self, group, keys):
+        for key in keys:
+            if key in self._pending and key not in self._sending:
+                self._sending.add(key)
+                group.start_soon(self._send, key)
 
-    async def _send(self, reservation_id):
+    async def _send(self, key):
         try:
-            if reservation_id in self._pending:
-                await self._try_send(reservation_id, *self._pending[reservation_id])
+            if key in self._pending:
+                await self._try_send(key, self._pending[key])
         finally:
-            self._sending.discard(reservation_id)
-
-    async def _try_send(self, reservation_id, holder, message):
-        peer = self._find_peer(holder)
+            self._sending.discard(key)
+
+    def _discard_if_gone(self, key):
+        """Discards a settlement whose holder has been missing for long."""
+        holder, now = key[0], anyio.current_time()
+        if holder in {p.record.incarnation for p in self._peers()}:
+            self._missing_since.pop(holder, None)
+        elif now - self._missing_since.setdefault(holder, now) >= HOLDER_MISSING_S:
+            self._pending.pop(key, None)
+            if holder not in {other for other, _ in self._pending}:
+                del self._missing_since[holder]
+
+    async def _try_send(self, key, message):
+        peer = self._find_peer(key[0])
         if peer is None:
-            known = {p.record.incarnation for p in self._peers()}
-            if holder not in known:
-                self._pending.pop(reservation_id, None)
+            self._discard_if_gone(key)
             return
+        self._missing_since.pop(key[0], None)
         try:
             reply = await peer.link.call(message, CALL_TIMEOUT_S)
         except (LinkLost, LinkTimeout) as error:
             _log.debug("Settlement was not confirmed; it is sent again: {}", error)
             return
-        if isinstance(reply, TokensSettled):
-            self._pending.pop(reservation_id, None)
+        if isinstance(reply, TokensSettled) and self._pending.get(key) is message:
+            del self._pending[key]
--- a/pistachiowell/router/tests/test_settlements.py
+++ b/pistachiowell/router/tests/test_settlements.py
@@ -77,3 +77,27 @@
     peers["silent"].link.silent = False
     await anyio.sleep(CALL_TIMEOUT_S + 0.3)
     assert len(peers["silent"].link.settled_at) == 1
+
+
+async def test_cancellation_at_one_holder_is_replaced_by_a_settlement_at_the_next(
+    holders,
+):
+    peers, settlements = holders
+    settlements.add("silent", settlement("a"))
+    settlements.add("sound", settlement("a"))
+    await anyio.sleep(0.05)
+    peers["silent"].link.silent = False
+    await anyio.sleep(CALL_TIMEOUT_S + 0.3)
+    for name in peers:
+        assert len(peers[name].link.settled_at) == 1
+        assert not settlements.is_pending(name, "a")
+
+
+async def test_settlement_is_discarded_while_its_holder_registers_again(holders):
+    peers, settlements = holders
+    peer = peers.pop("sound")
+    settlements.add("sound", settlement("a"))
+    await anyio.sleep(0.3)
+    peers["sound"] = peer
+    await anyio.sleep(0.3)
+    assert len(peer.link.settled_at) == 1
