--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -405,10 +405,15 @@
         lives keep these few. Without a request for ``close_idle_after_s`` the grants
         are closed, as another holder may have the demand now.
 
+        While a write of the page is in doubt nothing is retired. No page is read or
+        written then, and what is planned could not be withdrawn.
+
         Args:
             account: Client account.
             now: Time in seconds.
         """
+        if self.page_of(account) in self._unresolved:
+            return
         ledger = self.ledger(account)
         demand = ledger.demand(now)
         for grant in list(ledger.grants.values()):
--- a/pistachiowell/budgets/tests/test_token_return.py
+++ b/pistachiowell/budgets/tests/test_token_return.py
@@ -62,3 +62,18 @@
             holder.observe(0, step, page, now)
         holder.settle(*call, 1_000, now)
     assert holder.ledger("shop").available_tokens >= 2 * OUTAGE_S * per_s * 1_000
+
+
+def test_idle_tokens_are_set_aside_in_an_outage_that_began_with_a_lost_answer(holder):
+    page = apply_changes(BudgetPage(), [TopUp("shop", "t", 10**9)])
+    holder.reserve("shop", "a", "g", 1_000, 0.0)
+    page = apply_plan(page, holder.plan(0, 0.0))
+    holder.observe(0, 1, page, 0.0)
+    holder.settle("shop", "a", "g", 10, 0.1)
+    available = holder.ledger("shop").available_tokens
+    holder.on_answer_lost(0, 1)
+    for step in range(5):
+        holder.retire_idle("shop", 2.0 * step)
+        holder.plan(0, 2.0 * step)
+        holder.on_write_failed(0)
+    assert holder.ledger("shop").available_tokens == available
