Guard against charging a request that still runs at its bound

A gateway that did not name its running requests as open would have them charged in full. The test runs a request for longer than the checks wait; it fails if the gateway names no reservation in use.

--- a/pistachiowell/platform/tests/test_money.py
+++ b/pistachiowell/platform/tests/test_money.py
@@ -12,7 +12,8 @@
 import httpcore
 import pytest
 
-from pistachiowell.gateway import agent, budget_owner
+from pistachiowell.budgets import stale
+from pistachiowell.gateway import agent, budget_owner, reservation_checks
 from pistachiowell.platform.standins import close_without_answer, refuse, stream_events
 from pistachiowell.platform.tests.conftest import configuration
 
@@ -205,3 +206,20 @@
     assert statuses == [200]
     assert budget["closed"] == REQUEST_TOKENS
     assert not budget.get("grants")
+
+
+async def test_request_that_runs_for_long_is_charged_at_its_bound(
+    budget_rig, monkeypatch
+):
+    monkeypatch.setattr(stale, "ASK_AFTER_S", 0.1)
+    monkeypatch.setattr(reservation_checks, "CHECK_INTERVAL_S", 0.05)
+    stream = stream_events(1, EVENTS_PER_ANSWER)
+
+    async def answer_later(request, connection):
+        await anyio.sleep(0.8)
+        return await stream(request, connection)
+
+    async with budget_rig(answer_later) as rig:
+        assert (await rig.send_chat())[0] == 200
+        await rig.until(lambda: not rig.budget().get("grants"), timeout_s=10.0)
+        assert rig.budget()["closed"] == REQUEST_TOKENS
