--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -14,14 +14,10 @@
     page_number,
 )
 from pistachiowell.budgets.restoring import Restoration, has_all
-from pistachiowell.budgets.sizing import SizingSettings
+from pistachiowell.budgets.sizing import SizingSettings, wanted_tokens
+from pistachiowell.budgets.stale import OpenReservation
 from pistachiowell.core.ids import new_id
 
-REFILL_BELOW_TARGET_SHARE = 0.5
-# Applies to the other accounts of a page that is written anyway, so that its accounts
-# are refilled by one write and not by one each.
-REFILL_TOGETHER_BELOW_TARGET_SHARE = 0.9
-RETURN_ABOVE_TARGETS = 4.0
 RECALL_HOLD_S = 2.0
 
 
@@ -188,6 +184,49 @@
         """Whether any reservation is not settled."""
         return bool(self.reserving_routers())
 
+    def can_fit(self, account, tokens, now):
+        """Returns whether the next write of a page would cover a request.
+
+        Args:
+            account: Client account.
+            tokens: Size of the request in tokens.
+            now: Time in seconds.
+
+        Returns:
+            True if the request fits into the free tokens of the page as last read and
+            what is left in the grant that grows; False if not, or as long as grants
+            must not grow.
+        """
+        if self._fenced or self.is_settling(self.page_of(account), now):
+            return False
+        ledger = self.ledger(account)
+        grant_id = _growing_id(ledger)
+        left = ledger.grants[grant_id].available_tokens if grant_id else 0
+        return max(left, 0) + ledger.free_tokens >= tokens
+
+    def can_gather(self, account, tokens):
+        """Returns whether a request would fit if all own grants were put together.
+
+        A request is paid out of one grant; ``recall`` returns what is idle in all of
+        them, out of which a new grant is opened.
+
+        Args:
+            account: Client account.
+            tokens: Size of the request in tokens.
+        """
+        ledger = self.ledger(account)
+        idle = sum(max(g.available_tokens, 0) for g in ledger.grants.values())
+        return idle + ledger.free_tokens >= tokens
+
+    def open_reservations(self):
+        """Returns an ``OpenReservation`` for each reservation that is not settled."""
+        return [
+            OpenReservation(account, reservation_id, router, tokens)
+            for account, ledger in self._ledgers.items()
+            for grant in ledger.grants.values()
+            for reservation_id, (router, tokens) in grant.reservations.items()
+        ]
+
     def has_reservations_of(self, router):
         """Returns whether a router has open reservations in any ledger."""
         return any(x.has_reservations_of(router) for x in self._ledgers.values())
@@ -311,12 +350,16 @@
         for name, account in page.accounts.items():
             if name in self._by_page[number]:
                 self._ledgers[name].free_tokens = free_tokens(account)
+                self._ledgers[name].credited_tokens = account.credited
             for grant_id, grant in account.grants.items():
                 if grant.holder == self._incarnation:
                     present.add(grant_id)
                     self._fenced |= grant.sealing
                     self._apply_grant(name, grant_id, grant, now)
         self._remove_absent(number, present, now)
+        if not self._fenced:
+            for account in self._by_page[number]:
+                self._ledgers[account].serve_waiting()
 
     def _take_as_restored(self, number, page, now):
         """Ends the restoration of a page that has everything again.
@@ -340,7 +383,7 @@
         """
         version = self._versions.get(number)
         return self._restoration.is_due(number, version) or any(
-            _needs_change(self._ledgers[account], now)
+            self._needs_change(self._ledgers[account], now)
             for account in self._by_page[number]
         )
 
@@ -356,16 +399,21 @@
     def retire_idle(self, account, now):
         """Retires idle grants: the next plan lowers, replaces or closes them.
 
-        Available tokens above ``RETURN_ABOVE_TARGETS`` times the target are returned
-        down to the target. A grant older than ``renew_after_s`` is replaced: after an
+        Available tokens above ``return_share`` times the target are returned down to
+        the target. A grant older than ``renew_after_s`` is replaced: after an
         agent crash, grants opened before it cannot be closed by recovery, and short
         lives keep these few. Without a request for ``close_idle_after_s`` the grants
         are closed, as another holder may have the demand now.
 
+        While a write of the page is in doubt nothing is retired. No page is read or
+        written then, and what is planned could not be withdrawn.
+
         Args:
             account: Client account.
             now: Time in seconds.
         """
+        if self.page_of(account) in self._unresolved:
+            return
         ledger = self.ledger(account)
         demand = ledger.demand(now)
         for grant in list(ledger.grants.values()):
@@ -374,11 +422,9 @@
             if ledger.is_inactive(now) and not grant.reservations:
                 grant.draining = True
                 continue
-            surplus = grant.available_tokens - int(
-                RETURN_ABOVE_TARGETS * demand.target_tokens
-            )
-            if surplus > 0:
-                grant.ceiling = grant.committed_tokens + demand.target_tokens
+            wanted = wanted_tokens(self._policy, demand)
+            if grant.available_tokens > self._sizing.return_share * wanted:
+                grant.ceiling = grant.committed_tokens + wanted
             elif now - grant.opened_at >= self._sizing.renew_after_s:
                 grant.renewing = True
 
@@ -438,17 +484,36 @@
 
     def _plan_growth(self, number, now):
         ledgers = {name: self._ledgers[name] for name in sorted(self._by_page[number])}
-        if not any(
-            _needs_growth(ledger, REFILL_BELOW_TARGET_SHARE, now)
+        is_due = any(
+            ledger.can_grow(now) or self._is_low(ledger, now, self._sizing.refill_share)
             for ledger in ledgers.values()
-        ):
-            return []
+        )
+        share = self._sizing.refill_together_share
         return [
             self._plan_fund(account, ledger, now)
             for account, ledger in ledgers.items()
-            if _needs_growth(ledger, REFILL_TOGETHER_BELOW_TARGET_SHARE, now)
+            if ledger.demand(now).need_tokens
+            or (is_due and self._is_low(ledger, now, share))
         ]
 
+    def _is_low(self, ledger, now, share):
+        """Returns whether an account has too little, or a grant to be replaced."""
+        demand = ledger.demand(now)
+        wanted = wanted_tokens(self._policy, demand)
+        is_low = demand.available_tokens < share * wanted
+        can_grow = demand.free_tokens >= max(demand.smallest_need_tokens, 1)
+        return (is_low and can_grow) or any(
+            g.renewing and not g.draining for g in ledger.grants.values()
+        )
+
+    def _needs_change(self, ledger, now):
+        if ledger.demand(now).need_tokens:
+            return True
+        return self._is_low(ledger, now, self._sizing.refill_share) or any(
+            grant.ceiling is not None or grant.renewing or grant.draining
+            for grant in ledger.grants.values()
+        )
+
     def _plan_fund(self, account, ledger, now):
         policy = self._policy
         if now - self._recalled_at.get(account, -RECALL_HOLD_S) < RECALL_HOLD_S:
@@ -467,26 +532,16 @@
         )
 
     def _growing_grant(self, account, ledger):
-        for grant_id, grant in ledger.grants.items():
-            if not grant.renewing and not grant.draining and grant.ceiling is None:
-                return grant_id, grant.amount
+        grant_id = _growing_id(ledger)
+        if grant_id is not None:
+            return grant_id, ledger.grants[grant_id].amount
         grant_id = self._opening.setdefault(account, self._make_id())
         return grant_id, 0
 
 
-def _is_low(demand, share):
-    return demand.available_tokens < share * demand.target_tokens
-
-
-def _needs_growth(ledger, share, now):
-    demand = ledger.demand(now)
-    if demand.need_tokens or _is_low(demand, share):
-        return True
-    return any(g.renewing and not g.draining for g in ledger.grants.values())
-
-
-def _needs_change(ledger, now):
-    return _is_low(ledger.demand(now), REFILL_BELOW_TARGET_SHARE) or any(
-        grant.ceiling is not None or grant.renewing or grant.draining
-        for grant in ledger.grants.values()
-    )
+def _growing_id(ledger):
+    """Returns the id of the open grant that grows next, or None."""
+    for grant_id, grant in ledger.grants.items():
+        if not grant.renewing and not grant.draining and grant.ceiling is None:
+            return grant_id
+    return None
--- a/pistachiowell/gateway/budget_owner.py
+++ b/pistachiowell/gateway/budget_owner.py
@@ -16,7 +16,6 @@
 from pistachiowell.budgets.page import (
     SetCredit,
     free_tokens,
-    granted_tokens,
     unspent_elsewhere,
 )
 from pistachiowell.budgets.sizing import SizingSettings
@@ -24,9 +23,13 @@
     BudgetExhausted,
     BudgetUnreachable,
     OwnerUnready,
+    PistachiowellError,
 )
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.grant_notices import GrantTeller, NoticedGrants
+from pistachiowell.gateway.holder_states import HolderStates
+from pistachiowell.gateway.refusal_log import RefusalLog
+from pistachiowell.gateway.reservation_checks import ReservationChecks
 from pistachiowell.router.grant_pages import GrantPages
 from pistachiowell.schema.generated.messages_budgets import (
     GrantNotice,
@@ -39,8 +42,14 @@
 
 FIRST_GRANT_REQUESTS = 4
 RATE_WINDOW_S = 5.0
-# Grants are refilled at half of it, so outages of half of it are bridged.
-LONG_HORIZON_S = 24.0
+# Grants are refilled at half of it. What is left bridges an outage of 8.4 s at nearly
+# the threefold rate; see docs/design/token_return.md for this and the next four.
+LONG_HORIZON_S = 48.0
+FREE_SHARE = 0.12
+LEAST_HORIZON_S = 1.5
+RETURN_SHARE = 2.0
+# Before, a rate that was measured for 5 s counted as two thirds of what it was.
+FIRST_RATE_S = 1.0
 RENEW_AFTER_S = 3600.0
 CLOSE_IDLE_AFTER_S = 4.0
 GRANT_CHECK_INTERVAL_S = 0.5
@@ -56,11 +65,30 @@
 # fit again.
 REFUSAL_CACHE_S = 0.3
 MAX_PAGE_WRITES = 3
+# Another agent writes the page too; the next one in rank is asked, or the caller again.
+CONFLICT_RETRY_AFTER_S = 0.3
 SETTLING_CHECK_INTERVAL_S = 0.1
 
 _log = part_logger("budgets")
 
 
+def owner_sizing(horizon_s):
+    """Returns the ``SizingSettings`` of an owner; see its ``horizon_s``."""
+    return SizingSettings(
+        policy="proportional",
+        horizon_s=horizon_s,
+        long_horizon_s=LONG_HORIZON_S,
+        first_grant_requests=FIRST_GRANT_REQUESTS,
+        rate_window_s=RATE_WINDOW_S,
+        first_rate_s=FIRST_RATE_S,
+        renew_after_s=RENEW_AFTER_S,
+        close_idle_after_s=CLOSE_IDLE_AFTER_S,
+        free_share=FREE_SHARE,
+        least_horizon_s=LEAST_HORIZON_S,
+        return_share=RETURN_SHARE,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class _Refusal:
     """A refusal that applies to the next requests of an account too.
@@ -69,6 +97,7 @@
         until: Time until which it applies.
         tokens: Size of the refused request; smaller ones may fit.
         catalog: The ``Catalog`` at the refusal; a newer one may contain a top-up.
+        is_settling: Whether grants could not grow, as the store had returned.
         error_class: Class of the error.
         text: Message of the error.
     """
@@ -76,13 +105,15 @@
     until: float
     tokens: int
     catalog: object
+    is_settling: bool
     error_class: type
     text: str
 
-    def covers(self, message, catalog, now):
+    def covers(self, message, catalog, is_settling, now):
         """Returns whether it applies to a request."""
         is_recent = now < self.until and catalog is self.catalog
-        return is_recent and message.tokens >= self.tokens
+        is_same = is_settling is self.is_settling
+        return is_recent and is_same and message.tokens >= self.tokens
 
 
 class BudgetOwner:
@@ -100,13 +131,16 @@
     """
 
     __slots__ = (
+        "_checks",
         "_holder",
         "_noticed",
         "_outage_until",
         "_pages",
         "_prepaid_by_page",
         "_prepaid_catalog",
+        "_holder_states",
         "_recent_refusals",
+        "_refusal_log",
         "_runtime",
         "_returned",
         "_state",
@@ -116,15 +150,7 @@
         self._runtime = runtime
         self._state = state
         pages = runtime.settings.budget_pages
-        sizing = SizingSettings(
-            policy="proportional",
-            horizon_s=runtime.settings.budget_horizon_s,
-            long_horizon_s=LONG_HORIZON_S,
-            first_grant_requests=FIRST_GRANT_REQUESTS,
-            rate_window_s=RATE_WINDOW_S,
-            renew_after_s=RENEW_AFTER_S,
-            close_idle_after_s=CLOSE_IDLE_AFTER_S,
-        )
+        sizing = owner_sizing(runtime.settings.budget_horizon_s)
         self._holder = GrantHolder(
             runtime.incarnation,
             pages,
@@ -147,6 +173,11 @@
             self._first_changes,
             teller.tell,
         )
+        self._checks = ReservationChecks(runtime, self._holder, links)
+        self._holder_states = HolderStates(links, runtime.now)
+        self._refusal_log = RefusalLog(
+            runtime, self._holder, self._pages, self._holder_states
+        )
         runtime.store.era.add_listener(self._record_return)
         handlers.on(GrantNotice, quick=True)(self._handle_notice)
         handlers.on(ReserveTokens)(self._handle_reserve)
@@ -154,6 +185,12 @@
 
     async def run(self):
         """Adjusts the grants to the demand until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._holder_states.run)
+            group.start_soon(self._checks.run)
+            await self._keep_grants()
+
+    async def _keep_grants(self):
         while True:
             await self._restore_noticed()
             await self._pages.keep_grants()
@@ -197,14 +234,18 @@
         await self._pages.return_idle_tokens()
 
     async def _handle_reserve(self, link, message):
-        del link
+        self._checks.record_gateway(link)
         reserved = self._pages.reserve(message)
         if reserved is None:
+            ledger = self._holder.ledger(message.account)
             try:
-                reserved = await self._reserve_from_page(message)
+                reserved = await self._reserve_from_page(message, ledger)
+            except PistachiowellError as error:
+                if not ledger.has_ended(message.reservation_id):
+                    self._refusal_log.record(message, error)
+                raise
             finally:
                 if reserved is None:
-                    ledger = self._holder.ledger(message.account)
                     ledger.cancel(message.reservation_id)
         return TokensReserved(
             message.request_id,
@@ -218,19 +259,54 @@
         self._pages.settle(message)
         return TokensSettled(message.request_id)
 
-    async def _reserve_from_page(self, message):
+    async def _reserve_from_page(self, message, ledger):
+        """Reserves out of what the next writes of the page grant.
+
+        A write grants what all waiting requests need, and they get it at once. More
+        than one is needed only if the page had been written by others, or if tokens of
+        several grants have to be put together.
+        """
         self._check_recent_refusals(message)
         for _ in range(MAX_PAGE_WRITES):
-            page = await self._sync(message.account)
-            reserved = self._pages.reserve(message)
+            if ledger.has_ended(message.reservation_id):
+                # The gateway has given the call up. No later request is affected.
+                raise BudgetUnreachable("The reservation was cancelled meanwhile.")
+            reserved = await self._sync_for(message)
             if reserved is not None:
                 return reserved
-            account = page.accounts.get(message.account, BudgetAccount())
-            # Another request may have reserved the tokens that were granted for this
-            # one. The page is written again if it has enough free tokens.
-            if free_tokens(account) < message.tokens:
-                break
-        raise self._record_refusal(message, account)
+            if not self._may_fit(message) and not self._gather(message):
+                raise self._record_refusal(message)
+        raise OwnerUnready(
+            f"Page writes of {message.account} met those of other owners.",
+            retry_after_s=CONFLICT_RETRY_AFTER_S,
+        )
+
+    async def _sync_for(self, message):
+        """Writes the page and returns what was reserved for a request, or None."""
+        try:
+            await self._sync(message.account)
+        except OwnerUnready:
+            # A settlement may have released enough tokens meanwhile.
+            reserved = self._pages.reserve(message)
+            if reserved is None:
+                raise
+            return reserved
+        return self._pages.reserve(message)
+
+    def _may_fit(self, message):
+        now = self._runtime.now()
+        return self._holder.can_fit(message.account, message.tokens, now)
+
+    def _gather(self, message):
+        """Returns idle tokens of all own grants if they and the free ones suffice."""
+        page = self._holder.page_of(message.account)
+        now = self._runtime.now()
+        if self._holder.is_settling(page, now):
+            return False
+        if not self._holder.can_gather(message.account, message.tokens):
+            return False
+        self._holder.recall(message.account, now)
+        return True
 
     async def _sync(self, account):
         if self._outage_until > float("-inf"):
@@ -262,11 +338,17 @@
                 retry_after_s=OUTAGE_RETRY_AFTER_S,
             )
         refusal = self._recent_refusals.get(message.account)
-        if refusal is not None and refusal.covers(message, self._state.catalog, now):
+        if refusal is None or self._may_fit(message):
+            return
+        page = self._holder.page_of(message.account)
+        is_settling = self._holder.is_settling(page, now)
+        if refusal.covers(message, self._state.catalog, is_settling, now):
             raise self._refusal_error(message, refusal)
 
-    def _record_refusal(self, message, account):
-        free, granted = free_tokens(account), granted_tokens(account)
+    def _record_refusal(self, message):
+        page = self._pages.page_of(message.account).page
+        account = page.accounts.get(message.account, BudgetAccount())
+        free = free_tokens(account)
         own = self._holder.ledger(message.account).grants
         elsewhere = unspent_elsewhere(account, own)
         unused = sum(g.amount - g.used_tokens for g in own.values())
@@ -282,20 +364,7 @@
             )
         until = self._runtime.now() + REFUSAL_CACHE_S
         refusal = self._recent_refusals[message.account] = _Refusal(
-            until, message.tokens, self._state.catalog, cls, text
-        )
-        _log.warning(
-            "Account refused.",
-            request=message.request_id,
-            account=message.account,
-            code=str(cls.code),
-            tokens=message.tokens,
-            free=free,
-            granted=granted,
-            elsewhere=elsewhere,
-            unused=unused,
-            credited=account.credited,
-            closed=account.closed,
+            until, message.tokens, self._state.catalog, is_settling, cls, text
         )
         return self._refusal_error(message, refusal)
 
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -22,10 +22,12 @@
 from pistachiowell.gateway.evacuation_watch import EvacuationWatcher
 from pistachiowell.gateway.grant_notices import GrantMemory
 from pistachiowell.gateway.hedges import Hedges
+from pistachiowell.gateway.holder_states import HolderDirectory
 from pistachiowell.gateway.load_sharing import LoadSharing
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.places import Places
 from pistachiowell.gateway.planned_stop import ENDING_S, PlannedStop
+from pistachiowell.gateway.reservation_checks import ReservationAnswers
 from pistachiowell.gateway.retry_shares import RetryShares
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
@@ -212,7 +214,9 @@
         self._spending = GatewaySpending(
             runtime, self._fleet, state, self._agent_reports.follows_store
         )
+        ReservationAnswers(self._spending, handlers)
         self._grant_memory = GrantMemory(runtime, self._fleet, handlers)
+        HolderDirectory(self._fleet, handlers)
         StoreReturns(runtime, self._fleet, handlers)
         self._crashes = ServerCrashes(self._crash_candidates, runtime.now)
         retry_shares = RetryShares(settings, self._count_sharing_routers, runtime.now())
--- a/pistachiowell/router/pages.py
+++ b/pistachiowell/router/pages.py
@@ -7,6 +7,7 @@
 from pistachiowell.budgets.page import (
     COLLECTION,
     apply_changes,
+    apply_plan,
     decode_page,
     encode_page,
     page_name,
@@ -187,6 +188,10 @@
         except StoreAnswerLost:
             self._holder.on_answer_lost(self._number, version)
             return False
+        except anyio.get_cancelled_exc_class():
+            # The request that led the write was cut off. The write may take effect.
+            self._holder.on_answer_lost(self._number, version)
+            raise
         self._observe(new_version, new)
         return True
 
@@ -197,7 +202,7 @@
     def _planned_page(self):
         changes = self._first_changes(self._number, self.page)
         changes += self._holder.plan(self._number, self._runtime.now())
-        return apply_changes(self.page, changes)
+        return apply_plan(self.page, changes)
 
     def _has_work(self):
         return self._holder.has_changes(self._number, self._runtime.now())
