--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -51,6 +51,7 @@
         closing: The ``ClosingOracle``.
         early_ends: One sentence per process that ended by itself or out of order, or
             that the users' VMs would have ended.
+        link_ports: Port of the links, without a relay, by name of the agent.
         server_states: The ``ServerState`` of each backend server by id.
         servers: The ``BackendStandIn`` of each backend server.
         store: The ``ObjectServer`` that stands in for the store.
@@ -70,6 +71,7 @@
         "addresses",
         "closing",
         "early_ends",
+        "link_ports",
         "server_states",
         "servers",
         "store",
@@ -89,6 +91,7 @@
         self.addresses = {}
         self.closing = ClosingOracle()
         self.early_ends = []
+        self.link_ports = {}
         self.server_states = {}
         self.servers = []
         self.store = ObjectServer()
@@ -154,7 +157,7 @@
 
     async def add_agent(self, name):
         """Starts an agent."""
-        port = self._free_port()
+        port = self.link_ports[name] = self._free_port()
         relay_port = await self._add_link(f"agent-{name}", port)
         settings = {"host": HOST, "port": port, "advertised_port": relay_port}
         await self._add_program(name, "agent", settings)
