Bound what HTTP clients cost, by connection and summed

Cause: uvicorn's protocol parsed requests that follow each other on a connection ahead of the answers, kept heads until their end whatever their number of lines, had no time for heads and no sum over connections.

Change: a request that comes before the answer to the one before it is not read; the connection is closed after that answer. This holds for the ready and metrics ports too.

--- /dev/null
+++ b/pistachiowell/core/client_budget.py
@@ -0,0 +1,126 @@
+"""Budget of connections and bytes for the clients of one process.
+
+Load pattern: as ``connection_order``. New connections and bytes are let in, and those
+give way that have done least, until a limit is kept again.
+"""
+
+from dataclasses import dataclass
+
+from pistachiowell.core.connection_order import ConnectionOrder, Stage
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """Limits of the clients of one process, summed over all its ports.
+
+    Attributes:
+        connections: Largest number of connections.
+        held_bytes: Most bytes of heads, bodies and unread answers.
+    """
+
+    connections: int
+    held_bytes: int
+
+
+class ClientBudget:
+    """Decides which connections are closed so that the limits are kept.
+
+    Args:
+        limits: ``ClientLimits``.
+
+    Attributes:
+        held_bytes: Present number of bytes that the connections hold.
+
+    Examples:
+        >>> budget = ClientBudget(ClientLimits(connections=2, held_bytes=10))
+        >>> budget.add("a", 1.0), budget.add("b", 2.0)
+        ([], [])
+        >>> budget.add("c", 3.0)
+        ['a']
+        >>> budget.update("b", Stage.body, 8, 4.0)
+        []
+        >>> budget.update("c", Stage.body, 8, 5.0)
+        ['b']
+    """
+
+    __slots__ = ("_held", "_holders", "_limits", "_order", "held_bytes")
+
+    def __init__(self, limits):
+        self._limits = limits
+        self._order = ConnectionOrder()
+        self._holders = ConnectionOrder()
+        self._held = {}
+        self.held_bytes = 0
+
+    def __len__(self):
+        return len(self._order)
+
+    def add(self, connection, now):
+        """Adds a new connection.
+
+        Returns:
+            The connections to close in its favour; itself if no other may be closed.
+        """
+        self._order.put(connection, Stage.silent, now)
+        if len(self._order) <= self._limits.connections:
+            return []
+        others = (c for c in self._order.giving_way() if c is not connection)
+        return [next(others, connection)]
+
+    def update(self, connection, stage, held_bytes, now):
+        """Records what a connection does and how many bytes it holds.
+
+        Returns:
+            The connections to close so that there is room for its bytes.
+        """
+        if connection not in self._order:
+            return []
+        if self._order.stage(connection) is not stage:
+            self._order.put(connection, stage, now)
+        self._hold(connection, stage, held_bytes, now)
+        if self.held_bytes <= self._limits.held_bytes:
+            return []
+        return self._without_room(connection, stage)
+
+    def _hold(self, connection, stage, held_bytes, now):
+        self.held_bytes += held_bytes - self._held.pop(connection, 0)
+        if not held_bytes:
+            self._holders.discard(connection)
+            return
+        self._held[connection] = held_bytes
+        if self._holders.stage(connection) is not stage:
+            self._holders.put(connection, stage, now)
+
+    def _without_room(self, connection, stage):
+        """Returns those that give way to a connection, or the connection itself.
+
+        An answer that is ready is not given up in favour of running requests, and a
+        single connection may hold more than the limit.
+        """
+        closed, excess = [], self.held_bytes - self._limits.held_bytes
+        for other in self._holders.giving_way():
+            if excess <= 0:
+                return closed
+            if other is not connection:
+                closed.append(other)
+                excess -= self._held[other]
+        is_alone = len(closed) + 1 == len(self._holders)
+        if excess > 0 and not is_alone and stage < Stage.stalled:
+            closed.append(connection)
+        return closed
+
+    def refresh(self, connection, held_bytes, now):
+        """Records that a stalled connection makes progress."""
+        stage = self._order.stage(connection)
+        self._order.put(connection, stage, now)
+        self._hold(connection, stage, held_bytes, now)
+
+    def remove(self, connection):
+        """Removes a connection that is closed or about to be."""
+        self._order.discard(connection)
+        self._holders.discard(connection)
+        self.held_bytes -= self._held.pop(connection, 0)
+
+    def due(self, stage, before):
+        """Returns the connections that have been in a stage since before a time."""
+        return self._order.due(stage, before)
--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -1,83 +1,232 @@
-"""HTTP protocol class for uvicorn that limits what a caller sends beside bodies."""
+"""HTTP protocol class for uvicorn that limits what a caller sends and leaves unread."""
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from pistachiowell.core.clients import Clients, client_limits
+from pistachiowell.core.connection_order import Stage
+from pistachiowell.core.metrics import Metrics
+from pistachiowell.core.read_gate import ReadGate
+from pistachiowell.core.refusals import HEAD_TIMEOUT, NO_ROOM, refusal
+
 WRITE_BUFFER_BYTES = 4096
+DEFAULT_MEMORY_MB = 300
+# The parser sees no more at once, so that a head over the limit is never kept whole.
+PIECE_BYTES = 16_384
+# Memory of the objects of one header line, here and in the request to the server.
+LINE_COST_BYTES = 512
+
 
-_TOO_LARGE = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    b"content-type: application/json\r\n"
-    b"connection: close\r\n"
-    b"content-length: %d\r\n\r\n%b"
-)
+class _StopParsingError(Exception):
+    """Ends the parsing of a connection from a callback of the parser."""
 
 
-def bounded_protocol(max_header_bytes, body):
-    """Returns a protocol class that refuses requests with too large headers.
+def bounded_protocol(max_header_bytes, body, clients=None):
+    """Returns a protocol class that bounds what each connection costs.
 
-    uvicorn's own httptools protocol buffers headers and trailers without a limit, so a
-    caller that sends them without end would exhaust the memory of the process.
+    uvicorn's own httptools protocol buffers headers and trailers without a limit, and
+    parses requests that follow each other on a connection before they are answered, so
+    a caller that sends them without end would exhaust the memory of the process.
+
+    A request that comes before the answer to the one before it is not read; the
+    connection is closed after that answer.
 
     Args:
         max_header_bytes: Largest head of a request in bytes.
         body: JSON body of the refusal as bytes.
+        clients: The ``Clients`` of the process; None for some of its own.
 
     Returns:
         A class for ``uvicorn.Config(http=...)``.
     """
+    if clients is None:
+        clients = Clients(client_limits(DEFAULT_MEMORY_MB), Metrics())
+    too_large = refusal(431, body)
 
     class BoundedProtocol(HttpToolsProtocol):
-        """Counts the bytes that belong to no body, until a head or body part ends."""
+        """Counts what a connection holds, and tells ``clients`` what it does.
+
+        Attributes:
+            checked_bytes: Bytes of an answer that were unread at the last check.
+        """
 
         def __init__(self, *args, **kwargs):
             super().__init__(*args, **kwargs)
             self._other_bytes = 0
+            self._body_bytes = 0
+            self._head_bytes = 0
+            self._lines = 0
+            self._has_ended_part = False
+            self._is_in_head = True
+            self._is_in_message = False
+            self._has_request_ahead = False
+            self._reported = Stage.silent, 0
+            self.checked_bytes = float("inf")
+
+        @property
+        def unsent_bytes(self):
+            """Bytes of answers that the client has not read."""
+            return self.transport.get_write_buffer_size()
+
+        @property
+        def _is_answering(self):
+            return self.cycle is not None and not self.cycle.response_complete
 
         def connection_made(self, transport):
-            """Limits the connection's write buffer.
+            """Limits the connection's write buffer and reads.
 
             A small buffer makes writes wait for the caller early, so that flow control
             reaches the agent and the memory per caller stays bounded.
             """
             transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
             super().connection_made(transport)
+            self.flow = ReadGate(transport, self.loop)
+            clients.add(self)
+
+        def connection_lost(self, exc):
+            """Gives back what the connection held."""
+            clients.remove(self)
+            super().connection_lost(exc)
 
         def on_message_begin(self):
             """Starts counting the header bytes of a request."""
-            self._is_in_head = True
+            if self._is_answering:
+                self._refuse_request_ahead()
+            self._is_in_head = self._is_in_message = True
+            self._lines = 0
             super().on_message_begin()
 
+        def _refuse_request_ahead(self):
+            self._has_request_ahead = True
+            self.cycle.keep_alive = False
+            self.flow.shut()
+            clients.record_close("pipelined")
+            raise _StopParsingError
+
+        def on_header(self, name, value):
+            """Stores a header, and drops a trailer."""
+            if not self._is_in_head:
+                return
+            self._lines += 1
+            if self._lines > clients.max_header_lines:
+                self._end("head_too_large", too_large)
+                raise _StopParsingError
+            super().on_header(name, value)
+
         def on_headers_complete(self):
-            """Stops counting the header bytes of a request."""
+            """Starts the request if there is room for its head."""
             self._is_in_head = False
             self._has_ended_part = True
+            self._head_bytes = self._lines * LINE_COST_BYTES
+            self._report(Stage.head)
+            if self.transport.is_closing():
+                raise _StopParsingError
             super().on_headers_complete()
 
-        def on_header(self, name, value):
-            """Stores a header, and drops a trailer."""
-            if self._is_in_head:
-                super().on_header(name, value)
-
         def on_body(self, body):
             """Stores a part of a body."""
             self._has_ended_part = True
+            if self._is_answering:
+                self._body_bytes += len(body)
             super().on_body(body)
 
+        def on_message_complete(self):
+            """Records the end of a request."""
+            self._is_in_message = False
+            super().on_message_complete()
+
+        def on_response_complete(self):
+            """Releases what the request held."""
+            self._body_bytes = self._head_bytes = 0
+            self.flow.record_request()
+            super().on_response_complete()
+            self._report(self._stage())
+
+        def pause_writing(self):
+            """Records that the client does not read its answer."""
+            super().pause_writing()
+            self.checked_bytes = float("inf")
+            self._report(Stage.stalled)
+
+        def resume_writing(self):
+            """Records that the client has read its answer so far."""
+            super().resume_writing()
+            self._report(self._stage())
+
         def data_received(self, data):
             """Parses data of the caller; refuses a head or trailers without end."""
+            for start in range(0, len(data), PIECE_BYTES):
+                if self._has_request_ahead or self.transport.is_closing():
+                    return
+                self._parse(data[start : start + PIECE_BYTES])
+            if not self.transport.is_closing():
+                self._report(self._stage())
+                self.flow.record_read(len(data))
+
+        def _parse(self, piece):
             self._has_ended_part = False
-            super().data_received(data)
+            super().data_received(piece)
             if self._has_ended_part:
                 self._other_bytes = 0
                 return
-            self._other_bytes += len(data)
-            if self._other_bytes <= max_header_bytes or self.transport.is_closing():
+            self._other_bytes += len(piece)
+            if self._other_bytes > max_header_bytes:
+                self._end("head_too_large", too_large if self._is_in_head else b"")
+
+        def send_400_response(self, msg):
+            """Ends the connection after an error of the parser."""
+            if self._has_request_ahead or self.transport.is_closing():
+                return
+            if self._is_answering and self.cycle.response_started:
+                self.transport.close()
+            else:
+                super().send_400_response(msg)
+
+        def give_way(self, reason):
+            """Closes the connection; refuses its request if no server can have it.
+
+            Args:
+                reason: Reason of ``Clients``.
+            """
+            stage = self._stage()
+            answer = HEAD_TIMEOUT if reason == "header_timeout" else NO_ROOM
+            if stage in (Stage.head, Stage.body) and not self.transport.is_closing():
+                self._end(None, answer)
+            if self.transport.get_write_buffer_size() or stage is Stage.stalled:
+                self.transport.abort()
+            self.transport.close()
+
+        def _end(self, reason, answer):
+            """Closes the connection with an answer of its own."""
+            if self.transport.is_closing():
                 return
-            if self._is_in_head:
-                self.transport.write(_TOO_LARGE % (len(body), body))
+            if reason is not None:
+                clients.record_close(reason)
+            if not self._is_answering:
+                self.transport.write(answer)
+            elif not self.cycle.response_started:
+                # The application has not the whole body, so nothing has run.
+                self.transport.write(answer)
+                self.cycle.disconnected = True
+                self.cycle.message_event.set()
             self.transport.close()
 
-        _has_ended_part = False
-        _is_in_head = True
+        def _stage(self):
+            if self.flow.write_paused:
+                return Stage.stalled
+            if self._is_answering:
+                return Stage.body if self.cycle.more_body else Stage.serving
+            if self._is_in_message:
+                return Stage.head if self._is_in_head else Stage.leftover
+            return Stage.silent if self.cycle is None else Stage.idle
+
+        def _report(self, stage):
+            held_bytes = self._body_bytes + self._head_bytes
+            if stage is Stage.stalled:
+                held_bytes += self.transport.get_write_buffer_size()
+            elif stage is Stage.head:
+                held_bytes = self._other_bytes + self._lines * LINE_COST_BYTES
+            if (stage, held_bytes) != self._reported:
+                self._reported = stage, held_bytes
+                clients.update(self, stage, held_bytes)
 
     return BoundedProtocol
--- a/pistachiowell/core/metrics_page.py
+++ b/pistachiowell/core/metrics_page.py
@@ -53,5 +53,5 @@
         page,
         settings.metrics_host,
         settings.metrics_port,
-        http=bounded_protocol(MAX_HEADER_BYTES, b"{}"),
+        http=bounded_protocol(MAX_HEADER_BYTES, b"{}", runtime.clients),
     ).serve()
--- /dev/null
+++ b/pistachiowell/core/refusals.py
@@ -0,0 +1,44 @@
+"""Answers that refuse a request before any application has seen it whole."""
+
+import http
+
+import msgspec
+
+from pistachiowell.core.errors import BodyTimeout, Overloaded
+
+RETRY_AFTER_S = 0.5
+
+
+def refusal(status, body, *headers):
+    """Returns a whole answer that closes its connection.
+
+    Args:
+        status: HTTP status.
+        body: JSON body as bytes.
+        *headers: Further header lines as bytes.
+
+    Examples:
+        >>> refusal(431, b"{}").splitlines()[0]
+        b'HTTP/1.1 431 Request Header Fields Too Large'
+    """
+    lines = (
+        b"HTTP/1.1 %d %b" % (status, http.HTTPStatus(status).phrase.encode()),
+        b"content-type: application/json",
+        b"connection: close",
+        b"content-length: %d" % len(body),
+        *headers,
+    )
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def _encode(error):
+    document = {"error": str(error.code), "message": error.message, "ran": error.ran}
+    return msgspec.json.encode(document)
+
+
+NO_ROOM = refusal(
+    503,
+    _encode(Overloaded("The process has no room for the request.")),
+    b"retry-after: %.3f" % RETRY_AFTER_S,
+)
+HEAD_TIMEOUT = refusal(408, _encode(BodyTimeout("The head did not arrive in time.")))
--- a/pistachiowell/core/runtime.py
+++ b/pistachiowell/core/runtime.py
@@ -3,6 +3,7 @@
 import dataclasses
 import time
 
+from pistachiowell.core.clients import Clients, client_limits
 from pistachiowell.core.clock import HybridClock
 from pistachiowell.core.events import EventKind, EventRing
 from pistachiowell.core.ids import new_id
@@ -18,6 +19,7 @@
         role: ``router`` or ``agent``.
         settings: The program's settings.
         store: The platform's store; see ``pistachiowell.store.Store``.
+        clients: The ``Clients`` of the process; None to count them here.
 
     Attributes:
         tls: The ``LinkTls`` of the links; None without TLS.
@@ -26,6 +28,7 @@
     """
 
     __slots__ = (
+        "_clients",
         "_events",
         "_hello",
         "_metrics",
@@ -37,7 +40,7 @@
         "tls",
     )
 
-    def __init__(self, role, settings, store):
+    def __init__(self, role, settings, store, clients=None):
         self._role = role
         self._settings = settings
         clock = HybridClock(time.time_ns)
@@ -45,6 +48,11 @@
         self._store = ObservedStore(store, self._events)
         store.era.add_listener(self._record_return)
         self._metrics = Metrics()
+        self._clients = clients or Clients(
+            client_limits(settings.memory_mb),
+            self._metrics,
+            max_header_lines=settings.max_header_lines,
+        )
         self._hello = Hello(
             role=role,
             id=settings.id,
@@ -86,6 +94,11 @@
         """The metrics of this process."""
         return self._metrics
 
+    @property
+    def clients(self):
+        """The connections of clients and strangers."""
+        return self._clients
+
     @property
     def hello(self):
         """The first message on every link."""
--- a/pistachiowell/core/web.py
+++ b/pistachiowell/core/web.py
@@ -6,6 +6,9 @@
 
 from pistachiowell.core.errors import BodyTooLarge
 
+ACCEPTED_AT_ONCE = 8
+MAX_WAITING = 2_048
+
 
 class CallerGoneError(Exception):
     """The caller disconnected before the end of its request."""
@@ -18,6 +21,18 @@
         """Returns a context manager that captures no signals."""
         return nullcontext()
 
+    async def startup(self, sockets=None):
+        """Opens the port; accepts few connections at once, but lets many wait.
+
+        A connection over the limit is closed only after it was accepted, so accepting
+        all that wait at once could use up the descriptors of the process.
+        """
+        await super().startup(sockets)
+        for server in self.servers:
+            for listener in server.sockets:
+                with listener.dup() as copy:
+                    copy.listen(MAX_WAITING)
+
 
 def http_server(app, host, port, *, http="httptools", **options):
     """Returns a server for an ASGI application.
@@ -42,6 +57,7 @@
         lifespan="off",
         log_config=None,
         access_log=False,
+        backlog=ACCEPTED_AT_ONCE,
         **options,
     )
     return EmbeddedServer(config)
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -201,11 +201,9 @@
             self._spending,
             self._dispatch,
         )
-        self._http = _server(app, settings.http_address, settings.shutdown_timeout_s)
+        self._http = _server(runtime, app, settings.http_address)
         ready_app = ReadyApp(state, adapter.ready_path)
-        self._ready = _server(
-            ready_app, settings.ready_address, settings.shutdown_timeout_s
-        )
+        self._ready = _server(runtime, ready_app, settings.ready_address)
 
     @property
     def state(self):
@@ -355,6 +353,8 @@
         """
         limit_s = min(MAX_KEEP_ALIVE_S, catalog.limits.idle_timeout_s)
         self._http.config.timeout_keep_alive = limit_s
+        self._runtime.clients.idle_timeout_s = limit_s
+        self._runtime.clients.header_timeout_s = catalog.limits.header_timeout_s
         for protocol in list(self._http.server_state.connections):
             protocol.timeout_keep_alive = limit_s
             timer = protocol.timeout_keep_alive_task
@@ -374,7 +374,7 @@
     return host, int(port)
 
 
-def _server(app, address, shutdown_timeout_s):
+def _server(runtime, app, address):
     host, port = _split_address(address)
     refusal = error_document(
         HeadersTooLarge(f"The headers exceed {MAX_HEADER_BYTES} bytes.")
@@ -383,8 +383,8 @@
         app,
         host,
         port,
-        http=bounded_protocol(MAX_HEADER_BYTES, refusal),
+        http=bounded_protocol(MAX_HEADER_BYTES, refusal, runtime.clients),
         server_header=False,
         date_header=False,
-        timeout_graceful_shutdown=shutdown_timeout_s,
+        timeout_graceful_shutdown=runtime.settings.shutdown_timeout_s,
     )
--- a/pistachiowell/router/router.py
+++ b/pistachiowell/router/router.py
@@ -110,7 +110,9 @@
             self._api,
             settings.http_host,
             settings.http_port,
-            http=bounded_protocol(settings.max_header_bytes, refusal),
+            http=bounded_protocol(
+                settings.max_header_bytes, refusal, self._runtime.clients
+            ),
             timeout_graceful_shutdown=settings.shutdown_timeout_s,
         )
 
