Bound what strangers cost on the ports of links, and answers that are not read

Cause: an agent without a descriptor left ended by itself, as the listener passed the error on; anybody could let a process keep 8 MiB a link before it had said who it is; answers that were read whole and answers that wait for their callers had no common sum.

Change: accepting goes on when there is no descriptor. A link has to begin with a Hello within 3 s, in a frame of at most 64 KiB, and is used only after it. Links count in the same budget of connections and bytes as the clients over HTTP, as do answers of servers that are read whole; a buffer drops its bytes at its end.

--- a/pistachiowell/agent/agent.py
+++ b/pistachiowell/agent/agent.py
@@ -171,6 +171,7 @@
             self._runtime.hello,
             self._handlers,
             self._runtime.clock,
+            clients=self._runtime.clients,
             tls=self._runtime.tls,
             on_link=self._add_link,
             task_status=task_status,
--- a/pistachiowell/core/body_buffer.py
+++ b/pistachiowell/core/body_buffer.py
@@ -59,6 +59,8 @@
 
     def __exit__(self, *exc_info):
         self._held.size -= self.size
+        # The traceback of an error may refer to the buffer for some time.
+        self._parts.clear()
 
     def add(self, data):
         """Adds bytes.
--- a/pistachiowell/core/client_budget.py
+++ b/pistachiowell/core/client_budget.py
@@ -29,7 +29,8 @@
         limits: ``ClientLimits``.
 
     Attributes:
-        held_bytes: Present number of bytes that the connections hold.
+        held_bytes: Present number of bytes that the connections hold, and those of
+            answers that are being read for them.
 
     Examples:
         >>> budget = ClientBudget(ClientLimits(connections=2, held_bytes=10))
@@ -78,7 +79,7 @@
         if self._order.stage(connection) is not stage:
             self._order.put(connection, stage, now)
         self._hold(connection, stage, held_bytes, now)
-        if self.held_bytes <= self._limits.held_bytes:
+        if self.held_bytes <= self._limits.held_bytes or not held_bytes:
             return []
         return self._without_room(connection, stage)
 
@@ -97,18 +98,32 @@
         An answer that is ready is not given up in favour of running requests, and a
         single connection may hold more than the limit.
         """
+        closed = self._until_kept(connection)
+        held_bytes = self.held_bytes - sum(self._held[other] for other in closed)
+        is_over = held_bytes > self._limits.held_bytes
+        if is_over and held_bytes > self._held[connection] and stage < Stage.stalled:
+            closed.append(connection)
+        return closed
+
+    def _until_kept(self, excluded):
         closed, excess = [], self.held_bytes - self._limits.held_bytes
         for other in self._holders.giving_way():
             if excess <= 0:
-                return closed
-            if other is not connection:
+                break
+            if other is not excluded:
                 closed.append(other)
                 excess -= self._held[other]
-        is_alone = len(closed) + 1 == len(self._holders)
-        if excess > 0 and not is_alone and stage < Stage.stalled:
-            closed.append(connection)
         return closed
 
+    def hold_answers(self, more_bytes):
+        """Records bytes of answers that are being read, or fewer of them.
+
+        Returns:
+            The connections to close so that there is room for them.
+        """
+        self.held_bytes += more_bytes
+        return self._until_kept(None) if more_bytes > 0 else []
+
     def refresh(self, connection, held_bytes, now):
         """Records that a stalled connection makes progress."""
         stage = self._order.stage(connection)
--- a/pistachiowell/core/clients.py
+++ b/pistachiowell/core/clients.py
@@ -9,12 +9,12 @@
 from pistachiowell.core.connection_order import Stage
 from pistachiowell.core.logs import part_logger
 
+DEFAULT_MEMORY_MB = 300
 CHECK_INTERVAL_S = 0.25
 LOG_INTERVAL_S = 5.0
 # A request in progress needs a second descriptor for its server; links, files and
 # connections that are accepted before others are closed need some more.
 CONNECTION_SHARE = 5 / 8
-# Another eighth is for answers of servers that are being read.
 MEMORY_SHARE = 1 / 8
 # The server's own timer closes idle connections at the limit.
 IDLE_SLACK_S = 1.0
@@ -35,6 +35,36 @@
     )
 
 
+class AnswerBytes:
+    """Bytes of answers that are kept whole, in the budget of the clients.
+
+    Args:
+        hold: Function that takes the bytes by which they grow.
+        limit: Largest number of bytes.
+
+    See Also:
+        ``pistachiowell.core.body_buffer.HeldBytes``.
+    """
+
+    __slots__ = ("_hold", "_size", "limit")
+
+    def __init__(self, hold, limit):
+        self._hold = hold
+        self._size = 0
+        self.limit = limit
+
+    @property
+    def size(self):
+        """Present number of bytes."""
+        return self._size
+
+    @size.setter
+    def size(self, size):
+        more_bytes = size - self._size
+        self._size = size
+        self._hold(more_bytes)
+
+
 class Clients:
     """Closes connections that exceed a limit of the process or of time.
 
@@ -45,6 +75,7 @@
         metrics: The process's ``Metrics``.
 
     Attributes:
+        answers: The ``AnswerBytes`` of answers that are read from servers.
         header_timeout_s: Longest time in seconds for a head or the first message.
         idle_timeout_s: Longest time in seconds without a request, or without reading an
             answer.
@@ -57,6 +88,7 @@
         "_logged_at",
         "_metrics",
         "_timer",
+        "answers",
         "header_timeout_s",
         "idle_timeout_s",
         "max_header_lines",
@@ -68,6 +100,7 @@
         self._closed = Counter()
         self._logged_at = float("-inf")
         self._timer = None
+        self.answers = AnswerBytes(self._hold_answers, limits.held_bytes)
         self.header_timeout_s = 3.0
         self.idle_timeout_s = 15.0
         self.max_header_lines = max_header_lines
@@ -86,6 +119,10 @@
         for other in self._budget.update(connection, stage, held_bytes, now):
             self.close(other, "memory")
 
+    def _hold_answers(self, more_bytes):
+        for other in self._budget.hold_answers(more_bytes):
+            self.close(other, "memory")
+
     def remove(self, connection):
         """Removes a connection that is closed."""
         self._budget.remove(connection)
--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -2,14 +2,13 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from pistachiowell.core.clients import Clients, client_limits
+from pistachiowell.core.clients import DEFAULT_MEMORY_MB, Clients, client_limits
 from pistachiowell.core.connection_order import Stage
 from pistachiowell.core.metrics import Metrics
 from pistachiowell.core.read_gate import ReadGate
 from pistachiowell.core.refusals import HEAD_TIMEOUT, NO_ROOM, refusal
 
 WRITE_BUFFER_BYTES = 4096
-DEFAULT_MEMORY_MB = 300
 # The parser sees no more at once, so that a head over the limit is never kept whole.
 PIECE_BYTES = 16_384
 # Memory of the objects of one header line, here and in the request to the server.
--- a/pistachiowell/core/runtime.py
+++ b/pistachiowell/core/runtime.py
@@ -48,11 +48,7 @@
         self._store = ObservedStore(store, self._events)
         store.era.add_listener(self._record_return)
         self._metrics = Metrics()
-        self._clients = clients or Clients(
-            client_limits(settings.memory_mb),
-            self._metrics,
-            max_header_lines=settings.max_header_lines,
-        )
+        self._clients = clients
         self._hello = Hello(
             role=role,
             id=settings.id,
@@ -97,6 +93,12 @@
     @property
     def clients(self):
         """The connections of clients and strangers."""
+        if self._clients is None:
+            self._clients = Clients(
+                client_limits(self._settings.memory_mb),
+                self._metrics,
+                max_header_lines=self._settings.max_header_lines,
+            )
         return self._clients
 
     @property
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -57,6 +57,7 @@
             ``moves``; see ``pistachiowell.platform.programs``.
         is_deputy: Whether it runs in a gateway, in place of an agent.
         closed: The ``ClosedServers`` of its gateway; None to keep its own.
+        clients: The ``Clients`` of its gateway; None to count its own.
     """
 
     __slots__ = (
@@ -77,9 +78,11 @@
         "_watches",
     )
 
-    def __init__(self, settings, store, adapter, *, is_deputy=False, closed=None):
+    def __init__(
+        self, settings, store, adapter, *, is_deputy=False, closed=None, clients=None
+    ):
         self._is_deputy = is_deputy
-        self._runtime = runtime = Runtime("agent", settings, store)
+        self._runtime = runtime = Runtime("agent", settings, store, clients)
         self._state = state = GatewayState(settings)
         self._handlers = Handlers()
         register_status_handlers(self._handlers, runtime)
@@ -184,6 +187,7 @@
             self._runtime.hello,
             self._handlers,
             self._runtime.clock,
+            clients=self._runtime.clients,
             on_link=self._links.add,
             task_status=task_status,
         )
--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections.py
@@ -154,6 +154,8 @@
     Args:
         now: Function that returns the monotonic time in seconds.
         deadline: See ``BoundedBackend``.
+        held: The ``HeldBytes`` of answers that are kept whole; None for some of its
+            own.
 
     Attributes:
         opened: Number of connections opened so far.
@@ -161,11 +163,11 @@
 
     __slots__ = ("_deadline", "_held", "_idle", "_now", "opened")
 
-    def __init__(self, now, deadline=anyio.move_on_after):
+    def __init__(self, now, deadline=anyio.move_on_after, held=None):
         self._idle = {}
         self._now = now
         self._deadline = deadline
-        self._held = HeldBytes(MAX_BUFFERED_BYTES)
+        self._held = held or HeldBytes(MAX_BUFFERED_BYTES)
         self.opened = 0
 
     def buffer(self):
--- a/pistachiowell/gateway/deputy.py
+++ b/pistachiowell/gateway/deputy.py
@@ -108,7 +108,12 @@
         store = self._adapter.make_store(settings.store_address)
         try:
             agent = GatewayAgent(
-                settings, store, self._adapter, is_deputy=True, closed=self._closed
+                settings,
+                store,
+                self._adapter,
+                is_deputy=True,
+                closed=self._closed,
+                clients=self._runtime.clients,
             )
             await agent.run(stop.wait)
             _log.info("This gateway no longer does the work of an agent.")
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -86,7 +86,9 @@
         self._crashes = crashes
         self._codec = codec
         self._router_count = router_count
-        self._pool = ConnectionPool(runtime.now, loop_watch.deadline)
+        self._pool = ConnectionPool(
+            runtime.now, loop_watch.deadline, runtime.clients.answers
+        )
         self._late_heads = LateHeads(codec, limits.record_closure)
         self._retry_shares = {}
         self._started_at = runtime.now()
--- a/pistachiowell/router/router.py
+++ b/pistachiowell/router/router.py
@@ -161,6 +161,7 @@
             self._runtime.hello,
             self._handlers,
             self._runtime.clock,
+            clients=self._runtime.clients,
             tls=self._runtime.tls,
             task_status=task_status,
         )
--- a/pistachiowell/wire/codec.py
+++ b/pistachiowell/wire/codec.py
@@ -23,6 +23,8 @@
 
 WIRE_VERSION = 2
 MAX_FRAME_BYTES = 8 * 1024 * 1024
+# The first frame is a Hello; until it has come, anybody may be the peer.
+MAX_FIRST_FRAME_BYTES = 65_536
 
 LENGTH_BYTES = 4
 MAX_CALL = 2**62
@@ -103,6 +105,9 @@
     joined only once a whole frame has arrived, so that a large frame in many parts is
     not copied for each of them.
 
+    Attributes:
+        held_bytes: Bytes of a frame that is not complete.
+
     Examples:
         >>> from pistachiowell.schema.generated.messages_requests import Ping
         >>> reader = FrameReader()
@@ -113,10 +118,12 @@
         3
     """
 
-    __slots__ = ("_missing_bytes", "_parts")
+    __slots__ = ("_max_bytes", "_missing_bytes", "_parts", "held_bytes")
 
     def __init__(self):
         self._parts = []
+        self.held_bytes = 0
+        self._max_bytes = MAX_FIRST_FRAME_BYTES
         self._missing_bytes = LENGTH_BYTES
 
     def feed(self, data):
@@ -127,6 +134,7 @@
         """
         self._parts.append(data)
         self._missing_bytes -= len(data)
+        self.held_bytes += len(data)
         if self._missing_bytes > 0:
             return []
         return self._split(b"".join(self._parts))
@@ -138,21 +146,23 @@
         needed_bytes = LENGTH_BYTES
         while size - start >= LENGTH_BYTES:
             begin = start + LENGTH_BYTES
-            end = begin + _decode_length(view[start:begin])
+            end = begin + _decode_length(view[start:begin], self._max_bytes)
             if end > size:
                 needed_bytes = end - start
                 break
             frames.append(_decode_frame(view[begin:end]))
+            self._max_bytes = MAX_FRAME_BYTES
             start = end
         self._parts = [data[start:]]
+        self.held_bytes = size - start
         self._missing_bytes = needed_bytes - (size - start)
         return frames
 
 
-def _decode_length(data):
+def _decode_length(data, max_bytes):
     length = int.from_bytes(data)
-    if length > MAX_FRAME_BYTES:
-        raise MessageInvalid(f"A frame of {length} bytes exceeds MAX_FRAME_BYTES.")
+    if length > max_bytes:
+        raise MessageInvalid(f"A frame of {length} bytes exceeds {max_bytes} bytes.")
     return length
 
 
--- a/pistachiowell/wire/endpoints.py
+++ b/pistachiowell/wire/endpoints.py
@@ -4,10 +4,23 @@
 from contextlib import asynccontextmanager
 
 import anyio
-from anyio.streams.tls import TLSListener, TLSStream
+from anyio.streams.tls import TLSStream
 
+from pistachiowell.core.clients import DEFAULT_MEMORY_MB, Clients, client_limits
 from pistachiowell.core.errors import LinkLost
+from pistachiowell.core.logs import part_logger
+from pistachiowell.core.metrics import Metrics
 from pistachiowell.wire.link import Link
+from pistachiowell.wire.strangers import Stranger, accept_without_end
+
+_HANDSHAKE_ERRORS = (
+    OSError,
+    ssl.SSLError,
+    anyio.BrokenResourceError,
+    anyio.EndOfStream,
+)
+
+_log = part_logger("wire")
 
 
 @asynccontextmanager
@@ -61,7 +74,16 @@
 
 
 async def serve(
-    host, port, hello, handlers, clock, *, tls=None, on_link=None, task_status
+    host,
+    port,
+    hello,
+    handlers,
+    clock,
+    *,
+    clients=None,
+    tls=None,
+    on_link=None,
+    task_status,
 ):
     """Accepts links until cancelled.
 
@@ -71,20 +93,36 @@
         hello: The ``Hello`` of this process, sent on every link.
         handlers: A ``Handlers``.
         clock: The process's ``HybridClock``.
+        clients: The ``Clients`` of the process; None for some of its own.
         tls: A ``LinkTls``; None for links without TLS.
-        on_link: Function to call with each new ``Link``; None for none.
+        on_link: Function to call with each ``Link`` whose peer has sent its ``Hello``;
+            None for none.
         task_status: Status of anyio's ``TaskGroup.start``, set once the port is open.
     """
+    if clients is None:
+        clients = Clients(client_limits(DEFAULT_MEMORY_MB), Metrics())
 
     async def handle_connection(stream):
-        link = Link(stream, handlers, clock)
-        link.send(hello)
-        if on_link is not None:
-            on_link(link)
-        await link.run()
-
-    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-    if tls is not None:
-        listener = TLSListener(listener, tls.server, standard_compatible=False)
+        stranger = Stranger(clients, on_link)
+        async with stranger.admitted(stream):
+            if tls is not None:
+                try:
+                    stream = await _accept_tls(stream, tls)
+                except _HANDSHAKE_ERRORS as error:
+                    _log.debug("A handshake failed: {}", error)
+                    return
+            link = Link(stream, handlers, clock, stranger)
+            link.send(hello)
+            await link.run()
+
+    listeners = await anyio.create_tcp_listener(local_host=host, local_port=port)
     task_status.started()
-    await listener.serve(handle_connection)
+    async with listeners, anyio.create_task_group() as group:
+        for listener in listeners.listeners:
+            group.start_soon(accept_without_end, listener, handle_connection)
+
+
+async def _accept_tls(stream, tls):
+    return await TLSStream.wrap(
+        stream, server_side=True, ssl_context=tls.server, standard_compatible=False
+    )
--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -8,7 +8,12 @@
 
 import anyio
 
-from pistachiowell.core.errors import LinkLost, LinkTimeout, PistachiowellError
+from pistachiowell.core.errors import (
+    LinkLost,
+    LinkTimeout,
+    MessageInvalid,
+    PistachiowellError,
+)
 from pistachiowell.core.logs import part_logger
 from pistachiowell.schema.generated.messages_requests import Failure, Hello
 from pistachiowell.wire.codec import FrameReader, encode_frame
@@ -35,6 +40,7 @@
         stream: An anyio byte stream.
         handlers: A ``Handlers``.
         clock: The process's ``HybridClock``.
+        stranger: The ``Stranger`` if the peer has opened the link; None otherwise.
 
     Attributes:
         hello: The ``Hello`` of the peer; None until it has arrived.
@@ -50,14 +56,18 @@
         "_pending_calls",
         "_queue",
         "_queued_bytes",
+        "_reader",
+        "_stranger",
         "_stream",
         "_wake_writer",
         "hello",
         "unknown_kinds",
     )
 
-    def __init__(self, stream, handlers, clock):
+    def __init__(self, stream, handlers, clock, stranger=None):
         self._stream = stream
+        self._stranger = stranger
+        self._reader = FrameReader()
         self._handlers = handlers
         self._clock = clock
         self._pending_calls = {}
@@ -104,6 +114,7 @@
         self._queue.append(data)
         self._queued_bytes += len(data)
         self._wake_writer.set()
+        self._report()
 
     async def call(self, message, timeout_s):
         """Sends a call and waits for its reply.
@@ -163,6 +174,9 @@
                 group.cancel_scope.cancel()
         finally:
             self.close()
+            # What refers to the link may outlive it until a garbage collection.
+            self._reader = FrameReader()
+            self._queue.clear()
             with anyio.CancelScope(shield=True), anyio.move_on_after(0.1):
                 await self._stream.aclose()
 
@@ -176,17 +190,18 @@
                 if batch:
                     await self._stream.send(batch)
                     self._queued_bytes -= len(batch)
+                    self._report()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             self.close()
             scope.cancel()
 
     async def _read_loop(self, group):
-        reader = FrameReader()
         try:
             while True:
                 data = await self._stream.receive(READ_BYTES)
-                for frame in reader.feed(data):
+                for frame in self._reader.feed(data):
                     await self._handle_frame(frame, group)
+                self._report()
         except (
             anyio.EndOfStream,
             anyio.BrokenResourceError,
@@ -195,12 +210,13 @@
         ):
             pass
         except PistachiowellError as error:
-            _log.warning(
-                "Closing a link after an error in a received message: {}", error
-            )
+            log = _log.debug if self._is_strange else _log.warning
+            log("Closing a link after an error in a received message: {}", error)
         self.close()
 
     async def _handle_frame(self, frame, group):
+        if self._is_strange:
+            self._check_hello(frame)
         self._clock.observe(frame.stamp)
         if frame.call < 0:
             self._handle_reply(frame)
@@ -215,6 +231,22 @@
         else:
             await self._run_handler(frame.message)
 
+    @property
+    def _is_strange(self):
+        """Whether the peer opened this link and has not said who it is."""
+        return self._stranger is not None and self.hello is None
+
+    def _check_hello(self, frame):
+        if not isinstance(frame.message, Hello):
+            raise MessageInvalid("The first message has to be Hello.")
+        self.hello = frame.message
+        self._stranger.introduce(self)
+
+    def _report(self):
+        if self._stranger is not None:
+            held_bytes = self._queued_bytes + self._reader.held_bytes
+            self._stranger.report(not self._is_strange, held_bytes)
+
     def _handle_reply(self, frame):
         pending = self._pending_calls.get(-frame.call)
         if pending is not None:
