--- a/pistachiowell/core/client_budget.py
+++ b/pistachiowell/core/client_budget.py
@@ -8,18 +8,26 @@
 
 from pistachiowell.core.connection_order import ConnectionOrder, Stage
 
+# What an ordinary request without a large body holds. So little is never refused, and
+# closing its connection would give back too little.
+SMALL_BYTES = 16_384
+
 
 @dataclass(frozen=True, slots=True)
 class ClientLimits:
-    """Limits of the clients of one process, summed over all its ports.
+    """Limits of the clients of one process.
 
     Attributes:
-        connections: Largest number of connections.
-        held_bytes: Most bytes of heads, bodies and unread answers.
+        connections: Largest number of connections to all ports.
+        held_bytes: Most bytes of heads, bodies and unread answers of all connections.
+        header_lines: Largest number of header lines of a request.
+        body_timeout_s: Longest time in seconds for the body of a request.
     """
 
     connections: int
     held_bytes: int
+    header_lines: int = 4_096
+    body_timeout_s: float = 120.0
 
 
 class ClientBudget:
@@ -33,14 +41,14 @@
             answers that are being read for them.
 
     Examples:
-        >>> budget = ClientBudget(ClientLimits(connections=2, held_bytes=10))
+        >>> budget = ClientBudget(ClientLimits(connections=2, held_bytes=100_000))
         >>> budget.add("a", 1.0), budget.add("b", 2.0)
         ([], [])
         >>> budget.add("c", 3.0)
         ['a']
-        >>> budget.update("b", Stage.body, 8, 4.0)
+        >>> budget.update("b", Stage.body, 80_000, 4.0)
         []
-        >>> budget.update("c", Stage.body, 8, 5.0)
+        >>> budget.update("c", Stage.body, 80_000, 5.0)
         ['b']
     """
 
@@ -79,17 +87,16 @@
         if self._order.stage(connection) is not stage:
             self._order.put(connection, stage, now)
         self._hold(connection, stage, held_bytes, now)
-        if self.held_bytes <= self._limits.held_bytes or not held_bytes:
+        if self.held_bytes <= self._limits.held_bytes or held_bytes <= SMALL_BYTES:
             return []
         return self._without_room(connection, stage)
 
     def _hold(self, connection, stage, held_bytes, now):
         self.held_bytes += held_bytes - self._held.pop(connection, 0)
-        if not held_bytes:
-            self._holders.discard(connection)
-            return
         self._held[connection] = held_bytes
-        if self._holders.stage(connection) is not stage:
+        if held_bytes <= SMALL_BYTES:
+            self._holders.discard(connection)
+        elif self._holders.stage(connection) is not stage:
             self._holders.put(connection, stage, now)
 
     def _without_room(self, connection, stage):
--- a/pistachiowell/core/clients.py
+++ b/pistachiowell/core/clients.py
@@ -4,37 +4,69 @@
 import resource
 import time
 from collections import Counter
+from dataclasses import dataclass
 
 from pistachiowell.core.client_budget import ClientBudget, ClientLimits
 from pistachiowell.core.connection_order import Stage
 from pistachiowell.core.logs import part_logger
+from pistachiowell.core.metrics import Metrics
 
-DEFAULT_MEMORY_MB = 300
 CHECK_INTERVAL_S = 0.25
 LOG_INTERVAL_S = 5.0
-# A request in progress needs a second descriptor for its server; links, files and
-# connections that are accepted before others are closed need some more.
-CONNECTION_SHARE = 5 / 8
-MEMORY_SHARE = 1 / 8
+MAX_DESCRIPTORS = 1_048_576
+# One answer of the largest size, or four such bodies of requests.
+MIN_HELD_BYTES = 16 * 1024 * 1024
 # The server's own timer closes idle connections at the limit.
 IDLE_SLACK_S = 1.0
 
 _log = part_logger("clients")
 
 
-def client_limits(memory_mb):
+@dataclass(frozen=True, slots=True)
+class ClientSettings:
+    """Settings of the limits of clients, for processes without a settings file.
+
+    A request in progress needs a second descriptor for its server, and links, files and
+    connections that are accepted before others are closed need some more.
+
+    Attributes:
+        memory_mb: Memory that the process may use in megabytes.
+        client_memory_share: Share of it for heads, bodies and answers.
+        client_connection_share: Share of the descriptors for connections to its ports.
+        max_header_lines: Largest number of header lines of a request.
+        body_timeout_s: Longest time in seconds for the body of a request.
+    """
+
+    memory_mb: float = 300.0
+    client_memory_share: float = 0.125
+    client_connection_share: float = 0.625
+    max_header_lines: int = 4_096
+    body_timeout_s: float = 120.0
+
+
+def client_limits(settings):
     """Returns the ``ClientLimits`` of this process.
 
     Args:
-        memory_mb: Memory that the process may use in megabytes.
+        settings: ``ClientSettings``, or the program's settings.
     """
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        descriptors = MAX_DESCRIPTORS
+    held_bytes = int(settings.memory_mb * 1e6 * settings.client_memory_share)
     return ClientLimits(
-        connections=int(descriptors * CONNECTION_SHARE),
-        held_bytes=int(memory_mb * 1e6 * MEMORY_SHARE),
+        connections=int(descriptors * settings.client_connection_share),
+        held_bytes=max(MIN_HELD_BYTES, held_bytes),
+        header_lines=settings.max_header_lines,
+        body_timeout_s=settings.body_timeout_s,
     )
 
 
+def default_clients():
+    """Returns ``Clients`` for a server without a ``Runtime``."""
+    return Clients(client_limits(ClientSettings()), Metrics())
+
+
 class AnswerBytes:
     """Bytes of answers that are kept whole, in the budget of the clients.
 
@@ -79,7 +111,7 @@
         header_timeout_s: Longest time in seconds for a head or the first message.
         idle_timeout_s: Longest time in seconds without a request, or without reading an
             answer.
-        max_header_lines: Maximum number of header lines of a request.
+        limits: As above.
     """
 
     __slots__ = (
@@ -91,10 +123,10 @@
         "answers",
         "header_timeout_s",
         "idle_timeout_s",
-        "max_header_lines",
+        "limits",
     )
 
-    def __init__(self, limits, metrics, *, max_header_lines=4_096):
+    def __init__(self, limits, metrics):
         self._budget = ClientBudget(limits)
         self._metrics = metrics
         self._closed = Counter()
@@ -103,7 +135,7 @@
         self.answers = AnswerBytes(self._hold_answers, limits.held_bytes)
         self.header_timeout_s = 3.0
         self.idle_timeout_s = 15.0
-        self.max_header_lines = max_header_lines
+        self.limits = limits
         metrics.watch("connections.open", lambda: len(self._budget))
         metrics.watch("connections.held_bytes", lambda: self._budget.held_bytes)
 
@@ -137,8 +169,11 @@
         """Counts a connection that was closed for a reason."""
         self._metrics.count(f"connections.closed.{reason}")
         self._closed[reason] += 1
-        now = time.monotonic()
-        if now - self._logged_at >= LOG_INTERVAL_S:
+        self._log_closed(time.monotonic())
+        self._start_timer()
+
+    def _log_closed(self, now):
+        if self._closed and now - self._logged_at >= LOG_INTERVAL_S:
             self._logged_at = now
             _log.warning("Connections of clients were closed.", **self._closed)
             self._closed.clear()
@@ -151,19 +186,21 @@
     def _check(self):
         self._timer = None
         now = time.monotonic()
+        self._log_closed(now)
         idle_since = now - self.idle_timeout_s
-        limits = (
+        timeouts = (
             (Stage.silent, idle_since, "idle"),
             (Stage.head, now - self.header_timeout_s, "header_timeout"),
             (Stage.leftover, idle_since, "idle"),
             (Stage.idle, idle_since - IDLE_SLACK_S, "idle"),
+            (Stage.body, now - self.limits.body_timeout_s, "body_timeout"),
         )
-        for stage, before, reason in limits:
+        for stage, before, reason in timeouts:
             for connection in self._budget.due(stage, before):
                 self.close(connection, reason)
         for connection in self._budget.due(Stage.stalled, idle_since):
             self._check_progress(connection, now)
-        if len(self._budget):
+        if len(self._budget) or self._closed:
             self._start_timer()
 
     def _check_progress(self, connection, now):
--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -1,12 +1,12 @@
 """HTTP protocol class for uvicorn that limits what a caller sends and leaves unread."""
 
+import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from pistachiowell.core.clients import DEFAULT_MEMORY_MB, Clients, client_limits
+from pistachiowell.core.clients import default_clients
 from pistachiowell.core.connection_order import Stage
-from pistachiowell.core.metrics import Metrics
 from pistachiowell.core.read_gate import ReadGate
-from pistachiowell.core.refusals import HEAD_TIMEOUT, NO_ROOM, refusal
+from pistachiowell.core.refusals import NO_ROOM, TOO_SLOW, refusal
 
 WRITE_BUFFER_BYTES = 4096
 # The parser sees no more at once, so that a head over the limit is never kept whole.
@@ -38,7 +38,7 @@
         A class for ``uvicorn.Config(http=...)``.
     """
     if clients is None:
-        clients = Clients(client_limits(DEFAULT_MEMORY_MB), Metrics())
+        clients = default_clients()
     too_large = refusal(431, body)
 
     class BoundedProtocol(HttpToolsProtocol):
@@ -106,7 +106,7 @@
             if not self._is_in_head:
                 return
             self._lines += 1
-            if self._lines > clients.max_header_lines:
+            if self._lines > clients.limits.header_lines:
                 self._end("head_too_large", too_large)
                 raise _StopParsingError
             super().on_header(name, value)
@@ -143,7 +143,7 @@
         def pause_writing(self):
             """Records that the client does not read its answer."""
             super().pause_writing()
-            self.checked_bytes = float("inf")
+            self.checked_bytes = self.unsent_bytes
             self._report(Stage.stalled)
 
         def resume_writing(self):
@@ -163,7 +163,13 @@
 
         def _parse(self, piece):
             self._has_ended_part = False
-            super().data_received(piece)
+            self._unset_keepalive_if_required()
+            try:
+                self.parser.feed_data(piece)
+            except httptools.HttpParserError:
+                self._end_after_error()
+            except httptools.HttpParserUpgrade:
+                pass  # The request is served without the upgrade.
             if self._has_ended_part:
                 self._other_bytes = 0
                 return
@@ -171,14 +177,14 @@
             if self._other_bytes > max_header_bytes:
                 self._end("head_too_large", too_large if self._is_in_head else b"")
 
-        def send_400_response(self, msg):
-            """Ends the connection after an error of the parser."""
+        def _end_after_error(self):
             if self._has_request_ahead or self.transport.is_closing():
                 return
+            clients.record_close("invalid")
             if self._is_answering and self.cycle.response_started:
                 self.transport.close()
             else:
-                super().send_400_response(msg)
+                self.send_400_response("Invalid HTTP request received.")
 
         def give_way(self, reason):
             """Closes the connection; refuses its request if no server can have it.
@@ -187,7 +193,7 @@
                 reason: Reason of ``Clients``.
             """
             stage = self._stage()
-            answer = HEAD_TIMEOUT if reason == "header_timeout" else NO_ROOM
+            answer = TOO_SLOW if reason.endswith("timeout") else NO_ROOM
             if stage in (Stage.head, Stage.body) and not self.transport.is_closing():
                 self._end(None, answer)
             if self.transport.get_write_buffer_size() or stage is Stage.stalled:
--- a/pistachiowell/core/refusals.py
+++ b/pistachiowell/core/refusals.py
@@ -41,4 +41,4 @@
     _encode(Overloaded("The process has no room for the request.")),
     b"retry-after: %.3f" % RETRY_AFTER_S,
 )
-HEAD_TIMEOUT = refusal(408, _encode(BodyTimeout("The head did not arrive in time.")))
+TOO_SLOW = refusal(408, _encode(BodyTimeout("The request did not arrive in time.")))
--- a/pistachiowell/core/runtime.py
+++ b/pistachiowell/core/runtime.py
@@ -94,11 +94,8 @@
     def clients(self):
         """The connections of clients and strangers."""
         if self._clients is None:
-            self._clients = Clients(
-                client_limits(self._settings.memory_mb),
-                self._metrics,
-                max_header_lines=self._settings.max_header_lines,
-            )
+            limits = client_limits(self._settings)
+            self._clients = Clients(limits, self._metrics)
         return self._clients
 
     @property
--- a/pistachiowell/wire/endpoints.py
+++ b/pistachiowell/wire/endpoints.py
@@ -6,10 +6,9 @@
 import anyio
 from anyio.streams.tls import TLSStream
 
-from pistachiowell.core.clients import DEFAULT_MEMORY_MB, Clients, client_limits
+from pistachiowell.core.clients import default_clients
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
-from pistachiowell.core.metrics import Metrics
 from pistachiowell.wire.link import Link
 from pistachiowell.wire.strangers import Stranger, accept_without_end
 
@@ -100,7 +99,7 @@
         task_status: Status of anyio's ``TaskGroup.start``, set once the port is open.
     """
     if clients is None:
-        clients = Clients(client_limits(DEFAULT_MEMORY_MB), Metrics())
+        clients = default_clients()
 
     async def handle_connection(stream):
         stranger = Stranger(clients, on_link)
