Keep answers for slow readers by what their kernel has taken

Cause: a socket becomes writable only after a good part of its queue, so a slow reader seemed to make no progress. The queue of the kernel counts too. Test: an answer of 8 MB reaches a slow reader; one that reads nothing is closed.

--- a/pistachiowell/core/client_budget.py
+++ b/pistachiowell/core/client_budget.py
@@ -131,11 +131,11 @@
         self.held_bytes += more_bytes
         return self._until_kept(None) if more_bytes > 0 else []
 
-    def refresh(self, connection, held_bytes, now):
-        """Records that a stalled connection makes progress."""
-        stage = self._order.stage(connection)
-        self._order.put(connection, stage, now)
-        self._hold(connection, stage, held_bytes, now)
+    def refresh(self, connection, now):
+        """Records that a connection makes progress in its stage."""
+        for order in (self._order, self._holders):
+            if connection in order:
+                order.put(connection, order.stage(connection), now)
 
     def remove(self, connection):
         """Removes a connection that is closed or about to be."""
--- a/pistachiowell/core/clients.py
+++ b/pistachiowell/core/clients.py
@@ -208,6 +208,6 @@
         unsent_bytes = connection.unsent_bytes
         if unsent_bytes < connection.checked_bytes:
             connection.checked_bytes = unsent_bytes
-            self._budget.refresh(connection, unsent_bytes, now)
+            self._budget.refresh(connection, now)
         else:
             self.close(connection, "unread")
--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -1,5 +1,9 @@
 """HTTP protocol class for uvicorn that limits what a caller sends and leaves unread."""
 
+import fcntl
+import sys
+import termios
+
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
@@ -19,6 +23,18 @@
     """Ends the parsing of a connection from a callback of the parser."""
 
 
+def _queued_bytes(sock):
+    """Returns the bytes that this kernel keeps until the peer has taken them.
+
+    A socket becomes writable only after a good part of them, which a slow reader takes
+    long for.
+
+    References:
+        tcp(7): ``SIOCOUTQ``.
+    """
+    return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+
+
 def bounded_protocol(max_header_bytes, body, clients=None):
     """Returns a protocol class that bounds what each connection costs.
 
@@ -63,8 +79,9 @@
 
         @property
         def unsent_bytes(self):
-            """Bytes of answers that the client has not read."""
-            return self.transport.get_write_buffer_size()
+            """Bytes of answers that the client's kernel has not taken."""
+            sock = self.transport.get_extra_info("socket")
+            return self.transport.get_write_buffer_size() + _queued_bytes(sock)
 
         @property
         def _is_answering(self):
--- a/pistachiowell/core/tests/test_clients.py
+++ b/pistachiowell/core/tests/test_clients.py
@@ -24,6 +24,8 @@
 class App:
     """ASGI application that records the requests that it has got whole."""
 
+    body = b""
+
     def __init__(self):
         self.paths = []
         self.may_answer = anyio.Event()
@@ -35,9 +37,9 @@
             return
         self.paths.append(scope["path"])
         await self.may_answer.wait()
-        headers = [(b"content-length", b"0")]
+        headers = [(b"content-length", b"%d" % len(self.body))]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
-        await send({"type": "http.response.body", "body": b""})
+        await send({"type": "http.response.body", "body": self.body})
 
 
 @pytest.fixture(name="clients")
@@ -145,3 +147,22 @@
         assert b"200 OK" in await stream.receive()
         for other in silent:
             await other.aclose()
+
+
+@pytest.mark.parametrize("reads", [True, False])
+async def test_answer_is_kept_for_a_slow_reader_only(reads, clients, free_port):
+    port = free_port()
+    clients.idle_timeout_s = 0.5
+    async with running(clients, port) as app:
+        app.body = bytes(8_000_000)
+        app.may_answer.set()
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            await stream.send(GET % 0 + b"\r\n")
+            size = 0
+            for _ in range(20):
+                await anyio.sleep(0.1)
+                size += len(await stream.receive(200_000)) if reads else 0
+            size += len(await read_all(stream)) if not reads else 0
+            while reads and size < len(app.body):
+                size += len(await stream.receive())
+        assert (size >= len(app.body)) == reads
