Answer nothing in the place of a request in progress, and refuse large heads truly

Cause: bytes that are no HTTP after a whole request got 400 in place of its answer; a large head without room was closed without its 503, as it already counted as a body that was refused. Both are tested; the latter test failed before.

--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -10,7 +10,7 @@
 from pistachiowell.core.clients import default_clients
 from pistachiowell.core.connection_order import Stage
 from pistachiowell.core.read_gate import ReadGate
-from pistachiowell.core.refusals import NO_ROOM, TOO_SLOW, refusal
+from pistachiowell.core.refusals import INVALID, NO_ROOM, TOO_SLOW, refusal
 
 WRITE_BUFFER_BYTES = 4096
 # The parser sees no more at once, so that a head over the limit is never kept whole.
@@ -130,12 +130,12 @@
 
         def on_headers_complete(self):
             """Starts the request if there is room for its head."""
-            self._is_in_head = False
-            self._has_ended_part = True
             self._head_bytes = self._lines * LINE_COST_BYTES
             self._report(Stage.head)
             if self.transport.is_closing():
                 raise _StopParsingError
+            self._is_in_head = False
+            self._has_ended_part = True
             super().on_headers_complete()
 
         def on_body(self, body):
@@ -184,7 +184,9 @@
             try:
                 self.parser.feed_data(piece)
             except httptools.HttpParserError:
-                self._end_after_error()
+                # A callback may have ended the connection.
+                if not self._has_request_ahead:
+                    self._end("invalid", INVALID)
             except httptools.HttpParserUpgrade:
                 pass  # The request is served without the upgrade.
             if self._has_ended_part:
@@ -194,15 +196,6 @@
             if self._other_bytes > max_header_bytes:
                 self._end("head_too_large", too_large if self._is_in_head else b"")
 
-        def _end_after_error(self):
-            if self._has_request_ahead or self.transport.is_closing():
-                return
-            clients.record_close("invalid")
-            if self._is_answering and self.cycle.response_started:
-                self.transport.close()
-            else:
-                self.send_400_response("Invalid HTTP request received.")
-
         def give_way(self, reason):
             """Closes the connection; refuses its request if no server can have it.
 
@@ -225,7 +218,7 @@
                 clients.record_close(reason)
             if not self._is_answering:
                 self.transport.write(answer)
-            elif not self.cycle.response_started:
+            elif self.cycle.more_body and not self.cycle.response_started:
                 # The application has not the whole body, so nothing has run.
                 self.transport.write(answer)
                 self.cycle.disconnected = True
--- a/pistachiowell/core/refusals.py
+++ b/pistachiowell/core/refusals.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from pistachiowell.core.errors import BodyTimeout, Overloaded
+from pistachiowell.core.errors import BodyTimeout, InvalidRequest, Overloaded
 
 RETRY_AFTER_S = 0.5
 
@@ -41,4 +41,5 @@
     _encode(Overloaded("The process has no room for the request.")),
     b"retry-after: %.3f" % RETRY_AFTER_S,
 )
+INVALID = refusal(400, _encode(InvalidRequest("The request is not valid HTTP.")))
 TOO_SLOW = refusal(408, _encode(BodyTimeout("The request did not arrive in time.")))
--- a/pistachiowell/core/tests/test_clients.py
+++ b/pistachiowell/core/tests/test_clients.py
@@ -86,6 +86,23 @@
         assert app.paths == ["/0"]
 
 
+@pytest.mark.parametrize("rest", [b"\0\0", b"\r\n" * 40_000, b"GET / HTTP/9"])
+async def test_bytes_after_a_request_are_not_answered_in_its_place(
+    rest, clients, free_port
+):
+    port = free_port()
+    async with running(clients, port) as app:
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            await stream.send(GET % 0 + b"\r\n")
+            while not app.paths:
+                await anyio.sleep(0.01)
+            await stream.send(rest)
+            await anyio.sleep(0.1)
+            app.may_answer.set()
+            answer = await read_all(stream)
+        assert answer == b"" or answer.startswith(b"HTTP/1.1 200")
+
+
 async def test_connection_is_kept_between_requests(clients, free_port):
     port = free_port()
     async with running(clients, port) as app:
@@ -134,6 +151,23 @@
         assert app.paths == ["/"]
 
 
+async def test_large_head_without_room_is_told_so_and_does_not_run(clients, free_port):
+    port = free_port()
+    async with (
+        running(clients, port) as app,
+        await anyio.connect_tcp("127.0.0.1", port) as running_one,
+        await anyio.connect_tcp("127.0.0.1", port) as new,
+    ):
+        await running_one.send(POST + bytes(4_000_000))
+        while not app.paths:
+            await anyio.sleep(0.01)
+        await new.send(GET % 0 + b"a:\r\n" * 4_000 + b"\r\n")
+        assert b"HTTP/1.1 503" in await read_all(new)
+        app.may_answer.set()
+        assert b"200 OK" in await running_one.receive()
+        assert app.paths == ["/"]
+
+
 async def test_request_in_progress_is_kept_when_connections_run_out(clients, free_port):
     port = free_port()
     async with (
