--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -79,7 +79,9 @@
         self._retry_shares = retry_shares
         self._hedges = hedges
         self._codec = codec
-        self._pool = ConnectionPool(runtime.now, loop_watch.deadline)
+        self._pool = ConnectionPool(
+            runtime.now, loop_watch.deadline, runtime.clients.answers
+        )
         self._late_heads = LateHeads(codec, limits.record_closure)
         self._splitter = SPLITTERS.find("smooth")(rng)
 
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -251,18 +251,13 @@
             self._load,
         )
         take_over = self._load.relay.take_over if self._load.is_on else None
-        self._http = _server(
-            app, settings.http_address, settings.shutdown_timeout_s, take_over
-        )
+        self._http = _server(runtime, app, settings.http_address, take_over)
         self._caller_servers = [self._http]
         if self._load.is_on:
             address = f"{settings.peer_host}:{settings.relay_port}"
-            relayed = _server(app, address, settings.shutdown_timeout_s)
-            self._caller_servers.append(relayed)
+            self._caller_servers.append(_server(runtime, app, address))
         ready_app = ReadyApp(state, adapter.ready_path)
-        self._ready = _server(
-            ready_app, settings.ready_address, settings.shutdown_timeout_s
-        )
+        self._ready = _server(runtime, ready_app, settings.ready_address)
 
     @property
     def state(self):
@@ -427,6 +422,8 @@
         that runs with the old limit is replaced.
         """
         limit_s = min(MAX_KEEP_ALIVE_S, catalog.limits.idle_timeout_s)
+        self._runtime.clients.idle_timeout_s = limit_s
+        self._runtime.clients.header_timeout_s = catalog.limits.header_timeout_s
         for server in self._caller_servers:
             server.config.timeout_keep_alive = limit_s
         for protocol in self._caller_connections():
@@ -455,7 +452,7 @@
     return host, int(port)
 
 
-def _server(app, address, shutdown_timeout_s, take_over=None):
+def _server(runtime, app, address, take_over=None):
     host, port = _split_address(address)
     refusal = error_document(
         HeadersTooLarge(f"The headers exceed {MAX_HEADER_BYTES} bytes.")
@@ -464,8 +461,8 @@
         app,
         host,
         port,
-        http=bounded_protocol(MAX_HEADER_BYTES, refusal, take_over),
+        http=bounded_protocol(MAX_HEADER_BYTES, refusal, runtime.clients, take_over),
         server_header=False,
         date_header=False,
-        timeout_graceful_shutdown=shutdown_timeout_s,
+        timeout_graceful_shutdown=runtime.settings.shutdown_timeout_s,
     )
--- a/pistachiowell/gateway/load_sharing.py
+++ b/pistachiowell/gateway/load_sharing.py
@@ -54,7 +54,11 @@
         self._share = RelayShare(RelaySettings())
         self._rooms = PeerRooms(PeerRoomSettings())
         self._relay = ConnectionRelay(
-            runtime, loop_watch.deadline, self._choose, self._record_failure
+            runtime,
+            loop_watch.deadline,
+            runtime.clients.limits.connections,
+            self._choose,
+            self._record_failure,
         )
         self._reports = RoomReports(
             runtime, fleet, self._meter, self._share, self._rooms, handlers
--- a/pistachiowell/gateway/relay.py
+++ b/pistachiowell/gateway/relay.py
@@ -14,8 +14,10 @@
 OWN_LINK_WINDOW_S = 1.0
 READ_BYTES = 16_384
 WRITE_BUFFER_BYTES = 4096
-# Each takes two descriptors, of 1,535 on a small VM, and at most 41 KB of buffers.
+# Each takes at most 41 KB of buffers.
 MAX_CONNECTIONS = 256
+# Each takes two descriptors, beside those of the connections that are served here.
+RELAYED_PART = 1 / 8
 # A caller that does not read the end of its answer holds its connection for so long.
 FLUSH_TIMEOUT_S = 5.0
 
@@ -132,6 +134,7 @@
         deadline: Function that returns a cancel scope of so many seconds, such as
             ``LoopWatch.deadline``: the gateway that relays is late itself, which says
             nothing about the others.
+        max_connections: Number of connections that the process may have to its ports.
         choose: Function that returns the relay address for a new connection, or None
             if it is to be served here.
         record_failure: Function of a relay address that could not be reached.
@@ -146,18 +149,22 @@
         "_connecting",
         "_deadline",
         "_has_stopped",
+        "_max_connections",
         "_record_failure",
         "_runtime",
         "_timed_out",
         "buffer",
     )
 
-    def __init__(self, runtime, deadline, choose, record_failure):
+    def __init__(self, runtime, deadline, max_connections, choose, record_failure):
         self._runtime = runtime
         self._deadline = deadline
         self._choose = choose
         self._record_failure = record_failure
         self._timed_out = {}
+        self._max_connections = min(
+            MAX_CONNECTIONS, int(max_connections * RELAYED_PART)
+        )
         self._callers = set()
         self._connecting = set()
         self._has_stopped = False
@@ -179,7 +186,7 @@
         Returns:
             Whether it is taken over.
         """
-        if self._has_stopped or len(self._callers) >= MAX_CONNECTIONS:
+        if self._has_stopped or len(self._callers) >= self._max_connections:
             return False
         address = self._choose()
         if address is None:
--- a/pistachiowell/gateway/tests/test_relay.py
+++ b/pistachiowell/gateway/tests/test_relay.py
@@ -61,7 +61,9 @@
 def sides():
     """Returns the caller's side and the other gateway's side of a connection."""
     runtime = SimpleNamespace(metrics=Metrics())
-    relay = ConnectionRelay(runtime, move_on_after, lambda: None, lambda address: None)
+    relay = ConnectionRelay(
+        runtime, move_on_after, 400, lambda: None, lambda address: None
+    )
     caller, gateway = CallerSide(relay), GatewaySide(relay)
     caller.other, gateway.other = gateway, caller
     for side in (caller, gateway):
@@ -77,7 +79,11 @@
         self.left_out = []
         self.served_here = 0
         self.relay = ConnectionRelay(
-            runtime, self.expired, lambda: addresses.pop(0), self.left_out.append
+            runtime,
+            self.expired,
+            400,
+            lambda: addresses.pop(0),
+            self.left_out.append,
         )
 
     @staticmethod
