--- a/pistachiowell/gateway/tests/test_room_reports.py
+++ b/pistachiowell/gateway/tests/test_room_reports.py
@@ -52,12 +52,18 @@
     owner = RoomOwner(clock, links, handlers)
 
     async def report(
-        address, busy, room_per_s, link=None, zone="east", leaving=False, excess=0.0
+        address,
+        busy,
+        room_per_s,
+        link=None,
+        data_centre="east",
+        leaving=False,
+        excess=0.0,
     ):
         if link is None:
             link = FakeLink()
             links.add(link)
-        message = GatewayRoom(zone, address, busy, room_per_s, excess, leaving)
+        message = GatewayRoom(data_centre, address, busy, room_per_s, excess, leaving)
         await handlers.find(message)(link, message)
         return link
 
@@ -73,7 +79,7 @@
 async def test_gateway_near_its_limit_is_told_of_the_eight_with_the_most_room(owner):
     full = await owner.report("full:1", 0.95, 0.0)
     idle = [await owner.report(f"idle:{n}", 0.1, 10.0 + n) for n in range(40)]
-    await owner.report("far:1", 0.0, 500.0, zone="west")
+    await owner.report("far:1", 0.0, 500.0, data_centre="west")
     await run_round(owner)
     rooms = full.sent[-1].rooms
     assert {room.address for room in rooms} == {f"idle:{n}" for n in range(32, 40)}
