Say what the new parts do in plain words

Some comments and docstrings of the new parts used figurative words, told how a constant was found, or left a term such as stranger unexplained.

No code, name, setting or log line changes.

--- a/pistachiowell/admission/cold.py
+++ b/pistachiowell/admission/cold.py
@@ -6,9 +6,9 @@
 they crash. The sum of all gateways must stay within a bound in any second, also while
 two agents both take themselves for the first and some gateways reach no agent.
 
-The bound is divided for good, so that the parts need not know of each other: one part
-for each of two agents, which admit requests evenly, and a small one for gateways that
-get no agent's answer, which take turns by the clock.
+The division of the bound is fixed, so that the parts need not know of each other: one
+part for each of two agents, which admit requests evenly, and a small one for gateways
+that get no agent's answer, which take turns by the clock.
 """
 
 import math
@@ -17,11 +17,11 @@
 from pistachiowell.admission.rates import RateBucket, RateSettings
 from pistachiowell.core.ids import stable_hash
 
-# A longer time is taken for a mistake in the unit.
+# A server that states a longer time has probably used the wrong unit.
 MAX_COLD_S = 300.0
-# A statement that was on its way may be so much older than one that came before it.
+# A server's statement may arrive up to so many seconds after a newer one.
 STALE_S = 1.0
-# What is told again has been on its way for less.
+# Upper bound of the delay of a statement that another process passes on.
 MAX_DELAY_S = 0.25
 MAX_SERVERS = 4_096
 
@@ -206,7 +206,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Statement:
-    """What is known of a server's coldness.
+    """What is known of when a server is cold.
 
     Attributes:
         at: Time of the statement in seconds.
--- a/pistachiowell/admission/gateway_load.py
+++ b/pistachiowell/admission/gateway_load.py
@@ -22,9 +22,9 @@
         full_busy: Busy share up to which a gateway has room. Above it, requests wait
             noticeably for the event loop.
         request_cost_s: Seconds of a whole core that a request is assumed to take; most
-            are streams of 30 to 60 events, which were measured at 9 ms.
-        assumed_requests: Number of requests that the assumption counts for. With 40, a
-            trial with requests of 1.5 ms used a third of the room that there was.
+            are streams of 30 to 60 events, which take about 9 ms.
+        assumed_requests: Number of requests that the assumption counts for. With 40,
+            only a third of the room for requests of 1.5 ms is used.
     """
 
     busy_window_s: float = 0.4
--- a/pistachiowell/bench/gateway_load.py
+++ b/pistachiowell/bench/gateway_load.py
@@ -32,8 +32,8 @@
 STEP_S = 0.01
 REPORT_S = 0.25
 REPORT_DELAY_S = 0.3
-# Seconds of a whole core. A request was measured at 9 ms and its relaying, with 45
-# events, at 0.5 to 1.4 ms; a refusal is the figure of the tests of overload.
+# Seconds of a whole core. Relaying a request with 45 events takes 0.5 to 1.4 ms; the
+# time of a refusal is that of the overload tests.
 REQUEST_S = 0.009
 RELAY_S = 0.0014
 REFUSAL_S = 0.002
--- a/pistachiowell/core/clients.py
+++ b/pistachiowell/core/clients.py
@@ -1,4 +1,7 @@
-"""The connections of clients and strangers to one process, on all its ports."""
+"""The connections of clients and strangers to one process, on all its ports.
+
+A stranger is a peer that has opened a link; see ``wire/strangers.py``.
+"""
 
 import asyncio
 import resource
--- a/pistachiowell/gateway/cold_servers.py
+++ b/pistachiowell/gateway/cold_servers.py
@@ -15,7 +15,7 @@
 from pistachiowell.schema.generated.messages_gateway import ServerCold, ServersCold
 
 DEFAULT_COLD_S = 3.0
-# Clocks of VMs differ by less; a server that started earlier is warm.
+# Clocks of VMs differ by less, so a server that started longer ago is warm.
 MAX_CLOCK_DIFFERENCE_S = 60.0
 # Clocks that are set alike differ by less.
 USUAL_CLOCK_DIFFERENCE_S = 1.0
--- a/pistachiowell/gateway/hedges.py
+++ b/pistachiowell/gateway/hedges.py
@@ -101,8 +101,8 @@
             )
 
     def _may_need_hedge(self, run):
-        # A prompt is work for an engine, and its stream moves to another server when
-        # its own turns silent.
+        # A second attempt at a prompt would double the work of the engines, and a
+        # stream without events is moved to another server anyway.
         request, route = run.request, run.request.route
         return (
             self._settings.share > 0
--- a/pistachiowell/gateway/holder_states.py
+++ b/pistachiowell/gateway/holder_states.py
@@ -11,7 +11,7 @@
 from pistachiowell.schema.generated.messages_budgets import FindHolders, HoldersFound
 
 CALL_TIMEOUT_S = 1.0
-# A lost holder is known as lost well within 15 s; see docs/HARD_LOAD.md.
+# A lost holder is recognised well within 15 s; see docs/HARD_LOAD.md.
 STATE_KEPT_S = 5.0
 MAX_GATEWAYS_ASKED = 3
 
--- a/pistachiowell/gateway/load_sharing.py
+++ b/pistachiowell/gateway/load_sharing.py
@@ -73,7 +73,7 @@
 
     @property
     def is_on(self):
-        """Whether the settings ask for it."""
+        """Whether the settings turn load sharing on."""
         return self._runtime.settings.relay_port > 0
 
     @property
--- a/pistachiowell/gateway/places.py
+++ b/pistachiowell/gateway/places.py
@@ -1,4 +1,4 @@
-"""Which data centres a request, or a probe, may be sent to now."""
+"""Which data centres a request or a health check may be sent to at present."""
 
 from pistachiowell.core.logs import part_logger
 
--- a/pistachiowell/gateway/race.py
+++ b/pistachiowell/gateway/race.py
@@ -107,7 +107,7 @@
         self._scope.cancel()
 
     async def claim(self, head, body):
-        """Claims the caller for the complete answer of this attempt.
+        """Makes this attempt the one that answers the caller.
 
         It returns in one lane of a race only; the others are cancelled in it. The
         answer is sent once all attempts have ended, as a caller that has it counts as
--- a/pistachiowell/gateway/relay.py
+++ b/pistachiowell/gateway/relay.py
@@ -8,7 +8,7 @@
 from pistachiowell.core.logs import part_logger
 
 # Accepting takes about a millisecond within a data centre. A caller waits for this
-# longer only if the gateway is in trouble.
+# longer only if the gateway is overloaded or unreachable.
 CONNECT_TIMEOUT_S = 0.3
 # If two gateways do not answer within this time, this VM's own link is full.
 OWN_LINK_WINDOW_S = 1.0
@@ -25,7 +25,7 @@
 
 
 class _Side(asyncio.BufferedProtocol):
-    """One of the two connections; writes through what it reads to the other.
+    """One of the two connections; writes what it reads to the other one.
 
     The other one stops reading while this one's peer does not take what was written,
     so at most a read and a write buffer are held in each direction.
@@ -113,8 +113,8 @@
 class GatewaySide(_Side):
     """The connection to the other gateway.
 
-    Each event of a stream is written at once: to join those of 40 ms was measured to
-    cost as much processor time as it saves; see ``docs/design/gateway_load.md``.
+    Each event of a stream is written at once: joining those of 40 ms costs as much
+    processor time as it saves; see ``docs/design/gateway_load.md``.
     """
 
     __slots__ = ()
--- a/pistachiowell/gateway/room_reports.py
+++ b/pistachiowell/gateway/room_reports.py
@@ -64,7 +64,7 @@
             await anyio.sleep(MIN_INTERVAL_S)
 
     def announce_leaving(self):
-        """Tells that this gateway gets nothing more."""
+        """Reports that this gateway takes no more connections."""
         self._send(self._report())
 
     def _report(self):
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -290,7 +290,7 @@
         return Choice(servers[picked.server], work, expected_wait_s)
 
     def has_open_move(self, service_name):
-        """Returns whether a version of a service is on trial."""
+        """Returns whether a service has an open version move."""
         return self._moves.tracker(service_name) is not None
 
     def choose_hedge(self, request, service_name, tried, priority, max_load_per_slot):
--- a/pistachiowell/routing/recent_times.py
+++ b/pistachiowell/routing/recent_times.py
@@ -1,4 +1,4 @@
-"""Quantiles of times that were measured of late."""
+"""Quantiles of recent times."""
 
 import math
 from bisect import bisect_left
--- a/pistachiowell/wire/strangers.py
+++ b/pistachiowell/wire/strangers.py
@@ -1,4 +1,8 @@
-"""Accepted connections of peers, which anybody may open until they say who they are."""
+"""Accepted connections of peers.
+
+A stranger is a peer that has opened a link to this process. Until its Hello has come,
+it may be anybody.
+"""
 
 import errno
 from contextlib import asynccontextmanager
@@ -9,7 +13,7 @@
 from pistachiowell.core.logs import part_logger
 
 ACCEPT_RETRY_DELAY_S = 0.1
-# Links that hold less for their peer are no burden.
+# Links that hold fewer bytes for their peer are not closed to make room for others.
 SMALL_BYTES = 65_536
 _EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
