Tell an owner that is not ready from a refused account in the log

What was seen: explain named the agent's line of a request in a store outage as the first fault. The line had neither cause nor ran, and the code owner_unready, although the gateway goes on to the next agent and reports budget_unreachable itself. test_store_outage_shows_behind_a_refused_budget failed each time.

Change: a refusal has the fields cause and ran, as the other lines have; an owner that is not ready logs "Reservation left to another owner." at INFO.

The time now runs from the moment at which the server has the request. The bounds are the same.

--- a/pistachiowell/gateway/refusal_log.py
+++ b/pistachiowell/gateway/refusal_log.py
@@ -3,6 +3,7 @@
 from dataclasses import asdict
 
 from pistachiowell.budgets.balance import other_holders, token_balance
+from pistachiowell.core.errors import OwnerUnready
 from pistachiowell.core.logs import part_logger
 from pistachiowell.schema.generated.objects_budgets import BudgetAccount
 
@@ -34,6 +35,9 @@
     def record(self, message, error):
         """Records a refusal.
 
+        An owner that is not ready refuses nothing: the gateway asks the next one, and
+        reports the error itself if there is none.
+
         Args:
             message: The refused ``ReserveTokens``.
             error: The error that the gateway gets.
@@ -49,12 +53,15 @@
         places = asdict(self._balance(message.account))
         for place, tokens in places.items():
             metrics.gauge(f"budgets.at_refusal.{place}", tokens)
-        _log.warning(
-            "Account refused.",
+        is_refused = not isinstance(error, OwnerUnready)
+        _log.log(
+            "WARNING" if is_refused else "INFO",
+            "Account refused." if is_refused else "Reservation left to another owner.",
             request=message.request_id,
             account=message.account,
             code=str(error.code),
-            reason=error.message,
+            ran="no",
+            cause=error.message,
             tokens=message.tokens,
             unlogged=unlogged,
             **places,
--- a/pistachiowell/gateway/tests/test_late_heads.py
+++ b/pistachiowell/gateway/tests/test_late_heads.py
@@ -12,6 +12,7 @@
 pytestmark = pytest.mark.anyio
 
 SERVER = SimpleNamespace(id="s1")
+# From the moment at which the server has the request.
 GIVEN_UP_AFTER_S = 0.1
 # A server may be at work on a given-up request for so long.
 MAX_WORK_S = 0.5
@@ -28,10 +29,13 @@
 
     async def give_up(parts, first_after_s, record=None):
         pauses, ends = [], []
+        caller = anyio.CancelScope()
 
         async def serve(stream):
             async with stream, anyio.create_task_group() as group:
                 await stream.receive()
+                # Not before: a late loop would give up a request that was never sent.
+                caller.deadline = anyio.current_time() + GIVEN_UP_AFTER_S
                 group.start_soon(answer, stream)
                 try:
                     await stream.receive()
@@ -63,7 +67,7 @@
             connection.on_given_up = lambda stream: late_heads.take(
                 SERVER, "request-1", stream
             )
-            with anyio.move_on_after(GIVEN_UP_AFTER_S):
+            with caller:
                 await connection.open()
                 await connection.request("GET", b"/", [(b"Host", b"desk")], b"")
             await connection.aclose()
