Separate the filters of a choice from the choice itself

Change: the filters are in gateway/server_filters.py and the attempt in gateway/attempt.py; Selection calls them in the same order. Looking at the registered servers or at the home regions changes no state any more: lists that were kept after an outage are dropped when registrations are replaced or the next outage ends, and only the filter of home regions logs unknown ones.

--- a/pistachiowell/catalog/servers.py
+++ b/pistachiowell/catalog/servers.py
@@ -85,6 +85,8 @@
         Args:
             now: Present time in seconds.
         """
+        if now >= self._grace_until:
+            self._missing.clear()
         self._grace_until = now + self._grace_s
 
     def replace(self, servers, now):
@@ -94,6 +96,8 @@
             servers: ``BackendServer`` by id.
             now: Present time in seconds.
         """
+        if now >= self._grace_until:
+            self._missing.clear()
         for server_id, server in self._servers.items():
             if server_id not in servers and now < self._grace_until:
                 self._missing[server_id] = server
@@ -112,10 +116,9 @@
             service: Name of the service.
             now: Present time in seconds.
         """
-        if now >= self._grace_until:
-            self._missing.clear()
+        missing = self._missing.values() if now < self._grace_until else ()
         by_address = {}
-        for server in (*self._missing.values(), *self._servers.values()):
+        for server in (*missing, *self._servers.values()):
             other = by_address.get(server.address)
             if other is None or other.started_ms <= server.started_ms:
                 by_address[server.address] = server
--- a/pistachiowell/gateway/places.py
+++ b/pistachiowell/gateway/places.py
@@ -41,15 +41,25 @@
         Args:
             request: The ``GatewayRequest``.
         """
-        regions = self._runtime.settings.regions
+        limits = self._home_limits(request)
+        return frozenset.intersection(*limits) if limits else None
+
+    def _home_limits(self, request):
         limits = [request.route.home_regions]
         if request.account is not None:
             limits.append(request.account.home_regions)
-        limits = [homes for homes in limits if homes]
-        if not regions or not limits:
-            return None
-        self._log_unknown(frozenset.union(*limits) - set(regions.values()))
-        return frozenset.intersection(*limits)
+        has_regions = bool(self._runtime.settings.regions)
+        return [homes for homes in limits if homes and has_regions]
+
+    def is_in(self, server, homes):
+        """Returns whether a server is in one of some regions.
+
+        Args:
+            server: The ``BackendServer``.
+            homes: What ``home_regions`` has returned.
+        """
+        regions = self._runtime.settings.regions
+        return homes is None or regions.get(server.data_centre) in homes
 
     def at_home(self, servers, request):
         """Returns the servers in the home regions of a request.
@@ -58,10 +68,12 @@
             servers: Each ``BackendServer``.
             request: The ``GatewayRequest``.
         """
-        homes = self.home_regions(request)
-        if homes is None:
+        limits = self._home_limits(request)
+        if not limits:
             return servers
         regions = self._runtime.settings.regions
+        homes = frozenset.intersection(*limits)
+        self._log_unknown(frozenset.union(*limits) - set(regions.values()))
         return [s for s in servers if regions.get(s.data_centre) in homes]
 
     def _log_unknown(self, names):
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -1,15 +1,17 @@
 """Selection of the backend server for each attempt of a request."""
 
-from dataclasses import dataclass
-
-from pistachiowell.core.errors import NoServer
+from pistachiowell.gateway.attempt import Attempt, Choice
 from pistachiowell.gateway.exchange import NotConnected
 from pistachiowell.gateway.load_reports import decode_load
+from pistachiowell.gateway.server_filters import (
+    SelectionParts,
+    ServerFilters,
+    registration_of,
+)
 from pistachiowell.routing import (
     NO_LOAD,
     PICKERS,
     PLACERS,
-    Candidate,
     EngineRequest,
     EngineTable,
     HealthTable,
@@ -21,146 +23,11 @@
     place_crash_candidate,
 )
 
-# Codes of errors that count against the health of a server, and against the version
-# that it runs while a move is open. A version that refuses work which the old one
-# accepts is worse.
+# Codes of errors that count against the health of a server.
 HEALTH_FAULTS = frozenset({"server_failed", "answer_broken"})
-VERSION_FAULTS = frozenset(
-    {"server_failed", "answer_broken", "deadline_exceeded", "overloaded"}
-)
-SERVER_ERROR_STATUS = 500
 EXPECTED_OUTPUT_SHARE = 0.4
 
 
-class Attempt:
-    """One attempt at the server selected for it; call ``record_end`` exactly once.
-
-    Args:
-        selection: The ``Selection``.
-        server: The ``BackendServer``.
-        placed: The ``PlacedRequest``; None at a server without an engine.
-        expected_wait_s: Expected wait for the first token in seconds.
-        fingerprint: Fingerprint of the request.
-        move_attempt: The ``MoveAttempt``; None if the service has no open move.
-        now: Present time in seconds.
-
-    Attributes:
-        server: The ``BackendServer``.
-        started_at: Time of the start in seconds.
-        expected_wait_s: Expected wait for the first token in seconds.
-        has_answered: Whether the head of an answer has come.
-        latency_s: Seconds from the start to the first byte of the answer; None before.
-    """
-
-    __slots__ = (
-        "_fingerprint",
-        "_has_failed",
-        "_move_attempt",
-        "_placed",
-        "_selection",
-        "expected_wait_s",
-        "has_answered",
-        "latency_s",
-        "server",
-        "started_at",
-    )
-
-    def __init__(
-        self,
-        selection,
-        server,
-        placed,
-        expected_wait_s,
-        fingerprint,
-        move_attempt,
-        now,
-    ):
-        self._selection = selection
-        self._move_attempt = move_attempt
-        self._fingerprint = fingerprint
-        self._has_failed = False
-        self._placed = placed
-        self.started_at = now
-        self.server = server
-        self.expected_wait_s = expected_wait_s
-        self.has_answered = False
-        self.latency_s = None
-
-    @property
-    def age_s(self):
-        """Seconds since the start."""
-        return self._selection.now() - self.started_at
-
-    def record_status(self, status):
-        """Records the status of the answer.
-
-        An answer that is passed on to the caller as it is may still be a failure of the
-        version that gave it.
-        """
-        self.has_answered = True
-        self._has_failed = status >= SERVER_ERROR_STATUS
-
-    def record_first_byte(self):
-        """Records the arrival of the first part of the answer; ignores later parts."""
-        if self.latency_s is not None:
-            return
-        now = self._selection.now()
-        self.latency_s = now - self.started_at
-        if self._move_attempt is not None:
-            self._move_attempt.record_first_part(now)
-        if self._placed is not None:
-            self._selection.engines.record_first_token(self._placed)
-
-    def record_events(self, count):
-        """Records that events of a stream have arrived."""
-        if self._move_attempt is not None:
-            self._move_attempt.record_events(count, self._selection.now())
-
-    def record_end(self, error, is_exempt):
-        """Records the end of the attempt.
-
-        Args:
-            error: The ``PistachiowellError``, or None.
-            is_exempt: Function of fingerprint and server id that returns whether a
-                failure says nothing about the server's version.
-        """
-        self._release()
-        if self._move_attempt is not None:
-            self._move_attempt.stop_waiting()
-        exempt = error is not None and is_exempt(self._fingerprint, self.server.id)
-        self._selection.record_end(self, error)
-        code = str(error.code) if error is not None else ""
-        if error is None or (code in VERSION_FAULTS and not exempt):
-            failed = error is not None or self._has_failed
-            self._selection.record_version_answer(self.server, failed, self.started_at)
-
-    def record_abandoned(self):
-        """Records that the attempt was given up and shows nothing about its server."""
-        self._release()
-        if self._move_attempt is not None:
-            self._move_attempt.record_left(self._selection.now())
-        self._selection.record_abandoned(self.server)
-
-    def _release(self):
-        if self._placed is not None:
-            self._selection.engines.record_end(self._placed)
-
-
-@dataclass(frozen=True, slots=True)
-class Choice:
-    """A server that was chosen for an attempt, before the attempt starts.
-
-    Attributes:
-        server: The ``BackendServer``.
-        work: The ``EngineRequest``; None at a server without an engine.
-        expected_wait_s: Expected wait for the first token in seconds.
-    """
-
-    server: object
-    work: EngineRequest | None = None
-    expected_wait_s: float = 0.0
-
-
 class Selection:
     """Selects servers by expected wait, health and data centre.
 
@@ -182,17 +49,14 @@
 
     __slots__ = (
         "_cold_cost_s",
+        "_filters",
         "_health",
-        "_limits",
         "_loads",
         "_moves",
+        "_parts",
         "_picker",
         "_placer",
-        "_places",
         "_servers",
-        "_settings",
-        "_silence",
-        "_states",
         "_unreachable",
         "engines",
         "now",
@@ -203,11 +67,6 @@
     ):
         self._servers = servers
         self._moves = moves
-        self._silence = silence
-        self._limits = limits
-        self._places = places
-        self._states = states
-        self._settings = settings
         self.now = now
         routing = RoutingSettings()
         placement = PlacementSettings()
@@ -218,6 +77,27 @@
         self._cold_cost_s = placement.cold_cost_s
         self.engines = EngineTable(placement)
         self._placer = PLACERS.find(placement.placer)(placement, self.engines, rng)
+        self._parts = SelectionParts(
+            servers,
+            moves,
+            silence,
+            limits,
+            places,
+            states,
+            settings,
+            self._health,
+            self._loads,
+            self._unreachable,
+            self.engines,
+            self._picker,
+            self._placer,
+        )
+        self._filters = ServerFilters(self._parts)
+
+    @property
+    def parts(self):
+        """The ``SelectionParts``."""
+        return self._parts
 
     @property
     def avoided_servers(self):
@@ -237,13 +117,11 @@
             tried: Ids of the servers of earlier attempts.
             priority: Rank of the attempt; 0 is the most urgent.
         """
-        now = self.now()
-        allowed = self._allowed_servers(request, service_name, now)
+        now, filters = self.now(), self._filters
+        allowed = filters.allowed(request, service_name, now)
         return any(
-            server.id not in tried
-            and not self._unreachable.is_avoided(_registration(server), now)
-            and self._silence.is_answering(server.id)
-            for server in self._limits.with_room(allowed, priority)
+            server.id not in tried and filters.is_answering(server, now)
+            for server in filters.with_room(allowed, priority)
         )
 
     def choose(self, request, service_name, tried, crashed_servers, priority):
@@ -264,18 +142,15 @@
             NoServer: The service has no server that accepts requests.
             NoRoom: The limits of all its servers are reached.
         """
-        now = self.now()
-        allowed = self._allowed_servers(request, service_name, now)
+        now, filters = self.now(), self._filters
+        allowed = filters.allowed(request, service_name, now)
         if not allowed:
-            raise self._no_server(request, service_name, now)
-        servers = self._reachable(self._limits.with_room(allowed, priority), now)
+            raise filters.no_server(request, service_name, now)
+        servers = filters.reachable(filters.with_room(allowed, priority), now)
         if not servers:
-            states = self._states.describe(allowed, priority)
-            raise self._limits.no_room(allowed, priority, states)
-        names = [name for name in servers if name not in tried] or list(servers)
-        answering = self._silence.usable(names, now)
-        usable = self._health.usable(answering, now) or answering
-        candidates = [self._candidate(servers[name]) for name in usable]
+            raise filters.no_room(allowed, priority)
+        usable = filters.healthy(filters.answering(servers, tried, now), now)
+        candidates = [filters.candidate(servers[name]) for name in usable]
         if crashed_servers:
             candidates = [
                 place_crash_candidate(candidates, request.fingerprint, crashed_servers)
@@ -285,7 +160,7 @@
             picked = self._picker.pick(candidates, "", now)
             wait_s = self._cold_cost_s if picked.is_cold else 0.0
             return Choice(servers[picked.server], expected_wait_s=wait_s)
-        work = _work(request.prompt)
+        work = engine_request(request.prompt)
         picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
         return Choice(servers[picked.server], work, expected_wait_s)
 
@@ -308,52 +183,20 @@
         Returns:
             A ``Choice``; None if no server is left.
         """
-        now = self.now()
-        allowed = self._allowed_servers(request, service_name, now)
+        now, filters = self.now(), self._filters
+        allowed = filters.allowed(request, service_name, now)
         servers = {
             server.id: server
-            for server in self._limits.with_room(allowed, priority)
+            for server in filters.with_room(allowed, priority)
             if server.id not in tried
-            and self._is_sound(server, now)
+            and filters.is_sound(server, now)
             and self._loads.load_per_slot(server.id, now) < max_load_per_slot
         }
         if not servers:
             return None
-        candidates = [self._candidate(server) for server in servers.values()]
+        candidates = [filters.candidate(server) for server in servers.values()]
         return Choice(servers[self._picker.pick(candidates, "", now).server])
 
-    def _is_sound(self, server, now):
-        return (
-            not self._limits.is_cold(server)
-            and not self._limits.is_limited(server)
-            and not self._unreachable.is_avoided(_registration(server), now)
-            and self._health.is_usable(server.id, now)
-            and self._silence.is_answering(server.id)
-            and not self._silence.is_doubted(server.id)
-        )
-
-    def _reachable(self, servers, now):
-        """Returns the servers by id without those that refuse connections."""
-        by_registration = {_registration(server): server for server in servers}
-        usable = self._unreachable.usable(by_registration, now)
-        return {by_registration[r].id: by_registration[r] for r in usable}
-
-    def _no_server(self, request, service_name, now):
-        text = f"Service {service_name} has no server that accepts work"
-        available = self._servers.available_servers(service_name, now)
-        if not available:
-            return NoServer(f"{text}.")
-        at_home = self._places.at_home(available, request)
-        if not at_home:
-            homes = ", ".join(sorted(self._places.home_regions(request))) or "none"
-            return NoServer(f"{text} in the home regions of the request ({homes}).")
-        return NoServer(f"{text} ({self._states.describe(at_home)}).")
-
-    def _allowed_servers(self, request, service_name, now):
-        available = self._servers.available_servers(service_name, now)
-        accepting = self._limits.accepting(available, request)
-        return self._moves.filter_servers(service_name, accepting)
-
     def may_start(self, service_name, choice):
         """Returns whether the version of a ``Choice`` may still get a request."""
         return self._moves.may_start(service_name, choice.server)
@@ -375,7 +218,7 @@
         self._loads.set_slots(server.id, server.slots)
         self._loads.record_sent(server.id)
         self._health.record_start(server.id, now)
-        self._unreachable.record_start(_registration(server), now)
+        self._unreachable.record_start(registration_of(server), now)
         move_attempt = self._moves.record_start(service_name, server, now)
         return Attempt(
             self,
@@ -431,7 +274,7 @@
             self._health.record_inconclusive(server_id)
 
     def _record_reachability(self, attempt, error, now):
-        registration = _registration(attempt.server)
+        registration = registration_of(attempt.server)
         if isinstance(error, NotConnected):
             self._unreachable.record_refusal(registration, now)
             self.engines.record_gone(attempt.server.id)
@@ -448,18 +291,10 @@
         """Records the end of an attempt that was given up; see ``Attempt``."""
         self._loads.record_end(server.id)
         self._health.record_inconclusive(server.id)
-        self._unreachable.record_inconclusive(_registration(server))
-
-    def _candidate(self, server):
-        is_near = server.data_centre == self._settings.data_centre
-        is_cold = self._limits.is_cold(server)
-        return Candidate(server.id, server.data_centre, 0 if is_near else 1, is_cold)
-
-
-def _registration(server):
-    return (server.id, server.address, server.started_ms)
+        self._unreachable.record_inconclusive(registration_of(server))
 
 
-def _work(prompt):
+def engine_request(prompt):
+    """Returns the ``EngineRequest`` of a ``Prompt``."""
     output_tokens = int(EXPECTED_OUTPUT_SHARE * prompt.max_output_tokens)
     return EngineRequest(prompt.tokens, output_tokens, prompt.parts)
