Tell what policies would decide next without deciding it

Cause: to explain a placement one needs the outcome of the next decision of the splitter, the picker, the placer, the health table, the overload policy, the relay and the version moves; each of them counted the decision or drew random numbers.

Change: each has a second method that returns probabilities or ranges and changes nothing. Where code could be shared it is, so that the two do not differ: the credits of the split, the order of the pair of servers, the costs of engines, the parts by version and the range of Retry-After. routing/placement.py only got the method costs_s.

Result: tests of gateway, routing, admission, moves, catalog and ctl pass.

--- a/pistachiowell/admission/__init__.py
+++ b/pistachiowell/admission/__init__.py
@@ -17,6 +17,7 @@
 from pistachiowell.admission.rates import (
     Incarnation,
     Observation,
+    RateBucket,
     RateLimits,
     RateSettings,
     RateSlots,
@@ -44,6 +45,7 @@
     "OverloadSettings",
     "PeerRoomSettings",
     "PeerRooms",
+    "RateBucket",
     "RateLimits",
     "RateSettings",
     "RateSlots",
--- a/pistachiowell/admission/overload.py
+++ b/pistachiowell/admission/overload.py
@@ -136,6 +136,14 @@
         del account, now, rank
         return 0.0
 
+    def expected_wait_s(self, account, now, rank=0):
+        """Returns the least and the most that ``wait_s`` would return.
+
+        The request does not count, and nothing changes.
+        """
+        del account, now, rank
+        return 0.0, 0.0
+
 
 @OVERLOAD_POLICIES.add("none")
 class NoOverloadPolicy(OverloadPolicy):
@@ -219,6 +227,23 @@
             return 0.0
         return self._retry_after_s(state, now, rank)
 
+    def expected_wait_s(self, account, now, rank=0):
+        """Returns the range of the wait; see ``OverloadPolicy.expected_wait_s``."""
+        state = self._accounts.get(account)
+        # An account that is new here is admitted once.
+        if state is None or not self._refused_share:
+            return 0.0, 0.0
+        if state.credit + state.share >= 1.0:
+            return 0.0, 0.0
+        settings = self._settings
+        delay_s = self._delay_s(state, rank)
+        if self._peers is not None:
+            refused_per_s = self._refusals.per_s(now) + 1.0 / settings.rate_window_s
+            if refused_per_s < self._peers.expected_room_per_s(now):
+                delay_s = settings.elsewhere_retry_after_s
+        spread = settings.retry_after_spread if self._rng is not None else 0.0
+        return delay_s, delay_s * (1.0 + spread)
+
     def _forget_idle_accounts(self, now):
         settings = self._settings
         if len(self._accounts) >= settings.max_accounts:
--- a/pistachiowell/admission/peer_rooms.py
+++ b/pistachiowell/admission/peer_rooms.py
@@ -71,6 +71,12 @@
         self._saved = min(most, self._saved + self.room_per_s * passed_s)
         return self._saved >= 1.0
 
+    def would_have_room(self, now, burst_s):
+        """Returns what ``has_room`` would, and saves nothing."""
+        passed_s = max(0.0, now - self._saved_at)
+        most = max(1.0, self.room_per_s * burst_s)
+        return min(most, self._saved + self.room_per_s * passed_s) >= 1.0
+
     def take(self):
         """Records one more connection."""
         self._saved -= 1.0
@@ -136,6 +142,34 @@
         room = sum(peer.room_per_s for peer in self._reachable(now).values())
         return max(0.0, room - self._choices.per_s(now))
 
+    def expected_room_per_s(self, now):
+        """Returns what ``room_per_s`` would, and forgets nothing."""
+        room = sum(peer.room_per_s for peer in self._counted(now).values())
+        return max(0.0, room - self._choices.per_s(now))
+
+    def odds(self, now):
+        """Returns the probability of each relay address that ``choose`` may return."""
+        burst_s = self._settings.burst_s
+        rooms = {
+            address: peer.room_per_s
+            for address, peer in self._counted(now).items()
+            if peer.would_have_room(now, burst_s) and peer.room_per_s
+        }
+        return {address: room / sum(rooms.values()) for address, room in rooms.items()}
+
+    def _counted(self, now):
+        settings = self._settings
+        return {
+            address: peer
+            for address, peer in self._peers.items()
+            if now - peer.reported_at <= settings.max_age_s
+            and not self._has_failed(address, now)
+        }
+
+    def _has_failed(self, address, now):
+        failed_at = self._failed_at.get(address)
+        return failed_at is not None and now - failed_at <= self._settings.failed_s
+
     def choose(self, now, rng):
         """Chooses a gateway for one more connection, in proportion to its room.
 
--- a/pistachiowell/admission/rank_shares.py
+++ b/pistachiowell/admission/rank_shares.py
@@ -32,6 +32,10 @@
         """Decides on a request that has just come; see ``OverloadPolicy``."""
         return super().wait_s((rank, account), now, rank)
 
+    def expected_wait_s(self, account, now, rank=0):
+        """Returns the range of the wait; see ``OverloadPolicy.expected_wait_s``."""
+        return super().expected_wait_s((rank, account), now, rank)
+
     def _share_out(self, now):
         by_rank = {}
         for key, state in self._accounts.items():
--- a/pistachiowell/admission/relay_share.py
+++ b/pistachiowell/admission/relay_share.py
@@ -113,6 +113,11 @@
         """Returns the connections a second that would be relayed."""
         return self._share * self._connections.per_s(now)
 
+    @property
+    def would_take_next(self):
+        """Whether ``takes_next`` would return that a connection is relayed."""
+        return self._share > 0.0 and self._credit + self._share >= 1.0
+
     def takes_next(self, now):
         """Returns whether a new connection shall be relayed.
 
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -90,6 +90,13 @@
         """Number of connections opened to backend servers so far."""
         return self._pool.opened
 
+    def service_odds(self, route):
+        """Returns the probability of each service for the next request of a ``Route``.
+
+        Nothing is chosen.
+        """
+        return self._splitter.odds(route.name, route.weights)
+
     async def run_connections(self):
         """Closes idle connections and reads late heads until cancelled."""
         async with anyio.create_task_group() as group:
--- a/pistachiowell/gateway/grant_notices.py
+++ b/pistachiowell/gateway/grant_notices.py
@@ -132,6 +132,15 @@
         del number
         self._returned.set()
 
+    def known_grants(self, account):
+        """Returns the latest ``GrantNotice`` of each grant of an account.
+
+        Args:
+            account: Name of the account.
+        """
+        latest = self._table.latest(self._runtime.now())
+        return [notice for notice in latest if notice.account == account]
+
     async def _handle_notice(self, link, message):
         del link
         if message.purpose == Purpose.relay:
--- a/pistachiowell/gateway/load_sharing.py
+++ b/pistachiowell/gateway/load_sharing.py
@@ -121,6 +121,37 @@
         if self.is_on:
             self._reports.announce_leaving()
 
+    def relay_odds(self):
+        """Returns where the next new connection would be relayed.
+
+        Nothing is relayed, and nothing changes.
+
+        Returns:
+            Mapping of relay addresses to probabilities; empty if it is served here.
+        """
+        if not self.is_on or not self._share.would_take_next:
+            return {}
+        return self._rooms.odds(self._runtime.now())
+
+    @property
+    def relayed_share(self):
+        """Share of the new connections that is relayed at present."""
+        return self._share.share
+
+    @property
+    def busy_share(self):
+        """Share of the time in which the event loop is busy."""
+        return self._meter.busy
+
+    @property
+    def room_per_s(self):
+        """Requests a second that this gateway could serve beside the present."""
+        return self._meter.room_per_s
+
+    def expected_peer_room_per_s(self):
+        """Returns what ``peer_room_per_s`` would, and forgets nothing."""
+        return self._rooms.expected_room_per_s(self._runtime.now())
+
     def _choose(self):
         now = self._runtime.now()
         if not self._share.takes_next(now):
--- a/pistachiowell/gateway/moves.py
+++ b/pistachiowell/gateway/moves.py
@@ -1,6 +1,7 @@
 """Restricts attempts to the allowed versions and reports trials to their judges."""
 
 from collections import Counter, defaultdict
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -26,6 +27,21 @@
 _log = part_logger("moves")
 
 
+@dataclass(frozen=True, slots=True)
+class VersionParts:
+    """The servers that an attempt may go to, by the standing of their version.
+
+    Attributes:
+        old: Each ``BackendServer`` with a version that needs no permit.
+        new: Those of the version on trial; empty if it gets nothing at present.
+        new_share: Probability with which an attempt goes to the version on trial.
+    """
+
+    old: list
+    new: list = field(default_factory=list)
+    new_share: float = 0.0
+
+
 class GatewayMoves:
     """Selects the versions that attempts may go to and reports their results to judges.
 
@@ -117,17 +133,44 @@
         """
         versions = {server.version for server in servers}
         usable = self._standings[service].usable(versions, self._knows_orders())
+        parts = self._divide(service, servers, usable)
+        if parts.new and (not parts.old or self._rng.random() < parts.new_share):
+            return parts.new
+        return parts.old
+
+    def expected_servers(self, service, servers):
+        """Returns the ``VersionParts`` among which ``filter_servers`` would draw.
+
+        Nothing is drawn, and no version becomes established.
+
+        Args:
+            service: Name of the service.
+            servers: The ``BackendServer`` that accept work.
+        """
+        versions = {server.version for server in servers}
+        standings = self._standings.get(service) or VersionStandings()
+        usable = standings.expected(versions, self._knows_orders())
+        return self._divide(service, servers, usable)
+
+    def version_state(self, service, version):
+        """Returns what is known of a version: rejected, on trial, or neither."""
+        standings = self._standings.get(service)
+        if standings is not None and version in standings.rejected:
+            return "rejected"
+        is_tried = standings is not None and version == standings.tried
+        return "on trial" if is_tried else ""
+
+    def _divide(self, service, servers, usable):
         old_servers = [server for server in servers if server.version in usable]
         trial = self._trials.get(service)
         if trial is None:
-            return old_servers
+            return VersionParts(old_servers)
         now = self._runtime.now()
         new_servers = trial.servers(servers, now)
         if not new_servers or not trial.is_permitted(now):
-            return old_servers
-        if not old_servers or self._rng.random() < trial.tracker.current_share(now):
-            return new_servers
-        return old_servers
+            return VersionParts(old_servers)
+        share = trial.tracker.current_share(now) if old_servers else 1.0
+        return VersionParts(old_servers, new_servers, share)
 
     def _knows_orders(self):
         waited_s = self._runtime.now() - self._started_at
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -198,6 +198,37 @@
         observation = self._limits.latest(incarnation_of(server))
         return observation is not None and observation.per_s is not None
 
+    def admitter(self, server):
+        """Returns who admits requests to a server that is cold or names a rate.
+
+        Nobody is asked, and no request is admitted.
+
+        Args:
+            server: The ``BackendServer``.
+
+        Returns:
+            Id of the agent; an empty string if this gateway takes turns by the clock;
+            None if requests need no admission.
+        """
+        is_cold = self._cold.is_cold(server)
+        if not is_cold and not self.is_limited(server):
+            return None
+        owner = self._owner(server.id, is_cold, self._runtime.now())
+        return owner.record.id if owner is not None else ""
+
+    def cold_left_s(self, server):
+        """Returns for how many seconds a server is cold; 0 if it is warm."""
+        return self._cold.left_s(server)
+
+    def limit_per_s(self, server):
+        """Returns the requests a second that a server has named; None without."""
+        observation = self._limits.latest(incarnation_of(server))
+        return observation.per_s if observation is not None else None
+
+    def closed_by(self, server):
+        """Returns by what a server has closed itself; None if it has not."""
+        return self._closed.closed_by(incarnation_of(server))
+
     def wait_s(self, server, priority):
         """Returns the seconds until a server may have room; 0.0 if it may have now.
 
@@ -224,16 +255,24 @@
             priority: Rank of the request; 0 is the most urgent.
             states: Their states as text.
         """
-        wait_s = min(self.wait_s(server, priority) for server in servers)
-        spread_s = min(MAX_RETURN_SPREAD_S, RETURN_SPREAD_SHARE * wait_s)
+        least_s, most_s = self._return_range_s(servers, priority)
+        retry_after_s = least_s + (most_s - least_s) * self._rng.random()
         return NoRoom(
             f"The servers take no more requests at present ({states}).",
             ran="no",
-            retry_after_s=max(
-                MIN_RETRY_AFTER_S, wait_s + spread_s * self._rng.random()
-            ),
+            retry_after_s=max(MIN_RETRY_AFTER_S, retry_after_s),
         )
 
+    def return_range_s(self, servers, priority):
+        """Returns the least and the most that a ``NoRoom`` tells its caller to wait."""
+        range_s = self._return_range_s(servers, priority)
+        return tuple(max(MIN_RETRY_AFTER_S, seconds) for seconds in range_s)
+
+    def _return_range_s(self, servers, priority):
+        wait_s = min(self.wait_s(server, priority) for server in servers)
+        spread_s = min(MAX_RETURN_SPREAD_S, RETURN_SPREAD_SHARE * wait_s)
+        return wait_s, wait_s + spread_s
+
     async def admit(self, server, priority):
         """Returns whether a request may be sent to a server now.
 
--- a/pistachiowell/gateway/spending.py
+++ b/pistachiowell/gateway/spending.py
@@ -120,6 +120,14 @@
         key = (holder, reservation_id)
         return key in self._open or self._settlements.is_pending(*key)
 
+    def owner_names(self, account):
+        """Returns the ids of the agents that would be asked, in their order.
+
+        Args:
+            account: Name of the account.
+        """
+        return [peer.record.id for peer in self._owners(account)]
+
     def _owners(self, account):
         page = page_number(account, self._runtime.settings.budget_pages)
         return ranked_agents(self._fleet, page)[:MAX_OWNERS]
--- a/pistachiowell/moves/standings.py
+++ b/pistachiowell/moves/standings.py
@@ -70,12 +70,17 @@
             has_orders: Whether the orders have been read; before that, nobody can tell
                 which of several versions is established.
         """
+        usable = self.expected(versions, has_orders)
+        if not self._established:
+            self._established |= usable
+        return usable
+
+    def expected(self, versions, has_orders):
+        """Returns what ``usable`` would, and establishes no version."""
         others = versions - self._rejected - {self._tried}
         established = self._established & others
         if established:
             return established
         if not has_orders and len(others) > 1:
             return set()
-        if not self._established:
-            self._established |= others
         return others
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -26,7 +26,7 @@
     HedgeSettings,
 )
 from pistachiowell.routing.load import LoadTable
-from pistachiowell.routing.pick import PICKERS, Candidate, rendezvous
+from pistachiowell.routing.pick import PICKERS, Candidate, even_odds, rendezvous
 from pistachiowell.routing.placement import (
     NO_LOAD,
     PLACERS,
@@ -102,6 +102,7 @@
     "SuspectKind",
     "UnreachableServers",
     "UnreachableSettings",
+    "even_odds",
     "fingerprint",
     "part_names",
     "place_crash_candidate",
--- a/pistachiowell/routing/health.py
+++ b/pistachiowell/routing/health.py
@@ -5,7 +5,7 @@
 for a while, without health checks beside the traffic.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from statistics import median
 
 LATENCY_EWMA_GAIN = 0.2
@@ -112,6 +112,19 @@
         ejected = set(unusable[:max_ejected])
         return [server for server in servers if server not in ejected]
 
+    def copy(self, servers):
+        """Returns a table of some servers that changes apart from this one.
+
+        Its ``usable`` tells what that of this table would, and ejects nothing here.
+
+        Args:
+            servers: Names of the servers.
+        """
+        table = HealthTable(self._settings)
+        known = ((name, self._servers.get(name)) for name in servers)
+        table._servers = {name: replace(h) for name, h in known if h is not None}
+        return table
+
     def is_usable(self, server, now):
         """Returns whether a server is neither ejected nor being probed."""
         health = self._servers.get(server)
--- a/pistachiowell/routing/pick.py
+++ b/pistachiowell/routing/pick.py
@@ -1,5 +1,6 @@
 """Selection of the backend server for one attempt."""
 
+from collections import Counter
 from dataclasses import dataclass
 
 from pistachiowell.core.ids import stable_hash
@@ -52,6 +53,21 @@
         """
         raise NotImplementedError
 
+    def odds(self, candidates, prefix, now):
+        """Returns the probability of each candidate that ``pick`` may return.
+
+        Nothing is picked, and the random numbers are not used.
+
+        Args:
+            candidates: A non-empty list of ``Candidate``.
+            prefix: See ``pick``.
+            now: Present time in seconds.
+
+        Returns:
+            Mapping of server names to probabilities above 0.
+        """
+        raise NotImplementedError
+
 
 @PICKERS.add("random")
 class RandomPicker(Picker):
@@ -63,6 +79,10 @@
         """Returns one of the candidates, or None if there are none."""
         return self._rng.choice(candidates) if candidates else None
 
+    def odds(self, candidates, prefix, now):
+        """Returns equal probabilities; see ``Picker.odds``."""
+        return even_odds(c.server for c in candidates)
+
 
 @PICKERS.add("least_loaded")
 class LeastLoadedPicker(Picker):
@@ -81,6 +101,10 @@
             default=None,
         )
 
+    def odds(self, candidates, prefix, now):
+        """Returns the one candidate that is picked; see ``Picker.odds``."""
+        return even_odds([self.pick(candidates, prefix, now).server])
+
 
 @PICKERS.add("two_choices")
 class TwoChoicesPicker(Picker):
@@ -106,9 +130,30 @@
             if self._keeps_prefix(owner, near, now):
                 return owner
         pair = self._rng.sample(near, min(2, len(near)))
-        return min(
-            pair, key=lambda c: (c.is_cold, self._loads.load_per_slot(c.server, now))
-        )
+        return min(pair, key=lambda c: self._order(c, now))
+
+    def odds(self, candidates, prefix, now):
+        """Returns the share of the pairs in which each candidate comes first."""
+        near = self._near(candidates, now)
+        owner = rendezvous(near, prefix) if prefix else None
+        if owner is not None and self._keeps_prefix(owner, near, now):
+            return {owner.server: 1.0}
+        if len(near) == 1:
+            return {near[0].server: 1.0}
+        orders = {c.server: self._order(c, now) for c in near}
+        counts = Counter(orders.values())
+        beaten, passed = {}, 0
+        for order in sorted(counts, reverse=True):
+            # Of two equal candidates each comes first in half of their pairs.
+            beaten[order] = passed + (counts[order] - 1) / 2
+            passed += counts[order]
+        pairs = len(near) * (len(near) - 1) / 2
+        odds = {name: beaten[order] / pairs for name, order in orders.items()}
+        return {name: share for name, share in odds.items() if share}
+
+    def _order(self, candidate, now):
+        load = self._loads.load_per_slot(candidate.server, now)
+        return candidate.is_cold, load
 
     def _near(self, candidates, now):
         for distance in sorted({c.distance for c in candidates}):
@@ -129,6 +174,17 @@
         return fits and self._has_room(owner, now)
 
 
+def even_odds(names):
+    """Returns the same probability for each of some names.
+
+    Examples:
+        >>> even_odds(["a", "b"])
+        {'a': 0.5, 'b': 0.5}
+    """
+    names = list(names)
+    return {name: 1 / len(names) for name in names}
+
+
 def rendezvous(candidates, key):
     """Returns the candidate that ranks first for a key, the same in every process.
 
--- a/pistachiowell/routing/placement.py
+++ b/pistachiowell/routing/placement.py
@@ -291,6 +291,18 @@
         """
         raise NotImplementedError
 
+    def costs_s(self, candidates, request, limits, now):
+        """Returns the cost of each candidate; ``place`` chooses among the least.
+
+        Args:
+            candidates: A list of ``Candidate``.
+            request: The ``EngineRequest``.
+            limits: Object with ``slots`` and ``kv_tokens`` of one engine.
+            now: Present time in seconds.
+        """
+        del request, limits, now
+        return [0.0 for _ in candidates]
+
 
 @PLACERS.add("random")
 class RandomPlacer(Placer):
@@ -319,11 +331,7 @@
 
     def place(self, candidates, request, limits, now):
         """Returns the cheapest candidate; see ``Placer.place``."""
-        owner = self._owner(candidates, request)
-        costs_s = [
-            self._cost_s(c, request, limits, now, is_owner=c.server == owner)
-            for c in candidates
-        ]
+        costs_s = self.costs_s(candidates, request, limits, now)
         min_cost_s = min(costs_s)
         cheapest = [
             c
@@ -332,6 +340,14 @@
         ]
         return self._rng.choice(cheapest), min_cost_s
 
+    def costs_s(self, candidates, request, limits, now):
+        """Returns the cost of each candidate; see ``Placer.costs_s``."""
+        owner = self._owner(candidates, request)
+        return [
+            self._cost_s(c, request, limits, now, is_owner=c.server == owner)
+            for c in candidates
+        ]
+
     def _owner(self, candidates, request):
         prefixes = request.shared_prefixes
         if not prefixes:
--- a/pistachiowell/routing/split.py
+++ b/pistachiowell/routing/split.py
@@ -25,6 +25,14 @@
             return None
         return self._rng.choices(list(positive), list(positive.values()))[0]
 
+    def odds(self, route, weights):
+        """Returns the probability of each version at the next choice.
+
+        Nothing is chosen, and nothing changes.
+        """
+        del route
+        return weight_shares(weights)
+
 
 @SPLITTERS.add("smooth")
 class SmoothSplit:
@@ -62,6 +70,23 @@
             self._credits[route] = self._first_credits(positive)
         return self._next(route, positive)
 
+    def odds(self, route, weights):
+        """Returns the probability of each version at the next choice.
+
+        The next version is certain, except before the first choice and after a change
+        of the weights, when a random phase is drawn. Nothing is chosen, and nothing
+        changes.
+
+        Args:
+            route: Name of the route.
+            weights: Weight by version name.
+        """
+        positive = {name: weight for name, weight in weights.items() if weight > 0}
+        if not positive or self._weights.get(route) != positive:
+            return weight_shares(weights)
+        balances = _raised(self._credits[route], positive)
+        return {max(balances, key=balances.get): 1.0}
+
     def _first_credits(self, positive):
         total = sum(positive.values())
         phases = {name: total * self._rng.random() for name in positive}
@@ -69,9 +94,24 @@
         return {name: phase - mean for name, phase in phases.items()}
 
     def _next(self, route, positive):
-        balances = self._credits[route]
-        for name, weight in positive.items():
-            balances[name] += weight
+        balances = self._credits[route] = _raised(self._credits[route], positive)
         chosen = max(balances, key=balances.get)
         balances[chosen] -= sum(positive.values())
         return chosen
+
+
+def _raised(balances, positive):
+    """Returns the credits of the versions before the next choice."""
+    return {name: balance + positive[name] for name, balance in balances.items()}
+
+
+def weight_shares(weights):
+    """Returns the share of each version with a positive weight.
+
+    Examples:
+        >>> weight_shares({"a": 3, "b": 1, "c": 0})
+        {'a': 0.75, 'b': 0.25}
+    """
+    positive = {name: weight for name, weight in weights.items() if weight > 0}
+    total = sum(positive.values())
+    return {name: weight / total for name, weight in positive.items()}
