Answer where a request would go now: pistachiowell-ctl where

Cause: an operator could only read from logs where past requests went, not why the next one would go to a server or be refused.

Change: GET /where on the metrics address of a gateway answers with a PlacementReport: route, services and versions with their shares, each server with what speaks for and against it, the account's tokens as far as they are known here, overload and all refusals with their Retry-After. The command prints it as text or JSON. A question is limited to 4 KiB, an answer to 64 servers of a service, and the rate to one a second with four at once.

Result: tried against a gateway process with five servers: routes with and without an engine, unknown route, account and gateway.

--- a/pistachiowell/ctl/command.py
+++ b/pistachiowell/ctl/command.py
@@ -53,6 +53,13 @@
 
 FLAGS = flags.FlagValues()
 
+flags.DEFINE_string(
+    "account",
+    "",
+    "timeline, where: name of the client account.",
+    flag_values=FLAGS,
+)
+
 _COMMANDS = {}
 
 
--- a/pistachiowell/ctl/commands/timeline.py
+++ b/pistachiowell/ctl/commands/timeline.py
@@ -19,7 +19,6 @@
 
 for _name, _help in (
     ("request", "timeline: only events of this request."),
-    ("account", "timeline: only events of this client account."),
     ("move", "timeline: only events of this move."),
     ("vm", "timeline: only events of this process or that name it."),
     ("html", "timeline: write a page with a lane for each process to this file."),
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -44,6 +44,8 @@
     MoveOrderWatcher,
     ServerWatcher,
 )
+from pistachiowell.gateway.where import WhereReporter
+from pistachiowell.gateway.where_page import WHERE_PATH, WherePage
 from pistachiowell.membership import PeerSubset, SubsetSettings
 from pistachiowell.router.crash_candidates import CrashCandidates
 from pistachiowell.router.error_documents import error_document
@@ -116,6 +118,7 @@
         "_spending",
         "_state",
         "_stop",
+        "_where_page",
     )
 
     def __init__(self, settings, store, adapter):
@@ -240,6 +243,19 @@
             adapter.heads,
             rng,
         )
+        reporter = WhereReporter(
+            runtime,
+            state,
+            self._stop,
+            self._overload,
+            self._load,
+            self._spending,
+            self._grant_memory,
+            self._crashes,
+            self._dispatch,
+            selection.parts,
+        )
+        self._where_page = WherePage(reporter, runtime)
         app = GatewayApp(
             runtime,
             state,
@@ -259,6 +275,11 @@
         ready_app = ReadyApp(state, adapter.ready_path)
         self._ready = _server(runtime, ready_app, settings.ready_address)
 
+    @property
+    def where_page(self):
+        """The ``WherePage``."""
+        return self._where_page
+
     @property
     def state(self):
         """The ``GatewayState``."""
@@ -354,7 +375,8 @@
             group.start_soon(self._grant_memory.run)
             group.start_soon(self._dispatch.run_connections)
             group.start_soon(self._ready.serve)
-            group.start_soon(serve_metrics, self._runtime)
+            pages = {WHERE_PATH: self._where_page}
+            group.start_soon(serve_metrics, self._runtime, pages)
             group.start_soon(self._register)
             group.start_soon(self._count_routers)
             group.start_soon(self._leave_on_signal, group)
