Check that a question changes nothing, and describe only listed servers

Cause: the first answers described all servers of a service, and a question before the first tick started the clock of the silence detector.

Change: only the 64 servers that are listed are described; the clock starts with the first record. The tests cover each reason without a network, compare all that can be reached from a gateway before and after questions, and the forecast with 2,000 choices.

--- a/pistachiowell/ctl/where_text.py
+++ b/pistachiowell/ctl/where_text.py
@@ -9,6 +9,8 @@
     "cost",
     "notes",
 )
+# Servers named in the first lines.
+MAX_NAMED = 8
 
 
 def report_text(report):
@@ -27,27 +29,41 @@
 
 
 def _outcome_lines(report):
+    lines = []
+    if report.overload.relayed_to:
+        targets = _chances(report.overload.relayed_to)
+        lines.append(f"A new connection would be relayed to {targets}.")
+        lines.append("A request on an open connection is served here:")
     if report.outcome == "refused":
-        lines = ["Would be refused now."]
+        lines.append("Would be refused now.")
     else:
-        likeliest = sorted(report.chosen.items(), key=lambda pair: -pair[1])
-        names = ", ".join(f"{name} ({_percent(p)})" for name, p in likeliest[:8])
-        more = f" and {len(likeliest) - 8} more" if len(likeliest) > 8 else ""
-        lines = [f"Would be sent now to {names}{more}. {report.reason}"]
-    for refusal in report.refusals:
-        chance = (
-            "" if refusal.probability >= 1 else f" ({_percent(refusal.probability)})"
-        )
+        targets = _chances(report.chosen)
+        lines.append(f"Would be sent now to {targets}. {report.reason}")
+    for number, refusal in enumerate(report.refusals):
+        word = "Also refused" if number else "Refused"
+        if refusal.probability < 1:
+            word += f" ({_percent(refusal.probability)})"
         lines.append(
-            f"Refused{chance}: {refusal.status} {refusal.code}, Retry-After"
-            f" {_range(refusal)} s: {refusal.reason}"
+            f"{word}: {refusal.status} {refusal.code}{_retry_after(refusal)}:"
+            f" {refusal.reason}"
         )
     return lines
 
 
-def _range(refusal):
+def _chances(odds):
+    likeliest = sorted(odds.items(), key=lambda pair: -pair[1])
+    names = [f"{name} ({_percent(p)})" for name, p in likeliest[:MAX_NAMED]]
+    if len(likeliest) > MAX_NAMED:
+        names.append(f"{len(likeliest) - MAX_NAMED} more")
+    return ", ".join(names)
+
+
+def _retry_after(refusal):
     least_s, most_s = refusal.retry_after_min_s, refusal.retry_after_max_s
-    return f"{least_s:g}" if least_s == most_s else f"{least_s:g} to {most_s:g}"
+    if not most_s:
+        return ""
+    text = f"{least_s:g}" if least_s == most_s else f"{least_s:g} to {most_s:g}"
+    return f", Retry-After {text} s"
 
 
 def _route_lines(report):
@@ -86,18 +102,12 @@
 
 
 def _overload_lines(overload):
-    lines = [
+    return [
         f"load      {_percent(overload.busy_share)} busy, room for"
         f" {overload.room_per_s:g} requests/s, others {overload.peer_room_per_s:g};"
         f" refuses {_percent(overload.refused_share)}, relays"
         f" {_percent(overload.relayed_share)} of the connections"
     ]
-    if overload.relayed_to:
-        targets = ", ".join(
-            f"{address} ({_percent(p)})" for address, p in overload.relayed_to.items()
-        )
-        lines.append(f"          a new connection would be relayed to {targets}")
-    return lines
 
 
 def _service_lines(service):
--- a/pistachiowell/gateway/placement_report.py
+++ b/pistachiowell/gateway/placement_report.py
@@ -203,7 +203,8 @@
         revision: Revision of the configuration in force.
         outcome: ``sent``, ``refused``, or ``either`` if that is random.
         reason: The reason in a sentence.
-        chosen: Probability by id of the server that the request would be sent to.
+        chosen: Probability by id of the servers that the request may be sent to; the
+            likeliest only, as in ``ServiceReport.servers``.
         refusals: All reasons to refuse the request, in the order of the checks; the
             caller would get the first.
         rank: Rank of the request; 0 is the most urgent.
--- a/pistachiowell/gateway/server_reports.py
+++ b/pistachiowell/gateway/server_reports.py
@@ -23,30 +23,33 @@
         self._parts = parts
         self._now = now
 
-    def describe(self, request, expected, priority):
-        """Returns a ``ServerReport`` for each server, the likeliest first.
+    def describe(self, request, expected, priority, limit):
+        """Returns a ``ServerReport`` for each of some servers, the likeliest first.
 
         Args:
             request: The ``GatewayRequest``.
             expected: The ``ExpectedChoice``.
             priority: Rank of the request; 0 is the most urgent.
+            limit: Largest number of servers.
         """
         now, work = self._now(), None
         if request.service.engine is not None and request.prompt is not None:
             work = engine_request(request.prompt)
         owner = _prefix_owner(expected, work)
-        reports = [
+        names = sorted(expected.servers, key=lambda name: _order(expected, name))
+        servers = [expected.servers[name] for name in names[:limit]]
+        return [
             self._report(server, request, expected, work, owner, priority, now)
-            for server in expected.servers.values()
+            for server in servers
         ]
-        return sorted(reports, key=_order)
 
     def _report(self, server, request, expected, work, owner, priority, now):
         parts, name = self._parts, server.id
-        load = parts.loads.load(name, now)
+        load, slots = parts.loads.load(name, now), server.slots
         queued_tokens, kept_tokens = None, 0
         if work is not None:
-            queued_tokens = parts.engines.load(name, now).reading_tokens
+            here, slots = parts.engines.load(name, now), request.service.engine.slots
+            load, queued_tokens = here.running, here.reading_tokens
             uncached = parts.engines.uncached_tokens(name, work, now)
             kept_tokens = work.prompt_tokens - uncached
         against = self._against(server, request, priority, now)
@@ -74,7 +77,7 @@
             against=against,
             in_favour=in_favour,
             load=load,
-            slots=server.slots,
+            slots=slots,
             cost_s=_rounded(expected.costs_s.get(name)),
             queued_tokens=queued_tokens,
             kept_tokens=kept_tokens,
@@ -115,7 +118,7 @@
         if work is None:
             if load >= FULL_LOAD_PER_SLOT * server.slots:
                 return [f"full: {load} requests, {server.slots} slots"]
-            return [f"{load} requests there"] if load else []
+            return []
         engine, here = request.service.engine, self._parts.engines.load(server.id, now)
         texts = []
         needed = work.prompt_tokens + work.output_tokens
@@ -148,6 +151,7 @@
     return None if seconds is None else round(seconds, 4)
 
 
-def _order(report):
-    cost_s = report.cost_s if report.cost_s is not None else 0.0
-    return (-report.probability, bool(report.left_out), cost_s, report.id)
+def _order(expected, name):
+    is_left_out = name in expected.left_out
+    cost_s = expected.costs_s.get(name, 0.0)
+    return (-expected.odds.get(name, 0.0), is_left_out, cost_s, name)
--- a/pistachiowell/gateway/where.py
+++ b/pistachiowell/gateway/where.py
@@ -146,7 +146,7 @@
         account_report = self._account_report(findings, request)
         crashed_servers = self._check_crashes(findings, request)
         services = self._services(findings, request, crashed_servers, rank)
-        _add_notes(findings, request, question)
+        _add_notes(findings, request, question, account_report, services)
         outcome, reason = _outcome(findings, request)
         settings = self._runtime.settings
         return PlacementReport(
@@ -155,7 +155,7 @@
             revision=catalog.revision,
             outcome=outcome,
             reason=reason,
-            chosen=findings.odds if outcome != "refused" else {},
+            chosen=_likeliest(findings.odds) if outcome != "refused" else {},
             refusals=findings.refusals,
             rank=rank,
             left_s=round(request.deadline - now, 3),
@@ -217,8 +217,9 @@
         for server_id, share in expected.odds.items():
             known = findings.odds.get(server_id, 0.0)
             findings.odds[server_id] = round(known + probability * share, 4)
-        servers = self._server_reports.describe(request, expected, rank)
-        listed = servers[:MAX_LISTED_SERVERS]
+        listed = self._server_reports.describe(
+            request, expected, rank, MAX_LISTED_SERVERS
+        )
         return ServiceReport(
             name,
             weight,
@@ -226,7 +227,7 @@
             request.service.engine is not None and request.prompt is not None,
             self._versions(name, expected),
             listed,
-            len(servers) - len(listed),
+            len(expected.servers) - len(listed),
         )
 
     def _add_refusals(self, findings, request, name, probability, expected, rank):
@@ -302,6 +303,11 @@
         )
 
 
+def _likeliest(odds):
+    pairs = sorted(odds.items(), key=lambda pair: -pair[1])
+    return dict(pairs[:MAX_LISTED_SERVERS])
+
+
 def _find_route(catalog, question):
     routes = [route for host in catalog.routes.values() for route in host]
     if question.route:
@@ -369,8 +375,22 @@
     )
 
 
-def _add_notes(findings, request, question):
+def _add_notes(findings, request, question, account, services):
     notes = findings.notes
+    if account is not None and account.needed_tokens and account.owners:
+        notes.append(
+            f"Only agent {account.owners[0]} knows whether the tokens of {account.name}"
+            " suffice."
+        )
+    likely = [s for service in services for s in service.servers if s.probability]
+    if any(server.admitted_by is not None for server in likely):
+        notes.append(
+            "A server that is cold or names a rate has to admit the request; otherwise"
+            " another one is chosen."
+        )
+    costs_s = [server.cost_s for server in likely if server.cost_s is not None]
+    if costs_s and request.received_at + min(costs_s) > request.deadline:
+        notes.append("The expected cost exceeds the time that is left.")
     if question.account and request.route.is_public:
         notes.append("The route is public, so the account does not matter.")
     if not request.route.is_idempotent:
--- a/pistachiowell/routing/silence.py
+++ b/pistachiowell/routing/silence.py
@@ -159,7 +159,7 @@
         """Records that a request is sent to a server and returns its ``Wait``."""
         if len(self._servers) > self._settings.max_servers:
             self._servers = {n: s for n, s in self._servers.items() if s.waits}
-        wait = Wait(server, expected_s, self._clock(now))
+        wait = Wait(server, expected_s, self._start_clock(now))
         self._servers.setdefault(server, _Server()).waits.add(wait)
         return wait
 
@@ -192,7 +192,7 @@
             is_silent: Whether it does not answer the peer; False if it has answered.
         """
         state = self._servers.setdefault(server, _Server())
-        clock = self._clock(now)
+        clock = self._start_clock(now)
         if not is_silent:
             self._trust(state)
             state.denied_until = clock + self._settings.denial_s
@@ -213,7 +213,7 @@
             now: Present time in seconds.
         """
         state = self._servers.setdefault(server, _Server())
-        clock = self._clock(now)
+        clock = self._start_clock(now)
         if state.heard_at < clock - waited_s:
             state.doubted_until = clock + self._settings.shared_doubt_s
 
@@ -313,10 +313,15 @@
         server.held_until = self._awake_s + hold_s
         server.holds += 1
 
-    def _clock(self, now):
+    def _start_clock(self, now):
+        """Returns the time of the clock, which runs from the first record on."""
         if self._ticked_at is None:
             self._ticked_at = now
-        passed_s = min(now - self._ticked_at, self._settings.max_tick_s)
+        return self._clock(now)
+
+    def _clock(self, now):
+        ticked_at = now if self._ticked_at is None else self._ticked_at
+        passed_s = min(now - ticked_at, self._settings.max_tick_s)
         return self._awake_s + max(0.0, passed_s)
 
     def _is_suspected(self, server, clock):
