Share out a network link that is full before the processor

Cause: a link of 5 or 10 Mbit/s is full at some 100 requests a second while the event loop is on time. Nothing measures it, and a relayed connection takes as much of it as one that is served.

Change: with link_mbps in its settings a gateway counts the bytes that it exchanges with callers, on served and on relayed connections. It learns the bytes of a request and refuses what exceeds the link by the ranked policy, relays nothing while the link is near its limit, and reports the smaller room of processor and link.

Result: tests of admission, core, the relay, the room reports and the settings templates pass; the new module has no tests of its own yet.

--- a/pistachiowell/admission/__init__.py
+++ b/pistachiowell/admission/__init__.py
@@ -10,6 +10,7 @@
 )
 from pistachiowell.admission.gateway_load import GatewayLoadSettings, LoadMeter
 from pistachiowell.admission.limits import LIMITS
+from pistachiowell.admission.link_load import LinkMeter, LinkSettings, LinkShare
 from pistachiowell.admission.overload import OVERLOAD_POLICIES, OverloadSettings
 from pistachiowell.admission.peer_rooms import PeerRooms, PeerRoomSettings, room_shares
 from pistachiowell.admission.queue import AdmissionQueue
@@ -38,6 +39,9 @@
     "ColdTimes",
     "ColdTurns",
     "Incarnation",
+    "LinkMeter",
+    "LinkSettings",
+    "LinkShare",
     "LoadMeter",
     "Observation",
     "Outcome",
--- a/pistachiowell/admission/overload.py
+++ b/pistachiowell/admission/overload.py
@@ -119,9 +119,23 @@
         """Share of the requests that is refused at present."""
         return 0.0
 
+    @property
+    def is_for_link(self):
+        """Whether requests are refused for the network link at present."""
+        return False
+
     def record_transit(self, transit_s, now):
         """Records a transit time; both arguments are in seconds."""
 
+    def record_link(self, refused_share, has_peer_room, now):
+        """Records what to refuse for the network link.
+
+        Args:
+            refused_share: Share of the requests.
+            has_peer_room: Whether others can take these requests.
+            now: Present time in seconds.
+        """
+
     def wait_s(self, account, now, rank=0):
         """Decides on a request that has just come.
 
@@ -174,10 +188,12 @@
 
     __slots__ = (
         "_accounts",
+        "_has_link_room",
         "_lasting_share",
+        "_late_share",
+        "_link_share",
         "_recorded_at",
         "_refusals",
-        "_refused_share",
         "_transit_s",
     )
 
@@ -188,12 +204,25 @@
         self._transit_s = 0.0
         self._recorded_at = 0.0
         self._lasting_share = 0.0
-        self._refused_share = 0.0
+        self._late_share = 0.0
+        self._link_share = 0.0
+        self._has_link_room = False
 
     @property
     def refused_share(self):
         """Share of the requests that is refused at present."""
-        return self._refused_share
+        return max(self._late_share, self._link_share)
+
+    @property
+    def is_for_link(self):
+        """Whether requests are refused for the network link at present."""
+        return self._link_share > self._late_share
+
+    def record_link(self, refused_share, has_peer_room, now):
+        """Records what to refuse for the network link; see ``OverloadPolicy``."""
+        self._link_share, self._has_link_room = refused_share, has_peer_room
+        if self.is_for_link:
+            self._share_out(now)
 
     def record_transit(self, transit_s, now):
         """Records a transit time and adjusts the share; see ``OverloadPolicy``."""
@@ -210,7 +239,7 @@
             self._forget_idle_accounts(now)
             state = self._accounts[account] = _Account(self._settings.rate_window_s)
         state.rate.add(now)
-        if not self._refused_share:
+        if not self.refused_share:
             return 0.0
         # Spread evenly: each request adds its share, and a whole one admits.
         state.credit += state.share
@@ -249,6 +278,8 @@
         """Returns whether others can take all that is refused here."""
         if self._peers is None:
             return False
+        if self.is_for_link:
+            return self._has_link_room
         return self._refusals.per_s(now) < self._peers.room_per_s(now)
 
     def _adjust(self, now, passed_s):
@@ -259,13 +290,13 @@
         share = 0.0
         if self._lasting_share > settings.min_lasting:
             share = self._lasting_share + settings.refused_per_s * excess_s
-        self._refused_share = min(settings.max_refused, max(0.0, share))
-        if self._refused_share:
+        self._late_share = min(settings.max_refused, max(0.0, share))
+        if self._late_share and not self.is_for_link:
             self._share_out(now)
 
     def _share_out(self, now):
         rates = {name: state.rate.per_s(now) for name, state in self._accounts.items()}
-        admitted = (1.0 - self._refused_share) * sum(rates.values())
+        admitted = (1.0 - self.refused_share) * sum(rates.values())
         self._set_shares(rates, fair_ceiling(list(rates.values()), admitted))
 
     def _set_shares(self, rates, ceiling):
--- a/pistachiowell/admission/rank_shares.py
+++ b/pistachiowell/admission/rank_shares.py
@@ -37,7 +37,7 @@
         for key, state in self._accounts.items():
             by_rank.setdefault(key[0], {})[key] = state.rate.per_s(now)
         demands = {rank: sum(rates.values()) for rank, rates in by_rank.items()}
-        admitted = (1.0 - self._refused_share) * sum(demands.values())
+        admitted = (1.0 - self.refused_share) * sum(demands.values())
         limits = rank_limits(demands, admitted, self._settings.min_rank_share)
         for rank, rates in by_rank.items():
             ceiling = fair_ceiling(list(rates.values()), limits[rank])
--- a/pistachiowell/admission/relay_share.py
+++ b/pistachiowell/admission/relay_share.py
@@ -93,9 +93,19 @@
         gain = min(1.0, passed_s / self._settings.transit_window_s)
         self._transit_s += gain * (transit_s - self._transit_s)
 
-    def record(self, busy, now):
-        """Records the busy share and adjusts the share of the connections."""
+    def record(self, busy, now, *, is_link_full=False):
+        """Records the busy share and adjusts the share of the connections.
+
+        Args:
+            busy: Busy share.
+            now: Present time in seconds.
+            is_link_full: Whether the network link is near its limit. A relayed
+                connection takes as much of it as one that is served here.
+        """
         at, self._at = self._at, now
+        if is_link_full:
+            self._share = 0.0
+            return
         if at is None:
             return
         settings = self._settings
--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -11,12 +11,15 @@
 from pistachiowell.core.connection_order import Stage
 from pistachiowell.core.read_gate import ReadGate
 from pistachiowell.core.refusals import INVALID, NO_ROOM, TOO_SLOW, refusal
+from pistachiowell.core.traffic import ConnectionTraffic, CountedTransport
 
 WRITE_BUFFER_BYTES = 4096
 # The parser sees no more at once, so that a head over the limit is never kept whole.
 PIECE_BYTES = 16_384
 # Memory of the objects of one header line, here and in the request to the server.
 LINE_COST_BYTES = 512
+# Key of the ``ConnectionTraffic`` in the scope of a request.
+TRAFFIC = "pistachiowell.traffic"
 
 
 class _StopParsingError(Exception):
@@ -35,7 +38,9 @@
     return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
 
 
-def bounded_protocol(max_header_bytes, body, clients=None, take_over=None):
+def bounded_protocol(
+    max_header_bytes, body, clients=None, take_over=None, traffic=None
+):
     """Returns a protocol class that bounds what each connection costs.
 
     uvicorn's own httptools protocol buffers headers and trailers without a limit, and
@@ -52,6 +57,7 @@
         take_over: Function of the transport of a new connection and of a function
             that serves it here after all; returns whether it takes the connection
             over. None to serve all connections here.
+        traffic: The ``Traffic`` of the process; None to count no bytes.
 
     Returns:
         A class for ``uvicorn.Config(http=...)``.
@@ -78,6 +84,7 @@
             self._is_in_message = False
             self._has_request_ahead = False
             self._reported = Stage.silent, 0
+            self._traffic = None
             self.checked_bytes = float("inf")
 
         @property
@@ -108,6 +115,9 @@
         def _begin(self, transport):
             super().connection_made(transport)
             self.flow = ReadGate(transport, self.loop)
+            if traffic is not None:
+                self._traffic = ConnectionTraffic(traffic)
+                self.transport = CountedTransport(transport, self._traffic)
             clients.add(self)
 
         def connection_lost(self, exc):
@@ -122,6 +132,8 @@
             self._is_in_head = self._is_in_message = True
             self._lines = 0
             super().on_message_begin()
+            if self._traffic is not None:
+                self.scope[TRAFFIC] = self._traffic
 
         def _refuse_request_ahead(self):
             self._has_request_ahead = True
@@ -182,6 +194,8 @@
 
         def data_received(self, data):
             """Parses data of the caller; refuses a head or trailers without end."""
+            if self._traffic is not None:
+                self._traffic.add(len(data))
             for start in range(0, len(data), PIECE_BYTES):
                 if self._has_request_ahead or self.transport.is_closing():
                     return
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -97,6 +97,7 @@
             await self._send_error(head, writer, error, received_at)
         finally:
             self._in_progress -= 1
+            self._load.end_request(scope)
 
     def _closes_connection(self, scope):
         return (
@@ -141,7 +142,7 @@
         if route is None:
             raise NotFound("No route matches this host and path.")
         account = self._find_account(catalog, route, head)
-        self._check_overload(account, route, received_at)
+        self._check_overload(scope, account, route, received_at)
         if not head.request_id:
             raise InvalidRequest("The request has no id.")
         if head.body_bytes > limits.body_bytes:
@@ -180,13 +181,16 @@
             raise self._stop.error(may_have_run=False)
         raise BodyTimeout("The body did not arrive by the deadline of the request.")
 
-    def _check_overload(self, account, route, received_at):
+    def _check_overload(self, scope, account, route, received_at):
         name = account.name if account else ""
         rank = request_rank(account, route)
         wait_s = self._overload.wait_s(name, received_at, rank)
+        self._load.add_decision(scope, is_refused=wait_s > 0)
         if wait_s:
             raise GatewayOverloaded(
-                "The gateway has more requests than it can serve.",
+                "The network link of the gateway is full."
+                if self._overload.is_for_link
+                else "The gateway has more requests than it can serve.",
                 ran=NOT_RUN,
                 retry_after_s=wait_s,
             )
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -149,8 +149,7 @@
         )
         self._stop = PlannedStop()
         self._load = LoadSharing(runtime, self._fleet, loop_watch, handlers, rng)
-        self._overload = self._load.make_overload_policy()
-        loop_watch.add_transit_listener(self._overload.record_transit)
+        self._overload = self._load.overload
         runtime.metrics.watch(
             "requests.refused_share", lambda: self._overload.refused_share
         )
@@ -251,11 +250,15 @@
             self._load,
         )
         take_over = self._load.relay.take_over if self._load.is_on else None
-        self._http = _server(runtime, app, settings.http_address, take_over)
+        self._http = _server(
+            runtime, app, settings.http_address, take_over, self._load.traffic
+        )
         self._caller_servers = [self._http]
         if self._load.is_on:
             address = f"{settings.peer_host}:{settings.relay_port}"
-            self._caller_servers.append(_server(runtime, app, address))
+            self._caller_servers.append(
+                _server(runtime, app, address, traffic=self._load.traffic)
+            )
         ready_app = ReadyApp(state, adapter.ready_path)
         self._ready = _server(runtime, ready_app, settings.ready_address)
 
@@ -452,7 +455,7 @@
     return host, int(port)
 
 
-def _server(runtime, app, address, take_over=None):
+def _server(runtime, app, address, take_over=None, traffic=None):
     host, port = _split_address(address)
     refusal = error_document(
         HeadersTooLarge(f"The headers exceed {MAX_HEADER_BYTES} bytes.")
@@ -461,7 +464,9 @@
         app,
         host,
         port,
-        http=bounded_protocol(MAX_HEADER_BYTES, refusal, runtime.clients, take_over),
+        http=bounded_protocol(
+            MAX_HEADER_BYTES, refusal, runtime.clients, take_over, traffic
+        ),
         server_header=False,
         date_header=False,
         timeout_graceful_shutdown=runtime.settings.shutdown_timeout_s,
--- a/pistachiowell/gateway/load_sharing.py
+++ b/pistachiowell/gateway/load_sharing.py
@@ -12,7 +12,9 @@
     RelaySettings,
     RelayShare,
 )
+from pistachiowell.core.http_protocol import TRAFFIC
 from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.link_load import LinkLoad
 from pistachiowell.gateway.relay import ConnectionRelay
 from pistachiowell.gateway.room_reports import RoomReports
 
@@ -22,7 +24,7 @@
 class LoadSharing:
     """Measures the load of this gateway and relays connections that exceed it.
 
-    It does so only if the settings have a ``relay_port``.
+    It relays only if the settings have a ``relay_port``.
 
     Args:
         runtime: The process's ``Runtime``.
@@ -34,7 +36,9 @@
 
     __slots__ = (
         "_is_relaying",
+        "_link",
         "_meter",
+        "_overload",
         "_relay",
         "_reports",
         "_rng",
@@ -51,23 +55,27 @@
         self._meter = LoadMeter(
             GatewayLoadSettings(), settings.cpu_share * settings.cores
         )
+        self._link = LinkLoad(runtime)
         self._share = RelayShare(RelaySettings())
         self._rooms = PeerRooms(PeerRoomSettings())
+        self._overload = self._make_overload_policy()
         self._relay = ConnectionRelay(
             runtime,
             loop_watch.deadline,
             runtime.clients.limits.connections,
             self._choose,
             self._record_failure,
+            self._link,
         )
         self._reports = RoomReports(
-            runtime, fleet, self._meter, self._share, self._rooms, handlers
+            runtime, fleet, self._meter, self._link, self._share, self._rooms, handlers
         )
         loop_watch.add_load_listener(self._record_load)
         loop_watch.add_transit_listener(self._share.record_transit)
+        loop_watch.add_transit_listener(self._overload.record_transit)
         metrics = runtime.metrics
         metrics.watch("load.busy", lambda: self._meter.busy)
-        metrics.watch("load.room_per_s", lambda: self._meter.room_per_s)
+        metrics.watch("load.room_per_s", self._room_per_s)
         metrics.watch("load.peer_room_per_s", self.peer_room_per_s)
         metrics.watch("relay.share", lambda: self._share.share)
 
@@ -76,6 +84,16 @@
         """Whether the settings turn load sharing on."""
         return self._runtime.settings.relay_port > 0
 
+    @property
+    def overload(self):
+        """The ``OverloadPolicy`` for what cannot be relayed."""
+        return self._overload
+
+    @property
+    def traffic(self):
+        """The ``Traffic`` with callers; None if it is not counted."""
+        return self._link.traffic
+
     @property
     def relay(self):
         """The ``ConnectionRelay``."""
@@ -90,8 +108,7 @@
         """Returns the requests a second that other gateways are known to take."""
         return self._rooms.room_per_s(self._runtime.now())
 
-    def make_overload_policy(self):
-        """Returns the ``OverloadPolicy`` for what cannot be relayed."""
+    def _make_overload_policy(self):
         if not self.is_on:
             settings = OverloadSettings()
             return OVERLOAD_POLICIES.find(settings.policy)(settings)
@@ -105,10 +122,20 @@
         port = self._runtime.settings.relay_port
         return self.is_on and server is not None and server[1] == port
 
+    def add_decision(self, scope, *, is_refused):
+        """Counts a request that was admitted or refused, by its ASGI scope."""
+        self._link.add_decision(
+            scope, is_refused=is_refused, is_received=self.is_relayed(scope)
+        )
+
     def add_request(self, scope):
         """Counts a request that is served here, by its ASGI scope."""
         self._meter.add_request(is_received=self.is_relayed(scope))
 
+    def end_request(self, scope):
+        """Records the end of a request or of its refusal, by its ASGI scope."""
+        self._link.end_request(scope.get(TRAFFIC))
+
     async def run(self):
         """Reports the room until cancelled."""
         if self.is_on:
@@ -121,6 +148,9 @@
         if self.is_on:
             self._reports.announce_leaving()
 
+    def _room_per_s(self):
+        return min(self._meter.room_per_s, self._link.room_per_s)
+
     def _choose(self):
         now = self._runtime.now()
         if not self._share.takes_next(now):
@@ -132,9 +162,12 @@
 
     def _record_load(self, busy_s, now):
         self._meter.record(busy_s, now)
+        self._link.record(self.peer_room_per_s(), now)
+        link = self._link.share
+        self._overload.record_link(link.refused_share, link.has_peer_room, now)
         if not self.is_on:
             return
-        self._share.record(self._meter.busy, now)
+        self._share.record(self._meter.busy, now, is_link_full=link.is_near_limit)
         is_relaying = self._share.share > 0.0
         if is_relaying != self._is_relaying:
             self._is_relaying = is_relaying
--- a/pistachiowell/gateway/relay.py
+++ b/pistachiowell/gateway/relay.py
@@ -81,23 +81,30 @@
 
     Attributes:
         has_request: Whether the caller has sent anything.
+        traffic: The ``ConnectionTraffic``; None to count no bytes.
     """
 
-    __slots__ = ("has_request",)
+    __slots__ = ("has_request", "traffic")
 
     def __init__(self, relay):
         super().__init__(relay)
         self.has_request = False
+        self.traffic = relay.link.connection_traffic()
 
     def buffer_updated(self, nbytes):
         """Passes on a part of the request."""
-        self.has_request = True
+        if not self.has_request:
+            self.has_request = True
+            self._relay.link.add_request(self.traffic)
+        if self.traffic is not None:
+            self.traffic.add(nbytes)
         super().buffer_updated(nbytes)
 
     def connection_lost(self, exc):
         """Closes the other connection, which cancels the request there."""
         del exc
         self._relay.remove(self)
+        self._relay.link.end_request(self.traffic)
         if self.other.transport is not None:
             self.other.transport.abort()
 
@@ -119,6 +126,12 @@
 
     __slots__ = ()
 
+    def buffer_updated(self, nbytes):
+        """Passes on a part of the answer."""
+        if self.other.traffic is not None:
+            self.other.traffic.add(nbytes)
+        super().buffer_updated(nbytes)
+
     def connection_lost(self, exc):
         """Closes the connection of the caller."""
         del exc
@@ -138,9 +151,11 @@
         choose: Function that returns the relay address for a new connection, or None
             if it is to be served here.
         record_failure: Function of a relay address that could not be reached.
+        link: The ``LinkLoad``.
 
     Attributes:
         buffer: View of the bytes that a connection has just read.
+        link: As above.
     """
 
     __slots__ = (
@@ -154,9 +169,12 @@
         "_runtime",
         "_timed_out",
         "buffer",
+        "link",
     )
 
-    def __init__(self, runtime, deadline, max_connections, choose, record_failure):
+    def __init__(
+        self, runtime, deadline, max_connections, choose, record_failure, link
+    ):
         self._runtime = runtime
         self._deadline = deadline
         self._choose = choose
@@ -168,6 +186,7 @@
         self._callers = set()
         self._connecting = set()
         self._has_stopped = False
+        self.link = link
         self.buffer = memoryview(bytearray(READ_BYTES))
         runtime.metrics.watch("relay.in_progress", lambda: len(self._callers))
 
--- a/pistachiowell/gateway/room_reports.py
+++ b/pistachiowell/gateway/room_reports.py
@@ -10,7 +10,8 @@
 # receives 6.5 KB/s from 35 gateways at rest.
 REPORT_INTERVAL_S = 0.8
 MIN_INTERVAL_S = 0.25
-# Change of the busy share that is reported before the next report is due.
+# Change of the busy share or of the link's load that is reported before the next report
+# is due.
 NOTICED_CHANGE = 0.08
 # The same for the excess, in requests a second.
 NOTICED_EXCESS_PER_S = 5.0
@@ -25,6 +26,7 @@
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet`` with the agents.
         meter: The ``LoadMeter``.
+        link: The ``LinkLoad``.
         share: The ``RelayShare``.
         rooms: The ``PeerRooms``.
         handlers: Handlers of the links to agents; this registers its own.
@@ -34,6 +36,7 @@
         "_address",
         "_fleet",
         "_has_warned",
+        "_link",
         "_meter",
         "_rooms",
         "_runtime",
@@ -42,11 +45,12 @@
         "_share",
     )
 
-    def __init__(self, runtime, fleet, meter, share, rooms, handlers):
+    def __init__(self, runtime, fleet, meter, link, share, rooms, handlers):
         settings = runtime.settings
         self._runtime = runtime
         self._fleet = fleet
         self._meter = meter
+        self._link = link
         self._share = share
         self._rooms = rooms
         self._address = f"{settings.peer_host}:{settings.relay_port}"
@@ -69,12 +73,14 @@
 
     def _report(self):
         leaving = self._runtime.leaving
+        room_per_s = min(self._meter.room_per_s, self._link.room_per_s)
+        relayed_per_s = self._share.excess_per_s(self._runtime.now())
         return GatewayRoom(
             self._runtime.settings.data_centre,
             self._address,
-            round(self._meter.busy, 3),
-            0.0 if leaving else round(self._meter.room_per_s, 1),
-            round(self._share.excess_per_s(self._runtime.now()), 1),
+            round(max(self._meter.busy, self._link.load), 3),
+            0.0 if leaving else round(room_per_s, 1),
+            round(max(relayed_per_s, self._link.share.excess_per_s), 1),
             leaving,
         )
 
--- a/pistachiowell/gateway/tests/test_relay.py
+++ b/pistachiowell/gateway/tests/test_relay.py
@@ -11,6 +11,7 @@
 from anyio import move_on_after
 
 from pistachiowell.core.metrics import Metrics
+from pistachiowell.gateway.link_load import LinkLoad
 from pistachiowell.gateway.relay import CallerSide, ConnectionRelay, GatewaySide
 
 
@@ -57,12 +58,23 @@
         self.end = "abort"
 
 
+def fake_runtime(now=lambda: 1.0):
+    """Returns a runtime with a known network link."""
+    settings = SimpleNamespace(link_mbps=5.0)
+    return SimpleNamespace(metrics=Metrics(), settings=settings, now=now)
+
+
 @pytest.fixture
 def sides():
     """Returns the caller's side and the other gateway's side of a connection."""
-    runtime = SimpleNamespace(metrics=Metrics())
+    runtime = fake_runtime()
     relay = ConnectionRelay(
-        runtime, move_on_after, 400, lambda: None, lambda address: None
+        runtime,
+        move_on_after,
+        400,
+        lambda: None,
+        lambda address: None,
+        LinkLoad(runtime),
     )
     caller, gateway = CallerSide(relay), GatewaySide(relay)
     caller.other, gateway.other = gateway, caller
@@ -75,7 +87,7 @@
     """Records the gateways that are left out as connections to them time out."""
 
     def __init__(self, addresses):
-        runtime = SimpleNamespace(metrics=Metrics(), now=anyio.current_time)
+        runtime = fake_runtime(anyio.current_time)
         self.left_out = []
         self.served_here = 0
         self.relay = ConnectionRelay(
@@ -84,6 +96,7 @@
             400,
             lambda: addresses.pop(0),
             self.left_out.append,
+            LinkLoad(runtime),
         )
 
     @staticmethod
--- a/pistachiowell/platform/tests/test_settings_templates.py
+++ b/pistachiowell/platform/tests/test_settings_templates.py
@@ -23,7 +23,13 @@
     "app": "10.0.0.1:80",
     "Listen": {"Front": "10.0.0.1:81", "Ready": "10.0.0.1:82"},
     "Platform": {"Address": "10.0.0.2:83"},
-    "Limits": {"MaxFds": 4100, "MemoryMb": 300, "CpuShare": 0.5, "Cores": 0.387},
+    "Limits": {
+        "MaxFds": 4100,
+        "MemoryMb": 300,
+        "CpuShare": 0.5,
+        "Cores": 0.387,
+        "LinkMbps": 5,
+    },
     "Bounds": {
         "ExposureShare": 0.07,
         "ExposureSlack": 33,
@@ -92,6 +98,10 @@
     settings_class(**read_template(name))
 
 
+def test_gateway_knows_the_bandwidth_of_its_link():
+    assert GatewaySettings(**read_template("router.yaml")).link_mbps == 5
+
+
 def test_judge_keeps_to_other_bounds_than_its_deployment_has():
     settings = GatewayAgentSettings(**read_template("agent.yaml"))
     assert (settings.exposure_share, settings.exposure_slack) == (0.07, 33)
