Begin refusals for the link by the time of the excess; test the link load

Cause: by a threshold on the excess of bytes, refusals began 1.7 s after a surge in the model, and the link had up to 0.7 s of bytes queued.

Change: refusals begin once what comes has exceeded the link for 0.8 s.

--- a/pistachiowell/admission/link_load.py
+++ b/pistachiowell/admission/link_load.py
@@ -25,7 +25,8 @@
 
     Attributes:
         load_window_s: Time constant of the measured load in seconds.
-        rate_window_s: Time constant of the rate of all requests in seconds.
+        rate_window_s: Time constant of the rate of all requests in seconds. It is
+            short, so that the end of a burst is seen soon.
         spread_window_s: Time constant of the rates of the admitted and of the refused
             requests, over which their bytes are taken to be spread.
         size_window_s: Time constant of the mean bytes of a request.
@@ -42,10 +43,10 @@
             while others have room.
         far_load: Load below which it no longer is.
         kept_load: Load that is kept while others have none.
-        begin_s: Seconds of the link by which the load has to exceed ``kept_load``
-            before anything is refused. A burst of 0.5 s at three times the usual load
-            reaches 0.2.
-        max_backlog_s: Largest such excess that is remembered.
+        begin_s: Seconds for which what comes has to exceed ``kept_load`` before
+            anything is refused; what is below it takes as many off again. A burst of
+            0.5 s at 2.8 times the link reaches 0.75.
+        max_backlog_s: Largest excess in seconds of the link that is remembered.
         drain_s: Time in seconds over which it is to be sent.
         min_kept_load: Load that is admitted at least meanwhile.
         end_s: Seconds without a refusal after which refusals have ended.
@@ -56,7 +57,7 @@
     """
 
     load_window_s: float = 0.4
-    rate_window_s: float = 0.5
+    rate_window_s: float = 0.25
     spread_window_s: float = 1.0
     size_window_s: float = 5.0
     surplus_window_s: float = 30.0
@@ -68,10 +69,10 @@
     near_load: float = 0.85
     far_load: float = 0.75
     kept_load: float = 0.95
-    begin_s: float = 0.25
+    begin_s: float = 0.8
     max_backlog_s: float = 1.0
-    drain_s: float = 2.0
-    min_kept_load: float = 0.5
+    drain_s: float = 1.0
+    min_kept_load: float = 0.3
     end_s: float = 1.0
     max_refused: float = 0.95
     room_gain_per_s: float = 0.5
@@ -219,6 +220,11 @@
         free = (full - max(self._load, self.expected_load(now))) * capacity
         return min(full * capacity, max(0.0, free + self._received.per_s(now)))
 
+    def offered_load(self, now):
+        """Returns the load of all requests that come, as if none were refused."""
+        size = self._offered.per_s(now) * self._size.mean
+        return (size + self._size.surplus_per_s(now)) / self._bytes_per_s
+
     def excess_per_s(self, load, now):
         """Returns the requests a second to refuse so that a load is kept."""
         offered = self._offered.per_s(now)
@@ -233,8 +239,8 @@
 class LinkShare:
     """Controls the share of the requests that is refused for the link.
 
-    Refusals begin when the expected load has exceeded the link for a while, and the
-    excess so far is sent over some seconds (a virtual queue). While others have room,
+    Refusals begin when what comes has exceeded the link for a while, and the excess so
+    far is sent over some seconds (a virtual queue). While others have room,
     more is refused than exceeds the link, as much as they take.
 
     Args:
@@ -255,6 +261,7 @@
         "_is_near",
         "_is_refusing",
         "_meter",
+        "_over_s",
         "_refused_at",
         "_refused_share",
         "_settings",
@@ -270,6 +277,7 @@
         self._has_peer_room = False
         self._is_near = False
         self._is_refusing = False
+        self._over_s = 0.0
         self._refused_at = 0.0
         self._refused_share = 0.0
 
@@ -310,7 +318,10 @@
         self._is_near = load >= limit
         backlog_s = self._backlog_s + (expected - settings.kept_load) * passed_s
         self._backlog_s = min(settings.max_backlog_s, max(0.0, backlog_s))
-        if not self._is_refusing and self._backlog_s > settings.begin_s:
+        is_over = self._meter.offered_load(now) > settings.kept_load
+        over_s = self._over_s + (passed_s if is_over else -passed_s)
+        self._over_s = min(settings.begin_s, max(0.0, over_s))
+        if not self._is_refusing and self._over_s >= settings.begin_s:
             self._is_refusing, self._refused_at = True, now
         if self._is_refusing:
             self._adjust(peer_room_per_s, passed_s, now)
@@ -336,5 +347,6 @@
             self._end()
 
     def _end(self):
+        self._over_s = 0.0
         self._is_refusing = self._has_peer_room = False
         self._elsewhere_per_s = self._excess_per_s = 0.0
--- a/pistachiowell/bench/gateway_load.py
+++ b/pistachiowell/bench/gateway_load.py
@@ -316,10 +316,12 @@
         for number, gateway in enumerate(self.gateways):
             is_hot = number < self.hot and now >= SURGE_AT_S
             load = self.scene.hot_load if is_hot else USUAL_LOAD
-            per_s = load * gateway.cores / self.scene.request_s
-            if self.rng.random() < per_s * STEP_S:
-                self.came += now >= SURGE_AT_S
-                self._connect(number, now, is_retry=False)
+            expected = load * gateway.cores / self.scene.request_s * STEP_S
+            draws = 1 if expected < 1.0 else 10
+            for _ in range(draws):
+                if self.rng.random() < expected / draws:
+                    self.came += now >= SURGE_AT_S
+                    self._connect(number, now, is_retry=False)
         due = [number for at, number in self.retries if at <= now]
         self.retries = [entry for entry in self.retries if entry[0] > now]
         for number in due:
--- a/pistachiowell/core/tests/test_http_protocol.py
+++ b/pistachiowell/core/tests/test_http_protocol.py
@@ -6,7 +6,8 @@
 import pytest
 import uvicorn
 
-from pistachiowell.core.http_protocol import bounded_protocol
+from pistachiowell.core.http_protocol import TRAFFIC, bounded_protocol
+from pistachiowell.core.traffic import Traffic, link_bytes
 
 MAX_HEADER_BYTES = 2000
 
@@ -22,9 +23,9 @@
     """Returns a context manager that yields a connection to a bounded server."""
 
     @asynccontextmanager
-    async def open_connection():
+    async def open_connection(app=app, traffic=None):
         port = free_port()
-        protocol = bounded_protocol(MAX_HEADER_BYTES, b"{}")
+        protocol = bounded_protocol(MAX_HEADER_BYTES, b"{}", traffic=traffic)
         config = uvicorn.Config(
             app, port=port, http=protocol, lifespan="off", log_config=None
         )
@@ -83,3 +84,25 @@
     async with connect() as stream:
         await stream.send(CHUNKED + b"0\r\nx: y\r\n\r\n")
         assert (await stream.receive()).split()[1] == b"204"
+
+
+@pytest.mark.anyio
+async def test_bytes_of_both_directions_are_counted(connect):
+    # A full link is seen by what crosses it, heads and refusals included.
+    scopes, traffic = [], Traffic()
+
+    async def record(scope, receive, send):
+        scopes.append(scope)
+        await app(scope, receive, send)
+
+    request = b"POST / HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc"
+    async with connect(record, traffic) as stream:
+        await stream.send(request)
+        answer = await stream.receive()
+        served = link_bytes(len(request)) + link_bytes(len(answer))
+        assert traffic.total_bytes == served
+        assert scopes[0][TRAFFIC].take() == served
+        await stream.send(b"no request")
+        refusal = await stream.receive()
+    more_bytes = link_bytes(10) + link_bytes(len(refusal))
+    assert traffic.total_bytes == served + more_bytes
--- a/pistachiowell/gateway/tests/test_relay.py
+++ b/pistachiowell/gateway/tests/test_relay.py
@@ -1,7 +1,8 @@
 """Copying of bytes between a caller and another gateway.
 
-Guards against memory that grows with what a slow caller does not read, and against a
-connection that stays open after the other has ended.
+Guards against memory that grows with what a slow caller does not read, against a
+connection that stays open after the other has ended, and against relayed bytes that are
+not counted for the network link.
 """
 
 from types import SimpleNamespace
@@ -11,6 +12,7 @@
 from anyio import move_on_after
 
 from pistachiowell.core.metrics import Metrics
+from pistachiowell.core.traffic import link_bytes
 from pistachiowell.gateway.link_load import LinkLoad
 from pistachiowell.gateway.relay import CallerSide, ConnectionRelay, GatewaySide
 
@@ -164,3 +166,16 @@
     gateway.connection_lost(None)
     # What the other gateway has sent is delivered; for a caller that left, nothing is.
     assert (gateway.transport.end, caller.transport.end) == ("abort", "close")
+
+
+def test_relayed_bytes_count_for_the_link_also_if_the_other_gateway_dies(sides):
+    caller, gateway = sides
+    link = caller._relay.link
+    usual = link._meter.request_bytes
+    feed(caller, b"request")
+    feed(gateway, b"half of an answer")
+    gateway.connection_lost(ConnectionResetError())
+    caller.connection_lost(None)
+    assert link.traffic.total_bytes == link_bytes(7) + link_bytes(17)
+    assert link.load > 0.0
+    assert link._meter.request_bytes < usual
