--- a/pistachiowell/gateway/link_load.py
+++ b/pistachiowell/gateway/link_load.py
@@ -3,7 +3,6 @@
 import math
 
 from pistachiowell.admission import LinkMeter, LinkSettings, LinkShare
-from pistachiowell.core.http_protocol import TRAFFIC
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.traffic import ConnectionTraffic, Traffic
 
@@ -66,14 +65,9 @@
             traffic.has_request = True
             self._meter.add_request(self._runtime.now(), is_received=is_received)
 
-    def add_decision(self, scope, *, is_refused, is_received):
-        """Counts a request that was admitted or refused, by its ASGI scope."""
-        if is_refused:
-            self._meter.add_refusal(self._runtime.now())
-            if self._share.refused_share:
-                self._runtime.metrics.count("link.refused")
-        else:
-            self.add_request(scope.get(TRAFFIC), is_received=is_received)
+    def add_refusal(self):
+        """Counts a request that is refused."""
+        self._meter.add_refusal(self._runtime.now())
 
     def end_request(self, traffic):
         """Records the bytes of a request that has ended, or of a refusal."""
--- a/pistachiowell/gateway/load_sharing.py
+++ b/pistachiowell/gateway/load_sharing.py
@@ -124,9 +124,13 @@
 
     def add_decision(self, scope, *, is_refused):
         """Counts a request that was admitted or refused, by its ASGI scope."""
-        self._link.add_decision(
-            scope, is_refused=is_refused, is_received=self.is_relayed(scope)
-        )
+        if not is_refused:
+            is_received = self.is_relayed(scope)
+            self._link.add_request(scope.get(TRAFFIC), is_received=is_received)
+            return
+        self._link.add_refusal()
+        if self._overload.is_for_link:
+            self._runtime.metrics.count("link.refused")
 
     def add_request(self, scope):
         """Counts a request that is served here, by its ASGI scope."""
