--- a/pistachiowell/gateway/tests/test_relay.py
+++ b/pistachiowell/gateway/tests/test_relay.py
@@ -1,7 +1,8 @@
 """Copying of bytes between a caller and another gateway.
 
-Guards against memory that grows with what a slow caller does not read, and against a
-connection that stays open after the other has ended.
+Guards against memory that grows with what a slow caller does not read, against a
+connection that stays open after the other has ended, and against relayed bytes that are
+not counted for the network link.
 """
 
 from types import SimpleNamespace
@@ -11,6 +12,8 @@
 from anyio import move_on_after
 
 from pistachiowell.core.metrics import Metrics
+from pistachiowell.core.traffic import link_bytes
+from pistachiowell.gateway.link_load import LinkLoad
 from pistachiowell.gateway.relay import CallerSide, ConnectionRelay, GatewaySide
 
 
@@ -57,12 +60,23 @@
         self.end = "abort"
 
 
+def fake_runtime(now=lambda: 1.0):
+    """Returns a runtime with a known network link."""
+    settings = SimpleNamespace(link_mbps=5.0)
+    return SimpleNamespace(metrics=Metrics(), settings=settings, now=now)
+
+
 @pytest.fixture
 def sides():
     """Returns the caller's side and the other gateway's side of a connection."""
-    runtime = SimpleNamespace(metrics=Metrics())
+    runtime = fake_runtime()
     relay = ConnectionRelay(
-        runtime, move_on_after, 400, lambda: None, lambda address: None
+        runtime,
+        move_on_after,
+        400,
+        lambda: None,
+        lambda address: None,
+        LinkLoad(runtime),
     )
     caller, gateway = CallerSide(relay), GatewaySide(relay)
     caller.other, gateway.other = gateway, caller
@@ -75,7 +89,7 @@
     """Records the gateways that are left out as connections to them time out."""
 
     def __init__(self, addresses):
-        runtime = SimpleNamespace(metrics=Metrics(), now=anyio.current_time)
+        runtime = fake_runtime(anyio.current_time)
         self.left_out = []
         self.served_here = 0
         self.relay = ConnectionRelay(
@@ -84,6 +98,7 @@
             400,
             lambda: addresses.pop(0),
             self.left_out.append,
+            LinkLoad(runtime),
         )
 
     @staticmethod
@@ -151,3 +166,16 @@
     gateway.connection_lost(None)
     # What the other gateway has sent is delivered; for a caller that left, nothing is.
     assert (gateway.transport.end, caller.transport.end) == ("abort", "close")
+
+
+def test_relayed_bytes_count_for_the_link_also_if_the_other_gateway_dies(sides):
+    caller, gateway = sides
+    link = caller._relay.link
+    usual = link._meter.request_bytes
+    feed(caller, b"request")
+    feed(gateway, b"half of an answer")
+    gateway.connection_lost(ConnectionResetError())
+    caller.connection_lost(None)
+    assert link.traffic.total_bytes == link_bytes(7) + link_bytes(17)
+    assert link.load > 0.0
+    assert link._meter.request_bytes < usual
