Ask owners that have not reported yet whether the store is away

An owner that is not ready leaves a reservation to the next owner, unless the store is known to be away for that one too. The gateway took an agent from which no report had come yet for one that the store does not answer. In the first moments of a link, 50 to 100 ms at this interval of reports, it asked nobody else and refused chats with 503 budget_unreachable, though the second agent could reserve the tokens.

Only an agent whose last report says so is left out now. The test's stand-in for this function is inverted with its meaning.

Traced by logging each report and each question: three questions about agent-2 before its first report had come, all answered "the store is away".

--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -100,9 +100,12 @@
             self._newer_link = link
             self._wake.set()
 
-    def follows_store(self, name):
-        """Returns whether an agent's last report says that the store answers it."""
-        return self._follows_store.get(name, False)
+    def is_cut_from_store(self, name):
+        """Returns whether an agent's last report says that the store is silent.
+
+        An agent that has not reported yet is not taken for one that is cut off.
+        """
+        return not self._follows_store.get(name, True)
 
     def has_enough_agents(self):
         """Returns whether enough agents follow the store's configuration."""
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -212,7 +212,7 @@
             runtime.now,
         )
         self._spending = GatewaySpending(
-            runtime, self._fleet, state, self._agent_reports.follows_store
+            runtime, self._fleet, state, self._agent_reports.is_cut_from_store
         )
         ReservationAnswers(self._spending, handlers)
         self._grant_memory = GrantMemory(runtime, self._fleet, handlers)
--- a/pistachiowell/gateway/spending.py
+++ b/pistachiowell/gateway/spending.py
@@ -33,24 +33,24 @@
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet`` with the agents.
         state: The ``GatewayState``; its catalog contains the accounts.
-        follows_store: Function that returns whether the store answers an agent, which
-            is given by its name.
+        is_cut_from_store: Function that returns whether an agent, which is given by its
+            name, has reported that the store does not answer it.
     """
 
     __slots__ = (
         "_fleet",
-        "_follows_store",
+        "_is_cut_from_store",
         "_open",
         "_runtime",
         "_settlements",
         "_state",
     )
 
-    def __init__(self, runtime, fleet, state, follows_store):
+    def __init__(self, runtime, fleet, state, is_cut_from_store):
         self._runtime = runtime
         self._fleet = fleet
         self._state = state
-        self._follows_store = follows_store
+        self._is_cut_from_store = is_cut_from_store
         self._open = set()
         self._settlements = Settlements(fleet.linked_agent_of, fleet.agents.values)
 
@@ -86,7 +86,7 @@
         )
         last_error = None
         for peer in self._owners(account.name):
-            if isinstance(last_error, OwnerUnready) and not self._follows_store(
+            if isinstance(last_error, OwnerUnready) and self._is_cut_from_store(
                 peer.record.id
             ):
                 # It would find the store away too, and the caller would wait for it.
--- a/pistachiowell/platform/tests/test_unready_owners.py
+++ b/pistachiowell/platform/tests/test_unready_owners.py
@@ -11,6 +11,7 @@
 import pytest
 
 from pistachiowell.core.errors import BudgetUnreachable, LinkTimeout, OwnerUnready
+from pistachiowell.gateway.agents import AgentReports
 from pistachiowell.gateway.spending import GatewaySpending
 from pistachiowell.gateway.watchers import CatalogWatcher
 from pistachiowell.platform.standins import stream_events
@@ -79,6 +80,19 @@
         assert [(await rig.send_chat())[0] for _ in range(3)] == [200] * 3
 
 
+async def test_account_is_refused_while_the_other_agent_has_not_reported_yet(
+    paid_rig, hold_catalogs, monkeypatch
+):
+    hold_catalogs({"agent-1"})
+
+    async def record_heartbeat_only(reports, link, message):
+        reports._fleet.record_heartbeat(link, leaving=message.leaving)
+
+    monkeypatch.setattr(AgentReports, "_handle_report", record_heartbeat_only)
+    async with paid_rig() as rig:
+        assert [(await rig.send_chat())[0] for _ in range(3)] == [200] * 3
+
+
 async def test_top_up_that_only_the_gateway_knows_is_refused_as_spent(
     paid_rig, hold_catalogs
 ):
@@ -151,7 +165,7 @@
     )
     fleet = SimpleNamespace(agents=peers, linked_agent_of=None)
     state = SimpleNamespace(catalog=SimpleNamespace(revision=1))
-    spending = GatewaySpending(runtime, fleet, state, lambda name: True)
+    spending = GatewaySpending(runtime, fleet, state, lambda name: False)
     account = SimpleNamespace(name="acme", prepaid_tokens=100)
     with pytest.raises(BudgetUnreachable):
         await spending.reserve(account, "request-1", 50)
