Close the connection of a request given up while the gateway stops

LateHeads kept its task group after the group had ended. A request that was given up then was handed to it, and start_soon raised RuntimeError "This task group is not active" out of the end of the request, at gateway/late_heads.py:66.

The group is forgotten as soon as the reading of heads ends, so take returns False and the caller closes the connection itself, as for too many connections.

The new test gives a request up after the gateway's tasks have been cancelled and checks that the server sees the end of the connection: failed 2 of 2 times before, passed 3 of 3 after.

--- a/pistachiowell/gateway/late_heads.py
+++ b/pistachiowell/gateway/late_heads.py
@@ -46,8 +46,13 @@
 
     async def run(self):
         """Reads heads until cancelled."""
-        async with anyio.create_task_group() as self._group:
-            await anyio.sleep_forever()
+        async with anyio.create_task_group() as group:
+            self._group = group
+            try:
+                await anyio.sleep_forever()
+            finally:
+                # Requests are given up while the gateway stops too.
+                self._group = None
 
     def take(self, server, request_id, stream):
         """Takes over the connection of a request that was given up.
--- a/pistachiowell/gateway/tests/test_late_heads.py
+++ b/pistachiowell/gateway/tests/test_late_heads.py
@@ -113,3 +113,37 @@
 
     # An error that went on would leave the fixture's task group.
     await given_up([REFUSAL], 0.15, fail)
+
+
+async def test_request_given_up_while_the_gateway_stops_closes_its_connection():
+    late_heads = LateHeads(headers, lambda server, head, told: None)
+    is_sent, is_closed = anyio.Event(), anyio.Event()
+
+    async def serve(stream):
+        async with stream:
+            await stream.receive()
+            is_sent.set()
+            with pytest.raises(anyio.EndOfStream):
+                await stream.receive()
+            is_closed.set()
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    connection = ServerConnection("127.0.0.1", port)
+    connection.on_given_up = lambda stream: late_heads.take(SERVER, "request-1", stream)
+
+    async def send():
+        await connection.open()
+        await connection.request("GET", b"/", [(b"Host", b"desk")], b"")
+
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        async with anyio.create_task_group() as gateway:
+            gateway.start_soon(late_heads.run)
+            gateway.start_soon(send)
+            await is_sent.wait()
+            gateway.cancel_scope.cancel()
+        await connection.aclose()
+        with anyio.fail_after(MAX_WORK_S):
+            await is_closed.wait()
+        group.cancel_scope.cancel()
