Read the bills of a top-up after the routers have written them

test_top_up_with_lost_answers_credits_once read the journals right after the last refusal. A router writes its bills in batches, every 0.5 s or later, so those of the last requests could be missing: 4000 < 3838.

Shown by reading the journals at both moments: 4040, 4242 and 3838 tokens right after the refusal, 4242 each time after the routers had stopped. No bill was lost; the test was wrong and the product is unchanged.

The test now stops both routers, which write what waits, and then checks the same two bounds. The upper bound thus covers all bills, also those that it missed before.

--- a/pistachiowell/router/tests/test_budget_faults.py
+++ b/pistachiowell/router/tests/test_budget_faults.py
@@ -133,4 +133,8 @@
     rig.store_faults(lose_answers=0)
     assert account(rig)["credited"] == 4500
     assert spend_budget(rig, "router-1") == "budget_exhausted"
+    # Routers that stop write the bills that wait for the next batch of their journals.
+    for router in rig.routers:
+        rig.processes[router].terminate()
+    rig.wait_until(lambda: not any(rig.processes[r].running for r in rig.routers))
     assert 4000 < sum(account(rig)["bill"].values()) <= 4500
