Let the soak's servers without end write no whole answer

Cause: a head that was broken off in the value of a header and went on with "HTTP/1.1 102 Processing" and a blank line was ended by that line. With a length in it (in front of Server-Leaving) the bytes that followed were the body of a whole answer. Without one the body ended with the connection, so a cut of the link made it whole. The soak would report "a wrong answer looked whole" for what its own server wrote.

Change: interim answers without end begin before the head; a body without end is a chunk that is never full.

--- a/pistachiowell/soak/endless.py
+++ b/pistachiowell/soak/endless.py
@@ -6,24 +6,24 @@
 import anyio
 
 BLOCK_BYTES = 65_536
+# Its blank line ends a head that is broken off in the value of a header. If that has a
+# length, or if the connection is cut, it is then a whole answer of the server.
+INTERIM_ANSWER = b"HTTP/1.1 102 Processing\r\n\r\n"
+HUGE_CHUNK = b"fffffff0\r\n"
 # Nothing here is an event, and nothing completes an answer with a length.
-UNITS = (
-    b"a",
-    b"a: b\r\n",
-    b"HTTP/1.1 102 Processing\r\n\r\n",
-    b"\x00",
-    b"fffffff0\r\n",
-)
-# Ends a head whose length is in it already, and is then a whole answer of the server.
+UNITS = (b"a", b"a: b\r\n", INTERIM_ANSWER, b"\x00", HUGE_CHUNK)
+# Ends a head as well.
 BLANK_LINES = b"\n\n"
 # Memory of the smallest VM of the users, of which each process may use all.
 MAX_MEMORY_BYTES = 300_000_000
+_LENGTH = re.compile(rb"Content-Length: \d+")
 
 
 class EndlessStream:
     """Connection to a gateway on which an answer goes on without end.
 
-    The answer is broken off at a random point of its head, or between two of its parts.
+    The answer is broken off before or at a random point of its head, or between two of
+    its parts, or its body has no end. It is never whole, also if the connection is cut.
 
     Args:
         stream: The connection.
@@ -41,13 +41,22 @@
         if self._rng.random() < 0.5:
             return await self._stream.send(data)
         head_end = data.find(b"\r\n\r\n") + 1 if data.startswith(b"HTTP") else 0
-        await self._stream.send(data[: self._rng.randint(0, head_end)])
         unit = self._rng.choice(UNITS if head_end else (*UNITS, BLANK_LINES))
+        await self._stream.send(self._prefix(data, head_end, unit))
         block = unit * (BLOCK_BYTES // len(unit))
         while True:
             await self._stream.send(block)
             await anyio.sleep(0)
 
+    def _prefix(self, data, head_end, unit):
+        """Returns what is sent of a part before the bytes without end."""
+        if not head_end or unit == INTERIM_ANSWER:
+            return b""
+        if unit == HUGE_CHUNK:
+            head = data[: head_end + 3]
+            return _LENGTH.sub(b"Transfer-Encoding: chunked", head)
+        return data[: self._rng.randint(0, head_end)]
+
 
 def peak_memory_bytes(pid):
     """Returns the largest memory that a process has had.
