Draw evacuations, cold servers and crowds at one gateway in the soak

Cause: the soak drew nothing of evacuated data centres, cold servers or relayed connections.

Change: four kinds of faults. A data centre is evacuated for 4 to 9 s; a server is away and joins again cold, with its registration removed meanwhile or kept; one gateway gets 60 requests a second more and callers without a pause; a gateway is killed once it serves what the other one relays. There are three agents, from which gateways learn evacuations, and two data centres. The oracle checks that nothing, probes included, is sent to an evacuated data centre once a gateway has had 5,000 ms without trouble of its own process, its link to the store or the store, and that no second of a cold server has more than 23 requests. Times at which the event loop of the soak was late by 0.25 s, or the link to a server withheld bytes, count for neither. While a gateway relays, as its log says, what a server told it may have been told to another one, so that is not held against it.

A crowd makes the gateway relay only by its real busy share: cpu_share does not count there, it only makes the room smaller.

--- a/pistachiowell/platform/standin_documents.py
+++ b/pistachiowell/platform/standin_documents.py
@@ -5,12 +5,14 @@
 USAGE_HEADER = b"Pistachiowell-Token-Usage"
 
 
-def soak_configuration(prepaid, timeout_ms=3000):
+def soak_configuration(prepaid, timeout_ms=3000, cold=None):
     """Returns the configuration document of the soak tests.
 
     Args:
         prepaid: Tokens paid for by the account.
         timeout_ms: Timeout of a request in milliseconds.
+        cold: Seconds for which servers are cold after their start, and requests a
+            second that they take meanwhile; None to state nothing.
     """
     routes = [
         ("read", "idempotent", "desk", {"MaxAttempts": 2}),
@@ -19,6 +21,7 @@
         ("long", "streaming", "pool", {}),
     ]
     engine = {"Slots": 32, "KvCapacityTokens": 100_000, "Stride": 5}
+    stated = {"ColdS": cold[0], "ColdPerS": cold[1]} if cold is not None else {}
     return {
         "Version": 1,
         "Routes": [
@@ -36,24 +39,25 @@
             for name, kind, service, more in routes
         ],
         "Services": [
-            {"Name": "desk", "MaxConns": 200},
-            {"Name": "pool", "MaxConns": 200, "Engine": engine},
+            {"Name": "desk", "MaxConns": 200, **stated},
+            {"Name": "pool", "MaxConns": 200, "Engine": engine, **stated},
         ],
         "Tenants": [{"Name": "acme", "ApiKeys": [KEY], "Prepaid": prepaid}],
     }
 
 
-def registration(service, address):
+def registration(service, address, data_centre="east"):
     """Returns the registration document of a backend server.
 
     Args:
         service: Name of its service.
         address: IP address and port.
+        data_centre: Name of its data centre.
     """
     return {
         "Service": service,
         "Address": address,
-        "Zone": "east",
+        "Zone": data_centre,
         "State": "ready",
         "Slots": 32,
         "Version": "v1",
@@ -61,6 +65,22 @@
     }
 
 
+def cold_registration(spec, born_ms, left_s):
+    """Returns the registration of a server's run that is cold.
+
+    Args:
+        spec: The registration before.
+        born_ms: Unix time of the start of the run in milliseconds.
+        left_s: Seconds for which it stays cold.
+    """
+    return {**spec, "born": born_ms, "ColdLeftMs": max(0, int(left_s * 1000))}
+
+
+def cold_headers(left_s):
+    """Returns what a cold server adds to answers, by name with ``_`` for ``-``."""
+    return {"Pistachiowell_Cold_Ms": str(int(left_s * 1000))}
+
+
 def caller_headers(request_id, wait_limit_s, prompt_tokens, output_tokens, parts=()):
     """Returns the headers of a request as pairs of bytes.
 
--- a/pistachiowell/platform/standins.py
+++ b/pistachiowell/platform/standins.py
@@ -211,6 +211,13 @@
         self.history = list(history)
 
 
+def health_answer(**more):
+    """Returns an answer to a health check with more headers, named as for ``head``."""
+    lines = (f"{name.replace('_', '-')}: {value}\r\n" for name, value in more.items())
+    line, rest = HEALTHY_ANSWER.split(b"\r\n", 1)
+    return line + b"\r\n" + "".join(lines).encode() + rest
+
+
 class ReceivedRequest:
     """A request as a backend server received it; the callbacks of its parser fill it.
 
--- a/pistachiowell/soak/__main__.py
+++ b/pistachiowell/soak/__main__.py
@@ -33,6 +33,7 @@
         failed += bool(oracle.violations)
         print(
             f"seed {seed}: {dict(oracle.status_counts)} {oracle.violations or 'kept'}"
+            f" ({oracle.checked})"
         )
     return 1 if failed else 0
 
--- a/pistachiowell/soak/closing.py
+++ b/pistachiowell/soak/closing.py
@@ -8,6 +8,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from pistachiowell.platform.standin_documents import cold_headers
 from pistachiowell.platform.standins import head
 
 # The bounds that the users state.
@@ -27,12 +28,16 @@
         paused_until: Time until which it turns requests away in seconds.
         endless_until: Time until which it sends bytes without end in seconds.
         double_until: Time until which it answers some requests twice in seconds.
+        cold_until: Time until which it is cold in seconds.
+        is_away: Whether it does not run.
     """
 
     is_leaving: bool = False
     paused_until: float = 0.0
     endless_until: float = 0.0
     double_until: float = 0.0
+    cold_until: float = 0.0
+    is_away: bool = False
 
     @property
     def is_endless(self):
@@ -44,9 +49,20 @@
         """Whether it answers some requests twice."""
         return time.monotonic() < self.double_until
 
+    @property
+    def is_cold(self):
+        """Whether it is cold."""
+        return time.monotonic() < self.cold_until
+
     def headers(self):
         """Returns more headers of an answer by name with ``_`` for ``-``."""
-        return {"Server_Leaving": "1"} if self.is_leaving else {}
+        fields = {"Server_Leaving": "1"} if self.is_leaving else {}
+        return fields | self.cold_headers()
+
+    def cold_headers(self):
+        """Returns those of them that say how long it is cold."""
+        left_s = self.cold_until - time.monotonic()
+        return cold_headers(left_s) if left_s > 0 else {}
 
     def refusal(self, request):
         """Returns the answer that turns a request away as bytes; None if open."""
@@ -72,13 +88,21 @@
         told_count: Number of times at which a gateway was told something.
     """
 
-    __slots__ = ("_answered_by", "_faults", "_leaving", "_pauses", "told_count")
+    __slots__ = (
+        "_answered_by",
+        "_faults",
+        "_leaving",
+        "_pauses",
+        "_relayed",
+        "told_count",
+    )
 
     def __init__(self):
         self._answered_by = {}
         self._faults = defaultdict(list)
         self._leaving = {}
         self._pauses = defaultdict(list)
+        self._relayed = defaultdict(list)
         self.told_count = 0
 
     def record_fault(self, target, duration_s):
@@ -91,6 +115,14 @@
         now = time.monotonic()
         self._faults[target].append((now, now + duration_s + FAULT_ECHO_S))
 
+    def record_relaying(self, gateway, start, end):
+        """Records a time in which others may have served a gateway's requests.
+
+        What was told then may have been told to another one, and what came then may
+        have come from another one.
+        """
+        self._relayed[gateway].append((start, end))
+
     def record_answer(self, run, request_id):
         """Records that a run that leaves has answered a request."""
         self._answered_by[request_id] = run
@@ -145,6 +177,11 @@
                 for target in (server, gateway)
                 for start, end in self._faults[target]
             )
+            and not any(
+                start < moment < end
+                for moment in (told.at, at)
+                for start, end in self._relayed[gateway]
+            )
         ]
         if len(late) <= allowed:
             return []
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -1,21 +1,31 @@
 """Runs the processes of a soak and injects their faults."""
 
 import os
+import re
 import signal
 import subprocess
 import sys
 import time
+from dataclasses import replace
 from pathlib import Path
 
 import anyio
 import yaml
 
 from pistachiowell.bench.signals import has_handlers
+from pistachiowell.platform.evacuations import COLLECTION as EVACUATIONS
 from pistachiowell.platform.programs import SETTINGS_VARIABLE
-from pistachiowell.platform.standin_documents import registration
-from pistachiowell.platform.standins import BackendStandIn, ObjectServer, serve_app
+from pistachiowell.platform.standin_documents import cold_registration, registration
+from pistachiowell.platform.standins import (
+    HEALTHY_ANSWER,
+    BackendStandIn,
+    ObjectServer,
+    health_answer,
+    serve_app,
+)
 from pistachiowell.soak.closing import ClosingOracle, ServerState
 from pistachiowell.soak.endless import MAX_MEMORY_BYTES, peak_memory_bytes
+from pistachiowell.soak.places import COLD_S, PLACE_SETTINGS, PlaceOracle
 from pistachiowell.standins.relay import LinkState, Relay
 
 RESTART_DELAY_S = 0.3
@@ -23,6 +33,11 @@
 # Time in which registered programs connect to each other.
 LINK_WAIT_S = 0.7
 HOST = "127.0.0.1"
+# The longest that a request which was relayed at the end may take.
+MAX_REQUEST_S = 3.0
+RELAYING = re.compile(
+    r'"at":([0-9.]+).*"text":"(Relaying begins\.|Relaying ends\.|Gateway starts\.)"'
+)
 FAULT_FREE_LINK = LinkState()
 LINK_STATES = {
     "cut": LinkState(cut=True),
@@ -33,6 +48,17 @@
 }
 
 
+def has_connections(port):
+    """Returns whether a loopback port has established connections.
+
+    References:
+        proc_pid_net(5): the file ``tcp``.
+    """
+    lines = Path("/proc/net/tcp").read_text(encoding="ascii").splitlines()[1:]
+    fields = (line.split() for line in lines)
+    return any(f[1].endswith(f":{port:04X}") and f[3] == "01" for f in fields)
+
+
 class Fleet:
     """Starts the real programs as processes; runs the stand-ins in this process.
 
@@ -45,13 +71,17 @@
         free_port: Function that finds an unused port.
         gateway_settings: Additional settings of gateways; None as a value leaves the
             setting at its default.
+        has_places: Whether the deployment has evacuations, bounds for cold servers and
+            connections that gateways relay to each other.
 
     Attributes:
         addresses: HTTP address by name of the gateway.
         closing: The ``ClosingOracle``.
+        data_centres: Data centre of each backend server by id.
         early_ends: One sentence per process that ended by itself or out of order, or
             that the users' VMs would have ended.
         link_ports: Port of the links, without a relay, by name of the agent.
+        places: The ``PlaceOracle``.
         server_states: The ``ServerState`` of each backend server by id.
         servers: The ``BackendStandIn`` of each backend server.
         store: The ``ObjectServer`` that stands in for the store.
@@ -60,25 +90,37 @@
 
     __slots__ = (
         "_directory",
+        "_evacuated",
         "_free_port",
         "_gateway_settings",
         "_group",
         "_killed",
+        "_place_settings",
         "_processes",
         "_registrations",
+        "_relay_ports",
         "_relays",
         "_roles",
         "addresses",
         "closing",
+        "data_centres",
         "early_ends",
         "link_ports",
+        "places",
         "server_states",
         "servers",
         "store",
         "store_address",
     )
 
-    def __init__(self, group, directory, free_port, gateway_settings=None):
+    def __init__(
+        self, group, directory, free_port, gateway_settings=None, *, has_places=False
+    ):
+        self._evacuated = set()
+        self._place_settings = PLACE_SETTINGS if has_places else {}
+        self._relay_ports = {}
+        self.data_centres = {}
+        self.places = PlaceOracle(self.data_centres)
         self._gateway_settings = {"leaving_notice_s": 0.3, **(gateway_settings or {})}
         self._group = group
         self._directory = Path(directory)
@@ -119,7 +161,7 @@
         port = await self._group.start(serve_app, self.store)
         self.store_address = f"{HOST}:{port}"
 
-    async def add_server(self, server_id, service, handler):
+    async def add_server(self, server_id, service, handler, data_centre="east"):
         """Starts a backend server stand-in behind a relay and registers it.
 
         Args:
@@ -127,15 +169,21 @@
             service: Name of its service.
             handler: Async function of the request and the connection that sends the
                 answer; returns whether the connection stays open.
+            data_centre: Name of its data centre.
         """
         server = BackendStandIn(server_id, handler)
         await self._group.start(server.serve)
         self.servers.append(server)
         port = await self._add_link(f"server-{server_id}", server.port)
-        spec = registration(service, f"{HOST}:{port}")
-        self._registrations[server_id] = spec
+        self.data_centres[server_id] = data_centre
         self.server_states[server_id] = ServerState()
+        self._register(server_id, registration(service, f"{HOST}:{port}", data_centre))
+
+    def _register(self, server_id, spec):
+        self._registrations[server_id] = spec
         self.store.put("servers", server_id, spec)
+        cold_until = self.server_states[server_id].cold_until
+        self.places.record_cold(server_id, time.monotonic(), cold_until)
 
     def run_of(self, server_id):
         """Returns the id of a server and the number of its run."""
@@ -148,19 +196,66 @@
             return
         state.is_leaving = True
         await anyio.sleep(duration_s)
+        await self._wait_for_store()
+        spec = self._registrations[server_id]
+        state.is_leaving = False
+        self._register(server_id, {**spec, "born": spec["born"] + 1})
+
+    async def _wait_for_store(self):
         while self.store.mode != "up":
             await anyio.sleep(0.05)
+
+    async def _evacuate(self, data_centre, duration_s):
+        """Lets operators evacuate a data centre, and take that back after it."""
+        await self._wait_for_store()
+        if self._evacuated:
+            return
+        self._evacuated.add(data_centre)
+        self.store.put(EVACUATIONS, data_centre, {})
+        self.places.begin_evacuation(data_centre, time.monotonic())
+        await anyio.sleep(duration_s)
+        await self._wait_for_store()
+        self._evacuated.remove(data_centre)
+        self.store.delete(EVACUATIONS, data_centre)
+        self.places.end_evacuation(time.monotonic())
+
+    async def _start_cold(self, server_id, away_s, *, is_removed):
+        """Ends a server and starts it again cold, under its id."""
+        state, link = self.server_states[server_id], self._relays[f"server-{server_id}"]
+        if state.is_away or state.is_cold:
+            return
+        state.is_away = True
+        await self._wait_for_store()
+        if is_removed and server_id in self.store.names("servers"):
+            self.store.delete("servers", server_id)
+        link.set_state(LINK_STATES["cut"])
+        await anyio.sleep(away_s)
+        link.set_state(FAULT_FREE_LINK)
+        born_ms, is_registered = int(time.time() * 1000), False
+        state.is_away, state.cold_until = False, time.monotonic() + COLD_S
+        self.places.record_cold(server_id, time.monotonic(), state.cold_until)
+        server = next(s for s in self.servers if s.server_id == server_id)
+        while state.is_cold:
+            server.health_answer = health_answer(**state.cold_headers())
+            if not is_registered and self.store.mode == "up":
+                self._register_cold(server_id, born_ms)
+                is_registered = True
+            await anyio.sleep(0.1)
+        server.health_answer = HEALTHY_ANSWER
+        await self._wait_for_store()
+        self._register_cold(server_id, born_ms)
+
+    def _register_cold(self, server_id, born_ms):
+        left_s = self.server_states[server_id].cold_until - time.monotonic()
         spec = self._registrations[server_id]
-        spec = self._registrations[server_id] = {**spec, "born": spec["born"] + 1}
-        state.is_leaving = False
-        self.store.put("servers", server_id, spec)
+        self._register(server_id, cold_registration(spec, born_ms, left_s))
 
     async def add_agent(self, name):
         """Starts an agent."""
         port = self.link_ports[name] = self._free_port()
         relay_port = await self._add_link(f"agent-{name}", port)
         settings = {"host": HOST, "port": port, "advertised_port": relay_port}
-        await self._add_program(name, "agent", settings)
+        await self._add_program(name, "agent", settings | self._place_settings)
 
     async def add_gateway(self, name):
         """Starts a gateway."""
@@ -172,6 +267,9 @@
             "peer_port": self._free_port(),
             **self._gateway_settings,
         }
+        if self._place_settings:
+            port = self._relay_ports[name] = self._free_port()
+            settings |= {"relay_port": port, **self._place_settings}
         settings = {k: v for k, v in settings.items() if v is not None}
         await self._add_program(name, "gateway", settings)
 
@@ -220,11 +318,33 @@
         elif fault.kind == "double":
             until = time.monotonic() + fault.duration_s
             self.server_states[fault.target].double_until = until
+        elif fault.kind == "evacuate":
+            await self._evacuate(fault.target, fault.duration_s)
+        elif fault.kind == "cold":
+            name, away_s = fault.target, fault.duration_s
+            self.closing.record_fault(name, away_s)
+            await self._start_cold(name, away_s, is_removed=fault.mode == "join")
+        elif fault.kind == "kill_receiver":
+            await self._kill_receiver(fault)
         else:
             duration_s = fault.duration_s + RESTART_DELAY_S
+            now = time.monotonic()
+            # Neither is an excuse: gateways reach the store meanwhile.
+            if fault.kind not in ("loss", "return"):
+                self.places.record_trouble(fault.target, now, now + duration_s)
             self.closing.record_fault(fault.target.removeprefix("server-"), duration_s)
             await self._inject_failure(fault)
 
+    async def _kill_receiver(self, fault):
+        """Kills a gateway while it serves what another one relays, if it ever does."""
+        until = time.monotonic() + fault.duration_s
+        while time.monotonic() < until:
+            if has_connections(self._relay_ports[fault.target]):
+                self.places.receivers_killed += 1
+                await self.inject(replace(fault, kind="kill", duration_s=0.0))
+                return
+            await anyio.sleep(0.01)
+
     async def _inject_failure(self, fault):
         if fault.kind == "store":
             self.store.mode = fault.mode
@@ -236,7 +356,12 @@
             self.store.return_from_copy(taken)
             # Servers write again what the store has lost.
             for server_id, spec in self._registrations.items():
-                self.store.put("servers", server_id, spec)
+                self._register(server_id, spec)
+            # So do operators.
+            for name in self._evacuated.difference(self.store.names(EVACUATIONS)):
+                self.store.put(EVACUATIONS, name, {})
+            for name in set(self.store.names(EVACUATIONS)) - self._evacuated:
+                self.store.delete(EVACUATIONS, name)
         elif fault.kind == "loss":
             agents = [name for name, role in self._roles.items() if role == "agent"]
             for name in agents:
@@ -343,6 +468,19 @@
                 self._killed.add(process)
             process.send_signal(signal_number)
 
+    def record_relaying(self):
+        """Tells the oracles when gateways relayed connections, by their logs."""
+        offset_s = time.time() - time.monotonic()
+        for name in self.addresses:
+            log = (self._directory / f"{name}.log").read_text(errors="replace")
+            begun_at, last = None, (str(time.time()), "Gateway starts.")
+            for at, text in (*RELAYING.findall(log), last):
+                if begun_at is not None and text != "Relaying begins.":
+                    end = float(at) - offset_s + MAX_REQUEST_S
+                    self.closing.record_relaying(name, begun_at - offset_s, end)
+                    self.places.record_relaying(name, begun_at - offset_s, end)
+                begun_at = float(at) if text == "Relaying begins." else None
+
     def stop(self):
         """Kills all processes that this fleet has started and waits for their exit."""
         for name, process in self._processes.items():
--- a/pistachiowell/soak/oracle.py
+++ b/pistachiowell/soak/oracle.py
@@ -87,6 +87,7 @@
         first_statuses: Statuses of the first answer to each of its attempts, by request
             id; without those of servers that answer once.
         repeats: The ``RepeatOracle``.
+        checked: How much of evacuations, cold servers and relaying was checked.
     """
 
     prepaid_tokens: int
@@ -98,6 +99,7 @@
     sent_at: dict = field(default_factory=dict)
     first_statuses: dict = field(default_factory=lambda: defaultdict(set))
     repeats: RepeatOracle = field(default_factory=RepeatOracle)
+    checked: str = ""
 
     def record_run(self, request_id, prompt_tokens):
         """Records that a server has started to run a request."""
--- /dev/null
+++ b/pistachiowell/soak/places.py
@@ -0,0 +1,176 @@
+"""Which requests reached evacuated data centres and cold servers.
+
+Load pattern: a data centre is evacuated, and servers join cold, in the middle of other
+faults and of surges. A gateway has to know an evacuation in time unless its process or
+the store was in trouble; the bound of a cold server holds whatever is in trouble.
+"""
+
+from collections import defaultdict
+
+# The bounds that the users state.
+EVACUATE_S = 5.0
+COLD_S = 3.0
+COLD_PER_S = 12.0
+COLD_OVERSHOOT, COLD_EXTRA = 1.5, 5.0
+COLD_BOUND = COLD_PER_S * COLD_OVERSHOOT + COLD_EXTRA
+PLACE_SETTINGS = {
+    "evacuation_ms": int(EVACUATE_S * 1000),
+    "regions": {"east": "south", "west": "south"},
+    "cold_overshoot": COLD_OVERSHOOT,
+    "cold_extra": COLD_EXTRA,
+}
+# What is sent within a second takes a moment until it has been read.
+WINDOW_S = 0.95
+# Trouble that has ended this long before excuses nothing. What was withheld till then
+# arrives within it.
+ECHO_S = 1.0
+
+
+class PlaceOracle:
+    """Records evacuations, cold servers, and the requests and probes of servers.
+
+    Args:
+        data_centres: Data centre by id of the server; the owner adds to it.
+
+    Attributes:
+        receivers_killed: Number of gateways killed while they served relayed requests.
+    """
+
+    __slots__ = (
+        "_arrivals",
+        "_cold",
+        "_data_centres",
+        "_evacuations",
+        "_probes",
+        "_relayed",
+        "_troubles",
+        "receivers_killed",
+    )
+
+    def __init__(self, data_centres):
+        self._data_centres = data_centres
+        self._arrivals = defaultdict(list)
+        self._cold = defaultdict(list)
+        self._evacuations = []
+        self._probes = defaultdict(list)
+        self._relayed = defaultdict(list)
+        self._troubles = defaultdict(list)
+        self.receivers_killed = 0
+
+    def record_trouble(self, target, start, end):
+        """Records a time in seconds in which something was in trouble.
+
+        Args:
+            target: Name of a process or link; empty for the store and this computer.
+            start: Its beginning.
+            end: Its end.
+        """
+        self._troubles[target].append((start, end + ECHO_S))
+
+    def record_relaying(self, gateway, start, end):
+        """Records a time in which others may have served a gateway's requests."""
+        self._relayed[gateway].append((start, end))
+
+    def record_arrival(self, server, gateway, now):
+        """Records that a request of a gateway's caller has reached a server."""
+        self._arrivals[server].append((now, gateway))
+
+    def record_probes(self, server, times):
+        """Records the times at which health checks have reached a server."""
+        self._probes[server] += [(at, None) for at in times]
+
+    def begin_evacuation(self, data_centre, now):
+        """Records that the store has confirmed an evacuation."""
+        self._evacuations.append((data_centre, now, float("inf")))
+
+    def end_evacuation(self, now):
+        """Records that the latest evacuation is taken back; its servers are cold."""
+        data_centre, start, _ = self._evacuations.pop()
+        self._evacuations.append((data_centre, start, now))
+        # Some gateways may never have known a short one.
+        if now - start > EVACUATE_S:
+            for server, place in self._data_centres.items():
+                if place == data_centre:
+                    self.record_cold(server, now, now + COLD_S)
+
+    def record_cold(self, server, now, until):
+        """Records until when a server is cold, as the latest that was said of it."""
+        spans = self._cold[server]
+        if spans:
+            spans[-1] = (spans[-1][0], min(now, spans[-1][1]))
+        if now < until:
+            spans.append((now, until))
+
+    def counts(self):
+        """Returns how much was checked, as text."""
+        long = sum(end - start > EVACUATE_S for _, start, end in self._evacuations)
+        most = max(
+            (self._most(s, *c) for s, cs in self._cold.items() for c in cs), default=0
+        )
+        cold = sum(map(len, self._cold.values()))
+        relaying = sum(map(len, self._relayed.values()))
+        return (
+            f"evacuations: {len(self._evacuations)} ({long} over {EVACUATE_S:.0f} s),"
+            f" cold spans: {cold} (at most {most} requests in a second),"
+            f" relaying: {relaying} times, receivers killed: {self.receivers_killed}"
+        )
+
+    def violations(self):
+        """Returns a sentence for each bound that was not kept."""
+        found = []
+        for server, data_centre in self._data_centres.items():
+            for place, start, end in self._evacuations:
+                late = self._late(server, start, end) if place == data_centre else 0
+                if late:
+                    found.append(f"{late} sent to {server}, which is evacuated")
+            for start, end in self._cold[server]:
+                most = self._most(server, start, end)
+                if most > COLD_BOUND:
+                    found.append(
+                        f"{most} requests in a second reached {server}, which is cold"
+                    )
+        return found
+
+    def _late(self, server, start, end):
+        link = f"server-{server}"
+        arrivals = self._arrivals[server] + self._probes[server]
+        return sum(
+            start < at < end
+            and self._calm_s(start, at, gateway) > EVACUATE_S
+            and not self._has_trouble(("", link), at, at)
+            for at, gateway in arrivals
+        )
+
+    def _calm_s(self, start, end, gateway):
+        """Returns the seconds in which nothing kept a gateway from the news.
+
+        Agents in trouble excuse nothing: gateways read the store themselves then. A
+        gateway that is not known may be any.
+        """
+        spans = self._relayed[gateway]
+        if gateway is None or any(a < end < b for a, b in spans):
+            targets = list(self._troubles)
+        else:
+            targets = ("", gateway, f"store-{gateway}")
+        calm_s, at = 0.0, start
+        for begin, until in sorted(s for t in targets for s in self._troubles[t]):
+            calm_s += max(0.0, min(begin, end) - at)
+            at = max(at, min(until, end))
+        return calm_s + end - at
+
+    def _most(self, server, start, end):
+        """Returns the most requests in a second of a time that a server is cold."""
+        times = sorted(at for at, _ in self._arrivals[server] if start < at < end)
+        targets = ("", f"server-{server}")
+        return max(
+            (
+                sum(first <= at <= first + WINDOW_S for at in times)
+                for first in times
+                if not self._has_trouble(targets, first, first + WINDOW_S)
+            ),
+            default=0,
+        )
+
+    def _has_trouble(self, targets, start, end):
+        spans = (span for target in targets for span in self._troubles[target])
+        return any(begin <= end and start <= until for begin, until in spans)
--- a/pistachiowell/soak/plan.py
+++ b/pistachiowell/soak/plan.py
@@ -7,7 +7,14 @@
 # Gateways do the work of agents once there are none for some seconds, and a server that
 # leaves accepts requests for some seconds.
 MAX_LONG_FAULT_S = 7.0
-LONG_FAULTS = ("loss", "leave")
+# An evacuation lasts longer than the time within which it has to be in force, and a
+# gateway relays some time after a crowd has come to it.
+DURATIONS_S = {
+    "loss": (0.2, MAX_LONG_FAULT_S),
+    "leave": (0.2, MAX_LONG_FAULT_S),
+    "evacuate": (4.0, 9.0),
+    "crowd": (2.0, 4.0),
+}
 # No fault starts this long before the end of the load, so that the load ends
 # without faults.
 NO_NEW_FAULT_S = 4.0
@@ -23,6 +30,7 @@
         "HUP,TERM,HUP,INT,TERM",
         "INT,HUP,INT",
     ),
+    "cold": ("join", "again"),
 }
 
 
@@ -38,13 +46,18 @@
             start again later), ``store``, ``link``, ``return`` (the store returns from
             a copy that is taken now), ``leave`` (a server says that it leaves, and then
             starts again), ``full`` (a server turns requests away and names a pause),
-            ``endless`` (a server sends bytes without end in its answers) or ``double``
-            (a server fails some requests and answers some twice).
-        target: Name of the process, link or server; empty for the store.
+            ``endless`` (a server sends bytes without end in its answers), ``double``
+            (a server fails some requests and answers some twice), ``evacuate`` (a data
+            centre is evacuated, and later no more), ``cold`` (a server is away and
+            starts again cold), ``crowd`` (a gateway gets far more than its share of the
+            callers) or ``kill_receiver`` (a gateway is killed once it serves what
+            another one relays).
+        target: Name of the process, link, server or data centre; empty for the store.
         duration_s: Duration in seconds, or the age of the copy; of no effect for
             ``kill`` and ``restart``.
         mode: Kind of failure of the store or link; names of the signals of a series,
-            separated by commas; otherwise empty.
+            separated by commas; ``join`` for a cold server whose registration is
+            removed while it is away, else ``again``; otherwise empty.
     """
 
     start_s: float
@@ -54,7 +67,17 @@
     mode: str = ""
 
 
-def draw_faults(seed, length_s, processes, links=(), *, has_agents=False, servers=()):
+def draw_faults(
+    seed,
+    length_s,
+    processes,
+    links=(),
+    *,
+    has_agents=False,
+    servers=(),
+    gateways=(),
+    data_centres=(),
+):
     """Draws the faults of a soak at random.
 
     Up to three faults start at the same time, and faults may overlap.
@@ -66,6 +89,8 @@
         links: Names of the links.
         has_agents: Whether there are agents, which may be lost together.
         servers: Ids of the servers that may close themselves.
+        gateways: Names of the gateways that may get a crowd; none without another one.
+        data_centres: Names of the data centres that may be evacuated.
 
     Returns:
         List of ``Fault``, by the time at which they were drawn.
@@ -78,14 +103,14 @@
     targets = dict.fromkeys(("kill", "pause", "restart", "signals"), processes)
     targets |= {"store": ("",), "link": links, "return": ("",)}
     targets["loss"] = ("",) if has_agents else ()
-    targets |= dict.fromkeys(("leave", "full", "endless", "double"), servers)
+    targets |= dict.fromkeys(("leave", "full", "endless", "double", "cold"), servers)
+    targets |= {"crowd": gateways, "evacuate": data_centres}
     kinds = [kind for kind, names in targets.items() if names]
     faults, start_s = [], 0.5
     while start_s < length_s - NO_NEW_FAULT_S:
         for _ in range(rng.choice((1, 1, 2, 3))):
             kind = rng.choice(kinds)
-            longest_s = MAX_LONG_FAULT_S if kind in LONG_FAULTS else MAX_FAULT_S
-            duration_s = rng.uniform(0.2, longest_s)
+            duration_s = rng.uniform(*DURATIONS_S.get(kind, (0.2, MAX_FAULT_S)))
             mode = rng.choice(FAULT_MODES.get(kind, ("",)))
             target = rng.choice(targets[kind])
             faults.append(Fault(start_s, kind, target, duration_s, mode))
@@ -93,5 +118,14 @@
                 # What the killed process wrote is lost with it.
                 kill_s = start_s + rng.uniform(0.0, duration_s + 0.5)
                 faults.append(Fault(kill_s, "kill", rng.choice(processes), 0.0))
+            if kind == "cold" and gateways:
+                # The usual load does not reach the bound of a cold server.
+                length = rng.uniform(*DURATIONS_S["crowd"])
+                crowd_s = start_s + duration_s - rng.uniform(0.0, 0.5)
+                faults.append(Fault(crowd_s, "crowd", rng.choice(gateways), length))
+            if kind == "crowd" and rng.random() < 0.5:
+                others = [name for name in gateways if name != target]
+                other = rng.choice(others)
+                faults.append(Fault(start_s, "kill_receiver", other, duration_s))
         start_s += rng.uniform(0.5, 2.5)
     return faults
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -1,7 +1,7 @@
 """Runs one soak: starts the programs, sends load, injects faults, checks answers."""
 
-import itertools
 import time
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
@@ -21,9 +21,20 @@
 from pistachiowell.soak.endless import EndlessStream
 from pistachiowell.soak.fleet import Fleet
 from pistachiowell.soak.oracle import Oracle, RepeatOracle
+from pistachiowell.soak.places import COLD_PER_S, COLD_S
 from pistachiowell.soak.plan import draw_faults
 
 REQUESTS_PER_S = 25.0
+KINDS = ("read", "book", "chat")
+# Of a crowd at one gateway. The rest of it are callers whose requests have no route and
+# cost the gateway much more than this process.
+CROWD_PER_S = 60.0
+CROWD_KINDS = ("read", "book")
+CROWD_CALLERS = 12
+COSTLY_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n" + b"A: b\r\n" * 1800 + b"\r\n"
+# The event loop of this process is late from here on, and what it sees as well.
+LATE_S = 0.25
+COLD_DELAY_S = 0.1
 CALLER_TIMEOUT_S = 3.0
 # Share of the callers that leave early, and the latest time at which they do.
 LEAVING_SHARE = 0.15
@@ -35,7 +46,10 @@
 SERVICES = {"read": "desk", "book": "desk", "chat": "pool"}
 # Few, so that a soak may reach the limit of repeats.
 RETRY_RATIO, RETRY_FIXED, RETRY_WINDOW_S = 0.2, 12.0, 10.0
-RETRY_SETTINGS = {
+# Makes the room for relayed connections small.
+CPU_SHARE = 0.2
+GATEWAY_SETTINGS = {
+    "cpu_share": CPU_SHARE,
     "retry_ratio": RETRY_RATIO,
     "retry_fixed": RETRY_FIXED,
     "retry_window_s": RETRY_WINDOW_S,
@@ -57,7 +71,7 @@
         PREPAID_TOKENS, repeats=RepeatOracle(RETRY_RATIO, RETRY_FIXED, RETRY_WINDOW_S)
     )
     async with anyio.create_task_group() as group:
-        fleet = Fleet(group, directory, free_port, RETRY_SETTINGS)
+        fleet = Fleet(group, directory, free_port, GATEWAY_SETTINGS, has_places=True)
         try:
             await _start_fleet(fleet, oracle, Random(seed))
             faults = draw_faults(
@@ -67,15 +81,24 @@
                 fleet.link_names,
                 has_agents=True,
                 servers=list(fleet.server_states),
+                gateways=list(fleet.addresses),
+                data_centres=sorted(set(fleet.data_centres.values())),
             )
+            group.start_soon(_watch_lateness, fleet.places)
+            rng = Random(seed)
             async with anyio.create_task_group() as load:
-                load.start_soon(_send_load, fleet, oracle, Random(seed), length_s)
+                load.start_soon(_send_load, fleet, oracle, rng, length_s)
                 for fault in faults:
-                    load.start_soon(_inject_later, fleet, fault)
+                    load.start_soon(_inject_later, fleet, oracle, rng, fault)
         finally:
             fleet.stop()
             group.cancel_scope.cancel()
     oracle.check_totals()
+    fleet.record_relaying()
+    for server in fleet.servers:
+        fleet.places.record_probes(server.server_id, server.health_checks)
+    oracle.checked = fleet.places.counts()
+    oracle.violations += fleet.places.violations()
     oracle.violations += fleet.closing.violations()
     oracle.violations += fleet.early_ends
     return oracle
@@ -84,34 +107,72 @@
 async def _start_fleet(fleet, oracle, rng):
     fleet.store.era = 1
     await fleet.start_store()
-    fleet.store.put("config", "main", soak_configuration(PREPAID_TOKENS))
-    for number in (1, 2):
+    configuration = soak_configuration(PREPAID_TOKENS, cold=(COLD_S, COLD_PER_S))
+    fleet.store.put("config", "main", configuration)
+    for number, data_centre in ((1, "east"), (2, "west")):
         for service, handler in (("desk", _plain_handler), ("pool", _stream_handler)):
             name = f"{service}-{number}"
             handle = _closing_handler(fleet, oracle, rng, name, handler(oracle))
-            await fleet.add_server(name, service, handle)
+            await fleet.add_server(name, service, handle, data_centre)
+    # Gateways rely on what agents report only with three of them.
+    for number in (1, 2, 3):
         await fleet.add_agent(f"agent-{number}")
     for number in (1, 2):
         await fleet.add_gateway(f"gate-{number}")
-    await fleet.wait_until_registered(4)
+    await fleet.wait_until_registered(5)
     # In an era that is new to their holders grants don't grow at first.
     await anyio.sleep(SETTLE_S)
 
 
-async def _inject_later(fleet, fault):
+async def _inject_later(fleet, oracle, rng, fault):
     await anyio.sleep(fault.start_s)
-    await fleet.inject(fault)
+    if fault.kind == "crowd":
+        await _send_crowd(fleet, oracle, rng, fault)
+    else:
+        await fleet.inject(fault)
+
+
+async def _watch_lateness(places):
+    while True:
+        before = time.monotonic()
+        await anyio.sleep(0.05)
+        now = time.monotonic()
+        if now - before > LATE_S:
+            places.record_trouble("", before, now)
+
+
+async def _send_crowd(fleet, oracle, rng, fault):
+    """Sends one gateway more than it can serve."""
+    gateways, length_s = (fault.target,), fault.duration_s
+    with anyio.move_on_after(length_s):
+        async with anyio.create_task_group() as group:
+            more = (CROWD_PER_S, gateways, CROWD_KINDS)
+            group.start_soon(_send_load, fleet, oracle, rng, length_s, *more)
+            for _ in range(CROWD_CALLERS):
+                group.start_soon(_send_without_pause, fleet.addresses[fault.target])
+
+
+async def _send_without_pause(address):
+    host, _, port = address.partition(":")
+    while True:
+        with suppress(OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                while True:
+                    await stream.send(COSTLY_REQUEST)
+                    await stream.receive()
+        await anyio.sleep(0.02)
 
 
-async def _send_load(fleet, oracle, rng, length_s):
-    request_numbers = itertools.count(1)
+async def _send_load(
+    fleet, oracle, rng, length_s, per_s=REQUESTS_PER_S, gateways=(), kinds=KINDS
+):
     async with anyio.create_task_group() as group:
         with anyio.move_on_after(length_s):
             while True:
-                await anyio.sleep(rng.expovariate(REQUESTS_PER_S))
-                kind = rng.choice(("read", "book", "chat"))
-                gateway = rng.choice(list(fleet.addresses))
-                request_id = f"{kind}-{next(request_numbers)}-at-{gateway}"
+                await anyio.sleep(rng.expovariate(per_s))
+                kind = rng.choice(kinds)
+                gateway = rng.choice(gateways or list(fleet.addresses))
+                request_id = f"{kind}-{len(oracle.sent_at) + 1}-at-{gateway}"
                 leaves = rng.random() < LEAVING_SHARE
                 stay_s = rng.uniform(0.0, MAX_STAY_S) if leaves else CALLER_TIMEOUT_S
                 oracle.sent_at[request_id] = now = time.monotonic()
@@ -169,12 +230,15 @@
         state, run = fleet.server_states[server_id], fleet.run_of(server_id)
         closing.record_arrival(run, gateway, oracle.sent_at[request_id])
         now = time.monotonic()
+        fleet.places.record_arrival(server_id, gateway, now)
         oracle.repeats.record_arrival(service, request_id, now)
         refusal = state.refusal(request)
         if state.is_leaving:
             closing.record_answer(run, request_id)
         if state.is_endless:
             stream = EndlessStream(stream, rng)
+        if state.is_cold:
+            await anyio.sleep(COLD_DELAY_S)
         if refusal is None and state.is_double and service == "desk":
             return await doubles.answer(request, stream, state.headers())
         if refusal is None:
--- a/pistachiowell/soak/tests/test_soak.py
+++ b/pistachiowell/soak/tests/test_soak.py
@@ -12,6 +12,8 @@
     ClosingOracle,
 )
 from pistachiowell.soak.oracle import Oracle, RepeatOracle
+from pistachiowell.soak.places import COLD_BOUND, PlaceOracle
+from pistachiowell.soak.plan import draw_faults
 from pistachiowell.soak.run import soak
 
 pytestmark = pytest.mark.anyio
@@ -116,3 +118,83 @@
     assert closing.violations() == []
     closing.record_arrival(run, "gate-1", 0.0)
     assert "wanted a pause" in closing.violations()[0]
+
+
+@pytest.fixture
+def places():
+    return PlaceOracle({"desk-1": "east", "desk-2": "west"})
+
+
+@pytest.mark.parametrize(
+    ("at", "trouble", "kept"),
+    [
+        (4.9, "agent-1", True),
+        (5.1, "agent-1", False),
+        (5.1, "gate-2", False),
+        (5.1, "gate-1", True),
+        (5.1, "store-gate-1", True),
+        (5.1, "", True),
+        (7.1, "gate-1", False),
+        (8.1, "agent-1", True),
+    ],
+)
+async def test_oracle_sees_requests_to_an_evacuated_data_centre(
+    places, at, trouble, kept
+):
+    places.begin_evacuation("east", 0.0)
+    places.end_evacuation(8.0)
+    places.record_trouble(trouble, 1.0, 2.0)
+    places.record_arrival("desk-1", "gate-1", at)
+    places.record_arrival("desk-2", "gate-1", at)
+    assert (places.violations() == []) == kept
+
+
+async def test_oracle_takes_a_relayed_request_for_one_of_any_gateway(places):
+    places.begin_evacuation("east", 0.0)
+    places.record_trouble("gate-2", 1.0, 2.0)
+    places.record_arrival("desk-1", "gate-1", 5.1)
+    assert places.violations() != []
+    places.record_relaying("gate-1", 5.0, 6.0)
+    assert places.violations() == []
+
+
+@pytest.mark.parametrize("trouble", ["", "server-desk-1", "gate-1", "server-desk-2"])
+async def test_oracle_sees_too_many_requests_at_a_cold_server(places, trouble):
+    places.record_cold("desk-1", 0.0, 3.0)
+    for number in range(int(COLD_BOUND)):
+        places.record_arrival("desk-1", "gate-1", 1.0 + number / 100)
+    places.record_arrival("desk-1", "gate-1", 3.1)
+    assert places.violations() == []
+    places.record_arrival("desk-1", "gate-2", 1.9)
+    assert "cold" in places.violations()[0]
+    # The computer was late, or the link withheld requests: they came together.
+    places.record_trouble(trouble, 1.5, 1.6)
+    is_excused = trouble in ("", "server-desk-1")
+    assert (places.violations() == []) == is_excused
+
+
+async def test_oracle_expects_no_surge_after_an_evacuation(places):
+    places.begin_evacuation("east", 0.0)
+    places.end_evacuation(6.0)
+    for number in range(int(COLD_BOUND) + 1):
+        places.record_arrival("desk-1", "gate-1", 8.0 + number / 100)
+    assert "cold" in places.violations()[0]
+
+
+async def test_what_a_relayed_request_was_told_is_ascribed_to_no_gateway(closing):
+    closing.record_leaving("read-1", "gate-1")
+    closing.record_arrival(("desk-1", 1), "gate-1", time.monotonic() + DRAIN_S + 0.1)
+    assert closing.violations() != []
+    closing.record_relaying("gate-1", time.monotonic() - 1.0, time.monotonic() + 1.0)
+    assert closing.violations() == []
+
+
+async def test_all_kinds_of_faults_are_drawn():
+    names = {"servers": ["a"], "gateways": ["b", "c"], "data_centres": ["east"]}
+    faults = [f for seed in range(20) for f in draw_faults(seed, 15.0, ["b"], **names)]
+    new = {"evacuate", "cold", "crowd", "kill_receiver"}
+    assert new <= {fault.kind for fault in faults}
+    killed = [fault for fault in faults if fault.kind == "kill_receiver"]
+    crowds = {(f.start_s, f.target) for f in faults if f.kind == "crowd"}
+    other = {"b": "c", "c": "b"}
+    assert all((f.start_s, other[f.target]) in crowds for f in killed)
