Shorten the soak's evacuations and cold servers

What was told or sent while a gateway relays is kept once for both oracles; services of the soak always state what their cold servers take; the crowd's last requests are answered and checked.

--- a/pistachiowell/soak/closing.py
+++ b/pistachiowell/soak/closing.py
@@ -29,7 +29,6 @@
         endless_until: Time until which it sends bytes without end in seconds.
         double_until: Time until which it answers some requests twice in seconds.
         cold_until: Time until which it is cold in seconds.
-        is_away: Whether it does not run.
     """
 
     is_leaving: bool = False
@@ -37,7 +36,6 @@
     endless_until: float = 0.0
     double_until: float = 0.0
     cold_until: float = 0.0
-    is_away: bool = False
 
     @property
     def is_endless(self):
@@ -50,19 +48,14 @@
         return time.monotonic() < self.double_until
 
     @property
-    def is_cold(self):
-        """Whether it is cold."""
-        return time.monotonic() < self.cold_until
+    def cold_left_s(self):
+        """Seconds for which it stays cold; 0.0 if it is warm."""
+        return max(0.0, self.cold_until - time.monotonic())
 
     def headers(self):
         """Returns more headers of an answer by name with ``_`` for ``-``."""
         fields = {"Server_Leaving": "1"} if self.is_leaving else {}
-        return fields | self.cold_headers()
-
-    def cold_headers(self):
-        """Returns those of them that say how long it is cold."""
-        left_s = self.cold_until - time.monotonic()
-        return cold_headers(left_s) if left_s > 0 else {}
+        return fields | (cold_headers(self.cold_left_s) if self.cold_left_s else {})
 
     def refusal(self, request):
         """Returns the answer that turns a request away as bytes; None if open."""
@@ -86,6 +79,8 @@
 
     Attributes:
         told_count: Number of times at which a gateway was told something.
+        relayed: Times in which others may have served a gateway's requests, and may
+            have been told what it was told, by gateway.
     """
 
     __slots__ = (
@@ -93,7 +88,7 @@
         "_faults",
         "_leaving",
         "_pauses",
-        "_relayed",
+        "relayed",
         "told_count",
     )
 
@@ -102,7 +97,7 @@
         self._faults = defaultdict(list)
         self._leaving = {}
         self._pauses = defaultdict(list)
-        self._relayed = defaultdict(list)
+        self.relayed = defaultdict(list)
         self.told_count = 0
 
     def record_fault(self, target, duration_s):
@@ -115,14 +110,6 @@
         now = time.monotonic()
         self._faults[target].append((now, now + duration_s + FAULT_ECHO_S))
 
-    def record_relaying(self, gateway, start, end):
-        """Records a time in which others may have served a gateway's requests.
-
-        What was told then may have been told to another one, and what came then may
-        have come from another one.
-        """
-        self._relayed[gateway].append((start, end))
-
     def record_answer(self, run, request_id):
         """Records that a run that leaves has answered a request."""
         self._answered_by[request_id] = run
@@ -180,7 +167,7 @@
             and not any(
                 start < moment < end
                 for moment in (told.at, at)
-                for start, end in self._relayed[gateway]
+                for start, end in self.relayed[gateway]
             )
         ]
         if len(late) <= allowed:
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -15,17 +15,21 @@
 from pistachiowell.bench.signals import has_handlers
 from pistachiowell.platform.evacuations import COLLECTION as EVACUATIONS
 from pistachiowell.platform.programs import SETTINGS_VARIABLE
-from pistachiowell.platform.standin_documents import cold_registration, registration
+from pistachiowell.platform.standin_documents import (
+    COLD_S,
+    cold_registration,
+    registration,
+)
 from pistachiowell.platform.standins import (
+    COLD_ANSWER,
     HEALTHY_ANSWER,
     BackendStandIn,
     ObjectServer,
-    health_answer,
     serve_app,
 )
 from pistachiowell.soak.closing import ClosingOracle, ServerState
 from pistachiowell.soak.endless import MAX_MEMORY_BYTES, peak_memory_bytes
-from pistachiowell.soak.places import COLD_S, PLACE_SETTINGS, PlaceOracle
+from pistachiowell.soak.places import PLACE_SETTINGS, PlaceOracle
 from pistachiowell.standins.relay import LinkState, Relay
 
 RESTART_DELAY_S = 0.3
@@ -120,7 +124,6 @@
         self._place_settings = PLACE_SETTINGS if has_places else {}
         self._relay_ports = {}
         self.data_centres = {}
-        self.places = PlaceOracle(self.data_centres)
         self._gateway_settings = {"leaving_notice_s": 0.3, **(gateway_settings or {})}
         self._group = group
         self._directory = Path(directory)
@@ -132,6 +135,7 @@
         self._roles = {}
         self.addresses = {}
         self.closing = ClosingOracle()
+        self.places = PlaceOracle(self.data_centres, self.closing.relayed)
         self.early_ends = []
         self.link_ports = {}
         self.server_states = {}
@@ -222,21 +226,21 @@
     async def _start_cold(self, server_id, away_s, *, is_removed):
         """Ends a server and starts it again cold, under its id."""
         state, link = self.server_states[server_id], self._relays[f"server-{server_id}"]
-        if state.is_away or state.is_cold:
+        if state.cold_left_s:
             return
-        state.is_away = True
         await self._wait_for_store()
+        state.cold_until = time.monotonic() + away_s + COLD_S
         if is_removed and server_id in self.store.names("servers"):
             self.store.delete("servers", server_id)
         link.set_state(LINK_STATES["cut"])
         await anyio.sleep(away_s)
         link.set_state(FAULT_FREE_LINK)
         born_ms, is_registered = int(time.time() * 1000), False
-        state.is_away, state.cold_until = False, time.monotonic() + COLD_S
+        state.cold_until = time.monotonic() + COLD_S
         self.places.record_cold(server_id, time.monotonic(), state.cold_until)
         server = next(s for s in self.servers if s.server_id == server_id)
-        while state.is_cold:
-            server.health_answer = health_answer(**state.cold_headers())
+        while state.cold_left_s:
+            server.health_answer = COLD_ANSWER % (1000 * state.cold_left_s)
             if not is_registered and self.store.mode == "up":
                 self._register_cold(server_id, born_ms)
                 is_registered = True
@@ -246,9 +250,8 @@
         self._register_cold(server_id, born_ms)
 
     def _register_cold(self, server_id, born_ms):
-        left_s = self.server_states[server_id].cold_until - time.monotonic()
-        spec = self._registrations[server_id]
-        self._register(server_id, cold_registration(spec, born_ms, left_s))
+        spec, state = self._registrations[server_id], self.server_states[server_id]
+        self._register(server_id, cold_registration(spec, born_ms, state.cold_left_s))
 
     async def add_agent(self, name):
         """Starts an agent."""
@@ -477,8 +480,7 @@
             for at, text in (*RELAYING.findall(log), last):
                 if begun_at is not None and text != "Relaying begins.":
                     end = float(at) - offset_s + MAX_REQUEST_S
-                    self.closing.record_relaying(name, begun_at - offset_s, end)
-                    self.places.record_relaying(name, begun_at - offset_s, end)
+                    self.closing.relayed[name].append((begun_at - offset_s, end))
                 begun_at = float(at) if text == "Relaying begins." else None
 
     def stop(self):
--- a/pistachiowell/soak/places.py
+++ b/pistachiowell/soak/places.py
@@ -7,14 +7,14 @@
 
 from collections import defaultdict
 
+from pistachiowell.platform.standin_documents import COLD_PER_S, COLD_S
+
 # The bounds that the users state.
 EVACUATE_S = 5.0
-COLD_S = 3.0
-COLD_PER_S = 12.0
 COLD_OVERSHOOT, COLD_EXTRA = 1.5, 5.0
 COLD_BOUND = COLD_PER_S * COLD_OVERSHOOT + COLD_EXTRA
 PLACE_SETTINGS = {
-    "evacuation_ms": int(EVACUATE_S * 1000),
+    "evacuation_ms": EVACUATE_S * 1000,
     "regions": {"east": "south", "west": "south"},
     "cold_overshoot": COLD_OVERSHOOT,
     "cold_extra": COLD_EXTRA,
@@ -27,10 +27,12 @@
 
 
 class PlaceOracle:
-    """Records evacuations, cold servers, and the requests and probes of servers.
+    """Records evacuations, cold servers, and what is sent to servers.
 
     Args:
         data_centres: Data centre by id of the server; the owner adds to it.
+        relayed: Times in which others may have served a gateway's requests, by gateway;
+            the owner adds to it.
 
     Attributes:
         receivers_killed: Number of gateways killed while they served relayed requests.
@@ -41,44 +43,28 @@
         "_cold",
         "_data_centres",
         "_evacuations",
-        "_probes",
         "_relayed",
         "_troubles",
         "receivers_killed",
     )
 
-    def __init__(self, data_centres):
+    def __init__(self, data_centres, relayed):
         self._data_centres = data_centres
         self._arrivals = defaultdict(list)
         self._cold = defaultdict(list)
         self._evacuations = []
-        self._probes = defaultdict(list)
-        self._relayed = defaultdict(list)
+        self._relayed = relayed
         self._troubles = defaultdict(list)
         self.receivers_killed = 0
 
     def record_trouble(self, target, start, end):
-        """Records a time in seconds in which something was in trouble.
-
-        Args:
-            target: Name of a process or link; empty for the store and this computer.
-            start: Its beginning.
-            end: Its end.
-        """
+        """Records a time in which a process, a link or, for "", all was in trouble."""
         self._troubles[target].append((start, end + ECHO_S))
 
-    def record_relaying(self, gateway, start, end):
-        """Records a time in which others may have served a gateway's requests."""
-        self._relayed[gateway].append((start, end))
-
     def record_arrival(self, server, gateway, now):
-        """Records that a request of a gateway's caller has reached a server."""
+        """Records a request of a gateway's caller; None for a health check."""
         self._arrivals[server].append((now, gateway))
 
-    def record_probes(self, server, times):
-        """Records the times at which health checks have reached a server."""
-        self._probes[server] += [(at, None) for at in times]
-
     def begin_evacuation(self, data_centre, now):
         """Records that the store has confirmed an evacuation."""
         self._evacuations.append((data_centre, now, float("inf")))
@@ -103,16 +89,12 @@
 
     def counts(self):
         """Returns how much was checked, as text."""
-        long = sum(end - start > EVACUATE_S for _, start, end in self._evacuations)
-        most = max(
-            (self._most(s, *c) for s, cs in self._cold.items() for c in cs), default=0
-        )
-        cold = sum(map(len, self._cold.values()))
-        relaying = sum(map(len, self._relayed.values()))
+        spans = [(name, *span) for name, spans in self._cold.items() for span in spans]
         return (
-            f"evacuations: {len(self._evacuations)} ({long} over {EVACUATE_S:.0f} s),"
-            f" cold spans: {cold} (at most {most} requests in a second),"
-            f" relaying: {relaying} times, receivers killed: {self.receivers_killed}"
+            f"{len(self._evacuations)} evacuations, {len(spans)} times cold with"
+            f" at most {max((self._most(*s) for s in spans), default=0)} in a second,"
+            f" {sum(map(len, self._relayed.values()))} times relaying,"
+            f" {self.receivers_killed} receivers killed"
         )
 
     def violations(self):
@@ -126,32 +108,25 @@
             for start, end in self._cold[server]:
                 most = self._most(server, start, end)
                 if most > COLD_BOUND:
-                    found.append(
-                        f"{most} requests in a second reached {server}, which is cold"
-                    )
+                    found.append(f"{most} in a second sent to {server}, which is cold")
         return found
 
     def _late(self, server, start, end):
-        link = f"server-{server}"
-        arrivals = self._arrivals[server] + self._probes[server]
         return sum(
             start < at < end
             and self._calm_s(start, at, gateway) > EVACUATE_S
-            and not self._has_trouble(("", link), at, at)
-            for at, gateway in arrivals
+            and not self._has_trouble(("", f"server-{server}"), at, at)
+            for at, gateway in self._arrivals[server]
         )
 
     def _calm_s(self, start, end, gateway):
         """Returns the seconds in which nothing kept a gateway from the news.
 
-        Agents in trouble excuse nothing: gateways read the store themselves then. A
-        gateway that is not known may be any.
+        Agents in trouble excuse nothing: gateways read the store themselves then.
         """
-        spans = self._relayed[gateway]
-        if gateway is None or any(a < end < b for a, b in spans):
-            targets = list(self._troubles)
-        else:
-            targets = ("", gateway, f"store-{gateway}")
+        targets = ("", gateway, f"store-{gateway}")
+        if gateway is None or any(a < end < b for a, b in self._relayed[gateway]):
+            targets = tuple(self._troubles)
         calm_s, at = 0.0, start
         for begin, until in sorted(s for t in targets for s in self._troubles[t]):
             calm_s += max(0.0, min(begin, end) - at)
@@ -160,16 +135,14 @@
 
     def _most(self, server, start, end):
         """Returns the most requests in a second of a time that a server is cold."""
-        times = sorted(at for at, _ in self._arrivals[server] if start < at < end)
+        times = [at for at, name in self._arrivals[server] if name and start < at < end]
         targets = ("", f"server-{server}")
-        return max(
-            (
-                sum(first <= at <= first + WINDOW_S for at in times)
-                for first in times
-                if not self._has_trouble(targets, first, first + WINDOW_S)
-            ),
-            default=0,
+        counts = (
+            sum(first <= at <= first + WINDOW_S for at in times)
+            for first in times
+            if not self._has_trouble(targets, first, first + WINDOW_S)
         )
+        return max(counts, default=0)
 
     def _has_trouble(self, targets, start, end):
         spans = (span for target in targets for span in self._troubles[target])
--- a/pistachiowell/soak/plan.py
+++ b/pistachiowell/soak/plan.py
@@ -124,8 +124,7 @@
                 crowd_s = start_s + duration_s - rng.uniform(0.0, 0.5)
                 faults.append(Fault(crowd_s, "crowd", rng.choice(gateways), length))
             if kind == "crowd" and rng.random() < 0.5:
-                others = [name for name in gateways if name != target]
-                other = rng.choice(others)
-                faults.append(Fault(start_s, "kill_receiver", other, duration_s))
+                receiver = rng.choice([name for name in gateways if name != target])
+                faults.append(Fault(start_s, "kill_receiver", receiver, duration_s))
         start_s += rng.uniform(0.5, 2.5)
     return faults
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -21,7 +21,6 @@
 from pistachiowell.soak.endless import EndlessStream
 from pistachiowell.soak.fleet import Fleet
 from pistachiowell.soak.oracle import Oracle, RepeatOracle
-from pistachiowell.soak.places import COLD_PER_S, COLD_S
 from pistachiowell.soak.plan import draw_faults
 
 REQUESTS_PER_S = 25.0
@@ -46,10 +45,9 @@
 SERVICES = {"read": "desk", "book": "desk", "chat": "pool"}
 # Few, so that a soak may reach the limit of repeats.
 RETRY_RATIO, RETRY_FIXED, RETRY_WINDOW_S = 0.2, 12.0, 10.0
-# Makes the room for relayed connections small.
-CPU_SHARE = 0.2
 GATEWAY_SETTINGS = {
-    "cpu_share": CPU_SHARE,
+    # Makes the room for relayed connections small.
+    "cpu_share": 0.2,
     "retry_ratio": RETRY_RATIO,
     "retry_fixed": RETRY_FIXED,
     "retry_window_s": RETRY_WINDOW_S,
@@ -96,7 +94,8 @@
     oracle.check_totals()
     fleet.record_relaying()
     for server in fleet.servers:
-        fleet.places.record_probes(server.server_id, server.health_checks)
+        for at in server.health_checks:
+            fleet.places.record_arrival(server.server_id, None, at)
     oracle.checked = fleet.places.counts()
     oracle.violations += fleet.places.violations()
     oracle.violations += fleet.closing.violations()
@@ -107,8 +106,7 @@
 async def _start_fleet(fleet, oracle, rng):
     fleet.store.era = 1
     await fleet.start_store()
-    configuration = soak_configuration(PREPAID_TOKENS, cold=(COLD_S, COLD_PER_S))
-    fleet.store.put("config", "main", configuration)
+    fleet.store.put("config", "main", soak_configuration(PREPAID_TOKENS))
     for number, data_centre in ((1, "east"), (2, "west")):
         for service, handler in (("desk", _plain_handler), ("pool", _stream_handler)):
             name = f"{service}-{number}"
@@ -143,13 +141,12 @@
 
 async def _send_crowd(fleet, oracle, rng, fault):
     """Sends one gateway more than it can serve."""
-    gateways, length_s = (fault.target,), fault.duration_s
-    with anyio.move_on_after(length_s):
-        async with anyio.create_task_group() as group:
-            more = (CROWD_PER_S, gateways, CROWD_KINDS)
-            group.start_soon(_send_load, fleet, oracle, rng, length_s, *more)
-            for _ in range(CROWD_CALLERS):
-                group.start_soon(_send_without_pause, fleet.addresses[fault.target])
+    async with anyio.create_task_group() as group:
+        for _ in range(CROWD_CALLERS):
+            group.start_soon(_send_without_pause, fleet.addresses[fault.target])
+        more = (CROWD_PER_S, (fault.target,), CROWD_KINDS)
+        await _send_load(fleet, oracle, rng, fault.duration_s, *more)
+        group.cancel_scope.cancel()
 
 
 async def _send_without_pause(address):
@@ -237,7 +234,7 @@
             closing.record_answer(run, request_id)
         if state.is_endless:
             stream = EndlessStream(stream, rng)
-        if state.is_cold:
+        if state.cold_left_s:
             await anyio.sleep(COLD_DELAY_S)
         if refusal is None and state.is_double and service == "desk":
             return await doubles.answer(request, stream, state.headers())
