--- a/pistachiowell/platform/tests/test_cold_servers.py
+++ b/pistachiowell/platform/tests/test_cold_servers.py
@@ -18,6 +18,7 @@
 pytestmark = pytest.mark.anyio
 
 BOUND = 23
+COLD_S = 3
 # What is sent takes a moment until the stand-in has read it.
 WINDOW_S = 0.95
 SETTINGS = {"evacuation_ms": 5000, "cold_overshoot": 1.5, "cold_extra": 5.0}
@@ -29,7 +30,7 @@
     """Returns a configuration whose services state a rate for cold servers."""
     document = configuration(version)
     for service in document["Services"]:
-        service |= {"ColdS": 3, "ColdPerS": 12}
+        service |= {"ColdS": COLD_S, "ColdPerS": 12}
     return document
 
 
@@ -112,6 +113,20 @@
     assert set(statuses) == {200, 503}
 
 
+async def test_gateway_that_starts_after_an_evacuation_sends_a_surge(start_rig):
+    # It has not seen that the evacuation was taken back, and takes servers for warm.
+    async with cold_rig(start_rig) as (rig, times, _):
+        rig.store.put("evacuations", "east", {})
+        for gateway in rig.gateways:
+            await rig.until(lambda g=gateway: g.state.evacuations.names)
+        rig.store.delete("evacuations", "east")
+        warm_at = anyio.current_time() + COLD_S
+        await rig.add_gateway("late", **SETTINGS)
+        await surge(rig, [rig.address])
+    times.by_server["a-1"] = [at for at in times.by_server["a-1"] if at < warm_at]
+    assert times.most("a-1") <= BOUND
+
+
 async def test_two_agents_that_are_both_the_first_exceed_the_bound(
     start_rig, monkeypatch
 ):
