Excuse a gateway that is cut off from the store in the soak only while an agent is in trouble

Cause: an evacuation has to reach a gateway through an agent as well, and the oracle counted each time in which the gateway's link to the store was in trouble for it.

Change: that link counts only together with trouble of an agent, its links, or the loss of all agents.

--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -332,9 +332,10 @@
         else:
             duration_s = fault.duration_s + RESTART_DELAY_S
             now = time.monotonic()
-            # Neither is an excuse: gateways reach the store meanwhile.
-            if fault.kind not in ("loss", "return"):
-                self.places.record_trouble(fault.target, now, now + duration_s)
+            # While the store is about to return from a copy, nothing is in trouble.
+            if fault.kind != "return":
+                target = "agents" if fault.kind == "loss" else fault.target
+                self.places.record_trouble(target, now, now + duration_s)
             self.closing.record_fault(fault.target.removeprefix("server-"), duration_s)
             await self._inject_failure(fault)
 
--- a/pistachiowell/soak/places.py
+++ b/pistachiowell/soak/places.py
@@ -122,13 +122,18 @@
     def _calm_s(self, start, end, gateway):
         """Returns the seconds in which nothing kept a gateway from the news.
 
-        Agents in trouble excuse nothing: gateways read the store themselves then.
+        Its link to the store does only while an agent is in trouble, and agents do not
+        without it: the news reach a gateway on both ways.
         """
-        targets = ("", gateway, f"store-{gateway}")
+        troubles = self._troubles
+        agents = [s for name in troubles if "agent" in name for s in troubles[name]]
+        spans = troubles[""] + troubles[gateway]
+        for a, b in troubles[f"store-{gateway}"]:
+            spans += [(max(a, c), min(b, d)) for c, d in agents if a < d and c < b]
         if gateway is None or any(a < end < b for a, b in self._relayed[gateway]):
-            targets = tuple(self._troubles)
+            spans = [span for name in troubles for span in troubles[name]]
         calm_s, at = 0.0, start
-        for begin, until in sorted(s for t in targets for s in self._troubles[t]):
+        for begin, until in sorted(spans):
             calm_s += max(0.0, min(begin, end) - at)
             at = max(at, min(until, end))
         return calm_s + end - at
--- a/pistachiowell/soak/tests/test_soak.py
+++ b/pistachiowell/soak/tests/test_soak.py
@@ -132,7 +132,7 @@
         (4.9, "agent-1", True),
         (5.1, "agent-1", False),
         (5.1, "gate-1", True),
-        (5.1, "store-gate-1", True),
+        (5.1, "store-gate-1", False),
         (5.1, "", True),
         (7.1, "gate-1", False),
         (8.1, "agent-1", True),
@@ -149,6 +149,16 @@
     assert (places.violations() == []) == kept
 
 
+async def test_oracle_excuses_a_gateway_that_no_way_leads_to(places):
+    places.begin_evacuation("east", 0.0)
+    places.record_trouble("store-gate-1", 1.0, 2.0)
+    places.record_trouble("agent-agent-1", 1.5, 2.0)
+    places.record_arrival("desk-1", "gate-1", 5.9)
+    assert places.violations() == []
+    places.record_arrival("desk-1", "gate-1", 7.1)
+    assert places.violations() != []
+
+
 async def test_oracle_takes_a_relayed_request_for_one_of_any_gateway(places):
     places.begin_evacuation("east", 0.0)
     places.record_arrival("desk-1", "gate-1", 6.1)
