--- a/pistachiowell/platform/standin_documents.py
+++ b/pistachiowell/platform/standin_documents.py
@@ -3,6 +3,8 @@
 HOST = "soak.example"
 KEY = "k-soak"
 USAGE_HEADER = b"Pistachiowell-Token-Usage"
+# Of no effect where the settings have no bound for cold servers.
+COLD_S, COLD_PER_S = 3.0, 12.0
 
 
 def soak_configuration(prepaid, timeout_ms=3000):
@@ -19,6 +21,7 @@
         ("long", "streaming", "pool", {}),
     ]
     engine = {"Slots": 32, "KvCapacityTokens": 100_000, "Stride": 5}
+    cold = {"ColdS": COLD_S, "ColdPerS": COLD_PER_S}
     return {
         "Version": 1,
         "Routes": [
@@ -36,24 +39,25 @@
             for name, kind, service, more in routes
         ],
         "Services": [
-            {"Name": "desk", "MaxConns": 200},
-            {"Name": "pool", "MaxConns": 200, "Engine": engine},
+            {"Name": "desk", "MaxConns": 200, **cold},
+            {"Name": "pool", "MaxConns": 200, "Engine": engine, **cold},
         ],
         "Tenants": [{"Name": "acme", "ApiKeys": [KEY], "Prepaid": prepaid}],
     }
 
 
-def registration(service, address):
+def registration(service, address, data_centre="east"):
     """Returns the registration document of a backend server.
 
     Args:
         service: Name of its service.
         address: IP address and port.
+        data_centre: Name of its data centre.
     """
     return {
         "Service": service,
         "Address": address,
-        "Zone": "east",
+        "Zone": data_centre,
         "State": "ready",
         "Slots": 32,
         "Version": "v1",
@@ -61,6 +65,16 @@
     }
 
 
+def cold_registration(spec, born_ms, left_s):
+    """Returns a registration as a new run of its server that is cold writes it."""
+    return {**spec, "born": born_ms, "ColdLeftMs": max(0, int(left_s * 1000))}
+
+
+def cold_headers(left_s):
+    """Returns what a cold server adds to answers, by name with ``_`` for ``-``."""
+    return {"Pistachiowell_Cold_Ms": str(int(left_s * 1000))}
+
+
 def caller_headers(request_id, wait_limit_s, prompt_tokens, output_tokens, parts=()):
     """Returns the headers of a request as pairs of bytes.
 
--- a/pistachiowell/platform/standins.py
+++ b/pistachiowell/platform/standins.py
@@ -12,6 +12,7 @@
 
 SIGNATURE = "5.1.seal"
 HEALTHY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+COLD_ANSWER = HEALTHY_ANSWER[:-2] + b"Pistachiowell-Cold-Ms: %d\r\n\r\n"
 
 
 def object_document(name, revision, spec, status=None):
--- a/pistachiowell/soak/closing.py
+++ b/pistachiowell/soak/closing.py
@@ -8,6 +8,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from pistachiowell.platform.standin_documents import cold_headers
 from pistachiowell.platform.standins import head
 
 # The bounds that the users state.
@@ -27,12 +28,14 @@
         paused_until: Time until which it turns requests away in seconds.
         endless_until: Time until which it sends bytes without end in seconds.
         double_until: Time until which it answers some requests twice in seconds.
+        cold_until: Time until which it is cold in seconds.
     """
 
     is_leaving: bool = False
     paused_until: float = 0.0
     endless_until: float = 0.0
     double_until: float = 0.0
+    cold_until: float = 0.0
 
     @property
     def is_endless(self):
@@ -44,9 +47,15 @@
         """Whether it answers some requests twice."""
         return time.monotonic() < self.double_until
 
+    @property
+    def cold_left_s(self):
+        """Seconds for which it stays cold; 0.0 if it is warm."""
+        return max(0.0, self.cold_until - time.monotonic())
+
     def headers(self):
         """Returns more headers of an answer by name with ``_`` for ``-``."""
-        return {"Server_Leaving": "1"} if self.is_leaving else {}
+        fields = {"Server_Leaving": "1"} if self.is_leaving else {}
+        return fields | (cold_headers(self.cold_left_s) if self.cold_left_s else {})
 
     def refusal(self, request):
         """Returns the answer that turns a request away as bytes; None if open."""
@@ -70,15 +79,25 @@
 
     Attributes:
         told_count: Number of times at which a gateway was told something.
+        relayed: Times in which others may have served a gateway's requests, and may
+            have been told what it was told, by gateway.
     """
 
-    __slots__ = ("_answered_by", "_faults", "_leaving", "_pauses", "told_count")
+    __slots__ = (
+        "_answered_by",
+        "_faults",
+        "_leaving",
+        "_pauses",
+        "relayed",
+        "told_count",
+    )
 
     def __init__(self):
         self._answered_by = {}
         self._faults = defaultdict(list)
         self._leaving = {}
         self._pauses = defaultdict(list)
+        self.relayed = defaultdict(list)
         self.told_count = 0
 
     def record_fault(self, target, duration_s):
@@ -145,6 +164,11 @@
                 for target in (server, gateway)
                 for start, end in self._faults[target]
             )
+            and not any(
+                start < moment < end
+                for moment in (told.at, at)
+                for start, end in self.relayed[gateway]
+            )
         ]
         if len(late) <= allowed:
             return []
