Learn the speeds of model engines from their answers

Cause: the placement divided the tokens queued at an engine by one rate for all, so engines that are up to a third slower got as many prompts as the others.

The factor is 1 unless its confidence interval leaves out the median engine. An engine whose first token is overdue costs more until its queue moves. Cancelled, cold and refused requests and runs in their first 3 s teach nothing.

Weighed and not built: stalls that the engine's own agent sees in its report.

--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -176,6 +176,7 @@
             runtime.now,
         )
         runtime.metrics.watch("servers.avoided", lambda: selection.avoided_servers)
+        runtime.metrics.watch("servers.slow", lambda: selection.slow_servers)
         self._agent_reports = AgentReports(
             runtime,
             self._fleet,
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from pistachiowell.core.errors import NoServer
+from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.exchange import NotConnected
 from pistachiowell.gateway.load_reports import decode_load
 from pistachiowell.routing import (
@@ -10,11 +11,14 @@
     PICKERS,
     PLACERS,
     Candidate,
+    EngineRates,
     EngineRequest,
+    EngineRun,
     EngineTable,
     HealthTable,
     LoadTable,
     PlacementSettings,
+    RateSettings,
     RoutingSettings,
     UnreachableServers,
     UnreachableSettings,
@@ -28,8 +32,12 @@
 VERSION_FAULTS = frozenset(
     {"server_failed", "answer_broken", "deadline_exceeded", "overloaded"}
 )
+ERROR_STATUS = 400
 SERVER_ERROR_STATUS = 500
 EXPECTED_OUTPUT_SHARE = 0.4
+SLOW_CHECK_INTERVAL_S = 1.0
+
+_log = part_logger("dispatch")
 
 
 class Attempt:
@@ -55,6 +63,7 @@
     __slots__ = (
         "_fingerprint",
         "_has_failed",
+        "_is_success",
         "_move_attempt",
         "_placed",
         "_selection",
@@ -79,6 +88,7 @@
         self._move_attempt = move_attempt
         self._fingerprint = fingerprint
         self._has_failed = False
+        self._is_success = False
         self._placed = placed
         self.started_at = now
         self.server = server
@@ -99,6 +109,7 @@
         """
         self.has_answered = True
         self._has_failed = status >= SERVER_ERROR_STATUS
+        self._is_success = status < ERROR_STATUS
 
     def record_first_byte(self):
         """Records the arrival of the first part of the answer; ignores later parts."""
@@ -109,7 +120,9 @@
         if self._move_attempt is not None:
             self._move_attempt.record_first_part(now)
         if self._placed is not None:
-            self._selection.engines.record_first_token(self._placed)
+            # An error is no token and shows nothing about the engine's speed.
+            shown_at = now if self._is_success else None
+            self._selection.record_first_token(self._placed, shown_at)
 
     def record_events(self, count):
         """Records that events of a stream have arrived."""
@@ -192,6 +205,8 @@
         "_servers",
         "_settings",
         "_silence",
+        "_slow_checked_at",
+        "_slow_names",
         "_states",
         "_unreachable",
         "engines",
@@ -210,13 +225,18 @@
         self._settings = settings
         self.now = now
         routing = RoutingSettings()
-        placement = PlacementSettings()
+        placement, rates = PlacementSettings(), None
+        if settings.uneven_servers:
+            placement = PlacementSettings(placer="learned_cost")
+            rates = EngineRates(RateSettings())
         self._health = HealthTable(routing)
         self._loads = LoadTable(routing)
         self._unreachable = UnreachableServers(UnreachableSettings())
         self._picker = PICKERS.find(routing.picker)(routing, self._loads, rng)
+        self._slow_checked_at = float("-inf")
+        self._slow_names = frozenset()
         self._cold_cost_s = placement.cold_cost_s
-        self.engines = EngineTable(placement)
+        self.engines = EngineTable(placement, rates)
         self._placer = PLACERS.find(placement.placer)(placement, self.engines, rng)
 
     @property
@@ -224,6 +244,29 @@
         """Number of servers that are avoided because they refused a connection."""
         return self._unreachable.count(self.now())
 
+    @property
+    def slow_servers(self):
+        """Number of engines that are known to be slower than the others."""
+        return len(self.engines.slow_engines(self.now()))
+
+    def record_first_token(self, placed, shown_at):
+        """Records the first part of an answer of an engine.
+
+        Args:
+            placed: The ``PlacedRequest``.
+            shown_at: Present time in seconds; None if it shows nothing.
+        """
+        self.engines.record_first_token(placed, shown_at)
+        now = self.now()
+        if now < self._slow_checked_at + SLOW_CHECK_INTERVAL_S:
+            return
+        self._slow_checked_at = now
+        slow = self.engines.slow_engines(now)
+        if slow.keys() != self._slow_names:
+            self._slow_names = slow.keys()
+            factors = {name: round(factor, 2) for name, factor in slow.items()}
+            _log.info("The engines known to be slow have changed.", factors=factors)
+
     def failures(self, server_id):
         """Returns the failures of a server that count against its health."""
         return self._health.failures(server_id)
@@ -371,7 +414,9 @@
         """
         now, server, placed = self.now(), choice.server, None
         if choice.work is not None:
-            placed = self.engines.record_sent(server.id, choice.work, now)
+            is_cold = self._limits.is_cold(server)
+            origin = EngineRun(service_name, server.started_ms, is_cold)
+            placed = self.engines.record_sent(server.id, choice.work, now, origin)
         self._loads.set_slots(server.id, server.slots)
         self._loads.record_sent(server.id)
         self._health.record_start(server.id, now)
--- a/pistachiowell/gateway/tests/test_hedge_choice.py
+++ b/pistachiowell/gateway/tests/test_hedge_choice.py
@@ -46,7 +46,7 @@
         ),
         None,
         None,
-        SimpleNamespace(data_centre="east"),
+        SimpleNamespace(data_centre="east", uneven_servers=False),
         Random(1),
         lambda: 100.0,
     )
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -430,7 +430,7 @@
     moves.apply_orders({"desk": MoveOrder("desk", "v2", 9.0, MoveState.ordered, 7)})
     registry = ServerRegistry(1.0)
     registry.replace({SERVERS[0].id: SERVERS[0]}, 100.0)
-    settings = SimpleNamespace(data_centre="dc-0")
+    settings = SimpleNamespace(data_centre="dc-0", uneven_servers=False)
     silence = SimpleNamespace(usable=lambda names, now: names)
     limits = SimpleNamespace(
         accepting=lambda servers, request: servers,
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -19,6 +19,7 @@
     CrashSettings,
 )
 from pistachiowell.routing.credits import CREDIT_POOLS, AbortStream, CreditSettings
+from pistachiowell.routing.engine_rates import EngineRates, RateSettings
 from pistachiowell.routing.health import HealthTable
 from pistachiowell.routing.hedging import (
     HEDGE_POLICIES,
@@ -32,6 +33,7 @@
     PLACERS,
     EngineLoad,
     EngineRequest,
+    EngineRun,
     EngineTable,
     PlacedRequest,
     PlacementSettings,
@@ -65,6 +67,7 @@
     "PLACERS",
     "REPORT_PACERS",
     "RETRIES",
+    "RateSettings",
     "SILENCE_DETECTORS",
     "SPLITTERS",
     "AbortStream",
@@ -78,7 +81,9 @@
     "CreditSettings",
     "Deliver",
     "EngineLoad",
+    "EngineRates",
     "EngineRequest",
+    "EngineRun",
     "EngineTable",
     "FingerprintStatus",
     "Finished",
--- a/pistachiowell/routing/placement.py
+++ b/pistachiowell/routing/placement.py
@@ -8,6 +8,9 @@
 Random placement puts several long prompts on one engine, which delays the short ones
 behind them, and processes the same prefix again on every engine. Placement by expected
 wait and cached prefix prevents both.
+
+Engines that differ in speed, and such as stand still for a moment, get fewer prompts
+with the ``learned_cost`` policy; see ``engine_rates``.
 """
 
 from collections import OrderedDict
@@ -96,12 +99,35 @@
         prefill_tokens: Prompt tokens that the engine was expected to process.
         kv_tokens: Upper bound of its key-value memory in tokens.
         is_reading: Whether its first token is still outstanding.
+        origin: The ``EngineRun`` that it was sent to; None if unknown.
+        sent_at: Time at which it was sent in seconds.
+        ahead_tokens: Prompt tokens that are processed up to its first token.
+        expected_s: Expected time to its first token in seconds.
     """
 
     server: str
     prefill_tokens: int
     kv_tokens: int
     is_reading: bool = True
+    origin: object = None
+    sent_at: float = 0.0
+    ahead_tokens: int = 0
+    expected_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRun:
+    """A run of an engine, whose answers show its speed.
+
+    Attributes:
+        service: Name of its service.
+        started_ms: Unix time of its start in milliseconds.
+        is_cold: Whether it is slow for a while, so that its answers teach nothing.
+    """
+
+    service: str
+    started_ms: int = 0
+    is_cold: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,10 +163,20 @@
 
 
 class _Engine:
-    __slots__ = ("cached", "kv_tokens", "reading_tokens", "running")
+    __slots__ = (
+        "cached",
+        "first_token_at",
+        "kv_tokens",
+        "reading",
+        "reading_tokens",
+        "running",
+    )
 
     def __init__(self):
         self.cached = OrderedDict()
+        # Requests without a first token, the oldest first, by their ids as objects.
+        self.reading = {}
+        self.first_token_at = float("-inf")
         self.kv_tokens = 0
         self.reading_tokens = 0
         self.running = 0
@@ -153,6 +189,7 @@
 
     Args:
         settings: ``PlacementSettings``.
+        rates: ``EngineRates``, which learn from the requests; None to learn nothing.
 
     Attributes:
         on_change: Function that is called after each change of this router's own load.
@@ -167,17 +204,24 @@
         1000
     """
 
-    __slots__ = ("_engines", "_remote_loads", "_settings", "on_change")
+    __slots__ = ("_engines", "_remote_loads", "_settings", "on_change", "rates")
 
-    def __init__(self, settings):
+    def __init__(self, settings, rates=None):
         self._settings = settings
+        self.rates = rates
         self._engines = {}
         self._remote_loads = {}
         self.on_change = lambda: None
 
-    def record_sent(self, server, request, now):
+    def record_sent(self, server, request, now, origin=None):
         """Records a request sent to an engine and the prefixes that it caches there.
 
+        Args:
+            server: Id of the server.
+            request: The ``EngineRequest``.
+            now: Present time in seconds.
+            origin: The ``EngineRun``; None if nothing is learned from the answer.
+
         Returns:
             A ``PlacedRequest`` for ``record_first_token`` and ``record_end``.
         """
@@ -186,7 +230,17 @@
             server,
             self.uncached_tokens(server, request, now),
             request.prompt_tokens + request.output_tokens,
+            origin=origin,
+            sent_at=now,
         )
+        if self.rates is not None and origin is not None:
+            self.rates.record_start(server, origin.started_ms, now)
+            placed.ahead_tokens = self.load(server, now).reading_tokens
+            placed.ahead_tokens += placed.prefill_tokens
+            placed.expected_s = self.rates.time_s(
+                origin.service, server, placed.ahead_tokens, now
+            )
+            engine.reading[id(placed)] = placed
         engine.running += 1
         engine.reading_tokens += placed.prefill_tokens
         engine.kv_tokens += placed.kv_tokens
@@ -198,12 +252,32 @@
         self.on_change()
         return placed
 
-    def record_first_token(self, placed):
-        """Records the first token of an answer; the prompt has been processed."""
-        if placed.is_reading:
-            placed.is_reading = False
-            self._engine(placed.server).reading_tokens -= placed.prefill_tokens
-            self.on_change()
+    def record_first_token(self, placed, now=None):
+        """Records the first token of an answer; the prompt has been processed.
+
+        Args:
+            placed: The ``PlacedRequest``.
+            now: Present time in seconds; None if the time shows nothing, as no token
+                came.
+        """
+        if not placed.is_reading:
+            return
+        placed.is_reading = False
+        engine = self._engine(placed.server)
+        engine.reading_tokens -= placed.prefill_tokens
+        engine.reading.pop(id(placed), None)
+        origin = placed.origin
+        if now is not None and self.rates is not None and origin is not None:
+            engine.first_token_at = now
+            if not origin.is_cold and placed.ahead_tokens == placed.prefill_tokens:
+                self.rates.record_first_token(
+                    origin.service,
+                    placed.server,
+                    placed.prefill_tokens,
+                    now - placed.sent_at,
+                    now,
+                )
+        self.on_change()
 
     def record_end(self, placed):
         """Records the end of a request."""
@@ -213,11 +287,38 @@
         engine.kv_tokens -= placed.kv_tokens
         self.on_change()
 
+    def stall_cost_s(self, server, now):
+        """Returns the cost of an engine whose next first token is overdue.
+
+        A first token shows that the queue moves, so that the cost ends with it.
+        """
+        engine = self._engines.get(server)
+        if self.rates is None or engine is None or not engine.reading:
+            return 0.0
+        oldest = next(iter(engine.reading.values()))
+        if not self.rates.is_learned(oldest.origin.service):
+            return 0.0
+        moved_at = max(oldest.sent_at, engine.first_token_at)
+        return self.rates.stall_cost_s(now - moved_at, oldest.expected_s)
+
     def record_gone(self, server):
         """Records that an engine refuses connections, so that its cache is lost."""
         engine = self._engines.get(server)
         if engine is not None:
             engine.cached.clear()
+        if self.rates is not None:
+            self.rates.record_gone(server)
+
+    def slow_engines(self, now):
+        """Returns the factors of the engines that are known to be slow, by their ids.
+
+        See ``EngineRates.factors``.
+        """
+        if self.rates is None:
+            return {}
+        names = list(self._engines)
+        factors = zip(names, self.rates.factors(names, now), strict=True)
+        return {name: factor for name, factor in factors if factor > 1.0}
 
     def uncached_tokens(self, server, request, now):
         """Returns the prompt tokens that an engine is not expected to have cached."""
@@ -320,9 +421,10 @@
     def place(self, candidates, request, limits, now):
         """Returns the cheapest candidate; see ``Placer.place``."""
         owner = self._owner(candidates, request)
+        speeds = self._speeds(candidates, now)
         costs_s = [
-            self._cost_s(c, request, limits, now, is_owner=c.server == owner)
-            for c in candidates
+            self._cost_s(c, request, limits, now, speed, is_owner=c.server == owner)
+            for c, speed in zip(candidates, speeds, strict=True)
         ]
         min_cost_s = min(costs_s)
         cheapest = [
@@ -338,7 +440,12 @@
             return None
         return rendezvous(candidates, prefixes[-1][0]).server
 
-    def _cost_s(self, candidate, request, limits, now, *, is_owner):
+    def _speeds(self, candidates, now):
+        """Returns a pair of each candidate: factor on the time and cost in seconds."""
+        del now
+        return [(1.0, 0.0)] * len(candidates)
+
+    def _cost_s(self, candidate, request, limits, now, speed, *, is_owner):
         settings = self._settings
         uncached = self._engines.uncached_tokens(candidate.server, request, now)
         own_tokens = request.parts[-1][1] if request.parts else request.prompt_tokens
@@ -352,7 +459,8 @@
             + own_uncached
             + recomputed * (1.0 + settings.recompute_weight)
         )
-        cost = tokens / settings.prefill_tokens_per_s
+        factor, stall_cost_s = speed
+        cost = tokens / settings.prefill_tokens_per_s * factor + stall_cost_s
         cost += load.running * settings.running_cost_s
         cost += candidate.distance * settings.distance_cost_s
         cost += candidate.is_cold * settings.cold_cost_s
@@ -361,3 +469,23 @@
         if is_full or load.kv_tokens + needed > limits.kv_tokens:
             cost += settings.full_cost_s
         return cost
+
+
+@PLACERS.add("learned_cost")
+class LearnedCostPlacer(LeastCostPlacer):
+    """Places by cost with the learned speed of each engine.
+
+    Load pattern: engines differ in speed by up to a third, and some stand still for
+    parts of a second. Tokens at a slow engine cost more, and an engine whose next first
+    token is overdue gets a cost until it comes. With equal engines the choice is that
+    of ``LeastCostPlacer``.
+    """
+
+    __slots__ = ()
+
+    def _speeds(self, candidates, now):
+        engines, names = self._engines, [c.server for c in candidates]
+        if engines.rates is None:
+            return super()._speeds(candidates, now)
+        stalls_s = [engines.stall_cost_s(name, now) for name in names]
+        return list(zip(engines.rates.factors(names, now), stalls_s, strict=True))
