Choose the least loaded of six plain servers where speeds differ

Cause: of two random servers both are often slow, and the number of a gateway's own requests at two servers shows little.

Change: with uneven_servers plain servers are chosen by six_choices. Cold servers are left out as often as by two_choices.

--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -227,6 +227,7 @@
         routing = RoutingSettings()
         placement, rates = PlacementSettings(), None
         if settings.uneven_servers:
+            routing = RoutingSettings(picker="six_choices")
             placement = PlacementSettings(placer="learned_cost")
             rates = EngineRates(RateSettings())
         self._health = HealthTable(routing)
--- a/pistachiowell/routing/pick.py
+++ b/pistachiowell/routing/pick.py
@@ -105,7 +105,10 @@
             owner = rendezvous(near, prefix)
             if self._keeps_prefix(owner, near, now):
                 return owner
-        pair = self._rng.sample(near, min(2, len(near)))
+        return self._least_loaded(near, now)
+
+    def _least_loaded(self, candidates, now):
+        pair = self._rng.sample(candidates, min(2, len(candidates)))
         return min(
             pair, key=lambda c: (c.is_cold, self._loads.load_per_slot(c.server, now))
         )
@@ -129,6 +132,28 @@
         return fits and self._has_room(owner, now)
 
 
+@PICKERS.add("six_choices")
+class SixChoicesPicker(TwoChoicesPicker):
+    """Picks the least loaded of six random candidates.
+
+    Load pattern: servers differ in speed, and some are slow for parts of a second. The
+    own requests at a slow server end later, so that their number shows it at once. That
+    is more of a difference than two candidates show. Herding needs loads that others
+    know too; without load reports each router sees its own requests only.
+    """
+
+    __slots__ = ()
+
+    CHOICES = 6
+
+    def _least_loaded(self, candidates, now):
+        chosen = self._rng.sample(candidates, min(self.CHOICES, len(candidates)))
+        # A cold server is left out as often as of two candidates, not more often.
+        if not all(c.is_cold for c in chosen[:2]):
+            chosen = [c for c in chosen if not c.is_cold]
+        return min(chosen, key=lambda c: self._loads.load_per_slot(c.server, now))
+
+
 def rendezvous(candidates, key):
     """Returns the candidate that ranks first for a key, the same in every process.
 
--- a/pistachiowell/routing/tests/test_health.py
+++ b/pistachiowell/routing/tests/test_health.py
@@ -93,3 +93,16 @@
     for _ in range(4):
         loads.record_sent(owner)
     assert picker.pick(candidates, "prefix", 0.0).server != owner
+
+
+@pytest.mark.parametrize("cold", [1, 7])
+def test_cold_servers_are_chosen_of_six_as_often_as_of_two(cold):
+    # Of six alone, cold servers would get nothing as long as one of them is warm.
+    candidates = [Candidate(f"s{n}", is_cold=n < cold) for n in range(8)]
+    shares = []
+    for name in ("two_choices", "six_choices"):
+        settings = RoutingSettings(picker=name)
+        picker = PICKERS.find(name)(settings, LoadTable(settings), Random(1))
+        picks = [picker.pick(candidates, "", 0.0) for _ in range(2000)]
+        shares.append(sum(c.is_cold for c in picks) / len(picks))
+    assert shares[0] == pytest.approx(shares[1], abs=0.05)
