Refuse prompts at once that no engine can begin before their deadline

Cause: when more prompts arrive than the engines process, each was sent and waited until its caller left.

Retries and requests without a deadline are sent as before. Metric requests.refused_late and a log line.

--- a/pistachiowell/bench/uneven_servers.py
+++ b/pistachiowell/bench/uneven_servers.py
@@ -10,6 +10,7 @@
 import heapq
 import json
 import math
+from collections import Counter
 from dataclasses import dataclass
 from itertools import count
 from random import Random
@@ -25,11 +26,14 @@
     EngineRequest,
     EngineRun,
     EngineTable,
+    LateRefusal,
+    LateSettings,
     PlacementSettings,
     RateSettings,
 )
 
 SEEDS = range(1, 9)
+SERVICE = "chat"
 GATEWAYS = 4
 ENGINES_A_CENTRE = 5
 LIMITS = EngineLimits(slots=64, kv_tokens=560_000, tokens_per_event=6)
@@ -53,12 +57,14 @@
         slow_factor: Time that the slowest engine needs, over that of the fastest.
         stalls: Whether engines stand still for parts of a second.
         waves: Whether demand moves between the data centres.
+        left_s: Range of the seconds for which callers wait; None if they do not leave.
     """
 
     requests_per_s: float = 80.0
     slow_factor: float = 1.0
     stalls: bool = False
     waves: bool = False
+    left_s: tuple | None = None
 
 
 SCENARIOS = {
@@ -69,6 +75,11 @@
     "all": Scenario(slow_factor=1.5, stalls=True, waves=True),
     "all, high load": Scenario(120.0, 1.5, stalls=True, waves=True),
 }
+OVERLOADS = {
+    "load 0.8": Scenario(120.0, 1.5, True, True, left_s=(0.4, 3.0)),
+    "load 1.3": Scenario(200.0, 1.5, True, True, left_s=(0.4, 3.0)),
+    "load 2": Scenario(300.0, 1.5, True, True, left_s=(0.4, 3.0)),
+}
 
 
 class _Engine:
@@ -81,8 +92,13 @@
         self.cached = {}
         self.read_again = 0
 
-    def add(self, request, now):
-        """Adds a request and returns the time of its first token."""
+    def add(self, request, now, deadline=math.inf):
+        """Adds a request and returns the time of its first token.
+
+        It is given up at its deadline, before its prompt is begun or while it is read.
+        """
+        if self.free_at >= deadline:
+            return math.inf
         uncached = request.prompt_tokens
         for key, tokens in request.shared_prefixes:
             if now - self.cached.get(key, -math.inf) > CACHE_S:
@@ -94,8 +110,14 @@
                 self.read_again += tokens
             self.cached[key] = now
         start = max(now, self.free_at)
-        self.free_at = self._after(start, uncached * self.factor / TOKENS_PER_S)
-        return self.free_at
+        end = self._after(start, uncached * self.factor / TOKENS_PER_S)
+        self.free_at = min(end, deadline)
+        return end if end <= deadline else math.inf
+
+    def soonest(self, request, now):
+        """Returns the time of the first token if all shared parts were cached."""
+        work_s = request.parts[-1][1] * self.factor / TOKENS_PER_S
+        return self._after(max(now, self.free_at), work_s)
 
     def _after(self, start, work_s):
         """Returns the end of some work, which stalls interrupt."""
@@ -113,9 +135,16 @@
         placer: Name of the policy in ``PLACERS``.
         scenario: The ``Scenario``.
         seed: Seed of everything that is drawn.
+        refuses: Whether requests that are late everywhere are refused.
     """
 
-    def __init__(self, placer, scenario, seed):
+    def __init__(self, placer, scenario, seed, *, refuses=False):
+        self._refuses = refuses
+        self._refusals = [
+            LateRefusal(LateSettings(), Random(seed + number))
+            for number in range(GATEWAYS)
+        ]
+        self._counts = Counter()
         self._scenario = scenario
         self._rng = Random(seed)
         names = [f"e{n}" for n in range(2 * ENGINES_A_CENTRE)]
@@ -149,7 +178,9 @@
 
         Returns:
             A mapping with the share of late first tokens, their times in seconds, and
-            the shared tokens that were read again, in thousands.
+            the shared tokens that were read again, in thousands. With callers that
+            leave, the numbers of requests that were served, refused, refused although
+            an engine could have served them, and given up.
         """
         now = 0.0
         while now < LENGTH_S:
@@ -162,6 +193,8 @@
         while self._events:
             now, _, action, arguments = heapq.heappop(self._events)
             action(now, *arguments)
+        if self._scenario.left_s is not None:
+            return dict(self._counts)
         waits_s = sorted(self.waits_s)
         late = sum(wait_s > OBJECTIVE_S for wait_s in waits_s)
         return {
@@ -211,19 +244,49 @@
         number = self._rng.randrange(GATEWAYS // 2) * 2 + centre
         overhead_s = self._rng.uniform(0.01, 0.04)
         decode_s = self._rng.uniform(0.5, 2.0)
+        left_s = math.inf
+        if self._scenario.left_s is not None:
+            left_s = self._rng.uniform(*self._scenario.left_s)
+        if self._is_refused(now, number, request, left_s):
+            return
         chosen, _ = self._placers[number].place(
             self._candidates[centre], request, LIMITS, now
         )
-        placed = self._tables[number].record_sent(
-            chosen.server, request, now, EngineRun("chat")
-        )
-        first_at = self._engines[chosen.server].add(request, now)
+        table = self._tables[number]
+        wait_s = table.expected_wait_s(chosen.server, SERVICE, request, now)
+        placed = table.record_sent(chosen.server, request, now, EngineRun(SERVICE))
+        first_at = self._engines[chosen.server].add(request, now, now + left_s)
+        if first_at == math.inf:
+            self._counts["given_up"] += 1
+            self._push(now + left_s, self._record_end, number, placed)
+            return
+        self._counts["served"] += 1
         first_at += overhead_s + 2 * TRANSIT_S * chosen.distance
         self.waits_s.append(first_at - now)
-        self._push(first_at, self._record_first_token, number, placed)
+        self._push(first_at, self._record_first_token, number, placed, wait_s)
         self._push(first_at + decode_s, self._record_end, number, placed)
 
-    def _record_first_token(self, now, number, placed):
+    def _is_refused(self, now, number, request, left_s):
+        if not self._refuses:
+            return False
+        table = self._tables[number]
+        waits_s = [
+            table.expected_wait_s(name, SERVICE, request, now) for name in self._engines
+        ]
+        retry_after_s = self._refusals[number].retry_after_s(
+            SERVICE, 0, waits_s, left_s, now
+        )
+        if retry_after_s is None:
+            return False
+        soonest = min(e.soonest(request, now) for e in self._engines.values())
+        self._counts["refused"] += 1
+        self._counts["refused_wrongly"] += soonest <= now + left_s
+        return True
+
+    def _record_first_token(self, now, number, placed, wait_s):
+        self._refusals[number].record_wait(
+            SERVICE, 0, now - placed.sent_at, wait_s, now
+        )
         self._tables[number].record_first_token(placed, now)
 
     def _record_end(self, now, number, placed):
@@ -256,6 +319,24 @@
     }
 
 
+def measure_refusals(scenario, seeds, *, refuses):
+    """Returns the numbers of requests by their ends over several draws.
+
+    Args:
+        scenario: Name of the ``Scenario`` in ``OVERLOADS``.
+        seeds: The seeds.
+        refuses: Whether requests that are late everywhere are refused.
+    """
+    total = Counter()
+    for seed in seeds:
+        total.update(
+            UnevenModel(
+                "learned_cost", OVERLOADS[scenario], seed, refuses=refuses
+            ).run()
+        )
+    return dict(total)
+
+
 def main(argv):
     """Simulates all policies and prints their figures as JSON."""
     del argv
@@ -264,7 +345,14 @@
         for name in SCENARIOS
         for placer in ("random", "least_cost", "learned_cost")
     }
-    print(json.dumps(figures, indent=1))
+    refusals = {
+        f"{name}: {'refused' if refuses else 'sent'}": measure_refusals(
+            name, SEEDS, refuses=refuses
+        )
+        for name in OVERLOADS
+        for refuses in (False, True)
+    }
+    print(json.dumps({"waits": figures, "refusals": refusals}, indent=1))
 
 
 if __name__ == "__main__":
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -14,6 +14,7 @@
 from pistachiowell.gateway.exchange import Exchange
 from pistachiowell.gateway.forwarding import AnswerForwarder, ServerErrorAnswer
 from pistachiowell.gateway.late_heads import LateHeads
+from pistachiowell.gateway.late_prompts import TooLate
 from pistachiowell.gateway.run import Run
 from pistachiowell.gateway.server_limits import NoRoom
 from pistachiowell.routing import SPLITTERS
@@ -123,6 +124,8 @@
                 await self._run_attempts(run, number, crashed_servers)
                 return
             except NoRoom as error:
+                if isinstance(error, TooLate):
+                    self._runtime.metrics.count("requests.refused_late")
                 raise self._final_error(run, error) from error
             except PistachiowellError as error:
                 run.service = self._choose_service(request)
--- /dev/null
+++ b/pistachiowell/gateway/late_prompts.py
@@ -0,0 +1,90 @@
+"""Refuses, at a gateway, prompts that no engine can begin before their deadline."""
+
+from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.server_limits import NoRoom
+from pistachiowell.routing import LateRefusal, LateSettings
+
+_log = part_logger("dispatch")
+
+
+class TooLate(NoRoom):
+    """No engine can begin the request in the time that it has left."""
+
+
+class LatePrompts:
+    """Compares the expected waits with the time that a request has left.
+
+    Requests that state no deadline are not refused.
+
+    Args:
+        settings: ``GatewaySettings``.
+        engines: The ``EngineTable``.
+        rng: A ``Random``.
+        now: Function that returns the monotonic time in seconds.
+    """
+
+    __slots__ = ("_engines", "_is_on", "_now", "_refusal")
+
+    def __init__(self, settings, engines, rng, now):
+        self._is_on = settings.uneven_servers and settings.refuses_late
+        self._engines = engines
+        self._now = now
+        self._refusal = LateRefusal(LateSettings(), rng)
+
+    def check(self, request, service_name, servers, work):
+        """Checks that an engine may begin a request in time.
+
+        Args:
+            request: The ``GatewayRequest``.
+            service_name: Name of the service.
+            servers: Each ``BackendServer`` that the request may go to.
+            work: The ``EngineRequest``.
+
+        Raises:
+            TooLate: None can.
+        """
+        if not self._is_on or request.head.wait_limit_s is None:
+            return
+        now = self._now()
+        waits_s = [self._wait_s(server, service_name, work, now) for server in servers]
+        left_s = request.deadline - now
+        retry_after_s = self._refusal.retry_after_s(
+            service_name, request.priority, waits_s, left_s, now
+        )
+        if retry_after_s is None:
+            return
+        _log.info(
+            "Request is refused, as no engine can begin it in time.",
+            request=request.id,
+            wait_s=round(min(waits_s), 3),
+            left_s=round(left_s, 3),
+            retry_after_s=round(retry_after_s, 3),
+        )
+        raise TooLate(
+            "No server can begin the request in the time that it has left.",
+            ran="no",
+            retry_after_s=retry_after_s,
+        )
+
+    def expected_wait_s(self, request, service_name, server, work):
+        """Returns what ``record_wait`` needs later; None if it needs nothing."""
+        if not self._is_on:
+            return None
+        wait_s = self._wait_s(server, service_name, work, self._now())
+        return service_name, request.priority, wait_s
+
+    def record_wait(self, expected, wait_s):
+        """Records how long a request has waited for its first token.
+
+        Args:
+            expected: What ``expected_wait_s`` has returned.
+            wait_s: The wait in seconds.
+        """
+        if expected is not None:
+            service_name, rank, expected_s = expected
+            self._refusal.record_wait(
+                service_name, rank, wait_s, expected_s, self._now()
+            )
+
+    def _wait_s(self, server, service_name, work, now):
+        return self._engines.expected_wait_s(server.id, service_name, work, now)
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -5,6 +5,7 @@
 from pistachiowell.core.errors import NoServer
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.exchange import NotConnected
+from pistachiowell.gateway.late_prompts import LatePrompts
 from pistachiowell.gateway.load_reports import decode_load
 from pistachiowell.routing import (
     NO_LOAD,
@@ -49,6 +50,7 @@
         placed: The ``PlacedRequest``; None at a server without an engine.
         expected_wait_s: Expected wait for the first token in seconds.
         fingerprint: Fingerprint of the request.
+        expected_queue: What ``LatePrompts.expected_wait_s`` returned; None otherwise.
         move_attempt: The ``MoveAttempt``; None if the service has no open move.
         now: Present time in seconds.
 
@@ -61,6 +63,7 @@
     """
 
     __slots__ = (
+        "_expected_queue",
         "_fingerprint",
         "_has_failed",
         "_is_success",
@@ -81,10 +84,12 @@
         placed,
         expected_wait_s,
         fingerprint,
+        expected_queue,
         move_attempt,
         now,
     ):
         self._selection = selection
+        self._expected_queue = expected_queue
         self._move_attempt = move_attempt
         self._fingerprint = fingerprint
         self._has_failed = False
@@ -123,6 +128,8 @@
             # An error is no token and shows nothing about the engine's speed.
             shown_at = now if self._is_success else None
             self._selection.record_first_token(self._placed, shown_at)
+            if self._is_success:
+                self._selection.late.record_wait(self._expected_queue, self.latency_s)
 
     def record_events(self, count):
         """Records that events of a stream have arrived."""
@@ -190,6 +197,7 @@
 
     Attributes:
         engines: Loads of the engines.
+        late: The ``LatePrompts``.
         now: Function that returns the monotonic time in seconds.
     """
 
@@ -210,6 +218,7 @@
         "_states",
         "_unreachable",
         "engines",
+        "late",
         "now",
     )
 
@@ -238,6 +247,7 @@
         self._slow_names = frozenset()
         self._cold_cost_s = placement.cold_cost_s
         self.engines = EngineTable(placement, rates)
+        self.late = LatePrompts(settings, self.engines, rng, now)
         self._placer = PLACERS.find(placement.placer)(placement, self.engines, rng)
 
     @property
@@ -306,7 +316,8 @@
 
         Raises:
             NoServer: The service has no server that accepts requests.
-            NoRoom: The limits of all its servers are reached.
+            NoRoom: The limits of all its servers are reached, or none of them can begin
+                the request in time.
         """
         now = self.now()
         allowed = self._allowed_servers(request, service_name, now)
@@ -330,6 +341,8 @@
             wait_s = self._cold_cost_s if picked.is_cold else 0.0
             return Choice(servers[picked.server], expected_wait_s=wait_s)
         work = _work(request.prompt)
+        if not tried:
+            self.late.check(request, service_name, allowed, work)
         picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
         return Choice(servers[picked.server], work, expected_wait_s)
 
@@ -414,7 +427,11 @@
             An ``Attempt``.
         """
         now, server, placed = self.now(), choice.server, None
+        expected_queue = None
         if choice.work is not None:
+            expected_queue = self.late.expected_wait_s(
+                request, service_name, server, choice.work
+            )
             is_cold = self._limits.is_cold(server)
             origin = EngineRun(service_name, server.started_ms, is_cold)
             placed = self.engines.record_sent(server.id, choice.work, now, origin)
@@ -429,6 +446,7 @@
             placed,
             choice.expected_wait_s,
             request.fingerprint,
+            expected_queue,
             move_attempt,
             now,
         )
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -26,6 +26,7 @@
     HedgeDenial,
     HedgeSettings,
 )
+from pistachiowell.routing.late_refusal import LateRefusal, LateSettings
 from pistachiowell.routing.load import LoadTable
 from pistachiowell.routing.pick import PICKERS, Candidate, rendezvous
 from pistachiowell.routing.placement import (
@@ -90,6 +91,8 @@
     "HealthTable",
     "HedgeDenial",
     "HedgeSettings",
+    "LateRefusal",
+    "LateSettings",
     "LoadSums",
     "NO_LOAD",
     "LoadTable",
--- a/pistachiowell/routing/placement.py
+++ b/pistachiowell/routing/placement.py
@@ -309,6 +309,24 @@
         if self.rates is not None:
             self.rates.record_gone(server)
 
+    def expected_wait_s(self, server, service, request, now):
+        """Returns the expected time to the first token if all shared parts are cached.
+
+        Args:
+            server: Id of the server.
+            service: Name of its service.
+            request: The ``EngineRequest``.
+            now: Present time in seconds.
+
+        Returns:
+            The time in seconds; 0 without ``rates``.
+        """
+        if self.rates is None:
+            return 0.0
+        own_tokens = request.parts[-1][1] if request.parts else request.prompt_tokens
+        tokens = self.load(server, now).reading_tokens + own_tokens
+        return self.rates.time_s(service, server, tokens, now)
+
     def slow_engines(self, now):
         """Returns the factors of the engines that are known to be slow, by their ids.
 
--- a/pistachiowell/routing/recent_times.py
+++ b/pistachiowell/routing/recent_times.py
@@ -44,6 +44,14 @@
         """Number of times that are counted."""
         return sum(self._new) + sum(self._old)
 
+    def recent_count(self, now):
+        """Returns the number of times that are counted, 0 once all are too old.
+
+        Args:
+            now: Present time in seconds.
+        """
+        return self.count if now - self._began_at < self._window_s else 0
+
     def record(self, time_s, now):
         """Records a time; both arguments are in seconds."""
         age_s = now - self._began_at
