--- a/pistachiowell/gateway/attempt.py
+++ b/pistachiowell/gateway/attempt.py
@@ -9,6 +9,7 @@
 VERSION_FAULTS = frozenset(
     {"server_failed", "answer_broken", "deadline_exceeded", "overloaded"}
 )
+ERROR_STATUS = 400
 SERVER_ERROR_STATUS = 500
 
 
@@ -21,6 +22,7 @@
         placed: The ``PlacedRequest``; None at a server without an engine.
         expected_wait_s: Expected wait for the first token in seconds.
         fingerprint: Fingerprint of the request.
+        expected_queue: What ``LatePrompts.expected_wait_s`` returned; None otherwise.
         move_attempt: The ``MoveAttempt``; None if the service has no open move.
         now: Present time in seconds.
 
@@ -33,8 +35,10 @@
     """
 
     __slots__ = (
+        "_expected_queue",
         "_fingerprint",
         "_has_failed",
+        "_is_success",
         "_move_attempt",
         "_placed",
         "_selection",
@@ -52,13 +56,16 @@
         placed,
         expected_wait_s,
         fingerprint,
+        expected_queue,
         move_attempt,
         now,
     ):
         self._selection = selection
+        self._expected_queue = expected_queue
         self._move_attempt = move_attempt
         self._fingerprint = fingerprint
         self._has_failed = False
+        self._is_success = False
         self._placed = placed
         self.started_at = now
         self.server = server
@@ -79,6 +86,7 @@
         """
         self.has_answered = True
         self._has_failed = status >= SERVER_ERROR_STATUS
+        self._is_success = status < ERROR_STATUS
 
     def record_first_byte(self):
         """Records the arrival of the first part of the answer; ignores later parts."""
@@ -89,7 +97,11 @@
         if self._move_attempt is not None:
             self._move_attempt.record_first_part(now)
         if self._placed is not None:
-            self._selection.engines.record_first_token(self._placed)
+            # An error is no token and shows nothing about the engine's speed.
+            shown_at = now if self._is_success else None
+            self._selection.record_first_token(self._placed, shown_at)
+            if self._is_success:
+                self._selection.late.record_wait(self._expected_queue, self.latency_s)
 
     def record_events(self, count):
         """Records that events of a stream have arrived."""
--- a/pistachiowell/gateway/expected_choice.py
+++ b/pistachiowell/gateway/expected_choice.py
@@ -32,6 +32,8 @@
         versions: Share of the attempts by version.
         refusals: Pairs of the probability and of the servers that are allowed and have
             no room; none of them means that no server is allowed.
+        late_refusals: Pairs of the probability and of the range of the delay in
+            seconds, where no engine can begin the request in time.
     """
 
     odds: dict = field(default_factory=dict)
@@ -40,6 +42,7 @@
     servers: dict = field(default_factory=dict)
     versions: dict = field(default_factory=dict)
     refusals: list = field(default_factory=list)
+    late_refusals: list = field(default_factory=list)
 
 
 class ChoiceForecast:
@@ -77,12 +80,25 @@
             (1.0 - versions.new_share, versions.old),
             (versions.new_share, versions.new),
         ):
-            if share:
-                self._add_part(
-                    expected, share, servers, request, crashed_servers, priority, now
-                )
+            if not share or self._is_late(
+                expected, share, servers, request, service_name
+            ):
+                continue
+            self._add_part(
+                expected, share, servers, request, crashed_servers, priority, now
+            )
         return expected
 
+    def _is_late(self, expected, share, servers, request, service_name):
+        """Returns whether no engine can begin the request in time, and records it."""
+        if request.service.engine is None or request.prompt is None:
+            return False
+        work = engine_request(request.prompt)
+        range_s = self._parts.late.retry_range_s(request, service_name, servers, work)
+        if range_s is not None:
+            expected.late_refusals.append((share, range_s))
+        return range_s is not None
+
     def _accepting(self, expected, request, service_name, now):
         """Returns the servers that nothing has closed for good."""
         parts = self._parts
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -1,7 +1,9 @@
 """Selection of the backend server for each attempt of a request."""
 
+from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.attempt import Attempt, Choice
 from pistachiowell.gateway.exchange import NotConnected
+from pistachiowell.gateway.late_prompts import LatePrompts
 from pistachiowell.gateway.load_reports import decode_load
 from pistachiowell.gateway.server_filters import (
     SelectionParts,
@@ -12,11 +14,14 @@
     NO_LOAD,
     PICKERS,
     PLACERS,
+    EngineRates,
     EngineRequest,
+    EngineRun,
     EngineTable,
     HealthTable,
     LoadTable,
     PlacementSettings,
+    RateSettings,
     RoutingSettings,
     UnreachableServers,
     UnreachableSettings,
@@ -26,6 +31,9 @@
 # Codes of errors that count against the health of a server.
 HEALTH_FAULTS = frozenset({"server_failed", "answer_broken"})
 EXPECTED_OUTPUT_SHARE = 0.4
+SLOW_CHECK_INTERVAL_S = 1.0
+
+_log = part_logger("dispatch")
 
 
 class Selection:
@@ -44,6 +52,7 @@
 
     Attributes:
         engines: Loads of the engines.
+        late: The ``LatePrompts``.
         now: Function that returns the monotonic time in seconds.
     """
 
@@ -57,8 +66,11 @@
         "_picker",
         "_placer",
         "_servers",
+        "_slow_checked_at",
+        "_slow_names",
         "_unreachable",
         "engines",
+        "late",
         "now",
     )
 
@@ -69,13 +81,20 @@
         self._moves = moves
         self.now = now
         routing = RoutingSettings()
-        placement = PlacementSettings()
+        placement, rates = PlacementSettings(), None
+        if settings.uneven_servers:
+            routing = RoutingSettings(picker="six_choices")
+            placement = PlacementSettings(placer="learned_cost")
+            rates = EngineRates(RateSettings())
         self._health = HealthTable(routing)
         self._loads = LoadTable(routing)
         self._unreachable = UnreachableServers(UnreachableSettings())
         self._picker = PICKERS.find(routing.picker)(routing, self._loads, rng)
+        self._slow_checked_at = float("-inf")
+        self._slow_names = frozenset()
         self._cold_cost_s = placement.cold_cost_s
-        self.engines = EngineTable(placement)
+        self.engines = EngineTable(placement, rates)
+        self.late = LatePrompts(settings, self.engines, rng, now)
         self._placer = PLACERS.find(placement.placer)(placement, self.engines, rng)
         self._parts = SelectionParts(
             servers,
@@ -91,6 +110,7 @@
             self.engines,
             self._picker,
             self._placer,
+            self.late,
         )
         self._filters = ServerFilters(self._parts)
 
@@ -104,6 +124,29 @@
         """Number of servers that are avoided because they refused a connection."""
         return self._unreachable.count(self.now())
 
+    @property
+    def slow_servers(self):
+        """Number of engines that are known to be slower than the others."""
+        return len(self.engines.slow_engines(self.now()))
+
+    def record_first_token(self, placed, shown_at):
+        """Records the first part of an answer of an engine.
+
+        Args:
+            placed: The ``PlacedRequest``.
+            shown_at: Present time in seconds; None if it shows nothing.
+        """
+        self.engines.record_first_token(placed, shown_at)
+        now = self.now()
+        if now < self._slow_checked_at + SLOW_CHECK_INTERVAL_S:
+            return
+        self._slow_checked_at = now
+        slow = self.engines.slow_engines(now)
+        if slow.keys() != self._slow_names:
+            self._slow_names = slow.keys()
+            factors = {name: round(factor, 2) for name, factor in slow.items()}
+            _log.info("The engines known to be slow have changed.", factors=factors)
+
     def failures(self, server_id):
         """Returns the failures of a server that count against its health."""
         return self._health.failures(server_id)
@@ -140,7 +183,8 @@
 
         Raises:
             NoServer: The service has no server that accepts requests.
-            NoRoom: The limits of all its servers are reached.
+            NoRoom: The limits of all its servers are reached, or none of them can begin
+                the request in time.
         """
         now, filters = self.now(), self._filters
         allowed = filters.allowed(request, service_name, now)
@@ -161,6 +205,8 @@
             wait_s = self._cold_cost_s if picked.is_cold else 0.0
             return Choice(servers[picked.server], expected_wait_s=wait_s)
         work = engine_request(request.prompt)
+        if not tried:
+            self.late.check(request, service_name, allowed, work)
         picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
         return Choice(servers[picked.server], work, expected_wait_s)
 
@@ -213,8 +259,14 @@
             An ``Attempt``.
         """
         now, server, placed = self.now(), choice.server, None
+        expected_queue = None
         if choice.work is not None:
-            placed = self.engines.record_sent(server.id, choice.work, now)
+            expected_queue = self.late.expected_wait_s(
+                request, service_name, server, choice.work
+            )
+            is_cold = self._parts.limits.is_cold(server)
+            origin = EngineRun(service_name, server.started_ms, is_cold)
+            placed = self.engines.record_sent(server.id, choice.work, now, origin)
         self._loads.set_slots(server.id, server.slots)
         self._loads.record_sent(server.id)
         self._health.record_start(server.id, now)
@@ -226,6 +278,7 @@
             placed,
             choice.expected_wait_s,
             request.fingerprint,
+            expected_queue,
             move_attempt,
             now,
         )
--- a/pistachiowell/gateway/server_filters.py
+++ b/pistachiowell/gateway/server_filters.py
@@ -33,6 +33,7 @@
         engines: The ``EngineTable``.
         picker: The ``Picker``.
         placer: The ``Placer``.
+        late: The ``LatePrompts``.
     """
 
     servers: object
@@ -48,6 +49,7 @@
     engines: object
     picker: object
     placer: object
+    late: object
 
 
 class ServerFilters:
--- a/pistachiowell/gateway/where.py
+++ b/pistachiowell/gateway/where.py
@@ -17,6 +17,7 @@
     Unauthorized,
 )
 from pistachiowell.gateway.expected_choice import ChoiceForecast
+from pistachiowell.gateway.late_prompts import TOO_LATE_TEXT
 from pistachiowell.gateway.messages import (
     GatewayRequest,
     Prompt,
@@ -240,6 +241,8 @@
                 error = self._filters.no_server(request, name, self._runtime.now())
                 range_s = None
             findings.refuse(error, range_s, probability * share)
+        for share, range_s in expected.late_refusals:
+            findings.refuse(Overloaded(TOO_LATE_TEXT), range_s, probability * share)
 
     def _versions(self, service, expected):
         counts = Counter(server.version for server in expected.servers.values())
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -19,12 +19,14 @@
     CrashSettings,
 )
 from pistachiowell.routing.credits import CREDIT_POOLS, AbortStream, CreditSettings
+from pistachiowell.routing.engine_rates import EngineRates, RateSettings
 from pistachiowell.routing.health import HealthTable
 from pistachiowell.routing.hedging import (
     HEDGE_POLICIES,
     HedgeDenial,
     HedgeSettings,
 )
+from pistachiowell.routing.late_refusal import LateRefusal, LateSettings
 from pistachiowell.routing.load import LoadTable
 from pistachiowell.routing.pick import PICKERS, Candidate, even_odds, rendezvous
 from pistachiowell.routing.placement import (
@@ -32,6 +34,7 @@
     PLACERS,
     EngineLoad,
     EngineRequest,
+    EngineRun,
     EngineTable,
     PlacedRequest,
     PlacementSettings,
@@ -65,6 +68,7 @@
     "PLACERS",
     "REPORT_PACERS",
     "RETRIES",
+    "RateSettings",
     "SILENCE_DETECTORS",
     "SPLITTERS",
     "AbortStream",
@@ -78,13 +82,17 @@
     "CreditSettings",
     "Deliver",
     "EngineLoad",
+    "EngineRates",
     "EngineRequest",
+    "EngineRun",
     "EngineTable",
     "FingerprintStatus",
     "Finished",
     "HealthTable",
     "HedgeDenial",
     "HedgeSettings",
+    "LateRefusal",
+    "LateSettings",
     "LoadSums",
     "NO_LOAD",
     "LoadTable",
--- a/pistachiowell/routing/pick.py
+++ b/pistachiowell/routing/pick.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from math import comb
 
 from pistachiowell.core.ids import stable_hash
 from pistachiowell.core.registry import Registry
@@ -129,31 +130,28 @@
             owner = rendezvous(near, prefix)
             if self._keeps_prefix(owner, near, now):
                 return owner
-        pair = self._rng.sample(near, min(2, len(near)))
-        return min(pair, key=lambda c: self._order(c, now))
+        return self._draw(near, now)
 
     def odds(self, candidates, prefix, now):
-        """Returns the share of the pairs in which each candidate comes first."""
+        """Returns the probability of each candidate; see ``Picker.odds``."""
         near = self._near(candidates, now)
         owner = rendezvous(near, prefix) if prefix else None
         if owner is not None and self._keeps_prefix(owner, near, now):
             return {owner.server: 1.0}
-        if len(near) == 1:
-            return {near[0].server: 1.0}
-        orders = {c.server: self._order(c, now) for c in near}
-        counts = Counter(orders.values())
-        beaten, passed = {}, 0
-        for order in sorted(counts, reverse=True):
-            # Of two equal candidates each comes first in half of their pairs.
-            beaten[order] = passed + (counts[order] - 1) / 2
-            passed += counts[order]
-        pairs = len(near) * (len(near) - 1) / 2
-        odds = {name: beaten[order] / pairs for name, order in orders.items()}
+        odds = self._draw_odds(near, now)
         return {name: share for name, share in odds.items() if share}
 
-    def _order(self, candidate, now):
-        load = self._loads.load_per_slot(candidate.server, now)
-        return candidate.is_cold, load
+    def _draw(self, near, now):
+        """Returns the less loaded of two random candidates, a warm one if there is."""
+        pair = self._rng.sample(near, min(2, len(near)))
+        return min(pair, key=lambda c: (c.is_cold, self._load(c, now)))
+
+    def _draw_odds(self, near, now):
+        orders = {c.server: (c.is_cold, self._load(c, now)) for c in near}
+        return first_odds(orders, 2)
+
+    def _load(self, candidate, now):
+        return self._loads.load_per_slot(candidate.server, now)
 
     def _near(self, candidates, now):
         for distance in sorted({c.distance for c in candidates}):
@@ -174,6 +172,65 @@
         return fits and self._has_room(owner, now)
 
 
+@PICKERS.add("six_choices")
+class SixChoicesPicker(TwoChoicesPicker):
+    """Picks the least loaded of six random candidates.
+
+    Load pattern: servers differ in speed, and some are slow for parts of a second. The
+    own requests at a slow server end later, so that their number shows it at once. That
+    is more of a difference than two candidates show. Herding needs loads that others
+    know too; without load reports each router sees its own requests only.
+    """
+
+    __slots__ = ()
+
+    CHOICES = 6
+
+    def _draw(self, near, now):
+        # Two random candidates decide whether a cold server is chosen, as in
+        # ``two_choices``. Of six, one warm server would get nearly all requests.
+        pair = self._rng.sample(near, min(2, len(near)))
+        is_cold = all(c.is_cold for c in pair)
+        group = [c for c in near if c.is_cold == is_cold]
+        chosen = self._rng.sample(group, min(self.CHOICES, len(group)))
+        return min(chosen, key=lambda c: self._load(c, now))
+
+    def _draw_odds(self, near, now):
+        warm = {c.server: self._load(c, now) for c in near if not c.is_cold}
+        cold = {c.server: self._load(c, now) for c in near if c.is_cold}
+        drawn = min(2, len(near))
+        cold_share = comb(len(cold), drawn) / comb(len(near), drawn)
+        odds = {}
+        for loads, share in ((warm, 1.0 - cold_share), (cold, cold_share)):
+            firsts = first_odds(loads, self.CHOICES)
+            odds.update({name: share * first for name, first in firsts.items()})
+        return odds
+
+
+def first_odds(orders, drawn):
+    """Returns the probability of each candidate to come first in a random draw.
+
+    Args:
+        orders: Mapping of the candidate's name to what is compared; the least is first.
+        drawn: Number of the candidates that are drawn; all if there are fewer.
+
+    Examples:
+        >>> first_odds({"a": 1, "b": 2, "c": 3}, 2) == {"a": 2 / 3, "b": 1 / 3, "c": 0}
+        True
+    """
+    if not orders:
+        return {}
+    counts = Counter(orders.values())
+    drawn = min(drawn, len(orders))
+    shares, worse = {}, 0
+    for order in sorted(counts, reverse=True):
+        # Equal candidates come first equally often.
+        draws = comb(worse + counts[order], drawn) - comb(worse, drawn)
+        shares[order] = draws / comb(len(orders), drawn) / counts[order]
+        worse += counts[order]
+    return {name: shares[order] for name, order in orders.items()}
+
+
 def even_odds(names):
     """Returns the same probability for each of some names.
 
