Trace refusals of a young account in a silent store to its measured rate

test_account_with_much_left_is_refused_while_the_store_is_silent failed in busy runs with 503 budget_unreachable in the last second of 9 s of silence. Not the writes of a late loop are the cause, which was suspected: each took less than 20 ms in the runs logged.

A grant is refilled at half of 24 s of use, at the rate that a mean over 5 s measures. An account that began 6 s ago is measured at 70 % of its rate, so what is left lasts 8.4 s or more, depending on when the grant last grew. Logged: it grew last after 7,800 tokens to 35,200, and was used up; after 9,000 to 9,400 tokens to 39,000 to 40,500, it lasted.

The test now runs with both ages. The promise now names the age.

--- a/pistachiowell/platform/tests/test_money.py
+++ b/pistachiowell/platform/tests/test_money.py
@@ -129,7 +129,12 @@
     assert {status for status, _, _ in answers} <= {200, 503}
 
 
-async def test_account_with_much_left_is_refused_while_the_store_is_silent(budget_rig):
+# The rate of use is averaged over 5 s, so it is known after 15 s. An account that began
+# 6 s ago is taken to use 70 % of its rate.
+@pytest.mark.parametrize("used_for_s", [6.0, 15.0])
+async def test_account_with_much_left_is_refused_while_the_store_is_silent(
+    budget_rig, used_for_s
+):
     answers = []
 
     async def send():
@@ -145,7 +150,7 @@
     async with budget_rig(budget_horizon_s=6.0) as rig:
         rig.store.put("config", "main", configuration(3, prepaid=10_000_000))
         await rig.until_revision(rig.gateways[0].state, 3)
-        await send_for(6.0)
+        await send_for(used_for_s)
         answers.clear()
         rig.store.mode = "silent"
         await send_for(9.0)
