Let callers of tests leave after what they leave, not after a time

Four tests gave a request up 0.2 or 0.3 s after its caller had started.

- test_caller_who_leaves_ends_the_work_at_the_server: leaves once the server has the request.
- test_caller_that_leaves_leaves_both_servers_at_work: leaves once both servers have it.
- test_given_up_request_still_reaches_its_server and the heads without end: the time runs from the open connection.
The latter did not fail on a late loop, but gave up requests that had never been sent, and so measured less.

What they check is unchanged.

--- a/pistachiowell/gateway/tests/test_abandoned_requests.py
+++ b/pistachiowell/gateway/tests/test_abandoned_requests.py
@@ -38,8 +38,10 @@
     port = slow_server.getsockname()[1]
     connection = ServerConnection("127.0.0.1", port)
     headers = [(b"Host", b"desk"), (b"Content-Length", b"%d" % BODY_BYTES)]
-    with anyio.move_on_after(0.3):
+    with anyio.CancelScope() as caller:
         await connection.open()
+        # Not before: a late loop would give up a request that was never sent.
+        caller.deadline = anyio.current_time() + 0.3
         await connection.request("POST", b"/x", headers, b"x" * BODY_BYTES)
     await connection.aclose()
     accepted, _ = slow_server.accept()
--- a/pistachiowell/gateway/tests/test_heads_without_end.py
+++ b/pistachiowell/gateway/tests/test_heads_without_end.py
@@ -70,8 +70,10 @@
     connection.on_given_up = lambda stream: late_heads.take(
         SimpleNamespace(id="s1"), "request-1", stream
     )
-    with anyio.move_on_after(GIVEN_UP_AFTER_S):
+    with anyio.CancelScope() as caller:
         await connection.open()
+        # Not before: a late loop would give up a request that was never sent.
+        caller.deadline = anyio.current_time() + GIVEN_UP_AFTER_S
         await connection.request("GET", b"/", [(b"Host", b"desk")], b"")
     await connection.aclose()
 
--- a/pistachiowell/platform/tests/test_gateway.py
+++ b/pistachiowell/platform/tests/test_gateway.py
@@ -363,9 +363,10 @@
 
 
 async def test_caller_who_leaves_ends_the_work_at_the_server(small_rig):
-    disconnected = anyio.Event()
+    arrived, disconnected = anyio.Event(), anyio.Event()
 
     async def wait_for_disconnect(request, stream):
+        arrived.set()
         try:
             await stream.receive()
         except anyio.EndOfStream:
@@ -373,8 +374,11 @@
         return False
 
     async with small_rig(desk=wait_for_disconnect) as rig:
-        with anyio.move_on_after(0.2):
-            await rig.send("/read/a")
+        async with anyio.create_task_group() as caller:
+            caller.start_soon(rig.send, "/read/a")
+            # Not before: a late loop would leave a request that was never sent.
+            await arrived.wait()
+            caller.cancel_scope.cancel()
         with anyio.fail_after(1.0):
             await disconnected.wait()
 
--- a/pistachiowell/platform/tests/test_hedges.py
+++ b/pistachiowell/platform/tests/test_hedges.py
@@ -197,8 +197,11 @@
 
 async def test_caller_that_leaves_leaves_both_servers_at_work(hedged_rig):
     async with hedged_rig(wait_for_end, wait_for_end) as (rig, arrivals):
-        with anyio.move_on_after(SLOW_S):
-            await rig.send("/read/a")
+        async with anyio.create_task_group() as caller:
+            caller.start_soon(rig.send, "/read/a")
+            # Not before: a late loop would leave a request that was not hedged yet.
+            await rig.until(lambda: len(arrivals) == 2)
+            caller.cancel_scope.cancel()
         await rig.until(
             lambda: [hasattr(r, "ended_at") for _, r in arrivals] == [True, True]
         )
