Ask owners whose first report is older than the store's first answer

An agent follows the store from its first link on. If it is idle then, its first report goes out at once and says that the store does not answer, before the store could. Logged: both agents reported so, and agent-2 had its configuration 20 ms before the chat and its next report 5 ms after it; two chats were refused without asking it.

An agent counts as cut off from the store only if it has had a configuration, which it reports already. One that starts while the store is away is asked and finds that out itself.

--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -49,6 +49,7 @@
 
     __slots__ = (
         "_catalog_watcher",
+        "_cut_from_store",
         "_fleet",
         "_follows_evacuations",
         "_follows_store",
@@ -73,6 +74,7 @@
         self._selection = selection
         self._follows_evacuations = {}
         self._follows_store = {}
+        self._cut_from_store = {}
         self._gateways = {}
         self.on_servers_digest = lambda agent, digest: None
         self.on_evacuations = lambda agent, report: None
@@ -90,6 +92,10 @@
             return
         name = peer.record.id
         self._follows_store[name] = message.follows_store
+        # An agent follows the store from its first link on, so its first report may be
+        # older than the first answer of the store.
+        has_followed = message.catalog_revision > 0
+        self._cut_from_store[name] = has_followed and not message.follows_store
         self._gateways[name] = message.gateways
         self._follows_evacuations[name] = message.follows_evacuations
         self.on_servers_digest(name, message.servers_digest)
@@ -101,11 +107,12 @@
             self._wake.set()
 
     def is_cut_from_store(self, name):
-        """Returns whether an agent's last report says that the store is silent.
+        """Returns whether an agent's last report says that it lost the store.
 
-        An agent that has not reported yet is not taken for one that is cut off.
+        An agent that has not reported yet, or has had no configuration yet, is not
+        taken for one that is cut off.
         """
-        return not self._follows_store.get(name, True)
+        return self._cut_from_store.get(name, False)
 
     def has_enough_agents(self):
         """Returns whether enough agents follow the store's configuration."""
