Split the page and the link modules by job, and remove copies

Five places decided whether a server is chosen by expected wait, and PeerRooms had each step of a choice twice, once for the forecast.

Change: where_request.py and where_summary.py, and link_share.py, hold the split parts. engine_request() decides for a GatewayRequest, and PeerRooms shares its token bucket and its reachable peers with the forecast. LinkSettings names its loads high_load, low_load, max_load and min_admitted_load, and SelectionParts is filled by name.

Result: no change of behaviour; the tests of admission, relay, late prompts, hedge choice, full links and where pass.

--- a/pistachiowell/admission/__init__.py
+++ b/pistachiowell/admission/__init__.py
@@ -10,7 +10,8 @@
 )
 from pistachiowell.admission.gateway_load import GatewayLoadSettings, LoadMeter
 from pistachiowell.admission.limits import LIMITS
-from pistachiowell.admission.link_load import LinkMeter, LinkSettings, LinkShare
+from pistachiowell.admission.link_load import LinkMeter, LinkSettings
+from pistachiowell.admission.link_share import LinkShare
 from pistachiowell.admission.overload import OVERLOAD_POLICIES, OverloadSettings
 from pistachiowell.admission.peer_rooms import PeerRooms, PeerRoomSettings, room_shares
 from pistachiowell.admission.queue import AdmissionQueue
--- a/pistachiowell/admission/link_load.py
+++ b/pistachiowell/admission/link_load.py
@@ -1,4 +1,4 @@
-"""Load of a VM's network link by its callers, and the requests to refuse for it.
+"""Load of a VM's network link by its callers.
 
 Load pattern: a VM of 0.27 to 0.39 cores has a link of 5 or 10 Mbit/s, which is full at
 some 100 requests a second while the event loop is on time. Relaying a connection takes
@@ -15,8 +15,6 @@
 from pistachiowell.admission.overload import EventRate
 
 BYTES_PER_S_PER_MBPS = 125_000
-# Longest time between two samples that counts as such.
-MAX_STEP_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,33 +25,36 @@
         load_window_s: Time constant of the measured load in seconds.
         rate_window_s: Time constant of the rate of all requests in seconds. It is
             short, so that the end of a burst is seen soon.
-        spread_window_s: Time constant of the rates of the admitted and of the refused
-            requests, over which their bytes are taken to be spread.
-        size_window_s: Time constant of the mean bytes of a request.
-        surplus_window_s: Time constant of the bytes of large answers beyond
+        spread_window_s: Time constant in seconds of the rates of the admitted and of
+            the refused requests, over which their bytes are taken to be spread.
+        size_window_s: Time constant in seconds of the mean bytes of a request.
+        surplus_window_s: Time constant in seconds of the bytes of large answers beyond
             ``max_request_s``. With 5 s, a single answer of 4 MB counts for more than
             the whole link of 5 Mbit/s.
-        max_request_s: Seconds of the link that a request counts for in the mean.
+        max_request_s: Seconds of the link that a request counts for at most in the
+            mean.
         request_bytes: Bytes that a request is assumed to take: 45 events of 90 bytes
             and two heads.
         assumed_requests: Number of requests that the assumption counts for.
         refusal_bytes: Bytes of a refused request and its refusal.
-        full_load: Load up to which a gateway has room.
-        near_load: Load from which the link is near its limit; it is also what is kept
-            while others have room.
-        far_load: Load below which it no longer is.
-        kept_load: Load that is kept while others have none.
-        begin_s: Seconds for which what comes has to exceed ``kept_load`` before
-            anything is refused; what is below it takes as many off again. A burst of
-            0.5 s at 2.8 times the link reaches 0.75.
-        max_backlog_s: Largest excess in seconds of the link that is remembered.
-        drain_s: Time in seconds over which it is to be sent.
-        min_kept_load: Load that is admitted at least meanwhile.
+        full_load: Load up to which a gateway has room for requests from others.
+        high_load: Load from which the link is near its limit, so that nothing is
+            relayed. While others have room, refusals keep the load here.
+        low_load: Load below which the link is no longer near its limit; it is lower
+            than ``high_load``, so that relaying does not go on and off.
+        max_load: Load that refusals keep while others have no room.
+        begin_s: Seconds for which the offered load has to exceed ``max_load`` before
+            anything is refused; times below it are subtracted. A burst of 0.5 s at 2.8
+            times the link reaches 0.75.
+        max_backlog_s: Most of the excess that is remembered, in seconds of the link.
+        backlog_window_s: Time in seconds over which this excess is to be sent.
+        min_admitted_load: Load that is admitted at least meanwhile.
         end_s: Seconds without a refusal after which refusals have ended.
         max_refused: Largest share of the requests that is refused.
         room_gain_per_s: Part of the others' room that is used more in each second.
-            Their room is known 0.5 to 1.5 s late, so that more would swing.
-        room_decay_per_s: Part of what they are given that is taken back in each second.
+            Their room is known 0.5 to 1.5 s late, so that more would oscillate.
+        room_decay_per_s: Part of what others are given that is taken back in each
+            second.
     """
 
     load_window_s: float = 0.4
@@ -66,13 +67,13 @@
     assumed_requests: float = 15.0
     refusal_bytes: float = 1000.0
     full_load: float = 0.7
-    near_load: float = 0.85
-    far_load: float = 0.75
-    kept_load: float = 0.95
+    high_load: float = 0.85
+    low_load: float = 0.75
+    max_load: float = 0.95
     begin_s: float = 0.8
     max_backlog_s: float = 1.0
-    drain_s: float = 1.0
-    min_kept_load: float = 0.3
+    backlog_window_s: float = 1.0
+    min_admitted_load: float = 0.3
     end_s: float = 1.0
     max_refused: float = 0.95
     room_gain_per_s: float = 0.5
@@ -234,119 +235,3 @@
         saved = max(refusal, self._size.mean - refusal)
         served = max(0.0, free - offered * refusal) / saved
         return max(0.0, offered - served)
-
-
-class LinkShare:
-    """Controls the share of the requests that is refused for the link.
-
-    Refusals begin when what comes has exceeded the link for a while, and the excess so
-    far is sent over some seconds (a virtual queue). While others have room,
-    more is refused than exceeds the link, as much as they take.
-
-    Args:
-        settings: ``LinkSettings``.
-        meter: The ``LinkMeter``.
-
-    References:
-        S. Kunniyur and R. Srikant, Analysis and design of an adaptive virtual queue
-        (AVQ) algorithm for active queue management, SIGCOMM 2001.
-    """
-
-    __slots__ = (
-        "_at",
-        "_backlog_s",
-        "_elsewhere_per_s",
-        "_excess_per_s",
-        "_has_peer_room",
-        "_is_near",
-        "_is_refusing",
-        "_meter",
-        "_over_s",
-        "_refused_at",
-        "_refused_share",
-        "_settings",
-    )
-
-    def __init__(self, settings, meter):
-        self._settings = settings
-        self._meter = meter
-        self._at = None
-        self._backlog_s = 0.0
-        self._elsewhere_per_s = 0.0
-        self._excess_per_s = 0.0
-        self._has_peer_room = False
-        self._is_near = False
-        self._is_refusing = False
-        self._over_s = 0.0
-        self._refused_at = 0.0
-        self._refused_share = 0.0
-
-    @property
-    def is_near_limit(self):
-        """Whether the link is so near its limit that nothing is relayed."""
-        return self._is_near or self._is_refusing
-
-    @property
-    def is_refusing(self):
-        """Whether requests are refused for the link, also if none is at this moment."""
-        return self._is_refusing
-
-    @property
-    def refused_share(self):
-        """Share of the requests that is refused for the link at present."""
-        return self._refused_share
-
-    @property
-    def excess_per_s(self):
-        """Requests a second that would better be served by others."""
-        return self._excess_per_s
-
-    @property
-    def has_peer_room(self):
-        """Whether others can take all that is refused for the link."""
-        return self._has_peer_room
-
-    def record(self, peer_room_per_s, now):
-        """Records the room of others beside the present, and adjusts the share."""
-        at, self._at = self._at, now
-        if at is None:
-            return
-        settings, passed_s = self._settings, min(MAX_STEP_S, max(0.0, now - at))
-        expected = self._meter.expected_load(now)
-        load = max(expected, self._meter.load)
-        limit = settings.far_load if self._is_near else settings.near_load
-        self._is_near = load >= limit
-        backlog_s = self._backlog_s + (expected - settings.kept_load) * passed_s
-        self._backlog_s = min(settings.max_backlog_s, max(0.0, backlog_s))
-        is_over = self._meter.offered_load(now) > settings.kept_load
-        over_s = self._over_s + (passed_s if is_over else -passed_s)
-        self._over_s = min(settings.begin_s, max(0.0, over_s))
-        if not self._is_refusing and self._over_s >= settings.begin_s:
-            self._is_refusing, self._refused_at = True, now
-        if self._is_refusing:
-            self._adjust(peer_room_per_s, passed_s, now)
-
-    def _adjust(self, peer_room_per_s, passed_s, now):
-        settings, meter = self._settings, self._meter
-        kept = settings.kept_load - self._backlog_s / settings.drain_s
-        needed = meter.excess_per_s(max(settings.min_kept_load, kept), now)
-        wanted = max(needed, meter.excess_per_s(settings.near_load, now))
-        self._excess_per_s = wanted
-        elsewhere = self._elsewhere_per_s
-        change = settings.room_gain_per_s * peer_room_per_s
-        change -= settings.room_decay_per_s * elsewhere
-        self._elsewhere_per_s = min(wanted, max(0.0, elsewhere + change * passed_s))
-        refused = max(needed, self._elsewhere_per_s)
-        offered = meter.offered_per_s(now)
-        share = refused / offered if offered else 0.0
-        self._refused_share = min(settings.max_refused, share)
-        self._has_peer_room = refused <= self._elsewhere_per_s + peer_room_per_s
-        if self._refused_share:
-            self._refused_at = now
-        elif now - self._refused_at > settings.end_s:
-            self._end()
-
-    def _end(self):
-        self._over_s = 0.0
-        self._is_refusing = self._has_peer_room = False
-        self._elsewhere_per_s = self._excess_per_s = 0.0
--- a/pistachiowell/admission/peer_rooms.py
+++ b/pistachiowell/admission/peer_rooms.py
@@ -65,17 +65,18 @@
 
     def has_room(self, now, burst_s):
         """Returns whether it takes one more connection at present."""
-        passed_s = max(0.0, now - self._saved_at)
+        self._saved = self._tokens(now, burst_s)
         self._saved_at = max(now, self._saved_at)
-        most = max(1.0, self.room_per_s * burst_s)
-        self._saved = min(most, self._saved + self.room_per_s * passed_s)
         return self._saved >= 1.0
 
     def would_have_room(self, now, burst_s):
         """Returns what ``has_room`` would, and saves nothing."""
+        return self._tokens(now, burst_s) >= 1.0
+
+    def _tokens(self, now, burst_s):
         passed_s = max(0.0, now - self._saved_at)
         most = max(1.0, self.room_per_s * burst_s)
-        return min(most, self._saved + self.room_per_s * passed_s) >= 1.0
+        return min(most, self._saved + self.room_per_s * passed_s)
 
     def take(self):
         """Records one more connection."""
@@ -139,12 +140,12 @@
 
     def room_per_s(self, now):
         """Returns the requests a second that the others take beside the present."""
-        room = sum(peer.room_per_s for peer in self._reachable(now).values())
-        return max(0.0, room - self._choices.per_s(now))
+        self._forget_old(now)
+        return self.expected_room_per_s(now)
 
     def expected_room_per_s(self, now):
         """Returns what ``room_per_s`` would, and forgets nothing."""
-        room = sum(peer.room_per_s for peer in self._counted(now).values())
+        room = sum(peer.room_per_s for peer in self._reachable(now).values())
         return max(0.0, room - self._choices.per_s(now))
 
     def odds(self, now):
@@ -152,12 +153,13 @@
         burst_s = self._settings.burst_s
         rooms = {
             address: peer.room_per_s
-            for address, peer in self._counted(now).items()
+            for address, peer in self._reachable(now).items()
             if peer.would_have_room(now, burst_s) and peer.room_per_s
         }
         return {address: room / sum(rooms.values()) for address, room in rooms.items()}
 
-    def _counted(self, now):
+    def _reachable(self, now):
+        """Returns the peers by address whose reports count; forgets nothing."""
         settings = self._settings
         return {
             address: peer
@@ -181,6 +183,7 @@
             Its relay address; None if none is known to have room.
         """
         burst_s = self._settings.burst_s
+        self._forget_old(now)
         peers = self._reachable(now)
         ready = [name for name, peer in peers.items() if peer.has_room(now, burst_s)]
         weights = [peers[name].room_per_s for name in ready]
@@ -191,14 +194,6 @@
         self._choices.add(now)
         return address
 
-    def _reachable(self, now):
-        self._forget_old(now)
-        return {
-            address: peer
-            for address, peer in self._peers.items()
-            if address not in self._failed_at
-        }
-
     def _forget_old(self, now):
         settings = self._settings
         for address, peer in list(self._peers.items()):
--- a/pistachiowell/gateway/expected_choice.py
+++ b/pistachiowell/gateway/expected_choice.py
@@ -91,9 +91,9 @@
 
     def _is_late(self, expected, share, servers, request, service_name):
         """Returns whether no engine can begin the request in time, and records it."""
-        if request.service.engine is None or request.prompt is None:
+        work = engine_request(request)
+        if work is None:
             return False
-        work = engine_request(request.prompt)
         range_s = self._parts.late.retry_range_s(request, service_name, servers, work)
         if range_s is not None:
             expected.late_refusals.append((share, range_s))
@@ -160,10 +160,10 @@
             expected.versions[version] = known + share * probability
 
     def _odds(self, expected, request, candidates, now):
-        engine = request.service.engine
-        if engine is None or request.prompt is None:
+        work = engine_request(request)
+        if work is None:
             return self._parts.picker.odds(candidates, "", now)
-        work = engine_request(request.prompt)
+        engine = request.service.engine
         costs_s = self._parts.placer.costs_s(candidates, work, engine, now)
         least_s = min(costs_s)
         names = [candidate.server for candidate in candidates]
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -30,7 +30,9 @@
 
 # Codes of errors that count against the health of a server.
 HEALTH_FAULTS = frozenset({"server_failed", "answer_broken"})
+# Part of the upper bound of an answer's tokens that it is expected to have.
 EXPECTED_OUTPUT_SHARE = 0.4
+# Shortest time between two checks whether the set of slow engines has changed.
 SLOW_CHECK_INTERVAL_S = 1.0
 
 _log = part_logger("dispatch")
@@ -97,20 +99,20 @@
         self.late = LatePrompts(settings, self.engines, rng, now)
         self._placer = PLACERS.find(placement.placer)(placement, self.engines, rng)
         self._parts = SelectionParts(
-            servers,
-            moves,
-            silence,
-            limits,
-            places,
-            states,
-            settings,
-            self._health,
-            self._loads,
-            self._unreachable,
-            self.engines,
-            self._picker,
-            self._placer,
-            self.late,
+            servers=servers,
+            moves=moves,
+            silence=silence,
+            limits=limits,
+            places=places,
+            states=states,
+            settings=settings,
+            health=self._health,
+            loads=self._loads,
+            unreachable=self._unreachable,
+            engines=self.engines,
+            picker=self._picker,
+            placer=self._placer,
+            late=self.late,
         )
         self._filters = ServerFilters(self._parts)
 
@@ -199,14 +201,14 @@
             candidates = [
                 place_crash_candidate(candidates, request.fingerprint, crashed_servers)
             ]
-        engine = request.service.engine
-        if engine is None or request.prompt is None:
+        work = engine_request(request)
+        if work is None:
             picked = self._picker.pick(candidates, "", now)
             wait_s = self._cold_cost_s if picked.is_cold else 0.0
             return Choice(servers[picked.server], expected_wait_s=wait_s)
-        work = engine_request(request.prompt)
         if not tried:
             self.late.check(request, service_name, allowed, work)
+        engine = request.service.engine
         picked, expected_wait_s = self._placer.place(candidates, work, engine, now)
         return Choice(servers[picked.server], work, expected_wait_s)
 
@@ -347,7 +349,14 @@
         self._unreachable.record_inconclusive(registration_of(server))
 
 
-def engine_request(prompt):
-    """Returns the ``EngineRequest`` of a ``Prompt``."""
+def engine_request(request):
+    """Returns the ``EngineRequest`` of a ``GatewayRequest``.
+
+    None if its server is chosen by load: the service has no engines, or the request
+    announces no prompt.
+    """
+    prompt = request.prompt
+    if request.service.engine is None or prompt is None:
+        return None
     output_tokens = int(EXPECTED_OUTPUT_SHARE * prompt.max_output_tokens)
     return EngineRequest(prompt.tokens, output_tokens, prompt.parts)
--- a/pistachiowell/gateway/server_reports.py
+++ b/pistachiowell/gateway/server_reports.py
@@ -32,9 +32,7 @@
             priority: Rank of the request; 0 is the most urgent.
             limit: Largest number of servers.
         """
-        now, work = self._now(), None
-        if request.service.engine is not None and request.prompt is not None:
-            work = engine_request(request.prompt)
+        now, work = self._now(), engine_request(request)
         owner = _prefix_owner(expected, work)
         names = sorted(expected.servers, key=lambda name: _order(expected, name))
         servers = [expected.servers[name] for name in names[:limit]]
--- a/pistachiowell/gateway/where.py
+++ b/pistachiowell/gateway/where.py
@@ -9,21 +9,14 @@
 
 from pistachiowell.core.errors import (
     BudgetUnreachable,
-    InvalidRequest,
     Leaving,
-    NotFound,
     Overloaded,
     PistachiowellError,
     Unauthorized,
 )
 from pistachiowell.gateway.expected_choice import ChoiceForecast
 from pistachiowell.gateway.late_prompts import TOO_LATE_TEXT
-from pistachiowell.gateway.messages import (
-    GatewayRequest,
-    Prompt,
-    RequestHead,
-    request_rank,
-)
+from pistachiowell.gateway.messages import request_rank
 from pistachiowell.gateway.placement_report import (
     AccountReport,
     GrantReport,
@@ -34,27 +27,43 @@
     ServiceReport,
     VersionReport,
 )
+from pistachiowell.gateway.selection import engine_request
 from pistachiowell.gateway.server_filters import ServerFilters
 from pistachiowell.gateway.server_reports import ServerReports
 from pistachiowell.gateway.spending import NO_OWNER_RETRY_AFTER_S
-from pistachiowell.routing import fingerprint, part_names
+from pistachiowell.gateway.where_request import (
+    find_account,
+    find_route,
+    make_request,
+)
+from pistachiowell.gateway.where_summary import open_points, outcome_of
 
 # An answer with so many servers has about 25 KB.
 MAX_LISTED_SERVERS = 64
 MAX_LISTED_GRANTS = 32
-ASKED_ID = "where"
 
 
 @dataclass(slots=True)
 class _Findings:
-    """What the checks of one question have found so far."""
+    """What the checks of one question have found so far.
+
+    Attributes:
+        refusals: Each ``RefusalReport``, in the order of the checks.
+        odds: Probability by id of each server that the request may be sent to.
+    """
 
     refusals: list = field(default_factory=list)
-    notes: list = field(default_factory=list)
     odds: dict = field(default_factory=dict)
 
     def refuse(self, error, range_s=None, probability=1.0):
-        """Adds the refusal that an error stands for."""
+        """Adds the refusal that an error stands for.
+
+        Args:
+            error: The ``PistachiowellError`` that the caller would get.
+            range_s: Least and most seconds of ``Retry-After``; None for those of the
+                error.
+            probability: Probability of the refusal.
+        """
         least_s, most_s = range_s or (error.retry_after_s, error.retry_after_s)
         self.refusals.append(
             RefusalReport(
@@ -69,7 +78,7 @@
 
 
 class WhereReporter:
-    """Answers questions about requests.
+    """Reports where this gateway would send a request, and why.
 
     Args:
         runtime: The process's ``Runtime``.
@@ -132,23 +141,22 @@
 
         Raises:
             NotFound: The route or the account is not known.
-            InvalidRequest: The path belongs to several routes.
+            InvalidRequest: The path or the route belongs to several hosts.
             Leaving: The gateway has no configuration yet.
         """
         catalog, now = self._state.catalog, self._runtime.now()
         if catalog is None:
             raise Leaving("The gateway has no configuration yet.")
-        route = _find_route(catalog, question)
-        account = _find_account(catalog, route, question)
-        request = _make_request(catalog, route, account, question, now)
+        route = find_route(catalog, question)
+        account = find_account(catalog, route, question)
+        request = make_request(catalog, route, account, question, now)
         rank = request_rank(account, route) if question.rank is None else question.rank
         findings = _Findings()
         self._check_gateway(findings, request, rank, now)
         account_report = self._account_report(findings, request)
         crashed_servers = self._check_crashes(findings, request)
         services = self._services(findings, request, crashed_servers, rank)
-        _add_notes(findings, request, question, account_report, services)
-        outcome, reason = _outcome(findings, request)
+        outcome, reason = outcome_of(request, findings.refusals, findings.odds)
         settings = self._runtime.settings
         return PlacementReport(
             gateway=settings.id,
@@ -164,11 +172,11 @@
             services=services,
             account=account_report,
             overload=self._overload_report(),
-            notes=findings.notes,
+            notes=open_points(request, question, account_report, services),
         )
 
     def _check_gateway(self, findings, request, rank, now):
-        """Makes the checks of ``GatewayApp`` before a request is read."""
+        """Makes the checks of ``GatewayApp``, which precede those of ``Dispatch``."""
         if not self._state.evacuations.is_known:
             findings.refuse(
                 Leaving("It is not known yet which data centres are evacuated.")
@@ -225,7 +233,7 @@
             name,
             weight,
             round(probability, 4),
-            request.service.engine is not None and request.prompt is not None,
+            engine_request(request) is not None,
             self._versions(name, expected),
             listed,
             len(expected.servers) - len(listed),
@@ -309,117 +317,3 @@
 def _likeliest(odds):
     pairs = sorted(odds.items(), key=lambda pair: -pair[1])
     return dict(pairs[:MAX_LISTED_SERVERS])
-
-
-def _find_route(catalog, question):
-    routes = [route for host in catalog.routes.values() for route in host]
-    if question.route:
-        found = [route for route in routes if route.name == question.route]
-        what = f"route {question.route!r}"
-    else:
-        path = question.path.partition("?")[0]
-        hosts = [question.host] if question.host else list(catalog.routes)
-        found = [catalog.find_route(host, path) for host in hosts]
-        found = [route for route in found if route is not None]
-        what = f"route for path {path!r}"
-        what += f" of host {question.host!r}" if question.host else ""
-    if not found:
-        raise NotFound(f"The gateway has no {what}.")
-    if len(found) > 1:
-        names = ", ".join(route.host for route in found[:8])
-        raise InvalidRequest(f"Several hosts have a {what}: {names}. Give the host.")
-    return found[0]
-
-
-def _find_account(catalog, route, question):
-    if not question.account:
-        return None
-    accounts = (catalog.accounts or {}).values()
-    found = next((a for a in accounts if a.name == question.account), None)
-    if found is None:
-        raise NotFound(f"The gateway knows no account {question.account!r}.")
-    return None if route.is_public else found
-
-
-def _make_request(catalog, route, account, question, now):
-    target = question.path or route.path_prefix
-    prompt = None
-    if question.prompt_tokens is not None:
-        prompt = Prompt(question.prompt_tokens, question.output_tokens, question.parts)
-    head = RequestHead(
-        request_id=question.key or ASKED_ID,
-        method=question.method,
-        target=target.encode(),
-        host=route.host,
-        path=target.partition("?")[0],
-        api_key="",
-        wait_limit_s=question.deadline_s,
-        prompt=prompt,
-        last_event_id="",
-        body_bytes=0,
-        headers=[],
-    )
-    wait_s = route.timeout_s
-    if question.deadline_s is not None:
-        wait_s = min(wait_s, question.deadline_s)
-    names = [name for name, weight in route.weights.items() if weight > 0]
-    services = [catalog.services[name] for name in names if name in catalog.services]
-    name = account.name if account is not None else ""
-    return GatewayRequest(
-        head,
-        b"",
-        route,
-        services[0] if services else None,
-        account,
-        now,
-        deadline=now + wait_s,
-        fingerprint=question.fingerprint or fingerprint(name, target, b""),
-        part_names=part_names([part for part, _ in question.parts]),
-    )
-
-
-def _add_notes(findings, request, question, account, services):
-    notes = findings.notes
-    if account is not None and account.needed_tokens and account.owners:
-        notes.append(
-            f"Only agent {account.owners[0]} knows whether the tokens of {account.name}"
-            " suffice."
-        )
-    likely = [s for service in services for s in service.servers if s.probability]
-    if any(server.admitted_by is not None for server in likely):
-        notes.append(
-            "A server that is cold or names a rate has to admit the request; otherwise"
-            " another one is chosen."
-        )
-    costs_s = [server.cost_s for server in likely if server.cost_s is not None]
-    if costs_s and request.received_at + min(costs_s) > request.deadline:
-        notes.append("The expected cost exceeds the time that is left.")
-    if question.account and request.route.is_public:
-        notes.append("The route is public, so the account does not matter.")
-    if not request.route.is_idempotent:
-        notes.append("The request runs at most once, whatever its method and key.")
-    if not question.fingerprint:
-        notes.append(
-            "Whether this very request is quarantined depends on its body; give the"
-            " fingerprint from the log."
-        )
-    if request.route.has_prompts and request.prompt is None:
-        notes.append("Without prompt tokens a server is chosen by load alone.")
-
-
-def _outcome(findings, request):
-    """Returns the outcome and the reason for it."""
-    certain = [r for r in findings.refusals if r.probability >= 1.0]
-    if certain or not findings.odds:
-        return "refused", (certain or findings.refusals)[0].reason
-    outcome = "either" if findings.refusals else "sent"
-    is_by_cost = request.service.engine is not None and request.prompt is not None
-    if len(findings.odds) == 1:
-        reason = (
-            "It has the least expected cost." if is_by_cost else "No other is left."
-        )
-    elif is_by_cost:
-        reason = "They have the same least cost; one is drawn at random."
-    else:
-        reason = "Of two drawn at random among the nearest, the less loaded is chosen."
-    return outcome, reason
