Split the soak's fleet into programs, faults and stand-ins

Cause: soak/fleet.py had grown to 494 lines; it ran processes, stand-ins and links, and one chain of conditions injected 16 kinds of faults.

Change: soak/program_processes.py starts, signals and ends the programs; soak/faults.py has a function for each kind of fault, in two registries (failures, of which the oracles are told, and all others). The Fleet keeps its public methods.

--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -1,20 +1,11 @@
-"""Runs the processes of a soak and injects their faults."""
+"""The programs, stand-ins and links of a soak."""
 
-import os
 import re
-import signal
-import subprocess
-import sys
 import time
-from dataclasses import replace
-from pathlib import Path
 
 import anyio
-import yaml
 
-from pistachiowell.bench.signals import has_handlers
 from pistachiowell.platform.evacuations import COLLECTION as EVACUATIONS
-from pistachiowell.platform.programs import SETTINGS_VARIABLE
 from pistachiowell.platform.standin_documents import (
     COLD_S,
     cold_registration,
@@ -28,11 +19,11 @@
     serve_app,
 )
 from pistachiowell.soak.closing import ClosingOracle, ServerState
-from pistachiowell.soak.endless import MAX_MEMORY_BYTES, peak_memory_bytes
+from pistachiowell.soak.faults import FAULT_FREE_LINK, LINK_STATES, inject
 from pistachiowell.soak.places import PLACE_SETTINGS, PlaceOracle
-from pistachiowell.standins.relay import LinkState, Relay
+from pistachiowell.soak.program_processes import ProgramProcesses
+from pistachiowell.standins.relay import Relay
 
-RESTART_DELAY_S = 0.3
 START_TIMEOUT_S = 30.0
 # Time in which registered programs connect to each other.
 LINK_WAIT_S = 0.7
@@ -42,25 +33,6 @@
 RELAYING = re.compile(
     r'"at":([0-9.]+).*"text":"(Relaying begins\.|Relaying ends\.|Gateway starts\.)"'
 )
-FAULT_FREE_LINK = LinkState()
-LINK_STATES = {
-    "cut": LinkState(cut=True),
-    "delay": LinkState(delay_s=0.15),
-    "drop_up": LinkState(drop_up=True),
-    "drop_down": LinkState(drop_down=True),
-    "silent": LinkState(drop_up=True, drop_down=True),
-}
-
-
-def has_connections(port):
-    """Returns whether a loopback port has established connections.
-
-    References:
-        proc_pid_net(5): the file ``tcp``.
-    """
-    lines = Path("/proc/net/tcp").read_text(encoding="ascii").splitlines()[1:]
-    fields = (line.split() for line in lines)
-    return any(f[1].endswith(f":{port:04X}") and f[3] == "01" for f in fields)
 
 
 class Fleet:
@@ -82,10 +54,11 @@
         addresses: HTTP address by name of the gateway.
         closing: The ``ClosingOracle``.
         data_centres: Data centre of each backend server by id.
-        early_ends: One sentence per process that ended by itself or out of order, or
-            that the users' VMs would have ended.
         link_ports: Port of the links, without a relay, by name of the agent.
+        links: The ``Relay`` of each link, by name of the link.
         places: The ``PlaceOracle``.
+        processes: The ``ProgramProcesses``.
+        relay_ports: Port for relayed connections, by name of the gateway.
         server_states: The ``ServerState`` of each backend server by id.
         servers: The ``BackendStandIn`` of each backend server.
         store: The ``ObjectServer`` that stands in for the store.
@@ -93,24 +66,20 @@
     """
 
     __slots__ = (
-        "_directory",
         "_evacuated",
         "_free_port",
         "_gateway_settings",
         "_group",
-        "_killed",
         "_place_settings",
-        "_processes",
         "_registrations",
-        "_relay_ports",
-        "_relays",
-        "_roles",
         "addresses",
         "closing",
         "data_centres",
-        "early_ends",
         "link_ports",
+        "links",
         "places",
+        "processes",
+        "relay_ports",
         "server_states",
         "servers",
         "store",
@@ -122,21 +91,17 @@
     ):
         self._evacuated = set()
         self._place_settings = PLACE_SETTINGS if has_places else {}
-        self._relay_ports = {}
+        self.relay_ports = {}
         self.data_centres = {}
         self._gateway_settings = {"leaving_notice_s": 0.3, **(gateway_settings or {})}
         self._group = group
-        self._directory = Path(directory)
         self._free_port = free_port
-        self._killed = set()
-        self._processes = {}
-        self._relays = {}
         self._registrations = {}
-        self._roles = {}
+        self.links = {}
+        self.processes = ProgramProcesses(directory)
         self.addresses = {}
         self.closing = ClosingOracle()
         self.places = PlaceOracle(self.data_centres, self.closing.relayed)
-        self.early_ends = []
         self.link_ports = {}
         self.server_states = {}
         self.servers = []
@@ -146,16 +111,16 @@
     @property
     def process_names(self):
         """Names of the processes."""
-        return list(self._roles)
+        return self.processes.names
 
     @property
     def link_names(self):
         """Names of the links."""
-        return list(self._relays)
+        return list(self.links)
 
     async def _add_link(self, name, port):
         """Starts a relay to a port and returns the relay's own port."""
-        relay = self._relays[name] = Relay(HOST, port)
+        relay = self.links[name] = Relay(HOST, port)
         listener = await anyio.create_tcp_listener(local_host=HOST)
         self._group.start_soon(listener.serve, relay.forward_connection)
         return listener.extra(anyio.abc.SocketAttribute.local_port)
@@ -193,7 +158,7 @@
         """Returns the id of a server and the number of its run."""
         return server_id, self._registrations[server_id]["born"]
 
-    async def _let_leave(self, server_id, duration_s):
+    async def let_leave(self, server_id, duration_s):
         """Lets a server say that it leaves, and start again under its id after it."""
         state = self.server_states[server_id]
         if state.is_leaving:
@@ -209,7 +174,7 @@
         while self.store.mode != "up":
             await anyio.sleep(0.05)
 
-    async def _evacuate(self, data_centre, duration_s):
+    async def evacuate(self, data_centre, duration_s):
         """Lets operators evacuate a data centre, and take that back after it."""
         await self._wait_for_store()
         if self._evacuated:
@@ -223,9 +188,9 @@
         self.store.delete(EVACUATIONS, data_centre)
         self.places.end_evacuation(time.monotonic())
 
-    async def _start_cold(self, server_id, away_s, *, is_removed):
+    async def start_cold(self, server_id, away_s, *, is_removed):
         """Ends a server and starts it again cold, under its id."""
-        state, link = self.server_states[server_id], self._relays[f"server-{server_id}"]
+        state, link = self.server_states[server_id], self.links[f"server-{server_id}"]
         if state.cold_left_s:
             return
         await self._wait_for_store()
@@ -271,7 +236,7 @@
             **self._gateway_settings,
         }
         if self._place_settings:
-            port = self._relay_ports[name] = self._free_port()
+            port = self.relay_ports[name] = self._free_port()
             settings |= {"relay_port": port, **self._place_settings}
         settings = {k: v for k, v in settings.items() if v is not None}
         await self._add_program(name, "gateway", settings)
@@ -287,159 +252,20 @@
             "budget_pages": 2,
             **settings,
         }
-        path = self._directory / f"{name}.yaml"
-        path.write_text(yaml.safe_dump(document), encoding="utf-8")
-        self._roles[name] = role
-        self._start_process(name)
-
-    def _start_process(self, name):
-        log = (self._directory / f"{name}.log").open("ab")
-        variables = {
-            **os.environ,
-            SETTINGS_VARIABLE: str(self._directory / f"{name}.yaml"),
-        }
-        command = [sys.executable, "-m", "pistachiowell.platform.main"]
-        self._processes[name] = subprocess.Popen(
-            [*command, self._roles[name]], stdout=log, stderr=log, env=variables
-        )
-        log.close()
+        self.processes.add(name, role, document)
 
     async def inject(self, fault):
-        """Injects a ``Fault`` and ends it after its duration.
-
-        A killed or stopped process is started again after ``RESTART_DELAY_S``, unless
-        an overlapping fault has done so.
-        """
-        if fault.kind == "leave":
-            await self._let_leave(fault.target, fault.duration_s)
-        elif fault.kind == "full":
-            until = time.monotonic() + fault.duration_s
-            self.server_states[fault.target].paused_until = until
-        elif fault.kind == "endless":
-            until = time.monotonic() + fault.duration_s
-            self.server_states[fault.target].endless_until = until
-        elif fault.kind == "double":
-            until = time.monotonic() + fault.duration_s
-            self.server_states[fault.target].double_until = until
-        elif fault.kind == "evacuate":
-            await self._evacuate(fault.target, fault.duration_s)
-        elif fault.kind == "cold":
-            name, away_s = fault.target, fault.duration_s
-            self.closing.record_fault(name, away_s)
-            await self._start_cold(name, away_s, is_removed=fault.mode == "join")
-        elif fault.kind == "kill_receiver":
-            await self._kill_receiver(fault)
-        else:
-            duration_s = fault.duration_s + RESTART_DELAY_S
-            now = time.monotonic()
-            # While the store is about to return from a copy, nothing is in trouble.
-            if fault.kind != "return":
-                target = "agents" if fault.kind == "loss" else fault.target
-                self.places.record_trouble(target, now, now + duration_s)
-            self.closing.record_fault(fault.target.removeprefix("server-"), duration_s)
-            await self._inject_failure(fault)
-
-    async def _kill_receiver(self, fault):
-        """Kills a gateway while it serves what another one relays, if it ever does."""
-        until = time.monotonic() + fault.duration_s
-        while time.monotonic() < until:
-            if has_connections(self._relay_ports[fault.target]):
-                self.places.receivers_killed += 1
-                await self.inject(replace(fault, kind="kill", duration_s=0.0))
-                return
-            await anyio.sleep(0.01)
-
-    async def _inject_failure(self, fault):
-        if fault.kind == "store":
-            self.store.mode = fault.mode
-            await anyio.sleep(fault.duration_s)
-            self.store.mode = "up"
-        elif fault.kind == "return":
-            taken = self.store.take_copy()
-            await anyio.sleep(fault.duration_s)
-            self.store.return_from_copy(taken)
-            # Servers write again what the store has lost.
-            for server_id, spec in self._registrations.items():
-                self._register(server_id, spec)
-            # So do operators.
-            for name in self._evacuated.difference(self.store.names(EVACUATIONS)):
-                self.store.put(EVACUATIONS, name, {})
-            for name in set(self.store.names(EVACUATIONS)) - self._evacuated:
-                self.store.delete(EVACUATIONS, name)
-        elif fault.kind == "loss":
-            agents = [name for name, role in self._roles.items() if role == "agent"]
-            for name in agents:
-                await self._terminate(name, signal.SIGKILL)
-            await anyio.sleep(fault.duration_s)
-            for name in agents:
-                self._start_if_exited(name)
-        elif fault.kind == "link":
-            relay = self._relays[fault.target]
-            relay.set_state(LINK_STATES[fault.mode])
-            await anyio.sleep(fault.duration_s)
-            relay.set_state(FAULT_FREE_LINK)
-        elif fault.kind == "signals":
-            await self._send_series(fault)
-        elif fault.kind == "pause":
-            self.send_signal(fault.target, signal.SIGSTOP)
-            await anyio.sleep(fault.duration_s)
-            self.send_signal(fault.target, signal.SIGCONT)
-        else:
-            is_kill = fault.kind == "kill"
-            await self._terminate(
-                fault.target, signal.SIGKILL if is_kill else signal.SIGTERM
-            )
-            await anyio.sleep(RESTART_DELAY_S)
-            self._start_if_exited(fault.target)
-
-    def _start_if_exited(self, name):
-        if self._processes[name].poll() is not None:
-            self._record_end(name)
-            self._start_process(name)
-
-    def _record_end(self, name):
-        process = self._processes[name]
-        code = process.poll()
-        if code is None and peak_memory_bytes(process.pid) > MAX_MEMORY_BYTES:
-            self.early_ends.append(f"{name} would run out of memory")
-        if code and process not in self._killed:
-            self.early_ends.append(f"{name} ended with exit code {code}")
-
-    async def _terminate(self, name, signal_number):
-        # A process that another fault has paused could not handle SIGTERM.
-        self.send_signal(name, signal.SIGCONT)
-        if signal_number != signal.SIGKILL:
-            await self._wait_for_handlers(name)
-        self.send_signal(name, signal_number)
-        await self.wait_until_exited(name)
-
-    async def _send_series(self, fault):
-        """Sends signals at intervals, and one to the new run of a process they end."""
-        name = fault.target
-        numbers = [signal.Signals[f"SIG{text}"] for text in fault.mode.split(",")]
-        await self._wait_for_handlers(name)
-        process = self._processes[name]
-        for number in numbers:
-            # Another fault may have started the next run, which has no handlers yet.
-            if self._processes[name] is process:
-                self.send_signal(name, number)
-            await anyio.sleep(fault.duration_s / len(numbers))
-        if {signal.SIGTERM, signal.SIGINT}.isdisjoint(numbers):
-            return
-        while process.poll() is None:
-            await anyio.sleep(0.02)
-        await anyio.sleep(RESTART_DELAY_S)
-        self._start_if_exited(name)
-        await self._wait_for_handlers(name)
-        self.send_signal(name, signal.SIGHUP)
-
-    async def _wait_for_handlers(self, name):
-        """Waits until a process handles signals, which the interpreter does not."""
-        while True:
-            process = self._processes[name]
-            if process.poll() is not None or has_handlers(process.pid):
-                return
-            await anyio.sleep(0.01)
+        """Injects a ``Fault`` and ends it after its duration; see ``faults.inject``."""
+        await inject(self, fault)
+
+    def write_again(self):
+        """Lets servers and operators write again what the store has lost."""
+        for server_id, spec in self._registrations.items():
+            self._register(server_id, spec)
+        for name in self._evacuated.difference(self.store.names(EVACUATIONS)):
+            self.store.put(EVACUATIONS, name, {})
+        for name in set(self.store.names(EVACUATIONS)) - self._evacuated:
+            self.store.delete(EVACUATIONS, name)
 
     async def wait_until_registered(self, count):
         """Waits until ``count`` programs are registered and have time to connect."""
@@ -453,30 +279,25 @@
 
     async def wait_until_exited(self, name):
         """Waits until a process has exited."""
-        while self._processes[name].poll() is None:
-            await anyio.sleep(0.02)
+        await self.processes.wait_until_exited(name)
 
     def pid(self, name):
         """Returns the process id of a program."""
-        return self._processes[name].pid
+        return self.processes.pid(name)
 
     def exit_code(self, name):
         """Returns the exit code of a process; None while it runs."""
-        return self._processes[name].poll()
+        return self.processes.exit_code(name)
 
     def send_signal(self, name, signal_number):
         """Sends a signal to a process of this fleet if it still runs."""
-        process = self._processes[name]
-        if process.poll() is None:
-            if signal_number == signal.SIGKILL:
-                self._killed.add(process)
-            process.send_signal(signal_number)
+        self.processes.send_signal(name, signal_number)
 
     def record_relaying(self):
         """Tells the oracles when gateways relayed connections, by their logs."""
         offset_s = time.time() - time.monotonic()
         for name in self.addresses:
-            log = (self._directory / f"{name}.log").read_text(errors="replace")
+            log = self.processes.log_text(name)
             begun_at, last = None, (str(time.time()), "Gateway starts.")
             for at, text in (*RELAYING.findall(log), last):
                 if begun_at is not None and text != "Relaying begins.":
@@ -486,9 +307,4 @@
 
     def stop(self):
         """Kills all processes that this fleet has started and waits for their exit."""
-        for name, process in self._processes.items():
-            self._record_end(name)
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-            process.wait()
+        self.processes.stop()
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -99,7 +99,7 @@
     oracle.checked = fleet.places.counts()
     oracle.violations += fleet.places.violations()
     oracle.violations += fleet.closing.violations()
-    oracle.violations += fleet.early_ends
+    oracle.violations += fleet.processes.early_ends
     return oracle
 
 
