--- a/pistachiowell/bench/plain_servers.py
+++ b/pistachiowell/bench/plain_servers.py
@@ -21,8 +21,10 @@
 SLOTS = 4
 SERVICE_S = 0.08
 LENGTH_S = 60.0
+# An answer after more than this counts as late.
 LATE_S = 0.4
 STALL_INTERVAL_S = 5.0
+# Range of the length of a stall.
 STALL_S = (0.2, 0.9)
 # Share of its work that a server does not get done while it is slow.
 STALL_SHARE = 0.9
--- a/pistachiowell/bench/uneven_servers.py
+++ b/pistachiowell/bench/uneven_servers.py
@@ -38,10 +38,14 @@
 ENGINES_A_CENTRE = 5
 LIMITS = EngineLimits(slots=64, kv_tokens=560_000, tokens_per_event=6)
 TOKENS_PER_S = 50_000.0
+# Engines keep a prefix for 7 to 10 s after its last use.
 CACHE_S = 8.0
 REPORT_S = 0.15
+# A first token after more than this counts as late.
 OBJECTIVE_S = 0.4
+# Between data centres.
 TRANSIT_S = 0.0028
+# Period with which demand moves between the data centres.
 WAVE_S = 20.0
 LENGTH_S = 60.0
 STALL_S = (0.2, 0.9)
--- a/pistachiowell/core/traffic.py
+++ b/pistachiowell/core/traffic.py
@@ -1,13 +1,14 @@
-"""Counts the bytes that a process exchanges with its callers."""
+"""Counts the bytes on the network link that a process exchanges with its callers."""
 
 # Headers of IPv4 and TCP without options. An event of a stream is one packet of about
 # 90 bytes, so these are a third of what it costs the link.
 PACKET_HEADER_BYTES = 40
+# Payload of a full packet on Ethernet, whose packets have at most 1,500 bytes.
 SEGMENT_BYTES = 1460
 
 
 def link_bytes(size):
-    """Returns what so many bytes of one read or write take of a link.
+    """Returns the bytes on the link of one read or write, with packet headers.
 
     Examples:
         >>> link_bytes(90), link_bytes(4380)
--- a/pistachiowell/gateway/attempt.py
+++ b/pistachiowell/gateway/attempt.py
@@ -22,7 +22,8 @@
         placed: The ``PlacedRequest``; None at a server without an engine.
         expected_wait_s: Expected wait for the first token in seconds.
         fingerprint: Fingerprint of the request.
-        expected_queue: What ``LatePrompts.expected_wait_s`` returned; None otherwise.
+        expected_queue: What ``LatePrompts.expected_wait_s`` returned; None at a server
+            without an engine.
         move_attempt: The ``MoveAttempt``; None if the service has no open move.
         now: Present time in seconds.
 
--- a/pistachiowell/gateway/expected_choice.py
+++ b/pistachiowell/gateway/expected_choice.py
@@ -7,6 +7,7 @@
 from pistachiowell.gateway.server_filters import ServerFilters
 from pistachiowell.routing import even_odds, place_crash_candidate
 
+# Reasons for ``left_out``, which operators read.
 LEAVING = "it leaves"
 REPLACED = "another server has its address"
 NOT_AT_HOME = "outside the home regions"
@@ -30,8 +31,8 @@
         left_out: Why it cannot be chosen, by id of each other server.
         servers: Each ``BackendServer`` considered, by id.
         versions: Share of the attempts by version.
-        refusals: Pairs of the probability and of the servers that are allowed and have
-            no room; none of them means that no server is allowed.
+        refusals: Pairs of the probability of a refusal and of the servers that are
+            allowed but have no room; an empty list if no server is allowed.
         late_refusals: Pairs of the probability and of the range of the delay in
             seconds, where no engine can begin the request in time.
     """
@@ -80,27 +81,26 @@
             (1.0 - versions.new_share, versions.old),
             (versions.new_share, versions.new),
         ):
-            if not share or self._is_late(
-                expected, share, servers, request, service_name
-            ):
+            if not share:
+                continue
+            late_range_s = self._late_range_s(request, service_name, servers)
+            if late_range_s is not None:
+                expected.late_refusals.append((share, late_range_s))
                 continue
             self._add_part(
                 expected, share, servers, request, crashed_servers, priority, now
             )
         return expected
 
-    def _is_late(self, expected, share, servers, request, service_name):
-        """Returns whether no engine can begin the request in time, and records it."""
+    def _late_range_s(self, request, service_name, servers):
+        """Returns the range of the delay if no engine can begin in time, or None."""
         work = engine_request(request)
         if work is None:
-            return False
-        range_s = self._parts.late.retry_range_s(request, service_name, servers, work)
-        if range_s is not None:
-            expected.late_refusals.append((share, range_s))
-        return range_s is not None
+            return None
+        return self._parts.late.retry_range_s(request, service_name, servers, work)
 
     def _accepting(self, expected, request, service_name, now):
-        """Returns the servers that nothing has closed for good."""
+        """Returns the servers that accept work, and records why others do not."""
         parts = self._parts
         available = parts.servers.available_servers(service_name, now)
         expected.servers = {server.id: server for server in available}
--- a/pistachiowell/gateway/late_prompts.py
+++ b/pistachiowell/gateway/late_prompts.py
@@ -14,7 +14,7 @@
 
 
 class LatePrompts:
-    """Compares the expected waits with the time that a request has left.
+    """Refuses requests whose expected wait exceeds the time left at every engine.
 
     Requests that state no deadline are not refused.
 
@@ -76,7 +76,17 @@
         )
 
     def expected_wait_s(self, request, service_name, server, work):
-        """Returns what ``record_wait`` needs later; None if it needs nothing."""
+        """Returns the key and the expected wait of a request, for ``record_wait``.
+
+        Args:
+            request: The ``GatewayRequest``.
+            service_name: Name of the service.
+            server: The ``BackendServer`` that it is sent to.
+            work: The ``EngineRequest``.
+
+        Returns:
+            A tuple of service, rank and seconds; None if nothing is refused here.
+        """
         if not self._is_on:
             return None
         wait_s = self._wait_s(server, service_name, work, self._now())
--- a/pistachiowell/gateway/link_load.py
+++ b/pistachiowell/gateway/link_load.py
@@ -10,7 +10,7 @@
 
 
 class LinkLoad:
-    """Counts what crosses the link, and tells what to refuse for it.
+    """Counts the bytes exchanged with callers, and tells what to refuse for the link.
 
     Without ``link_mbps`` in the settings nothing is counted, and the link has room for
     any rate.
--- a/pistachiowell/gateway/load_sharing.py
+++ b/pistachiowell/gateway/load_sharing.py
@@ -176,7 +176,7 @@
 
     @property
     def room_per_s(self):
-        """Requests a second that this gateway could serve beside the present."""
+        """Requests a second that this gateway takes from others, present ones too."""
         return min(self._meter.room_per_s, self._link.room_per_s)
 
     def expected_peer_room_per_s(self):
--- a/pistachiowell/gateway/placement_report.py
+++ b/pistachiowell/gateway/placement_report.py
@@ -17,7 +17,7 @@
         left_out: Why it cannot be chosen now; empty if it can.
         against: What speaks against it.
         in_favour: What speaks for it.
-        load: Estimated number of requests there.
+        load: Estimated number of requests in progress there.
         slots: Number of requests that it runs at once.
         cost_s: Expected wait with the costs of distance and others, in seconds; None
             for a choice by load, and for servers that are left out.
@@ -178,8 +178,10 @@
     Attributes:
         refused_share: Share of the requests that is refused at present.
         busy_share: Share of the time in which the event loop is busy.
-        room_per_s: Requests a second that the gateway could serve beside the present.
-        peer_room_per_s: The same of the other gateways, as far as they may be used.
+        room_per_s: Requests a second that the gateway takes from others, present ones
+            included.
+        peer_room_per_s: Requests a second that the others are known to take from it
+            beside the present.
         relayed_share: Share of the new connections that is relayed at present.
         relayed_to: Where the next new connection would be relayed: probability by
             address; empty if it is served here.
@@ -201,7 +203,7 @@
         gateway: Id of the gateway.
         data_centre: Its data centre.
         revision: Revision of the configuration in force.
-        outcome: ``sent``, ``refused``, or ``either`` if that is random.
+        outcome: ``sent``, ``refused``, or ``either`` if it depends on chance.
         reason: The reason in a sentence.
         chosen: Probability by id of the servers that the request may be sent to; the
             likeliest only, as in ``ServiceReport.servers``.
--- a/pistachiowell/gateway/server_filters.py
+++ b/pistachiowell/gateway/server_filters.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SelectionParts:
-    """What a selection of servers follows.
+    """State and policies that the choice of a server and its forecast share.
 
     Attributes:
         servers: The ``ServerRegistry``.
--- a/pistachiowell/gateway/server_reports.py
+++ b/pistachiowell/gateway/server_reports.py
@@ -24,13 +24,13 @@
         self._now = now
 
     def describe(self, request, expected, priority, limit):
-        """Returns a ``ServerReport`` for each of some servers, the likeliest first.
+        """Returns a ``ServerReport`` of each server, the likeliest first.
 
         Args:
             request: The ``GatewayRequest``.
             expected: The ``ExpectedChoice``.
             priority: Rank of the request; 0 is the most urgent.
-            limit: Largest number of servers.
+            limit: Largest number of servers; the least likely ones are left out.
         """
         now, work = self._now(), engine_request(request)
         owner = _prefix_owner(expected, work)
--- a/pistachiowell/gateway/where_page.py
+++ b/pistachiowell/gateway/where_page.py
@@ -17,6 +17,7 @@
 
 WHERE_PATH = "/where"
 QUESTIONS_PER_S = 1.0
+# Seconds for which unused questions are kept: as many more are answered at once.
 BURST_S = 4.0
 TOO_OFTEN_STATUS = 429
 JSON = b"application/json"
--- a/pistachiowell/routing/engine_rates.py
+++ b/pistachiowell/routing/engine_rates.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass
 from statistics import median
 
+# Seconds a token; keeps the expected times by which others are divided above 0.
 MIN_SLOPE_S = 1e-7
 
 
@@ -34,7 +35,7 @@
         min_answers: Number of answers from which on a factor or a line is used.
         min_tokens: Tokens of a prompt from which on its answer shows the rate; the
             time for fewer is mostly that of other work.
-        dead_band: Relative difference that never counts.
+        dead_band: Relative difference from the median engine that never counts.
         standard_errors: Half the width of the confidence interval of a factor, in
             standard errors of the rank of the median.
         max_factor: Largest factor of one engine.
@@ -94,8 +95,10 @@
 
     def _fit(self):
         if self._short:
-            rests_s = [time_s - self.slope_s * tokens for tokens, time_s in self._short]
-            self.intercept_s = max(0.0, median(rests_s))
+            intercepts_s = [
+                time_s - self.slope_s * tokens for tokens, time_s in self._short
+            ]
+            self.intercept_s = max(0.0, median(intercepts_s))
         slopes_s = [
             (time_s - self.intercept_s) / tokens for tokens, time_s in self._long
         ]
@@ -103,13 +106,22 @@
 
 
 class _Factor:
-    """Recent times of the prompts at one run of an engine, over the line's."""
+    """Median of the recent times of prompts at one run of an engine, over the line's.
 
-    __slots__ = ("_ratios", "at", "born_at", "high", "low", "middle", "run")
+    Attributes:
+        run: What differs between the runs of the engine.
+        started_at: Time of the first request to this run in seconds.
+        at: Time of the latest answer in seconds.
+        low: Lower end of the confidence interval of the median.
+        middle: The median.
+        high: Upper end of the interval.
+    """
+
+    __slots__ = ("_ratios", "at", "started_at", "high", "low", "middle", "run")
 
     def __init__(self, run, settings, now):
         self.run = run
-        self.born_at = self.at = now
+        self.started_at = self.at = now
         self._ratios = deque(maxlen=settings.engine_answers)
         self.low = self.middle = self.high = 1.0
 
@@ -117,7 +129,7 @@
         return len(self._ratios)
 
     def record(self, ratio, settings, now):
-        """Records a time over the line's."""
+        """Records the time of one prompt, divided by that of the line."""
         if now - self.at > settings.forget_s:
             self._ratios.clear()
         self.at = now
@@ -203,7 +215,7 @@
             now: Present time in seconds.
         """
         factor = self._factors.get(server)
-        if factor is None or now - factor.born_at < self.settings.young_s:
+        if factor is None or now - factor.started_at < self.settings.young_s:
             return
         line = self._line(service)
         if tokens >= self.settings.min_tokens:
--- a/pistachiowell/routing/late_refusal.py
+++ b/pistachiowell/routing/late_refusal.py
@@ -23,9 +23,10 @@
         window_s: Seconds for which waits are remembered.
         min_waits: Number of waits from which on they are relied on.
         min_expected_s: Expected wait below which a wait shows nothing about queues.
-        exceeded_share: Share of the waits that may be shorter, relative to what was
-            expected, than the share that is relied on.
-        margin: Factor on that share.
+        exceeded_share: Quantile of the waits over the expected ones that is relied on:
+            as many recent prompts have waited for less than this part of the expected
+            wait.
+        margin: Factor on that quantile.
         min_retry_after_s: Shortest time after which a refused caller may come back.
         max_retry_after_s: Longest such time.
         retry_spread: Largest random addition to that time, as a share of it.
@@ -107,10 +108,11 @@
         shortest_s = min(expected_s)
         if shortest_s <= left_s or waits.recent_count(now) < settings.min_waits:
             return None
-        share = min(1.0, waits.quantile_s(settings.exceeded_share))
-        if shortest_s * share * settings.margin <= left_s:
+        # The recorded values are ratios of waits, not seconds.
+        ratio = min(1.0, waits.quantile_s(settings.exceeded_share))
+        if shortest_s * ratio * settings.margin <= left_s:
             return None
-        # By then a request with as much time is served.
+        # After this time the queue is short enough for a request with as much time.
         least_s = max(settings.min_retry_after_s, shortest_s - left_s)
         most_s = least_s * (1.0 + settings.retry_spread)
         limit_s = settings.max_retry_after_s
--- a/pistachiowell/routing/silence.py
+++ b/pistachiowell/routing/silence.py
@@ -314,7 +314,7 @@
         server.holds += 1
 
     def _start_clock(self, now):
-        """Returns the time of the clock, which runs from the first record on."""
+        """Starts the clock if this is the first record, and returns its time."""
         if self._ticked_at is None:
             self._ticked_at = now
         return self._clock(now)
--- a/pistachiowell/soak/places.py
+++ b/pistachiowell/soak/places.py
@@ -21,9 +21,9 @@
 }
 # What is sent within a second takes a moment until it has been read.
 WINDOW_S = 0.95
-# Trouble that has ended this long before excuses nothing. What was withheld till then
-# arrives within it.
-ECHO_S = 1.0
+# Trouble counts for this long after its end, as what a link has withheld until then
+# arrives within this time.
+TROUBLE_ECHO_S = 1.0
 
 
 class PlaceOracle:
@@ -58,8 +58,8 @@
         self.receivers_killed = 0
 
     def record_trouble(self, target, start, end):
-        """Records a time in which a process, a link or, for "", all was in trouble."""
-        self._troubles[target].append((start, end + ECHO_S))
+        """Records a time of trouble of a process or link; "" stands for all of them."""
+        self._troubles[target].append((start, end + TROUBLE_ECHO_S))
 
     def record_arrival(self, server, gateway, now):
         """Records a request of a gateway's caller; None for a health check."""
@@ -112,18 +112,26 @@
         return found
 
     def _late(self, server, start, end):
+        """Returns how many requests came although their gateways had to know."""
         return sum(
             start < at < end
-            and self._calm_s(start, at, gateway) > EVACUATE_S
+            and self._undisturbed_s(start, at, gateway) > EVACUATE_S
             and not self._has_trouble(("", f"server-{server}"), at, at)
             for at, gateway in self._arrivals[server]
         )
 
-    def _calm_s(self, start, end, gateway):
-        """Returns the seconds in which nothing kept a gateway from the news.
+    def _undisturbed_s(self, start, end, gateway):
+        """Returns for how long a gateway could learn of an evacuation.
 
-        Its link to the store does only while an agent is in trouble, and agents do not
-        without it: the news reach a gateway on both ways.
+        A gateway learns of it from the store and from agents. Trouble of its link to
+        the store therefore counts only while an agent is in trouble too, and trouble of
+        agents only while that link is. A request without a known gateway, or from one
+        that relayed at the time, may come from any gateway, so any trouble counts.
+
+        Args:
+            start: Beginning of the evacuation.
+            end: Time up to which the seconds count.
+            gateway: Name of the gateway; None if it is not known.
         """
         troubles = self._troubles
         agents = [s for name in troubles if "agent" in name for s in troubles[name]]
@@ -132,11 +140,11 @@
             spans += [(max(a, c), min(b, d)) for c, d in agents if a < d and c < b]
         if gateway is None or any(a < end < b for a, b in self._relayed[gateway]):
             spans = [span for name in troubles for span in troubles[name]]
-        calm_s, at = 0.0, start
+        undisturbed_s, at = 0.0, start
         for begin, until in sorted(spans):
-            calm_s += max(0.0, min(begin, end) - at)
+            undisturbed_s += max(0.0, min(begin, end) - at)
             at = max(at, min(until, end))
-        return calm_s + end - at
+        return undisturbed_s + end - at
 
     def _most(self, server, start, end):
         """Returns the most requests in a second of a time that a server is cold."""
