--- a/pistachiowell/gateway/server_reports.py
+++ b/pistachiowell/gateway/server_reports.py
@@ -24,17 +24,15 @@
         self._now = now
 
     def describe(self, request, expected, priority, limit):
-        """Returns a ``ServerReport`` for each of some servers, the likeliest first.
+        """Returns a ``ServerReport`` of each server, the likeliest first.
 
         Args:
             request: The ``GatewayRequest``.
             expected: The ``ExpectedChoice``.
             priority: Rank of the request; 0 is the most urgent.
-            limit: Largest number of servers.
+            limit: Largest number of servers; the least likely ones are left out.
         """
-        now, work = self._now(), None
-        if request.service.engine is not None and request.prompt is not None:
-            work = engine_request(request.prompt)
+        now, work = self._now(), engine_request(request)
         owner = _prefix_owner(expected, work)
         names = sorted(expected.servers, key=lambda name: _order(expected, name))
         servers = [expected.servers[name] for name in names[:limit]]
@@ -54,18 +52,15 @@
             kept_tokens = work.prompt_tokens - uncached
         against = self._against(server, request, priority, now)
         against += self._fullness(server, request, work, load, now)
-        in_favour = []
-        if kept_tokens:
-            in_favour.append(f"has {kept_tokens} tokens of the prompt cached")
-        if name == owner:
-            in_favour.append("owns the prefix")
         distance = self._distance(server)
-        if not distance:
-            in_favour.append("same data centre")
-        if not load:
-            in_favour.append("idle")
-        if name in expected.odds and expected.costs_s:
-            in_favour.append("least expected cost")
+        is_cheapest = name in expected.odds and bool(expected.costs_s)
+        texts = {
+            f"has {kept_tokens} tokens of the prompt cached": kept_tokens > 0,
+            "owns the prefix": name == owner,
+            "same data centre": distance == 0,
+            "idle": load == 0,
+            "least expected cost": is_cheapest,
+        }
         return ServerReport(
             id=name,
             address=server.address,
@@ -75,7 +70,7 @@
             probability=round(expected.odds.get(name, 0.0), 4),
             left_out=expected.left_out.get(name, ""),
             against=against,
-            in_favour=in_favour,
+            in_favour=[text for text, holds in texts.items() if holds],
             load=load,
             slots=slots,
             cost_s=_rounded(expected.costs_s.get(name)),
