Report refusals for the link and for late prompts as they are sent

Cause: the answer to where a request would go called a full network link an overloaded gateway, checked lateness before room and ignored the asked rank.

Change: both use one message, the checks have the order of the selection, and the rank is passed on.

--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -19,6 +19,7 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.web import CallerGoneError, read_body, watch_disconnect
 from pistachiowell.gateway.answer_writer import AnswerWriter
+from pistachiowell.gateway.load_sharing import overload_text
 from pistachiowell.gateway.messages import GatewayRequest, request_rank
 from pistachiowell.gateway.run import Usage
 from pistachiowell.routing import fingerprint, part_names
@@ -188,11 +189,7 @@
         self._load.add_decision(scope, is_refused=wait_s > 0)
         if wait_s:
             raise GatewayOverloaded(
-                "The network link of the gateway is full."
-                if self._overload.is_for_link
-                else "The gateway has more requests than it can serve.",
-                ran=NOT_RUN,
-                retry_after_s=wait_s,
+                overload_text(self._overload), ran=NOT_RUN, retry_after_s=wait_s
             )
 
     def _find_account(self, catalog, route, head):
--- a/pistachiowell/gateway/expected_choice.py
+++ b/pistachiowell/gateway/expected_choice.py
@@ -83,21 +83,20 @@
         ):
             if not share:
                 continue
-            late_range_s = self._late_range_s(request, service_name, servers)
-            if late_range_s is not None:
-                expected.late_refusals.append((share, late_range_s))
-                continue
             self._add_part(
                 expected, share, servers, request, crashed_servers, priority, now
             )
         return expected
 
-    def _late_range_s(self, request, service_name, servers):
+    def _late_range_s(self, request, servers, priority):
         """Returns the range of the delay if no engine can begin in time, or None."""
         work = engine_request(request)
         if work is None:
             return None
-        return self._parts.late.retry_range_s(request, service_name, servers, work)
+        service_name = servers[0].service
+        return self._parts.late.retry_range_s(
+            request, service_name, servers, work, priority
+        )
 
     def _accepting(self, expected, request, service_name, now):
         """Returns the servers that accept work, and records why others do not."""
@@ -136,6 +135,10 @@
             expected.refusals.append((share, allowed))
             expected.left_out.update({server.id: NO_ROOM for server in allowed})
             return
+        late_range_s = self._late_range_s(request, allowed, priority)
+        if late_range_s is not None:
+            expected.late_refusals.append((share, late_range_s))
+            return
         left_out = expected.left_out
         servers = {server.id: server for server in with_room}
         usable = self._usable(left_out, with_room, now)
--- a/pistachiowell/gateway/late_prompts.py
+++ b/pistachiowell/gateway/late_prompts.py
@@ -64,16 +64,22 @@
         )
         raise TooLate(TOO_LATE_TEXT, ran="no", retry_after_s=retry_after_s)
 
-    def retry_range_s(self, request, service_name, servers, work):
-        """Returns the range of the delay with which ``check`` refuses, or None."""
+    def retry_range_s(self, request, service_name, servers, work, rank):
+        """Returns the range of the delay with which ``check`` refuses, or None.
+
+        Args:
+            request: The ``GatewayRequest``.
+            service_name: Name of the service.
+            servers: Each ``BackendServer`` that the request may go to.
+            work: The ``EngineRequest``.
+            rank: Rank of the request; 0 is the most urgent.
+        """
         if not self._is_checked(request):
             return None
         now = self._now()
         waits_s = self._waits_s(service_name, servers, work, now)
         left_s = request.deadline - now
-        return self._refusal.retry_range_s(
-            service_name, request.priority, waits_s, left_s, now
-        )
+        return self._refusal.retry_range_s(service_name, rank, waits_s, left_s, now)
 
     def expected_wait_s(self, request, service_name, server, work):
         """Returns the key and the expected wait of a request, for ``record_wait``.
--- a/pistachiowell/gateway/load_sharing.py
+++ b/pistachiowell/gateway/load_sharing.py
@@ -21,6 +21,13 @@
 _log = part_logger("relay")
 
 
+def overload_text(policy):
+    """Returns the message of a refusal by an ``OverloadPolicy``."""
+    if policy.is_for_link:
+        return "The network link of the gateway is full."
+    return "The gateway has more requests than it can serve."
+
+
 class LoadSharing:
     """Measures the load of this gateway and relays connections that exceed it.
 
--- a/pistachiowell/gateway/where.py
+++ b/pistachiowell/gateway/where.py
@@ -16,6 +16,7 @@
 )
 from pistachiowell.gateway.expected_choice import ChoiceForecast
 from pistachiowell.gateway.late_prompts import TOO_LATE_TEXT
+from pistachiowell.gateway.load_sharing import overload_text
 from pistachiowell.gateway.messages import request_rank
 from pistachiowell.gateway.placement_report import (
     AccountReport,
@@ -187,7 +188,7 @@
         name = account.name if account is not None else ""
         range_s = self._overload.expected_wait_s(name, now, rank)
         if range_s[1]:
-            error = Overloaded("The gateway has more requests than it can serve.")
+            error = Overloaded(overload_text(self._overload))
             findings.refuse(error, range_s)
         if request.deadline <= now:
             findings.refuse(Overloaded("The deadline of the request has passed."))
@@ -243,7 +244,9 @@
         for share, servers in expected.refusals:
             if servers:
                 text = self._parts.states.describe(servers, rank)
-                error = Overloaded(f"The servers take no more requests now ({text}).")
+                error = Overloaded(
+                    f"The servers take no more requests at present ({text})."
+                )
                 range_s = self._parts.limits.return_range_s(servers, rank)
             else:
                 error = self._filters.no_server(request, name, self._runtime.now())
--- a/pistachiowell/gateway/where_summary.py
+++ b/pistachiowell/gateway/where_summary.py
@@ -23,7 +23,9 @@
     elif is_by_cost:
         reason = "They have the same least cost; one is drawn at random."
     else:
-        reason = "Of two drawn at random among the nearest, the less loaded is chosen."
+        reason = (
+            "Of a few drawn at random among the nearest, the least loaded is chosen."
+        )
     return outcome, reason
 
 
