Take servers for cold until the ends of evacuations are known

Cause: a gateway that starts within ColdS after an evacuation was taken back reads that nothing is evacuated. It has not seen the end, took the servers of that data centre for warm, and sent one of them up to 646 requests in a second where 23 are allowed. A gateway that was cut off for long had the same fault.

Change: each process has a time from which on it knows all evacuations (admission/evacuation_knowledge.py). Servers of all data centres are cold for ColdS after it. It begins again after more than 4 s without news. Agents report the ends of the last seconds and for how long they have known all, so a gateway that starts beside them is held back until their first report only. A process that follows the store reads the changes that it missed in an outage with one watch, so an outage of the store itself puts nothing in doubt while the store has the changes. Without cold_overshoot or evacuation_ms nothing changes.

--- a/pistachiowell/admission/__init__.py
+++ b/pistachiowell/admission/__init__.py
@@ -8,6 +8,7 @@
     ColdTurns,
     divide_bound,
 )
+from pistachiowell.admission.evacuation_knowledge import EvacuationKnowledge
 from pistachiowell.admission.gateway_load import GatewayLoadSettings, LoadMeter
 from pistachiowell.admission.limits import LIMITS
 from pistachiowell.admission.link_load import LinkMeter, LinkSettings, LinkShare
@@ -34,6 +35,7 @@
     "AdmissionSettings",
     "ClosedBy",
     "Closures",
+    "EvacuationKnowledge",
     "GatewayLoadSettings",
     "ColdAdmission",
     "ColdSettings",
--- a/pistachiowell/catalog/evacuations.py
+++ b/pistachiowell/catalog/evacuations.py
@@ -6,8 +6,11 @@
 until the store has confirmed one nobody can tell where a request may go.
 """
 
-# Longer than a watch of the store waits, and than agents need between two heartbeats.
-MAX_UNCONFIRMED_S = 4.0
+from pistachiowell.admission.evacuation_knowledge import (
+    MAX_UNCONFIRMED_S,
+    EvacuationKnowledge,
+)
+
 # Time for an operator or a program to write again what a return of the store has lost.
 RETURN_HOLD_S = 10.0
 
@@ -44,6 +47,7 @@
         "_held_until",
         "_is_confirmed",
         "_is_used",
+        "_knowledge",
         "_names",
         "_version",
     )
@@ -56,6 +60,7 @@
         self._ended_at = {}
         self._is_confirmed = False
         self._confirmed_at = float("-inf")
+        self._knowledge = EvacuationKnowledge()
 
     @property
     def is_used(self):
@@ -77,6 +82,11 @@
         """Era and revision of the state; None before the first one."""
         return self._version
 
+    @property
+    def knowledge(self):
+        """The ``EvacuationKnowledge`` of this process."""
+        return self._knowledge
+
     def in_force(self, now):
         """Returns the names of the data centres that get no requests.
 
@@ -103,8 +113,44 @@
         """
         if self.is_evacuated(data_centre, now):
             return None
-        held_until = self._held_until.get(data_centre)
-        return self._ended_at.get(data_centre) if held_until is None else held_until
+        return self._latest_end(data_centre)
+
+    def _latest_end(self, data_centre):
+        ends = (self._held_until.get(data_centre), self._ended_at.get(data_centre))
+        return max((end for end in ends if end is not None), default=None)
+
+    def recent_ends(self, now, within_s):
+        """Returns the latest ends of evacuations, the latest first.
+
+        Args:
+            now: Present time in seconds.
+            within_s: Seconds before now within which they ended.
+
+        Returns:
+            A list of ``(data_centre, ended_s)`` with the seconds since the end. They
+            are below 0 for what a return of the store has lost and is still in force.
+        """
+        ends = {}
+        for data_centre in self._ended_at.keys() | self._held_until.keys():
+            ended_s = now - self._latest_end(data_centre)
+            if data_centre not in self._names and ended_s < within_s:
+                ends[data_centre] = ended_s
+        return sorted(ends.items(), key=lambda item: (item[1], item[0]))
+
+    def record_end(self, data_centre, ended_at, now):
+        """Records the end of an evacuation that another process has seen.
+
+        Args:
+            data_centre: Name of the data centre.
+            ended_at: Time of the end in seconds; after now if it is still in force, as
+                a return of the store has lost it.
+            now: Present time in seconds.
+        """
+        if data_centre in self._names:
+            return
+        ends = self._held_until if ended_at > now else self._ended_at
+        ended_at = min(ended_at, now + RETURN_HOLD_S)
+        ends[data_centre] = max(ends.get(data_centre, ended_at), ended_at)
 
     def apply(self, names, version, now):
         """Applies a state unless a newer one is known.
@@ -138,6 +184,12 @@
         """Records that the store, or an agent that follows it, has confirmed it."""
         self._is_confirmed = True
         self._confirmed_at = now
+        self._knowledge.confirm(now)
+
+    def keep_confirmed(self, now):
+        """Records that the store has reported each change until now."""
+        self._knowledge.keep(now)
+        self.confirm(now)
 
     def require_confirmation(self, now):
         """Records that the store answers again after an outage.
--- a/pistachiowell/gateway/cold_servers.py
+++ b/pistachiowell/gateway/cold_servers.py
@@ -27,7 +27,8 @@
     """Joins what servers say and what has happened to them.
 
     A server is cold while its registration or an answer says so, for some time after it
-    has begun to run, and after the end of an evacuation of its data centre.
+    has begun to run, and after the end of an evacuation of its data centre, which may
+    have been at any moment before the process knew of all evacuations.
 
     Args:
         runtime: The process's ``Runtime``.
@@ -173,11 +174,18 @@
         begun_at = self._begun_at.get(incarnation)
         if begun_at is not None:
             spans.append((begun_at, begun_at + cold_s))
-        ended_at = self._state.evacuations.ended_at(server.data_centre, now)
-        if ended_at is not None:
-            stated_at = self._times.stated_at(incarnation)
-            # What was stated just then may have been written before.
-            if stated_at is None or stated_at < ended_at + STALE_S:
+        evacuations = self._state.evacuations
+        stated_at = self._times.stated_at(incarnation)
+        for ended_at in (
+            evacuations.ended_at(server.data_centre, now),
+            evacuations.knowledge.since,
+        ):
+            if ended_at is None:
+                continue
+            # What was stated just then may have been written before; so may what this
+            # process read when it began to follow the evacuations.
+            read_at = max(ended_at, evacuations.knowledge.read_at or ended_at)
+            if stated_at is None or stated_at < read_at + STALE_S:
                 spans.append((ended_at, ended_at + cold_s))
         return [span for span in spans if span is not None and now < span[1]]
 
@@ -221,6 +229,24 @@
         return sum(map(self.is_cold, self._state.servers.known.values()))
 
 
+def longest_cold_s(runtime, state):
+    """Returns for how many seconds an end of an evacuation matters; 0 for never.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        state: The ``GatewayState``.
+    """
+    settings = runtime.settings
+    if state.catalog is None or not state.evacuations.is_used:
+        return 0.0
+    if not ColdSettings(settings.cold_overshoot, settings.cold_extra).is_used:
+        return 0.0
+    services = state.catalog.services.values()
+    return max(
+        (s.cold_s or DEFAULT_COLD_S for s in services if s.cold_per_s), default=0.0
+    )
+
+
 def encode_cold(times):
     """Returns the ``ServersCold`` of the seconds by ``Incarnation``."""
     return ServersCold(
--- a/pistachiowell/gateway/evacuation_watch.py
+++ b/pistachiowell/gateway/evacuation_watch.py
@@ -1,7 +1,16 @@
 """The evacuated data centres as a process reads them, in the store or from agents."""
 
+import math
+from contextlib import aclosing
+
+import anyio
+
+from pistachiowell.admission.cold import MAX_COLD_S
+from pistachiowell.core.errors import STORE_ERRORS
 from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.cold_servers import longest_cold_s
 from pistachiowell.gateway.watchers import StoreObserver
+from pistachiowell.schema.generated.messages_gateway import EvacuationEnd
 from pistachiowell.store.era import REVISION_BITS
 from pistachiowell.store.follow import follow_collection
 
@@ -10,6 +19,11 @@
 # A deployment has a few data centres; objects beyond are mistakes of their writers.
 MAX_REPORTED = 64
 MAX_UNKNOWN = 1_024
+# Times in reports are rounded down to this, as each other value is a report of its own.
+TIME_STEP_S = 0.5
+# A store that has no missed change answers after the wait.
+MISSED_WAIT_S = 0.05
+MISSED_TIMEOUT_S = 1.0
 
 _log = part_logger("places")
 
@@ -32,6 +46,33 @@
     return divmod(number, 1 << REVISION_BITS)
 
 
+def encode_history(runtime, state):
+    """Returns what an agent tells of the past seconds.
+
+    Args:
+        runtime: The process's ``Runtime``.
+        state: The ``GatewayState``.
+
+    Returns:
+        Each ``EvacuationEnd`` that matters, and the seconds for which all evacuations
+        have been known.
+    """
+    evacuations, now = state.evacuations, runtime.now()
+    within_s = longest_cold_s(runtime, state)
+    if not within_s:
+        return [], 0.0
+    known_s = evacuations.knowledge.known_s(now)
+    ends = evacuations.recent_ends(now, within_s)[:MAX_REPORTED]
+    return (
+        [EvacuationEnd(name, _round_down(ended_s)) for name, ended_s in ends],
+        within_s if known_s >= within_s else _round_down(known_s),
+    )
+
+
+def _round_down(seconds):
+    return math.floor(seconds / TIME_STEP_S) * TIME_STEP_S
+
+
 class EvacuationWatcher:
     """Keeps the ``Evacuations`` up to date from the store and from agents' reports.
 
@@ -72,9 +113,56 @@
             observer=self._observer,
             max_delay_s=MAX_RETRY_DELAY_S,
         ):
+            evacuations = self._state.evacuations
+            known = evacuations.version
             names = self._codec.evacuated_data_centres(objects)
             self._apply(names, decode_version(self._observer.version), "store")
-            self._state.evacuations.confirm(self._runtime.now())
+            knowledge = evacuations.knowledge
+            is_later_list = known is not None and knowledge.since is not None
+            if is_later_list and knowledge.is_broken(self._runtime.now()):
+                await self._read_missed(known)
+            evacuations.confirm(self._runtime.now())
+
+    async def _read_missed(self, version):
+        """Reads the evacuations that ended during an outage, if the store has them.
+
+        Otherwise all processes would take all servers for cold after an outage of the
+        store itself.
+
+        Args:
+            version: Era and revision up to which all changes are known.
+        """
+        evacuations = self._state.evacuations
+        knowledge = evacuations.knowledge
+        since = knowledge.since
+        # Nothing before is known, also if the reading is cancelled.
+        knowledge.confirm(self._runtime.now())
+        names = await self._missed_ends(version)
+        if names is None:
+            _log.info("Evacuations during the outage are not known.")
+            return
+        now = self._runtime.now()
+        for name in names:
+            evacuations.record_end(name, now, now)
+        knowledge.extend(since)
+
+    async def _missed_ends(self, version):
+        """Returns the names of what ended after a version; None if nobody knows."""
+        names = set()
+        changes = self._runtime.store.watch(
+            self._codec.COLLECTION, encode_version(version), MISSED_WAIT_S
+        )
+        with anyio.move_on_after(MISSED_TIMEOUT_S):
+            try:
+                async with aclosing(changes):
+                    async for change in changes:
+                        if change is None:
+                            return names
+                        if change.value is None:
+                            names.add(change.name)
+            except STORE_ERRORS as error:
+                _log.debug("Reading the changes of an outage failed: {}", error)
+        return None
 
     def mark_stopped(self):
         """Records that the store is no longer followed."""
@@ -99,6 +187,31 @@
             self._apply(report.evacuations, version, agent)
         if report.follows_evacuations:
             evacuations.confirm(self._runtime.now())
+        self._learn_history(agent, report)
+
+    def _learn_history(self, agent, report):
+        """Learns the ends of evacuations that this process may not have seen."""
+        evacuations, now = self._state.evacuations, self._runtime.now()
+        knowledge = evacuations.knowledge
+        within_s = longest_cold_s(self._runtime, self._state)
+        if knowledge.known_s(now) >= within_s and self._state.catalog is not None:
+            return
+        for end in report.evacuation_ends[:MAX_REPORTED]:
+            if math.isfinite(end.ended_s):
+                evacuations.record_end(end.data_centre, now - end.ended_s, now)
+        # The agent lags behind: these ended after what it has read.
+        for name in set(report.evacuations) - evacuations.in_force(now):
+            evacuations.record_end(name, now, now)
+        known_s = report.evacuations_known_s
+        if report.follows_evacuations and 0 < known_s <= MAX_COLD_S:
+            before_s = knowledge.known_s(now)
+            knowledge.extend(now - known_s)
+            if before_s < within_s <= known_s:
+                _log.info(
+                    "An agent has told which evacuations ended recently.",
+                    agent=agent,
+                    ends=len(report.evacuation_ends),
+                )
 
     def reported(self):
         """Returns the evacuated data centres as reports to gateways name them."""
@@ -158,13 +271,16 @@
         self._evacuations = evacuations
         self.version = 0
 
+    def on_list(self):
+        self.version = 0
+
     def on_content(self, version):
         self.version = max(version, self.version)
 
     def on_confirmed(self):
         super().on_confirmed()
         if self.version:
-            self._evacuations.confirm(self._runtime.now())
+            self._evacuations.keep_confirmed(self._runtime.now())
 
     def on_outage(self, error):
         super().on_outage(error)
--- a/pistachiowell/gateway/load_reports.py
+++ b/pistachiowell/gateway/load_reports.py
@@ -7,7 +7,7 @@
 
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.evacuation_watch import encode_version
+from pistachiowell.gateway.evacuation_watch import encode_history, encode_version
 from pistachiowell.routing import (
     REPORT_PACERS,
     EngineLoad,
@@ -129,6 +129,7 @@
 
     def _report(self, link):
         catalog = self._state.catalog
+        ends, known_s = encode_history(self._runtime, self._state)
         return AgentReport(
             loads=[
                 encode_load(address, sums.total_except(link))
@@ -140,6 +141,8 @@
             evacuations=self._evacuation_watcher.reported(),
             evacuations_version=encode_version(self._state.evacuations.version),
             follows_evacuations=self._evacuation_watcher.follows_store,
+            evacuation_ends=ends,
+            evacuations_known_s=known_s,
             gateways=len(self._last_reports),
             leaving=self._runtime.leaving,
         )
--- a/pistachiowell/store/follow.py
+++ b/pistachiowell/store/follow.py
@@ -24,6 +24,9 @@
 
     __slots__ = ()
 
+    def on_list(self):
+        """Handles a list, before its confirmation; changes before it may be missing."""
+
     def on_confirmed(self):
         """Handles a confirmation by the store that the content is current."""
 
@@ -85,6 +88,7 @@
             if is_unavailable:
                 is_unavailable = False
                 observer.on_recovery()
+            observer.on_list()
             observer.on_confirmed()
             objects = {entry.name: entry for entry in entries}
             observer.on_content(version)
