Let two tests wait until a gateway knows the evacuations

Both tests took a gateway that has just started, and that no agent has told anything, for one that knows that no evacuation has ended. It does once an agent has told it, or 3 s later.

test_gateway_without_an_agent_waits_for_a_cold_server: it has no agent, so it waits until only a-1 is cold; a-1 is cold for longer, and is now shown to be cold to the end. The requests and what they must meet are as before.

test_where.py: the fixture's gateway has known the evacuations for a minute.

--- a/pistachiowell/platform/tests/test_cold_servers.py
+++ b/pistachiowell/platform/tests/test_cold_servers.py
@@ -171,11 +171,15 @@
 
 
 async def test_gateway_without_an_agent_waits_for_a_cold_server(start_rig):
-    async with cold_rig(start_rig, 1, agents=0, ColdLeftMs=4000) as (rig, _, addresses):
+    async with cold_rig(start_rig, 1, agents=0, ColdLeftMs=9000) as (rig, _, addresses):
+        gateway = rig.gateways[0]
         await rig.add_server("b-1", "desk", Zone="west")
-        await rig.until(lambda: "b-1" in rig.gateways[0].state.servers.known)
+        await rig.until(lambda: "b-1" in gateway.state.servers.known)
+        # Without an agent, a gateway that has just started takes all for cold.
+        await rig.until(lambda: gateway.metrics.values["servers.cold"] == 1)
         for _ in range(20):
             assert (await rig.send("/read/x"))[0] == 200
+        assert gateway.metrics.values["servers.cold"] == 1
         assert len(rig.servers["b-1"].requests) >= 17
 
 
--- a/pistachiowell/platform/tests/test_where.py
+++ b/pistachiowell/platform/tests/test_where.py
@@ -105,6 +105,8 @@
     servers += [make_server(name) for name in (*POOL, "spare-0")]
     state.servers.replace({server.id: server for server in servers}, 0.0)
     state.evacuations.confirm(now(gateway))
+    # It has run for a while, so that no evacuation ended before it could see it.
+    state.evacuations.knowledge.extend(now(gateway) - 60.0)
     return gateway
 
 
