Confirm no recall of tokens that a fenced router run still holds

An account was refused with 402 although it had tokens: after a partition of the data centres a router had been fenced and had registered again, and the owner of the page asked it to return its idle tokens while it knew the earlier run only.

The recall now names the holder, and a run that is fenced or is not that holder refuses it. The request is then refused with 503 until the grants are recovered. An older router names no holder and is answered as before.

--- a/pistachiowell/router/spending.py
+++ b/pistachiowell/router/spending.py
@@ -303,7 +303,8 @@
             try:
                 if peer is None:
                     raise LinkLost("No link to the holder of the grant is open.")
-                reply = await peer.link.call(RecallTokens(account), CALL_TIMEOUT_S)
+                call = RecallTokens(account, holder)
+                reply = await peer.link.call(call, CALL_TIMEOUT_S)
             except (LinkLost, LinkTimeout):
                 reply = None
             if not isinstance(reply, TokensRecalled):
@@ -322,8 +323,17 @@
         return TokensSettled(message.request_id)
 
     async def _handle_recall(self, link, message):
-        self._holder.recall(message.account, self._runtime.now())
+        """Returns the idle tokens of an account's grants to its page.
+
+        A fenced incarnation writes no page, and a later one does not hold its grants.
+        Confirming the recall nevertheless would make the owner refuse requests as if
+        the budget were spent.
+        """
+        holder = self._holder
+        holder.recall(message.account, self._runtime.now())
         await self._pages.sync(message.account)
+        if holder.fenced or message.holder not in {"", holder.incarnation}:
+            raise BudgetUnreachable("The grants belong to a fenced incarnation.")
         return TokensRecalled(message.account)
 
 
