Keep a recall of tokens in force when its write meets another

An account was refused with 402 although it had tokens: a recall of idle tokens was planned, its write met one of another process, and the conflict withdrew the plan as if the store were away. The next try had nothing to write, and the recall was confirmed.

A conflict now keeps the planned reductions, and only the closing of grants is planned anew; an outage and the end of all tries withdraw them as before.

--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -309,6 +309,25 @@
         """
         self._unresolved[number] = base_version
 
+    def on_conflict(self, number):
+        """Records that a write of a page had no effect and is planned anew.
+
+        Planned reductions stay in force: the next write makes them, and a recall that
+        was withdrawn here would be confirmed without its tokens being returned. Grants
+        are not closed yet, however, so one that is missing then was closed by another
+        process.
+
+        Args:
+            number: Page number.
+        """
+        if number in self._unresolved:
+            return
+        for account in self._by_page[number]:
+            for grant_id, grant in self._ledgers[account].grants.items():
+                if grant_id in self._closing:
+                    del self._closing[grant_id]
+                    grant.draining = False
+
     def on_write_failed(self, number):
         """Withdraws the planned reductions of a page after a write without effect.
 
@@ -321,12 +340,10 @@
         """
         if number in self._unresolved:
             return
+        self.on_conflict(number)
         for account in self._by_page[number]:
-            for grant_id, grant in self._ledgers[account].grants.items():
+            for grant in self._ledgers[account].grants.values():
                 grant.ceiling = None
-                if grant_id in self._closing:
-                    del self._closing[grant_id]
-                    grant.draining = False
 
     def observe(self, number, version, page, now):
         """Applies a page as read or written; a version older than the last is ignored.
--- a/pistachiowell/router/pages.py
+++ b/pistachiowell/router/pages.py
@@ -145,11 +145,12 @@
                 if await self._write():
                     return
             except StoreConflict:
-                holder.on_write_failed(self._number)
+                holder.on_conflict(self._number)
             except (StoreUnavailable, StoreThrottled) as error:
                 holder.on_write_failed(self._number)
                 raise BudgetUnreachable(error.message) from error
             await anyio.sleep(random.uniform(0, CONFLICT_DELAY_S))
+        holder.on_write_failed(self._number)
         raise BudgetUnreachable(
             f"Budget page {self._number} was not written: each try met a conflict or "
             "lost answer."
--- a/pistachiowell/router/tests/test_recalls.py
+++ b/pistachiowell/router/tests/test_recalls.py
@@ -1,7 +1,7 @@
 """Tests of the recall of idle tokens from another router.
 
-Guards against refusing requests as if the budget were spent although a fenced router
-holds tokens that its recovery returns.
+Guards against refusing requests as if the budget were spent although another router
+holds tokens, or a fenced one those that its recovery returns.
 """
 
 from types import SimpleNamespace
@@ -82,6 +82,13 @@
         await owner.spend(1)
 
 
+async def test_idle_tokens_are_recalled_while_others_write_the_page(routers):
+    owner, other = routers
+    await other.spend(100)
+    other.runtime.store.faults.conflicts = 1
+    await owner.spend(CREDIT - 100)
+
+
 async def test_restarted_router_does_not_confirm_the_recall_of_its_earlier_grants(
     routers,
 ):
