--- a/pistachiowell/soak/tests/test_explaining.py
+++ b/pistachiowell/soak/tests/test_explaining.py
@@ -20,7 +20,6 @@
 )
 from pistachiowell.platform.standins import chunk, close_without_answer, event, head
 from pistachiowell.soak.closing import ServerState
-from pistachiowell.soak.fleet import Fleet
 
 pytestmark = pytest.mark.anyio
 
@@ -61,22 +60,14 @@
 
 
 @pytest.fixture
-async def fleet(tmp_path, free_port):
+async def fleet(start_fleet):
     """Starts a gateway, an agent and servers whose answers are lost or hang."""
-    async with anyio.create_task_group() as group:
-        fleet = Fleet(group, tmp_path, free_port)
-        try:
-            await fleet.start_store()
-            fleet.store.put("config", "main", soak_configuration(PREPAID_TOKENS))
-            await fleet.add_server("desk-1", "desk", close_without_answer)
-            await fleet.add_server("pool-1", "pool", stall_after_first_event)
-            await fleet.add_agent("agent-1")
-            await fleet.add_gateway("gate-1")
-            await fleet.wait_until_registered(2)
-            yield fleet
-        finally:
-            fleet.stop()
-            group.cancel_scope.cancel()
+    servers = [
+        ("desk-1", "desk", close_without_answer),
+        ("pool-1", "pool", stall_after_first_event),
+    ]
+    async with start_fleet(soak_configuration(PREPAID_TOKENS), servers) as fleet:
+        yield fleet
 
 
 async def test_lost_answer_names_the_server(fleet, tmp_path):
--- a/pistachiowell/soak/tests/test_leaving.py
+++ b/pistachiowell/soak/tests/test_leaving.py
@@ -15,7 +15,6 @@
     caller_headers,
     soak_configuration,
 )
-from pistachiowell.soak.fleet import Fleet
 from pistachiowell.soak.tests.slow_streams import WHOLE_STREAM, stream_slowly
 
 pytestmark = pytest.mark.anyio
@@ -36,34 +35,26 @@
 
 
 async def test_request_in_the_notice_ends_whole_and_none_is_taken_after_it(
-    tmp_path, free_port
+    start_fleet,
 ):
     bodies = []
 
     async def record_body(address):
         bodies.append((await request_stream(address)).content)
 
-    async with anyio.create_task_group() as group:
-        fleet = Fleet(group, tmp_path, free_port, {"leaving_notice_s": None})
-        try:
-            await fleet.start_store()
-            fleet.store.put("config", "main", soak_configuration(10_000, 9_000))
-            await fleet.add_server("pool-1", "pool", stream_slowly(STREAM_S))
-            await fleet.add_agent("agent-1")
-            await fleet.add_gateway("gate-1")
-            await fleet.wait_until_registered(2)
-            started = anyio.current_time()
-            fleet.send_signal("gate-1", signal.SIGTERM)
-            async with anyio.create_task_group() as callers:
-                await anyio.sleep(ACCEPTED_AT_S)
-                callers.start_soon(record_body, fleet.addresses["gate-1"])
-                await anyio.sleep(REFUSED_AT_S - ACCEPTED_AT_S)
-                late = await request_stream(fleet.addresses["gate-1"])
-            await fleet.wait_until_exited("gate-1")
-            assert anyio.current_time() - started < EXIT_LIMIT_S
-        finally:
-            fleet.stop()
-            group.cancel_scope.cancel()
+    configuration = soak_configuration(10_000, 9_000)
+    servers = [("pool-1", "pool", stream_slowly(STREAM_S))]
+    settings = {"leaving_notice_s": None}
+    async with start_fleet(configuration, servers, settings) as fleet:
+        started = anyio.current_time()
+        fleet.send_signal("gate-1", signal.SIGTERM)
+        async with anyio.create_task_group() as callers:
+            await anyio.sleep(ACCEPTED_AT_S)
+            callers.start_soon(record_body, fleet.addresses["gate-1"])
+            await anyio.sleep(REFUSED_AT_S - ACCEPTED_AT_S)
+            late = await request_stream(fleet.addresses["gate-1"])
+        await fleet.wait_until_exited("gate-1")
+        assert anyio.current_time() - started < EXIT_LIMIT_S
     assert bodies == [WHOLE_STREAM]
     refusal = msgspec.json.decode(late.content)
     assert (late.status, refusal["error"], refusal["ran"]) == (503, "leaving", "no")
--- a/pistachiowell/soak/tests/test_signals_in_series.py
+++ b/pistachiowell/soak/tests/test_signals_in_series.py
@@ -15,7 +15,6 @@
     caller_headers,
     soak_configuration,
 )
-from pistachiowell.soak.fleet import Fleet
 from pistachiowell.soak.tests.slow_streams import WHOLE_STREAM, stream_slowly
 
 pytestmark = pytest.mark.anyio
@@ -60,33 +59,21 @@
 
 @pytest.mark.parametrize("target", ["gate-1", "agent-1"])
 @pytest.mark.parametrize("series", SERIES, ids=name_of)
-async def test_signal_after_the_first_cuts_requests_off(
-    tmp_path, free_port, target, series
-):
+async def test_signal_after_the_first_cuts_requests_off(start_fleet, target, series):
     bodies = {}
-    async with anyio.create_task_group() as group:
-        fleet = Fleet(group, tmp_path, free_port)
-        try:
-            await fleet.start_store()
-            configuration = soak_configuration(PREPAID_TOKENS, int(TIMEOUT_S * 1000))
-            fleet.store.put("config", "main", configuration)
-            await fleet.add_server("pool-1", "pool", stream_slowly(STREAM_S))
-            await fleet.add_agent("agent-1")
-            await fleet.add_gateway("gate-1")
-            await fleet.wait_until_registered(2)
-            address = fleet.addresses["gate-1"]
-            async with anyio.create_task_group() as callers:
-                callers.start_soon(request_streams, address, bodies)
-                while len(fleet.servers[0].requests) < CALLERS:
-                    await anyio.sleep(0.02)
-                for number in series:
-                    fleet.send_signal(target, number)
-                    await anyio.sleep(SIGNAL_INTERVAL_S)
-            with anyio.fail_after(10.0):
-                await fleet.wait_until_exited(target)
-            exit_code = fleet.exit_code(target)
-        finally:
-            fleet.stop()
-            group.cancel_scope.cancel()
+    configuration = soak_configuration(PREPAID_TOKENS, int(TIMEOUT_S * 1000))
+    servers = [("pool-1", "pool", stream_slowly(STREAM_S))]
+    async with start_fleet(configuration, servers) as fleet:
+        address = fleet.addresses["gate-1"]
+        async with anyio.create_task_group() as callers:
+            callers.start_soon(request_streams, address, bodies)
+            while len(fleet.servers[0].requests) < CALLERS:
+                await anyio.sleep(0.02)
+            for number in series:
+                fleet.send_signal(target, number)
+                await anyio.sleep(SIGNAL_INTERVAL_S)
+        with anyio.fail_after(10.0):
+            await fleet.wait_until_exited(target)
+        exit_code = fleet.exit_code(target)
     assert list(bodies.values()) == [WHOLE_STREAM] * CALLERS
     assert exit_code == 0
--- a/pistachiowell/soak/tests/test_where_command.py
+++ b/pistachiowell/soak/tests/test_where_command.py
@@ -16,7 +16,6 @@
     soak_configuration,
 )
 from pistachiowell.platform.standins import answer_whole
-from pistachiowell.soak.fleet import Fleet
 
 pytestmark = pytest.mark.anyio
 
@@ -29,23 +28,12 @@
 
 
 @pytest.fixture
-async def fleet(tmp_path, free_port, metrics_address):
-    """Starts a gateway, an agent and two servers, one of which refuses connections."""
-    port = int(metrics_address.rpartition(":")[2])
-    async with anyio.create_task_group() as group:
-        fleet = Fleet(group, tmp_path, free_port, {"metrics_port": port})
-        try:
-            await fleet.start_store()
-            fleet.store.put("config", "main", soak_configuration(2_000))
-            await fleet.add_server("desk-1", "desk", answer_whole)
-            await fleet.add_server("desk-2", "desk", answer_whole)
-            await fleet.add_agent("agent-1")
-            await fleet.add_gateway("gate-1")
-            await fleet.wait_until_registered(2)
-            yield fleet
-        finally:
-            fleet.stop()
-            group.cancel_scope.cancel()
+async def fleet(start_fleet, metrics_address):
+    """Starts a gateway, an agent and two servers."""
+    settings = {"metrics_port": int(metrics_address.rpartition(":")[2])}
+    servers = [(name, "desk", answer_whole) for name in ("desk-1", "desk-2")]
+    async with start_fleet(soak_configuration(2_000), servers, settings) as fleet:
+        yield fleet
 
 
 async def run_where(*words):
