Call the urgency of a request its rank

Cause: the glossary, the refusals of a gateway at its limit and the report of where a request would go call it rank; the choice of a server, rate limits and the catalog called it priority. Change: names and docstrings say rank. Fields of messages, of the configuration and of the header to servers keep their names, as do the priority classes of the operators' table. Run.priority remains beside Run.rank as long as Hedges reads it.

--- a/pistachiowell/admission/rates.py
+++ b/pistachiowell/admission/rates.py
@@ -12,7 +12,7 @@
 
 from dataclasses import dataclass
 
-MAX_PRIORITY_STEPS = 4
+MAX_RANK_STEPS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,11 +149,11 @@
         self._per_s = per_s
         self._tokens = min(self._tokens, self._size)
 
-    def try_take(self, priority, now):
+    def try_take(self, rank, now):
         """Admits a request if there is room.
 
         Args:
-            priority: Rank of the request; 0 is the most urgent.
+            rank: Rank of the request; 0 is the most urgent.
             now: Present time in seconds.
 
         Returns:
@@ -161,7 +161,7 @@
             as far as no more urgent request takes it.
         """
         self._fill(now)
-        reserved = self._reserve(priority)
+        reserved = self._reserve(rank)
         missing = 1.0 + reserved - self._tokens
         if missing <= 1e-9:
             self._tokens -= 1.0
@@ -176,9 +176,9 @@
     def _size(self):
         return 1.0 + self._burst
 
-    def _reserve(self, priority):
-        steps = min(max(0, priority), MAX_PRIORITY_STEPS - 1)
-        return self._burst * steps / MAX_PRIORITY_STEPS
+    def _reserve(self, rank):
+        steps = min(max(0, rank), MAX_RANK_STEPS - 1)
+        return self._burst * steps / MAX_RANK_STEPS
 
     def _fill(self, now):
         passed_s = max(0.0, now - self._filled_at)
@@ -263,12 +263,12 @@
             limit.bucket = None
         return has_changed
 
-    def try_take(self, incarnation, priority, now):
+    def try_take(self, incarnation, rank, now):
         """Admits a request to a server if there is room.
 
         Args:
             incarnation: The ``Incarnation``.
-            priority: Rank of the request; 0 is the most urgent.
+            rank: Rank of the request; 0 is the most urgent.
             now: Present time in seconds.
 
         Returns:
@@ -283,7 +283,7 @@
             limit.bucket = RateBucket(self._settings, per_s, now)
         elif limit.bucket.per_s != per_s:
             limit.bucket.set_rate(per_s, now)
-        return limit.bucket.try_take(priority, now)
+        return limit.bucket.try_take(rank, now)
 
     def _forget(self, now):
         oldest = now - self._settings.forget_s
--- a/pistachiowell/admission/tests/test_rates.py
+++ b/pistachiowell/admission/tests/test_rates.py
@@ -23,10 +23,10 @@
     return limits
 
 
-def admitted_at(limits, priority, until, interval_s=0.01):
+def admitted_at(limits, rank, until, interval_s=0.01):
     """Returns the times of the requests that are admitted under endless demand."""
     times = [number * interval_s for number in range(int(until / interval_s))]
-    return [now for now in times if not limits.try_take(DESK, priority, now)]
+    return [now for now in times if not limits.try_take(DESK, rank, now)]
 
 
 def most_in_a_window(times):
@@ -53,8 +53,8 @@
     admitted = {0: 0, 3: 0}
     for step in range(2_000):
         now = step * 0.01
-        for priority in (3, 0):
-            admitted[priority] += not limits.try_take(DESK, priority, now)
+        for rank in (3, 0):
+            admitted[rank] += not limits.try_take(DESK, rank, now)
     assert admitted[0] >= 38
     assert admitted[3] <= 2
 
@@ -105,11 +105,11 @@
     assert 5 <= len(times) <= 7
 
 
-@given(per_s=st.floats(0.0, 1e12), priority=st.integers(-5, 20))
-def test_wait_is_finite_for_any_rate(per_s, priority):
+@given(per_s=st.floats(0.0, 1e12), rank=st.integers(-5, 20))
+def test_wait_is_finite_for_any_rate(per_s, rank):
     limits = RateLimits(RateSettings())
     limits.observe(DESK, Observation(per_s, 0.0), 0.0)
-    assert 0.0 <= limits.try_take(DESK, priority, 0.0) <= 10.0
+    assert 0.0 <= limits.try_take(DESK, rank, 0.0) <= 10.0
 
 
 @pytest.mark.parametrize("routers", [2, 4, 30, 350])
--- a/pistachiowell/catalog/catalog.py
+++ b/pistachiowell/catalog/catalog.py
@@ -33,7 +33,7 @@
             of a stream.
         event_gap_s: Target in seconds for the longest pause between events; 0 for no
             stream.
-        priority: Rank of the requests; 0 is the most urgent.
+        rank: Rank of the requests; 0 is the most urgent.
         max_attempts: Maximum number of servers that may run one request.
         is_public: Whether requests need no API key.
         is_resumable: Whether a broken stream may be resumed at another server.
@@ -50,7 +50,7 @@
     timeout_s: float
     objective_s: float
     event_gap_s: float = 0.0
-    priority: int = 0
+    rank: int = 0
     max_attempts: int = 1
     is_public: bool = False
     is_resumable: bool = False
@@ -109,14 +109,14 @@
 
     Attributes:
         name: Name of the account.
-        priority: Rank that overrides the rank of the route; None to keep that.
+        rank: Rank that overrides the rank of the route; None to keep that.
         prepaid_tokens: Number of tokens paid for; None for an account without a budget.
         home_regions: Names of the regions whose servers its requests may be sent to;
             empty for all.
     """
 
     name: str
-    priority: int | None = None
+    rank: int | None = None
     prepaid_tokens: int | None = None
     home_regions: frozenset = frozenset()
 
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -206,9 +206,9 @@
         """Chooses a server that admits the request now."""
         while True:
             choice = self._selection.choose(
-                run.request, run.service, run.tried, crashed_servers, run.priority
+                run.request, run.service, run.tried, crashed_servers, run.rank
             )
-            is_admitted = await self._limits.admit(choice.server, run.priority)
+            is_admitted = await self._limits.admit(choice.server, run.rank)
             if is_admitted and self._selection.may_start(run.service, choice):
                 return choice
 
@@ -293,7 +293,7 @@
 
     def _has_other_server(self, run):
         return self._selection.has_other_server(
-            run.request, run.service, run.tried, run.priority
+            run.request, run.service, run.tried, run.rank
         )
 
     async def _send_in_turn(self, run, exchange, attempt):
--- a/pistachiowell/gateway/expected_choice.py
+++ b/pistachiowell/gateway/expected_choice.py
@@ -61,14 +61,14 @@
         self._filters = ServerFilters(parts)
         self._now = now
 
-    def expect(self, request, service_name, crashed_servers, priority):
+    def expect(self, request, service_name, crashed_servers, rank):
         """Returns the ``ExpectedChoice`` of the first attempt of a request.
 
         Args:
             request: The ``GatewayRequest``.
             service_name: Name of the service.
             crashed_servers: Ids of the servers that crashed while they ran the request.
-            priority: Rank of the attempt; 0 is the most urgent.
+            rank: Rank of the attempt; 0 is the most urgent.
         """
         expected, now = ExpectedChoice(), self._now()
         accepting = self._accepting(expected, request, service_name, now)
@@ -84,18 +84,18 @@
             if not share:
                 continue
             self._add_part(
-                expected, share, servers, request, crashed_servers, priority, now
+                expected, share, servers, request, crashed_servers, rank, now
             )
         return expected
 
-    def _late_range_s(self, request, servers, priority):
+    def _late_range_s(self, request, servers, rank):
         """Returns the range of the delay if no engine can begin in time, or None."""
         work = engine_request(request)
         if work is None:
             return None
         service_name = servers[0].service
         return self._parts.late.retry_range_s(
-            request, service_name, servers, work, priority
+            request, service_name, servers, work, rank
         )
 
     def _accepting(self, expected, request, service_name, now):
@@ -125,17 +125,15 @@
             return LEAVING
         return EVACUATED if self._parts.places.is_evacuated(server) else ""
 
-    def _add_part(
-        self, expected, share, allowed, request, crashed_servers, priority, now
-    ):
+    def _add_part(self, expected, share, allowed, request, crashed_servers, rank, now):
         """Adds the choice among the servers of the versions that get a share."""
         filters = self._filters
-        with_room = filters.with_room(allowed, priority)
+        with_room = filters.with_room(allowed, rank)
         if not with_room:
             expected.refusals.append((share, allowed))
             expected.left_out.update({server.id: NO_ROOM for server in allowed})
             return
-        late_range_s = self._late_range_s(request, allowed, priority)
+        late_range_s = self._late_range_s(request, allowed, rank)
         if late_range_s is not None:
             expected.late_refusals.append((share, late_range_s))
             return
--- a/pistachiowell/gateway/late_prompts.py
+++ b/pistachiowell/gateway/late_prompts.py
@@ -51,7 +51,7 @@
         waits_s = self._waits_s(service_name, servers, work, now)
         left_s = request.deadline - now
         retry_after_s = self._refusal.retry_after_s(
-            service_name, request.priority, waits_s, left_s, now
+            service_name, request.rank, waits_s, left_s, now
         )
         if retry_after_s is None:
             return
@@ -96,7 +96,7 @@
         if not self._is_on:
             return None
         wait_s = self._wait_s(server, service_name, work, self._now())
-        return service_name, request.priority, wait_s
+        return service_name, request.rank, wait_s
 
     def record_wait(self, expected, wait_s):
         """Records how long a request has waited for its first token.
--- a/pistachiowell/gateway/messages.py
+++ b/pistachiowell/gateway/messages.py
@@ -69,9 +69,9 @@
         account: Its ``Account``, whose rank takes precedence; None on a public route.
         route: Its ``Route``.
     """
-    if account is not None and account.priority is not None:
-        return account.priority
-    return route.priority
+    if account is not None and account.rank is not None:
+        return account.rank
+    return route.rank
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,8 +106,8 @@
         return self.head.request_id
 
     @property
-    def priority(self):
-        """Priority of the request; 0 is the most urgent."""
+    def rank(self):
+        """Rank of the request; 0 is the most urgent."""
         return request_rank(self.account, self.route)
 
     @property
--- a/pistachiowell/gateway/run.py
+++ b/pistachiowell/gateway/run.py
@@ -73,12 +73,15 @@
         self.service = None
 
     @property
-    def priority(self):
+    def rank(self):
         """Rank of the next attempt; 0 is the most urgent.
 
         The rest of a stream that the caller has begun to read goes before all else.
         """
-        return 0 if self.writer.has_started else self.request.priority
+        return 0 if self.writer.has_started else self.request.rank
+
+    # ``Hedges`` still reads it by this name.
+    priority = rank
 
     def record_usage(self, exchange):
         """Records what an exchange has used, whatever its end."""
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -153,23 +153,23 @@
         """Returns the failures of a server that count against its health."""
         return self._health.failures(server_id)
 
-    def has_other_server(self, request, service_name, tried, priority):
+    def has_other_server(self, request, service_name, tried, rank):
         """Returns whether a server that answers has room for another attempt.
 
         Args:
             request: The ``GatewayRequest``.
             service_name: Name of the service.
             tried: Ids of the servers of earlier attempts.
-            priority: Rank of the attempt; 0 is the most urgent.
+            rank: Rank of the attempt; 0 is the most urgent.
         """
         now, filters = self.now(), self._filters
         allowed = filters.allowed(request, service_name, now)
         return any(
             server.id not in tried and filters.is_answering(server, now)
-            for server in filters.with_room(allowed, priority)
+            for server in filters.with_room(allowed, rank)
         )
 
-    def choose(self, request, service_name, tried, crashed_servers, priority):
+    def choose(self, request, service_name, tried, crashed_servers, rank):
         """Chooses a server for an attempt.
 
         Args:
@@ -178,7 +178,7 @@
             tried: Ids of the servers of earlier attempts; avoided if there are others.
             crashed_servers: Ids of the servers that crashed while they ran the request;
                 empty if it is no crash candidate.
-            priority: Rank of the attempt; 0 is the most urgent.
+            rank: Rank of the attempt; 0 is the most urgent.
 
         Returns:
             A ``Choice``.
@@ -192,9 +192,9 @@
         allowed = filters.allowed(request, service_name, now)
         if not allowed:
             raise filters.no_server(request, service_name, now)
-        servers = filters.reachable(filters.with_room(allowed, priority), now)
+        servers = filters.reachable(filters.with_room(allowed, rank), now)
         if not servers:
-            raise filters.no_room(allowed, priority)
+            raise filters.no_room(allowed, rank)
         usable = filters.healthy(filters.answering(servers, tried, now), now)
         candidates = [filters.candidate(servers[name]) for name in usable]
         if crashed_servers:
@@ -216,7 +216,7 @@
         """Returns whether a service has an open version move."""
         return self._moves.tracker(service_name) is not None
 
-    def choose_hedge(self, request, service_name, tried, priority, max_load_per_slot):
+    def choose_hedge(self, request, service_name, tried, rank, max_load_per_slot):
         """Chooses a server for a second attempt beside one that is in progress.
 
         Nothing speaks against it: it is no server to fall back on.
@@ -225,7 +225,7 @@
             request: The ``GatewayRequest``.
             service_name: Name of the service.
             tried: Ids of the servers of the attempts so far.
-            priority: Rank of the attempt; 0 is the most urgent.
+            rank: Rank of the attempt; 0 is the most urgent.
             max_load_per_slot: Load per slot above which a server is left out.
 
         Returns:
@@ -235,7 +235,7 @@
         allowed = filters.allowed(request, service_name, now)
         servers = {
             server.id: server
-            for server in filters.with_room(allowed, priority)
+            for server in filters.with_room(allowed, rank)
             if server.id not in tried
             and filters.is_sound(server, now)
             and self._loads.load_per_slot(server.id, now) < max_load_per_slot
--- a/pistachiowell/gateway/server_filters.py
+++ b/pistachiowell/gateway/server_filters.py
@@ -77,9 +77,9 @@
         accepting = parts.limits.accepting(available, request)
         return parts.moves.filter_servers(service_name, accepting)
 
-    def with_room(self, servers, priority):
+    def with_room(self, servers, rank):
         """Returns the servers that may have room; see ``ServerLimits``."""
-        return self._parts.limits.with_room(servers, priority)
+        return self._parts.limits.with_room(servers, rank)
 
     def reachable(self, servers, now):
         """Returns the servers by id without those that refuse connections."""
@@ -129,10 +129,10 @@
         is_cold = self._parts.limits.is_cold(server)
         return Candidate(server.id, server.data_centre, 0 if is_near else 1, is_cold)
 
-    def no_room(self, servers, priority):
+    def no_room(self, servers, rank):
         """Returns the error if no allowed server has room; see ``ServerLimits``."""
-        states = self._parts.states.describe(servers, priority)
-        return self._parts.limits.no_room(servers, priority, states)
+        states = self._parts.states.describe(servers, rank)
+        return self._parts.limits.no_room(servers, rank, states)
 
     def no_server(self, request, service_name, now):
         """Returns the error if no server is allowed."""
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -189,9 +189,9 @@
             and not self._places.is_evacuated(server)
         ]
 
-    def with_room(self, servers, priority):
+    def with_room(self, servers, rank):
         """Returns the ``BackendServer`` that may have room for a request."""
-        return [s for s in servers if not self.wait_s(s, priority)]
+        return [s for s in servers if not self.wait_s(s, rank)]
 
     def is_limited(self, server):
         """Returns whether a server has named a rate that is in force."""
@@ -229,22 +229,22 @@
         """Returns by what a server has closed itself; None if it has not."""
         return self._closed.closed_by(incarnation_of(server))
 
-    def wait_s(self, server, priority):
+    def wait_s(self, server, rank):
         """Returns the seconds until a server may have room; 0.0 if it may have now.
 
         Args:
             server: The ``BackendServer``.
-            priority: Rank of the request; 0 is the most urgent.
+            rank: Rank of the request; 0 is the most urgent.
         """
         now, incarnation = self._runtime.now(), incarnation_of(server)
         pause_s = self._closed.wait_s(incarnation)
         full_until = self._full_until.get(incarnation)
         if full_until is None:
             return pause_s
-        untils = [until for rank, until in full_until.items() if rank <= priority]
+        untils = [until for other, until in full_until.items() if other <= rank]
         return max(pause_s, max(untils, default=0.0) - now)
 
-    def no_room(self, servers, priority, states):
+    def no_room(self, servers, rank, states):
         """Returns the error of a request for which no server has room.
 
         The callers are told somewhat different times, none before the first server has
@@ -252,10 +252,10 @@
 
         Args:
             servers: Each ``BackendServer`` that the request may go to.
-            priority: Rank of the request; 0 is the most urgent.
+            rank: Rank of the request; 0 is the most urgent.
             states: Their states as text.
         """
-        least_s, most_s = self._return_range_s(servers, priority)
+        least_s, most_s = self._return_range_s(servers, rank)
         retry_after_s = least_s + (most_s - least_s) * self._rng.random()
         return NoRoom(
             f"The servers take no more requests at present ({states}).",
@@ -263,22 +263,22 @@
             retry_after_s=max(MIN_RETRY_AFTER_S, retry_after_s),
         )
 
-    def return_range_s(self, servers, priority):
+    def return_range_s(self, servers, rank):
         """Returns the least and the most that a ``NoRoom`` tells its caller to wait."""
-        range_s = self._return_range_s(servers, priority)
+        range_s = self._return_range_s(servers, rank)
         return tuple(max(MIN_RETRY_AFTER_S, seconds) for seconds in range_s)
 
-    def _return_range_s(self, servers, priority):
-        wait_s = min(self.wait_s(server, priority) for server in servers)
+    def _return_range_s(self, servers, rank):
+        wait_s = min(self.wait_s(server, rank) for server in servers)
         spread_s = min(MAX_RETURN_SPREAD_S, RETURN_SPREAD_SHARE * wait_s)
         return wait_s, wait_s + spread_s
 
-    async def admit(self, server, priority):
+    async def admit(self, server, rank):
         """Returns whether a request may be sent to a server now.
 
         Args:
             server: The ``BackendServer``.
-            priority: Rank of the request; 0 is the most urgent.
+            rank: Rank of the request; 0 is the most urgent.
         """
         incarnation = incarnation_of(server)
         observation = self._limits.latest(incarnation)
@@ -286,7 +286,7 @@
         is_limited = self.is_limited(server)
         if not is_limited and shares is None:
             return True
-        wait_s = await self._ask(incarnation, observation, shares, priority)
+        wait_s = await self._ask(incarnation, observation, shares, rank)
         if wait_s is None:
             wait_s = self._wait_for_turn(server, shares) if shares is not None else 0.0
             if not wait_s and is_limited:
@@ -294,7 +294,7 @@
         if not wait_s:
             return True
         full_until = self._full_until.setdefault(incarnation, {})
-        full_until[priority] = self._runtime.now() + wait_s
+        full_until[rank] = self._runtime.now() + wait_s
         self._runtime.metrics.count("servers.limit_reached")
         return False
 
@@ -322,7 +322,7 @@
         askable = (p for p in owners if now >= asks_again_at.get(p.record.id, now))
         return next(askable, None)
 
-    async def _ask(self, incarnation, observation, shares, priority):
+    async def _ask(self, incarnation, observation, shares, rank):
         """Returns what the agent answers: the seconds to wait; None without one."""
         now, is_cold = self._runtime.now(), shares is not None
         owner = self._owner(incarnation.server, is_cold, now)
@@ -331,7 +331,7 @@
         limit = encode_limit(incarnation, observation or _unlimited(now), now)
         cold_per_s = shares.agent_per_s if is_cold else NOT_COLD
         timeout_s = self._cold.ask_timeout_s if is_cold else ASK_TIMEOUT_S
-        message = AskRoom(limit, priority, cold_per_s)
+        message = AskRoom(limit, rank, cold_per_s)
         try:
             reply = await owner.link.call(message, timeout_s)
         except (LinkLost, LinkTimeout) as error:
--- a/pistachiowell/gateway/server_reports.py
+++ b/pistachiowell/gateway/server_reports.py
@@ -23,13 +23,13 @@
         self._parts = parts
         self._now = now
 
-    def describe(self, request, expected, priority, limit):
+    def describe(self, request, expected, rank, limit):
         """Returns a ``ServerReport`` of each server, the likeliest first.
 
         Args:
             request: The ``GatewayRequest``.
             expected: The ``ExpectedChoice``.
-            priority: Rank of the request; 0 is the most urgent.
+            rank: Rank of the request; 0 is the most urgent.
             limit: Largest number of servers; the least likely ones are left out.
         """
         now, work = self._now(), engine_request(request)
@@ -37,11 +37,11 @@
         names = sorted(expected.servers, key=lambda name: _order(expected, name))
         servers = [expected.servers[name] for name in names[:limit]]
         return [
-            self._report(server, request, expected, work, owner, priority, now)
+            self._report(server, request, expected, work, owner, rank, now)
             for server in servers
         ]
 
-    def _report(self, server, request, expected, work, owner, priority, now):
+    def _report(self, server, request, expected, work, owner, rank, now):
         parts, name = self._parts, server.id
         load, slots = parts.loads.load(name, now), server.slots
         queued_tokens, kept_tokens = None, 0
@@ -50,7 +50,7 @@
             load, queued_tokens = here.running, here.reading_tokens
             uncached = parts.engines.uncached_tokens(name, work, now)
             kept_tokens = work.prompt_tokens - uncached
-        against = self._against(server, request, priority, now)
+        against = self._against(server, request, rank, now)
         against += self._fullness(server, request, work, load, now)
         distance = self._distance(server)
         is_cheapest = name in expected.odds and bool(expected.costs_s)
@@ -80,11 +80,11 @@
             admitted_by=parts.limits.admitter(server),
         )
 
-    def _against(self, server, request, priority, now):
+    def _against(self, server, request, rank, now):
         parts, texts = self._parts, []
         if server.is_leaving:
             texts.append("registered as leaving")
-        state = parts.states.of(server, priority)
+        state = parts.states.of(server, rank)
         if state.closed_by is not None:
             texts.append(str(state))
         if not parts.places.is_in(server, parts.places.home_regions(request)):
--- a/pistachiowell/gateway/server_states.py
+++ b/pistachiowell/gateway/server_states.py
@@ -60,28 +60,28 @@
                 f"servers.now.{reason}", lambda reason=reason: self._count(reason)
             )
 
-    def of(self, server, priority=MOST_URGENT):
+    def of(self, server, rank=MOST_URGENT):
         """Returns the ``ServerState`` of a server for requests of a rank.
 
         Args:
             server: The ``BackendServer``.
-            priority: Rank of the request; 0 is the most urgent.
+            rank: Rank of the request; 0 is the most urgent.
         """
         if self._places.is_evacuated(server):
             return ServerState(ClosedBy.evacuation)
         reason = self._closed.closed_by(incarnation_of(server))
         if reason is ClosedBy.leaving:
             return ServerState(reason)
-        wait_s = self._limits.wait_s(server, priority)
+        wait_s = self._limits.wait_s(server, rank)
         if wait_s:
             return ServerState(reason or ClosedBy.limit, wait_s)
         if not self._silence.is_answering(server.id):
             return ServerState(ClosedBy.silence)
         return ServerState()
 
-    def describe(self, servers, priority=MOST_URGENT):
+    def describe(self, servers, rank=MOST_URGENT):
         """Returns the states of the first servers as text, for errors and logs."""
-        texts = [f"{s.id}: {self.of(s, priority)}" for s in servers[:MAX_DESCRIBED]]
+        texts = [f"{s.id}: {self.of(s, rank)}" for s in servers[:MAX_DESCRIBED]]
         more = len(servers) - len(texts)
         return ", ".join([*texts, f"{more} more"] if more else texts)
 
--- a/pistachiowell/gateway/tests/test_hedge_choice.py
+++ b/pistachiowell/gateway/tests/test_hedge_choice.py
@@ -63,7 +63,7 @@
 def send(rig, name, error=None, *, ends=True):
     """Sends a request to one server only, which may end with an error."""
     choice = rig.selection.choose(
-        REQUEST, "desk", set(rig.servers) - {name}, (), priority=0
+        REQUEST, "desk", set(rig.servers) - {name}, (), rank=0
     )
     assert choice.server.id == name
     attempt = rig.selection.start_attempt(REQUEST, "desk", choice)
--- a/pistachiowell/gateway/tests/test_late_prompts.py
+++ b/pistachiowell/gateway/tests/test_late_prompts.py
@@ -66,14 +66,14 @@
             service=SimpleNamespace(engine=EngineLimits(64, 10_000_000, 6)),
             prompt=prompt,
             fingerprint="f",
-            priority=1,
+            rank=1,
             head=SimpleNamespace(wait_limit_s=left_s),
             deadline=self.time + (left_s or 30.0),
         )
 
     def choose(self, request, tried=frozenset()):
         """Chooses a server for a request."""
-        return self.selection.choose(request, "desk", tried, (), priority=1)
+        return self.selection.choose(request, "desk", tried, (), rank=1)
 
     def serve(self, count):
         """Has the engines answer prompts after the time that was expected."""
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -434,7 +434,7 @@
     silence = SimpleNamespace(usable=lambda names, now: names)
     limits = SimpleNamespace(
         accepting=lambda servers, request: servers,
-        with_room=lambda servers, priority: servers,
+        with_room=lambda servers, rank: servers,
         is_cold=lambda server: False,
     )
     selection = Selection(
--- a/pistachiowell/gateway/tests/test_server_states.py
+++ b/pistachiowell/gateway/tests/test_server_states.py
@@ -27,9 +27,9 @@
     closed, silent, full = ClosedServers(runtime), set(), {}
     evacuated = set()
 
-    def wait_s(server, priority):
+    def wait_s(server, rank):
         pause_s = closed.wait_s(Incarnation(server.id, server.started_ms))
-        return max(pause_s, full.get((server.id, priority), 0.0))
+        return max(pause_s, full.get((server.id, rank), 0.0))
 
     limits = SimpleNamespace(wait_s=wait_s)
     silence = SimpleNamespace(is_answering=lambda name: name not in silent)
--- a/pistachiowell/platform/configuration.py
+++ b/pistachiowell/platform/configuration.py
@@ -197,7 +197,7 @@
         timeout_s=item.timeout_ms / 1000,
         objective_s=item.goal_ms / 1000,
         event_gap_s=item.gap_target_ms / 1000,
-        priority=item.priority,
+        rank=item.priority,
         max_attempts=max(1, item.max_attempts),
         is_public=item.public,
         is_resumable=item.resumable,
--- a/pistachiowell/platform/headers.py
+++ b/pistachiowell/platform/headers.py
@@ -111,7 +111,7 @@
     if request.account is not None:
         headers.append((ACCOUNT, request.account.name.encode("latin-1")))
     if request.route.has_prompts:
-        priority = min(MAX_PRIORITY, DEFAULT_PRIORITY + request.priority)
+        priority = min(MAX_PRIORITY, DEFAULT_PRIORITY + request.rank)
         headers.append((PRIORITY, b"%d" % priority))
     if request.body or request.head.method not in ("GET", "HEAD", "DELETE"):
         headers.append((b"content-length", b"%d" % len(request.body)))
