Pass typed sources to Selection and WhereReporter, and split both

Cause: Selection took nine arguments and WhereReporter ten, most of them other parts of the gateway in a fixed order; selection.py chose servers, built the policies and recorded attempts, where.py checked the gateway and described services. Change: SelectionSources and WhereSources name what is passed. selection_parts.py builds the state and policies, selection_records.py records attempts, where_services.py and where_findings.py describe services and keep what was found. WhereReporter takes the overload policy from LoadSharing.

--- a/pistachiowell/gateway/attempt.py
+++ b/pistachiowell/gateway/attempt.py
@@ -17,7 +17,7 @@
     """One attempt at the server selected for it; call ``record_end`` exactly once.
 
     Args:
-        selection: The ``Selection``.
+        records: The ``SelectionRecords``.
         server: The ``BackendServer``.
         placed: The ``PlacedRequest``; None at a server without an engine.
         expected_wait_s: Expected wait for the first token in seconds.
@@ -42,7 +42,7 @@
         "_is_success",
         "_move_attempt",
         "_placed",
-        "_selection",
+        "_records",
         "expected_wait_s",
         "has_answered",
         "latency_s",
@@ -52,7 +52,7 @@
 
     def __init__(
         self,
-        selection,
+        records,
         server,
         placed,
         expected_wait_s,
@@ -61,7 +61,7 @@
         move_attempt,
         now,
     ):
-        self._selection = selection
+        self._records = records
         self._expected_queue = expected_queue
         self._move_attempt = move_attempt
         self._fingerprint = fingerprint
@@ -77,7 +77,7 @@
     @property
     def age_s(self):
         """Seconds since the start."""
-        return self._selection.now() - self.started_at
+        return self._records.now() - self.started_at
 
     def record_status(self, status):
         """Records the status of the answer.
@@ -93,21 +93,21 @@
         """Records the arrival of the first part of the answer; ignores later parts."""
         if self.latency_s is not None:
             return
-        now = self._selection.now()
+        now = self._records.now()
         self.latency_s = now - self.started_at
         if self._move_attempt is not None:
             self._move_attempt.record_first_part(now)
         if self._placed is not None:
             # An error is no token and shows nothing about the engine's speed.
             shown_at = now if self._is_success else None
-            self._selection.record_first_token(self._placed, shown_at)
+            self._records.record_first_token(self._placed, shown_at)
             if self._is_success:
-                self._selection.late.record_wait(self._expected_queue, self.latency_s)
+                self._records.late.record_wait(self._expected_queue, self.latency_s)
 
     def record_events(self, count):
         """Records that events of a stream have arrived."""
         if self._move_attempt is not None:
-            self._move_attempt.record_events(count, self._selection.now())
+            self._move_attempt.record_events(count, self._records.now())
 
     def record_end(self, error, is_exempt):
         """Records the end of the attempt.
@@ -121,22 +121,22 @@
         if self._move_attempt is not None:
             self._move_attempt.stop_waiting()
         exempt = error is not None and is_exempt(self._fingerprint, self.server.id)
-        self._selection.record_end(self, error)
+        self._records.record_end(self, error)
         code = str(error.code) if error is not None else ""
         if error is None or (code in VERSION_FAULTS and not exempt):
             failed = error is not None or self._has_failed
-            self._selection.record_version_answer(self.server, failed, self.started_at)
+            self._records.record_version_answer(self.server, failed, self.started_at)
 
     def record_abandoned(self):
         """Records that the attempt was given up and shows nothing about its server."""
         self._release()
         if self._move_attempt is not None:
-            self._move_attempt.record_left(self._selection.now())
-        self._selection.record_abandoned(self.server)
+            self._move_attempt.record_left(self._records.now())
+        self._records.record_abandoned(self.server)
 
     def _release(self):
         if self._placed is not None:
-            self._selection.engines.record_end(self._placed)
+            self._records.engines.record_end(self._placed)
 
 
 @dataclass(frozen=True, slots=True)
--- a/pistachiowell/gateway/expected_choice.py
+++ b/pistachiowell/gateway/expected_choice.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from pistachiowell.admission import ClosedBy
-from pistachiowell.gateway.selection import engine_request
+from pistachiowell.gateway.selection_parts import engine_request
 from pistachiowell.gateway.server_filters import ServerFilters
 from pistachiowell.routing import even_odds, place_crash_candidate
 
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -30,6 +30,7 @@
 from pistachiowell.gateway.reservation_checks import ReservationAnswers
 from pistachiowell.gateway.retry_shares import RetryShares
 from pistachiowell.gateway.selection import Selection
+from pistachiowell.gateway.selection_parts import SelectionSources
 from pistachiowell.gateway.server_crashes import ServerCrashes
 from pistachiowell.gateway.server_feed import ServerFeed
 from pistachiowell.gateway.server_limits import ServerLimits
@@ -44,7 +45,7 @@
     MoveOrderWatcher,
     ServerWatcher,
 )
-from pistachiowell.gateway.where import WhereReporter
+from pistachiowell.gateway.where import WhereReporter, WhereSources
 from pistachiowell.gateway.where_page import WHERE_PATH, WherePage
 from pistachiowell.membership import PeerSubset, SubsetSettings
 from pistachiowell.router.crash_candidates import CrashCandidates
@@ -166,17 +167,16 @@
             lambda: self._router_count,
             rng,
         )
-        self._selection = selection = Selection(
-            state.servers,
-            self._moves,
-            self._silence,
-            limits,
-            places,
-            ServerStates(runtime, state, closed, limits, self._silence, places),
-            settings,
-            rng,
-            runtime.now,
+        states = ServerStates(runtime, state, closed, limits, self._silence, places)
+        sources = SelectionSources(
+            servers=state.servers,
+            moves=self._moves,
+            silence=self._silence,
+            limits=limits,
+            places=places,
+            states=states,
         )
+        self._selection = selection = Selection(sources, settings, rng, runtime.now)
         runtime.metrics.watch("servers.avoided", lambda: selection.avoided_servers)
         runtime.metrics.watch("servers.slow", lambda: selection.slow_servers)
         self._agent_reports = AgentReports(
@@ -243,18 +243,17 @@
             adapter.heads,
             rng,
         )
-        reporter = WhereReporter(
-            runtime,
-            state,
-            self._stop,
-            self._overload,
-            self._load,
-            self._spending,
-            self._grant_memory,
-            self._crashes,
-            self._dispatch,
-            selection.parts,
+        where_sources = WhereSources(
+            state=state,
+            stop=self._stop,
+            load=self._load,
+            spending=self._spending,
+            grants=self._grant_memory,
+            crashes=self._crashes,
+            dispatch=self._dispatch,
+            parts=selection.parts,
         )
+        reporter = WhereReporter(runtime, where_sources)
         self._where_page = WherePage(reporter, runtime)
         app = GatewayApp(
             runtime,
--- a/pistachiowell/gateway/server_filters.py
+++ b/pistachiowell/gateway/server_filters.py
@@ -4,8 +4,6 @@
 those that refuse connections, are silent or fail are left out as long as others remain.
 """
 
-from dataclasses import dataclass
-
 from pistachiowell.core.errors import NoServer
 from pistachiowell.routing import Candidate
 
@@ -15,43 +13,6 @@
     return (server.id, server.address, server.started_ms)
 
 
-@dataclass(frozen=True, slots=True)
-class SelectionParts:
-    """State and policies that the choice of a server and its forecast share.
-
-    Attributes:
-        servers: The ``ServerRegistry``.
-        moves: The ``GatewayMoves``.
-        silence: The ``SilenceMonitor``.
-        limits: The ``ServerLimits``.
-        places: The ``Places``.
-        states: The ``ServerStates``.
-        settings: ``GatewaySettings``.
-        health: The ``HealthTable``.
-        loads: The ``LoadTable``.
-        unreachable: The ``UnreachableServers``.
-        engines: The ``EngineTable``.
-        picker: The ``Picker``.
-        placer: The ``Placer``.
-        late: The ``LatePrompts``.
-    """
-
-    servers: object
-    moves: object
-    silence: object
-    limits: object
-    places: object
-    states: object
-    settings: object
-    health: object
-    loads: object
-    unreachable: object
-    engines: object
-    picker: object
-    placer: object
-    late: object
-
-
 class ServerFilters:
     """Tells which servers an attempt may go to; counts no attempt.
 
--- a/pistachiowell/gateway/tests/test_hedge_choice.py
+++ b/pistachiowell/gateway/tests/test_hedge_choice.py
@@ -11,6 +11,7 @@
 from pistachiowell.catalog import BackendServer
 from pistachiowell.gateway.exchange import NotConnected
 from pistachiowell.gateway.selection import Selection
+from pistachiowell.gateway.selection_parts import SelectionSources
 
 SERVERS = [
     BackendServer(f"s{number}", "desk", "127.0.0.1", 80 + number, "east", slots=4)
@@ -26,30 +27,31 @@
     """A ``Selection`` of three servers and sets of ids that speak against some."""
     doubted, silent, limited, full, cold = set(), set(), set(), set(), set()
     servers = {server.id: server for server in SERVERS}
-    selection = Selection(
-        SimpleNamespace(available_servers=lambda service, now: servers.values()),
-        SimpleNamespace(
+    sources = SelectionSources(
+        servers=SimpleNamespace(
+            available_servers=lambda service, now: servers.values()
+        ),
+        moves=SimpleNamespace(
             filter_servers=lambda service, servers: servers,
             record_start=lambda service, server, now: None,
             record_end=lambda *arguments: None,
         ),
-        SimpleNamespace(
+        silence=SimpleNamespace(
             usable=lambda names, now: names,
             is_answering=lambda name: name not in silent,
             is_doubted=lambda name: name in doubted,
         ),
-        SimpleNamespace(
+        limits=SimpleNamespace(
             accepting=lambda servers, request: list(servers),
             with_room=lambda servers, rank: [s for s in servers if s.id not in full],
             is_limited=lambda server: server.id in limited,
             is_cold=lambda server: server.id in cold,
         ),
-        None,
-        None,
-        SimpleNamespace(data_centre="east", uneven_servers=False),
-        Random(1),
-        lambda: 100.0,
+        places=None,
+        states=None,
     )
+    settings = SimpleNamespace(data_centre="east", uneven_servers=False)
+    selection = Selection(sources, settings, Random(1), lambda: 100.0)
     sets = {
         "doubted": doubted,
         "silent": silent,
--- a/pistachiowell/gateway/tests/test_late_prompts.py
+++ b/pistachiowell/gateway/tests/test_late_prompts.py
@@ -12,6 +12,7 @@
 from pistachiowell.catalog import BackendServer, EngineLimits
 from pistachiowell.gateway.late_prompts import TooLate
 from pistachiowell.gateway.selection import Selection
+from pistachiowell.gateway.selection_parts import SelectionSources
 from pistachiowell.routing import EngineLoad
 from pistachiowell.schema.generated.messages_gateway import EngineShare
 
@@ -33,28 +34,26 @@
             data_centre="east", uneven_servers=True, refuses_late=True
         )
         rig_settings.__dict__.update(settings)
-        self.selection = Selection(
-            SimpleNamespace(
+        sources = SelectionSources(
+            servers=SimpleNamespace(
                 available_servers=lambda service, now: servers.values(),
                 by_address=addresses,
             ),
-            SimpleNamespace(
+            moves=SimpleNamespace(
                 filter_servers=lambda service, servers: servers,
                 record_start=lambda service, server, now: None,
                 record_end=lambda *arguments: None,
             ),
-            SimpleNamespace(usable=lambda names, now: names),
-            SimpleNamespace(
+            silence=SimpleNamespace(usable=lambda names, now: names),
+            limits=SimpleNamespace(
                 accepting=lambda servers, request: list(servers),
                 with_room=lambda servers, rank: list(servers),
                 is_cold=lambda server: False,
             ),
-            None,
-            None,
-            rig_settings,
-            Random(1),
-            lambda: self.time,
+            places=None,
+            states=None,
         )
+        self.selection = Selection(sources, rig_settings, Random(1), lambda: self.time)
 
     def request(self, left_s=None, tokens=1_000):
         """Returns a request that states how long its caller waits, or nothing."""
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -17,6 +17,7 @@
 from pistachiowell.gateway.move_orders import MoveOrder, MoveState
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.selection import Selection
+from pistachiowell.gateway.selection_parts import SelectionSources
 from pistachiowell.moves.evidence import AnswerPhase
 from pistachiowell.store.era import REVISION_BITS
 from pistachiowell.store.memory import ObjectTable
@@ -437,10 +438,15 @@
         with_room=lambda servers, rank: servers,
         is_cold=lambda server: False,
     )
-    selection = Selection(
-        registry, moves, silence, limits, None, None, settings, Random(1), now
+    sources = SelectionSources(
+        servers=registry,
+        moves=moves,
+        silence=silence,
+        limits=limits,
+        places=None,
+        states=None,
     )
-    return selection, moves
+    return Selection(sources, settings, Random(1), now), moves
 
 
 @pytest.mark.parametrize(
