Separate the construction of a gateway from its running

Change: gateway_parts.py assembles the parts, router_count.py counts the gateways, caller_servers.py has the servers for callers, request_reader.py reads and checks requests, ready_app.py answers health checks. Gateway has the start and the planned stop; tests that look into it go through its parts.

--- /dev/null
+++ b/pistachiowell/gateway/router_count.py
@@ -0,0 +1,93 @@
+"""Counts the gateways, which are registered as routers and share the fixed retries.
+
+Load pattern: gateways that start together, each of which would take all of the shared
+retries if it assumed that it is alone.
+"""
+
+import math
+
+import anyio
+
+from pistachiowell.core.errors import STORE_ERRORS
+from pistachiowell.core.logs import part_logger
+from pistachiowell.router.fleet import ROUTERS
+
+LIST_INTERVAL_S = 15.0
+CHECKED_LIST_INTERVAL_S = 120.0
+COUNT_INTERVAL_S = 5.0
+# Gateways that start together are not all registered when the first one lists them.
+NAMES_AFTER_S = 5.0
+# Assuming too few of them would give each one too large a share, for example before the
+# first list.
+MIN_ROUTERS = 3
+
+_log = part_logger("gateway")
+
+
+class RouterCount:
+    """Number and names of the gateways, from the store and from the agents.
+
+    Args:
+        runtime: The process's ``Runtime``.
+    """
+
+    __slots__ = ("_are_listed", "_count", "_names", "_runtime")
+
+    def __init__(self, runtime):
+        self._runtime = runtime
+        self._are_listed = False
+        self._count = MIN_ROUTERS
+        self._names = frozenset()
+
+    @property
+    def count(self):
+        """Number of gateways that may be running."""
+        return self._count
+
+    @property
+    def names(self):
+        """Names of the gateways; empty before they are known."""
+        return self._names
+
+    @property
+    def sharing_count(self):
+        """Number of gateways that share the fixed number of retries.
+
+        Before the first list any number may run, so a gateway takes nothing of it.
+        """
+        return self._count if self._are_listed else math.inf
+
+    async def run(self, agent_reports):
+        """Counts until cancelled.
+
+        Args:
+            agent_reports: The ``AgentReports``; agents see the gateways that have come
+                since the last list.
+        """
+        started_at = self._runtime.now()
+        listed_at = float("-inf")
+        listed = MIN_ROUTERS
+        while True:
+            now = self._runtime.now()
+            has_agents = agent_reports.has_enough_agents()
+            interval_s = CHECKED_LIST_INTERVAL_S if has_agents else LIST_INTERVAL_S
+            if now - listed_at >= interval_s:
+                names = await self._list()
+                if names is not None:
+                    listed = len(names)
+                    if now - started_at >= NAMES_AFTER_S:
+                        self._names = names
+                    self._are_listed = True
+                if self._are_listed:
+                    listed_at = now
+            self._count = max(MIN_ROUTERS, listed, agent_reports.gateways)
+            await anyio.sleep(COUNT_INTERVAL_S)
+
+    async def _list(self):
+        """Returns the names in the store; None if it does not answer."""
+        try:
+            entries, _ = await self._runtime.store.list(ROUTERS)
+        except STORE_ERRORS as error:
+            _log.debug("Listing the routers failed; keeping them: {}", error)
+            return None
+        return frozenset(entry.name for entry in entries)
--- a/pistachiowell/platform/tests/test_gateway.py
+++ b/pistachiowell/platform/tests/test_gateway.py
@@ -9,7 +9,7 @@
 
 from pistachiowell.core.errors import StoreUnavailable
 from pistachiowell.gateway import store_fallback
-from pistachiowell.gateway.gateway import MIN_ROUTERS
+from pistachiowell.gateway.router_count import MIN_ROUTERS
 from pistachiowell.platform.objects import ObjectStore
 from pistachiowell.platform.standins import (
     SIGNATURE,
--- a/pistachiowell/platform/tests/test_unready_owners.py
+++ b/pistachiowell/platform/tests/test_unready_owners.py
@@ -102,7 +102,7 @@
     async with paid_rig() as rig:
         await rig.until_revision(rig.agent_state("agent-2"), 2)
         if reported == "first":
-            reports = rig.gateways[0]._agent_reports
+            reports = rig.gateways[0]._parts.agent_reports
             await rig.until(lambda: "agent-2" in reports._follows_store)
         assert [(await rig.send_chat())[0] for _ in range(3)] == [200] * 3
 
--- a/pistachiowell/platform/tests/test_where.py
+++ b/pistachiowell/platform/tests/test_where.py
@@ -111,12 +111,12 @@
 
 
 def now(gateway):
-    return gateway._runtime.now()
+    return gateway._parts.runtime.now()
 
 
 def ask(gateway, query=READ):
     """Returns the ``PlacementReport`` after a way through JSON, and checks its text."""
-    report = gateway._where_page._reporter.report(read_question(query))
+    report = gateway._parts.where_page._reporter.report(read_question(query))
     report = msgspec.json.decode(msgspec.json.encode(report), type=PlacementReport)
     text = report_text(report)
     assert all(name in text for name in report.chosen)
@@ -134,27 +134,29 @@
 
 def refuse_connections(gateway, server):
     registration = registration_of(server)
-    gateway._selection.parts.unreachable.record_refusal(registration, now(gateway))
+    gateway._parts.selection.parts.unreachable.record_refusal(
+        registration, now(gateway)
+    )
 
 
 def fail(gateway, server):
     for _ in range(3):
-        gateway._selection.parts.health.record_failure(server.id, now(gateway))
+        gateway._parts.selection.parts.health.record_failure(server.id, now(gateway))
 
 
 def fill(gateway, server):
     for _ in range(4):
-        gateway._selection.parts.loads.set_slots(server.id, 4)
-        gateway._selection.parts.loads.record_sent(server.id)
+        gateway._parts.selection.parts.loads.set_slots(server.id, 4)
+        gateway._parts.selection.parts.loads.record_sent(server.id)
 
 
 def notice_silence(gateway, server):
-    detector = gateway._silence._detector
+    detector = gateway._parts.silence._detector
     detector.record_notice(server.id, now(gateway), is_silent=True)
 
 
 def reach_limit(gateway, server):
-    limits = gateway._selection.parts.limits
+    limits = gateway._parts.selection.parts.limits
     limits.record_answer(server, head(server_limit="2.5"), now(gateway))
     incarnation = next(iter(limits._limits.in_force))
     limits._full_until = {incarnation: {0: now(gateway) + 9.0}}
@@ -170,11 +172,11 @@
     changed = make_server(server.id, server.data_centre, "v2")
     gateway.state.servers.replace({**known, server.id: changed}, 0.0)
     order = MoveOrder("desk", "v2", 60.0, MoveState.ordered, 9)
-    gateway._moves.apply_orders({"desk": order})
+    gateway._parts.moves.apply_orders({"desk": order})
 
 
 def set_limit(gateway, method, *arguments):
-    limits = gateway._selection.parts.limits
+    limits = gateway._parts.selection.parts.limits
     getattr(limits, method)(*arguments)
 
 
@@ -233,14 +235,14 @@
 
 
 def test_doubted_server_is_chosen(gateway):
-    gateway._silence._detector.record_doubt("desk-0", 1.0, now(gateway))
+    gateway._parts.silence._detector.record_doubt("desk-0", 1.0, now(gateway))
     report = ask(gateway)
     assert "in doubt" in reports_of(report)["desk-0"].against
     assert report.chosen == {"desk-1": 1.0}
 
 
 def test_engine_with_the_prefix_is_not_preferred(gateway):
-    engines = gateway._selection.engines
+    engines = gateway._parts.selection.engines
     work = EngineRequest(900, 20, (("a", 800), ("b", 100)))
     engines.record_end(engines.record_sent("pool-1", work, now(gateway)))
     report = ask(gateway, CHAT)
@@ -258,7 +260,7 @@
 
 
 def test_crash_candidate_and_quarantine_are_not_told(gateway):
-    ledger, query = gateway._crash_candidates._ledger, READ + b"&fingerprint=f00d"
+    ledger, query = gateway._parts.crash_candidates._ledger, READ + b"&fingerprint=f00d"
     ledger.quarantine("f00d", now(gateway), 60.0)
     refusal = ask(gateway, query).refusals[0]
     assert (refusal.code, refusal.status) == ("quarantined", 503)
@@ -267,11 +269,11 @@
 
 def overload(gateway):
     """Lets the gateway refuse and relay nearly everything."""
-    policy, start = gateway._overload, now(gateway)
+    policy, start = gateway._parts.load.overload, now(gateway)
     for number in range(100):
         policy.wait_s("free", start, 0)
         policy.record_transit(1.0, start - 5.0 + number / 20)
-        gateway._load._share.record(1.0, start - 5.0 + number / 20)
+        gateway._parts.load._share.record(1.0, start - 5.0 + number / 20)
     policy._accounts[0, "free"].credit = 0.0
 
 
@@ -287,8 +289,8 @@
     assert 0.0 < refusal.retry_after_min_s < refusal.retry_after_max_s
     assert report.overload.refused_share == 0.95
     assert report.overload.relayed_to == {}
-    gateway._load._rooms.record("10.0.0.2:5", 500.0, now(gateway))
-    gateway._load._share._credit = 0.5
+    gateway._parts.load._rooms.record("10.0.0.2:5", 500.0, now(gateway))
+    gateway._parts.load._share._credit = 0.5
     report = ask(gateway)
     assert report.overload.relayed_to == {"10.0.0.2:5": 1.0}
     assert report.refusals[0].retry_after_min_s == 0.05
@@ -297,7 +299,7 @@
 
 def test_account_is_not_told(gateway):
     notice = GrantNotice("g1", "acme", "agent-1", 300)
-    gateway._grant_memory._table.record(notice, now(gateway))
+    gateway._parts.grant_memory._table.record(notice, now(gateway))
     report = ask(gateway, CHAT.replace(b"free", b"acme"))
     account = report.account
     assert (account.needed_tokens, account.prepaid_tokens) == (950, 500)
@@ -322,7 +324,7 @@
 
 
 def test_stopping_gateway_or_no_server_is_not_told(gateway):
-    gateway._stop.begin(now(gateway))
+    gateway._parts.stop.begin(now(gateway))
     assert ask(gateway, b"route=book&account=free").refusals[0].code == "leaving"
     gateway.state.servers.replace({}, 0.0)
     refusal = ask(gateway).refusals[-1]
@@ -403,8 +405,8 @@
 
 def real_choices(gateway):
     """Returns the next choices, and puts the random numbers back."""
-    rng = gateway._dispatch._splitter._rng
-    state, splitter = rng.getstate(), copy.deepcopy(gateway._dispatch._splitter)
+    rng = gateway._parts.dispatch._splitter._rng
+    state, splitter = rng.getstate(), copy.deepcopy(gateway._parts.dispatch._splitter)
     request = SimpleNamespace(
         route=gateway.state.catalog.find_route("a.example", "/both/"),
         account=None,
@@ -415,7 +417,7 @@
     chosen = []
     for _ in range(2_000):
         service = splitter.choose("both", request.route.weights)
-        choice = gateway._selection.choose(request, service, set(), (), 0)
+        choice = gateway._parts.selection.choose(request, service, set(), (), 0)
         chosen.append(choice.server.id)
     rng.setstate(state)
     return chosen
@@ -430,10 +432,12 @@
     gateway.state.servers.replace({**gateway.state.servers.known, **others}, 0.0)
     for name in 12 * sorted(others):
         latency_s = 9.0 if name == "desk-4" else 0.1
-        gateway._selection.parts.health.record_success(name, latency_s, now(gateway))
+        gateway._parts.selection.parts.health.record_success(
+            name, latency_s, now(gateway)
+        )
     overload(gateway)
-    gateway._load._rooms.record("10.0.0.2:5", 5.0, now(gateway) - 9.0)
-    gateway._load._rooms.record_failure("10.0.0.3:5", now(gateway) - 9.0)
+    gateway._parts.load._rooms.record("10.0.0.2:5", 5.0, now(gateway) - 9.0)
+    gateway._parts.load._rooms.record_failure("10.0.0.3:5", now(gateway) - 9.0)
     queries = (READ, CHAT, b"route=both&account=acme", b"route=home", b"route=open")
     before = snapshot(gateway)
     for query in queries:
@@ -449,7 +453,7 @@
 
 def test_forecast_differs_from_the_choices(gateway):
     fill(gateway, gateway.state.servers.known["desk-0"])
-    gateway._selection.parts.loads.record_sent("desk-1")
+    gateway._parts.selection.parts.loads.record_sent("desk-1")
     real_choices(gateway)
     report = ask(gateway, b"route=both&account=free")
     counts = Counter(real_choices(gateway))
