Wait for conditions in two tests that waited for fixed times

Cause: a test of reservations took a grant for given after three times the duration of a write, which a busy machine may exceed; a test of probes repeated 6 s while the time of a probe is a constant of the code, and waited for the first probe without a bound. Change: the first waits for the answer, for 2 s at most; the second takes its time, which shows that nothing happens, from the constant (6 s as before) and bounds the wait for the first probe.

--- a/pistachiowell/gateway/tests/test_budget_owner.py
+++ b/pistachiowell/gateway/tests/test_budget_owner.py
@@ -37,6 +37,7 @@
 
 ACCOUNT = "shop"
 WRITE_S = 0.05
+MAX_ANSWER_S = 2.0
 
 
 class SlowStore(MemoryStore):
@@ -73,6 +74,12 @@
         except PistachiowellError as error:
             self.answers[name] = error
 
+    async def wait_for_answer(self, name):
+        """Waits for the answer or error of a reservation."""
+        with anyio.fail_after(MAX_ANSWER_S):
+            while name not in self.answers:
+                await anyio.sleep(WRITE_S / 10)
+
     async def settle(self, name, used=0):
         """Settles a reservation."""
         message = SettleTokens(
@@ -138,7 +145,7 @@
     caller = await start_owner(5_000_000, charged=4_600_000)
     async with anyio.create_task_group() as group:
         group.start_soon(caller.reserve, "first", 40_000)
-        await anyio.sleep(3 * WRITE_S)
+        await caller.wait_for_answer("first")
         await caller.settle("first", 15_000)
         group.start_soon(caller.reserve, "large", 27_332)
         for number in range(60):
--- a/pistachiowell/platform/tests/test_evacuations.py
+++ b/pistachiowell/platform/tests/test_evacuations.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pistachiowell.gateway import exchange, store_fallback
+from pistachiowell.gateway.silence_probes import PROBE_TIMEOUT_S
 from pistachiowell.platform.standins import (
     answer_whole,
     close_without_answer,
@@ -15,6 +16,8 @@
 
 SETTINGS = {"evacuation_ms": 5000, "regions": {"east": "south", "west": "south"}}
 AGENTS = 3
+# Requests without an answer have a server probed within this time.
+MAX_PROBE_S = 15.0
 
 
 async def add_servers(rig, service="desk", script=answer_whole):
@@ -199,13 +202,14 @@
 
         server.health_answer = b""
         async with anyio.create_task_group() as group:
-            while not server.health_checks:
-                group.start_soon(rig.send, "/read/x")
-                await anyio.sleep(0.05)
+            with anyio.fail_after(MAX_PROBE_S):
+                while not server.health_checks:
+                    group.start_soon(rig.send, "/read/x")
+                    await anyio.sleep(0.05)
         rig.store.put("evacuations", "east", {})
         await rig.until(lambda: evacuated(gateway), timeout_s=2.0)
         await anyio.sleep(0.2)
         checks = len(server.health_checks)
-        # A probe that gets no answer is repeated after 5 s.
-        await anyio.sleep(6.0)
+        # A probe that gets no answer is repeated after this time.
+        await anyio.sleep(PROBE_TIMEOUT_S + 1.0)
         assert len(server.health_checks) == checks
