--- a/pistachiowell/gateway/server_filters.py
+++ b/pistachiowell/gateway/server_filters.py
@@ -4,8 +4,6 @@
 those that refuse connections, are silent or fail are left out as long as others remain.
 """
 
-from dataclasses import dataclass
-
 from pistachiowell.core.errors import NoServer
 from pistachiowell.routing import Candidate
 
@@ -15,43 +13,6 @@
     return (server.id, server.address, server.started_ms)
 
 
-@dataclass(frozen=True, slots=True)
-class SelectionParts:
-    """State and policies that the choice of a server and its forecast share.
-
-    Attributes:
-        servers: The ``ServerRegistry``.
-        moves: The ``GatewayMoves``.
-        silence: The ``SilenceMonitor``.
-        limits: The ``ServerLimits``.
-        places: The ``Places``.
-        states: The ``ServerStates``.
-        settings: ``GatewaySettings``.
-        health: The ``HealthTable``.
-        loads: The ``LoadTable``.
-        unreachable: The ``UnreachableServers``.
-        engines: The ``EngineTable``.
-        picker: The ``Picker``.
-        placer: The ``Placer``.
-        late: The ``LatePrompts``.
-    """
-
-    servers: object
-    moves: object
-    silence: object
-    limits: object
-    places: object
-    states: object
-    settings: object
-    health: object
-    loads: object
-    unreachable: object
-    engines: object
-    picker: object
-    placer: object
-    late: object
-
-
 class ServerFilters:
     """Tells which servers an attempt may go to; counts no attempt.
 
@@ -77,9 +38,9 @@
         accepting = parts.limits.accepting(available, request)
         return parts.moves.filter_servers(service_name, accepting)
 
-    def with_room(self, servers, priority):
+    def with_room(self, servers, rank):
         """Returns the servers that may have room; see ``ServerLimits``."""
-        return self._parts.limits.with_room(servers, priority)
+        return self._parts.limits.with_room(servers, rank)
 
     def reachable(self, servers, now):
         """Returns the servers by id without those that refuse connections."""
@@ -129,10 +90,10 @@
         is_cold = self._parts.limits.is_cold(server)
         return Candidate(server.id, server.data_centre, 0 if is_near else 1, is_cold)
 
-    def no_room(self, servers, priority):
+    def no_room(self, servers, rank):
         """Returns the error if no allowed server has room; see ``ServerLimits``."""
-        states = self._parts.states.describe(servers, priority)
-        return self._parts.limits.no_room(servers, priority, states)
+        states = self._parts.states.describe(servers, rank)
+        return self._parts.limits.no_room(servers, rank, states)
 
     def no_server(self, request, service_name, now):
         """Returns the error if no server is allowed."""
