Report only the loads of engines that have changed

An agent repeated the loads of all its engines, with their names and the names of all fields, in each report to each gateway, and a gateway sent the loads of its own requests in the same form.

Between peers that say in Hello that they read it, LoadChanges now carries only the loads that have changed since the last message on the link. Engines are numbered on each link. The first message of a link and one a minute carry all loads; a message without loads is the heartbeat, which renews the age of all loads and the last AgentReport. Other peers get whole reports as before.

--- a/pistachiowell/core/runtime.py
+++ b/pistachiowell/core/runtime.py
@@ -40,7 +40,9 @@
         "tls",
     )
 
-    def __init__(self, role, settings, store, clients=None):
+    def __init__(
+        self, role, settings, store, clients=None, *, reads_load_changes=False
+    ):
         self._role = role
         self._settings = settings
         clock = HybridClock(time.time_ns)
@@ -54,6 +56,7 @@
             id=settings.id,
             incarnation=new_id(role),
             data_centre=settings.data_centre,
+            reads_load_changes=reads_load_changes,
         )
         self.tls = None
         self.leaving = False
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -89,7 +89,9 @@
         self, settings, store, adapter, *, is_deputy=False, closed=None, clients=None
     ):
         self._is_deputy = is_deputy
-        self._runtime = runtime = Runtime("agent", settings, store, clients)
+        self._runtime = runtime = Runtime(
+            "agent", settings, store, clients, reads_load_changes=True
+        )
         self._state = state = GatewayState(settings)
         self._handlers = Handlers()
         register_status_handlers(self._handlers, runtime)
--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -6,14 +6,20 @@
 
 from pistachiowell.core.errors import LinkLost, LinkTimeout
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.load_reports import encode_load
+from pistachiowell.gateway.load_reports import (
+    change_message,
+    decode_changes,
+    encode_load,
+    reads_load_changes,
+)
 from pistachiowell.gateway.ranked_agents import ranked_agents
-from pistachiowell.routing import NO_LOAD
+from pistachiowell.routing import NO_LOAD, LoadDecoder, LoadEncoder
 from pistachiowell.schema.generated.messages_gateway import (
     AgentReport,
     CatalogDocument,
     FetchCatalog,
     GatewayLoad,
+    LoadChanges,
 )
 
 FETCH_DELAY_S = 0.25
@@ -50,12 +56,14 @@
     __slots__ = (
         "_catalog_watcher",
         "_cut_from_store",
+        "_encoders",
         "_fleet",
         "_follows_evacuations",
         "_follows_store",
         "_gateways",
         "_load_changed",
         "_newer_link",
+        "_reported",
         "_runtime",
         "_selection",
         "_sent_loads",
@@ -82,14 +90,38 @@
         self._wake = anyio.Event()
         self._load_changed = anyio.Event()
         self._sent_loads = {}
+        self._encoders = {}
+        self._reported = {}
         self._summing_agents = _SummingAgents(fleet)
         selection.engines.on_change = self._record_load_change
         handlers.on(AgentReport)(self._handle_report)
+        handlers.on(LoadChanges)(self._handle_changes)
 
     async def _handle_report(self, link, message):
+        if not self._apply_report(link, message):
+            return
+        if link in self._reported:
+            self._reported[link].report = message
+        elif not link.closed:
+            self._reported[link] = _Reported(message)
+            link.add_close_listener(lambda: self._reported.pop(link, None))
+        self._selection.record_loads(message.loads)
+
+    async def _handle_changes(self, link, message):
+        reported = self._reported.get(link)
+        if reported is None:
+            return
+        # An agent repeats only what has changed; all else that it reported still holds.
+        is_known = self._apply_report(link, reported.report)
+        changed = decode_changes(link, reported.decoder, message)
+        if is_known and changed is not None:
+            self._selection.record_remote_loads({**reported.decoder.loads, **changed})
+
+    def _apply_report(self, link, message):
+        """Applies all but the loads, and returns whether the agent is known."""
         peer = self._fleet.record_heartbeat(link, leaving=message.leaving)
         if peer is None:
-            return
+            return False
         name = peer.record.id
         self._follows_store[name] = message.follows_store
         # An agent follows the store from its first link on, so its first report may be
@@ -100,11 +132,11 @@
         self._follows_evacuations[name] = message.follows_evacuations
         self.on_servers_digest(name, message.servers_digest)
         self.on_evacuations(name, message)
-        self._selection.record_loads(message.loads)
         current = self._state.catalog
         if message.catalog_revision > (current.revision if current else 0):
             self._newer_link = link
             self._wake.set()
+        return True
 
     def is_cut_from_store(self, name):
         """Returns whether an agent's last report says that it lost the store.
@@ -153,6 +185,9 @@
         self._sent_loads = {
             link: sent for link, sent in self._sent_loads.items() if not link.closed
         }
+        self._encoders = {
+            link: encoder for link, encoder in self._encoders.items() if not link.closed
+        }
         self._summing_agents.refresh()
         changes = {link: {} for link in self._sent_loads}
         loads = self._selection.loads_by_address()
@@ -173,14 +208,23 @@
         return self._sent_loads.get(link, {}).get(address, NO_LOAD)
 
     def _send_changes(self, link, changed):
-        shares = [encode_load(address, load) for address, load in changed.items()]
         try:
-            link.send(GatewayLoad(shares))
+            link.send(self._load_message(link, changed))
         except LinkLost as error:
             _log.debug("Sending the loads to an agent failed: {}", error)
         else:
             self._sent_loads.setdefault(link, {}).update(changed)
 
+    def _load_message(self, link, changed):
+        if not reads_load_changes(link):
+            return GatewayLoad([encode_load(a, load) for a, load in changed.items()])
+        encoder = self._encoders.setdefault(link, LoadEncoder())
+        if encoder.is_full:
+            encoder.restart()
+            loads = {**self._sent_loads.get(link, {}), **changed}
+            changed = {a: load for a, load in loads.items() if load != NO_LOAD}
+        return change_message(encoder.encode(changed))
+
     async def run(self):
         """Fetches newer configurations that agents report until cancelled."""
         while True:
@@ -217,6 +261,24 @@
         self._catalog_watcher.apply(document, name)
 
 
+class _Reported:
+    """What an agent has reported over one link.
+
+    Args:
+        report: The ``AgentReport`` that came last.
+
+    Attributes:
+        report: The same.
+        decoder: The ``LoadDecoder`` of the loads that came after it.
+    """
+
+    __slots__ = ("decoder", "report")
+
+    def __init__(self, report):
+        self.report = report
+        self.decoder = LoadDecoder()
+
+
 class _SummingAgents:
     """The agents that sum the loads of the engines, by the engines' addresses.
 
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -122,7 +122,9 @@
     )
 
     def __init__(self, settings, store, adapter):
-        self._runtime = runtime = Runtime("router", settings, store)
+        self._runtime = runtime = Runtime(
+            "router", settings, store, reads_load_changes=True
+        )
         self._state = state = GatewayState(settings)
         self._are_routers_listed = False
         self._router_count = MIN_ROUTERS
--- a/pistachiowell/gateway/load_reports.py
+++ b/pistachiowell/gateway/load_reports.py
@@ -1,41 +1,57 @@
 """Reports of an agent to the gateways: heartbeats and the loads of engines."""
 
+import dataclasses
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
-from pistachiowell.core.errors import LinkLost
+from pistachiowell.core.errors import LinkLost, MessageInvalid
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.evacuation_watch import encode_history, encode_version
 from pistachiowell.routing import (
     REPORT_PACERS,
+    EncodedLoads,
     EngineLoad,
-    LoadSums,
+    LoadDecoder,
+    LoadEncoder,
+    SharedLoads,
     SharingSettings,
 )
 from pistachiowell.schema.generated.messages_gateway import (
     AgentReport,
     EngineShare,
     GatewayLoad,
+    LoadChanges,
 )
 
-MAX_ENGINES = 1_024
+# All loads are sent again after this time, so that no fault in what the two ends of a
+# link know of each other lasts.
+WHOLE_INTERVAL_S = 60.0
+# Gateways that get all loads again in one round. Links that were opened together would
+# otherwise fill the agent's network link together.
+MAX_WHOLE_AGAIN = 4
 
 _log = part_logger("agent")
 
 
 @dataclass(slots=True)
-class _LastReport:
-    """The report that was sent last to a gateway.
+class _GatewayLink:
+    """What was exchanged over a link to a gateway.
 
     Attributes:
-        report: The ``AgentReport``; None before the first.
-        at: Time of its sending in seconds.
+        whole_at: Time at which all loads were due last, in seconds.
+        report: The last ``AgentReport``; None before the first.
+        at: Time of the last message with loads in seconds.
+        encoder: Encodes the loads of the others.
+        decoder: Decodes the loads of the gateway.
     """
 
+    whole_at: float
     report: AgentReport | None = None
     at: float = float("-inf")
+    encoder: LoadEncoder = field(default_factory=LoadEncoder)
+    decoder: LoadDecoder = field(default_factory=LoadDecoder)
 
 
 class LoadReporter:
@@ -43,7 +59,8 @@
 
     The gateways choose the agent that sums the loads of an engine. The size of a report
     does not grow with the number of gateways: lists of all their loads would fill the
-    network links of the gateways in a large fleet.
+    network links of the gateways in a large fleet. A gateway that reads ``LoadChanges``
+    gets the loads that have changed, any other gets all in each report.
 
     Args:
         runtime: The process's ``Runtime``.
@@ -58,12 +75,12 @@
         "_catalog_watcher",
         "_changed",
         "_evacuation_watcher",
-        "_last_reports",
+        "_links",
+        "_loads",
         "_pacer",
         "_runtime",
         "_server_watcher",
         "_state",
-        "_sums",
     )
 
     def __init__(
@@ -80,8 +97,8 @@
         self._catalog_watcher = catalog_watcher
         settings = SharingSettings(interval_s=runtime.settings.report_interval_s)
         self._pacer = REPORT_PACERS.find(settings.pacer)(settings)
-        self._sums = {}
-        self._last_reports = {}
+        self._loads = SharedLoads()
+        self._links = {}
         self._changed = anyio.Event()
         self._server_watcher = server_watcher
         self._evacuation_watcher = evacuation_watcher
@@ -89,10 +106,12 @@
         server_watcher.on_change = lambda: self._changed.set()
         evacuation_watcher.on_change = lambda: self._changed.set()
         handlers.on(GatewayLoad)(self._handle_load)
+        handlers.on(LoadChanges)(self._handle_changes)
 
     def add_link(self, link):
         """Adds a new link to a gateway until it is closed."""
-        self._last_reports[link] = _LastReport()
+        self._links[link] = _GatewayLink(self._runtime.now())
+        self._loads.add_router(link)
         self._changed.set()
         link.add_close_listener(lambda: self._remove_link(link))
 
@@ -104,37 +123,78 @@
         while True:
             self._changed = anyio.Event()
             self._send_due()
-            await anyio.sleep(self._pacer.interval_s(len(self._last_reports)))
+            await anyio.sleep(self._pacer.interval_s(len(self._links)))
             with anyio.move_on_after(self._heartbeat_left_s()):
                 await self._changed.wait()
 
     def _send_due(self):
         now = self._runtime.now()
-        for link, last in list(self._last_reports.items()):
-            report = self._report(link)
-            if self._pacer.is_due(report, last.report, last.at, now):
-                self._send(link, report)
+        self._restart_due(now)
+        report = self._report()
+        for link, sent in list(self._links.items()):
+            if reads_load_changes(link):
+                self._send_changes(link, sent, report, now)
+            else:
+                self._send_whole(link, sent, report, now)
+
+    def _restart_due(self, now):
+        """Has a few of the gateways told all loads again for which that is due."""
+        due = [
+            (link, sent)
+            for link, sent in self._links.items()
+            if sent.encoder.is_full or now - sent.whole_at >= WHOLE_INTERVAL_S
+        ]
+        for link, sent in due[:MAX_WHOLE_AGAIN]:
+            sent.whole_at = now
+            sent.encoder.restart()
+            self._loads.add_router(link)
+
+    def _send_changes(self, link, sent, report, now):
+        changes = self._loads.changes(link)
+        if not changes and not self._pacer.is_due(report, sent.report, sent.at, now):
+            return
+        encoded = sent.encoder.encode(changes)
+        messages = [] if report == sent.report else [report]
+        if self._send(link, [*messages, change_message(encoded)]):
+            self._loads.record_told(link, changes)
+            sent.report, sent.at = report, now
+
+    def _send_whole(self, link, sent, report, now):
+        others = self._loads.others(link).items()
+        loads = [encode_load(address, load) for address, load in others]
+        report = dataclasses.replace(report, loads=loads)
+        is_due = self._pacer.is_due(report, sent.report, sent.at, now)
+        if is_due and self._send(link, [report]):
+            sent.report, sent.at = report, now
+
+    def _send(self, link, messages):
+        """Sends messages and returns whether the link was open."""
+        try:
+            for message in messages:
+                link.send(message)
+        except LinkLost as error:
+            _log.debug("Sending a report to a gateway failed: {}", error)
+            return False
+        return True
 
     def _heartbeat_left_s(self):
         """Returns the seconds until the next heartbeat is due."""
-        oldest_at = min((last.at for last in self._last_reports.values()), default=None)
+        oldest_at = min((sent.at for sent in self._links.values()), default=None)
         if oldest_at is None:
             return math.inf
         return max(0.0, self._pacer.heartbeat_s - (self._runtime.now() - oldest_at))
 
     def send_all(self):
         """Sends a report to each gateway immediately."""
-        for link in list(self._last_reports):
-            self._send(link, self._report(link))
+        for sent in self._links.values():
+            sent.report, sent.at = None, float("-inf")
+        self._send_due()
 
-    def _report(self, link):
+    def _report(self):
+        """Returns the ``AgentReport`` without loads."""
         catalog = self._state.catalog
         ends, known_s = encode_history(self._runtime, self._state)
         return AgentReport(
-            loads=[
-                encode_load(address, sums.total_except(link))
-                for address, sums in self._sums.items()
-            ],
             catalog_revision=catalog.revision if catalog else 0,
             follows_store=self._catalog_watcher.follows_store,
             servers_digest=self._server_watcher.digest,
@@ -143,34 +203,68 @@
             follows_evacuations=self._evacuation_watcher.follows_store,
             evacuation_ends=ends,
             evacuations_known_s=known_s,
-            gateways=len(self._last_reports),
+            gateways=len(self._links),
             leaving=self._runtime.leaving,
         )
 
-    def _send(self, link, report):
-        try:
-            link.send(report)
-        except LinkLost as error:
-            _log.debug("Sending a report to a gateway failed: {}", error)
-        else:
-            self._last_reports[link] = _LastReport(report, self._runtime.now())
-
     def _remove_link(self, link):
-        self._last_reports.pop(link, None)
-        for sums in self._sums.values():
-            sums.remove(link)
+        self._links.pop(link, None)
+        self._loads.remove_router(link)
         self._changed.set()
 
     async def _handle_load(self, link, message):
-        if link not in self._last_reports:
+        if link in self._links:
+            loads = {s.address: decode_load(s) for s in message.loads}
+            self._record_loads(link, loads)
+
+    async def _handle_changes(self, link, message):
+        if link not in self._links:
             return
-        for share in message.loads:
-            if share.address in self._sums or len(self._sums) < MAX_ENGINES:
-                sums = self._sums.setdefault(share.address, LoadSums())
-                sums.record_load(link, decode_load(share))
+        changed = decode_changes(link, self._links[link].decoder, message)
+        if changed is not None:
+            self._record_loads(link, changed)
+
+    def _record_loads(self, link, loads):
+        for address, load in loads.items():
+            self._loads.record_load(link, address, load)
         self._changed.set()
 
 
+def reads_load_changes(link):
+    """Returns whether the peer of a link is known to read ``LoadChanges``."""
+    return link.hello is not None and link.hello.reads_load_changes
+
+
+def change_message(encoded):
+    """Returns the ``LoadChanges`` of ``EncodedLoads``."""
+    return LoadChanges(encoded.is_whole, encoded.engines, encoded.loads)
+
+
+def decode_changes(link, decoder, message):
+    """Returns the changed loads of a ``LoadChanges`` by address.
+
+    A link whose loads do not fit those from before is closed, as nothing that follows
+    on it could be read.
+
+    Args:
+        link: The link over which it came.
+        decoder: The ``LoadDecoder`` of the link.
+        message: The ``LoadChanges``.
+
+    Returns:
+        Mapping of addresses to ``EngineLoad``; None if they do not fit.
+    """
+    try:
+        return decoder.decode(
+            EncodedLoads(message.whole, message.engines, message.loads)
+        )
+    except MessageInvalid as error:
+        name = link.hello.id if link.hello else ""
+        _log.warning("Closing a link with unreadable loads: {}", error, peer=name)
+        link.close()
+        return None
+
+
 def encode_load(address, load):
     """Returns the ``EngineShare`` of an ``EngineLoad``."""
     return EngineShare(address, load.reading_tokens, load.running, load.kv_tokens)
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -291,11 +291,15 @@
         Args:
             shares: An ``EngineShare`` for each engine.
         """
+        self.record_remote_loads({s.address: decode_load(s) for s in shares})
+
+    def record_remote_loads(self, loads):
+        """Records the ``EngineLoad`` of the other gateways by server address."""
         now = self.now()
-        for share in shares:
-            server_id = self._servers.by_address.get(share.address)
+        for address, load in loads.items():
+            server_id = self._servers.by_address.get(address)
             if server_id is not None:
-                self.engines.record_remote_load(server_id, decode_load(share), now)
+                self.engines.record_remote_load(server_id, load, now)
 
     def loads_by_address(self):
         """Returns the ``EngineLoad`` of this gateway's requests by server address.
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -28,6 +28,12 @@
 )
 from pistachiowell.routing.late_refusal import LateRefusal, LateSettings
 from pistachiowell.routing.load import LoadTable
+from pistachiowell.routing.load_changes import (
+    EncodedLoads,
+    LoadDecoder,
+    LoadEncoder,
+    SharedLoads,
+)
 from pistachiowell.routing.pick import PICKERS, Candidate, even_odds, rendezvous
 from pistachiowell.routing.placement import (
     NO_LOAD,
@@ -81,6 +87,7 @@
     "SHARED_SERVER_CRASHES",
     "CreditSettings",
     "Deliver",
+    "EncodedLoads",
     "EngineLoad",
     "EngineRates",
     "EngineRequest",
@@ -93,6 +100,8 @@
     "HedgeSettings",
     "LateRefusal",
     "LateSettings",
+    "LoadDecoder",
+    "LoadEncoder",
     "LoadSums",
     "NO_LOAD",
     "LoadTable",
@@ -105,6 +114,7 @@
     "RetryShareSettings",
     "RouteRetries",
     "RoutingSettings",
+    "SharedLoads",
     "SharingSettings",
     "SilenceSettings",
     "SuspectKind",
--- a/pistachiowell/routing/sharing.py
+++ b/pistachiowell/routing/sharing.py
@@ -42,6 +42,7 @@
         >>> sums.total_except("router-1")
         EngineLoad(reading_tokens=50, running=2, kv_tokens=90)
         >>> sums.remove("router-2")
+        True
         >>> sums.total_except("router-1")
         EngineLoad(reading_tokens=0, running=0, kv_tokens=0)
     """
@@ -58,8 +59,10 @@
         self._loads[router] = load
 
     def remove(self, router):
-        """Removes a router and its load."""
-        self._total = self._total - self._loads.pop(router, NO_LOAD)
+        """Removes a router and returns whether that has changed the total."""
+        load = self._loads.pop(router, NO_LOAD)
+        self._total = self._total - load
+        return load != NO_LOAD
 
     def total_except(self, router):
         """Returns the total ``EngineLoad`` of all routers except one."""
