--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -178,10 +178,11 @@
             with anyio.move_on_after(LOAD_CHECK_INTERVAL_S):
                 await self._load_changed.wait()
             self._load_changed = anyio.Event()
-            self._send_loads()
+            self.send_changed_loads()
             await anyio.sleep(LOAD_INTERVAL_S)
 
-    def _send_loads(self):
+    def send_changed_loads(self):
+        """Sends each agent those of its loads that have changed."""
         self._sent_loads = {
             link: sent for link, sent in self._sent_loads.items() if not link.closed
         }
@@ -196,9 +197,9 @@
             if link is not None and self._sent(link, address) != load:
                 changes.setdefault(link, {})[address] = load
         for link, sent in self._sent_loads.items():
-            for address, load in sent.items():
+            for address in sent:
                 is_elsewhere = self._summing_agents.link(address) is not link
-                if load != NO_LOAD and (is_elsewhere or address not in loads):
+                if is_elsewhere or address not in loads:
                     changes[link][address] = NO_LOAD
         for link, changed in changes.items():
             if changed:
@@ -213,7 +214,8 @@
         except LinkLost as error:
             _log.debug("Sending the loads to an agent failed: {}", error)
         else:
-            self._sent_loads.setdefault(link, {}).update(changed)
+            sent = self._sent_loads.get(link, {}) | changed
+            self._sent_loads[link] = _without_idle(sent)
 
     def _load_message(self, link, changed):
         if not reads_load_changes(link):
@@ -221,8 +223,8 @@
         encoder = self._encoders.setdefault(link, LoadEncoder())
         if encoder.is_full:
             encoder.restart()
-            loads = {**self._sent_loads.get(link, {}), **changed}
-            changed = {a: load for a, load in loads.items() if load != NO_LOAD}
+            loads = self._sent_loads.get(link, {}) | changed
+            changed = _without_idle(loads)
         return change_message(encoder.encode(changed))
 
     async def run(self):
@@ -261,6 +263,11 @@
         self._catalog_watcher.apply(document, name)
 
 
+def _without_idle(loads):
+    """Returns the loads by address of the engines that have requests."""
+    return {address: load for address, load in loads.items() if load != NO_LOAD}
+
+
 class _Reported:
     """What an agent has reported over one link.
 
--- a/pistachiowell/gateway/load_reports.py
+++ b/pistachiowell/gateway/load_reports.py
@@ -122,12 +122,13 @@
         """
         while True:
             self._changed = anyio.Event()
-            self._send_due()
+            self.send_due()
             await anyio.sleep(self._pacer.interval_s(len(self._links)))
             with anyio.move_on_after(self._heartbeat_left_s()):
                 await self._changed.wait()
 
-    def _send_due(self):
+    def send_due(self):
+        """Sends the reports that are due now."""
         now = self._runtime.now()
         self._restart_due(now)
         report = self._report()
@@ -188,7 +189,7 @@
         """Sends a report to each gateway immediately."""
         for sent in self._links.values():
             sent.report, sent.at = None, float("-inf")
-        self._send_due()
+        self.send_due()
 
     def _report(self):
         """Returns the ``AgentReport`` without loads."""
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -11,7 +11,6 @@
     registration_of,
 )
 from pistachiowell.routing import (
-    NO_LOAD,
     PICKERS,
     PLACERS,
     EngineRates,
@@ -306,9 +305,8 @@
 
         Engines without any are left out.
         """
-        ids = self._servers.by_address
-        loads = {address: self.engines.own_load(name) for address, name in ids.items()}
-        return {address: load for address, load in loads.items() if load != NO_LOAD}
+        loads, ids = self.engines.own_loads(), self._servers.by_address
+        return {address: loads[name] for address, name in ids.items() if name in loads}
 
     def record_end(self, attempt, error):
         """Records the end of an attempt; see ``Attempt.record_end``.
--- a/pistachiowell/routing/load_changes.py
+++ b/pistachiowell/routing/load_changes.py
@@ -125,8 +125,9 @@
         _check(len(addresses), encoded.loads)
         # What a whole message leaves out has ended.
         changed = dict.fromkeys(self._loads, NO_LOAD) if encoded.is_whole else {}
-        for number, *values in _groups(encoded.loads):
-            changed[addresses[number]] = EngineLoad(*values)
+        numbers, *values = _columns(encoded.loads)
+        names = [addresses[number] for number in numbers]
+        changed.update(zip(names, map(EngineLoad, *values), strict=True))
         self._addresses = addresses
         for address, load in changed.items():
             if load == NO_LOAD:
@@ -136,8 +137,9 @@
         return changed
 
 
-def _groups(values):
-    return zip(*[iter(values)] * INTEGERS_PER_LOAD, strict=True)
+def _columns(values):
+    """Returns the numbers of the engines, and a list for each value of their loads."""
+    return [values[first::INTEGERS_PER_LOAD] for first in range(INTEGERS_PER_LOAD)]
 
 
 def _check(engines, values):
@@ -145,7 +147,8 @@
         raise MessageInvalid(f"Loads of more than {MAX_NUMBERS} engines.")
     if len(values) % INTEGERS_PER_LOAD:
         raise MessageInvalid("The last load is not complete.")
-    if any(not 0 <= number < engines for number in values[::INTEGERS_PER_LOAD]):
+    numbers = values[::INTEGERS_PER_LOAD]
+    if numbers and not 0 <= min(numbers) <= max(numbers) < engines:
         raise MessageInvalid("A load has a number that no engine has.")
 
 
@@ -215,7 +218,8 @@
             if number <= told.number:
                 break
             load = self._sums[address].total_except(router)
-            if told.loads.get(address) != load:
+            known = told.loads.get(address)
+            if known is not load and known != load:
                 changes[address] = load
         return changes
 
--- a/pistachiowell/routing/placement.py
+++ b/pistachiowell/routing/placement.py
@@ -376,6 +376,11 @@
             return NO_LOAD
         return EngineLoad(engine.reading_tokens, engine.running, engine.kv_tokens)
 
+    def own_loads(self):
+        """Returns ``own_load`` by server, without the idle servers."""
+        busy = [name for name, engine in self._engines.items() if engine.running]
+        return {name: self.own_load(name) for name in busy}
+
     def load(self, server, now):
         """Returns the ``EngineLoad`` of all routers.
 
--- a/pistachiowell/routing/sharing.py
+++ b/pistachiowell/routing/sharing.py
@@ -66,7 +66,8 @@
 
     def total_except(self, router):
         """Returns the total ``EngineLoad`` of all routers except one."""
-        return self._total - self._loads.get(router, NO_LOAD)
+        load = self._loads.get(router, NO_LOAD)
+        return self._total if load == NO_LOAD else self._total - load
 
 
 class ReportPacer:
