Keep what an agent has reported while its link is not yet known

The first LoadChanges of a link would otherwise be lost and the next ones not fit, which closes the link.

--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -98,14 +98,13 @@
         handlers.on(LoadChanges)(self._handle_changes)
 
     async def _handle_report(self, link, message):
-        if not self._apply_report(link, message):
-            return
         if link in self._reported:
             self._reported[link].report = message
         elif not link.closed:
             self._reported[link] = _Reported(message)
             link.add_close_listener(lambda: self._reported.pop(link, None))
-        self._selection.record_loads(message.loads)
+        if self._apply_report(link, message):
+            self._selection.record_loads(message.loads)
 
     async def _handle_changes(self, link, message):
         reported = self._reported.get(link)
