--- a/pistachiowell/gateway/gateway_parts.py
+++ b/pistachiowell/gateway/gateway_parts.py
@@ -126,7 +126,9 @@
         self._adapter = adapter
         self._handlers = Handlers()
         self._rng = random.Random()
-        self.runtime = runtime = Runtime("router", settings, store)
+        self.runtime = runtime = Runtime(
+            "router", settings, store, reads_load_changes=True
+        )
         self.state = GatewayState(settings)
         self.stop = PlannedStop()
         self.router_count = RouterCount(runtime)
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -5,7 +5,7 @@
 from pistachiowell.gateway.selection_parts import engine_request, make_parts
 from pistachiowell.gateway.selection_records import SelectionRecords
 from pistachiowell.gateway.server_filters import ServerFilters
-from pistachiowell.routing import NO_LOAD, place_crash_candidate
+from pistachiowell.routing import place_crash_candidate
 
 
 class Selection:
@@ -158,17 +158,20 @@
         Args:
             shares: An ``EngineShare`` for each engine.
         """
-        now = self._now()
-        for share in shares:
-            server_id = self._parts.servers.by_address.get(share.address)
+        self.record_remote_loads({s.address: decode_load(s) for s in shares})
+
+    def record_remote_loads(self, loads):
+        """Records the ``EngineLoad`` of the other gateways by server address."""
+        now, ids = self._now(), self._parts.servers.by_address
+        for address, load in loads.items():
+            server_id = ids.get(address)
             if server_id is not None:
-                self.engines.record_remote_load(server_id, decode_load(share), now)
+                self.engines.record_remote_load(server_id, load, now)
 
     def loads_by_address(self):
         """Returns the ``EngineLoad`` of this gateway's requests by server address.
 
         Engines without any are left out.
         """
-        ids = self._parts.servers.by_address
-        loads = {address: self.engines.own_load(name) for address, name in ids.items()}
-        return {address: load for address, load in loads.items() if load != NO_LOAD}
+        loads, ids = self.engines.own_loads(), self._parts.servers.by_address
+        return {address: loads[name] for address, name in ids.items() if name in loads}
