Test a full link at a rate that an idle neighbour in the same loop can take

The link and the rate are a fifth of before, the checks are the same. It passed 8 of 8 times, six of them beside each other.

--- a/pistachiowell/platform/tests/test_full_link.py
+++ b/pistachiowell/platform/tests/test_full_link.py
@@ -13,7 +13,9 @@
 
 pytestmark = pytest.mark.anyio
 
-INTERVAL_S = 0.02
+# Both gateways run in one event loop, and the idle one takes the work of the other for its
+# own. At a higher rate it reports less room than the full one has to turn away.
+INTERVAL_S = 0.1
 HEAD = (
     f"POST /book/a HTTP/1.1\r\nhost: {HOST}\r\napi-key: {KEY}\r\n"
     "content-length: 500\r\n\r\n"
@@ -46,7 +48,7 @@
     return b""
 
 
-@pytest.mark.parametrize(("link_mbps", "length_s"), [(0.2, 8.0), (0, 2.0)])
+@pytest.mark.parametrize(("link_mbps", "length_s"), [(0.04, 8.0), (0, 2.0)])
 async def test_head_is_refused_while_the_link_is_full(
     start_rig, free_port, link_mbps, length_s
 ):
