--- a/pistachiowell/gateway/time_reports.py
+++ b/pistachiowell/gateway/time_reports.py
@@ -81,9 +81,7 @@
     def _warn_once(self, link):
         if not self._has_warned:
             self._has_warned = True
-            _log.warning(
-                "Ignored a usual time that is no plain number.", agent=link.hello.id
-            )
+            _log.warning("Ignored an implausible usual time.", agent=link.hello.id)
 
 
 def _encode_times(times):
--- a/pistachiowell/gateway/times_owner.py
+++ b/pistachiowell/gateway/times_owner.py
@@ -95,7 +95,7 @@
         if not self._has_warned:
             self._has_warned = True
             gateway = link.hello.id if link.hello else ""
-            _log.warning("Ignored times that are no counts.", gateway=gateway)
+            _log.warning("Ignored implausible counts of answers.", gateway=gateway)
 
     def _tell_all(self):
         """Tells all gateways, and returns how many were told."""
@@ -120,7 +120,7 @@
 
 
 def _decode_times(new):
-    """Returns the ``KindTimes`` of a ``NewTimes``; None if they are no counts."""
+    """Returns the ``KindTimes`` of a ``NewTimes``; None if it is not plausible."""
     if len(new.buckets) != len(new.counts):
         return None
     counts = dict(zip(new.buckets, new.counts, strict=True))
