--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -160,6 +160,7 @@
             parts.spending.run,
             parts.grant_memory.run,
             parts.dispatch.run_connections,
+            parts.hedges.run_reports,
             parts.ready_server.serve,
         ]
 
--- a/pistachiowell/gateway/gateway_parts.py
+++ b/pistachiowell/gateway/gateway_parts.py
@@ -69,6 +69,7 @@
         evacuation_fallback: The ``StoreFallback`` of the evacuations.
         fleet: The ``Fleet`` with the agents.
         grant_memory: The ``GrantMemory``.
+        hedges: The ``Hedges``.
         load: The ``LoadSharing``.
         loop_watch: The ``LoopWatch``.
         move_watcher: The ``MoveOrderWatcher``.
@@ -104,6 +105,7 @@
         "evacuation_fallback",
         "fleet",
         "grant_memory",
+        "hedges",
         "load",
         "loop_watch",
         "move_watcher",
@@ -247,8 +249,10 @@
         retry_shares = RetryShares(
             runtime.settings, lambda: self.router_count.sharing_count, runtime.now()
         )
-        hedges = Hedges(
+        self.hedges = Hedges(
             runtime,
+            self.fleet,
+            self._handlers,
             self.selection,
             self.crashes,
             retry_shares,
@@ -262,7 +266,7 @@
             self._limits,
             self.crashes,
             retry_shares,
-            hedges,
+            self.hedges,
             self.loop_watch,
             self._adapter.heads,
             self._rng,
--- a/pistachiowell/gateway/run.py
+++ b/pistachiowell/gateway/run.py
@@ -80,9 +80,6 @@
         """
         return 0 if self.writer.has_started else self.request.rank
 
-    # ``Hedges`` still reads it by this name.
-    priority = rank
-
     def record_usage(self, exchange):
         """Records what an exchange has used, whatever its end."""
         head, usage, events = exchange.head, self.usage, self.events
--- a/pistachiowell/platform/tests/test_full_link.py
+++ b/pistachiowell/platform/tests/test_full_link.py
@@ -13,8 +13,8 @@
 
 pytestmark = pytest.mark.anyio
 
-# Both gateways run in one event loop, and the idle one takes the work of the other for its
-# own. At a higher rate it reports less room than the full one has to turn away.
+# Both gateways run in one event loop, and the idle one takes the work of the other for
+# its own. At a higher rate it reports less room than the full one has to turn away.
 INTERVAL_S = 0.1
 HEAD = (
     f"POST /book/a HTTP/1.1\r\nhost: {HOST}\r\napi-key: {KEY}\r\n"
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -55,6 +55,12 @@
     RouteRetries,
 )
 from pistachiowell.routing.settings import RoutingSettings
+from pistachiowell.routing.shared_times import (
+    KindSummary,
+    KindTimes,
+    SharedTimes,
+    TimesSum,
+)
 from pistachiowell.routing.sharing import REPORT_PACERS, LoadSums, SharingSettings
 from pistachiowell.routing.silence import SILENCE_DETECTORS, SilenceSettings
 from pistachiowell.routing.split import SPLITTERS
@@ -98,6 +104,8 @@
     "HealthTable",
     "HedgeDenial",
     "HedgeSettings",
+    "KindSummary",
+    "KindTimes",
     "LateRefusal",
     "LateSettings",
     "LoadDecoder",
@@ -115,9 +123,11 @@
     "RouteRetries",
     "RoutingSettings",
     "SharedLoads",
+    "SharedTimes",
     "SharingSettings",
     "SilenceSettings",
     "SuspectKind",
+    "TimesSum",
     "UnreachableServers",
     "UnreachableSettings",
     "even_odds",
