Name the era in the version of an absent budget page

Cause: a holder saw version 0 for a page that does not exist yet, so it took the first grants of a page for grants of era 0 and did not see a return of the store to a copy without the page. Change: the holder is given the first version of the present era instead. Result: pistachiowell/budgets/tests/test_returns.py and pistachiowell/platform/tests/test_money_over_returns.py pass.

--- a/pistachiowell/router/pages.py
+++ b/pistachiowell/router/pages.py
@@ -186,11 +186,11 @@
                 COLLECTION, name, value, version
             )
         except StoreAnswerLost:
-            self._holder.on_answer_lost(self._number, version)
+            self._record_answer_lost(version)
             return False
         except anyio.get_cancelled_exc_class():
             # The request that led the write was cut off. The write may take effect.
-            self._holder.on_answer_lost(self._number, version)
+            self._record_answer_lost(version)
             raise
         self._observe(new_version, new)
         return True
@@ -210,4 +210,12 @@
     def _observe(self, version, page):
         self._version = version
         self.page = page
-        self._holder.observe(self._number, version, page, self._runtime.now())
+        now = self._runtime.now()
+        self._holder.observe(self._number, self._version_in_era(version), page, now)
+
+    def _record_answer_lost(self, version):
+        self._holder.on_answer_lost(self._number, self._version_in_era(version))
+
+    def _version_in_era(self, version):
+        """Returns a version that names the era also for a page that is absent."""
+        return version if version != ABSENT else self._runtime.store.era.version(ABSENT)
