Decide which tokens of an agent's killed run are unspent

Cause: grants of a killed agent stay granted, as nobody can tell which gateways have used them and how much.

--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -396,6 +396,20 @@
             for router, _ in grant.reservations.values()
         }
 
+    def used_by_others(self, routers):
+        """Returns the settled tokens of all but some routers, by open grant.
+
+        Args:
+            routers: Incarnations of the routers to leave out.
+        """
+        used = {}
+        for ledger in self._ledgers.values():
+            for grant_id, grant in ledger.grants.items():
+                tokens = sum(t for r, t in grant.used.items() if r not in routers)
+                if tokens:
+                    used[grant_id] = tokens
+        return used
+
     def retire_idle(self, account, now):
         """Retires idle grants: the next plan lowers, replaces or closes them.
 
