Recover the tokens of an agent's killed run

Cause: callers are refused with 503 to the end while the tokens of their account are in grants of a killed run of the page's owner. Change: agents list the gateway runs that they serve in the store; the next run of an agent asks these what they have used and closes the grants in the pages.

--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -98,7 +98,9 @@
         self._compressed_document = b""
         # Gateways have no links to each other; each agent passes on their reports.
         self._links = LinkSet()
-        self._budget_owner = BudgetOwner(runtime, state, self._handlers, self._links)
+        self._budget_owner = BudgetOwner(
+            runtime, state, self._handlers, self._links, is_deputy=is_deputy
+        )
         StoreReturns(runtime, self._links, self._handlers)
         self._room_owner = RoomOwner(runtime, self._links, self._handlers)
         self._move_judge = MoveJudge(runtime, self._handlers, adapter.moves)
--- a/pistachiowell/gateway/budget_owner.py
+++ b/pistachiowell/gateway/budget_owner.py
@@ -13,6 +13,7 @@
 import anyio
 
 from pistachiowell.budgets import GrantHolder
+from pistachiowell.budgets.lost_runs import LostRuns
 from pistachiowell.budgets.page import (
     SetCredit,
     free_tokens,
@@ -28,8 +29,10 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.grant_notices import GrantTeller, NoticedGrants
 from pistachiowell.gateway.holder_states import HolderStates
+from pistachiowell.gateway.lost_grants import LostGrantRecovery
 from pistachiowell.gateway.refusal_log import RefusalLog
 from pistachiowell.gateway.reservation_checks import ReservationChecks
+from pistachiowell.gateway.served_runs import ServedRunsWriter
 from pistachiowell.router.grant_pages import GrantPages
 from pistachiowell.schema.generated.messages_budgets import (
     GrantNotice,
@@ -109,15 +112,16 @@
 class BudgetOwner:
     """Reserves and settles tokens for the gateways out of this process's grants.
 
-    A grant belongs to one run of the process that holds it. The tokens that a killed
-    run had not spent stay granted to it: nobody else knows exactly how many those are,
-    and granting them again could spend some twice.
+    A grant belongs to one run of the process that holds it. What a killed run had not
+    spent is recovered by the next run of the same agent; see ``LostGrantRecovery``.
 
     Args:
         runtime: The process's ``Runtime``.
         state: The ``GatewayState``; its catalog contains the prepaid tokens.
         handlers: Handlers of the links to gateways; this registers its own.
         links: The ``LinkSet`` of the links to gateways.
+        is_deputy: Whether it runs in a gateway, in place of an agent. The unspent
+            tokens of a killed deputy are not recovered.
     """
 
     __slots__ = (
@@ -129,14 +133,17 @@
         "_prepaid_by_page",
         "_prepaid_catalog",
         "_holder_states",
+        "_lost_grants",
+        "_lost_runs",
         "_recent_refusals",
         "_refusal_log",
         "_runtime",
         "_returned",
+        "_served_runs",
         "_state",
     )
 
-    def __init__(self, runtime, state, handlers, links):
+    def __init__(self, runtime, state, handlers, links, *, is_deputy=False):
         self._runtime = runtime
         self._state = state
         pages = runtime.settings.budget_pages
@@ -163,6 +170,15 @@
             self._first_changes,
             teller.tell,
         )
+        self._lost_runs = LostRuns()
+        self._served_runs = None
+        if not is_deputy:
+            self._served_runs = ServedRunsWriter(
+                runtime, self._holder, links, self._lost_runs
+            )
+        self._lost_grants = LostGrantRecovery(
+            runtime, self._lost_runs, self._pages, links
+        )
         self._checks = ReservationChecks(runtime, self._holder, links)
         self._holder_states = HolderStates(links, runtime.now)
         self._refusal_log = RefusalLog(
@@ -178,6 +194,9 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._holder_states.run)
             group.start_soon(self._checks.run)
+            if self._served_runs is not None:
+                group.start_soon(self._served_runs.run)
+                group.start_soon(self._lost_grants.run)
             await self._keep_grants()
 
     async def _keep_grants(self):
@@ -211,8 +230,10 @@
                 )
 
     def _first_changes(self, number, page):
-        noticed = self._noticed.changes(number, self._runtime.now())
-        return noticed + self._credit_changes(number, page)
+        now = self._runtime.now()
+        noticed = self._noticed.changes(number, now)
+        lost = self._lost_runs.changes(page, now)
+        return noticed + lost + self._credit_changes(number, page)
 
     async def wait_until_settled(self):
         """Waits until all reservations are settled."""
@@ -225,6 +246,8 @@
 
     async def _handle_reserve(self, link, message):
         self._checks.record_gateway(link)
+        if self._served_runs is not None:
+            await self._served_runs.ensure_listed(message.router)
         reserved = self._pages.reserve(message)
         if reserved is None:
             ledger = self._holder.ledger(message.account)
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -24,6 +24,7 @@
 from pistachiowell.gateway.hedges import Hedges
 from pistachiowell.gateway.holder_states import HolderDirectory
 from pistachiowell.gateway.load_sharing import LoadSharing
+from pistachiowell.gateway.lost_grants import GrantUseAnswers
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.places import Places
 from pistachiowell.gateway.planned_stop import ENDING_S, PlannedStop
@@ -218,7 +219,9 @@
             runtime, self._fleet, state, self._agent_reports.is_cut_from_store
         )
         ReservationAnswers(self._spending, handlers)
+        GrantUseAnswers(self._spending.uses, handlers)
         self._grant_memory = GrantMemory(runtime, self._fleet, handlers)
+        self._grant_memory.on_closed = self._spending.uses.forget
         HolderDirectory(self._fleet, handlers)
         StoreReturns(runtime, self._fleet, handlers)
         self._crashes = ServerCrashes(self._crash_candidates, runtime.now)
--- a/pistachiowell/gateway/grant_notices.py
+++ b/pistachiowell/gateway/grant_notices.py
@@ -116,15 +116,19 @@
         runtime: The process's ``Runtime``.
         fleet: The ``Fleet`` with the agents.
         handlers: Handlers of the links to agents; this registers its own.
+
+    Attributes:
+        on_closed: Function of a holder and the id of a grant that it has closed.
     """
 
-    __slots__ = ("_fleet", "_returned", "_runtime", "_table")
+    __slots__ = ("_fleet", "_returned", "_runtime", "_table", "on_closed")
 
     def __init__(self, runtime, fleet, handlers):
         self._runtime = runtime
         self._fleet = fleet
         self._table = NoticeTable()
         self._returned = anyio.Event()
+        self.on_closed = lambda holder, grant_id: None
         runtime.store.era.add_listener(self._record_return)
         handlers.on(GrantNotice, quick=True)(self._handle_notice)
 
@@ -147,6 +151,8 @@
             self._tell_owners(replace(message, purpose=str(Purpose.keep)))
         else:
             self._table.record(message, self._runtime.now())
+            if message.is_closed:
+                self.on_closed(message.holder, message.grant_id)
 
     def _tell_owners(self, notice):
         pages = self._runtime.settings.budget_pages
--- a/pistachiowell/gateway/spending.py
+++ b/pistachiowell/gateway/spending.py
@@ -1,5 +1,6 @@
 """Reserves and settles tokens at the agents that own the budget pages."""
 
+from pistachiowell.budgets.grant_uses import GrantUses
 from pistachiowell.budgets.page import page_number
 from pistachiowell.core.errors import (
     BudgetUnreachable,
@@ -44,6 +45,7 @@
         "_runtime",
         "_settlements",
         "_state",
+        "_uses",
     )
 
     def __init__(self, runtime, fleet, state, is_cut_from_store):
@@ -52,8 +54,14 @@
         self._state = state
         self._is_cut_from_store = is_cut_from_store
         self._open = set()
+        self._uses = GrantUses()
         self._settlements = Settlements(fleet.linked_agent_of, fleet.agents.values)
 
+    @property
+    def uses(self):
+        """The ``GrantUses`` of this gateway."""
+        return self._uses
+
     async def run(self):
         """Sends settlements until cancelled."""
         await self._settlements.run()
@@ -108,6 +116,9 @@
             return
         message = reservation.settlement(used_tokens)
         self._settlements.add(reservation.holder, message)
+        self._uses.settle(
+            reservation.holder, reservation.reservation_id, message.used_tokens
+        )
         self._open.discard((reservation.holder, reservation.reservation_id))
 
     def is_open(self, holder, reservation_id):
@@ -150,7 +161,14 @@
             self._open.discard(key)
             error = error_class(reply.code)
             raise error(reply.message, retry_after_s=reply.retry_after_s)
-        return Reservation.from_reply(call, reply)
+        reservation = Reservation.from_reply(call, reply)
+        if not self._uses.reserve(
+            reservation.holder, reply.grant_id, call.reservation_id, reply.tokens
+        ):
+            self._settlements.cancel_reservation(holder, call)
+            self._open.discard(key)
+            raise LinkLost(f"A newer run has replaced {peer.record.id}.")
+        return reservation
 
 
 def _no_owner(account, last_error):
--- a/pistachiowell/gateway/tests/test_budget_owner.py
+++ b/pistachiowell/gateway/tests/test_budget_owner.py
@@ -40,17 +40,18 @@
 
 
 class SlowStore(MemoryStore):
-    """A store whose conditional writes take ``WRITE_S`` each.
+    """A store whose conditional writes of budget pages take ``WRITE_S`` each.
 
     Attributes:
-        writes: Number of writes so far.
+        writes: Number of these writes so far.
     """
 
     writes = 0
 
     async def put(self, collection, name, value, expected_version):
-        self.writes += 1
-        await anyio.sleep(WRITE_S)
+        if collection == COLLECTION:
+            self.writes += 1
+            await anyio.sleep(WRITE_S)
         return await super().put(collection, name, value, expected_version)
 
 
--- a/pistachiowell/router/grant_pages.py
+++ b/pistachiowell/router/grant_pages.py
@@ -93,6 +93,24 @@
         """
         return await self._sync(self._holder.page_of(account))
 
+    async def sync_page(self, number):
+        """Writes the planned changes to a page, given by its number; see ``sync``."""
+        return await self._sync(number)
+
+    def unspent_tokens(self, holder):
+        """Returns the unspent tokens of a holder's grants in the pages read so far.
+
+        Args:
+            holder: Incarnation of the process that holds the grants.
+        """
+        return sum(
+            grant.amount - grant.used_tokens
+            for page in self._pages.values()
+            for account in page.page.accounts.values()
+            for grant in account.grants.values()
+            if grant.holder == holder
+        )
+
     def record_return(self, era):
         """Makes the next check write again what the store may have lost.
 
