Wait after a return also at a holder that has read no page

Cause: a holder that learned of a return before it had read any page took the new era for its first one and let grants grow at once, while other holders still had to write theirs again; tokens could be granted twice. Change: a reported return always begins the wait. Result: the new test in test_returns.py fails without the change and passes.

--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -275,7 +275,7 @@
             era: Number of the store's era.
             now: Time in seconds.
         """
-        self._restoration.notice_era(era, now)
+        self._restoration.record_return(era, now)
 
     def is_settling(self, number, now):
         """Returns whether grants of a page must not grow yet after a return.
--- a/pistachiowell/budgets/restoring.py
+++ b/pistachiowell/budgets/restoring.py
@@ -70,6 +70,17 @@
             self._era = era
             self._settled_at = now + SETTLE_S
 
+    def record_return(self, era, now):
+        """Records a return of the store, also if no page was read before it.
+
+        Args:
+            era: Number of the new era.
+            now: Time in seconds.
+        """
+        if self._era is None:
+            self._era = 0
+        self.notice_era(era, now)
+
     def observe(self, number, version, known_version, page, now):
         """Records a page as read or written.
 
--- a/pistachiowell/budgets/tests/test_returns.py
+++ b/pistachiowell/budgets/tests/test_returns.py
@@ -230,3 +230,14 @@
     else:
         with pytest.raises(AssertionError):
             play.no_more_is_reserved_than_was_paid_for()
+
+
+def test_holder_that_has_read_no_page_grants_nothing_right_after_a_return():
+    """Guards against a second grant of what the page has lost for a moment."""
+    holder = GrantHolder("agent-1", 1)
+    holder.record_return(2, 100.0)
+    page = apply_changes(BudgetPage(era=1), [SetCredit("shop", PAID_TOKENS, 1)])
+    holder.reserve("shop", "a", "gate-1", REQUEST_TOKENS, 100.1)
+    holder.observe(0, (2 << REVISION_BITS) + 1, page, 100.1)
+    assert not holder.plan(0, 100.1)
+    assert holder.plan(0, 100.0 + SETTLE_S)
