--- a/pistachiowell/platform/tests/test_lost_grants.py
+++ b/pistachiowell/platform/tests/test_lost_grants.py
@@ -21,6 +21,8 @@
 
 AGENT = "agent-1"
 SETTLED_S = 0.5
+# Until a gateway that has ended is taken off the list.
+UNLISTED_S = 4.5
 
 
 @pytest.fixture
@@ -80,3 +82,53 @@
         served += await count_served(rig, 2)
     assert served * REQUEST_TOKENS <= PREPAID_TOKENS
     assert served * REQUEST_TOKENS > PREPAID_TOKENS - 2 * 150
+
+
+async def send_through_other(rig, times):
+    """Serves requests through a third gateway, which is then killed."""
+    address = rig.address
+    await rig.add_gateway("gate-3")
+    served = await count_served(rig, times)
+    await anyio.sleep(SETTLED_S)
+    rig.kill("gate-3")
+    rig.gateways.pop()
+    rig.address = address
+    return served
+
+
+async def test_use_of_a_gateway_that_ended_before_is_known(lost_rig):
+    async with lost_rig() as rig:
+        served = await count_served(rig, 3)
+        served += await send_through_other(rig, 3)
+        await anyio.sleep(UNLISTED_S)
+        served += await count_served(rig, 2)
+        killed = await replace_agent(rig)
+        await rig.until(lambda: killed not in holders(rig))
+        served += await count_served(rig, 20)
+        await anyio.sleep(SETTLED_S)
+        served += await count_served(rig, 2)
+    assert served * REQUEST_TOKENS <= PREPAID_TOKENS
+    assert served * REQUEST_TOKENS > PREPAID_TOKENS - 2 * 150
+
+
+async def test_grants_stay_lost_if_a_gateway_ended_with_the_agent(lost_rig):
+    async with lost_rig() as rig:
+        served = await count_served(rig, 3)
+        served += await send_through_other(rig, 3)
+        killed = await replace_agent(rig)
+        await anyio.sleep(UNLISTED_S)
+        assert killed in holders(rig)
+        served += await count_served(rig, 20)
+    assert served * REQUEST_TOKENS <= PREPAID_TOKENS
+
+
+async def test_return_of_the_store_proves_nothing(lost_rig):
+    async with lost_rig() as rig:
+        taken = rig.store.take_copy()
+        served = await count_served(rig, 4)
+        rig.store.return_from_copy(taken)
+        killed = await replace_agent(rig)
+        await anyio.sleep(UNLISTED_S)
+        served += await count_served(rig, 25)
+        assert killed in holders(rig)
+    assert served * REQUEST_TOKENS <= PREPAID_TOKENS
