--- a/pistachiowell/gateway/gateway_parts.py
+++ b/pistachiowell/gateway/gateway_parts.py
@@ -17,6 +17,7 @@
 from pistachiowell.gateway.hedges import Hedges
 from pistachiowell.gateway.holder_states import HolderDirectory
 from pistachiowell.gateway.load_sharing import LoadSharing
+from pistachiowell.gateway.lost_grants import GrantUseAnswers
 from pistachiowell.gateway.moves import GatewayMoves
 from pistachiowell.gateway.places import Places
 from pistachiowell.gateway.planned_stop import PlannedStop
@@ -239,7 +240,9 @@
             runtime, fleet, self.state, self.agent_reports.is_cut_from_store
         )
         ReservationAnswers(self.spending, handlers)
+        GrantUseAnswers(self.spending.uses, handlers)
         self.grant_memory = GrantMemory(runtime, fleet, handlers)
+        self.grant_memory.on_closed = self.spending.uses.forget
         HolderDirectory(fleet, handlers)
         StoreReturns(runtime, fleet, handlers)
 
