Replace an ended gateway in the test of its known use

A gateway without a link is taken off an agent's list after 10 s, and at once if a newer run of it has linked. The test waited 4.5 s for the former; it starts a newer run now.

--- a/pistachiowell/platform/tests/test_lost_grants.py
+++ b/pistachiowell/platform/tests/test_lost_grants.py
@@ -100,6 +100,7 @@
     async with lost_rig() as rig:
         served = await count_served(rig, 3)
         served += await send_through_other(rig, 3)
+        await rig.add_gateway("gate-3")
         await anyio.sleep(UNLISTED_S)
         served += await count_served(rig, 2)
         killed = await replace_agent(rig)
