Call the registered gateways gateways, not routers, where they are counted

Newcomers meet routers in a module of the gateway: the class and its constant took their names from the collection of the store. The class is GatewayCount now, its constant MIN_GATEWAYS.

--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -121,7 +121,7 @@
             pages = {WHERE_PATH: parts.where_page}
             group.start_soon(serve_metrics, runtime, pages)
             group.start_soon(self._register)
-            group.start_soon(parts.router_count.run, parts.agent_reports)
+            group.start_soon(parts.gateway_count.run, parts.agent_reports)
             group.start_soon(self._leave_on_signal, group)
             _log.info(
                 "Gateway starts.",
--- a/pistachiowell/gateway/router_count.py
+++ b/pistachiowell/gateway/gateway_count.py
@@ -1,4 +1,4 @@
-"""Counts the gateways, which are registered as routers and share the fixed retries.
+"""Counts the gateways, which share the fixed retries and the limits of servers.
 
 Load pattern: gateways that start together, each of which would take all of the shared
 retries if it assumed that it is alone.
@@ -19,12 +19,12 @@
 NAMES_AFTER_S = 5.0
 # Assuming too few of them would give each one too large a share, for example before the
 # first list.
-MIN_ROUTERS = 3
+MIN_GATEWAYS = 3
 
 _log = part_logger("gateway")
 
 
-class RouterCount:
+class GatewayCount:
     """Number and names of the gateways, from the store and from the agents.
 
     Args:
@@ -36,7 +36,7 @@
     def __init__(self, runtime):
         self._runtime = runtime
         self._are_listed = False
-        self._count = MIN_ROUTERS
+        self._count = MIN_GATEWAYS
         self._names = frozenset()
 
     @property
@@ -66,7 +66,7 @@
         """
         started_at = self._runtime.now()
         listed_at = float("-inf")
-        listed = MIN_ROUTERS
+        listed = MIN_GATEWAYS
         while True:
             now = self._runtime.now()
             has_agents = agent_reports.has_enough_agents()
@@ -80,7 +80,7 @@
                     self._are_listed = True
                 if self._are_listed:
                     listed_at = now
-            self._count = max(MIN_ROUTERS, listed, agent_reports.gateways)
+            self._count = max(MIN_GATEWAYS, listed, agent_reports.gateways)
             await anyio.sleep(COUNT_INTERVAL_S)
 
     async def _list(self):
@@ -88,6 +88,6 @@
         try:
             entries, _ = await self._runtime.store.list(ROUTERS)
         except STORE_ERRORS as error:
-            _log.debug("Listing the routers failed; keeping them: {}", error)
+            _log.debug("Listing the gateways failed; keeping their number: {}", error)
             return None
         return frozenset(entry.name for entry in entries)
--- a/pistachiowell/gateway/gateway_parts.py
+++ b/pistachiowell/gateway/gateway_parts.py
@@ -13,6 +13,7 @@
 from pistachiowell.gateway.deputy import Deputy
 from pistachiowell.gateway.dispatch import Dispatch
 from pistachiowell.gateway.evacuation_watch import EvacuationWatcher
+from pistachiowell.gateway.gateway_count import GatewayCount
 from pistachiowell.gateway.grant_notices import GrantMemory
 from pistachiowell.gateway.hedges import Hedges
 from pistachiowell.gateway.holder_states import HolderDirectory
@@ -24,7 +25,6 @@
 from pistachiowell.gateway.ready_app import ReadyApp
 from pistachiowell.gateway.reservation_checks import ReservationAnswers
 from pistachiowell.gateway.retry_shares import RetryShares
-from pistachiowell.gateway.router_count import RouterCount
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.selection_parts import SelectionSources
 from pistachiowell.gateway.server_crashes import ServerCrashes
@@ -77,7 +77,7 @@
         moves: The ``GatewayMoves``.
         quarantine_fallback: The ``StoreFallback`` of the quarantine.
         ready_server: The ``EmbeddedServer`` for health checks.
-        router_count: The ``RouterCount``.
+        gateway_count: The ``GatewayCount``.
         runtime: The process's ``Runtime``.
         selection: The ``Selection``.
         server_feed: The ``ServerFeed``.
@@ -113,7 +113,7 @@
         "moves",
         "quarantine_fallback",
         "ready_server",
-        "router_count",
+        "gateway_count",
         "runtime",
         "selection",
         "server_feed",
@@ -134,7 +134,7 @@
         )
         self.state = GatewayState(settings)
         self.stop = PlannedStop()
-        self.router_count = RouterCount(runtime)
+        self.gateway_count = GatewayCount(runtime)
         subset = PeerSubset(SubsetSettings())
         self.fleet = Fleet(runtime, self._handlers, (AGENTS,), subset)
         self._closed = ClosedServers(runtime)
@@ -163,7 +163,7 @@
         runtime, state = self.runtime, self.state
         fleet, handlers, rng = self.fleet, self._handlers, self._rng
         places, cold = Places(runtime, state), ColdServers(runtime, state)
-        cold.gateways = lambda: self.router_count.names
+        cold.gateways = lambda: self.gateway_count.names
         self.server_watcher.on_registration = cold.record_registration
         self.silence = silence = SilenceMonitor(
             runtime, fleet, state, handlers, self.loop_watch
@@ -179,7 +179,7 @@
             places,
             cold,
             handlers,
-            lambda: self.router_count.count,
+            lambda: self.gateway_count.count,
             rng,
         )
         sources = SelectionSources(
@@ -250,7 +250,7 @@
         runtime = self.runtime
         self.crashes = ServerCrashes(self.crash_candidates, runtime.now)
         retry_shares = RetryShares(
-            runtime.settings, lambda: self.router_count.sharing_count, runtime.now()
+            runtime.settings, lambda: self.gateway_count.sharing_count, runtime.now()
         )
         self.hedges = Hedges(
             runtime,
--- a/pistachiowell/gateway/retry_shares.py
+++ b/pistachiowell/gateway/retry_shares.py
@@ -8,31 +8,31 @@
 
     Args:
         settings: ``GatewaySettings``.
-        router_count: Function that returns the number of gateways that may be running;
+        gateway_count: Function that returns the number of gateways that may be running;
             they are registered as routers.
         started_at: Time at which this process started in seconds.
     """
 
-    __slots__ = ("_router_count", "_settings", "_shares", "_started_at")
+    __slots__ = ("_gateway_count", "_settings", "_shares", "_started_at")
 
-    def __init__(self, settings, router_count, started_at):
+    def __init__(self, settings, gateway_count, started_at):
         self._settings = RetryShareSettings(
             settings.retry_ratio, settings.retry_fixed, settings.retry_window_s
         )
-        self._router_count = router_count
+        self._gateway_count = gateway_count
         self._started_at = started_at
         self._shares = {}
 
     @property
     def routers(self):
         """Number of gateways that may be running."""
-        return self._router_count()
+        return self._gateway_count()
 
     def of(self, service):
         """Returns the ``RetryShare`` of a service."""
         share = self._shares.get(service)
         if share is None:
             share = self._shares[service] = RetryShare(
-                self._settings, self._router_count, self._started_at
+                self._settings, self._gateway_count, self._started_at
             )
         return share
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -59,7 +59,7 @@
         places: The ``Places``.
         cold: The ``ColdServers``.
         handlers: Handlers of the links to agents; this registers its own.
-        router_count: Function that returns the number of gateways that may be running.
+        gateway_count: Function that returns the number of gateways that may be running.
         rng: A ``Random``.
     """
 
@@ -72,21 +72,21 @@
         "_limits",
         "_places",
         "_rng",
-        "_router_count",
+        "_gateway_count",
         "_runtime",
         "_settings",
         "_slots",
     )
 
     def __init__(
-        self, runtime, fleet, closed, places, cold, handlers, router_count, rng
+        self, runtime, fleet, closed, places, cold, handlers, gateway_count, rng
     ):
         self._runtime = runtime
         self._fleet = fleet
         self._closed = closed
         self._places = places
         self._cold = cold
-        self._router_count = router_count
+        self._gateway_count = gateway_count
         self._rng = rng
         self._settings = RateSettings()
         self._limits = RateLimits(self._settings)
@@ -308,7 +308,7 @@
             slots = RateSlots(self._settings, self._rng.random())
             self._slots[incarnation] = slots
         now = self._runtime.now()
-        return slots.try_take(observation.per_s, self._router_count(), now)
+        return slots.try_take(observation.per_s, self._gateway_count(), now)
 
     def _owner(self, server_id, is_cold, now):
         """Returns the ``Peer`` to ask for room at a server, or None."""
--- a/pistachiowell/platform/tests/test_cold_servers.py
+++ b/pistachiowell/platform/tests/test_cold_servers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pistachiowell.admission import ColdAdmission
-from pistachiowell.gateway import exchange, limit_owner, router_count, server_limits
+from pistachiowell.gateway import exchange, gateway_count, limit_owner, server_limits
 from pistachiowell.platform import configuration as platform_configuration
 from pistachiowell.platform.standins import answer_whole
 from pistachiowell.platform.tests.conftest import configuration
@@ -155,9 +155,9 @@
 
 
 async def test_gateways_without_an_agent_exceed_the_bound(start_rig, monkeypatch):
-    monkeypatch.setattr(router_count, "LIST_INTERVAL_S", 0.1)
-    monkeypatch.setattr(router_count, "COUNT_INTERVAL_S", 0.1)
-    monkeypatch.setattr(router_count, "NAMES_AFTER_S", 0.1)
+    monkeypatch.setattr(gateway_count, "LIST_INTERVAL_S", 0.1)
+    monkeypatch.setattr(gateway_count, "COUNT_INTERVAL_S", 0.1)
+    monkeypatch.setattr(gateway_count, "NAMES_AFTER_S", 0.1)
     async with cold_rig(start_rig, agents=0, ColdLeftMs=4000) as (
         rig,
         times,
--- a/pistachiowell/platform/tests/test_gateway.py
+++ b/pistachiowell/platform/tests/test_gateway.py
@@ -9,7 +9,7 @@
 
 from pistachiowell.core.errors import StoreUnavailable
 from pistachiowell.gateway import store_fallback
-from pistachiowell.gateway.router_count import MIN_ROUTERS
+from pistachiowell.gateway.gateway_count import MIN_GATEWAYS
 from pistachiowell.platform.objects import ObjectStore
 from pistachiowell.platform.standins import (
     SIGNATURE,
@@ -150,7 +150,7 @@
             await rig.send(f"/other/{number}")
             await rig.send(f"/split/{number}")
     arrivals = sum(len(server.requests) for server in rig.servers.values())
-    assert arrivals - 24 <= 24 / MIN_ROUTERS
+    assert arrivals - 24 <= 24 / MIN_GATEWAYS
 
 
 async def test_gateway_that_has_not_counted_the_others_repeats_as_one_of_three(
