Decode whole load reports in one place

Selection, LoadReporter and the bench model each decoded EngineShares, and Selection had two methods for the same loads. decode_loads does it once. The record of a link to a gateway is no longer called sent, and its times are named for what happened at them.

--- a/pistachiowell/bench/load_reports.py
+++ b/pistachiowell/bench/load_reports.py
@@ -22,7 +22,7 @@
 from pistachiowell.catalog import Evacuations
 from pistachiowell.core.clock import Stamp
 from pistachiowell.gateway.agents import LOAD_INTERVAL_S, AgentReports
-from pistachiowell.gateway.load_reports import LoadReporter, decode_load
+from pistachiowell.gateway.load_reports import LoadReporter
 from pistachiowell.routing import (
     REPORT_PACERS,
     EngineRequest,
@@ -124,10 +124,6 @@
         state = SimpleNamespace(catalog=None)
         self.reports = AgentReports(None, fleet, state, None, self.handlers, self)
 
-    def record_loads(self, shares):
-        """Records the loads of a whole report; see ``Selection``."""
-        self.record_remote_loads({s.address: decode_load(s) for s in shares})
-
     def record_remote_loads(self, loads):
         """Records the loads of the other gateways; see ``Selection``."""
         now = self._now()
--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/agents.py
@@ -9,6 +9,7 @@
 from pistachiowell.gateway.load_reports import (
     change_message,
     decode_changes,
+    decode_loads,
     encode_load,
     reads_load_changes,
 )
@@ -104,7 +105,7 @@
             self._reported[link] = _Reported(message)
             link.add_close_listener(lambda: self._reported.pop(link, None))
         if self._apply_report(link, message):
-            self._selection.record_loads(message.loads)
+            self._selection.record_remote_loads(decode_loads(message.loads))
 
     async def _handle_changes(self, link, message):
         reported = self._reported.get(link)
@@ -270,12 +271,9 @@
 class _Reported:
     """What an agent has reported over one link.
 
-    Args:
-        report: The ``AgentReport`` that came last.
-
     Attributes:
-        report: The same.
-        decoder: The ``LoadDecoder`` of the loads that came after it.
+        report: The last ``AgentReport``.
+        decoder: The ``LoadDecoder`` of the link.
     """
 
     __slots__ = ("decoder", "report")
--- a/pistachiowell/gateway/load_reports.py
+++ b/pistachiowell/gateway/load_reports.py
@@ -25,12 +25,12 @@
     LoadChanges,
 )
 
-# All loads are sent again after this time, so that no fault in what the two ends of a
-# link know of each other lasts.
+# All loads are sent again after this time, so that no difference between what the two
+# ends of a link know of each other lasts.
 WHOLE_INTERVAL_S = 60.0
 # Gateways that get all loads again in one round. Links that were opened together would
 # otherwise fill the agent's network link together.
-MAX_WHOLE_AGAIN = 4
+MAX_RESTARTS = 4
 
 _log = part_logger("agent")
 
@@ -40,16 +40,16 @@
     """What was exchanged over a link to a gateway.
 
     Attributes:
-        whole_at: Time at which all loads were due last, in seconds.
+        restarted_at: Time in seconds at which the encoder last began anew.
         report: The last ``AgentReport``; None before the first.
-        at: Time of the last message with loads in seconds.
+        sent_at: Time of the last message in seconds.
         encoder: Encodes the loads of the others.
         decoder: Decodes the loads of the gateway.
     """
 
-    whole_at: float
+    restarted_at: float
     report: AgentReport | None = None
-    at: float = float("-inf")
+    sent_at: float = float("-inf")
     encoder: LoadEncoder = field(default_factory=LoadEncoder)
     decoder: LoadDecoder = field(default_factory=LoadDecoder)
 
@@ -132,41 +132,43 @@
         now = self._runtime.now()
         self._restart_due(now)
         report = self._report()
-        for link, sent in list(self._links.items()):
+        for link, gateway in list(self._links.items()):
             if reads_load_changes(link):
-                self._send_changes(link, sent, report, now)
+                self._send_changes(link, gateway, report, now)
             else:
-                self._send_whole(link, sent, report, now)
+                self._send_whole(link, gateway, report, now)
 
     def _restart_due(self, now):
-        """Has a few of the gateways told all loads again for which that is due."""
+        """Has all loads sent again to a few of the gateways for which that is due."""
         due = [
-            (link, sent)
-            for link, sent in self._links.items()
-            if sent.encoder.is_full or now - sent.whole_at >= WHOLE_INTERVAL_S
+            (link, gateway)
+            for link, gateway in self._links.items()
+            if gateway.encoder.is_full or now - gateway.restarted_at >= WHOLE_INTERVAL_S
         ]
-        for link, sent in due[:MAX_WHOLE_AGAIN]:
-            sent.whole_at = now
-            sent.encoder.restart()
+        for link, gateway in due[:MAX_RESTARTS]:
+            gateway.restarted_at = now
+            gateway.encoder.restart()
             self._loads.add_router(link)
 
-    def _send_changes(self, link, sent, report, now):
+    def _send_changes(self, link, gateway, report, now):
         changes = self._loads.changes(link)
-        if not changes and not self._pacer.is_due(report, sent.report, sent.at, now):
+        if not changes and not self._pacer.is_due(
+            report, gateway.report, gateway.sent_at, now
+        ):
             return
-        encoded = sent.encoder.encode(changes)
-        messages = [] if report == sent.report else [report]
+        encoded = gateway.encoder.encode(changes)
+        messages = [] if report == gateway.report else [report]
         if self._send(link, [*messages, change_message(encoded)]):
             self._loads.record_told(link, changes)
-            sent.report, sent.at = report, now
+            gateway.report, gateway.sent_at = report, now
 
-    def _send_whole(self, link, sent, report, now):
+    def _send_whole(self, link, gateway, report, now):
         others = self._loads.others(link).items()
         loads = [encode_load(address, load) for address, load in others]
         report = dataclasses.replace(report, loads=loads)
-        is_due = self._pacer.is_due(report, sent.report, sent.at, now)
+        is_due = self._pacer.is_due(report, gateway.report, gateway.sent_at, now)
         if is_due and self._send(link, [report]):
-            sent.report, sent.at = report, now
+            gateway.report, gateway.sent_at = report, now
 
     def _send(self, link, messages):
         """Sends messages and returns whether the link was open."""
@@ -180,15 +182,17 @@
 
     def _heartbeat_left_s(self):
         """Returns the seconds until the next heartbeat is due."""
-        oldest_at = min((sent.at for sent in self._links.values()), default=None)
+        oldest_at = min(
+            (gateway.sent_at for gateway in self._links.values()), default=None
+        )
         if oldest_at is None:
             return math.inf
         return max(0.0, self._pacer.heartbeat_s - (self._runtime.now() - oldest_at))
 
     def send_all(self):
         """Sends a report to each gateway immediately."""
-        for sent in self._links.values():
-            sent.report, sent.at = None, float("-inf")
+        for gateway in self._links.values():
+            gateway.report, gateway.sent_at = None, float("-inf")
         self.send_due()
 
     def _report(self):
@@ -215,8 +219,7 @@
 
     async def _handle_load(self, link, message):
         if link in self._links:
-            loads = {s.address: decode_load(s) for s in message.loads}
-            self._record_loads(link, loads)
+            self._record_loads(link, decode_loads(message.loads))
 
     async def _handle_changes(self, link, message):
         if link not in self._links:
@@ -271,6 +274,9 @@
     return EngineShare(address, load.reading_tokens, load.running, load.kv_tokens)
 
 
-def decode_load(share):
-    """Returns the ``EngineLoad`` of an ``EngineShare``."""
-    return EngineLoad(share.reading_tokens, share.running, share.kv_tokens)
+def decode_loads(shares):
+    """Returns the ``EngineLoad`` of each ``EngineShare`` by address."""
+    return {
+        share.address: EngineLoad(share.reading_tokens, share.running, share.kv_tokens)
+        for share in shares
+    }
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -1,7 +1,6 @@
 """Selection of the backend server for each attempt of a request."""
 
 from pistachiowell.gateway.attempt import Choice
-from pistachiowell.gateway.load_reports import decode_load
 from pistachiowell.gateway.selection_parts import engine_request, make_parts
 from pistachiowell.gateway.selection_records import SelectionRecords
 from pistachiowell.gateway.server_filters import ServerFilters
@@ -152,14 +151,6 @@
         """Records that an attempt is sent; see ``SelectionRecords.start``."""
         return self._records.start(request, service_name, choice)
 
-    def record_loads(self, shares):
-        """Records the loads of the other gateways at engines.
-
-        Args:
-            shares: An ``EngineShare`` for each engine.
-        """
-        self.record_remote_loads({s.address: decode_load(s) for s in shares})
-
     def record_remote_loads(self, loads):
         """Records the ``EngineLoad`` of the other gateways by server address."""
         now, ids = self._now(), self._parts.servers.by_address
--- a/pistachiowell/gateway/tests/test_late_prompts.py
+++ b/pistachiowell/gateway/tests/test_late_prompts.py
@@ -14,7 +14,6 @@
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.selection_parts import SelectionSources
 from pistachiowell.routing import EngineLoad
-from pistachiowell.schema.generated.messages_gateway import EngineShare
 
 NAMES = ["s0", "s1"]
 LONG_WAIT_S = 2.0
@@ -90,9 +89,7 @@
         """Has agents report the prompt tokens that wait at each engine."""
         addresses = [f"127.0.0.1:{80 + n}" for n in range(len(NAMES))]
         load = EngineLoad(tokens, 5, tokens)
-        self.selection.record_loads(
-            [EngineShare(a, load.reading_tokens, 5, tokens) for a in addresses]
-        )
+        self.selection.record_remote_loads(dict.fromkeys(addresses, load))
 
 
 @pytest.fixture
--- a/pistachiowell/gateway/tests/test_load_reports.py
+++ b/pistachiowell/gateway/tests/test_load_reports.py
@@ -174,10 +174,6 @@
         self.engines = SimpleNamespace(on_change=None)
         self.recorded = []
 
-    def record_loads(self, shares):
-        """Records loads of a whole report."""
-        self.recorded.append({s.address: s.running for s in shares})
-
     def record_remote_loads(self, loads):
         """Records loads by address."""
         self.recorded.append({name: load.running for name, load in loads.items()})
