--- a/pistachiowell/bench/hedging.py
+++ b/pistachiowell/bench/hedging.py
@@ -196,7 +196,9 @@
         summaries = total.summaries(now)
         if summaries:
             for gateway in gateways:
-                gateway.policy.shared.record_told("agent-1", number, summaries, now)
+                gateway.policy.shared.record_summaries(
+                    "agent-1", number, summaries, now
+                )
         left_s = REPORT_INTERVAL_S - TELL_AFTER_S
         if self._unanswered:
             self._later(now + left_s, self._report, gateways, total, number)
--- a/pistachiowell/gateway/load_reports.py
+++ b/pistachiowell/gateway/load_reports.py
@@ -159,7 +159,7 @@
         encoded = gateway.encoder.encode(changes)
         messages = [] if report == gateway.report else [report]
         if self._send(link, [*messages, change_message(encoded)]):
-            self._loads.record_told(link, changes)
+            self._loads.record_sent(link, changes)
             gateway.report, gateway.sent_at = report, now
 
     def _send_whole(self, link, gateway, report, now):
--- a/pistachiowell/gateway/time_reports.py
+++ b/pistachiowell/gateway/time_reports.py
@@ -1,4 +1,4 @@
-"""Reports of a gateway's answers to agents, and what these tell of all gateways.
+"""Reports of a gateway's answers to agents, and the summaries that come back.
 
 The decisions are in ``routing/shared_times.py``.
 """
@@ -21,7 +21,7 @@
 
 
 class TimeReports:
-    """Reports new answers of this gateway and records what agents tell.
+    """Reports new answers of this gateway and records the summaries of agents.
 
     Args:
         runtime: The process's ``Runtime``.
@@ -30,13 +30,13 @@
         handlers: Handlers of the links to agents; this registers its own.
     """
 
-    __slots__ = ("_fleet", "_has_told", "_has_warned", "_runtime", "_shared")
+    __slots__ = ("_fleet", "_has_summaries", "_has_warned", "_runtime", "_shared")
 
     def __init__(self, runtime, fleet, shared, handlers):
         self._runtime = runtime
         self._fleet = fleet
         self._shared = shared
-        self._has_told = False
+        self._has_summaries = False
         self._has_warned = False
         handlers.on(UsualTimes, quick=True)(self._handle_usual)
         runtime.metrics.watch(
@@ -50,7 +50,7 @@
             self._report()
 
     def _report(self):
-        # Answers that no agent could be told of would be old by the next report.
+        # Taken also without an agent: they would be old by the next report.
         kinds = [_encode_times(times) for times in self._shared.take()]
         data_centre = self._runtime.settings.data_centre
         if kinds:
@@ -62,18 +62,18 @@
     async def _handle_usual(self, link, message):
         if link.hello is None:
             return
-        told = [
+        received = [
             KindSummary((usual.service, usual.route), usual.delay_s, usual.slow_share)
             for usual in message.kinds
         ]
-        summaries = [summary for summary in told if summary.is_plausible]
-        if len(summaries) < len(told):
+        summaries = [summary for summary in received if summary.is_plausible]
+        if len(summaries) < len(received):
             self._warn_once(link)
         source, now = link.hello.incarnation, self._runtime.now()
-        if not self._shared.record_told(source, message.number, summaries, now):
+        if not self._shared.record_summaries(source, message.number, summaries, now):
             self._runtime.metrics.count("hedges.old_times")
-        elif summaries and not self._has_told:
-            self._has_told = True
+        elif summaries and not self._has_summaries:
+            self._has_summaries = True
             _log.info(
                 "An agent tells how long answers usually take.", agent=link.hello.id
             )
--- a/pistachiowell/routing/load_changes.py
+++ b/pistachiowell/routing/load_changes.py
@@ -153,7 +153,7 @@
 
 
 class SharedLoads:
-    """Sums the loads of the routers, and knows what each was told of the others'.
+    """Sums the loads of the routers, and knows what was sent to each.
 
     Examples:
         >>> shared = SharedLoads()
@@ -161,27 +161,27 @@
         >>> shared.record_load("r2", "a:80", EngineLoad(5, 1, 9))
         >>> shared.changes("r1")
         {'a:80': EngineLoad(reading_tokens=5, running=1, kv_tokens=9)}
-        >>> shared.record_told("r1", shared.changes("r1"))
+        >>> shared.record_sent("r1", shared.changes("r1"))
         >>> shared.changes("r1")
         {}
     """
 
-    __slots__ = ("_changed_at", "_numbers", "_sums", "_told")
+    __slots__ = ("_changed_at", "_numbers", "_sent", "_sums")
 
     def __init__(self):
         self._sums = {}
         # Number of the latest change of each engine, the latest change last.
         self._changed_at = {}
         self._numbers = itertools.count(1)
-        self._told = {}
+        self._sent = {}
 
     def add_router(self, router):
-        """Adds a router that is told the loads, or has it told all of them again."""
-        self._told[router] = _Told()
+        """Adds a router, or has all loads sent to it again."""
+        self._sent[router] = _SentLoads()
 
     def remove_router(self, router):
         """Removes a router and its loads."""
-        self._told.pop(router, None)
+        self._sent.pop(router, None)
         for address, sums in self._sums.items():
             if sums.remove(router):
                 self._mark_changed(address)
@@ -207,32 +207,32 @@
         }
 
     def changes(self, router):
-        """Returns the loads of the others that a router has not been told.
+        """Returns the loads of the others that were not sent to a router yet.
 
         At first these are the loads at all engines, also at those without requests, as
-        the router may still count what it was told over an earlier link.
+        the router may still count what it got over an earlier link.
         """
-        told = self._told[router]
+        sent = self._sent[router]
         changes = {}
         for address, number in reversed(self._changed_at.items()):
-            if number <= told.number:
+            if number <= sent.number:
                 break
             load = self._sums[address].total_except(router)
-            known = told.loads.get(address)
+            known = sent.loads.get(address)
             if known is not load and known != load:
                 changes[address] = load
         return changes
 
-    def record_told(self, router, changes):
-        """Records that a router was told what ``changes`` returns now."""
-        told = self._told[router]
-        told.loads.update(changes)
+    def record_sent(self, router, changes):
+        """Records that what ``changes`` returns now was sent to a router."""
+        sent = self._sent[router]
+        sent.loads.update(changes)
         if self._changed_at:
-            told.number = next(reversed(self._changed_at.values()))
+            sent.number = next(reversed(self._changed_at.values()))
 
 
-class _Told:
-    """What a router was told.
+class _SentLoads:
+    """The loads that were sent to a router.
 
     Attributes:
         loads: The loads by address.
--- a/pistachiowell/routing/shared_times.py
+++ b/pistachiowell/routing/shared_times.py
@@ -85,7 +85,7 @@
 
 
 class SharedTimes:
-    """New answers of this gateway, and what agents tell of all gateways.
+    """New answers of this gateway, and what agents report of all gateways.
 
     Args:
         max_age_s: Seconds for which a summary counts.
@@ -97,7 +97,7 @@
         >>> [(times.kind, times.counts) for times in shared.take()], shared.take()
         ([(('desk', 'read'), {49: 1})], [])
         >>> summary = KindSummary(("desk", "read"), 0.2, 0.05)
-        >>> shared.record_told("agent-1", 7, [summary], 10.0)
+        >>> shared.record_summaries("agent-1", 7, [summary], 10.0)
         True
         >>> shared.find(("desk", "read"), 11.0).delay_s
         0.2
@@ -105,14 +105,14 @@
         True
     """
 
-    __slots__ = ("_max_age_s", "_max_kinds", "_new", "_numbers", "_told")
+    __slots__ = ("_max_age_s", "_max_kinds", "_new", "_numbers", "_summaries")
 
     def __init__(self, max_age_s=MAX_AGE_S, max_kinds=MAX_REPORTED_KINDS):
         self._max_age_s = max_age_s
         self._max_kinds = max_kinds
         self._new = {}
         self._numbers = {}
-        self._told = {}
+        self._summaries = {}
 
     def record_slow(self, kind):
         """Records that no answer has come within the delay."""
@@ -132,8 +132,8 @@
         self._new = {times.kind: times for times in new[self._max_kinds :]}
         return taken
 
-    def record_told(self, source, number, summaries, now):
-        """Records what an agent tells.
+    def record_summaries(self, source, number, summaries, now):
+        """Records the summaries that an agent sends.
 
         Args:
             source: Unique id of this run of the agent.
@@ -146,25 +146,29 @@
         """
         if number <= self._numbers.get(source, -1):
             return False
-        # The latest agents are the last ones.
+        # Keeps the agents in the order of their latest messages.
         self._numbers.pop(source, None)
         self._numbers[source] = number
         if len(self._numbers) > MAX_AGENTS:
             del self._numbers[next(iter(self._numbers))]
         oldest_at = now - self._max_age_s
-        self._told = {k: told for k, told in self._told.items() if told[1] >= oldest_at}
+        self._summaries = {
+            kind: entry
+            for kind, entry in self._summaries.items()
+            if entry[1] >= oldest_at
+        }
         for summary in summaries[: self._max_kinds]:
-            self._told[summary.kind] = (summary, now)
+            self._summaries[summary.kind] = (summary, now)
         return True
 
     def find(self, kind, now):
         """Returns the latest ``KindSummary`` of a kind; None if it is too old."""
-        summary, at = self._told.get(kind, (None, now))
+        summary, at = self._summaries.get(kind, (None, now))
         return summary if now - at <= self._max_age_s else None
 
     def known_kinds(self, now):
         """Returns the number of kinds of which a summary counts."""
-        return sum(now - at <= self._max_age_s for _, at in self._told.values())
+        return sum(now - at <= self._max_age_s for _, at in self._summaries.values())
 
     def _times(self, kind):
         return self._new.setdefault(kind, KindTimes(kind))
@@ -208,7 +212,7 @@
         """Adds plausible ``KindTimes`` of a gateway."""
         settings = self._settings
         total = self._kinds.pop(new.kind, None) or _KindSum(settings.window_s)
-        # The kinds that were reported last are the last ones.
+        # Keeps the kinds in the order of their latest reports.
         self._kinds[new.kind] = total
         if len(self._kinds) > settings.max_kinds:
             del self._kinds[next(iter(self._kinds))]
--- a/pistachiowell/routing/tests/test_load_changes.py
+++ b/pistachiowell/routing/tests/test_load_changes.py
@@ -104,7 +104,7 @@
             self.shared.add_router(number)
             gateway.encoder.restart()
         changes = self.shared.changes(number)
-        self.shared.record_told(number, changes)
+        self.shared.record_sent(number, changes)
         whole = self.shared.others(number)
         gateway.from_agent.append((gateway.encoder.encode(changes), whole))
         for address in ENGINES:
