--- a/pistachiowell/budgets/grant_uses.py
+++ b/pistachiowell/budgets/grant_uses.py
@@ -42,7 +42,7 @@
             tokens: Reserved tokens.
 
         Returns:
-            False if the use under this holder's grants was already told.
+            False if ``end`` has already reported the use of this holder's grants.
         """
         if holder in self._ended:
             return False
@@ -69,7 +69,7 @@
             self._used[holder].pop(grant_id, None)
 
     def end(self, holder):
-        """Accepts no reservation of a holder any more and returns all ``GrantUse``."""
+        """Accepts no reservation of a holder any more and returns its ``GrantUse``."""
         self._ended.add(holder)
         open_tokens = defaultdict(int)
         for grant_id, tokens in self._open[holder].values():
--- a/pistachiowell/budgets/lost_runs.py
+++ b/pistachiowell/budgets/lost_runs.py
@@ -17,7 +17,13 @@
 
 
 class Stage(IntEnum):
-    """What is known of a lost run."""
+    """What is known of the use of a lost run's grants.
+
+    Attributes:
+        ASKING: Some gateways have not answered.
+        BOUNDED: Requests in progress count at their upper bounds.
+        EXACT: No request is in progress, or none is waited for any longer.
+    """
 
     ASKING = 0
     BOUNDED = 1
@@ -80,7 +86,7 @@
             return Stage.BOUNDED
         return Stage.EXACT
 
-    def is_hopeless(self, now):
+    def has_timed_out(self, now):
         """Returns whether a gateway has not answered for ``ANSWER_WAIT_S``."""
         return bool(self.missing) and now - self._began_at >= ANSWER_WAIT_S
 
@@ -153,7 +159,7 @@
 
     @property
     def records(self):
-        """The ``HolderRun`` of these."""
+        """The ``HolderRun`` of each unfinished run."""
         return [run.record for run in self.unfinished]
 
     def add(self, records, now):
@@ -175,12 +181,12 @@
         return [c for run in self._runs.values() for c in run.changes(page, now)]
 
     def to_write(self, now):
-        """Returns the ``LostRun`` whose pages lack the changes of their stage."""
+        """Returns each ``LostRun`` with changes that are not in all pages yet."""
         return [run for run in self.unfinished if run.stage(now) > run.written]
 
-    def remove_hopeless(self, now):
-        """Ends the recoveries that wait for answers in vain, and returns them."""
-        ended = [run for run in self.unfinished if run.is_hopeless(now)]
+    def remove_timed_out(self, now):
+        """Ends the recoveries whose gateways do not answer, and returns them."""
+        ended = [run for run in self.unfinished if run.has_timed_out(now)]
         for run in ended:
             del self._runs[run.record.holder]
         return ended
--- a/pistachiowell/gateway/lost_grants.py
+++ b/pistachiowell/gateway/lost_grants.py
@@ -1,4 +1,7 @@
-"""Recovers the tokens that earlier runs of an agent have left in their grants."""
+"""Recovers the tokens that earlier runs of an agent have left in their grants.
+
+``LostGrantRecovery`` runs at an agent, ``GrantUseAnswers`` at each gateway.
+"""
 
 import anyio
 
@@ -17,7 +20,7 @@
 
 
 class GrantUseAnswers:
-    """Tells the agents at a gateway what it has used under grants of their lost runs.
+    """Answers agents what this gateway has used under the grants of their lost runs.
 
     Args:
         uses: The ``GrantUses``.
@@ -71,7 +74,7 @@
                     group.start_soon(self._ask, links[gateway], run)
         for run in self._runs.to_write(self._runtime.now()):
             await self._write(run)
-        for run in self._runs.remove_hopeless(self._runtime.now()):
+        for run in self._runs.remove_timed_out(self._runtime.now()):
             self._report_lost(run, "gateway")
 
     async def _ask(self, link, run):
--- a/pistachiowell/gateway/served_runs.py
+++ b/pistachiowell/gateway/served_runs.py
@@ -25,6 +25,7 @@
 RETRY_AFTER_S = 0.3
 # After a failed write, gateways that are not listed are refused at once for so long.
 OUTAGE_CACHE_S = 0.5
+# Role that gateways name in ``Hello``; see ``GatewayParts``.
 GATEWAY_ROLE = "router"
 
 _log = part_logger("budgets")
