--- a/pistachiowell/gateway/tests/test_time_reports.py
+++ b/pistachiowell/gateway/tests/test_time_reports.py
@@ -1,7 +1,8 @@
 """Times of answers that gateways share through an agent.
 
 Guards against gateways of a large fleet that never learn which answers are slow,
-against times of another data centre, and against old or implausible reports.
+against times of another data centre, and against old or implausible reports. Each test
+is named for the failure that it guards against.
 """
 
 import math
@@ -183,7 +184,7 @@
 
 
 @pytest.mark.parametrize("delay_s", [math.nan, math.inf, -1.0, 0.0])
-async def test_usual_time_that_is_no_time_is_believed(fleet, delay_s):
+async def test_implausible_usual_time_is_believed(fleet, delay_s):
     link = fleet.gateways[1].links["agent-1"]
     await link.deliver(UsualTimes(1, [UsualTime(*KIND, delay_s, 0.0)]))
     assert delays(fleet)[1] is None
@@ -192,7 +193,7 @@
 @pytest.mark.parametrize(
     ("buckets", "counts"), [([500], [60]), ([-1], [60]), ([9], [-60]), ([9, 8], [60])]
 )
-async def test_counts_that_are_none_end_the_agent(fleet, buckets, counts):
+async def test_implausible_counts_end_the_agent(fleet, buckets, counts):
     agent = fleet.agents["agent-1"]
     message = GatewayTimes("east", [NewTimes(*KIND, buckets, counts)])
     await agent.handlers.find(message)(agent.links[1], message)
--- a/pistachiowell/routing/tests/test_hedging.py
+++ b/pistachiowell/routing/tests/test_hedging.py
@@ -1,7 +1,8 @@
 """Second attempts for slow answers.
 
 Guards against latency that a few slow answers set although other servers are idle, and
-against hedges that add to an overload or exceed their share.
+against hedges that add to an overload or exceed their share. Each test is named for the
+failure that it guards against.
 """
 
 from dataclasses import replace
