--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -99,9 +99,7 @@
             ]
         work = engine_request(request)
         if work is None:
-            picked = self._parts.picker.pick(candidates, "", now)
-            wait_s = self._parts.cold_cost_s if picked.is_cold else 0.0
-            return Choice(servers[picked.server], expected_wait_s=wait_s)
+            return self._choose_by_load(servers, candidates, now)
         if not tried:
             self._parts.late.check(request, service_name, allowed, work)
         engine = request.service.engine
@@ -110,6 +108,12 @@
         )
         return Choice(servers[picked.server], work, expected_wait_s)
 
+    def _choose_by_load(self, servers, candidates, now):
+        """Returns the ``Choice`` for a request without a prompt for an engine."""
+        picked = self._parts.picker.pick(candidates, "", now)
+        wait_s = self._parts.cold_cost_s if picked.is_cold else 0.0
+        return Choice(servers[picked.server], expected_wait_s=wait_s)
+
     def has_open_move(self, service_name):
         """Returns whether a service has an open version move."""
         return self._parts.moves.tracker(service_name) is not None
