--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -1,7 +1,6 @@
 """Selection of the backend server for each attempt of a request."""
 
 from pistachiowell.gateway.attempt import Choice
-from pistachiowell.gateway.load_reports import decode_load
 from pistachiowell.gateway.selection_parts import engine_request, make_parts
 from pistachiowell.gateway.selection_records import SelectionRecords
 from pistachiowell.gateway.server_filters import ServerFilters
@@ -100,9 +99,7 @@
             ]
         work = engine_request(request)
         if work is None:
-            picked = self._parts.picker.pick(candidates, "", now)
-            wait_s = self._parts.cold_cost_s if picked.is_cold else 0.0
-            return Choice(servers[picked.server], expected_wait_s=wait_s)
+            return self._choose_by_load(servers, candidates, now)
         if not tried:
             self._parts.late.check(request, service_name, allowed, work)
         engine = request.service.engine
@@ -111,6 +108,12 @@
         )
         return Choice(servers[picked.server], work, expected_wait_s)
 
+    def _choose_by_load(self, servers, candidates, now):
+        """Returns the ``Choice`` for a request without a prompt for an engine."""
+        picked = self._parts.picker.pick(candidates, "", now)
+        wait_s = self._parts.cold_cost_s if picked.is_cold else 0.0
+        return Choice(servers[picked.server], expected_wait_s=wait_s)
+
     def has_open_move(self, service_name):
         """Returns whether a service has an open version move."""
         return self._parts.moves.tracker(service_name) is not None
@@ -152,14 +155,6 @@
         """Records that an attempt is sent; see ``SelectionRecords.start``."""
         return self._records.start(request, service_name, choice)
 
-    def record_loads(self, shares):
-        """Records the loads of the other gateways at engines.
-
-        Args:
-            shares: An ``EngineShare`` for each engine.
-        """
-        self.record_remote_loads({s.address: decode_load(s) for s in shares})
-
     def record_remote_loads(self, loads):
         """Records the ``EngineLoad`` of the other gateways by server address."""
         now, ids = self._now(), self._parts.servers.by_address
