Begin no recovery of a killed run again that has timed out

After a conflict the stored list is read again and may still name the run. Its warning came twice, and an operator who tops up by what it reports would have credited twice. The new test failed before.

--- a/pistachiowell/budgets/lost_runs.py
+++ b/pistachiowell/budgets/lost_runs.py
@@ -147,10 +147,11 @@
         [CloseGrant(account='shop', grant_id='g', used_tokens=30)]
     """
 
-    __slots__ = ("_runs",)
+    __slots__ = ("_runs", "_timed_out")
 
     def __init__(self):
         self._runs = {}
+        self._timed_out = set()
 
     @property
     def unfinished(self):
@@ -163,9 +164,12 @@
         return [run.record for run in self.unfinished]
 
     def add(self, records, now):
-        """Begins the recovery of runs, given by their ``HolderRun``."""
+        """Begins the recovery of runs, given by their ``HolderRun``.
+
+        A run whose recovery has ended may still be listed and is left out.
+        """
         for record in records:
-            if record.holder not in self._runs:
+            if record.holder not in self._runs.keys() | self._timed_out:
                 self._runs[record.holder] = LostRun(record, now)
 
     def record_answer(self, holder, gateway, sums, now):
@@ -189,6 +193,7 @@
         ended = [run for run in self.unfinished if run.has_timed_out(now)]
         for run in ended:
             del self._runs[run.record.holder]
+            self._timed_out.add(run.record.holder)
         return ended
 
     def record_return(self):
--- a/pistachiowell/budgets/tests/test_lost_runs.py
+++ b/pistachiowell/budgets/tests/test_lost_runs.py
@@ -28,7 +28,7 @@
 )
 from pistachiowell.budgets.served_runs import UNLINKED_S, RunList
 from pistachiowell.budgets.sizing import SizingSettings
-from pistachiowell.schema.generated.objects_budgets import ServedRuns
+from pistachiowell.schema.generated.objects_budgets import HolderRun, ServedRuns
 from pistachiowell.store.era import REVISION_BITS
 
 CREDIT = 400
@@ -454,3 +454,12 @@
     with pytest.raises(AssertionError):
         for seed in range(PLAYS):
             play(classes, seed)
+
+
+def test_recovery_that_has_timed_out_begins_again():
+    """Operators would top up twice by what the two warnings report as lost."""
+    runs, record = LostRuns(), HolderRun("agent-1", 0, ["gate-1"])
+    runs.add([record], 0.0)
+    assert len(runs.remove_timed_out(ANSWER_WAIT_S)) == 1
+    runs.add([record], ANSWER_WAIT_S)
+    assert not runs.unfinished
