--- a/pistachiowell/gateway/served_runs.py
+++ b/pistachiowell/gateway/served_runs.py
@@ -86,16 +86,27 @@
         self._is_asked = True
         self._request_linked()
         self._runs.request(run)
+        has_answered = False
         if self._runtime.now() >= self._outage_until:
             with anyio.move_on_after(WRITE_TIMEOUT_S):
-                await self._try_sync()
+                has_answered = await self._try_sync()
         if not self._runs.is_listed(run):
-            if not self._runs.is_replaced:
-                self._outage_until = self._runtime.now() + OUTAGE_CACHE_S
-            raise OwnerUnready(
-                "The list of this agent's gateways is not written yet.",
-                retry_after_s=RETRY_AFTER_S,
-            )
+            raise self._refusal(has_answered)
+
+    def _refusal(self, has_answered):
+        """Returns the error of a gateway that is not listed.
+
+        Args:
+            has_answered: Whether the store has answered just now.
+        """
+        if self._runs.is_replaced:
+            text = "A newer run has replaced this agent."
+        else:
+            self._outage_until = self._runtime.now() + OUTAGE_CACHE_S
+            text = "The list of this agent's gateways is not written yet."
+            if not has_answered:
+                text = "The store does not answer, and this gateway is not listed yet."
+        return OwnerUnready(text, retry_after_s=RETRY_AFTER_S)
 
     async def run(self):
         """Lists the gateways that link to the agent until cancelled."""
