--- a/pistachiowell/platform/tests/test_hedges.py
+++ b/pistachiowell/platform/tests/test_hedges.py
@@ -74,7 +74,7 @@
     The scripts are used up in the order of the arrivals. If there are two, the first
     one begins once the second request has arrived, however late the hedge is sent.
     """
-    # A slow machine is no load here.
+    # A slow computer is no load here.
     calm = partial(HedgeSettings, max_transit_s=60.0, max_slow_share=1.0)
     monkeypatch.setattr(hedges, "HedgeSettings", calm)
 
--- a/pistachiowell/soak/tests/test_clients_over_limits.py
+++ b/pistachiowell/soak/tests/test_clients_over_limits.py
@@ -2,7 +2,7 @@
 
 Guards against processes that run out of memory or descriptors, or that answer nobody
 any more, because of clients that nobody controls. The crowds and the bounds are fixed;
-nothing here depends on the speed of the machine.
+nothing here depends on the speed of the computer.
 """
 
 import resource
