--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -20,6 +20,14 @@
 )
 from pistachiowell.routing.credits import CREDIT_POOLS, AbortStream, CreditSettings
 from pistachiowell.routing.engine_rates import EngineRates, RateSettings
+from pistachiowell.routing.engine_table import (
+    NO_LOAD,
+    EngineLoad,
+    EngineRequest,
+    EngineRun,
+    EngineTable,
+    PlacedRequest,
+)
 from pistachiowell.routing.health import HealthTable
 from pistachiowell.routing.hedging import (
     HEDGE_POLICIES,
@@ -35,16 +43,7 @@
     SharedLoads,
 )
 from pistachiowell.routing.pick import PICKERS, Candidate, even_odds, rendezvous
-from pistachiowell.routing.placement import (
-    NO_LOAD,
-    PLACERS,
-    EngineLoad,
-    EngineRequest,
-    EngineRun,
-    EngineTable,
-    PlacedRequest,
-    PlacementSettings,
-)
+from pistachiowell.routing.placement import PLACERS, PlacementSettings
 from pistachiowell.routing.retry import (
     RETRIES,
     AttemptFailure,
--- a/pistachiowell/routing/load_changes.py
+++ b/pistachiowell/routing/load_changes.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 
 from pistachiowell.core.errors import MessageInvalid
-from pistachiowell.routing.placement import NO_LOAD, EngineLoad
+from pistachiowell.routing.engine_table import NO_LOAD, EngineLoad
 from pistachiowell.routing.sharing import LoadSums
 
 MAX_ENGINES = 1_024
--- a/pistachiowell/routing/sharing.py
+++ b/pistachiowell/routing/sharing.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from pistachiowell.core.registry import Registry
-from pistachiowell.routing.placement import NO_LOAD
+from pistachiowell.routing.engine_table import NO_LOAD
 
 REPORT_PACERS = Registry("pace of load reports")
 
@@ -35,7 +35,7 @@
     """Sums the loads that the routers reported for one engine.
 
     Examples:
-        >>> from pistachiowell.routing.placement import EngineLoad
+        >>> from pistachiowell.routing.engine_table import EngineLoad
         >>> sums = LoadSums()
         >>> sums.record_load("router-1", EngineLoad(100, 1, 120))
         >>> sums.record_load("router-2", EngineLoad(50, 2, 90))
