Run the rounds of two owners of reports in one place

The owner of gateways' room and that of usual times had the same loop, with three constants each. The test that shortened two of them now sets the same intervals as settings: 0.05 s for any number of gateways.

--- a/pistachiowell/gateway/room_owner.py
+++ b/pistachiowell/gateway/room_owner.py
@@ -6,11 +6,10 @@
 import math
 from dataclasses import dataclass
 
-import anyio
-
 from pistachiowell.admission import room_shares
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.report_rounds import ReportRounds, RoundSettings
 from pistachiowell.schema.generated.messages_gateway import (
     GatewayRoom,
     PeerRoom,
@@ -19,11 +18,9 @@
 
 MAX_TOLD = 8
 MAX_AGE_S = 1.5
-MIN_INTERVAL_S = 0.25
-MAX_INTERVAL_S = 1.0
 # The interval grows with the number of gateways that are told, 553 bytes each, so that
 # an agent sends 4.6 KB/s up to 8 of them. Each is told by two agents.
-INTERVAL_PER_GATEWAY_S = 0.12
+ROUNDS = RoundSettings(0.25, 1.0, interval_per_gateway_s=0.12)
 # Only gateways above this busy share are told: the others relay nothing, and telling
 # all of a large data centre would exceed the 8 KB/s that a VM has for control.
 TOLD_BUSY = 0.5
@@ -48,24 +45,19 @@
         handlers: Handlers of the links; this registers its own.
     """
 
-    __slots__ = ("_has_reports", "_has_warned", "_links", "_reports", "_runtime")
+    __slots__ = ("_has_warned", "_links", "_reports", "_rounds", "_runtime")
 
     def __init__(self, runtime, links, handlers):
         self._runtime = runtime
         self._links = links
         self._reports = {}
         self._has_warned = False
-        self._has_reports = anyio.Event()
+        self._rounds = ReportRounds(ROUNDS, self._tell_all)
         handlers.on(GatewayRoom, quick=True)(self._handle_room)
 
     async def run(self):
         """Tells the gateways until cancelled."""
-        while True:
-            await self._has_reports.wait()
-            self._has_reports = anyio.Event()
-            told = self._tell_all()
-            interval_s = max(MIN_INTERVAL_S, INTERVAL_PER_GATEWAY_S * told)
-            await anyio.sleep(min(MAX_INTERVAL_S, interval_s))
+        await self._rounds.run()
 
     async def _handle_room(self, link, message):
         if link.closed:
@@ -80,7 +72,7 @@
         if link not in self._reports:
             link.add_close_listener(lambda: self._reports.pop(link, None))
         self._reports[link] = _Report(message, self._runtime.now())
-        self._has_reports.set()
+        self._rounds.record_report()
 
     def _warn_once(self, message):
         if not self._has_warned:
--- a/pistachiowell/gateway/times_owner.py
+++ b/pistachiowell/gateway/times_owner.py
@@ -4,10 +4,9 @@
 gateway sends and receives does not grow with the number of gateways.
 """
 
-import anyio
-
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
+from pistachiowell.gateway.report_rounds import ReportRounds, RoundSettings
 from pistachiowell.routing import HedgeSettings, KindTimes, TimesSum
 from pistachiowell.schema.generated.messages_gateway import (
     GatewayTimes,
@@ -15,10 +14,8 @@
     UsualTimes,
 )
 
-MIN_INTERVAL_S = 5.0
 # A message has 352 bytes at most, so an agent sends 3.5 KB/s to up to 100 gateways.
-INTERVAL_PER_GATEWAY_S = 0.1
-MAX_INTERVAL_S = 10.0
+ROUNDS = RoundSettings(5.0, 10.0, interval_per_gateway_s=0.1)
 
 _log = part_logger("hedges")
 
@@ -41,24 +38,19 @@
         handlers: Handlers of the links to gateways; this registers its own.
     """
 
-    __slots__ = ("_data_centres", "_has_reports", "_has_warned", "_number", "_runtime")
+    __slots__ = ("_data_centres", "_has_warned", "_number", "_rounds", "_runtime")
 
     def __init__(self, runtime, handlers):
         self._runtime = runtime
         self._data_centres = {}
-        self._has_reports = anyio.Event()
+        self._rounds = ReportRounds(ROUNDS, self._tell_all)
         self._has_warned = False
         self._number = 0
         handlers.on(GatewayTimes, quick=True)(self._handle_times)
 
     async def run(self):
         """Tells the gateways until cancelled."""
-        while True:
-            await self._has_reports.wait()
-            self._has_reports = anyio.Event()
-            told = self._tell_all()
-            interval_s = max(MIN_INTERVAL_S, INTERVAL_PER_GATEWAY_S * told)
-            await anyio.sleep(min(MAX_INTERVAL_S, interval_s))
+        await self._rounds.run()
 
     async def _handle_times(self, link, message):
         if link.closed:
@@ -70,7 +62,7 @@
                 self._warn_once(link)
             else:
                 total.add(times, now)
-        self._has_reports.set()
+        self._rounds.record_report()
 
     def _join(self, link, name):
         """Adds a gateway to a data centre and returns the ``TimesSum`` of that."""
--- a/pistachiowell/platform/tests/test_hedges.py
+++ b/pistachiowell/platform/tests/test_hedges.py
@@ -13,6 +13,7 @@
 
 from pistachiowell.admission.overload import FairShareOverload
 from pistachiowell.gateway import hedges, time_reports, times_owner
+from pistachiowell.gateway.report_rounds import RoundSettings
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
 from pistachiowell.platform.standins import (
@@ -268,8 +269,8 @@
     calm = partial(HedgeSettings, max_transit_s=60.0, max_slow_share=1.0)
     monkeypatch.setattr(hedges, "HedgeSettings", calm)
     monkeypatch.setattr(time_reports, "REPORT_INTERVAL_S", 0.05)
-    monkeypatch.setattr(times_owner, "MIN_INTERVAL_S", 0.05)
-    monkeypatch.setattr(times_owner, "INTERVAL_PER_GATEWAY_S", 0.0)
+    rounds = RoundSettings(0.05, 0.05, interval_per_gateway_s=0.0)
+    monkeypatch.setattr(times_owner, "ROUNDS", rounds)
     scripts = []
 
     async def script(request, stream):
