Stop a gateway only when its kernel has the answers

Callers that read slowly, or behind a full link, got the beginning of an answer and then the end of the connection when their gateway was told to stop, although most of its grace period was left.

Cause: a request counted as ended when its last bytes were in the buffer of the event loop. With no request left, the gateway waited 0.2 s for its connections and exited, and what the kernel had not taken was lost.

The gateway now also waits for connections that owe bytes, within the same bound, and its last warning says how many answers were unsent or relayed.

Now the answer is whole and the exit code 0.

--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -93,6 +93,11 @@
             sock = self.transport.get_extra_info("socket")
             return self.transport.get_write_buffer_size() + _queued_bytes(sock)
 
+        @property
+        def owes_answer(self):
+            """Whether a request has no answer, or the kernel not yet all of it."""
+            return self._is_answering or self.transport.get_write_buffer_size() > 0
+
         @property
         def _is_answering(self):
             return self.cycle is not None and not self.cycle.response_complete
--- a/pistachiowell/gateway/caller_servers.py
+++ b/pistachiowell/gateway/caller_servers.py
@@ -75,6 +75,11 @@
             for connection in server.server_state.connections
         ]
 
+    @property
+    def owed_answers(self):
+        """Number of connections whose answer was not handed to the kernel whole."""
+        return sum(connection.owes_answer for connection in self.connections)
+
     async def serve(self):
         """Serves until all servers have ended."""
         async with anyio.create_task_group() as group:
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -73,6 +73,16 @@
         """Number of connections opened to backend servers so far."""
         return self._parts.dispatch.opened_connections
 
+    @property
+    def _has_work(self):
+        parts = self._parts
+        return (
+            parts.stop.in_progress
+            or parts.caller_servers.owed_answers
+            or parts.load.relay.in_progress
+            or self.is_deputy
+        )
+
     def failures(self, server_id):
         """Returns the failures of a server since its last success or ejection."""
         return self._parts.selection.failures(server_id)
@@ -89,7 +99,7 @@
         _log.info("Gateway is leaving; requests in progress go on.")
 
     async def leave(self):
-        """Stops without cutting off requests that can end in time.
+        """Stops without cutting off answers that can reach their callers in time.
 
         Connections that come late are accepted to the end, and their requests refused.
         """
@@ -101,12 +111,14 @@
         relay = parts.load.relay
         relay.close_idle()
         with anyio.move_on_after(max(0.0, settings.shutdown_timeout_s - ENDING_S)):
-            while parts.stop.in_progress or relay.in_progress or self.is_deputy:
+            while self._has_work:
                 await anyio.sleep(STOP_CHECK_INTERVAL_S)
-        if parts.stop.in_progress:
+        if self._has_work:
             _log.warning(
                 "Requests are ended as the gateway stops.",
                 requests=parts.stop.in_progress,
+                unsent=parts.caller_servers.owed_answers,
+                relayed=relay.in_progress,
             )
         parts.stop.end_requests()
         relay.end()
