Close connections only after their callers have stopped sending

Callers that still sent when their answer had been written lost its end: the rest of a body that a refusal did not wait for, the end of a body in chunks, or a next request.

Cause: a kernel that closes a socket with unread bytes, or gets bytes for one that is closed, resets the connection and drops what it has not delivered. The answer counted as sent when it was in the kernel's buffer. It is the same class as at a stop: "handed to a buffer" taken for "received". It concerned every connection that the web server closed after an answer, at a stop most of all, where all connections are closed.

Such a connection now closes its own way first, drops what still comes for up to 1 s and 1 MiB, and closes when the caller has. Where the whole request was read and the caller's kernel has the whole answer, it closes at once, as before; so do connections that break a limit or make room. A gateway that stops waits for it.

Before, three of the new cases fail: a caller with a small receive buffer got 12,288 of 300,000 bytes. Now all are whole. A caller that sends without end is still ended.

--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -1,14 +1,11 @@
 """HTTP protocol class for uvicorn that limits what a caller sends and leaves unread."""
 
-import fcntl
-import sys
-import termios
-
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from pistachiowell.core.clients import default_clients
 from pistachiowell.core.connection_order import Stage
+from pistachiowell.core.lingering import LingeringTransport
 from pistachiowell.core.read_gate import ReadGate
 from pistachiowell.core.refusals import INVALID, NO_ROOM, TOO_SLOW, refusal
 from pistachiowell.core.traffic import ConnectionTraffic, CountedTransport
@@ -26,18 +23,6 @@
     """Ends the parsing of a connection from a callback of the parser."""
 
 
-def _queued_bytes(sock):
-    """Returns the bytes that this kernel keeps until the peer has taken them.
-
-    A socket becomes writable only after a good part of them, which a slow reader takes
-    long for.
-
-    References:
-        tcp(7): ``SIOCOUTQ``.
-    """
-    return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
-
-
 def bounded_protocol(
     max_header_bytes, body, clients=None, take_over=None, traffic=None
 ):
@@ -90,13 +75,19 @@
         @property
         def unsent_bytes(self):
             """Bytes of answers that the client's kernel has not taken."""
-            sock = self.transport.get_extra_info("socket")
-            return self.transport.get_write_buffer_size() + _queued_bytes(sock)
+            return self.transport.unsent_bytes
 
         @property
         def owes_answer(self):
-            """Whether a request has no answer, or the kernel not yet all of it."""
-            return self._is_answering or self.transport.get_write_buffer_size() > 0
+            """Whether an answer could be lost if the process ended now."""
+            return (
+                self._is_answering
+                or self.transport.is_lingering
+                or self.transport.get_write_buffer_size() > 0
+            )
+
+        def _expects_more(self):
+            return self._is_in_message or self._has_request_ahead
 
         @property
         def _is_answering(self):
@@ -120,9 +111,10 @@
         def _begin(self, transport):
             super().connection_made(transport)
             self.flow = ReadGate(transport, self.loop)
+            self.transport = LingeringTransport(transport, self._expects_more)
             if traffic is not None:
                 self._traffic = ConnectionTraffic(traffic)
-                self.transport = CountedTransport(transport, self._traffic)
+                self.transport = CountedTransport(self.transport, self._traffic)
             clients.add(self)
 
         def connection_lost(self, exc):
@@ -201,6 +193,9 @@
             """Parses data of the caller; refuses a head or trailers without end."""
             if self._traffic is not None:
                 self._traffic.add(len(data))
+            if self.transport.is_lingering:
+                self.transport.drop(len(data))
+                return
             for start in range(0, len(data), PIECE_BYTES):
                 if self._has_request_ahead or self.transport.is_closing():
                     return
@@ -239,10 +234,10 @@
                 self._end(None, answer)
             if self.transport.get_write_buffer_size() or stage is Stage.stalled:
                 self.transport.abort()
-            self.transport.close()
+            self.transport.close_now()
 
         def _end(self, reason, answer):
-            """Closes the connection with an answer of its own."""
+            """Closes the connection at once with an answer of its own."""
             if self.transport.is_closing():
                 return
             if reason is not None:
@@ -254,7 +249,7 @@
                 self.transport.write(answer)
                 self.cycle.disconnected = True
                 self.cycle.message_event.set()
-            self.transport.close()
+            self.transport.close_now()
 
         def _stage(self):
             if self.flow.write_paused:
--- /dev/null
+++ b/pistachiowell/core/lingering.py
@@ -0,0 +1,97 @@
+"""Closing of a connection whose peer may still send.
+
+A kernel that gets bytes for a socket that is closed, or that closes one with unread
+bytes, resets the connection and drops what the peer has not taken of the answer.
+
+References:
+    RFC 9112, section 9.6.
+"""
+
+import asyncio
+import fcntl
+import sys
+import termios
+
+LINGER_S = 1.0
+LINGER_BYTES = 1_048_576
+
+
+def queued_bytes(sock):
+    """Returns the bytes that this kernel keeps until the peer has taken them.
+
+    A socket becomes writable only after a good part of them, which a slow reader takes
+    long for.
+
+    References:
+        tcp(7): ``SIOCOUTQ``.
+    """
+    return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+
+
+class LingeringTransport:
+    """Closes the way to the peer first if a reset could cost it a part of an answer.
+
+    What the peer still sends is dropped until it closes, for at most ``LINGER_S`` and
+    ``LINGER_BYTES``. In all else it is the transport.
+
+    Args:
+        transport: The transport of a connection.
+        expects_more: Function that returns whether the peer has begun a request that
+            was not read to its end.
+    """
+
+    __slots__ = ("_dropped_bytes", "_expects_more", "_timer", "_transport")
+
+    def __init__(self, transport, expects_more):
+        self._transport = transport
+        self._expects_more = expects_more
+        self._dropped_bytes = 0
+        self._timer = None
+
+    def __getattr__(self, name):
+        return getattr(self._transport, name)
+
+    @property
+    def is_lingering(self):
+        """Whether only the way to the peer is closed."""
+        return self._timer is not None and not self._transport.is_closing()
+
+    @property
+    def unsent_bytes(self):
+        """Bytes of answers that the peer's kernel has not taken."""
+        sock = self._transport.get_extra_info("socket")
+        return self._transport.get_write_buffer_size() + queued_bytes(sock)
+
+    def is_closing(self):
+        """Returns whether nothing more is written."""
+        return self._timer is not None or self._transport.is_closing()
+
+    def write(self, data):
+        """Writes data unless the way to the peer is closed."""
+        if self._timer is None:
+            self._transport.write(data)
+
+    def drop(self, size):
+        """Drops bytes that the peer has sent meanwhile; closes if they are too many."""
+        self._dropped_bytes += size
+        if self._dropped_bytes > LINGER_BYTES:
+            self.close_now()
+
+    def close(self):
+        """Closes the connection once the peer has done so, if that may matter to it."""
+        if self.is_closing():
+            return
+        can_lose = self._expects_more() or self.unsent_bytes
+        if not can_lose or not self._transport.can_write_eof():
+            self._transport.close()
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(LINGER_S, self.close_now)
+        self._transport.write_eof()
+        self._transport.resume_reading()
+
+    def close_now(self):
+        """Closes the connection after what was written, whatever the peer does."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._transport.close()
