Close relayed connections only after their callers have stopped sending

A caller whose connection another gateway served lost the end of its answer when it sent more before it had read all: the relaying gateway closed the connection at once, and its kernel reset it. Same cause and remedy as for connections that are served here.

Before, the test's caller got 12,288 of 300,000 bytes; now it gets them all.

--- a/pistachiowell/gateway/relay.py
+++ b/pistachiowell/gateway/relay.py
@@ -5,6 +5,7 @@
 
 import asyncio
 
+from pistachiowell.core.lingering import LingeringTransport
 from pistachiowell.core.logs import part_logger
 
 # Accepting takes about a millisecond within a data centre. A caller waits for this
@@ -84,15 +85,19 @@
         traffic: The ``ConnectionTraffic``; None to count no bytes.
     """
 
-    __slots__ = ("has_request", "traffic")
+    __slots__ = ("_closing", "has_request", "traffic")
 
     def __init__(self, relay):
         super().__init__(relay)
+        self._closing = None
         self.has_request = False
         self.traffic = relay.link.connection_traffic()
 
     def buffer_updated(self, nbytes):
-        """Passes on a part of the request."""
+        """Passes on a part of the request, or drops what comes after its answer."""
+        if self._closing is not None:
+            self._closing.drop(nbytes)
+            return
         if not self.has_request:
             self.has_request = True
             self._relay.link.add_request(self.traffic)
@@ -111,7 +116,9 @@
     def finish(self):
         """Closes the connection once what was written has been sent."""
         transport = self.transport
-        transport.close()
+        # How much of the request the other gateway has read is not known.
+        self._closing = LingeringTransport(transport, lambda: True)
+        self._closing.close()
         if transport.get_write_buffer_size():
             loop = asyncio.get_running_loop()
             loop.call_later(FLUSH_TIMEOUT_S, transport.abort)
--- a/pistachiowell/platform/tests/test_connection_relay.py
+++ b/pistachiowell/platform/tests/test_connection_relay.py
@@ -4,7 +4,8 @@
 one of the two gateways cannot be reached, dies or stops.
 """
 
-from contextlib import asynccontextmanager
+import socket
+from contextlib import asynccontextmanager, suppress
 
 import anyio
 import httpcore
@@ -12,7 +13,8 @@
 
 from pistachiowell.admission import PeerRooms, RelayShare
 from pistachiowell.gateway import room_owner
-from pistachiowell.platform.standins import answer_whole
+from pistachiowell.platform.standins import answer_whole, head
+from pistachiowell.platform.tests.conftest import HOST, KEY
 
 pytestmark = pytest.mark.anyio
 
@@ -29,6 +31,16 @@
     return await answer_whole(request, stream)
 
 
+LARGE_BYTES = 300_000
+
+
+async def answer_much(request, stream):
+    """Sends a whole answer that takes a while to be read."""
+    text = head(request, Content_Length=str(LARGE_BYTES))
+    await stream.send((text + "\r\n").encode() + b"x" * LARGE_BYTES)
+    return True
+
+
 @pytest.fixture
 def relaying_rig(start_rig, free_port, monkeypatch):
     """Returns a context manager with a gateway that relays each connection."""
@@ -139,3 +151,32 @@
             group.start_soon(rig.gateways[1].leave)
             with anyio.fail_after(1.0), pytest.raises(anyio.EndOfStream):
                 await stream.receive()
+
+
+async def test_relayed_answer_is_lost_as_its_caller_sends_the_next_request(
+    relaying_rig,
+):
+    pairs = [b"Host: " + HOST.encode(), b"Pistachiowell-Attempt-Id: a"]
+    pairs.append(b"Api-Key: " + KEY.encode())
+    request = b"\r\n".join([b"GET /read/a HTTP/1.1", *pairs, b"", b""])
+    async with relaying_rig(answer_much) as rig:
+        host, _, port = rig.address.rpartition(":")
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            await anyio.to_thread.run_sync(caller.connect, (host, int(port)))
+            caller.sendall(request)
+            await anyio.sleep(0.5)
+            caller.sendall(request)
+            await anyio.sleep(0.1)
+            size = await anyio.to_thread.run_sync(bytes_to_end, caller)
+        assert values(rig, 1)["relay.connections"] == 1
+    assert size > LARGE_BYTES
+
+
+def bytes_to_end(caller):
+    """Returns the number of bytes up to the end, or the reset, of a connection."""
+    size = 0
+    with suppress(ConnectionError):
+        while data := caller.recv(50_000):
+            size += len(data)
+    return size
