Check anew whether a request fits into the stop when its body has come

A request whose head had come before the signal and whose body came after it was begun without any check, and one with a slow body by the time of its head. The stop cut its answer (502, "may have run") although it could have been refused as not run.

The time is now checked at the end of the body as well. What was admitted by its head is not refused for coming after the notice, only if it cannot end in time.

Before, the new case fails: a server got the request. Now it is refused with 503.

--- a/pistachiowell/gateway/planned_stop.py
+++ b/pistachiowell/gateway/planned_stop.py
@@ -69,7 +69,7 @@
         self._refuses_all = True
 
     def check(self, route, deadline, now):
-        """Checks that a request can end before the gateway stops.
+        """Checks that a request whose head has come can end before the gateway stops.
 
         Args:
             route: The ``Route``.
@@ -79,17 +79,29 @@
         Raises:
             Leaving: It cannot, or nothing is begun any more.
         """
+        if self._refuses_all:
+            raise _leaving()
+        self.check_time(route, deadline, now)
+
+    def check_time(self, route, deadline, now):
+        """Checks that a request whose body has come can end before the gateway stops.
+
+        Args:
+            route: The ``Route``.
+            deadline: Time in seconds at which it has to have ended.
+            now: Present time in seconds.
+
+        Raises:
+            Leaving: It cannot.
+        """
         if self._ends_at is None:
             return
         ends_at = deadline
         if route.is_idempotent or route.has_prompts:
             usual = self._durations.get(route.name)
             ends_at = now + (usual.bound_s() if usual else 0.0)
-        if self._refuses_all or ends_at > self._ends_at:
-            raise Leaving(
-                "The gateway stops before the request can end.",
-                retry_after_s=RETRY_AFTER_S,
-            )
+        if ends_at > self._ends_at:
+            raise _leaving()
 
     def record_duration(self, route, duration_s):
         """Records how long a request of a ``Route`` took in seconds."""
@@ -122,3 +134,10 @@
             "The gateway stopped before a server got the request.",
             retry_after_s=RETRY_AFTER_S,
         )
+
+
+def _leaving():
+    return Leaving(
+        "The gateway stops before the request can end.",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/pistachiowell/gateway/request_reader.py
+++ b/pistachiowell/gateway/request_reader.py
@@ -73,6 +73,7 @@
         deadline = received_at + wait_s
         self._stop.check(route, deadline, received_at)
         body = await self._read_body(receive, limits.body_bytes, deadline)
+        self._stop.check_time(route, deadline, self._runtime.now())
         service = _find_service(catalog, route)
         name = account.name if account else ""
         parts = head.prompt.parts if head.prompt else ()
--- a/pistachiowell/platform/tests/conftest.py
+++ b/pistachiowell/platform/tests/conftest.py
@@ -253,7 +253,7 @@
             "Api-Key": key,
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
-        if body:
+        if body and "Transfer-Encoding" not in fields:
             fields["Content-Length"] = str(len(body))
         pairs = [(n.encode(), v.encode()) for n, v in fields.items()]
         async with (
--- a/pistachiowell/platform/tests/test_planned_stop.py
+++ b/pistachiowell/platform/tests/test_planned_stop.py
@@ -65,6 +65,24 @@
     assert not rig.servers["desk-1"].requests
 
 
+async def test_request_whose_body_comes_after_the_signal_runs_and_is_cut(stopping_rig):
+    async with stopping_rig(never_answer) as rig:
+
+        async def body():
+            await rig.until(
+                lambda: rig.gateways[0].metrics.values["requests.in_progress"]
+            )
+            await stop(rig)
+            yield b"x"
+
+        status, _, answer = await rig.send(
+            "/book/a", "POST", body(), Transfer_Encoding="chunked"
+        )
+        assert not rig.servers["desk-1"].requests
+    answer = msgspec.json.decode(answer)
+    assert (status, answer["ran"], answer["error"]) == (503, "no", "leaving")
+
+
 @pytest.mark.parametrize("path", ["/read/a", "/book/a"])
 async def test_request_in_progress_at_the_end_gets_an_answer_of_the_gateway(
     stopping_rig, path
