Check the head of an answer before it is passed on

What callers saw: a server's answer with a status from 600 to 999, or with a control character in the value of a header, closed the caller's connection without any answer, on all kinds of routes. An idempotent request with such a header was not tried at another server, and a hedge with one ended the attempt beside it, which would have succeeded.

Cause: the parser of answers takes statuses up to 999 and most control characters, and the web server raises (KeyError, RuntimeError) when it is to write them. By then the attempt had ended as a success, and the answer counted as begun, so that nothing else could be sent. Class: what a server says is passed on before it is checked.

The head is now checked where it is read, with the other checks of an exchange. One that cannot be passed on is a broken answer of its server: it may have run, is sent again if the route allows it, is 502 otherwise, and counts against its server. Statuses from 200 to 599 that no standard names are passed on as before.

--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -3,6 +3,7 @@
 import anyio
 import httpcore
 
+from pistachiowell.core.answer_heads import find_head_fault
 from pistachiowell.core.body_buffer import EndlessBodyError
 from pistachiowell.core.errors import (
     AnswerBroken,
@@ -165,8 +166,8 @@
         Raises:
             Overloaded: The server answered that it has not run the request.
             ConnectionBroken: The connection broke; the request may have run.
-            AnswerBroken: The answer does not belong to this request or was not sent by
-                the server; the request may have run.
+            AnswerBroken: The answer does not belong to this request, was not sent by
+                the server or cannot be passed on; the request may have run.
         """
         request, server = self._request, self.server
         headers = self._codec.server_headers(
@@ -239,3 +240,5 @@
             raise Overloaded(f"Server {server.id} has not run it ({head.status}).")
         if head.is_success and (not head.is_signed or head.is_encoded):
             raise AnswerBroken(f"Server {server.id} sent an unsigned answer.")
+        if fault := find_head_fault(head.status, head.headers):
+            raise AnswerBroken(f"Server {server.id} sent an unusable head. {fault}")
--- a/pistachiowell/platform/tests/test_hedges.py
+++ b/pistachiowell/platform/tests/test_hedges.py
@@ -56,6 +56,13 @@
     return True
 
 
+async def answer_unsendably(request, stream):
+    """Answers with a head that cannot be passed on."""
+    text = head(request, Content_Length="2", X_Odd="\x01")
+    await stream.send((text + "\r\nno").encode())
+    return True
+
+
 def close_after(delay_s):
     """Returns a script that closes the connection after a time."""
 
@@ -167,7 +174,7 @@
     assert [body for _, _, body in answers[1:]] == [b"ok"] * 4
 
 
-@pytest.mark.parametrize("hedge", [refuse, close_without_answer])
+@pytest.mark.parametrize("hedge", [refuse, close_without_answer, answer_unsendably])
 async def test_failed_hedge_ends_the_first_attempt(hedged_rig, hedge):
     async with hedged_rig(answer_after(SLOW_S, "first"), hedge) as (rig, arrivals):
         status, _, body = await rig.send("/read/a")
