Pass on no success whose signature or request is in doubt

What callers saw: a success without its signature, if the server's Connection header named that header; with an empty signature; with two signatures; or with two ids, of which one was that of another request. A header named in a second Connection header was passed on, and a "close" in it was not read.

Cause: of a header that comes more than once only the first value was read, but all were passed on; and whether an answer is signed was judged before headers that Connection names were dropped.

All values count now. An answer is signed if it has exactly one signature that is not empty, and names a request if all its ids are the same. The signature and the id concern the caller, so Connection cannot take them away. Lists in several headers are read as one.

--- a/pistachiowell/gateway/messages.py
+++ b/pistachiowell/gateway/messages.py
@@ -122,8 +122,9 @@
 
     Attributes:
         status: HTTP status.
-        request_id: Id of the request that the server echoes.
-        is_signed: Whether the server has signed the answer.
+        request_id: Id of the request that the server echoes; that of no request if it
+            names several.
+        is_signed: Whether the server has signed the answer, once.
         ran: Whether the request may have run; False only if the server reports that
             it has not.
         is_encoded: Whether the body was encoded on the way and is not as the server
--- a/pistachiowell/platform/headers.py
+++ b/pistachiowell/platform/headers.py
@@ -43,6 +43,8 @@
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection"
     b" te trailer transfer-encoding upgrade expect content-length".split()
 )
+# A header of this kind is for the caller or the server, whatever ``Connection`` names.
+_END_TO_END = frozenset({REQUEST_ID, SIGNATURE, b"host"})
 _SET_BY_ROUTERS = frozenset(
     {
         ACCOUNT,
@@ -76,7 +78,7 @@
         values.setdefault(name, value)
     query = scope["query_string"]
     target = scope["raw_path"] + (b"?" + query if query else b"")
-    dropped = _HOP_BY_HOP | _SET_BY_ROUTERS | _connection_headers(values)
+    dropped = _HOP_BY_HOP | _SET_BY_ROUTERS | _connection_headers(headers)
     return RequestHead(
         request_id=_text(values, REQUEST_ID),
         method=scope["method"],
@@ -131,8 +133,9 @@
     values = {}
     for name, value in headers:
         values.setdefault(name.lower(), value)
-    dropped = _HOP_BY_HOP | _connection_headers(values)
+    dropped = _HOP_BY_HOP | _connection_headers(headers)
     length = values.get(b"content-length")
+    ids, signatures = _distinct(headers, REQUEST_ID), _distinct(headers, SIGNATURE)
     named = [value for name, value in headers if name.lower() == LIMIT]
     limits = [float(value) for value in named if _DECIMAL.fullmatch(value.strip())]
     delays = [v for n, v in headers if status == BUSY_STATUS and n.lower() == DELAY]
@@ -141,11 +144,11 @@
     pauses = [float(value) for value in delays if _DECIMAL.fullmatch(value.strip())]
     return AnswerHead(
         status=status,
-        request_id=_text(values, REQUEST_ID),
-        is_signed=SIGNATURE in values,
+        request_id=b", ".join(ids).decode("latin-1"),
+        is_signed=len(signatures) == 1 and signatures != [b""],
         ran=NOT_RUN not in values and status != NOT_RUN_STATUS,
         is_encoded=b"content-encoding" in values,
-        keep_alive_s=_parse_keep_alive_s(values),
+        keep_alive_s=_parse_keep_alive_s(headers),
         length=_parse_count(length or b""),
         is_chunked=b"chunked" in values.get(b"transfer-encoding", b"").lower(),
         headers=[(n.lower(), v) for n, v in headers if n.lower() not in dropped],
@@ -164,9 +167,19 @@
     return values.get(name, b"").decode("latin-1")
 
 
-def _connection_headers(values):
-    names = values.get(b"connection", b"").lower().split(b",")
-    return frozenset(name.strip() for name in names) - {REQUEST_ID, b"host"}
+def _distinct(headers, name):
+    """Returns the different values of the headers with a name, sorted."""
+    return sorted({value.strip() for key, value in headers if key.lower() == name})
+
+
+def _items(headers, name):
+    """Returns the items of the lists in the headers with a name, in lower case."""
+    lists = [value.lower() for key, value in headers if key.lower() == name]
+    return [item.strip() for item in b",".join(lists).split(b",")]
+
+
+def _connection_headers(headers):
+    return frozenset(_items(headers, b"connection")) - _END_TO_END
 
 
 def _parse_milliseconds(value):
@@ -208,13 +221,12 @@
     return Prompt(prompt_tokens, output_tokens, tuple(parts))
 
 
-def _parse_keep_alive_s(values):
+def _parse_keep_alive_s(headers):
     """Returns how long the server keeps the connection open; None if not announced."""
-    tokens = [t.strip().lower() for t in values.get(b"connection", b"").split(b",")]
-    if b"close" in tokens:
+    if b"close" in _items(headers, b"connection"):
         return 0.0
-    for item in values.get(b"keep-alive", b"").split(b","):
-        name, _, value = item.strip().partition(b"=")
-        if name.lower() == b"timeout" and _parse_count(value) is not None:
+    for item in _items(headers, b"keep-alive"):
+        name, _, value = item.partition(b"=")
+        if name == b"timeout" and _parse_count(value) is not None:
             return float(_parse_count(value))
     return None
