Take ids of events for what another server can be told

What callers saw: a stream that was cut off, or 500, though another server could have continued it, if an event's id held a control character or was tens of kilobytes long; and 500 on a whole stream whose ids were digits other than those of ASCII, or numbers of some thousand digits. The failure of the first kind counted against the server that was to continue the stream.

Cause: the id of a server's last event goes into the request to the next server, and into int(), unchecked. Same class: what a server says is passed on before it is checked.

An event whose id cannot be sent in a header ends the attempt as a broken answer of the server that sent it; nothing of the event is passed on, and another server continues after the one before it. Only ASCII digits count as a number.

--- a/pistachiowell/core/answer_heads.py
+++ b/pistachiowell/core/answer_heads.py
@@ -11,6 +11,16 @@
 _VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
 
 
+def is_header_value(value):
+    r"""Returns whether bytes can be the value of a header.
+
+    Examples:
+        >>> is_header_value(b"caf\xe9"), is_header_value(b"a\n")
+        (True, False)
+    """
+    return _VALUE.fullmatch(value) is not None
+
+
 def find_head_fault(status, headers):
     r"""Returns why a head cannot be passed on; an empty text if it can.
 
@@ -38,6 +48,6 @@
         shown = name[:MAX_SHOWN_BYTES]
         if not _NAME.fullmatch(name):
             return f"It has a header with the name {shown!r}."
-        if not _VALUE.fullmatch(value):
+        if not is_header_value(value):
             return f"The value of its header {shown!r} has control characters."
     return ""
--- a/pistachiowell/gateway/events.py
+++ b/pistachiowell/gateway/events.py
@@ -1,10 +1,13 @@
 """Reader of the server-sent events in a backend server's stream."""
 
+from pistachiowell.core.answer_heads import is_header_value
 from pistachiowell.engines import MAX_EVENT_BYTES
 
 EVENT_END = b"\n\n"
 # A server that continues a stream repeats a few events at most.
 MAX_REPEATED_EVENTS = 1_000
+# Servers refuse requests whose heads are too long.
+MAX_ID_BYTES = 1_024
 ID_FIELD = b"id:"
 
 
@@ -56,10 +59,11 @@
         self._buffer = parts.pop()
         events = []
         for part in parts:
-            self.fault = self.fault or self._find_fault(part)
+            event_id = _event_id(part)
+            self.fault = self.fault or self._find_fault(event_id)
             if self.fault:
                 break
-            if self._is_new(part):
+            if self._is_new(event_id.decode("latin-1")):
                 self.count += 1
                 events.append(part + EVENT_END)
         if len(self._buffer) > MAX_EVENT_BYTES:
@@ -72,18 +76,21 @@
         self._repeated = 0
         self.fault = ""
 
-    def _find_fault(self, event):
-        if not _event_id(event):
+    def _find_fault(self, event_id):
+        if not event_id:
             return "The stream has bytes that are no event with an id."
+        # It is sent in a header to the server that continues the stream.
+        if len(event_id) > MAX_ID_BYTES or not is_header_value(event_id):
+            return "The stream has an event whose id cannot be sent in a header."
         if self._repeated >= MAX_REPEATED_EVENTS:
             return "The server repeats events without end."
         if self._max_events is not None and self.count >= self._max_events:
             return "The stream has more events than the answer has tokens."
         return ""
 
-    def _is_new(self, event):
-        event_id = _event_id(event)
-        are_numbers = event_id.isdigit() and self.last_id.isdigit()
+    def _is_new(self, event_id):
+        # ``isdigit`` holds for superscripts, too.
+        are_numbers = event_id.isdecimal() and self.last_id.isdecimal()
         if are_numbers and int(event_id) <= int(self.last_id):
             self._repeated += 1
             return False
@@ -94,5 +101,5 @@
 def _event_id(event):
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
-            return line[len(ID_FIELD) :].strip().decode("latin-1")
-    return ""
+            return line[len(ID_FIELD) :].strip()
+    return b""
