Check the status and the type of an answer at the agent and at the router

What callers saw: a connection closed without an answer, if the backend server of an agent answered a request that may run once with a status from 600 to 999, or any request with a type that holds a control character. A trial with the router's API in a web server showed both.

The agent tells the router what its server said, and neither checks it.

The adapter to backend servers takes such a head as a failure of its server after which the request may have run. The router takes the start of an answer that cannot be passed on as a broken answer, as an agent of another release, or one that repeats a kept answer, may still send it.

--- a/pistachiowell/engines/http.py
+++ b/pistachiowell/engines/http.py
@@ -6,6 +6,7 @@
 import httpcore
 import msgspec
 
+from pistachiowell.core.answer_heads import find_head_fault
 from pistachiowell.core.body_buffer import (
     BodyBuffer,
     EndlessBodyError,
@@ -20,6 +21,7 @@
 ORDER_TIMEOUT_S = 120.0
 IDLE_CONNECTION_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 1024
+CONTENT_TYPE = b"content-type"
 
 _NOT_SENT_ERRORS = (httpcore.ConnectTimeout, httpcore.PoolTimeout)
 
@@ -51,6 +53,9 @@
     Args:
         response: The ``httpcore.Response``.
 
+    Raises:
+        ServerFailed: Its status or type cannot be passed on.
+
     Attributes:
         status: HTTP status.
         content_type: Value of the header ``Content-Type``; empty without one.
@@ -61,7 +66,11 @@
     def __init__(self, response):
         self._response = response
         self.status = response.status
-        self.content_type = _find_header(response.headers, b"content-type")
+        content_type = _find_header(response.headers, CONTENT_TYPE)
+        if fault := find_head_fault(self.status, [(CONTENT_TYPE, content_type)]):
+            message = f"The backend server's answer is unusable. {fault}"
+            raise ServerFailed(message, ran=MAY_HAVE_RUN)
+        self.content_type = content_type.decode("latin-1")
 
     async def chunks(self):
         """Returns an async iterator over the parts of the body.
@@ -109,7 +118,8 @@
                 for no limit.
 
         Raises:
-            ServerFailed: The server could not be reached, or the connection was lost.
+            ServerFailed: The server could not be reached, the connection was lost, or
+                the head of the answer cannot be passed on.
         """
         timeouts = {"connect": CONNECT_TIMEOUT_S, "read": read_timeout_s}
         with _translate_errors():
@@ -161,5 +171,5 @@
 def _find_header(headers, name):
     for key, value in headers:
         if key.lower() == name:
-            return value.decode("latin-1")
-    return ""
+            return value
+    return b""
--- a/pistachiowell/router/answers.py
+++ b/pistachiowell/router/answers.py
@@ -1,5 +1,6 @@
 """Assembles the answer of one attempt from the messages of its agent."""
 
+from pistachiowell.core.answer_heads import find_head_fault
 from pistachiowell.core.errors import AnswerBroken, Overloaded, ServerFailed
 from pistachiowell.routing import ASSEMBLERS, Broken, Deliver, Finished
 from pistachiowell.schema.generated.messages_requests import (
@@ -66,9 +67,11 @@
             The messages to send to the caller now.
 
         Raises:
-            AnswerBroken: The answer is incomplete or inconsistent.
+            AnswerBroken: The answer is incomplete or inconsistent, or cannot be passed
+                on.
         """
         if isinstance(message, AnswerStart):
+            _check_start(message)
             self._start = message
             return []
         if self._start is None:
@@ -107,6 +110,15 @@
         return messages
 
 
+def _check_start(message):
+    try:
+        content_type = message.content_type.encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise AnswerBroken("The agent sent a type that no header can have.") from error
+    if fault := find_head_fault(message.status, [(b"content-type", content_type)]):
+        raise AnswerBroken(f"The agent sent an unusable head. {fault}")
+
+
 def _check(actions):
     for action in actions:
         if isinstance(action, Broken):
