Use no server whose id cannot be told to it

What callers saw: 500 for about half of the requests to a service, and 502 on routes whose requests run once, while the store held a registration under a name that cannot be sent in a header, besides a sound server.

Cause: the name of a registration goes into a header of each request. One outside Latin-1 raised an exception that was no failure of that server, so the request was not tried at another one and the server was chosen again; one with control characters or a space at an end was refused by the HTTP library. Same class: an entry of another writer is used before it is checked.

Such an entry names no server, as one without a service or an address does.

Evidence: 11 of the 15 new cases failed before (statuses 500 and 502; in the other 4 the request was sent again); none of the 8 requests of each case reaches such a server now.

--- a/pistachiowell/platform/servers.py
+++ b/pistachiowell/platform/servers.py
@@ -1,6 +1,7 @@
 """Decodes the platform's registrations into ``BackendServer``."""
 
 import ipaddress
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -11,6 +12,8 @@
 COLLECTION = "servers"
 MAX_SLOTS = 1_000_000
 MAX_TIME_MS = 2**53
+# An id goes into a header of each request; servers read other characters differently.
+_ID = re.compile("[!-~]+")
 
 
 class _Entry(msgspec.Struct, rename="pascal"):
@@ -58,7 +61,8 @@
         port_number = int(port)
     except DECODE_ERRORS:
         return None
-    if not entry.service or not 0 < port_number < 65536:
+    is_known = bool(entry.service and _ID.fullmatch(name))
+    if not is_known or not 0 < port_number < 65536:
         return None
     return BackendServer(
         id=name,
--- a/pistachiowell/platform/tests/test_odd_entries.py
+++ b/pistachiowell/platform/tests/test_odd_entries.py
@@ -14,7 +14,7 @@
 from pistachiowell.platform.moves import decode_order
 from pistachiowell.platform.objects import ObjectStore, _decode, _read_page
 from pistachiowell.platform.servers import decode_server
-from pistachiowell.platform.standins import serve_app
+from pistachiowell.platform.standins import answer_whole, serve_app, stream_events
 
 pytestmark = pytest.mark.anyio
 
@@ -159,3 +159,25 @@
         await rig.until(lambda: "agent-2" in gateway.fleet.agents)
         status, _, _ = await rig.send("/read/a")
     assert status == 200
+
+
+@pytest.mark.parametrize("server_id", ["\u4f60", "a\r\nX: y", " a", "a\x01", "\xe9"])
+@pytest.mark.parametrize("path", ["/read/a", "/book/a", "/chat/a"])
+async def test_request_goes_to_a_server_whose_id_no_header_can_have(
+    start_rig, server_id, path
+):
+    service, script = "desk", answer_whole
+    if path.startswith("/chat"):
+        service, script = "pool", stream_events(1, 2)
+    async with start_rig() as rig:
+        await rig.add_server(server_id, service, script)
+        await rig.add_server("sound", service, script)
+        await rig.add_agent("agent-1")
+        await rig.add_gateway()
+        statuses = []
+        for _ in range(8):
+            is_chat = service == "pool"
+            answer = await (rig.send_chat() if is_chat else rig.send(path, "POST"))
+            statuses.append(answer[0])
+        received = len(rig.servers[server_id].requests)
+    assert (statuses, received) == ([200] * 8, 0)
