Take nothing from a head that holds two answers

What callers saw: where a server wrote a second answer into the head of another one, the body of the second with the status of the first; or "503, not run" for a request that its server had run, which a caller sends again.

Cause: the lines of both heads were read as those of one. If the copy named no request, the id was the request's own, and a copy that is a refusal made the whole answer one. The signature could also come twice with the same value.

A head that has the id or the signature on more than one line, or that says of a success that it has not run, contradicts itself. It is a broken answer after which the request may have run, whatever else it says. A case of the test that let the same signature pass on two lines is replaced by one that refuses it: no server has a reason to sign twice.

A copy that is written into a body of another one with a length cannot be told from the body.

--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -232,6 +232,8 @@
 
     def _check_head(self):
         head, server = self.head, self.server
+        if head.is_contradictory:
+            raise AnswerBroken(f"Server {server.id} sent two answers in one.")
         if not self.has_own_head and (head.ran or not self.has_trusted_head):
             raise AnswerBroken(
                 f"Server {server.id} sent the answer to another request."
--- a/pistachiowell/gateway/messages.py
+++ b/pistachiowell/gateway/messages.py
@@ -123,10 +123,10 @@
     Attributes:
         status: HTTP status.
         request_id: Id of the request that the server echoes; that of no request if it
-            names several.
-        is_signed: Whether the server has signed the answer, once.
+            names more than one.
+        is_signed: Whether the server has signed the answer.
         ran: Whether the request may have run; False only if the server reports that
-            it has not.
+            it has not, and nothing else.
         is_encoded: Whether the body was encoded on the way and is not as the server
             sent it.
         keep_alive_s: Seconds for which the server keeps the connection; 0 if it
@@ -144,6 +144,8 @@
         server_id: Id of the server that answers a health check; empty if it names none.
         cold_left_s: Seconds for which the server is slow; None if it names none.
         has_unreadable_cold_time: Whether it names such a time that is no number.
+        is_contradictory: Whether it says more than once what is said once, or of a
+            success that it has not run, as if two answers were in one another.
     """
 
     status: int
@@ -163,6 +165,7 @@
     server_id: str = ""
     cold_left_s: float | None = None
     has_unreadable_cold_time: bool = False
+    is_contradictory: bool = False
 
     @property
     def is_success(self):
--- a/pistachiowell/platform/headers.py
+++ b/pistachiowell/platform/headers.py
@@ -29,6 +29,7 @@
 COLD = b"pistachiowell-cold-ms"
 BUSY_STATUS = 503
 NOT_RUN_STATUS = 421
+FIRST_ERROR_STATUS = 400
 
 # Priority that a server assumes for requests without one; a lower number goes first.
 DEFAULT_PRIORITY = 5
@@ -135,7 +136,11 @@
         values.setdefault(name.lower(), value)
     dropped = _HOP_BY_HOP | _connection_headers(headers)
     length = values.get(b"content-length")
-    ids, signatures = _distinct(headers, REQUEST_ID), _distinct(headers, SIGNATURE)
+    ids, signatures = _values(headers, REQUEST_ID), _values(headers, SIGNATURE)
+    is_refusal = NOT_RUN in values or status == NOT_RUN_STATUS
+    is_contradictory = max(len(ids), len(signatures)) > 1 or (
+        is_refusal and status < FIRST_ERROR_STATUS
+    )
     named = [value for name, value in headers if name.lower() == LIMIT]
     limits = [float(value) for value in named if _DECIMAL.fullmatch(value.strip())]
     delays = [v for n, v in headers if status == BUSY_STATUS and n.lower() == DELAY]
@@ -145,8 +150,8 @@
     return AnswerHead(
         status=status,
         request_id=b", ".join(ids).decode("latin-1"),
-        is_signed=len(signatures) == 1 and signatures != [b""],
-        ran=NOT_RUN not in values and status != NOT_RUN_STATUS,
+        is_signed=any(signatures),
+        ran=is_contradictory or not is_refusal,
         is_encoded=b"content-encoding" in values,
         keep_alive_s=_parse_keep_alive_s(headers),
         length=_parse_count(length or b""),
@@ -160,6 +165,7 @@
         server_id=_text(values, HEALTHY_ID),
         cold_left_s=max((s for s in cold_ms if s is not None), default=None),
         has_unreadable_cold_time=len(cold_ms) < len(cold_times),
+        is_contradictory=is_contradictory,
     )
 
 
@@ -167,15 +173,15 @@
     return values.get(name, b"").decode("latin-1")
 
 
-def _distinct(headers, name):
-    """Returns the different values of the headers with a name, sorted."""
-    return sorted({value.strip() for key, value in headers if key.lower() == name})
+def _values(headers, name):
+    """Returns the values of the headers with a name."""
+    return [value.strip() for key, value in headers if key.lower() == name]
 
 
 def _items(headers, name):
     """Returns the items of the lists in the headers with a name, in lower case."""
-    lists = [value.lower() for key, value in headers if key.lower() == name]
-    return [item.strip() for item in b",".join(lists).split(b",")]
+    lists = b",".join(_values(headers, name)).lower()
+    return [item.strip() for item in lists.split(b",")]
 
 
 def _connection_headers(headers):
--- a/pistachiowell/platform/tests/test_ambiguous_heads.py
+++ b/pistachiowell/platform/tests/test_ambiguous_heads.py
@@ -48,10 +48,11 @@
     [
         ([f"{SIGNATURE_NAME}:"], {"Pistachiowell_Server_Signature": ""}),
         ([f"{SIGNATURE_NAME}: other"], {}),
+        ([f"{SIGNATURE_NAME}: {SIGNATURE}"], {}),
         ([f"{ID_NAME}: another"], {}),
         ([f"{ID_NAME}:"], {}),
     ],
-    ids=["empty signature", "two signatures", "two ids", "id and none"],
+    ids=["empty signature", "two signatures", "signed twice", "two ids", "id and none"],
 )
 async def test_success_that_nobody_can_trust_is_passed_on(
     start_rig, path, lines, fields
@@ -60,13 +61,45 @@
     assert (status, msgspec.json.decode(body)["error"]) == (502, "answer_broken")
 
 
+REFUSED = {"Pistachiowell_Not_Executed": "1"}
+
+
+@pytest.mark.parametrize(
+    ("status", "copy_status", "fields"),
+    [
+        ("200 OK", "200 OK", {}),
+        ("409 Conflict", "200 OK", {}),
+        ("500 Failed", "503 Full", REFUSED),
+        ("200 OK", "503 Full", {**REFUSED, "Pistachiowell_Server_Signature": ""}),
+    ],
+    ids=["success", "error", "refusal in an error", "refusal in a success"],
+)
+async def test_answer_within_the_head_of_another_is_passed_on(
+    start_rig, status, copy_status, fields
+):
+    async def script(request, stream):
+        own = head(request, status, Content_Length="3")
+        fields.update(Content_Length="4", Pistachiowell_Attempt_Id="")
+        text = own.partition("timeout")[0] + head(request, copy_status, **fields)
+        await stream.send((text + "\r\ncopy" + own).encode())
+        return True
+
+    async with start_rig() as rig:
+        await rig.add_server("desk-1", "desk", script)
+        await rig.add_server("desk-2", "desk", script)
+        await rig.add_gateway()
+        answered, _, body = await rig.send("/book/a", "POST")
+        received = [len(server.requests) for server in rig.servers.values()]
+    assert (answered, msgspec.json.decode(body)["ran"]) == (502, "unknown")
+    assert sorted(received) == [0, 1]
+
+
 @pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize(
     "line",
     [
         f"Connection: {SIGNATURE_NAME}",
         f"Connection: {ID_NAME}",
-        f"{SIGNATURE_NAME}: {SIGNATURE}",
     ],
 )
 async def test_success_arrives_without_its_signature(start_rig, path, line):
