Use no connection again that holds more than its answer

What callers saw: the answer to another request, with status 200, where the backend server of an agent wrote its answer twice in one piece; the other request may be that of another client account. Reads of the store returned what the call before them had asked for, and writes counted as applied.

Cause: the parser keeps the bytes after an answer and reads them as the answer to the next request. The library's pool checks only whether more bytes have arrived at the socket. The gateway's connections to servers had a check of their own; the agent's and the store's had none. Class: a late copy of an answer is taken for the next one on a kept connection.

Agents, the calls to the store and the gateway now use one check: a connection that holds bytes after its answer has expired.

What remains: answers of these servers name no request. A copy that arrives after the next request was sent cannot be told from its answer on these connections.

--- a/pistachiowell/engines/http.py
+++ b/pistachiowell/engines/http.py
@@ -13,6 +13,7 @@
     HeldBytes,
 )
 from pistachiowell.core.errors import MAY_HAVE_RUN, NOT_RUN, ServerFailed
+from pistachiowell.core.http_connections import SingleAnswerPool
 from pistachiowell.engines.limits import MAX_CONTROL_BYTES, MAX_HELD_CONTROL_BYTES
 from pistachiowell.engines.port import ServerLoad, ServerRefused
 
@@ -95,7 +96,7 @@
     def __init__(self, url):
         self._url = url.rstrip("/")
         self._held = HeldBytes(MAX_HELD_CONTROL_BYTES)
-        self._pool = httpcore.AsyncConnectionPool(
+        self._pool = SingleAnswerPool(
             max_connections=MAX_CONNECTIONS,
             max_keepalive_connections=MAX_CONNECTIONS,
             keepalive_expiry=IDLE_CONNECTION_TIMEOUT_S,
--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections.py
@@ -12,6 +12,7 @@
 import httpcore
 
 from pistachiowell.core.body_buffer import BodyBuffer, HeldBytes
+from pistachiowell.core.http_connections import has_extra_bytes
 from pistachiowell.engines import MAX_BODY_BYTES
 from pistachiowell.gateway.bounded_stream import BoundedBackend, HeadLimit
 from pistachiowell.store.calls import KEEP_ALIVE_OPTIONS
@@ -124,17 +125,8 @@
         if keep_alive_s is not None:
             limit_s = min(MAX_IDLE_S, keep_alive_s - IDLE_CLOSE_MARGIN_S)
         self._reusable_until = now + limit_s
-        return limit_s > 0 and self._http.is_idle() and not self._has_extra_bytes()
-
-    def _has_extra_bytes(self):
-        """Returns whether the server has sent more than the answer, which was read.
-
-        Such bytes belong to no request, and would be read as the next answer. Those
-        that arrive later make an idle connection readable, which httpcore checks.
-        """
-        # httpcore has no public view of what its parser holds.
-        data, _ = self._http._h11_state.trailing_data
-        return bool(data)
+        may_carry = limit_s > 0 and self._http.is_idle()
+        return may_carry and not has_extra_bytes(self._http)
 
     def is_reusable(self, now):
         """Returns whether it is open, idle and within its idle limit."""
--- a/pistachiowell/store/calls.py
+++ b/pistachiowell/store/calls.py
@@ -25,6 +25,7 @@
     StoreThrottled,
     StoreUnavailable,
 )
+from pistachiowell.core.http_connections import SingleAnswerPool
 from pistachiowell.store.era import StoreEra
 
 CONNECT_TIMEOUT_S = 2.0
@@ -93,7 +94,7 @@
         self._era_header = era_header
         self.era = StoreEra()
         self._held = HeldBytes(MAX_ANSWER_BYTES)
-        self._pool = httpcore.AsyncConnectionPool(
+        self._pool = SingleAnswerPool(
             max_connections=MAX_CONNECTIONS, socket_options=KEEP_ALIVE_OPTIONS
         )
 
