--- a/pistachiowell/platform/headers.py
+++ b/pistachiowell/platform/headers.py
@@ -29,6 +29,7 @@
 COLD = b"pistachiowell-cold-ms"
 BUSY_STATUS = 503
 NOT_RUN_STATUS = 421
+FIRST_ERROR_STATUS = 400
 
 # Priority that a server assumes for requests without one; a lower number goes first.
 DEFAULT_PRIORITY = 5
@@ -43,6 +44,8 @@
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection"
     b" te trailer transfer-encoding upgrade expect content-length".split()
 )
+# A header of this kind is for the caller or the server, whatever ``Connection`` names.
+_END_TO_END = frozenset({REQUEST_ID, SIGNATURE, b"host"})
 _SET_BY_ROUTERS = frozenset(
     {
         ACCOUNT,
@@ -76,7 +79,7 @@
         values.setdefault(name, value)
     query = scope["query_string"]
     target = scope["raw_path"] + (b"?" + query if query else b"")
-    dropped = _HOP_BY_HOP | _SET_BY_ROUTERS | _connection_headers(values)
+    dropped = _HOP_BY_HOP | _SET_BY_ROUTERS | _connection_headers(headers)
     return RequestHead(
         request_id=_text(values, REQUEST_ID),
         method=scope["method"],
@@ -131,8 +134,13 @@
     values = {}
     for name, value in headers:
         values.setdefault(name.lower(), value)
-    dropped = _HOP_BY_HOP | _connection_headers(values)
+    dropped = _HOP_BY_HOP | _connection_headers(headers)
     length = values.get(b"content-length")
+    ids, signatures = _values(headers, REQUEST_ID), _values(headers, SIGNATURE)
+    is_refusal = NOT_RUN in values or status == NOT_RUN_STATUS
+    is_contradictory = max(len(ids), len(signatures)) > 1 or (
+        is_refusal and status < FIRST_ERROR_STATUS
+    )
     named = [value for name, value in headers if name.lower() == LIMIT]
     limits = [float(value) for value in named if _DECIMAL.fullmatch(value.strip())]
     delays = [v for n, v in headers if status == BUSY_STATUS and n.lower() == DELAY]
@@ -141,11 +149,11 @@
     pauses = [float(value) for value in delays if _DECIMAL.fullmatch(value.strip())]
     return AnswerHead(
         status=status,
-        request_id=_text(values, REQUEST_ID),
-        is_signed=SIGNATURE in values,
-        ran=NOT_RUN not in values and status != NOT_RUN_STATUS,
+        request_id=b", ".join(ids).decode("latin-1"),
+        is_signed=any(signatures),
+        ran=is_contradictory or not is_refusal,
         is_encoded=b"content-encoding" in values,
-        keep_alive_s=_parse_keep_alive_s(values),
+        keep_alive_s=_parse_keep_alive_s(headers),
         length=_parse_count(length or b""),
         is_chunked=b"chunked" in values.get(b"transfer-encoding", b"").lower(),
         headers=[(n.lower(), v) for n, v in headers if n.lower() not in dropped],
@@ -157,6 +165,7 @@
         server_id=_text(values, HEALTHY_ID),
         cold_left_s=max((s for s in cold_ms if s is not None), default=None),
         has_unreadable_cold_time=len(cold_ms) < len(cold_times),
+        is_contradictory=is_contradictory,
     )
 
 
@@ -164,9 +173,19 @@
     return values.get(name, b"").decode("latin-1")
 
 
-def _connection_headers(values):
-    names = values.get(b"connection", b"").lower().split(b",")
-    return frozenset(name.strip() for name in names) - {REQUEST_ID, b"host"}
+def _values(headers, name):
+    """Returns the values of the headers with a name."""
+    return [value.strip() for key, value in headers if key.lower() == name]
+
+
+def _items(headers, name):
+    """Returns the items of the lists in the headers with a name, in lower case."""
+    lists = b",".join(_values(headers, name)).lower()
+    return [item.strip() for item in lists.split(b",")]
+
+
+def _connection_headers(headers):
+    return frozenset(_items(headers, b"connection")) - _END_TO_END
 
 
 def _parse_milliseconds(value):
@@ -208,13 +227,12 @@
     return Prompt(prompt_tokens, output_tokens, tuple(parts))
 
 
-def _parse_keep_alive_s(values):
+def _parse_keep_alive_s(headers):
     """Returns how long the server keeps the connection open; None if not announced."""
-    tokens = [t.strip().lower() for t in values.get(b"connection", b"").split(b",")]
-    if b"close" in tokens:
+    if b"close" in _items(headers, b"connection"):
         return 0.0
-    for item in values.get(b"keep-alive", b"").split(b","):
-        name, _, value = item.strip().partition(b"=")
-        if name.lower() == b"timeout" and _parse_count(value) is not None:
+    for item in _items(headers, b"keep-alive"):
+        name, _, value = item.partition(b"=")
+        if name == b"timeout" and _parse_count(value) is not None:
             return float(_parse_count(value))
     return None
