Spend the retry of a request when it is given up for silence

What callers saw: streams that may be resumed were cut in the middle, with neither their end nor an error, when a sound server sent nothing for a moment and went on. Requests with whole answers got 502 in the same case.

Cause: an attempt at a silent server was given up if a retry was left, and the retry was spent only after its end. All attempts that wait at one server are judged in the same tick, so each of them found the same last retry. The first one spent it; the others had given up an answer that the server would have ended, and nothing could go on with it. The class: a check and the spending of what it found, with other requests between them.

Evidence: the new test has six streams at a server that sends nothing for 0.9 s, with a share of one retry.

Why it works: the decision itself spends the retry, as the last of its checks, and the retry that follows is already paid. Who finds none left waits on. No more retries are sent than before.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -255,7 +255,7 @@
             ):
                 try:
                     with self._silence.watched_attempt(
-                        server, attempt.expected_wait_s, lambda: self._may_move_on(run)
+                        server, attempt.expected_wait_s, lambda: self._try_move_on(run)
                     ) as watch:
                         await self._send_in_turn(run, exchange, attempt)
                         attempt.record_status(exchange.head.status)
@@ -280,16 +280,16 @@
                         )
                     run.record_usage(exchange)
 
-    def _may_move_on(self, run):
+    def _try_move_on(self, run):
         if run.running > 1:
             # Another server is at work on the request.
             return False
         route = run.request.route
         if run.writer.has_started and not route.is_resumable:
             return False
-        if not run.retries.may_move_on(self._runtime.now(), self._retry_share(run)):
+        if not self._has_other_server(run):
             return False
-        return self._has_other_server(run)
+        return run.retries.try_move_on(self._runtime.now(), self._retry_share(run))
 
     def _has_other_server(self, run):
         return self._selection.has_other_server(
--- a/pistachiowell/gateway/silence.py
+++ b/pistachiowell/gateway/silence.py
@@ -79,14 +79,14 @@
         return self._detector.is_doubted(server_id, self._runtime.now())
 
     @contextmanager
-    def watched_attempt(self, server, expected_wait_s, may_move_on):
+    def watched_attempt(self, server, expected_wait_s, try_move_on):
         """Watches an attempt while the context is open.
 
         Args:
             server: The ``BackendServer``.
             expected_wait_s: Expected seconds to the first part of the answer.
-            may_move_on: Function that returns whether the request may be sent to
-                another server now.
+            try_move_on: Function that returns whether the request may be sent to
+                another server now, and spends the retry if so.
 
         Yields:
             The ``WatchedAttempt``.
@@ -96,7 +96,7 @@
         """
         now = self._runtime.now()
         wait = self._detector.record_start(server.id, expected_wait_s, now)
-        watch = WatchedAttempt(self._detector, wait, may_move_on, self._runtime.now)
+        watch = WatchedAttempt(self._detector, wait, try_move_on, self._runtime.now)
         self._watches[wait] = watch
         try:
             with watch.scope:
@@ -168,8 +168,8 @@
     Args:
         detector: The ``SilenceDetector``.
         wait: Its ``Wait``.
-        may_move_on: Function that returns whether the request may be sent to another
-            server now.
+        try_move_on: Function that returns whether the request may be sent to another
+            server now, and spends the retry if so.
         now: Function that returns the monotonic time in seconds.
 
     Attributes:
@@ -177,12 +177,12 @@
         scope: Cancel scope of the attempt.
     """
 
-    __slots__ = ("_detector", "_may_move_on", "_now", "_wait", "is_given_up", "scope")
+    __slots__ = ("_detector", "_try_move_on", "_now", "_wait", "is_given_up", "scope")
 
-    def __init__(self, detector, wait, may_move_on, now):
+    def __init__(self, detector, wait, try_move_on, now):
         self._detector = detector
         self._wait = wait
-        self._may_move_on = may_move_on
+        self._try_move_on = try_move_on
         self._now = now
         self.scope = anyio.CancelScope()
         self.is_given_up = False
@@ -202,6 +202,6 @@
 
     def move_on(self):
         """Gives the attempt up if its request may be sent to another server."""
-        if not self.is_given_up and self._may_move_on():
+        if not self.is_given_up and self._try_move_on():
             self.is_given_up = True
             self.scope.cancel()
--- /dev/null
+++ b/pistachiowell/platform/tests/test_silent_servers.py
@@ -0,0 +1,71 @@
+"""A sound server that sends nothing for a second and goes on.
+
+Guards against answers that are ended because of it though no other server can go on
+with them.
+"""
+
+import anyio
+import httpcore
+import pytest
+
+from pistachiowell.platform.standins import chunk, event, head
+from pistachiowell.platform.tests.conftest import configuration
+
+pytestmark = pytest.mark.anyio
+
+LAST = 46
+STREAMS = 6
+# Its patience between two events is a quarter of a second, after some quick ones.
+SILENCE_S = 0.9
+
+
+def stream_with_silence(after):
+    """Returns a script that streams events and is silent after one of them."""
+
+    async def script(request, stream):
+        text = head(
+            request, Content_Type="text/event-stream", Transfer_Encoding="chunked"
+        )
+        await stream.send((text + "\r\n").encode())
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, LAST + 1):
+            await stream.send(chunk(event(number)))
+            await anyio.sleep(SILENCE_S if number == after else 0.005)
+        await stream.send(b"0\r\n\r\n")
+        return True
+
+    return script
+
+
+async def read_chat(rig, answers):
+    """Sends a request for a stream and stores what came of it, if it ended whole."""
+    received, is_whole = b"", True
+    headers = {
+        "Pistachiowell_Model": "m",
+        "Pistachiowell_Token_Usage": "100,300",
+        "Pistachiowell_Deadline_Ms": "1900",
+    }
+    try:
+        async with rig.open("/chat/x", "POST", b"prompt", **headers) as response:
+            async for data in response.aiter_stream():
+                received += data
+    except httpcore.RemoteProtocolError:
+        is_whole = False
+    answers.append((is_whole, received.count(b"\n\n")))
+
+
+async def test_streams_given_up_together_exceed_the_retry_share(start_rig):
+    answers = []
+    async with start_rig() as rig:
+        await rig.add_server("pool-1", "pool", stream_with_silence(40))
+        # Without agents nobody probes the server and finds that it still answers.
+        rig.store.put("config", "main", configuration(2, prepaid=None))
+        # It may send one of the streams again.
+        await rig.add_gateway(retry_ratio=0.3, retry_fixed=0.0)
+        async with anyio.create_task_group() as group:
+            for _ in range(STREAMS):
+                group.start_soon(read_chat, rig, answers)
+            await rig.until(lambda: len(rig.servers["pool-1"].requests) == STREAMS)
+            await rig.add_server("pool-2", "pool", stream_with_silence(0))
+            await rig.until(lambda: len(answers) == STREAMS)
+    assert answers == [(True, LAST)] * STREAMS
--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -295,6 +295,7 @@
         deadline: Time of the caller's deadline.
 
     Attributes:
+        is_paid: Whether the retry that follows the present attempt is already spent.
         may_have_run: Whether any attempt so far may have run, which the error to the
             caller must say.
     """
@@ -305,6 +306,7 @@
         "_route",
         "_runs",
         "_sends",
+        "is_paid",
         "may_have_run",
     )
 
@@ -314,6 +316,7 @@
         self._free_sends = 0
         self._runs = 0
         self._sends = 0
+        self.is_paid = False
         self.may_have_run = False
 
     @property
@@ -351,23 +354,29 @@
             now: Present time in seconds.
             share: The ``RetryShare`` of the service that the next attempt goes to.
         """
+        was_paid, self.is_paid = self.is_paid, False
         self.record_failure(failure)
         if not failure.may_have_arrived and failure.has_other_server:
             self._free_sends += 1
         if not self._may_send_again(now, self._runs, self.may_have_run):
             return False
-        return failure.may_have_arrived is False or share.try_spend(now)
+        return was_paid or not failure.may_have_arrived or share.try_spend(now)
 
-    def may_move_on(self, now, share):
-        """Returns whether a retry would be allowed if the attempt were given up now.
+    def try_move_on(self, now, share):
+        """Spends the retry that follows if the present attempt is given up now.
 
-        The attempt may have run. Nothing is spent.
+        The attempt may have run. Others are given up in the same moment, so a retry
+        that is only found to be left may be gone by the time it is to start.
 
         Args:
             now: Present time in seconds.
             share: The ``RetryShare`` of the service that the next attempt goes to.
+
+        Returns:
+            Whether the attempt may be given up.
         """
-        return self.may_send_beside(now) and share.has_left(now)
+        self.is_paid = self.may_send_beside(now) and share.try_spend(now)
+        return self.is_paid
 
     def may_send_beside(self, now):
         """Returns whether the route allows another attempt beside the present one.
