Wait for a server that pauses within the head of its answer

What callers saw: 502 on a request that may run once only, and 504 after a needless repeat on one that is idempotent, when a sound server paused for more than a second within the head of its answer and went on.

Cause: the limit on heads without end was a time from the first byte, so a server that sent nothing was cut off as one that sends without end. The class: silence taken for the end of an answer.

Evidence: the new test has a pause of 1.2 s after 30 bytes of the head, on both kinds of routes; before, both cases failed with the statuses above, now both get the answer.

Why it works: only time in which bytes keep coming counts, and a wait for the next byte counts as 0.1 s at most. A head that never ends is cut off as before; a silent server is left to the detector of silent servers and to the deadline of the request. Lateness of the event loop counts less than before.

--- a/pistachiowell/gateway/bounded_stream.py
+++ b/pistachiowell/gateway/bounded_stream.py
@@ -14,8 +14,9 @@
 import httpcore
 
 MAX_HEAD_BYTES = 65_536
-# From the first byte: a server may wait long before it answers, but not within a head.
 MAX_HEAD_S = 1.0
+# A sound server may pause within a head: no wait for the next byte counts for more.
+MAX_COUNTED_WAIT_S = 0.1
 # Lingering for a time of zero: closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _INTEGER = struct.Struct("i")
@@ -26,27 +27,29 @@
 
 
 class HeadLimit:
-    """Limits the bytes and the time from the first byte of a head to its end.
+    """Limits the bytes of a head and the time in which they keep coming.
+
+    A server that sends nothing is no matter of this limit, whether it has begun its
+    head or not: it may go on until the deadline of the request.
 
     Args:
         now: Function that returns the monotonic time in seconds.
 
     Examples:
-        >>> limit = HeadLimit(lambda: 5.0)
-        >>> limit.begin(); limit.record(100); limit.left_s()
-        1.0
-        >>> limit.end(); limit.record(MAX_HEAD_BYTES)
-        >>> limit.left_s() is None
-        True
+        >>> times = iter([5.0, 7.0])
+        >>> limit = HeadLimit(lambda: next(times))
+        >>> limit.begin(); limit.record(100); limit.record(100); limit.left_s
+        0.9
     """
 
-    __slots__ = ("_bytes", "_ends_at", "_is_active", "_now")
+    __slots__ = ("_bytes", "_is_active", "_now", "_read_at", "left_s")
 
     def __init__(self, now):
         self._now = now
         self._is_active = False
         self._bytes = 0
-        self._ends_at = None
+        self._read_at = None
+        self.left_s = MAX_HEAD_S
 
     @property
     def is_awaited(self):
@@ -57,7 +60,8 @@
         """Starts to wait for a head."""
         self._is_active = True
         self._bytes = 0
-        self._ends_at = None
+        self._read_at = None
+        self.left_s = MAX_HEAD_S
 
     def end(self):
         """Ends the limits, as the head is complete."""
@@ -67,29 +71,20 @@
         """Records received bytes.
 
         Raises:
-            EndlessHeadError: The limit of bytes is exceeded.
+            EndlessHeadError: A limit is exceeded.
         """
         if not self._is_active:
             return
-        if not self._bytes:
-            self._ends_at = self._now() + MAX_HEAD_S
+        now = self._now()
+        if self._read_at is not None:
+            self.left_s -= min(now - self._read_at, MAX_COUNTED_WAIT_S)
+        self._read_at = now
         self._bytes += size
         if self._bytes > 2 * MAX_HEAD_BYTES:
             # One read may hold a whole head and as many bytes of the body.
             raise EndlessHeadError(f"Its head exceeds {MAX_HEAD_BYTES} bytes.")
-
-    def left_s(self):
-        """Returns the seconds left for the head; None without a limit.
-
-        Raises:
-            EndlessHeadError: The time is over.
-        """
-        if not self._is_active or self._ends_at is None:
-            return None
-        left_s = self._ends_at - self._now()
-        if left_s <= 0:
+        if self.left_s <= 0:
             raise EndlessHeadError(f"Its head did not end within {MAX_HEAD_S} s.")
-        return left_s
 
 
 class BoundedStream(httpcore.AsyncNetworkStream):
@@ -98,25 +93,16 @@
     Args:
         stream: The ``httpcore.AsyncNetworkStream`` that does the I/O.
         limit: The ``HeadLimit``.
-        deadline: Function that returns a cancel scope of so many seconds.
         hand_over: Function of the stream that does the I/O; called in place of closing
             it after a wait for a head was cancelled. Returns whether the stream is
             closed elsewhere.
     """
 
-    __slots__ = (
-        "_deadline",
-        "_hand_over",
-        "_is_handed_over",
-        "_limit",
-        "_stream",
-        "_was_cancelled",
-    )
+    __slots__ = ("_hand_over", "_is_handed_over", "_limit", "_stream", "_was_cancelled")
 
-    def __init__(self, stream, limit, deadline, hand_over):
+    def __init__(self, stream, limit, hand_over):
         self._stream = stream
         self._limit = limit
-        self._deadline = deadline
         self._hand_over = hand_over
         self._was_cancelled = False
         self._is_handed_over = False
@@ -124,22 +110,13 @@
     async def read(self, max_bytes, timeout=None):
         """Reads bytes; see ``httpcore.AsyncNetworkStream.read``."""
         try:
-            data = await self._read_in_time(max_bytes, timeout)
+            data = await self._stream.read(max_bytes, timeout)
         except anyio.get_cancelled_exc_class():
             self._was_cancelled = True
             raise
         self._limit.record(len(data))
         return data
 
-    async def _read_in_time(self, max_bytes, timeout):
-        left_s = self._limit.left_s()
-        if left_s is None:
-            return await self._stream.read(max_bytes, timeout)
-        with self._deadline(left_s) as scope:
-            return await self._stream.read(max_bytes, timeout)
-        if scope.cancelled_caught:
-            raise EndlessHeadError(f"Its head did not end within {MAX_HEAD_S} s.")
-
     async def write(self, buffer, timeout=None):
         """Writes bytes; see ``httpcore.AsyncNetworkStream.write``."""
         await self._stream.write(buffer, timeout)
@@ -205,4 +182,4 @@
             )
         if scope.cancelled_caught:
             raise httpcore.ConnectTimeout
-        return BoundedStream(stream, self._limit, self._deadline, self._hand_over)
+        return BoundedStream(stream, self._limit, self._hand_over)
--- a/pistachiowell/platform/tests/test_silent_servers.py
+++ b/pistachiowell/platform/tests/test_silent_servers.py
@@ -69,3 +69,25 @@
             await rig.add_server("pool-2", "pool", stream_with_silence(0))
             await rig.until(lambda: len(answers) == STREAMS)
     assert answers == [(True, LAST)] * STREAMS
+
+
+def stop_within_head(seconds):
+    """Returns a script whose answer has a pause within its head."""
+
+    async def script(request, stream):
+        data = (head(request, Content_Length="2") + "\r\nok").encode()
+        await stream.send(data[:30])
+        await anyio.sleep(seconds)
+        await stream.send(data[30:])
+        return True
+
+    return script
+
+
+@pytest.mark.parametrize("path", ["/read/a", "/book/a"])
+async def test_answer_is_ended_as_its_server_pauses_within_the_head(start_rig, path):
+    async with start_rig() as rig:
+        await rig.add_server("desk-1", "desk", stop_within_head(1.2))
+        await rig.add_gateway()
+        status, _, body = await rig.send(path)
+    assert (status, body) == (200, b"ok")
