Keep the service of a request that is given up for silence

What callers saw: on a route with several services, a stream that may be resumed was cut in the middle when its server sent nothing for a moment and went on.

Cause: an attempt at a silent server is given up if another server of its service can go on with it and the service's share has a retry left. The service was then drawn anew, so the rest of the stream went to one for which nobody had asked either, and the retry was spent in the share of that one. The class: a decision that is carried out on something else than what it was made for.

Evidence: the new test has six streams on a route to two services, of which one refuses.

Why it works: if the retry is already paid, its service stays as it is. Other retries draw the service as before.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -135,7 +135,9 @@
                     self._runtime.metrics.count("requests.refused_late")
                 raise self._final_error(run, error) from error
             except PistachiowellError as error:
-                run.service = self._choose_service(request)
+                # An attempt is given up for another server of the same service.
+                if not run.retries.is_paid:
+                    run.service = self._choose_service(request)
                 if not self._may_retry(run, error):
                     self._log_last_attempt(run, number, error)
                     if isinstance(error, ServerErrorAnswer):
--- a/pistachiowell/platform/tests/test_silent_servers.py
+++ b/pistachiowell/platform/tests/test_silent_servers.py
@@ -8,7 +8,7 @@
 import httpcore
 import pytest
 
-from pistachiowell.platform.standins import chunk, event, head
+from pistachiowell.platform.standins import chunk, event, head, refuse
 from pistachiowell.platform.tests.conftest import configuration
 
 pytestmark = pytest.mark.anyio
@@ -91,3 +91,21 @@
         await rig.add_gateway()
         status, _, body = await rig.send(path)
     assert (status, body) == (200, b"ok")
+
+
+async def test_stream_given_up_goes_to_a_service_that_cannot_continue_it(start_rig):
+    answers = []
+    document = configuration(2, prepaid=None)
+    chat = next(r for r in document["Routes"] if r["Name"] == "chat")
+    chat["Split"] = [{"Service": s, "Weight": 1} for s in ("pool", "desk")]
+    async with start_rig() as rig:
+        await rig.add_server("pool-1", "pool", stream_with_silence(40))
+        await rig.add_server("pool-2", "pool", stream_with_silence(0))
+        await rig.add_server("desk-1", "desk", refuse)
+        rig.store.put("config", "main", document)
+        await rig.add_gateway(retry_ratio=2.0, retry_fixed=0.0)
+        async with anyio.create_task_group() as group:
+            for _ in range(STREAMS):
+                group.start_soon(read_chat, rig, answers)
+            await rig.until(lambda: len(answers) == STREAMS)
+    assert {answer for answer in answers if answer[1]} == {(True, LAST)}
