Reject the part of an answer whose server ends before it has the upload

Callers got a part of a body as a complete answer: a server answered a long upload at once with a 200 that has no length, sent 3,000 bytes, ended its direction and reset the connection while the upload was still on its way.

Cause: an answer without a length ends with its connection, and only a reset that came before that end was told from an end in order. The whole upload may be in this kernel's buffer by then, so no write fails; after a FIN, Linux reports the end of the stream and never the reset that follows. A server that is killed when it has read all that has arrived ends in the same way. The class: the end of a connection is taken for the end of an answer.

Now an answer that ends with its connection counts as complete only if the server's kernel has acknowledged the whole request and the connection was not reset. A server that has read its request has acknowledged it with its FIN or before, so nothing waits; one that reads the upload after its answer is waited for, up to 1 s. All paths (whole answers, streams, retries, hedges, relays) read through the same exchange.

Evidence: 37 cases of the new tests with real connections (uploads of 20 kB to 2 MB; idempotent, non-idempotent, streams, resumable streams, a second server).

The two places that asked the kernel for unacknowledged bytes use one function.

--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -1,9 +1,5 @@
 """HTTP protocol class for uvicorn that limits what a caller sends and leaves unread."""
 
-import fcntl
-import sys
-import termios
-
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
@@ -11,6 +7,7 @@
 from pistachiowell.core.connection_order import Stage
 from pistachiowell.core.read_gate import ReadGate
 from pistachiowell.core.refusals import INVALID, NO_ROOM, TOO_SLOW, refusal
+from pistachiowell.core.socket_state import unacknowledged_bytes
 from pistachiowell.core.traffic import ConnectionTraffic, CountedTransport
 
 WRITE_BUFFER_BYTES = 4096
@@ -26,18 +23,6 @@
     """Ends the parsing of a connection from a callback of the parser."""
 
 
-def _queued_bytes(sock):
-    """Returns the bytes that this kernel keeps until the peer has taken them.
-
-    A socket becomes writable only after a good part of them, which a slow reader takes
-    long for.
-
-    References:
-        tcp(7): ``SIOCOUTQ``.
-    """
-    return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
-
-
 def bounded_protocol(
     max_header_bytes, body, clients=None, take_over=None, traffic=None
 ):
@@ -90,8 +75,9 @@
         @property
         def unsent_bytes(self):
             """Bytes of answers that the client's kernel has not taken."""
+            # A socket becomes writable only after the peer has taken a good part.
             sock = self.transport.get_extra_info("socket")
-            return self.transport.get_write_buffer_size() + _queued_bytes(sock)
+            return self.transport.get_write_buffer_size() + unacknowledged_bytes(sock)
 
         @property
         def _is_answering(self):
--- /dev/null
+++ b/pistachiowell/core/socket_state.py
@@ -0,0 +1,61 @@
+"""What the kernel knows of a TCP connection.
+
+References:
+    tcp(7): ``SIOCOUTQ`` and ``TCP_INFO``.
+"""
+
+import fcntl
+import socket
+import sys
+import termios
+
+import anyio
+
+# A server that has ended acknowledges or resets what is on its way within a round trip.
+DELIVERY_TIMEOUT_S = 1.0
+CHECK_INTERVAL_S = 0.005
+# First byte of ``struct tcp_info``; see ``enum`` in ``netinet/tcp.h``.
+_STATE_CLOSED = 7
+
+
+def unacknowledged_bytes(sock):
+    """Returns the bytes that the peer's kernel has not acknowledged.
+
+    Args:
+        sock: An open socket.
+
+    Raises:
+        OSError: The kernel does not say.
+    """
+    return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+
+
+def is_reset(sock):
+    """Returns whether a connection has ended in both directions, as after a reset.
+
+    Args:
+        sock: A socket that this process has not shut down.
+    """
+    if sock.fileno() < 0:
+        return True
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == _STATE_CLOSED
+
+
+async def has_taken_all(sock):
+    """Returns whether the peer's kernel takes all that was sent to it.
+
+    Call this when the peer has ended its direction. A peer that has read everything has
+    acknowledged it before; one that ends meanwhile resets what still arrives.
+
+    Args:
+        sock: A socket that this process has not shut down.
+
+    Returns:
+        False also if nothing shows it within ``DELIVERY_TIMEOUT_S``.
+    """
+    with anyio.move_on_after(DELIVERY_TIMEOUT_S):
+        while not is_reset(sock):
+            if not unacknowledged_bytes(sock):
+                return True
+            await anyio.sleep(CHECK_INTERVAL_S)
+    return False
--- a/pistachiowell/gateway/bounded_stream.py
+++ b/pistachiowell/gateway/bounded_stream.py
@@ -4,21 +4,20 @@
 for the end of the head, or skips one informational answer after the other.
 """
 
-import fcntl
 import math
 import socket
 import struct
-import termios
 
 import anyio
 import httpcore
 
+from pistachiowell.core.socket_state import has_taken_all, unacknowledged_bytes
+
 MAX_HEAD_BYTES = 65_536
 # From the first byte: a server may wait long before it answers, but not within a head.
 MAX_HEAD_S = 1.0
 # Lingering for a time of zero: closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-_INTEGER = struct.Struct("i")
 
 
 class EndlessHeadError(Exception):
@@ -107,6 +106,7 @@
     __slots__ = (
         "_deadline",
         "_hand_over",
+        "_has_ended",
         "_is_handed_over",
         "_limit",
         "_stream",
@@ -118,6 +118,7 @@
         self._limit = limit
         self._deadline = deadline
         self._hand_over = hand_over
+        self._has_ended = False
         self._was_cancelled = False
         self._is_handed_over = False
 
@@ -128,9 +129,20 @@
         except anyio.get_cancelled_exc_class():
             self._was_cancelled = True
             raise
+        self._has_ended = not data
         self._limit.record(len(data))
         return data
 
+    async def has_ended_in_order(self):
+        """Returns whether the server had the whole request, if it has ended the stream.
+
+        An answer without a length ends with its connection. So does the part that was
+        sent by a server that ends on the way.
+        """
+        if not self._has_ended:
+            return True
+        return await has_taken_all(self._stream.get_extra_info("socket"))
+
     async def _read_in_time(self, max_bytes, timeout):
         left_s = self._limit.left_s()
         if left_s is None:
@@ -170,10 +182,9 @@
     if sock.fileno() < 0:
         return False  # closed before
     try:
-        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, _INTEGER.pack(0))
+        return unacknowledged_bytes(sock) > 0
     except OSError:
         return False
-    return _INTEGER.unpack(size)[0] > 0
 
 
 class BoundedBackend(httpcore.AsyncNetworkBackend):
--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections.py
@@ -57,6 +57,7 @@
         "_http",
         "_port",
         "_reusable_until",
+        "_stream",
     )
 
     def __init__(self, host, port, deadline=anyio.move_on_after):
@@ -65,6 +66,7 @@
         self._head_limit = HeadLimit(anyio.current_time)
         self._backend = BoundedBackend(self._head_limit, deadline, self._hand_over)
         self._http = None
+        self._stream = None
         self._reusable_until = float("-inf")
         self.on_given_up = None
 
@@ -82,11 +84,11 @@
         """
         if self._http is not None:
             return
-        stream = await self._backend.connect_tcp(
+        self._stream = await self._backend.connect_tcp(
             self._host, self._port, CONNECT_TIMEOUT_S, socket_options=_SOCKET_OPTIONS
         )
         origin = httpcore.Origin(b"http", self._host.encode(), self._port)
-        self._http = httpcore.AsyncHTTP11Connection(origin, stream)
+        self._http = httpcore.AsyncHTTP11Connection(origin, self._stream)
 
     async def request(self, method, target, headers, body):
         """Sends a request and reads the head of the answer.
@@ -106,6 +108,13 @@
         self._head_limit.end()
         return response
 
+    async def has_ended_in_order(self):
+        """Returns whether its end, if it has come, may be that of the whole answer.
+
+        Call this after the answer was read; see ``BoundedStream.has_ended_in_order``.
+        """
+        return await self._stream.has_ended_in_order()
+
     def _hand_over(self, stream):
         return self.on_given_up is not None and self.on_given_up(stream)
 
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -205,6 +205,10 @@
             raise ConnectionBroken(
                 f"Server {self.server.id} cut off its answer: {error_text(error)}."
             ) from error
+        if not await self._connection.has_ended_in_order():
+            raise ConnectionBroken(
+                f"Server {self.server.id} ended before it had the whole request."
+            )
         # The connection can carry another request only after the response is closed.
         await self._body.aclose()
         self._is_complete = True
--- a/pistachiowell/platform/tests/conftest.py
+++ b/pistachiowell/platform/tests/conftest.py
@@ -133,10 +133,15 @@
 
     async def add_server(self, server_id, service, script=answer_whole, **fields):
         """Starts a backend server and registers it."""
-        server = self.servers[server_id] = BackendStandIn(server_id, script)
+        server = BackendStandIn(server_id, script)
+        await self.start_server(server_id, service, server, **fields)
+        return server
+
+    async def start_server(self, server_id, service, server, **fields):
+        """Starts a backend server of any kind and registers it."""
+        self.servers[server_id] = server
         await self._group.start(server.serve)
         self.register(server_id, service, **fields)
-        return server
 
     def register(self, server_id, service, state="ready", **fields):
         """Writes the registration of a server."""
--- /dev/null
+++ b/pistachiowell/platform/tests/early_server.py
@@ -0,0 +1,110 @@
+"""A backend server that answers a long upload before it has read it."""
+
+import asyncio
+import socket
+
+import anyio
+
+from pistachiowell.gateway.bounded_stream import RESET_ON_CLOSE
+from pistachiowell.platform.standins import ReceivedRequest, head
+
+# A small buffer, so that most of an upload is still on its way when the answer comes.
+RECEIVE_BUFFER_BYTES = 4_096
+
+
+class EarlyServer:
+    """Answers each request once its head has come, and then ends the connection.
+
+    Args:
+        body: Bytes of the body.
+        end: Async function of the socket that ends the connection; what it returns is
+            added to ``uploads``.
+        status: Status code and reason phrase.
+        headers: As of ``head``.
+
+    Attributes:
+        port: TCP port, once it listens.
+        received: Number of heads received.
+        uploads: What was read of the requests after the answers.
+    """
+
+    def __init__(self, body, end, status="200 OK", **headers):
+        self._body = body
+        self._end = end
+        self._status = status
+        self._headers = headers
+        self.port = 0
+        self.received = 0
+        self.uploads = []
+
+    async def serve(self, *, task_status):
+        """Serves until cancelled."""
+        with socket.socket() as listener:
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            listener.setblocking(False)
+            self.port = listener.getsockname()[1]
+            task_status.started()
+            async with anyio.create_task_group() as group:
+                while True:
+                    loop = asyncio.get_running_loop()
+                    sock, _ = await loop.sock_accept(listener)
+                    group.start_soon(self._answer, sock)
+
+    async def _answer(self, sock):
+        loop = asyncio.get_running_loop()
+        with sock:
+            sock.setblocking(False)
+            data = b""
+            while b"\r\n\r\n" not in data:
+                # One byte more than the head is not read.
+                data += await loop.sock_recv(sock, 1)
+            self.received += 1
+            text = head(_parse(data), self._status, Keep_Alive="", **self._headers)
+            await loop.sock_sendall(sock, text.encode() + b"\r\n" + self._body)
+            self.uploads.append(await self._end(sock))
+
+
+def _parse(data):
+    request = ReceivedRequest()
+    for line in data.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
+        name, _, value = line.partition(b":")
+        request.on_header(name, value.strip())
+    return request
+
+
+async def reset(sock):
+    """Resets a connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
+async def reset_later(sock):
+    """Resets a connection while the rest of the upload waits to be read."""
+    await anyio.sleep(0.05)
+    await reset(sock)
+
+
+async def close_unread(sock):
+    """Closes a connection of which some bytes were not read, which resets it."""
+    del sock
+
+
+async def reset_after_end(sock):
+    """Ends the answer, and resets the connection while the upload is on its way."""
+    sock.shutdown(socket.SHUT_WR)
+    await anyio.sleep(0.05)
+    await reset(sock)
+
+
+async def read_after_end(sock):
+    """Ends the answer, then reads the whole upload."""
+    sock.shutdown(socket.SHUT_WR)
+    await anyio.sleep(0.05)
+    data = b""
+    loop = asyncio.get_running_loop()
+    while part := await loop.sock_recv(sock, RECEIVE_BUFFER_BYTES):
+        data += part
+    return data
--- /dev/null
+++ b/pistachiowell/platform/tests/test_early_answers.py
@@ -0,0 +1,105 @@
+"""A server answers a long upload at once and ends while the upload is on its way.
+
+Guards against a part of a body that a caller takes for a whole answer.
+"""
+
+import httpcore
+import pytest
+
+from pistachiowell.platform.standins import answer_whole, event, stream_events
+from pistachiowell.platform.tests.conftest import configuration
+from pistachiowell.platform.tests.early_server import (
+    EarlyServer,
+    close_unread,
+    read_after_end,
+    reset,
+    reset_after_end,
+    reset_later,
+)
+
+pytestmark = pytest.mark.anyio
+
+PART = b"a" * 3_000
+EVENTS = event(1) + event(2)
+RESETS = [reset, reset_later, close_unread, reset_after_end]
+UPLOAD = b"u" * 200_000
+ATTEMPTS = 6
+
+
+async def start_early(rig, service, server):
+    """Starts a server that answers early, and a gateway that takes long uploads."""
+    document = configuration(2)
+    document["Limits"]["MaxBodyBytes"] = 4_000_000
+    rig.store.put("config", "main", document)
+    await rig.start_server("early-1", service, server)
+    await rig.add_agent("agent-1")
+    gateway = await rig.add_gateway()
+    await rig.until_revision(gateway.state, 2)
+
+
+async def read_stream(rig, path):
+    """Returns the stream that a caller gets for a long prompt, and how it ended."""
+    data, error = b"", None
+    try:
+        async with rig.open(path, "POST", UPLOAD) as response:
+            async for part in response.aiter_stream():
+                data += part
+    except httpcore.RemoteProtocolError as caught:
+        error = caught
+    return data, error
+
+
+@pytest.mark.parametrize("end", RESETS)
+@pytest.mark.parametrize("size", [20_000, 200_000, 2_000_000])
+@pytest.mark.parametrize("path", ["/read/a", "/book/a"])
+async def test_part_of_an_answer_is_passed_on_as_whole(start_rig, path, size, end):
+    server = EarlyServer(PART, end)
+    async with start_rig() as rig:
+        await start_early(rig, "desk", server)
+        status, _, _ = await rig.send(path, "POST", b"u" * size)
+    assert server.received
+    assert status == 502
+
+
+@pytest.mark.parametrize("end", RESETS)
+async def test_part_of_an_answer_is_kept_though_another_server_has_a_whole_one(
+    start_rig, end
+):
+    server = EarlyServer(PART, end)
+    async with start_rig() as rig:
+        await rig.add_server("desk-2", "desk", answer_whole)
+        await start_early(rig, "desk", server)
+        answers = [await rig.send("/read/a", "POST", UPLOAD) for _ in range(ATTEMPTS)]
+    assert server.received
+    assert [(status, body) for status, _, body in answers] == [(200, b"ok")] * ATTEMPTS
+
+
+@pytest.mark.parametrize("end", RESETS)
+async def test_begun_stream_looks_complete(start_rig, end):
+    server = EarlyServer(EVENTS, end, Content_Type="text/event-stream")
+    async with start_rig() as rig:
+        await start_early(rig, "pool", server)
+        data, error = await read_stream(rig, "/long/a")
+    assert server.received
+    assert error is not None
+    assert EVENTS.startswith(data)
+
+
+@pytest.mark.parametrize("end", RESETS)
+async def test_begun_stream_is_not_continued(start_rig, end):
+    server = EarlyServer(EVENTS, end, Content_Type="text/event-stream")
+    async with start_rig() as rig:
+        await rig.add_server("pool-2", "pool", stream_events(1, 4))
+        await start_early(rig, "pool", server)
+        streams = [await read_stream(rig, "/chat/a") for _ in range(ATTEMPTS)]
+    assert server.received
+    assert streams == [(b"".join(map(event, range(1, 5))), None)] * ATTEMPTS
+
+
+async def test_whole_answer_fails_as_its_server_reads_the_upload_later(start_rig):
+    server = EarlyServer(PART, read_after_end)
+    async with start_rig() as rig:
+        await start_early(rig, "desk", server)
+        status, _, body = await rig.send("/book/a", "POST", UPLOAD)
+        await rig.until(lambda: server.uploads)
+    assert (status, body, server.uploads) == (200, PART, [UPLOAD])
