Reject at agents, too, the part of an answer whose server ends early

The same fault as in the gateway stood in the agent's adapter to its backend server: a server that answers an upload of 200 kB with a 200 without a length, sends 3,000 bytes, ends its direction and resets the connection had its part taken as a whole answer. The agent would have passed it to the router, and kept it for repeats of the key on a non-idempotent route.

Such an answer now fails unless the server's kernel has acknowledged the whole request and the connection was not reset; it may have run.

The stand-in of such a server is shared.

--- a/pistachiowell/engines/http.py
+++ b/pistachiowell/engines/http.py
@@ -12,6 +12,7 @@
     HeldBytes,
 )
 from pistachiowell.core.errors import MAY_HAVE_RUN, NOT_RUN, ServerFailed
+from pistachiowell.core.socket_state import has_taken_all
 from pistachiowell.engines.limits import MAX_CONTROL_BYTES, MAX_HELD_CONTROL_BYTES
 from pistachiowell.engines.port import ServerLoad, ServerRefused
 
@@ -21,6 +22,8 @@
 IDLE_CONNECTION_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 1024
 
+_STATUSES_WITHOUT_BODY = (204, 304)
+
 _NOT_SENT_ERRORS = (httpcore.ConnectTimeout, httpcore.PoolTimeout)
 
 
@@ -72,6 +75,23 @@
         with _translate_errors():
             async for part in self._response.aiter_stream():
                 yield part
+        if self._ends_with_connection:
+            await self._check_end()
+
+    @property
+    def _ends_with_connection(self):
+        names = {name.lower() for name, _ in self._response.headers}
+        has_end = names & {b"content-length", b"transfer-encoding"}
+        return not has_end and self.status not in _STATUSES_WITHOUT_BODY
+
+    async def _check_end(self):
+        # The part that was sent by a server that ends on the way ends in the same way.
+        stream = self._response.extensions["network_stream"]
+        if not await has_taken_all(stream.get_extra_info("socket")):
+            raise ServerFailed(
+                "The backend server ended before it had the whole request.",
+                ran=MAY_HAVE_RUN,
+            )
 
 
 class HttpBackend:
--- /dev/null
+++ b/pistachiowell/engines/tests/test_early_answers.py
@@ -0,0 +1,52 @@
+"""A server answers a long upload at once and ends while the upload is on its way.
+
+Guards against a part of a body that an agent takes for a whole answer.
+"""
+
+import anyio
+import pytest
+
+from pistachiowell.core.errors import MAY_HAVE_RUN, ServerFailed
+from pistachiowell.engines import HttpBackend
+from pistachiowell.standins.early import (
+    EarlyServer,
+    close_unread,
+    read_after_end,
+    reset,
+    reset_after_end,
+    reset_later,
+)
+
+pytestmark = pytest.mark.anyio
+
+PART = b"a" * 3_000
+UPLOAD = b"u" * 200_000
+
+
+async def exchange(answer, end):
+    """Returns the status and body of the answer to an upload, or its error."""
+    server = EarlyServer(lambda head: answer, end)
+    async with anyio.create_task_group() as group:
+        await group.start(server.serve)
+        backend = HttpBackend(f"http://127.0.0.1:{server.port}")
+        try:
+            async with backend.request("POST", "/x", {}, UPLOAD) as response:
+                parts = [part async for part in response.chunks()]
+                result = response.status, b"".join(parts)
+        except ServerFailed as error:
+            result = error
+        await backend.aclose()
+        group.cancel_scope.cancel()
+    return result
+
+
+@pytest.mark.parametrize("end", [reset, reset_later, close_unread, reset_after_end])
+async def test_part_of_an_answer_is_taken_as_whole(end):
+    error = await exchange(b"HTTP/1.1 200 OK\r\n\r\n" + PART, end)
+    assert isinstance(error, ServerFailed)
+    assert error.ran == MAY_HAVE_RUN
+
+
+async def test_whole_answer_fails_as_its_server_reads_the_upload_later():
+    answer = b"HTTP/1.1 200 OK\r\n\r\n" + PART
+    assert await exchange(answer, read_after_end) == (200, PART)
--- a/pistachiowell/platform/tests/test_early_answers.py
+++ b/pistachiowell/platform/tests/test_early_answers.py
@@ -4,11 +4,18 @@
 """
 
 import httpcore
+import httptools
 import pytest
 
-from pistachiowell.platform.standins import answer_whole, event, stream_events
+from pistachiowell.platform.standins import (
+    ReceivedRequest,
+    answer_whole,
+    event,
+    head,
+    stream_events,
+)
 from pistachiowell.platform.tests.conftest import configuration
-from pistachiowell.platform.tests.early_server import (
+from pistachiowell.standins.early import (
     EarlyServer,
     close_unread,
     read_after_end,
@@ -26,6 +33,17 @@
 ATTEMPTS = 6
 
 
+def unframed(body, **headers):
+    """Returns the answer of an ``EarlyServer``, which ends with its connection."""
+
+    def answer(data):
+        request = ReceivedRequest()
+        httptools.HttpRequestParser(request).feed_data(data)
+        return f"{head(request, **headers)}\r\n".encode() + body
+
+    return answer
+
+
 async def start_early(rig, service, server):
     """Starts a server that answers early, and a gateway that takes long uploads."""
     document = configuration(2)
@@ -53,7 +71,7 @@
 @pytest.mark.parametrize("size", [20_000, 200_000, 2_000_000])
 @pytest.mark.parametrize("path", ["/read/a", "/book/a"])
 async def test_part_of_an_answer_is_passed_on_as_whole(start_rig, path, size, end):
-    server = EarlyServer(PART, end)
+    server = EarlyServer(unframed(PART), end)
     async with start_rig() as rig:
         await start_early(rig, "desk", server)
         status, _, _ = await rig.send(path, "POST", b"u" * size)
@@ -65,7 +83,7 @@
 async def test_part_of_an_answer_is_kept_though_another_server_has_a_whole_one(
     start_rig, end
 ):
-    server = EarlyServer(PART, end)
+    server = EarlyServer(unframed(PART), end)
     async with start_rig() as rig:
         await rig.add_server("desk-2", "desk", answer_whole)
         await start_early(rig, "desk", server)
@@ -76,7 +94,7 @@
 
 @pytest.mark.parametrize("end", RESETS)
 async def test_begun_stream_looks_complete(start_rig, end):
-    server = EarlyServer(EVENTS, end, Content_Type="text/event-stream")
+    server = EarlyServer(unframed(EVENTS, Content_Type="text/event-stream"), end)
     async with start_rig() as rig:
         await start_early(rig, "pool", server)
         data, error = await read_stream(rig, "/long/a")
@@ -87,7 +105,7 @@
 
 @pytest.mark.parametrize("end", RESETS)
 async def test_begun_stream_is_not_continued(start_rig, end):
-    server = EarlyServer(EVENTS, end, Content_Type="text/event-stream")
+    server = EarlyServer(unframed(EVENTS, Content_Type="text/event-stream"), end)
     async with start_rig() as rig:
         await rig.add_server("pool-2", "pool", stream_events(1, 4))
         await start_early(rig, "pool", server)
@@ -97,7 +115,7 @@
 
 
 async def test_whole_answer_fails_as_its_server_reads_the_upload_later(start_rig):
-    server = EarlyServer(PART, read_after_end)
+    server = EarlyServer(unframed(PART), read_after_end)
     async with start_rig() as rig:
         await start_early(rig, "desk", server)
         status, _, body = await rig.send("/book/a", "POST", UPLOAD)
--- a/pistachiowell/platform/tests/early_server.py
+++ b/pistachiowell/standins/early.py
@@ -1,26 +1,24 @@
-"""A backend server that answers a long upload before it has read it."""
+"""Stand-in of a server that answers a long upload before it has read it."""
 
 import asyncio
 import socket
+import struct
 
 import anyio
 
-from pistachiowell.gateway.bounded_stream import RESET_ON_CLOSE
-from pistachiowell.platform.standins import ReceivedRequest, head
-
 # A small buffer, so that most of an upload is still on its way when the answer comes.
 RECEIVE_BUFFER_BYTES = 4_096
+# Lingering for a time of zero: closing resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class EarlyServer:
     """Answers each request once its head has come, and then ends the connection.
 
     Args:
-        body: Bytes of the body.
+        answer: Function that returns the bytes of the answer to the head of a request.
         end: Async function of the socket that ends the connection; what it returns is
             added to ``uploads``.
-        status: Status code and reason phrase.
-        headers: As of ``head``.
 
     Attributes:
         port: TCP port, once it listens.
@@ -28,11 +26,9 @@
         uploads: What was read of the requests after the answers.
     """
 
-    def __init__(self, body, end, status="200 OK", **headers):
-        self._body = body
+    def __init__(self, answer, end):
+        self._answer = answer
         self._end = end
-        self._status = status
-        self._headers = headers
         self.port = 0
         self.received = 0
         self.uploads = []
@@ -52,9 +48,9 @@
                 while True:
                     loop = asyncio.get_running_loop()
                     sock, _ = await loop.sock_accept(listener)
-                    group.start_soon(self._answer, sock)
+                    group.start_soon(self._serve_connection, sock)
 
-    async def _answer(self, sock):
+    async def _serve_connection(self, sock):
         loop = asyncio.get_running_loop()
         with sock:
             sock.setblocking(False)
@@ -63,22 +59,13 @@
                 # One byte more than the head is not read.
                 data += await loop.sock_recv(sock, 1)
             self.received += 1
-            text = head(_parse(data), self._status, Keep_Alive="", **self._headers)
-            await loop.sock_sendall(sock, text.encode() + b"\r\n" + self._body)
+            await loop.sock_sendall(sock, self._answer(data))
             self.uploads.append(await self._end(sock))
 
 
-def _parse(data):
-    request = ReceivedRequest()
-    for line in data.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
-        name, _, value = line.partition(b":")
-        request.on_header(name, value.strip())
-    return request
-
-
 async def reset(sock):
     """Resets a connection."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
 
 async def reset_later(sock):
