Take an answer with a status that is none for a failed backend server

An agent passed on an answer with status 600 or 999 as the answer of its backend server. The router's web server has no status line beyond 599, so (read from the code, not run) the caller's connection would end without an answer.

Cause: what a server says is passed on before it is checked against what an answer can be. The library refuses 000, 099 and 101; nothing refused the others.

Evidence: of ten cases (000, 099, 101, 600, 999, with and without a length) the four of 600 and 999 failed before; all pass now, as do the tests of engines.

--- a/pistachiowell/engines/http.py
+++ b/pistachiowell/engines/http.py
@@ -22,6 +22,7 @@
 IDLE_CONNECTION_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 1024
 
+_STATUSES = range(200, 600)
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 _NOT_SENT_ERRORS = (httpcore.ConnectTimeout, httpcore.PoolTimeout)
@@ -141,6 +142,7 @@
                 extensions={"timeout": timeouts},
             )
             async with manager as response:
+                _check_status(response.status)
                 yield HttpResponse(response)
 
     async def load(self):
@@ -178,6 +180,12 @@
             return response.status, buffer.join()
 
 
+def _check_status(status):
+    if status not in _STATUSES:
+        message = f"The backend server answered with status {status}, which is none."
+        raise ServerFailed(message, ran=MAY_HAVE_RUN)
+
+
 def _find_header(headers, name):
     for key, value in headers:
         if key.lower() == name:
--- a/pistachiowell/engines/tests/test_early_answers.py
+++ b/pistachiowell/engines/tests/test_early_answers.py
@@ -1,6 +1,6 @@
-"""A server answers a long upload at once and ends while the upload is on its way.
+"""A server answers a long upload at once and ends, or sends a status that is none.
 
-Guards against a part of a body that an agent takes for a whole answer.
+Guards against a part of a body, or no answer at all, that is taken for a whole answer.
 """
 
 import anyio
@@ -50,3 +50,12 @@
 async def test_whole_answer_fails_as_its_server_reads_the_upload_later():
     answer = b"HTTP/1.1 200 OK\r\n\r\n" + PART
     assert await exchange(answer, read_after_end) == (200, PART)
+
+
+@pytest.mark.parametrize("length", [b"", b"Content-Length: 2\r\n"], ids=len)
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+async def test_status_of_no_answer_is_passed_on(status, length):
+    answer = b"HTTP/1.1 %b Odd\r\n%b\r\nok" % (status, length)
+    error = await exchange(answer, read_after_end)
+    assert isinstance(error, ServerFailed)
+    assert error.ran == MAY_HAVE_RUN
