Guard the rest of an upload against the next request

A server may answer before it has read a long upload, keep the connection and read on later; it must not get another request where the rest of the upload is due. The gateway uses a connection again only once it has written the whole request, so this passes on the code as it is.

The new test sends 200 kB and 3.9 MB to such a server and a second request at once: the server reads the whole upload and then the second head.

The stand-in of the tests before answers health checks, which a gateway may send to it and which have no id; without that such a check would end the test.

--- a/pistachiowell/platform/tests/test_early_answers.py
+++ b/pistachiowell/platform/tests/test_early_answers.py
@@ -3,11 +3,14 @@
 Guards against a part of a body that a caller takes for a whole answer.
 """
 
+from functools import partial
+
 import httpcore
 import httptools
 import pytest
 
 from pistachiowell.platform.standins import (
+    HEALTHY_ANSWER,
     ReceivedRequest,
     answer_whole,
     event,
@@ -19,6 +22,7 @@
     EarlyServer,
     close_unread,
     read_after_end,
+    read_on,
     reset,
     reset_after_end,
     reset_later,
@@ -39,6 +43,8 @@
     def answer(data):
         request = ReceivedRequest()
         httptools.HttpRequestParser(request).feed_data(data)
+        if "pistachiowell-attempt-id" not in request.headers:
+            return HEALTHY_ANSWER
         return f"{head(request, **headers)}\r\n".encode() + body
 
     return answer
@@ -121,3 +127,17 @@
         status, _, body = await rig.send("/book/a", "POST", UPLOAD)
         await rig.until(lambda: server.uploads)
     assert (status, body, server.uploads) == (200, PART, [UPLOAD])
+
+
+@pytest.mark.parametrize("size", [200_000, 3_900_000])
+async def test_next_request_is_sent_into_an_upload(start_rig, size):
+    whole, upload = unframed(b"ok", Content_Length="2"), b"u" * size
+    server = EarlyServer(whole, partial(read_on, whole, size))
+    async with start_rig() as rig:
+        await start_early(rig, "desk", server)
+        first = await rig.send("/book/a", "POST", upload)
+        second = await rig.send("/book/b", "POST", b"x")
+        await rig.until(lambda: server.uploads)
+    assert [first[0], second[0]] == [200, 200]
+    assert server.uploads[0][0] == upload
+    assert server.uploads[0][1].startswith(b"POST /book/b ")
--- a/pistachiowell/standins/early.py
+++ b/pistachiowell/standins/early.py
@@ -95,3 +95,30 @@
     while part := await loop.sock_recv(sock, RECEIVE_BUFFER_BYTES):
         data += part
     return data
+
+
+async def read_on(answer, size, sock):
+    """Reads the upload after the answer, then answers the next request.
+
+    Args:
+        answer: Function that returns the bytes of the answer to the head of a request.
+        size: Size of the upload in bytes.
+        sock: The socket.
+
+    Returns:
+        The upload, and the head of the next request; empty if there is none.
+    """
+    loop = asyncio.get_running_loop()
+    await anyio.sleep(0.1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * RECEIVE_BUFFER_BYTES)
+    upload = b""
+    while left_bytes := size - len(upload):
+        if not (part := await loop.sock_recv(sock, left_bytes)):
+            break
+        upload += part
+    data = b""
+    while not data.endswith(b"\r\n\r\n") and (part := await loop.sock_recv(sock, 1)):
+        data += part
+    if data:
+        await loop.sock_sendall(sock, answer(data))
+    return upload, data
