--- a/pistachiowell/core/lingering.py
+++ b/pistachiowell/core/lingering.py
@@ -8,26 +8,13 @@
 """
 
 import asyncio
-import fcntl
-import sys
-import termios
+
+from pistachiowell.core.socket_state import unacknowledged_bytes
 
 LINGER_S = 1.0
 LINGER_BYTES = 1_048_576
 
 
-def queued_bytes(sock):
-    """Returns the bytes that this kernel keeps until the peer has taken them.
-
-    A socket becomes writable only after a good part of them, which a slow reader takes
-    long for.
-
-    References:
-        tcp(7): ``SIOCOUTQ``.
-    """
-    return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
-
-
 class LingeringTransport:
     """Closes the way to the peer first if a reset could cost it a part of an answer.
 
@@ -59,8 +46,9 @@
     @property
     def unsent_bytes(self):
         """Bytes of answers that the peer's kernel has not taken."""
+        # A socket becomes writable only after the peer has taken a good part.
         sock = self._transport.get_extra_info("socket")
-        return self._transport.get_write_buffer_size() + queued_bytes(sock)
+        return self._transport.get_write_buffer_size() + unacknowledged_bytes(sock)
 
     def is_closing(self):
         """Returns whether nothing more is written."""
--- a/pistachiowell/engines/http.py
+++ b/pistachiowell/engines/http.py
@@ -14,6 +14,7 @@
 )
 from pistachiowell.core.errors import MAY_HAVE_RUN, NOT_RUN, ServerFailed
 from pistachiowell.core.http_connections import SingleAnswerPool
+from pistachiowell.core.socket_state import has_taken_all
 from pistachiowell.engines.limits import MAX_CONTROL_BYTES, MAX_HELD_CONTROL_BYTES
 from pistachiowell.engines.port import ServerLoad, ServerRefused
 
@@ -24,6 +25,8 @@
 MAX_CONNECTIONS = 1024
 CONTENT_TYPE = b"content-type"
 
+_STATUSES_WITHOUT_BODY = (204, 304)
+
 _NOT_SENT_ERRORS = (httpcore.ConnectTimeout, httpcore.PoolTimeout)
 
 
@@ -82,6 +85,23 @@
         with _translate_errors():
             async for part in self._response.aiter_stream():
                 yield part
+        if self._ends_with_connection:
+            await self._check_end()
+
+    @property
+    def _ends_with_connection(self):
+        names = {name.lower() for name, _ in self._response.headers}
+        has_end = names & {b"content-length", b"transfer-encoding"}
+        return not has_end and self.status not in _STATUSES_WITHOUT_BODY
+
+    async def _check_end(self):
+        # The part that was sent by a server that ends on the way ends in the same way.
+        stream = self._response.extensions["network_stream"]
+        if not await has_taken_all(stream.get_extra_info("socket")):
+            raise ServerFailed(
+                "The backend server ended before it had the whole request.",
+                ran=MAY_HAVE_RUN,
+            )
 
 
 class HttpBackend:
--- a/pistachiowell/gateway/bounded_stream.py
+++ b/pistachiowell/gateway/bounded_stream.py
@@ -4,22 +4,21 @@
 for the end of the head, or skips one informational answer after the other.
 """
 
-import fcntl
 import math
 import socket
 import struct
-import termios
 
 import anyio
 import httpcore
 
+from pistachiowell.core.socket_state import has_taken_all, unacknowledged_bytes
+
 MAX_HEAD_BYTES = 65_536
 MAX_HEAD_S = 1.0
 # A sound server may pause within a head: no wait for the next byte counts for more.
 MAX_COUNTED_WAIT_S = 0.1
 # Lingering for a time of zero: closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-_INTEGER = struct.Struct("i")
 
 
 class EndlessHeadError(Exception):
@@ -98,12 +97,20 @@
             closed elsewhere.
     """
 
-    __slots__ = ("_hand_over", "_is_handed_over", "_limit", "_stream", "_was_cancelled")
+    __slots__ = (
+        "_hand_over",
+        "_has_ended",
+        "_is_handed_over",
+        "_limit",
+        "_stream",
+        "_was_cancelled",
+    )
 
     def __init__(self, stream, limit, hand_over):
         self._stream = stream
         self._limit = limit
         self._hand_over = hand_over
+        self._has_ended = False
         self._was_cancelled = False
         self._is_handed_over = False
 
@@ -114,9 +121,20 @@
         except anyio.get_cancelled_exc_class():
             self._was_cancelled = True
             raise
+        self._has_ended = not data
         self._limit.record(len(data))
         return data
 
+    async def has_ended_in_order(self):
+        """Returns whether the server had the whole request, if it has ended the stream.
+
+        An answer without a length ends with its connection. So does the part that was
+        sent by a server that ends on the way.
+        """
+        if not self._has_ended:
+            return True
+        return await has_taken_all(self._stream.get_extra_info("socket"))
+
     async def write(self, buffer, timeout=None):
         """Writes bytes; see ``httpcore.AsyncNetworkStream.write``."""
         await self._stream.write(buffer, timeout)
@@ -147,10 +165,9 @@
     if sock.fileno() < 0:
         return False  # closed before
     try:
-        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, _INTEGER.pack(0))
+        return unacknowledged_bytes(sock) > 0
     except OSError:
         return False
-    return _INTEGER.unpack(size)[0] > 0
 
 
 class BoundedBackend(httpcore.AsyncNetworkBackend):
