--- a/pistachiowell/gateway/tests/test_relay.py
+++ b/pistachiowell/gateway/tests/test_relay.py
@@ -51,6 +51,10 @@
         """Returns whether it has ended."""
         return self.end is not None
 
+    def can_write_eof(self):
+        """Returns that it cannot end one direction alone."""
+        return False
+
     def close(self):
         """Records the end after what was written."""
         self.end = "close"
