Give up a begun stream only for a server that needs no admission

What callers saw: while servers name a rate or are cold, streams were cut in the middle when their server sent nothing for a moment and went on.

Cause: a stream was given up as soon as another server might have room. Servers that name a rate or are cold admit each request first, and refused most of the streams that were given up in the same moment; nothing could go on with them. The class: an answer is given up for a place that is not yet certain.

Evidence: the new test has six streams at a server that names a rate of 1 a second and sends nothing for 0.9 s, and another such server.

Why it works: once a caller has a part of a stream, only servers that need no admission count as others. Where there are none, the stream waits for its server. Requests of which the caller has nothing yet move on as before; they get an answer in each case.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -289,15 +289,17 @@
         route = run.request.route
         if run.writer.has_started and not route.is_resumable:
             return False
-        if not self._has_other_server(run):
+        # The rest of a stream that is not admitted anywhere is lost.
+        is_certain = run.writer.has_started
+        if not self._has_other_server(run, is_certain=is_certain):
             return False
         if not self._crashes.may_move_on(run.request):
             return False
         return run.retries.try_move_on(self._runtime.now(), self._retry_share(run))
 
-    def _has_other_server(self, run):
+    def _has_other_server(self, run, *, is_certain=False):
         return self._selection.has_other_server(
-            run.request, run.service, run.tried, run.rank
+            run.request, run.service, run.tried, run.rank, is_certain=is_certain
         )
 
     async def _send_in_turn(self, run, exchange, attempt):
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection.py
@@ -49,7 +49,7 @@
         """Returns the failures of a server that count against its health."""
         return self._parts.health.failures(server_id)
 
-    def has_other_server(self, request, service_name, tried, rank):
+    def has_other_server(self, request, service_name, tried, rank, *, is_certain=False):
         """Returns whether a server that answers has room for another attempt.
 
         Args:
@@ -57,11 +57,15 @@
             service_name: Name of the service.
             tried: Ids of the servers of earlier attempts.
             rank: Rank of the attempt; 0 is the most urgent.
+            is_certain: Whether servers for which the attempt must be admitted, and may
+                be refused, do not count.
         """
         now, filters = self._now(), self._filters
         allowed = filters.allowed(request, service_name, now)
         return any(
-            server.id not in tried and filters.is_answering(server, now)
+            server.id not in tried
+            and filters.is_answering(server, now)
+            and not (is_certain and filters.needs_admission(server))
             for server in filters.with_room(allowed, rank)
         )
 
--- a/pistachiowell/gateway/server_filters.py
+++ b/pistachiowell/gateway/server_filters.py
@@ -73,12 +73,16 @@
         is_avoided = parts.unreachable.is_avoided(registration, now)
         return not is_avoided and parts.silence.is_answering(server.id)
 
+    def needs_admission(self, server):
+        """Returns whether a server is cold or names a rate; see ``ServerLimits``."""
+        limits = self._parts.limits
+        return limits.is_cold(server) or limits.is_limited(server)
+
     def is_sound(self, server, now):
         """Returns whether nothing speaks against a server, except its load."""
         parts = self._parts
         return (
-            not parts.limits.is_cold(server)
-            and not parts.limits.is_limited(server)
+            not self.needs_admission(server)
             and self.is_answering(server, now)
             and parts.health.is_usable(server.id, now)
             and not parts.silence.is_doubted(server.id)
--- a/pistachiowell/platform/tests/test_silent_servers.py
+++ b/pistachiowell/platform/tests/test_silent_servers.py
@@ -20,13 +20,12 @@
 SILENCE_S = 0.9
 
 
-def stream_with_silence(after):
+def stream_with_silence(after, **more):
     """Returns a script that streams events and is silent after one of them."""
 
     async def script(request, stream):
-        text = head(
-            request, Content_Type="text/event-stream", Transfer_Encoding="chunked"
-        )
+        fields = {"Content_Type": "text/event-stream", "Transfer_Encoding": "chunked"}
+        text = head(request, **fields, **more)
         await stream.send((text + "\r\n").encode())
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, LAST + 1):
@@ -61,34 +60,51 @@
     monkeypatch.setattr(ServerCrashes, "may_send_again", lambda self, request: False)
 
 
-async def play_silence(start_rig, **settings):
-    """Returns what came of streams of which one server is silent for a while."""
-    answers = []
+async def play_silence(start_rig, headers=None, **settings):
+    """Returns what came of streams whose server is silent for a while.
+
+    Args:
+        start_rig: The fixture.
+        headers: More headers of the answers of this server and of another one, which
+            comes later.
+        **settings: Settings of the gateway.
+    """
+    answers, headers = [], headers or {}
     async with start_rig() as rig:
-        await rig.add_server("pool-1", "pool", stream_with_silence(40))
+        await rig.add_server("pool-1", "pool", stream_with_silence(40, **headers))
         # Without agents nobody probes the server and finds that it still answers.
         rig.store.put("config", "main", configuration(2, prepaid=None))
-        await rig.add_gateway(retry_fixed=0.0, **settings)
+        gateway = await rig.add_gateway(retry_fixed=0.0, **settings)
         async with anyio.create_task_group() as group:
             for _ in range(STREAMS):
                 group.start_soon(read_chat, rig, answers)
             await rig.until(lambda: len(rig.servers["pool-1"].requests) == STREAMS)
-            await rig.add_server("pool-2", "pool", stream_with_silence(0))
-            await rig.until(lambda: len(answers) == STREAMS)
+            other = stream_with_silence(0, **headers)
+            await rig.add_server("pool-2", "pool", other)
+            servers = gateway.state.servers
+            await rig.until(lambda: "pool-2" in servers.known)
+            # Its answer tells what the other server says of itself.
+            group.start_soon(read_chat, rig, answers)
+            await rig.until(lambda: len(answers) == STREAMS + 1)
     return answers
 
 
 async def test_streams_given_up_together_exceed_the_retry_share(start_rig):
     # The gateway may send one of the streams again.
     answers = await play_silence(start_rig, retry_ratio=0.3)
-    assert answers == [(True, LAST)] * STREAMS
+    assert answers == [(True, LAST)] * (STREAMS + 1)
+
+
+async def test_streams_are_given_up_for_a_server_that_does_not_admit_them(start_rig):
+    answers = await play_silence(start_rig, {"Server_Limit": "1"}, retry_ratio=2.0)
+    assert answers == [(True, LAST)] * (STREAMS + 1)
 
 
 async def test_stream_is_given_up_that_must_not_be_sent_again(
     start_rig, forbid_repeats
 ):
     answers = await play_silence(start_rig, retry_ratio=2.0)
-    assert answers == [(True, LAST)] * STREAMS
+    assert answers == [(True, LAST)] * (STREAMS + 1)
 
 
 def stop_within_head(seconds):
