Let servers fall silent and the configuration change in the soak

A sound server that sends nothing for a moment and goes on was drawn only as a broken link, which excuses what gateways do meanwhile; and the configuration never changed. Both are kinds of faults now. A silence withholds what a server sends for 0.5 to 2 s, health checks too, and excuses only what was withheld of the server's own statements. A change writes ten versions a second with other times and up to 200 more routes; operators write the last one again after the store has returned from a copy.

--- a/pistachiowell/platform/standin_documents.py
+++ b/pistachiowell/platform/standin_documents.py
@@ -5,6 +5,7 @@
 USAGE_HEADER = b"Pistachiowell-Token-Usage"
 # Of no effect where the settings have no bound for cold servers.
 COLD_S, COLD_PER_S = 3.0, 12.0
+MAX_MORE_ROUTES = 200
 
 
 def soak_configuration(prepaid, timeout_ms=3000):
@@ -46,6 +47,27 @@
     }
 
 
+def changed_configuration(document):
+    """Returns the next version of a configuration, with other times and more routes.
+
+    Args:
+        document: The configuration document before.
+    """
+    version = document["Version"] + 1
+    routes = [r for r in document["Routes"] if not r["Name"].startswith("more-")]
+    more = [
+        {"Name": f"more-{number}", "PathPrefix": f"/more-{version}-{number}/"}
+        for number in range(version % MAX_MORE_ROUTES)
+    ]
+    limits = {"IdleTimeoutMs": 1000 * (1 + version % 15)}
+    return {
+        **document,
+        "Version": version,
+        "Limits": limits | {"HeaderTimeoutMs": 500 * (1 + version % 6)},
+        "Routes": [*routes, *(routes[0] | fields for fields in more)],
+    }
+
+
 def registration(service, address, data_centre="east"):
     """Returns the registration document of a backend server.
 
--- a/pistachiowell/soak/faults.py
+++ b/pistachiowell/soak/faults.py
@@ -97,6 +97,25 @@
     await fleet.start_cold(name, away_s, is_removed=fault.mode == "join")
 
 
+@FAULTS.add("silence")
+async def _fall_silent(fleet, fault):
+    """Withholds what a server sends; nobody is excused but for what it says itself."""
+    link = fleet.links[f"server-{fault.target}"]
+    if link.state != FAULT_FREE_LINK:
+        return
+    fleet.closing.record_fault(fault.target, fault.duration_s)
+    silent = LINK_STATES["drop_down"]
+    link.set_state(silent)
+    await anyio.sleep(fault.duration_s)
+    if link.state is silent:
+        link.set_state(FAULT_FREE_LINK)
+
+
+@FAULTS.add("change")
+async def _change_configuration(fleet, fault):
+    await fleet.change_configuration(fault.duration_s)
+
+
 @FAULTS.add("kill_receiver")
 async def _kill_receiver(fleet, fault):
     """Kills a gateway while it serves what another one relays, if it ever does."""
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -8,6 +8,7 @@
 from pistachiowell.platform.evacuations import COLLECTION as EVACUATIONS
 from pistachiowell.platform.standin_documents import (
     COLD_S,
+    changed_configuration,
     cold_registration,
     registration,
 )
@@ -25,6 +26,7 @@
 from pistachiowell.standins.relay import Relay
 
 START_TIMEOUT_S = 30.0
+CHANGE_INTERVAL_S = 0.1
 # Time in which registered programs connect to each other.
 LINK_WAIT_S = 0.7
 HOST = "127.0.0.1"
@@ -66,6 +68,7 @@
     """
 
     __slots__ = (
+        "_configuration",
         "_evacuated",
         "_free_port",
         "_gateway_settings",
@@ -89,6 +92,7 @@
     def __init__(
         self, group, directory, free_port, gateway_settings=None, *, has_places=False
     ):
+        self._configuration = None
         self._evacuated = set()
         self._place_settings = PLACE_SETTINGS if has_places else {}
         self.relay_ports = {}
@@ -174,6 +178,19 @@
         while self.store.mode != "up":
             await anyio.sleep(0.05)
 
+    def configure(self, document):
+        """Writes the configuration."""
+        self._configuration = document
+        self.store.put("config", "main", document)
+
+    async def change_configuration(self, duration_s):
+        """Lets operators change the configuration again and again."""
+        end = time.monotonic() + duration_s
+        while time.monotonic() < end:
+            await self._wait_for_store()
+            self.configure(changed_configuration(self._configuration))
+            await anyio.sleep(CHANGE_INTERVAL_S)
+
     async def evacuate(self, data_centre, duration_s):
         """Lets operators evacuate a data centre, and take that back after it."""
         await self._wait_for_store()
@@ -260,6 +277,7 @@
 
     def write_again(self):
         """Lets servers and operators write again what the store has lost."""
+        self.configure(self._configuration)
         for server_id, spec in self._registrations.items():
             self._register(server_id, spec)
         for name in self._evacuated.difference(self.store.names(EVACUATIONS)):
--- a/pistachiowell/soak/plan.py
+++ b/pistachiowell/soak/plan.py
@@ -14,6 +14,7 @@
     "leave": (0.2, MAX_LONG_FAULT_S),
     "evacuate": (4.0, 9.0),
     "crowd": (2.0, 4.0),
+    "silence": (0.5, 2.0),
 }
 # No fault starts this long before the end of the load, so that the load ends
 # without faults.
@@ -50,9 +51,11 @@
             (a server fails some requests and answers some twice), ``evacuate`` (a data
             centre is evacuated, and later no more), ``cold`` (a server is away and
             starts again cold), ``crowd`` (a gateway gets far more than its share of the
-            callers) or ``kill_receiver`` (a gateway is killed once it serves what
-            another one relays).
-        target: Name of the process, link, server or data centre; empty for the store.
+            callers), ``kill_receiver`` (a gateway is killed once it serves what
+            another one relays), ``silence`` (a sound server sends nothing for a moment
+            and goes on) or ``change`` (the configuration changes many times).
+        target: Name of the process, link, server or data centre; empty for the store
+            and the configuration.
         duration_s: Duration in seconds, or the age of the copy; of no effect for
             ``kill`` and ``restart``.
         mode: Kind of failure of the store or link; names of the signals of a series,
@@ -101,9 +104,10 @@
     """
     rng = Random(seed)
     targets = dict.fromkeys(("kill", "pause", "restart", "signals"), processes)
-    targets |= {"store": ("",), "link": links, "return": ("",)}
+    targets |= {"store": ("",), "link": links, "return": ("",), "change": ("",)}
     targets["loss"] = ("",) if has_agents else ()
-    targets |= dict.fromkeys(("leave", "full", "endless", "double", "cold"), servers)
+    server_kinds = ("leave", "full", "endless", "double", "cold", "silence")
+    targets |= dict.fromkeys(server_kinds, servers)
     targets |= {"crowd": gateways, "evacuate": data_centres}
     kinds = [kind for kind, names in targets.items() if names]
     faults, start_s = [], 0.5
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -106,7 +106,7 @@
 async def _start_fleet(fleet, oracle, rng):
     fleet.store.era = 1
     await fleet.start_store()
-    fleet.store.put("config", "main", soak_configuration(PREPAID_TOKENS))
+    fleet.configure(soak_configuration(PREPAID_TOKENS))
     for number, data_centre in ((1, "east"), (2, "west")):
         for service, handler in (("desk", _plain_handler), ("pool", _stream_handler)):
             name = f"{service}-{number}"
--- a/pistachiowell/soak/tests/test_soak.py
+++ b/pistachiowell/soak/tests/test_soak.py
@@ -201,5 +201,5 @@
 async def test_all_kinds_of_faults_are_drawn():
     names = {"servers": ["a"], "gateways": ["b", "c"], "data_centres": ["east"]}
     faults = [f for seed in range(20) for f in draw_faults(seed, 15.0, ["b"], **names)]
-    new = {"evacuate", "cold", "crowd", "kill_receiver"}
+    new = {"evacuate", "cold", "crowd", "kill_receiver", "silence", "change"}
     assert new <= {fault.kind for fault in faults}
