Close a connection after a refusal only once its body has come

Callers got neither an answer nor a refusal: a request was refused by its head (unknown route or key, a body too large, a gateway that leaves) with Connection: close while its body was still on its way, and the connection was reset. Beside a change of the configuration a whole request whose route is not known yet, or no more, meets this, and so does one that reaches a gateway that stops.

Cause: the web server closes right after the last byte of the answer. A kernel that closes with unread bytes, or gets more after it, resets the connection, and the caller, who is still writing, loses the answer. The class: a connection is closed in one step (RFC 9112, 9.6).

Now the answer and the end of the gateway's direction are sent at once, what is left of the request is read and dropped, and the connection closes with the request's end, with the caller's, or after 2 s. The same holds where a planned stop closes a connection whose refused body has not come.

A body without end is cut off after 2 s. A relayed connection still ends in one step at the gateway that relays it.

--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -5,6 +5,7 @@
 
 from pistachiowell.core.clients import default_clients
 from pistachiowell.core.connection_order import Stage
+from pistachiowell.core.lingering import LINGER_S, LingeringTransport
 from pistachiowell.core.read_gate import ReadGate
 from pistachiowell.core.refusals import INVALID, NO_ROOM, TOO_SLOW, refusal
 from pistachiowell.core.socket_state import unacknowledged_bytes
@@ -67,6 +68,7 @@
             self._has_ended_part = False
             self._is_in_head = True
             self._is_in_message = False
+            self._is_lingering = False
             self._has_request_ahead = False
             self._reported = Stage.silent, 0
             self._traffic = None
@@ -147,6 +149,9 @@
             self._is_in_head = False
             self._has_ended_part = True
             super().on_headers_complete()
+            self.cycle.transport = LingeringTransport(
+                self.transport, self._close_after_answer
+            )
 
         def on_body(self, body):
             """Stores a part of a body."""
@@ -159,6 +164,8 @@
             """Records the end of a request."""
             self._is_in_message = False
             super().on_message_complete()
+            if self._is_lingering:
+                self.transport.close()
 
         def on_response_complete(self):
             """Releases what the request held."""
@@ -222,12 +229,32 @@
                 self.transport.abort()
             self.transport.close()
 
+        def shutdown(self):
+            """Closes the connection, after its present request if there is one."""
+            if self._stage() is not Stage.leftover:
+                super().shutdown()
+            elif not self._is_lingering:
+                self._close_after_answer()
+
+        def _close_after_answer(self):
+            """Closes the connection once the rest of its request has come."""
+            if not self._is_in_message or self.transport.is_closing():
+                self.transport.close()
+                return
+            self._is_lingering = True
+            if self.transport.can_write_eof():
+                self.transport.write_eof()
+            self.loop.call_later(LINGER_S, self.transport.close)
+
         def _end(self, reason, answer):
             """Closes the connection with an answer of its own."""
             if self.transport.is_closing():
                 return
             if reason is not None:
                 clients.record_close(reason)
+            if self._is_lingering:
+                self.transport.close()
+                return
             if not self._is_answering:
                 self.transport.write(answer)
             elif self.cycle.more_body and not self.cycle.response_started:
