Close a relayed connection after a refusal only once its body has come

The same fault as at the gateway that answers stood at the one that relays: it closed the caller's connection with the end of the other one, so a caller still sending its body lost the refusal. All answers to relayed requests close their connection, whatever the caller asked for.

Now the end of the other gateway's direction ends the answer only; the rest of the request is passed on, and the connection closes with the caller's end, the other gateway's, or after 2 s. A drain does not wait for callers that have their answer: such a connection does not count as in progress.

--- a/pistachiowell/gateway/relay.py
+++ b/pistachiowell/gateway/relay.py
@@ -5,6 +5,7 @@
 
 import asyncio
 
+from pistachiowell.core.lingering import LINGER_S
 from pistachiowell.core.logs import part_logger
 
 # Accepting takes about a millisecond within a data centre. A caller waits for this
@@ -84,13 +85,20 @@
         traffic: The ``ConnectionTraffic``; None to count no bytes.
     """
 
-    __slots__ = ("has_request", "traffic")
+    __slots__ = ("_has_answer", "has_request", "traffic")
 
     def __init__(self, relay):
         super().__init__(relay)
+        self._has_answer = False
         self.has_request = False
         self.traffic = relay.link.connection_traffic()
 
+    @property
+    def is_in_progress(self):
+        """Whether there is a request whose answer has not been sent to its end."""
+        has_ended = self._has_answer and not self.transport.get_write_buffer_size()
+        return self.has_request and not has_ended
+
     def buffer_updated(self, nbytes):
         """Passes on a part of the request."""
         if not self.has_request:
@@ -108,6 +116,12 @@
         if self.other.transport is not None:
             self.other.transport.abort()
 
+    def end_answer(self):
+        """Ends the answer; the caller may still be sending the rest of its request."""
+        self._has_answer = True
+        self.transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, self.finish)
+
     def finish(self):
         """Closes the connection once what was written has been sent."""
         transport = self.transport
@@ -132,6 +146,17 @@
             self.other.traffic.add(nbytes)
         super().buffer_updated(nbytes)
 
+    def eof_received(self):
+        """Ends the answer; the rest of the request is still passed on.
+
+        Returns:
+            Whether this connection stays open.
+        """
+        if self.other is None:
+            return False
+        self.other.end_answer()
+        return True
+
     def connection_lost(self, exc):
         """Closes the connection of the caller."""
         del exc
@@ -193,7 +218,7 @@
     @property
     def in_progress(self):
         """Number of relayed connections with a request."""
-        return sum(caller.has_request for caller in self._callers)
+        return sum(caller.is_in_progress for caller in self._callers)
 
     def take_over(self, transport, serve):
         """Takes over a new connection, of which nothing has been read.
--- a/pistachiowell/platform/tests/test_connection_relay.py
+++ b/pistachiowell/platform/tests/test_connection_relay.py
@@ -13,6 +13,7 @@
 from pistachiowell.admission import PeerRooms, RelayShare
 from pistachiowell.gateway import room_owner
 from pistachiowell.platform.standins import answer_whole
+from pistachiowell.platform.tests.test_refused_uploads import connect, send_body
 
 pytestmark = pytest.mark.anyio
 
@@ -64,6 +65,17 @@
     assert len(rig.servers["desk-1"].requests) == 1
 
 
+async def test_relayed_caller_gets_no_refusal_of_its_upload(relaying_rig):
+    size = 2_000_000
+    async with relaying_rig() as rig:
+        reader, writer = await connect(rig, length=size, connection="keep-alive")
+        await send_body(writer, size)
+        answer = await reader.read()
+        writer.close()
+        assert values(rig, 1)["relay.connections"] == 1
+    assert answer.startswith(b"HTTP/1.1 404 ")
+
+
 async def test_connection_is_served_here_if_the_other_cannot_be_reached(
     relaying_rig, free_port, monkeypatch
 ):
