--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -167,9 +167,11 @@
             super().on_body(body)
 
         def on_message_complete(self):
-            """Records the end of a request."""
+            """Records the end of a request, for which a close may have waited."""
             self._is_in_message = False
             super().on_message_complete()
+            if self.transport.is_lingering:
+                self.transport.close_now()
 
         def on_response_complete(self):
             """Releases what the request held."""
@@ -194,7 +196,7 @@
             if self._traffic is not None:
                 self._traffic.add(len(data))
             if self.transport.is_lingering:
-                self.transport.drop(len(data))
+                self._drop(data)
                 return
             for start in range(0, len(data), PIECE_BYTES):
                 if self._has_request_ahead or self.transport.is_closing():
@@ -204,6 +206,12 @@
                 self._report(self._stage())
                 self.flow.record_read(len(data))
 
+        def _drop(self, data):
+            """Drops the rest of a request that was answered before its end."""
+            self.transport.drop(len(data))
+            if self._is_in_message and not self._has_request_ahead:
+                self._parse(data)
+
         def _parse(self, piece):
             self._has_ended_part = False
             self._unset_keepalive_if_required()
--- a/pistachiowell/core/lingering.py
+++ b/pistachiowell/core/lingering.py
@@ -11,15 +11,16 @@
 
 from pistachiowell.core.socket_state import unacknowledged_bytes
 
-LINGER_S = 1.0
-LINGER_BYTES = 1_048_576
+LINGER_S = 2.0
+# The largest body that callers may send, several times over.
+LINGER_BYTES = 16 * 1_048_576
 
 
 class LingeringTransport:
     """Closes the way to the peer first if a reset could cost it a part of an answer.
 
-    What the peer still sends is dropped until it closes, for at most ``LINGER_S`` and
-    ``LINGER_BYTES``. In all else it is the transport.
+    What the peer still sends, up to ``LINGER_BYTES``, is dropped until it closes, for
+    at most ``LINGER_S``. In all else it is the transport.
 
     Args:
         transport: The transport of a connection.
@@ -60,10 +61,10 @@
             self._transport.write(data)
 
     def drop(self, size):
-        """Drops bytes that the peer has sent meanwhile; closes if they are too many."""
+        """Drops bytes that the peer has sent; reads no more if they are too many."""
         self._dropped_bytes += size
         if self._dropped_bytes > LINGER_BYTES:
-            self.close_now()
+            self._transport.pause_reading()
 
     def close(self):
         """Closes the connection once the peer has done so, if that may matter to it."""
