Let the soak judge lost answers beside planned work, with slow readers

The soak counted connections that ended without an answer and judged none of them. No caller of it kept a connection or read slowly, so the losses at planned stops never showed.

Half of the callers send over kept connections. A soak of planned work only (`--planned`) stops gateways in turn, and one caller at each gateway reads answers of 6 MB slowly.

--- a/pistachiowell/soak/oracle.py
+++ b/pistachiowell/soak/oracle.py
@@ -4,12 +4,14 @@
 a refusal with a status of ``RETRY_STATUSES`` means that the request has not run; a
 non-idempotent request runs at most once; no more tokens are spent than were prepaid; in
 no window more requests are repeated than is allowed; no request meets an unexpected
-exception.
+exception; beside planned work no answer is lost.
 """
 
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
+from pistachiowell.soak.losses import LossOracle
+
 RETRY_STATUSES = (429, 503)
 # The servers of a soak never answer with it.
 EXCEPTION_STATUS = 500
@@ -88,6 +90,7 @@
             id; without those of servers that answer once.
         repeats: The ``RepeatOracle``.
         checked: How much of evacuations, cold servers and relaying was checked.
+        losses: The ``LossOracle``.
     """
 
     prepaid_tokens: int
@@ -100,6 +103,7 @@
     first_statuses: dict = field(default_factory=lambda: defaultdict(set))
     repeats: RepeatOracle = field(default_factory=RepeatOracle)
     checked: str = ""
+    losses: LossOracle = field(default_factory=LossOracle)
 
     def record_run(self, request_id, prompt_tokens):
         """Records that a server has started to run a request."""
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -1,5 +1,6 @@
 """Runs one soak: starts the programs, sends load, injects faults, checks answers."""
 
+import socket
 import time
 from contextlib import suppress
 from pathlib import Path
@@ -20,8 +21,9 @@
 from pistachiowell.soak.doubles import DoubleAnswers
 from pistachiowell.soak.endless import EndlessStream
 from pistachiowell.soak.fleet import Fleet
+from pistachiowell.soak.losses import PLANNED_KINDS
 from pistachiowell.soak.oracle import Oracle, RepeatOracle
-from pistachiowell.soak.plan import draw_faults
+from pistachiowell.soak.plan import Fault, draw_faults
 
 REQUESTS_PER_S = 25.0
 KINDS = ("read", "book", "chat")
@@ -38,6 +40,13 @@
 # Share of the callers that leave early, and the latest time at which they do.
 LEAVING_SHARE = 0.15
 MAX_STAY_S = 0.2
+# Share of the callers that send over connections which were used before.
+KEPT_SHARE = 0.5
+# More than the kernel keeps for a connection over loopback.
+SLOW_COPIES = 250_000
+SLOW_PART_S = 0.015
+STOP_INTERVALS_S = 0.5, 2.5
+SLOW_SOCKET = [(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)]
 PROMPT_TOKENS = 100
 EVENTS_PER_STREAM = 4
 TOKENS_PER_EVENT = 5
@@ -54,13 +63,15 @@
 }
 
 
-async def soak(seed, length_s, directory):
+async def soak(seed, length_s, directory, *, is_planned=False):
     """Runs one soak and checks the promises.
 
     Args:
         seed: Seed of the faults and of the load.
         length_s: Duration of the load in seconds.
         directory: Directory for settings and logs of the processes.
+        is_planned: Whether nothing fails: there is only planned work, beside which no
+            answer may be lost, also to callers that read slowly.
 
     Returns:
         The ``Oracle`` after its last check.
@@ -82,9 +93,14 @@
                 gateways=list(fleet.addresses),
                 data_centres=sorted(set(fleet.data_centres.values())),
             )
+            if is_planned:
+                faults = [fault for fault in faults if fault.kind in PLANNED_KINDS]
+                faults += _draw_stops(Random(seed), length_s, list(fleet.addresses))
             group.start_soon(_watch_lateness, fleet.places)
             rng = Random(seed)
             async with anyio.create_task_group() as load:
+                for name in fleet.addresses if is_planned else ():
+                    load.start_soon(_read_slowly, fleet, oracle, name, length_s)
                 load.start_soon(_send_load, fleet, oracle, rng, length_s)
                 for fault in faults:
                     load.start_soon(_inject_later, fleet, oracle, rng, fault)
@@ -100,6 +116,7 @@
     oracle.violations += fleet.places.violations()
     oracle.violations += fleet.closing.violations()
     oracle.violations += fleet.processes.early_ends
+    oracle.violations += oracle.losses.violations()
     return oracle
 
 
@@ -122,8 +139,18 @@
     await anyio.sleep(SETTLE_S)
 
 
+def _draw_stops(rng, length_s, gateways):
+    """Draws stops of gateways throughout a soak."""
+    stops, start_s = [], rng.uniform(*STOP_INTERVALS_S)
+    while start_s < length_s:
+        stops.append(Fault(start_s, "restart", rng.choice(gateways), 0.0))
+        start_s += rng.uniform(*STOP_INTERVALS_S)
+    return stops
+
+
 async def _inject_later(fleet, oracle, rng, fault):
     await anyio.sleep(fault.start_s)
+    oracle.losses.record_fault(fault)
     if fault.kind == "crowd":
         await _send_crowd(fleet, oracle, rng, fault)
     else:
@@ -163,7 +190,10 @@
 async def _send_load(
     fleet, oracle, rng, length_s, per_s=REQUESTS_PER_S, gateways=(), kinds=KINDS
 ):
-    async with anyio.create_task_group() as group:
+    async with (
+        httpcore.AsyncConnectionPool() as kept,
+        anyio.create_task_group() as group,
+    ):
         with anyio.move_on_after(length_s):
             while True:
                 await anyio.sleep(rng.expovariate(per_s))
@@ -174,12 +204,36 @@
                 stay_s = rng.uniform(0.0, MAX_STAY_S) if leaves else CALLER_TIMEOUT_S
                 oracle.sent_at[request_id] = now = time.monotonic()
                 oracle.repeats.record_request(SERVICES[kind], now)
-                group.start_soon(
-                    _send_request, fleet, oracle, gateway, kind, request_id, stay_s
-                )
+                pool = kept if rng.random() < KEPT_SHARE else None
+                names = gateway, kind, request_id
+                group.start_soon(_send_request, fleet, oracle, names, stay_s, pool)
+
+
+async def _read_slowly(fleet, oracle, gateway, length_s):
+    """Sends a gateway one request after the other, and reads large answers slowly."""
+    begin, count = time.monotonic(), 0
+    while (now := time.monotonic()) < begin + length_s:
+        count += 1
+        request_id = f"read-slowly-{count}-at-{gateway}"
+        oracle.sent_at[request_id] = now
+        names = gateway, "read", request_id
+        async with httpcore.AsyncConnectionPool(socket_options=SLOW_SOCKET) as pool:
+            stay_s = 4 * CALLER_TIMEOUT_S
+            await _send_request(fleet, oracle, names, stay_s, pool, SLOW_PART_S)
+        await anyio.sleep(0.05)
+
+
+def _plain_body(request_id):
+    copies = SLOW_COPIES if request_id.startswith("read-slowly") else 1
+    return request_id.encode() * copies
 
 
-async def _send_request(fleet, oracle, gateway, kind, request_id, stay_s):
+async def _send_request(fleet, oracle, names, stay_s, pool=None, part_s=0.0):
+    if pool is None:
+        async with httpcore.AsyncConnectionPool() as pool:
+            await _send_request(fleet, oracle, names, stay_s, pool)
+        return
+    gateway, kind, request_id = names
     max_output_tokens = 2 * EVENTS_PER_STREAM * TOKENS_PER_EVENT
     headers = caller_headers(
         request_id, CALLER_TIMEOUT_S, PROMPT_TOKENS, max_output_tokens
@@ -187,27 +241,29 @@
     if kind != "chat":
         # Requests without a prompt cost nothing, so they go on when all is spent.
         headers = [pair for pair in headers if pair[0] != USAGE_HEADER]
-    status, body, received = 0, None, b""
+    status, body, received, is_lost = 0, None, bytearray(), False
     url = f"http://{fleet.addresses[gateway]}/{kind}/{request_id}"
     method = "GET" if kind == "read" else "POST"
     try:
         with anyio.move_on_after(stay_s):
-            async with (
-                httpcore.AsyncConnectionPool() as pool,
-                pool.stream(method, url, headers=headers) as response,
-            ):
+            async with pool.stream(method, url, headers=headers) as response:
                 status = response.status
                 async for part in response.aiter_stream():
                     received += part
+                    await anyio.sleep(part_s)
                 body = received
                 if (b"server-leaving", b"1") in response.headers:
                     fleet.closing.record_leaving(request_id, gateway)
     except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
-        body = None
+        body, is_lost = None, True
+    if is_lost or body is not None:
+        runs = oracle.run_counts[request_id]
+        sent_at = oracle.sent_at[request_id]
+        oracle.losses.record_end(request_id, sent_at, is_lost=is_lost, runs=runs)
     events = received.count(EVENT_END) if kind == "chat" else 0
     if events:
         oracle.record_delivered_tokens(request_id, events * TOKENS_PER_EVENT)
-    expected = _stream_body() if kind == "chat" else request_id.encode()
+    expected = _stream_body() if kind == "chat" else _plain_body(request_id)
     oracle.check_answer(request_id, kind, status, body, expected)
 
 
@@ -253,8 +309,9 @@
         request_id = request.headers["pistachiowell-attempt-id"]
         oracle.record_run(request_id, 0)
         await anyio.sleep(0.01)
-        text = head(request, Content_Length=str(len(request_id)), **more)
-        await stream.send(f"{text}\r\n{request_id}".encode())
+        body = _plain_body(request_id)
+        text = head(request, Content_Length=str(len(body)), **more)
+        await stream.send(f"{text}\r\n".encode() + body)
         return True
 
     return handle
--- a/pistachiowell/soak/tests/test_soak.py
+++ b/pistachiowell/soak/tests/test_soak.py
@@ -13,7 +13,7 @@
 )
 from pistachiowell.soak.oracle import Oracle, RepeatOracle
 from pistachiowell.soak.places import COLD_BOUND, PlaceOracle
-from pistachiowell.soak.plan import draw_faults
+from pistachiowell.soak.plan import Fault, draw_faults
 from pistachiowell.soak.run import soak
 
 pytestmark = pytest.mark.anyio
@@ -28,6 +28,13 @@
     assert oracle.violations == []
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_answer_is_lost_beside_planned_work(seed, tmp_path):
+    oracle = await soak(seed, 8.0, tmp_path, is_planned=True)
+    assert oracle.violations == []
+    assert oracle.losses.judged_count > 50
+
+
 @pytest.fixture
 def oracle():
     return Oracle(prepaid_tokens=1_000)
@@ -46,6 +53,15 @@
     assert "refused as not run" in oracle.violations[0]
 
 
+@pytest.mark.parametrize(("kind", "count"), [("restart", 1), ("kill", 0)])
+async def test_oracle_sees_a_lost_answer(oracle, kind, count):
+    oracle.losses.record_fault(Fault(0.0, kind, "gate-1", 0.0))
+    for name, runs in (("read-1", 1), ("read-2", 0)):
+        sent_at = time.monotonic()
+        oracle.losses.record_end(name, sent_at, is_lost=True, runs=runs)
+    assert len(oracle.losses.violations()) == count
+
+
 async def test_oracle_sees_overspending(oracle):
     oracle.status_counts[200] += 1
     oracle.record_run("chat-1", 996)
