Count as usage only numbers of tokens

What callers saw, by the messages that an agent would send: a link of an agent to a router lost with all requests on it, if an engine reported a usage that is a fraction, a text, a truth value, null or nothing; a bill below zero for a negative one; and a failed request after a complete answer where the usage was a list or nested too deeply. With a number over 64 bits the message of the failure cannot be encoded either, which ends the agent (as read in the code; not run).

Cause: the numbers of an engine's report go into the end of the answer, into the message of a failure and into the bill as they are. The router refuses a message with a field of another type by closing the link. Same class: what a server says is passed on before it is checked.

A usage counts if both numbers are integers from 0 to 2^53. Otherwise the engine has reported none: the events of a stream are counted, and a whole answer has no usage, as before without a report.

--- a/pistachiowell/agent/sse.py
+++ b/pistachiowell/agent/sse.py
@@ -9,6 +9,8 @@
 END_OF_EVENT = b"\n\n"
 DATA_PREFIX = b"data:"
 DONE = b"[DONE]"
+# More would be no count; links carry no larger integers.
+MAX_TOKENS = 2**53
 
 _USAGE_OBJECT = re.compile(rb'"usage"\s*:\s*\{')
 
@@ -73,26 +75,14 @@
             self.done = True
             return True
         # Decoding every event would cost more than all its other processing together.
-        usage, choices = None, True
-        if _USAGE_OBJECT.search(payload):
-            usage, choices = _read_usage(payload)
-        if not usage:
+        has_usage = _USAGE_OBJECT.search(payload)
+        document = _decode_object(payload) if has_usage else {}
+        usage = _usage_of(document)
+        if usage is None:
             self.completion_tokens += 1
             return True
-        self._record_usage(usage)
-        return self._include_usage or choices
-
-    def _record_usage(self, usage):
-        self.prompt_tokens = usage.get("prompt_tokens", 0)
-        self.completion_tokens = usage.get("completion_tokens", 0)
-
-
-def _read_usage(payload):
-    try:
-        document = json.loads(payload)
-        return document.get("usage"), bool(document.get("choices"))
-    except (ValueError, AttributeError):
-        return None, True
+        self.prompt_tokens, self.completion_tokens = usage
+        return self._include_usage or bool(document.get("choices"))
 
 
 def usage_of_document(data):
@@ -102,14 +92,34 @@
         data: The body as bytes.
 
     Returns:
-        A pair of prompt and completion tokens; zeros if the body has no usage.
+        A pair of prompt and completion tokens; zeros if the body has no usage, or one
+        that is no number of tokens.
 
     Examples:
         >>> usage_of_document(b'{"usage": {"prompt_tokens": 1}}')
         (1, 0)
+        >>> usage_of_document(b'{"usage": {"prompt_tokens": -1}}')
+        (0, 0)
     """
+    return _usage_of(_decode_object(data)) or (0, 0)
+
+
+def _decode_object(data):
     try:
-        usage = json.loads(data).get("usage") or {}
-        return usage.get("prompt_tokens", 0), usage.get("completion_tokens", 0)
-    except (ValueError, AttributeError):
-        return 0, 0
+        document = json.loads(data)
+    except (ValueError, RecursionError):
+        return {}
+    return document if isinstance(document, dict) else {}
+
+
+def _usage_of(document):
+    """Returns a pair of prompt and completion tokens; None without proper ones."""
+    usage = document.get("usage")
+    if not usage or not isinstance(usage, dict):
+        return None
+    counts = usage.get("prompt_tokens", 0), usage.get("completion_tokens", 0)
+    return counts if all(map(_is_count, counts)) else None
+
+
+def _is_count(value):
+    return type(value) is int and 0 <= value <= MAX_TOKENS
