Read no era of a store that is no number of eras

What programs saw: an exception that counts as no outage, on each call, if the store named an era of some thousand digits; and with one of 16 digits, all later answers with the true era counted as those of an earlier one, that is as no answers, from then on.

Cause: the header was taken for a number of any size. Same class: what a server says is used before it is checked.

An era has at most six digits; a longer one is none. Versions, which contain the era, then fit into the integers of the links.

--- a/pistachiowell/store/calls.py
+++ b/pistachiowell/store/calls.py
@@ -33,6 +33,8 @@
 MAX_CONNECTIONS = 16
 # Of all answers that are being read; one may have all of it.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Versions with such an era fit into 63 bits; see ``REVISION_BITS``.
+MAX_ERA_DIGITS = 6
 # TCP keep-alive detects a dead connection within three seconds.
 KEEP_ALIVE_OPTIONS = [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -211,7 +213,8 @@
 
     def _era_of(self, response):
         for name, value in response.headers:
-            if name.lower() == self._era_header and value.isdigit():
+            is_number = value.isdigit() and len(value) <= MAX_ERA_DIGITS
+            if name.lower() == self._era_header and is_number:
                 return int(value)
         return None
 
