Give a started router no retries that its earlier run may have sent

Servers got 1.11 to 1.25 times the retries that the fleet may send while three gateways were killed in turn every 1.5 to 2 s and all servers refused.

Cause: a started router took a quarter of its fixed number at once and its whole ratio, and knew nothing of what its earlier run had sent in the same window. Each restart gave the quarter anew, and a burst before a restart used requests of a window that the new run counted again.

Until the earlier run has left the window, a router now uses nothing of the fixed number, and of the ratio only the part that its earlier run had to leave. Any series of restarts then stays within the sum of both parts.

--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -187,8 +187,8 @@
         window_s: Length of the window in seconds.
         safety: Share of the allowance that a router uses.
         start_s: Seconds after its start for which a router uses only what ``safety``
-            leaves of the fixed number: its earlier run, and routers that do not know of
-            it yet, may use the rest.
+            leaves of the fixed number: routers that do not know of it yet may use the
+            rest.
     """
 
     ratio: float = 0.2
@@ -206,6 +206,10 @@
     the number of routers that may be running, so the fleet keeps to its budget without
     messages between the routers.
 
+    A router that has started does not know what its earlier run has sent. Until that
+    has left the window, it uses nothing of the fixed number, and only what ``safety``
+    leaves of the ratio, which its earlier run has not used.
+
     Args:
         settings: ``RetryShareSettings``.
         routers: Function that returns the number of routers that may be running.
@@ -264,13 +268,25 @@
     def has_left(self, now, kept_share=0.0):
         """Returns whether a retry of the share is left; see ``try_spend``."""
         self._remove_before_window(now)
-        settings = self._settings
-        fixed = settings.fixed / max(1, self._routers())
-        is_starting = now < self._started_at + settings.start_s
-        fixed *= 1 - settings.safety if is_starting else settings.safety
-        allowed = settings.safety * settings.ratio * len(self._requests_at) + fixed
+        allowed = self._from_requests(now) + self._from_fixed(now)
         return len(self._retries_at) + 1 <= (1.0 - kept_share) * allowed
 
+    def _from_requests(self, now):
+        """Returns the retries that the requests of the window allow."""
+        settings = self._settings
+        is_new = now < self._started_at + settings.window_s
+        part = 1 - settings.safety if is_new else settings.safety
+        return part * settings.ratio * len(self._requests_at)
+
+    def _from_fixed(self, now):
+        """Returns this router's part of the fixed number."""
+        settings = self._settings
+        age_s = now - self._started_at
+        if age_s < settings.window_s:
+            return 0.0
+        part = 1 - settings.safety if age_s < settings.start_s else settings.safety
+        return part * settings.fixed / max(1, self._routers())
+
     def _remove_before_window(self, now):
         begin = now - self._settings.window_s
         for times in (self._requests_at, self._retries_at):
--- a/pistachiowell/routing/tests/test_retry_share.py
+++ b/pistachiowell/routing/tests/test_retry_share.py
@@ -4,6 +4,8 @@
 although each keeps within a limit of its own.
 """
 
+from random import Random
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -70,6 +72,47 @@
     assert worst_excess(old[0] + new[0], old[1] + new[1]) <= 0
 
 
+def received_in(requests, begin):
+    """Returns the number of requests in the window that begins at a time."""
+    end = begin + SETTINGS.window_s
+    return sum(begin < at <= end for at in requests)
+
+
+def worst_excess_over_time(requests, retries):
+    """Returns the worst excess, where earlier windows may allow the retries too."""
+    worst = float("-inf")
+    for end in retries:
+        begins = [end - SETTINGS.window_s * back for back in (1.0, 1.5, 2.0)]
+        received = max(received_in(requests, begin) for begin in begins)
+        sent = received_in(retries, begins[0])
+        worst = max(worst, sent - SETTINGS.ratio * received - SETTINGS.fixed)
+    return worst
+
+
+@pytest.mark.parametrize("mean_run_s", [0.5, 1.5, 4.0, 9.0, 20.0])
+@pytest.mark.parametrize("seed", range(12))
+def test_series_of_restarts_gives_the_fixed_retries_anew(seed, mean_run_s):
+    """Restarts routers at drawn times while all requests fail for some seconds."""
+    rng = Random(f"{seed} {mean_run_s}")
+    shares = [RetryShare(SETTINGS, lambda: ROUTERS) for _ in range(ROUTERS)]
+    requests, retries = [], []
+    rate, now = rng.uniform(2.0, 60.0), 0.0
+    fails_at = rng.uniform(5.0, 15.0)
+    while now < fails_at + 15.0:
+        gap_s = rng.expovariate(rate)
+        now += gap_s
+        for router in range(ROUTERS):
+            if now > fails_at and rng.random() < gap_s / mean_run_s:
+                shares[router] = RetryShare(SETTINGS, lambda: ROUTERS, started_at=now)
+        share = shares[rng.randrange(ROUTERS)]
+        share.record_request(now)
+        requests.append(now)
+        for _ in range(3 if now > fails_at else 0):
+            if share.try_spend(now):
+                retries.append(now)
+    assert worst_excess_over_time(requests, retries) <= 0
+
+
 def test_without_a_share_the_same_load_passes_it():
     class OneRetryPerRequest:
         def __init__(self):
