--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -6,7 +6,6 @@
 again only if it did not run or may run more than once, and only before its deadline.
 """
 
-from collections import deque
 from dataclasses import dataclass
 
 from pistachiowell.core.registry import Registry
@@ -177,123 +176,6 @@
         return self._budget.try_spend()
 
 
-@dataclass(frozen=True, slots=True)
-class RetryShareSettings:
-    """Settings of a ``RetryShare``.
-
-    Attributes:
-        ratio: Retries allowed for each request.
-        fixed: Retries that all routers together may send in a window in addition.
-        window_s: Length of the window in seconds.
-        safety: Share of the allowance that a router uses.
-        start_s: Seconds after its start for which a router uses only what ``safety``
-            leaves of the fixed number: routers that do not know of it yet may use the
-            rest.
-    """
-
-    ratio: float = 0.2
-    fixed: float = 50.0
-    window_s: float = 10.0
-    safety: float = 0.75
-    start_s: float = 17.0
-
-
-class RetryShare:
-    """One router's share of the retry budget of a service.
-
-    In any window all routers together may send ``ratio`` retries for each request plus
-    a fixed number. Each router counts its own requests and divides the fixed number by
-    the number of routers that may be running, so the fleet keeps to its budget without
-    messages between the routers.
-
-    A router that has started does not know what its earlier run has sent. Until that
-    has left the window, it uses nothing of the fixed number, and only what ``safety``
-    leaves of the ratio, which its earlier run has not used.
-
-    Args:
-        settings: ``RetryShareSettings``.
-        routers: Function that returns the number of routers that may be running.
-        started_at: Time at which the router started in seconds.
-
-    Examples:
-        >>> share = RetryShare(RetryShareSettings(0.5, 8.0, safety=1.0), lambda: 4)
-        >>> [share.try_spend(0.0) for _ in range(3)]
-        [True, True, False]
-        >>> share.record_request(0.0); share.record_request(0.0); share.try_spend(0.0)
-        True
-    """
-
-    __slots__ = (
-        "_requests_at",
-        "_retries_at",
-        "_routers",
-        "_settings",
-        "_started_at",
-    )
-
-    def __init__(self, settings, routers, started_at=float("-inf")):
-        self._settings = settings
-        self._started_at = started_at
-        self._routers = routers
-        self._requests_at = deque()
-        self._retries_at = deque()
-
-    @property
-    def requests(self):
-        """Number of requests in the latest window."""
-        return len(self._requests_at)
-
-    @property
-    def retries(self):
-        """Number of retries in the latest window."""
-        return len(self._retries_at)
-
-    def record_request(self, now):
-        """Records a request, which adds to the allowed retries."""
-        self._remove_before_window(now)
-        self._requests_at.append(now)
-
-    def try_spend(self, now, kept_share=0.0):
-        """Spends one retry of the share; returns whether one was left.
-
-        Args:
-            now: Present time in seconds.
-            kept_share: Share of the allowance that is kept for others.
-        """
-        if not self.has_left(now, kept_share):
-            return False
-        self._retries_at.append(now)
-        return True
-
-    def has_left(self, now, kept_share=0.0):
-        """Returns whether a retry of the share is left; see ``try_spend``."""
-        self._remove_before_window(now)
-        allowed = self._from_requests(now) + self._from_fixed(now)
-        return len(self._retries_at) + 1 <= (1.0 - kept_share) * allowed
-
-    def _from_requests(self, now):
-        """Returns the retries that the requests of the window allow."""
-        settings = self._settings
-        is_new = now < self._started_at + settings.window_s
-        part = 1 - settings.safety if is_new else settings.safety
-        return part * settings.ratio * len(self._requests_at)
-
-    def _from_fixed(self, now):
-        """Returns this router's part of the fixed number."""
-        settings = self._settings
-        age_s = now - self._started_at
-        if age_s < settings.window_s:
-            return 0.0
-        part = 1 - settings.safety if age_s < settings.start_s else settings.safety
-        return part * settings.fixed / max(1, self._routers())
-
-    def _remove_before_window(self, now):
-        begin = now - self._settings.window_s
-        for times in (self._requests_at, self._retries_at):
-            while times and times[0] < begin:
-                times.popleft()
-
-
 @RETRIES.add("by_route")
 class RouteRetries:
     """Decides about the retries of one request by the rules of its route.
--- a/pistachiowell/routing/tests/test_retry_share.py
+++ b/pistachiowell/routing/tests/test_retry_share.py
@@ -17,6 +17,7 @@
     RetryShareSettings,
     RouteRetries,
 )
+from pistachiowell.routing.tests.retry_excess import worst_excess_over_time
 
 SETTINGS = RetryShareSettings(ratio=0.2, fixed=50.0, window_s=10.0)
 ROUTERS = 4
@@ -72,23 +73,6 @@
     assert worst_excess(old[0] + new[0], old[1] + new[1]) <= 0
 
 
-def received_in(requests, begin):
-    """Returns the number of requests in the window that begins at a time."""
-    end = begin + SETTINGS.window_s
-    return sum(begin < at <= end for at in requests)
-
-
-def worst_excess_over_time(requests, retries):
-    """Returns the worst excess, where earlier windows may allow the retries too."""
-    worst = float("-inf")
-    for end in retries:
-        begins = [end - SETTINGS.window_s * back for back in (1.0, 1.5, 2.0)]
-        received = max(received_in(requests, begin) for begin in begins)
-        sent = received_in(retries, begins[0])
-        worst = max(worst, sent - SETTINGS.ratio * received - SETTINGS.fixed)
-    return worst
-
-
 @pytest.mark.parametrize("mean_run_s", [0.5, 1.5, 4.0, 9.0, 20.0])
 @pytest.mark.parametrize("seed", range(12))
 def test_series_of_restarts_gives_the_fixed_retries_anew(seed, mean_run_s):
@@ -110,7 +94,29 @@
         for _ in range(3 if now > fails_at else 0):
             if share.try_spend(now):
                 retries.append(now)
-    assert worst_excess_over_time(requests, retries) <= 0
+    assert worst_excess_over_time(requests, retries, SETTINGS) <= 0
+
+
+@pytest.mark.parametrize("stay_s", [1.0, 3.0, 10.0])
+@pytest.mark.parametrize("seed", range(6))
+def test_callers_move_to_routers_with_their_whole_share(seed, stay_s):
+    """Sends all requests to one router after the other while they fail."""
+    rng = Random(f"{seed} {stay_s}")
+    shares = [RetryShare(SETTINGS, lambda: ROUTERS) for _ in range(ROUTERS)]
+    requests, retries = [], []
+    rate, now, moved_at, router = rng.uniform(20.0, 200.0), 0.0, 0.0, 0
+    fails_at = 10.0 + rng.uniform(0.0, 2.0) * stay_s
+    while now < fails_at + 15.0:
+        now += rng.expovariate(rate)
+        if now > moved_at + stay_s:
+            moved_at, router = now, rng.randrange(ROUTERS)
+        share = shares[router]
+        share.record_request(now)
+        requests.append(now)
+        for _ in range(3 if now > fails_at else 0):
+            if share.try_spend(now):
+                retries.append(now)
+    assert worst_excess_over_time(requests, retries, SETTINGS) <= 0
 
 
 def test_without_a_share_the_same_load_passes_it():
