Give gateways retries at their first start

A run that stops in order removes its registration, and one that is killed does not. So a gateway reads, before it registers, whether it follows a killed run, and only then waits. Until it has registered it waits, too. A registration whose answer was lost is not taken for that of an earlier run.

--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -171,7 +171,12 @@
         await self.leave()
 
     async def _register(self):
-        await keep_registered(self._parts.runtime.store, ROUTERS, self._record())
+        await keep_registered(
+            self._parts.runtime.store,
+            ROUTERS,
+            self._record(),
+            self._parts.retry_shares.record_registration,
+        )
 
     def _record(self):
         runtime = self._parts.runtime
--- a/pistachiowell/gateway/gateway_parts.py
+++ b/pistachiowell/gateway/gateway_parts.py
@@ -78,6 +78,7 @@
         quarantine_fallback: The ``StoreFallback`` of the quarantine.
         ready_server: The ``EmbeddedServer`` for health checks.
         gateway_count: The ``GatewayCount``.
+        retry_shares: The ``RetryShares``.
         runtime: The process's ``Runtime``.
         selection: The ``Selection``.
         server_feed: The ``ServerFeed``.
@@ -113,6 +114,7 @@
         "moves",
         "quarantine_fallback",
         "ready_server",
+        "retry_shares",
         "gateway_count",
         "runtime",
         "selection",
@@ -249,7 +251,7 @@
     def _make_dispatch(self):
         runtime = self.runtime
         self.crashes = ServerCrashes(self.crash_candidates, runtime.now)
-        retry_shares = RetryShares(
+        self.retry_shares = RetryShares(
             runtime.settings, lambda: self.gateway_count.sharing_count, runtime.now()
         )
         self.hedges = Hedges(
@@ -258,7 +260,7 @@
             self._handlers,
             self.selection,
             self.crashes,
-            retry_shares,
+            self.retry_shares,
             self.loop_watch,
             lambda: self.load.overload.refused_share,
         )
@@ -268,7 +270,7 @@
             self.silence,
             self._limits,
             self.crashes,
-            retry_shares,
+            self.retry_shares,
             self.hedges,
             self.loop_watch,
             self._adapter.heads,
--- a/pistachiowell/routing/retry_share.py
+++ b/pistachiowell/routing/retry_share.py
@@ -45,14 +45,15 @@
     retries of the first one still count. So what a request allows lapses after some
     time, by which what ``safety`` leaves makes up for it.
 
-    A router that has started does not know what its earlier run has sent. Until that
-    has left the window, it uses nothing of the fixed number.
+    A router that has started does not know what an earlier run that was killed has
+    sent. Until that has left the window, it uses nothing of the fixed number.
 
     Args:
         settings: ``RetryShareSettings``.
         routers: Function that returns the number of routers that share the fixed
             number.
         started_at: Time at which the router started in seconds.
+        may_follow: Function that returns whether an earlier run may have been killed.
 
     Examples:
         >>> share = RetryShare(RetryShareSettings(0.5, 8.0, safety=0.5), lambda: 4)
@@ -65,6 +66,7 @@
 
     __slots__ = (
         "_fixed_spent",
+        "_may_follow",
         "_requests_at",
         "_retries_at",
         "_routers",
@@ -73,7 +75,10 @@
         "_started_at",
     )
 
-    def __init__(self, settings, routers, started_at=float("-inf")):
+    def __init__(
+        self, settings, routers, started_at=float("-inf"), may_follow=lambda: True
+    ):
+        self._may_follow = may_follow
         self._settings = settings
         self._started_at = started_at
         self._routers = routers
@@ -141,7 +146,7 @@
         """Returns this router's part of the fixed number."""
         settings = self._settings
         age_s = now - self._started_at
-        if age_s < settings.window_s:
+        if age_s < settings.window_s and self._may_follow():
             return 0.0
         part = 1 - settings.safety if age_s < settings.start_s else settings.safety
         return part * settings.fixed / max(1, self._routers())
--- a/pistachiowell/store/registration.py
+++ b/pistachiowell/store/registration.py
@@ -70,22 +70,29 @@
         store: The platform's store.
         collection: ``routers`` or ``agents``.
         record: ``RouterRecord`` or ``AgentRecord``.
+
+    Returns:
+        Whether an earlier run of this process was registered. One that stops in order
+        removes its registration, so that run was killed.
     """
+    follows_run = None
     value = msgspec.json.encode(record)
     while True:
         try:
             entry = await store.get(collection, record.id)
             version = entry.version if entry else ABSENT
-            if entry and _is_of(record, entry):
-                return
-            await store.put(collection, record.id, value, version)
-            return
+            is_own = entry is not None and _is_of(record, entry)
+            if follows_run is None:
+                follows_run = entry is not None and not is_own
+            if not is_own:
+                await store.put(collection, record.id, value, version)
+            return follows_run
         except STORE_ERRORS as error:
             _log.warning("Registration failed; retrying: {}", error)
             await anyio.sleep(RETRY_DELAY_S)
 
 
-async def keep_registered(store, collection, record):
+async def keep_registered(store, collection, record, on_registered=None):
     """Registers this process, and again after each return of the store.
 
     The copy that the store returns from may lack the registration, and nobody else
@@ -95,6 +102,8 @@
         store: The platform's store.
         collection: ``routers`` or ``agents``.
         record: ``RouterRecord`` or ``AgentRecord``.
+        on_registered: Function that is told the result of the first
+            ``register_process``; None to tell nobody.
     """
     returned = anyio.Event()
 
@@ -103,10 +112,13 @@
         returned.set()
 
     store.era.add_listener(record_return)
+    follows_run = await register_process(store, collection, record)
+    if on_registered is not None:
+        on_registered(follows_run)
     while True:
-        await register_process(store, collection, record)
         await returned.wait()
         returned = anyio.Event()
+        await register_process(store, collection, record)
 
 
 def _is_of(record, entry):
