Count routers that have left while their retries still count

Servers could get more retries than the fleet may send when several routers left at once in an outage: the rest divided the fixed number by fewer as soon as they counted again, while the retries of those that had left still lay in the window.

Each router now divides by the largest number that held in its latest window. More routers count at once, fewer only after a window.

Open: gateways whose first list comes late, all at once after a silence of the store, may each know a few of the others only for up to 15 s without agents.

--- a/pistachiowell/gateway/gateway_count.py
+++ b/pistachiowell/gateway/gateway_count.py
@@ -4,8 +4,6 @@
 retries if it assumed that it is alone.
 """
 
-import math
-
 import anyio
 
 from pistachiowell.core.errors import STORE_ERRORS
@@ -29,15 +27,20 @@
 
     Args:
         runtime: The process's ``Runtime``.
+
+    Attributes:
+        on_count: Function to call with each number from the first list on, as any
+            number may run before it.
     """
 
-    __slots__ = ("_are_listed", "_count", "_names", "_runtime")
+    __slots__ = ("_are_listed", "_count", "_names", "_runtime", "on_count")
 
     def __init__(self, runtime):
         self._runtime = runtime
         self._are_listed = False
         self._count = MIN_GATEWAYS
         self._names = frozenset()
+        self.on_count = lambda count: None
 
     @property
     def count(self):
@@ -49,14 +52,6 @@
         """Names of the gateways; empty before they are known."""
         return self._names
 
-    @property
-    def sharing_count(self):
-        """Number of gateways that share the fixed number of retries.
-
-        Before the first list any number may run, so a gateway takes nothing of it.
-        """
-        return self._count if self._are_listed else math.inf
-
     async def run(self, agent_reports):
         """Counts until cancelled.
 
@@ -81,6 +76,8 @@
                 if self._are_listed:
                     listed_at = now
             self._count = max(MIN_GATEWAYS, listed, agent_reports.gateways)
+            if self._are_listed:
+                self.on_count(self._count)
             await anyio.sleep(COUNT_INTERVAL_S)
 
     async def _list(self):
--- a/pistachiowell/gateway/gateway_parts.py
+++ b/pistachiowell/gateway/gateway_parts.py
@@ -251,9 +251,8 @@
     def _make_dispatch(self):
         runtime = self.runtime
         self.crashes = ServerCrashes(self.crash_candidates, runtime.now)
-        self.retry_shares = RetryShares(
-            runtime.settings, lambda: self.gateway_count.sharing_count, runtime.now()
-        )
+        self.retry_shares = RetryShares(runtime)
+        self.gateway_count.on_count = self.retry_shares.record_gateways
         self.hedges = Hedges(
             runtime,
             self.fleet,
--- a/pistachiowell/gateway/retry_shares.py
+++ b/pistachiowell/gateway/retry_shares.py
@@ -1,33 +1,36 @@
 """This gateway's shares of the retry budgets of the services."""
 
-from pistachiowell.routing import RetryShare, RetryShareSettings
+from pistachiowell.routing import RetryShare, RetryShareSettings, RouterCount
 
 
 class RetryShares:
     """Creates a ``RetryShare`` for each service at its first request.
 
     Args:
-        settings: ``GatewaySettings``.
-        gateway_count: Function that returns the number of gateways that may be running;
-            they are registered as routers.
-        started_at: Time at which this process started in seconds.
+        runtime: The process's ``Runtime``, which has just started.
     """
 
-    __slots__ = ("_gateway_count", "_may_follow", "_settings", "_shares", "_started_at")
+    __slots__ = ("_count", "_may_follow", "_now", "_settings", "_shares", "_started_at")
 
-    def __init__(self, settings, gateway_count, started_at):
+    def __init__(self, runtime):
+        settings = runtime.settings
         self._settings = RetryShareSettings(
             settings.retry_ratio, settings.retry_fixed, settings.retry_window_s
         )
-        self._gateway_count = gateway_count
-        self._started_at = started_at
+        self._count = RouterCount(self._settings)
+        self._now = runtime.now
+        self._started_at = runtime.now()
         self._may_follow = True
         self._shares = {}
 
     @property
     def routers(self):
-        """Number of gateways that may be running."""
-        return self._gateway_count()
+        """Number of gateways that share the fixed retries; see ``RouterCount``."""
+        return self._count.largest(self._now())
+
+    def record_gateways(self, count):
+        """Records how many gateways may be running; they are registered as routers."""
+        self._count.record(count, self._now())
 
     def record_registration(self, may_follow):
         """Records whether an earlier run of this gateway may have been killed."""
@@ -39,7 +42,7 @@
         if share is None:
             share = self._shares[service] = RetryShare(
                 self._settings,
-                self._gateway_count,
+                lambda: self.routers,
                 self._started_at,
                 lambda: self._may_follow,
             )
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -53,6 +53,7 @@
     RouteRetries,
 )
 from pistachiowell.routing.retry_share import RetryShare, RetryShareSettings
+from pistachiowell.routing.router_count import RouterCount
 from pistachiowell.routing.settings import RoutingSettings
 from pistachiowell.routing.shared_times import (
     KindSummary,
@@ -120,6 +121,7 @@
     "RetryShare",
     "RetryShareSettings",
     "RouteRetries",
+    "RouterCount",
     "RoutingSettings",
     "SharedLoads",
     "SharedTimes",
--- a/pistachiowell/routing/retry_share.py
+++ b/pistachiowell/routing/retry_share.py
@@ -51,7 +51,7 @@
     Args:
         settings: ``RetryShareSettings``.
         routers: Function that returns the number of routers that share the fixed
-            number.
+            number; see ``RouterCount``.
         started_at: Time at which the router started in seconds.
         may_follow: Function that returns whether an earlier run may have been killed.
 
