Give started gateways retries at once only at the first start of a fleet

A run that stops in order removes its registration, so the next one took itself for the first and used what safety leaves of the fixed number at once.

A gateway now takes its start for the first only if no other one is registered. The new case of the registration test failed before.

--- a/pistachiowell/gateway/retry_shares.py
+++ b/pistachiowell/gateway/retry_shares.py
@@ -33,7 +33,7 @@
         self._count.record(count, self._now())
 
     def record_registration(self, may_follow):
-        """Records whether an earlier run of this gateway may have been killed."""
+        """Records whether this gateway may follow an earlier run of its own."""
         self._may_follow = may_follow
 
     def of(self, service):
--- a/pistachiowell/routing/retry_share.py
+++ b/pistachiowell/routing/retry_share.py
@@ -45,15 +45,15 @@
     retries of the first one still count. So what a request allows lapses after some
     time, by which what ``safety`` leaves makes up for it.
 
-    A router that has started does not know what an earlier run that was killed has
-    sent. Until that has left the window, it uses nothing of the fixed number.
+    A router that has started does not know what an earlier run has sent. Until that
+    has left the window, it uses nothing of the fixed number.
 
     Args:
         settings: ``RetryShareSettings``.
         routers: Function that returns the number of routers that share the fixed
             number; see ``RouterCount``.
         started_at: Time at which the router started in seconds.
-        may_follow: Function that returns whether an earlier run may have been killed.
+        may_follow: Function that returns whether there may have been an earlier run.
 
     Examples:
         >>> share = RetryShare(RetryShareSettings(0.5, 8.0, safety=0.5), lambda: 4)
--- a/pistachiowell/store/registration.py
+++ b/pistachiowell/store/registration.py
@@ -72,8 +72,9 @@
         record: ``RouterRecord`` or ``AgentRecord``.
 
     Returns:
-        Whether an earlier run of this process was registered. One that stops in order
-        removes its registration, so that run was killed.
+        Whether this process may follow an earlier run of its own: such a run, or any
+        other process, was registered before. A run that stops in order removes its
+        registration, so that only a collection without any shows a first start.
     """
     follows_run = None
     value = msgspec.json.encode(record)
@@ -83,7 +84,8 @@
             version = entry.version if entry else ABSENT
             is_own = entry is not None and _is_of(record, entry)
             if follows_run is None:
-                follows_run = entry is not None and not is_own
+                registered, _ = await store.list(collection)
+                follows_run = any(not _is_of(record, other) for other in registered)
             if not is_own:
                 await store.put(collection, record.id, value, version)
             return follows_run
--- a/pistachiowell/store/tests/test_registration.py
+++ b/pistachiowell/store/tests/test_registration.py
@@ -14,8 +14,8 @@
 pytestmark = pytest.mark.anyio
 
 
-def record(run):
-    return RouterRecord("r", run, "osu", "127.0.0.1", 1, "127.0.0.1", 2)
+def record(run, name="r"):
+    return RouterRecord(name, run, "osu", "127.0.0.1", 1, "127.0.0.1", 2)
 
 
 @pytest.mark.parametrize("lost_answers", [0, 1])
@@ -27,3 +27,11 @@
         assert await register_process(store, "routers", record(run)) is follows_run
     await unregister_process(store, "routers", record("after-kill"))
     assert await register_process(store, "routers", record("after-stop")) is False
+
+
+async def test_run_that_stopped_beside_others_is_forgotten():
+    store = MemoryStore()
+    await register_process(store, "routers", record("other", "s"))
+    await register_process(store, "routers", record("first"))
+    await unregister_process(store, "routers", record("first"))
+    assert await register_process(store, "routers", record("after-stop")) is True
