Let the relay's fake transport say whether one way can be closed

Two cases of gateway/tests/test_relay.py failed since relayed connections linger (AttributeError: can_write_eof): asyncio's transports have that method, the fake one had not. All checks of the file stay as they were; closing one way alone is checked over real sockets in platform/tests/test_connection_relay.py.

--- a/pistachiowell/gateway/tests/test_relay.py
+++ b/pistachiowell/gateway/tests/test_relay.py
@@ -51,6 +51,10 @@
         """Returns whether it has ended."""
         return self.end is not None
 
+    def can_write_eof(self):
+        """Returns that one way cannot be closed alone, as over TLS."""
+        return False
+
     def close(self):
         """Records the end after what was written."""
         self.end = "close"
