Keep the gateway running when a late head changes the protocol

What callers saw: the gateway ended, with all its requests, after a server had answered a request whose caller had left with "101" and an Upgrade header.

Cause: the parser of late heads raises an exception of a class of its own for it, which is not one of its errors. It left the task that reads the head, and with it the task group in which the gateway runs. Only the reading of the headers, not that of the bytes, was guarded against what one server says.

That exception is now one of those after which there is no head, and the whole task is guarded: an unexpected exception is logged with the server.

--- a/pistachiowell/gateway/late_heads.py
+++ b/pistachiowell/gateway/late_heads.py
@@ -21,6 +21,13 @@
 MAX_HEADERS = 100
 FIRST_FINAL_STATUS = 200
 
+_NO_HEAD_ERRORS = (
+    OSError,
+    *HTTP_ERRORS,
+    httptools.HttpParserError,
+    # No error in the parser's terms: what follows is of another protocol.
+    httptools.HttpParserUpgrade,
+)
 _log = part_logger("dispatch")
 
 
@@ -72,25 +79,26 @@
         return True
 
     async def _read(self, server, request_id, stream):
+        try:
+            await self._record_head(server, request_id, stream)
+        except Exception:
+            # What one server says must not end the process.
+            _log.exception("A late head cannot be read.", server=server.id)
+
+    async def _record_head(self, server, request_id, stream):
         parser = _HeadParser()
         try:
-            with anyio.move_on_after(LATE_HEAD_S):
-                with suppress(OSError, *HTTP_ERRORS, httptools.HttpParserError):
-                    # Ends the request for the server, which can still answer.
-                    stream.get_extra_info("socket").shutdown(socket.SHUT_WR)
-                    await parser.read(stream)
+            with anyio.move_on_after(LATE_HEAD_S), suppress(*_NO_HEAD_ERRORS):
+                # Ends the request for the server, which can still answer.
+                stream.get_extra_info("socket").shutdown(socket.SHUT_WR)
+                await parser.read(stream)
         finally:
             self._open -= 1
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
-        if not parser.is_complete:
-            return
-        try:
+        if parser.is_complete:
             head = self._codec.read_answer_head(parser.status, parser.headers)
             self._record(server, head, request_id)
-        except Exception:
-            # What one server says must not end the process.
-            _log.exception("A late head cannot be read.", server=server.id)
 
 
 class _HeadTooLongError(Exception):
@@ -118,6 +126,7 @@
 
         Raises:
             httptools.HttpParserError: The bytes are no head, or it has too many lines.
+            httptools.HttpParserUpgrade: The server goes on in another protocol.
         """
         left_bytes = MAX_HEAD_BYTES
         while not self.is_complete and left_bytes > 0:
--- a/pistachiowell/gateway/tests/test_late_heads.py
+++ b/pistachiowell/gateway/tests/test_late_heads.py
@@ -16,6 +16,7 @@
 GIVEN_UP_AFTER_S = 0.1
 # A server may be at work on a given-up request for so long.
 MAX_WORK_S = 0.5
+UPGRADE = b"HTTP/1.1 101 Odd\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"
 REFUSAL = b"HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -99,8 +100,9 @@
         ([REFUSAL + REFUSAL.replace(b": 3", b": 7")], [3.0]),
         ([b"\x00 no answer \r\n\r\n"], []),
         ([REFUSAL[:20]], []),
+        ([UPGRADE + REFUSAL], []),
     ],
-    ids=["informational", "in-parts", "two-answers", "garbage", "cut"],
+    ids=["informational", "in-parts", "two-answers", "garbage", "cut", "upgrade"],
 )
 async def test_late_bytes_are_read_as_heads_only(given_up, parts, pauses):
     read, _ = await given_up(parts, 0.15)
