Send no request again whose answer has ended as it was given up

An attempt whose last bytes came in the moment in which its server was found silent was counted as given up after its answer had been written: a resumable stream would have been sent again after its end, and a retry was spent.

Cause: the mark of the given-up attempt was read where only the cancelled scope tells whether it was cut. The new case failed before.

--- a/pistachiowell/gateway/silence.py
+++ b/pistachiowell/gateway/silence.py
@@ -104,7 +104,8 @@
         finally:
             self._detector.record_end(wait)
             del self._watches[wait]
-        if watch.is_given_up:
+        # An answer that has ended in the same moment is not given up any more.
+        if watch.scope.cancelled_caught:
             self._runtime.metrics.count("attempts.moved")
             raise SilentServer(f"Server {server.id} does not answer.")
 
