--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -80,10 +80,11 @@
         @property
         def owes_answer(self):
             """Whether an answer could be lost if the process ended now."""
+            transport = self.transport
             return (
                 self._is_answering
-                or self.transport.is_lingering
-                or self.transport.get_write_buffer_size() > 0
+                or transport.get_write_buffer_size() > 0
+                or (transport.is_lingering and transport.unsent_bytes > 0)
             )
 
         def _expects_more(self):
