Wait for a silent server that reads an upload after its answer

A sound server may be silent for a second or so, so the limit is 5 s; a reset ends the wait at once.

--- a/pistachiowell/core/socket_state.py
+++ b/pistachiowell/core/socket_state.py
@@ -11,8 +11,9 @@
 
 import anyio
 
-# A server that has ended acknowledges or resets what is on its way within a round trip.
-DELIVERY_TIMEOUT_S = 1.0
+# A server that has ended acknowledges or resets what is on its way within a round trip;
+# one that reads on may be silent for a second or so.
+DELIVERY_TIMEOUT_S = 5.0
 CHECK_INTERVAL_S = 0.005
 # First byte of ``struct tcp_info``; see ``enum`` in ``netinet/tcp.h``.
 _STATE_CLOSED = b"\x07"
