Judge answers beside changes by the time limit of their requests

The test of requests beside changes of the configuration failed in two of 28 cases in 14 copies beside each other (load average 17): 5 and 10 answers were not whole. Traced in 22 copies (load average 23): of 86 answers that were not whole, none was cut before the 1.9 s that are the time limit of the requests. The rule on lost requests doesn't count what its time limit ends, so the test measures the time and still fails for each answer that is cut before.

In the same copies six cases had fewer answers than callers: callers that wait long for their connection sent nothing. Each caller now sends a request however long that takes, so the bound of one answer a caller stays and holds.

--- a/pistachiowell/platform/tests/test_changed_configuration.py
+++ b/pistachiowell/platform/tests/test_changed_configuration.py
@@ -16,6 +16,7 @@
 
 SILENCE_S = 1.1
 CALLS_S = 1.2
+WAIT_LIMIT_S = 1.9
 LAST = 12
 # Requests of the last two are answered at once.
 POINTS = ("before the head", "in the head", "in the body", "", "")
@@ -171,7 +172,8 @@
     text = (
         f"POST /{kind}/x HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n"
         f"Pistachiowell-Attempt-Id: {request_id}\r\n"
-        "Pistachiowell-Deadline-Ms: 1900\r\nContent-Length: 6\r\n"
+        f"Pistachiowell-Deadline-Ms: {1000 * WAIT_LIMIT_S:.0f}\r\n"
+        "Content-Length: 6\r\n"
     )
     if kind == "chat":
         text += "Pistachiowell-Model: m\r\nPistachiowell-Token-Usage: 100,100\r\n"
@@ -195,15 +197,18 @@
     host, _, port = rig.address.partition(":")
     end = anyio.current_time() + CALLS_S
     count = 0
-    while anyio.current_time() < end:
+    while not count or anyio.current_time() < end:
         async with await anyio.connect_tcp(host, int(port)) as stream:
             answer = b"HTTP"
-            while answer and anyio.current_time() < end:
+            while answer and (not count or anyio.current_time() < end):
                 count += 1
                 request_id = f"{kind}-{number}.{count}-{count + number}"
+                begun_at = anyio.current_time()
                 answer = await exchange(stream, kind, request_id, body_delay_s)
+                took_s = anyio.current_time() - begun_at
                 if answer or was_passed_on(rig, request_id):
-                    answers[request_id] = answer
+                    # What its own time limit ends is not lost.
+                    answers[request_id] = is_whole(answer) or took_s >= WAIT_LIMIT_S
                 if b"connection: close" in answer.lower():
                     answer = b""
                 await anyio.sleep(0.02)
@@ -238,4 +243,4 @@
             else:
                 await put_series(rig, change, range(2, 10))
     assert len(answers) >= len(KINDS) * len(BODY_DELAYS_S)
-    assert [name for name, answer in answers.items() if not is_whole(answer)] == []
+    assert [name for name, is_ended in answers.items() if not is_ended] == []
