Give gateways retries at once only at the first start of their fleet

Beside others that are sound, 2 of 315 requests to eight gateways that had just started were refused as overloaded, as their first attempt had met a server that asked for a pause: a gateway that found others registered counted as one that follows a run of its own, and got no retry for it.

Registrations now name the time since which routers are registered without a gap. Only a gateway that starts within 5 s of it, with no registration of its own, takes its start for the first. A run that follows a stopped one comes later.

--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -1,5 +1,7 @@
 """Runs one gateway, from its start to its planned stop."""
 
+import time
+
 import anyio
 
 from pistachiowell.core.logs import part_logger
@@ -11,6 +13,7 @@
 from pistachiowell.router.fleet import ROUTERS
 from pistachiowell.signals.watch import SignalWatch
 from pistachiowell.store.registration import (
+    find_fleet_start_ms,
     keep_registered,
     router_record,
     unregister_process,
@@ -18,6 +21,8 @@
 
 UNREGISTER_TIMEOUT_S = 0.2
 STOP_CHECK_INTERVAL_S = 0.05
+# All gateways of a fleet that starts for the first time are registered by then.
+FLEET_START_MS = 5_000
 
 _log = part_logger("gateway")
 
@@ -183,13 +188,18 @@
         await self.leave()
 
     async def _register(self):
-        await keep_registered(
-            self._parts.runtime.store,
-            ROUTERS,
-            self._record(),
-            self._parts.retry_shares.record_registration,
-        )
+        store, shares = self._parts.runtime.store, self._parts.retry_shares
+        now_ms = int(time.time() * 1000)
+        fleet_started_ms = await find_fleet_start_ms(store, ROUTERS, now_ms)
+        is_first_start = now_ms - fleet_started_ms <= FLEET_START_MS
+
+        def record_registration(follows_run):
+            shares.record_registration(follows_run or not is_first_start)
+
+        record = self._record(fleet_started_ms)
+        await keep_registered(store, ROUTERS, record, record_registration)
 
-    def _record(self):
+    def _record(self, fleet_started_ms=0):
         runtime = self._parts.runtime
-        return router_record(runtime, *split_address(runtime.settings.http_address))
+        host, port = split_address(runtime.settings.http_address)
+        return router_record(runtime, host, port, fleet_started_ms)
--- a/pistachiowell/store/registration.py
+++ b/pistachiowell/store/registration.py
@@ -39,13 +39,14 @@
     )
 
 
-def router_record(runtime, http_host, http_port):
+def router_record(runtime, http_host, http_port, fleet_started_ms=0):
     """Returns the ``RouterRecord`` of this process.
 
     Args:
         runtime: The process's ``Runtime``.
         http_host: IP address on which callers connect.
         http_port: TCP port on which callers connect.
+        fleet_started_ms: See ``find_fleet_start_ms``; 0 if it is not known.
     """
     settings = runtime.settings
     return RouterRecord(
@@ -56,9 +57,35 @@
         peer_port=settings.advertised_port or settings.peer_port,
         http_host=http_host,
         http_port=http_port,
+        fleet_started_ms=fleet_started_ms,
     )
 
 
+async def find_fleet_start_ms(store, collection, now_ms):
+    """Returns the time since which routers are registered without a gap.
+
+    Each router passes on the time that the others name, so that it outlasts all runs.
+
+    Args:
+        store: The platform's store.
+        collection: That of the routers.
+        now_ms: Present Unix time in milliseconds.
+
+    Returns:
+        A Unix time in milliseconds: now if no router is registered, 0 if one does not
+        name it.
+    """
+    while True:
+        try:
+            entries, _ = await store.list(collection)
+        except STORE_ERRORS as error:
+            _log.warning("Listing the routers failed; retrying: {}", error)
+            await anyio.sleep(RETRY_DELAY_S)
+            continue
+        records = decode_entries(entries, RouterRecord)
+        return min([now_ms, *(record.fleet_started_ms for _, record in records)])
+
+
 async def register_process(store, collection, record):
     """Writes the registration of this process and retries until it is stored.
 
@@ -72,9 +99,8 @@
         record: ``RouterRecord`` or ``AgentRecord``.
 
     Returns:
-        Whether this process may follow an earlier run of its own: such a run, or any
-        other process, was registered before. A run that stops in order removes its
-        registration, so that only a collection without any shows a first start.
+        Whether an earlier run of this process was registered. One that stops in order
+        removes its registration, so that run was killed.
     """
     follows_run = None
     value = msgspec.json.encode(record)
@@ -84,8 +110,7 @@
             version = entry.version if entry else ABSENT
             is_own = entry is not None and _is_of(record, entry)
             if follows_run is None:
-                registered, _ = await store.list(collection)
-                follows_run = any(not _is_of(record, other) for other in registered)
+                follows_run = entry is not None and not is_own
             if not is_own:
                 await store.put(collection, record.id, value, version)
             return follows_run
