Wait with the rest of a stream that its new server refuses

Callers of resumable streams saw them cut. A sound server was silent for 0.9 s after event 40 of 46; the gateway gave the stream up for the other server of the service, which refused the rest (503, not run). Two more sends went to the refusing server, and the stream ended, far from its deadline, though the first server would have gone on soon.

Cause: a begun stream was given up on the mere prospect of another server, and its refusal was handled as that of a new request: sent again at once, a bounded number of times, away from the servers of earlier attempts. The class: a refusal is for the moment and ends what the caller has begun to read. A lack of room, of a server or of a connection had the same effect.

The rest of a begun stream that was not run now waits 0.2 s and is sent again, to any server but the one that has refused it if there are others, the first one included, until its deadline. Each such send that arrives is paid from the share of retries; when this is empty, the stream waits. The bound on runs stays, and the last run that a route allows is not given up. So that a stream given up has a way back even if the share is nearly empty, giving it up needs two retries; the second is given back as soon as a server goes on with the stream. Requests of which the caller has nothing are treated as before. RetryShare moves to a module of its own.

After: all streams are whole and the sends are within the share.

Price: where the share is nearly empty, half as many begun streams leave servers that are silent at the same moment.

--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -15,13 +15,19 @@
 from pistachiowell.gateway.forwarding import AnswerForwarder, ServerErrorAnswer
 from pistachiowell.gateway.late_heads import LateHeads
 from pistachiowell.gateway.late_prompts import TooLate
+from pistachiowell.gateway.refused_streams import (
+    NOT_RUN,
+    has_arrived,
+    has_no_server,
+    is_refused_stream,
+    wait_for_resend,
+)
 from pistachiowell.gateway.run import Run
 from pistachiowell.gateway.server_limits import NoRoom
 from pistachiowell.routing import SPLITTERS
 
 DEFAULT_RETRY_AFTER_S = 0.3
 CLOSE_IDLE_INTERVAL_S = 0.25
-NOT_RUN = "no"
 
 _log = part_logger("dispatch")
 
@@ -131,14 +137,13 @@
                 await self._run_attempts(run, number, crashed_servers)
                 return
             except NoRoom as error:
+                if await self._may_send_later(run, error):
+                    continue
                 if isinstance(error, TooLate):
                     self._runtime.metrics.count("requests.refused_late")
                 raise self._final_error(run, error) from error
             except PistachiowellError as error:
-                # An attempt is given up for another server of the same service.
-                if not run.retries.is_paid:
-                    run.service = self._choose_service(request)
-                if not self._may_retry(run, error):
+                if not await self._may_send_again(run, error):
                     self._log_last_attempt(run, number, error)
                     if isinstance(error, ServerErrorAnswer):
                         await writer.send_complete(error.head, error.body)
@@ -169,6 +174,33 @@
         except PistachiowellError as error:
             raise self._final_error(run, error) from error
 
+    async def _may_send_again(self, run, error):
+        if is_refused_stream(run, error):
+            if self._has_other_server(run) and self._may_retry(run, error):
+                return True
+            return await self._may_send_later(run, error)
+        # An attempt is given up for another server of the same service.
+        if not run.retries.is_paid:
+            self._change_service(run)
+        return self._may_retry(run, error)
+
+    async def _may_send_later(self, run, error):
+        """Waits with the rest of a stream; returns whether it may be sent then."""
+        if not is_refused_stream(run, error):
+            return False
+        service = run.service
+        # Servers of another service may be unable to continue it.
+        if has_no_server(error):
+            self._change_service(run)
+        is_paid = not has_arrived(error) and run.service == service
+        return await wait_for_resend(
+            run, error, self._retry_share(run), self._runtime.now, is_paid=is_paid
+        )
+
+    def _change_service(self, run):
+        run.retries.return_kept(self._retry_share(run))
+        run.service = self._choose_service(run.request)
+
     def _may_retry(self, run, error):
         # Another server's answer cannot continue a stream that is not resumable; the
         # caller would receive parts of two different answers as one.
@@ -208,7 +240,7 @@
         """Chooses a server that admits the request now."""
         while True:
             choice = self._selection.choose(
-                run.request, run.service, run.tried, crashed_servers, run.rank
+                run.request, run.service, run.avoided, crashed_servers, run.rank
             )
             is_admitted = await self._limits.admit(choice.server, run.rank)
             if is_admitted and self._selection.may_start(run.service, choice):
@@ -232,7 +264,7 @@
         attempt = self._selection.start_attempt(request, run.service, choice)
         server = attempt.server
         is_repeat = server.id in run.tried
-        run.tried.add(server.id)
+        run.record_start(server.id)
         _log.info(
             "Request is sent.",
             request=request.id,
@@ -270,6 +302,7 @@
                             self._runtime.metrics,
                         )
                         forwarder.check_continuation()
+                        run.retries.return_kept(self._retry_share(run))
                         watch.record_part()
                         tracked.record_begin()
                         await forwarder.forward()
@@ -295,11 +328,13 @@
             return False
         if not self._crashes.may_move_on(run.request):
             return False
-        return run.retries.try_move_on(self._runtime.now(), self._retry_share(run))
+        return run.retries.try_move_on(
+            self._runtime.now(), self._retry_share(run), is_begun=run.writer.has_started
+        )
 
     def _has_other_server(self, run, *, is_certain=False):
         return self._selection.has_other_server(
-            run.request, run.service, run.tried, run.rank, is_certain=is_certain
+            run.request, run.service, run.avoided, run.rank, is_certain=is_certain
         )
 
     async def _send_in_turn(self, run, exchange, attempt):
--- a/pistachiowell/gateway/run.py
+++ b/pistachiowell/gateway/run.py
@@ -47,11 +47,15 @@
         retries: Decides whether the request is sent again.
         running: Number of attempts in progress.
         tried: Ids of the servers of earlier attempts.
+        avoided: Ids of the servers that the next attempt avoids if there are others.
+        latest: Id of the server of the latest attempt; None before.
         service: Name of the service that the next attempt goes to.
     """
 
     __slots__ = (
+        "avoided",
         "events",
+        "latest",
         "request",
         "retries",
         "running",
@@ -70,6 +74,8 @@
         self.retries = RETRIES.find("by_route")(request.route, request.deadline)
         self.running = 0
         self.tried = set()
+        self.avoided = set()
+        self.latest = None
         self.service = None
 
     @property
@@ -80,6 +86,12 @@
         """
         return 0 if self.writer.has_started else self.request.rank
 
+    def record_start(self, server_id):
+        """Records that an attempt goes to a server."""
+        self.tried.add(server_id)
+        self.avoided.add(server_id)
+        self.latest = server_id
+
     def record_usage(self, exchange):
         """Records what an exchange has used, whatever its end."""
         head, usage, events = exchange.head, self.usage, self.events
--- a/pistachiowell/platform/tests/test_silent_servers.py
+++ b/pistachiowell/platform/tests/test_silent_servers.py
@@ -54,6 +54,19 @@
     answers.append((is_whole, received.count(b"\n\n")))
 
 
+def refuse_rests(count):
+    """Returns a script as above that refuses the first rests of streams."""
+    streams, refused = stream_with_silence(40), []
+
+    async def script(request, stream):
+        is_refused = "last-event-id" in request.headers and len(refused) < count
+        if is_refused:
+            refused.append(request)
+        return await (refuse if is_refused else streams)(request, stream)
+
+    return script
+
+
 @pytest.fixture
 def forbid_repeats(monkeypatch):
     """Lets each request have a part that has crashed servers."""
@@ -145,3 +158,58 @@
                 group.start_soon(read_chat, rig, answers)
             await rig.until(lambda: len(answers) == STREAMS)
     assert {answer for answer in answers if answer[1]} == {(True, LAST)}
+
+
+# The gateway may send 9, 9, 3 and 18 requests again.
+@pytest.mark.parametrize(
+    "attempts, ratio, refused", [(2, 2.0, 0), (3, 2.0, 0), (2, 0.7, 0), (2, 4.0, 3)]
+)
+async def test_stream_is_cut_as_its_replacement_refuses(
+    start_rig, attempts, ratio, refused
+):
+    answers, document = [], configuration(2, prepaid=None)
+    chat = next(r for r in document["Routes"] if r["Name"] == "chat")
+    chat["MaxAttempts"] = attempts
+    async with start_rig() as rig:
+        await rig.add_server("pool-1", "pool", refuse_rests(refused))
+        rig.store.put("config", "main", document)
+        await rig.add_gateway(retry_ratio=ratio, retry_fixed=0.0)
+        async with anyio.create_task_group() as group:
+            for _ in range(STREAMS):
+                group.start_soon(read_chat, rig, answers)
+            await rig.until(lambda: len(rig.servers["pool-1"].requests) == STREAMS)
+            await rig.add_server("pool-2", "pool", refuse)
+            await rig.until(lambda: len(answers) == STREAMS)
+    arrivals = sum(len(server.requests) for server in rig.servers.values())
+    assert arrivals - STREAMS <= ratio * STREAMS
+    assert answers == [(True, LAST)] * STREAMS
+
+
+@pytest.mark.parametrize("end", ["deadline", "caller", "stop"])
+async def test_refused_stream_is_sent_on_after_its_end(start_rig, end):
+    answers = []
+    async with start_rig() as rig:
+        await rig.add_server("pool-1", "pool", refuse_rests(99))
+        rig.store.put("config", "main", configuration(2, prepaid=None))
+        gateway = await rig.add_gateway(retry_ratio=40.0, retry_fixed=0.0)
+        stop, servers = gateway._parts.stop, rig.servers
+        async with anyio.create_task_group() as group:
+            began_at = anyio.current_time()
+            group.start_soon(read_chat, rig, answers)
+            await rig.until(lambda: servers["pool-1"].requests)
+            await rig.add_server("pool-2", "pool", refuse)
+            # It is refused by both, and waits.
+            await rig.until(lambda: len(servers["pool-1"].requests) == 2)
+            if end == "caller":
+                group.cancel_scope.cancel()
+            elif end == "stop":
+                stop.end_requests()
+            else:
+                await rig.until(lambda: answers)
+                assert anyio.current_time() - began_at >= 1.7
+        await rig.until(lambda: not stop.in_progress, timeout_s=0.3)
+        arrivals = [len(server.requests) for server in servers.values()]
+        assert 3 <= sum(arrivals) <= 10
+        await anyio.sleep(0.5)
+        assert arrivals == [len(server.requests) for server in servers.values()]
+    assert answers == ([] if end == "caller" else [(False, 40)])
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -49,10 +49,9 @@
     AttemptFailure,
     RequestRetries,
     RetryBudget,
-    RetryShare,
-    RetryShareSettings,
     RouteRetries,
 )
+from pistachiowell.routing.retry_share import RetryShare, RetryShareSettings
 from pistachiowell.routing.settings import RoutingSettings
 from pistachiowell.routing.shared_times import (
     KindSummary,
--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -6,7 +6,6 @@
 again only if it did not run or may run more than once, and only before its deadline.
 """
 
-from collections import deque
 from dataclasses import dataclass
 
 from pistachiowell.core.registry import Registry
@@ -177,107 +176,6 @@
         return self._budget.try_spend()
 
 
-@dataclass(frozen=True, slots=True)
-class RetryShareSettings:
-    """Settings of a ``RetryShare``.
-
-    Attributes:
-        ratio: Retries allowed for each request.
-        fixed: Retries that all routers together may send in a window in addition.
-        window_s: Length of the window in seconds.
-        safety: Share of the allowance that a router uses.
-        start_s: Seconds after its start for which a router uses only what ``safety``
-            leaves of the fixed number: its earlier run, and routers that do not know of
-            it yet, may use the rest.
-    """
-
-    ratio: float = 0.2
-    fixed: float = 50.0
-    window_s: float = 10.0
-    safety: float = 0.75
-    start_s: float = 17.0
-
-
-class RetryShare:
-    """One router's share of the retry budget of a service.
-
-    In any window all routers together may send ``ratio`` retries for each request plus
-    a fixed number. Each router counts its own requests and divides the fixed number by
-    the number of routers that may be running, so the fleet keeps to its budget without
-    messages between the routers.
-
-    Args:
-        settings: ``RetryShareSettings``.
-        routers: Function that returns the number of routers that may be running.
-        started_at: Time at which the router started in seconds.
-
-    Examples:
-        >>> share = RetryShare(RetryShareSettings(0.5, 8.0, safety=1.0), lambda: 4)
-        >>> [share.try_spend(0.0) for _ in range(3)]
-        [True, True, False]
-        >>> share.record_request(0.0); share.record_request(0.0); share.try_spend(0.0)
-        True
-    """
-
-    __slots__ = (
-        "_requests_at",
-        "_retries_at",
-        "_routers",
-        "_settings",
-        "_started_at",
-    )
-
-    def __init__(self, settings, routers, started_at=float("-inf")):
-        self._settings = settings
-        self._started_at = started_at
-        self._routers = routers
-        self._requests_at = deque()
-        self._retries_at = deque()
-
-    @property
-    def requests(self):
-        """Number of requests in the latest window."""
-        return len(self._requests_at)
-
-    @property
-    def retries(self):
-        """Number of retries in the latest window."""
-        return len(self._retries_at)
-
-    def record_request(self, now):
-        """Records a request, which adds to the allowed retries."""
-        self._remove_before_window(now)
-        self._requests_at.append(now)
-
-    def try_spend(self, now, kept_share=0.0):
-        """Spends one retry of the share; returns whether one was left.
-
-        Args:
-            now: Present time in seconds.
-            kept_share: Share of the allowance that is kept for others.
-        """
-        if not self.has_left(now, kept_share):
-            return False
-        self._retries_at.append(now)
-        return True
-
-    def has_left(self, now, kept_share=0.0):
-        """Returns whether a retry of the share is left; see ``try_spend``."""
-        self._remove_before_window(now)
-        settings = self._settings
-        fixed = settings.fixed / max(1, self._routers())
-        is_starting = now < self._started_at + settings.start_s
-        fixed *= 1 - settings.safety if is_starting else settings.safety
-        allowed = settings.safety * settings.ratio * len(self._requests_at) + fixed
-        return len(self._retries_at) + 1 <= (1.0 - kept_share) * allowed
-
-    def _remove_before_window(self, now):
-        begin = now - self._settings.window_s
-        for times in (self._requests_at, self._retries_at):
-            while times and times[0] < begin:
-                times.popleft()
-
-
 @RETRIES.add("by_route")
 class RouteRetries:
     """Decides about the retries of one request by the rules of its route.
@@ -288,7 +186,8 @@
     retry. In all at most ``MAX_EXTRA_SENDS`` more attempts start than the route allows
     to run. An attempt that did not arrive is not among them while another server is
     left: each server is avoided once it has refused a connection, so these attempts are
-    bounded by the servers, for all requests together.
+    bounded by the servers, for all requests together. Nor are refusals of the rest of a
+    stream, before each of which there is a wait.
 
     Args:
         route: The ``Route``.
@@ -303,6 +202,7 @@
     __slots__ = (
         "_deadline",
         "_free_sends",
+        "_kept_at",
         "_route",
         "_runs",
         "_sends",
@@ -314,6 +214,7 @@
         self._route = route
         self._deadline = deadline
         self._free_sends = 0
+        self._kept_at = None
         self._runs = 0
         self._sends = 0
         self.is_paid = False
@@ -362,7 +263,38 @@
             return False
         return was_paid or not failure.may_have_arrived or share.try_spend(now)
 
-    def try_move_on(self, now, share):
+    def may_send_later(self, now):
+        """Returns whether the rest of a stream that was refused may be sent later.
+
+        Args:
+            now: Present time in seconds.
+        """
+        return self._may_run_again(now, self._runs, self.may_have_run)
+
+    def try_send_later(self, now, share, *, is_paid):
+        """Spends the retry that follows a refusal; returns whether one was left.
+
+        Args:
+            now: Present time in seconds.
+            share: The ``RetryShare`` of the service that the next attempt goes to.
+            is_paid: Whether the retry that was spent for that attempt is left, as it
+                arrived at no server.
+        """
+        if not is_paid and not self.is_paid:
+            if self._kept_at is None and not share.try_spend(now):
+                return False
+            self._kept_at = None
+        self.is_paid = False
+        self._free_sends += 1
+        return True
+
+    def return_kept(self, share):
+        """Returns the retry that was kept for a refusal, as a server goes on."""
+        if self._kept_at is not None:
+            share.give_back(self._kept_at)
+            self._kept_at = None
+
+    def try_move_on(self, now, share, *, is_begun=False):
         """Spends the retry that follows if the present attempt is given up now.
 
         The attempt may have run. Others are given up in the same moment, so a retry
@@ -371,11 +303,16 @@
         Args:
             now: Present time in seconds.
             share: The ``RetryShare`` of the service that the next attempt goes to.
+            is_begun: Whether the caller has a part of the answer. If so, a second retry
+                is kept, for the way back if the next server refuses the rest.
 
         Returns:
             Whether the attempt may be given up.
         """
-        self.is_paid = self.may_send_beside(now) and share.try_spend(now)
+        count = 2 if is_begun and self._kept_at is None else 1
+        self.is_paid = self.may_send_beside(now) and share.try_spend(now, count=count)
+        if self.is_paid and is_begun:
+            self._kept_at = now if self._kept_at is None else self._kept_at
         return self.is_paid
 
     def may_send_beside(self, now):
@@ -387,11 +324,14 @@
         return self._may_send_again(now, self._runs + 1, may_have_run=True)
 
     def _may_send_again(self, now, runs, may_have_run):
+        sends = self._sends - self._free_sends
+        if sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
+            return False
+        return self._may_run_again(now, runs, may_have_run)
+
+    def _may_run_again(self, now, runs, may_have_run):
         if may_have_run and not self._route.is_idempotent:
             return False
         if runs >= self._route.max_attempts:
             return False
-        sends = self._sends - self._free_sends
-        if sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
-            return False
         return self._deadline - now >= MIN_RETRY_TIME_S
--- a/pistachiowell/routing/tests/test_retry_share.py
+++ b/pistachiowell/routing/tests/test_retry_share.py
@@ -126,3 +126,26 @@
         failure = AttemptFailure("server_failed", "unknown")
         answers.append(retries.may_retry(failure, 0.1, share))
     assert answers == [True, False, False]
+
+
+def test_begun_stream_is_given_up_without_a_retry_for_the_way_back():
+    share = RetryShare(RetryShareSettings(0.0, 3.0, safety=1.0), lambda: 1)
+    streams = [route_retries(RequestKind.streaming, 2, is_resumable=True) for _ in "ab"]
+    for retries in streams:
+        retries.start(0.0, share)
+    moved = [retries.try_move_on(0.1, share, is_begun=True) for retries in streams]
+    assert moved == [True, False]
+    failure = AttemptFailure("server_failed", "unknown")
+    assert streams[0].may_retry(failure, 0.1, share)
+    assert share.try_spend(0.1) and not share.try_spend(0.1)
+    assert streams[0].try_send_later(0.3, share, is_paid=False)
+    assert not streams[0].try_send_later(0.5, share, is_paid=False)
+
+
+def test_retry_for_the_way_back_is_lost_though_no_server_refuses(share):
+    retries = route_retries(RequestKind.streaming, 2, is_resumable=True)
+    retries.start(0.0, share)
+    assert retries.try_move_on(0.1, share, is_begun=True) and share.retries == 2
+    for _ in range(2):
+        retries.return_kept(share)
+    assert share.retries == 1
