--- a/pistachiowell/routing/retry.py
+++ b/pistachiowell/routing/retry.py
@@ -186,7 +186,8 @@
     retry. In all at most ``MAX_EXTRA_SENDS`` more attempts start than the route allows
     to run. An attempt that did not arrive is not among them while another server is
     left: each server is avoided once it has refused a connection, so these attempts are
-    bounded by the servers, for all requests together.
+    bounded by the servers, for all requests together. Nor are refusals of the rest of a
+    stream, before each of which there is a wait.
 
     Args:
         route: The ``Route``.
@@ -201,6 +202,7 @@
     __slots__ = (
         "_deadline",
         "_free_sends",
+        "_kept_at",
         "_route",
         "_runs",
         "_sends",
@@ -212,6 +214,7 @@
         self._route = route
         self._deadline = deadline
         self._free_sends = 0
+        self._kept_at = None
         self._runs = 0
         self._sends = 0
         self.is_paid = False
@@ -260,7 +263,38 @@
             return False
         return was_paid or not failure.may_have_arrived or share.try_spend(now)
 
-    def try_move_on(self, now, share):
+    def may_send_later(self, now):
+        """Returns whether the rest of a stream that was refused may be sent later.
+
+        Args:
+            now: Present time in seconds.
+        """
+        return self._may_run_again(now, self._runs, self.may_have_run)
+
+    def try_send_later(self, now, share, *, is_paid):
+        """Spends the retry that follows a refusal; returns whether one was left.
+
+        Args:
+            now: Present time in seconds.
+            share: The ``RetryShare`` of the service that the next attempt goes to.
+            is_paid: Whether the retry that was spent for that attempt is left, as it
+                arrived at no server.
+        """
+        if not is_paid and not self.is_paid:
+            if self._kept_at is None and not share.try_spend(now):
+                return False
+            self._kept_at = None
+        self.is_paid = False
+        self._free_sends += 1
+        return True
+
+    def return_kept(self, share):
+        """Returns the retry that was kept for a refusal, as a server goes on."""
+        if self._kept_at is not None:
+            share.give_back(self._kept_at)
+            self._kept_at = None
+
+    def try_move_on(self, now, share, *, is_begun=False):
         """Spends the retry that follows if the present attempt is given up now.
 
         The attempt may have run. Others are given up in the same moment, so a retry
@@ -269,11 +303,16 @@
         Args:
             now: Present time in seconds.
             share: The ``RetryShare`` of the service that the next attempt goes to.
+            is_begun: Whether the caller has a part of the answer. If so, a second retry
+                is kept, for the way back if the next server refuses the rest.
 
         Returns:
             Whether the attempt may be given up.
         """
-        self.is_paid = self.may_send_beside(now) and share.try_spend(now)
+        count = 2 if is_begun and self._kept_at is None else 1
+        self.is_paid = self.may_send_beside(now) and share.try_spend(now, count=count)
+        if self.is_paid and is_begun:
+            self._kept_at = now if self._kept_at is None else self._kept_at
         return self.is_paid
 
     def may_send_beside(self, now):
@@ -285,11 +324,14 @@
         return self._may_send_again(now, self._runs + 1, may_have_run=True)
 
     def _may_send_again(self, now, runs, may_have_run):
+        sends = self._sends - self._free_sends
+        if sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
+            return False
+        return self._may_run_again(now, runs, may_have_run)
+
+    def _may_run_again(self, now, runs, may_have_run):
         if may_have_run and not self._route.is_idempotent:
             return False
         if runs >= self._route.max_attempts:
             return False
-        sends = self._sends - self._free_sends
-        if sends >= self._route.max_attempts + MAX_EXTRA_SENDS:
-            return False
         return self._deadline - now >= MIN_RETRY_TIME_S
--- a/pistachiowell/routing/retry_share.py
+++ b/pistachiowell/routing/retry_share.py
@@ -104,32 +104,44 @@
         self._requests_at.append(now)
         self._saved += self._per_request
 
-    def try_spend(self, now, kept_share=0.0):
-        """Spends one retry of the share; returns whether one was left.
+    def try_spend(self, now, kept_share=0.0, *, count=1):
+        """Spends retries of the share; returns whether so many were left.
 
         Args:
             now: Present time in seconds.
             kept_share: Share of the allowance that is kept for others.
+            count: Number of retries, all of which are spent or none.
         """
-        if not self.has_left(now, kept_share):
+        if not self.has_left(now, kept_share, count=count):
             return False
-        from_saved = min(1.0, self._saved)
+        from_saved = min(count, self._saved)
         self._saved -= from_saved
-        if from_saved < 1.0:
-            self._fixed_spent.append((now, 1.0 - from_saved))
-        self._retries_at.append(now)
+        if from_saved < count:
+            self._fixed_spent.append((now, count - from_saved))
+        self._retries_at.extend([now] * count)
         return True
 
-    def has_left(self, now, kept_share=0.0):
-        """Returns whether a retry of the share is left; see ``try_spend``."""
+    def give_back(self, spent_at):
+        """Takes back a retry that was not sent.
+
+        Args:
+            spent_at: Time at which it was spent in seconds.
+        """
+        # It may be too long ago to count.
+        if spent_at in self._retries_at:
+            self._retries_at.remove(spent_at)
+            self._saved += 1.0
+
+    def has_left(self, now, kept_share=0.0, *, count=1):
+        """Returns whether retries of the share are left; see ``try_spend``."""
         self._remove_before_window(now)
         self._saved = min(self._saved, self._per_request * self._unlapsed_count(now))
         fixed = self._fixed(now)
         fixed_left = max(0.0, fixed - sum(part for _, part in self._fixed_spent))
-        if self._saved + fixed_left < 1.0 - ROUNDING:
+        if self._saved + fixed_left < count - ROUNDING:
             return False
         allowed = self._per_request * len(self._requests_at) + fixed
-        return len(self._retries_at) + 1 <= (1.0 - kept_share) * allowed + ROUNDING
+        return len(self._retries_at) + count <= (1.0 - kept_share) * allowed + ROUNDING
 
     @property
     def _per_request(self):
