--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -1,14 +1,11 @@
 """HTTP protocol class for uvicorn that limits what a caller sends and leaves unread."""
 
-import fcntl
-import sys
-import termios
-
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from pistachiowell.core.clients import default_clients
 from pistachiowell.core.connection_order import Stage
+from pistachiowell.core.lingering import LingeringTransport
 from pistachiowell.core.read_gate import ReadGate
 from pistachiowell.core.refusals import INVALID, NO_ROOM, TOO_SLOW, refusal
 from pistachiowell.core.traffic import ConnectionTraffic, CountedTransport
@@ -26,18 +23,6 @@
     """Ends the parsing of a connection from a callback of the parser."""
 
 
-def _queued_bytes(sock):
-    """Returns the bytes that this kernel keeps until the peer has taken them.
-
-    A socket becomes writable only after a good part of them, which a slow reader takes
-    long for.
-
-    References:
-        tcp(7): ``SIOCOUTQ``.
-    """
-    return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
-
-
 def bounded_protocol(
     max_header_bytes, body, clients=None, take_over=None, traffic=None
 ):
@@ -90,8 +75,20 @@
         @property
         def unsent_bytes(self):
             """Bytes of answers that the client's kernel has not taken."""
-            sock = self.transport.get_extra_info("socket")
-            return self.transport.get_write_buffer_size() + _queued_bytes(sock)
+            return self.transport.unsent_bytes
+
+        @property
+        def owes_answer(self):
+            """Whether an answer could be lost if the process ended now."""
+            transport = self.transport
+            return (
+                self._is_answering
+                or transport.get_write_buffer_size() > 0
+                or (transport.is_lingering and transport.unsent_bytes > 0)
+            )
+
+        def _expects_more(self):
+            return self._is_in_message or self._has_request_ahead
 
         @property
         def _is_answering(self):
@@ -115,9 +112,10 @@
         def _begin(self, transport):
             super().connection_made(transport)
             self.flow = ReadGate(transport, self.loop)
+            self.transport = LingeringTransport(transport, self._expects_more)
             if traffic is not None:
                 self._traffic = ConnectionTraffic(traffic)
-                self.transport = CountedTransport(transport, self._traffic)
+                self.transport = CountedTransport(self.transport, self._traffic)
             clients.add(self)
 
         def connection_lost(self, exc):
@@ -170,9 +168,11 @@
             super().on_body(body)
 
         def on_message_complete(self):
-            """Records the end of a request."""
+            """Records the end of a request, for which a close may have waited."""
             self._is_in_message = False
             super().on_message_complete()
+            if self.transport.is_lingering:
+                self.transport.close_now()
 
         def on_response_complete(self):
             """Releases what the request held."""
@@ -196,6 +196,9 @@
             """Parses data of the caller; refuses a head or trailers without end."""
             if self._traffic is not None:
                 self._traffic.add(len(data))
+            if self.transport.is_lingering:
+                self._drop(data)
+                return
             for start in range(0, len(data), PIECE_BYTES):
                 if self._has_request_ahead or self.transport.is_closing():
                     return
@@ -204,6 +207,12 @@
                 self._report(self._stage())
                 self.flow.record_read(len(data))
 
+        def _drop(self, data):
+            """Drops the rest of a request that was answered before its end."""
+            self.transport.drop(len(data))
+            if self._is_in_message and not self._has_request_ahead:
+                self._parse(data)
+
         def _parse(self, piece):
             self._has_ended_part = False
             self._unset_keepalive_if_required()
@@ -234,10 +243,10 @@
                 self._end(None, answer)
             if self.transport.get_write_buffer_size() or stage is Stage.stalled:
                 self.transport.abort()
-            self.transport.close()
+            self.transport.close_now()
 
         def _end(self, reason, answer):
-            """Closes the connection with an answer of its own."""
+            """Closes the connection at once with an answer of its own."""
             if self.transport.is_closing():
                 return
             if reason is not None:
@@ -249,7 +258,7 @@
                 self.transport.write(answer)
                 self.cycle.disconnected = True
                 self.cycle.message_event.set()
-            self.transport.close()
+            self.transport.close_now()
 
         def _stage(self):
             if self.flow.write_paused:
--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections.py
@@ -12,6 +12,7 @@
 import httpcore
 
 from pistachiowell.core.body_buffer import BodyBuffer, HeldBytes
+from pistachiowell.core.http_connections import has_extra_bytes
 from pistachiowell.engines import MAX_BODY_BYTES
 from pistachiowell.gateway.bounded_stream import BoundedBackend, HeadLimit
 from pistachiowell.store.calls import KEEP_ALIVE_OPTIONS
@@ -57,6 +58,7 @@
         "_http",
         "_port",
         "_reusable_until",
+        "_stream",
     )
 
     def __init__(self, host, port, deadline=anyio.move_on_after):
@@ -65,6 +67,7 @@
         self._head_limit = HeadLimit(anyio.current_time)
         self._backend = BoundedBackend(self._head_limit, deadline, self._hand_over)
         self._http = None
+        self._stream = None
         self._reusable_until = float("-inf")
         self.on_given_up = None
 
@@ -82,11 +85,11 @@
         """
         if self._http is not None:
             return
-        stream = await self._backend.connect_tcp(
+        self._stream = await self._backend.connect_tcp(
             self._host, self._port, CONNECT_TIMEOUT_S, socket_options=_SOCKET_OPTIONS
         )
         origin = httpcore.Origin(b"http", self._host.encode(), self._port)
-        self._http = httpcore.AsyncHTTP11Connection(origin, stream)
+        self._http = httpcore.AsyncHTTP11Connection(origin, self._stream)
 
     async def request(self, method, target, headers, body):
         """Sends a request and reads the head of the answer.
@@ -106,6 +109,13 @@
         self._head_limit.end()
         return response
 
+    async def has_ended_in_order(self):
+        """Returns whether its end, if it has come, may be that of the whole answer.
+
+        Call this after the answer was read; see ``BoundedStream.has_ended_in_order``.
+        """
+        return await self._stream.has_ended_in_order()
+
     def _hand_over(self, stream):
         return self.on_given_up is not None and self.on_given_up(stream)
 
@@ -124,17 +134,8 @@
         if keep_alive_s is not None:
             limit_s = min(MAX_IDLE_S, keep_alive_s - IDLE_CLOSE_MARGIN_S)
         self._reusable_until = now + limit_s
-        return limit_s > 0 and self._http.is_idle() and not self._has_extra_bytes()
-
-    def _has_extra_bytes(self):
-        """Returns whether the server has sent more than the answer, which was read.
-
-        Such bytes belong to no request, and would be read as the next answer. Those
-        that arrive later make an idle connection readable, which httpcore checks.
-        """
-        # httpcore has no public view of what its parser holds.
-        data, _ = self._http._h11_state.trailing_data
-        return bool(data)
+        may_carry = limit_s > 0 and self._http.is_idle()
+        return may_carry and not has_extra_bytes(self._http)
 
     def is_reusable(self, now):
         """Returns whether it is open, idle and within its idle limit."""
--- a/pistachiowell/platform/tests/test_hedges.py
+++ b/pistachiowell/platform/tests/test_hedges.py
@@ -13,6 +13,7 @@
 
 from pistachiowell.admission.overload import FairShareOverload
 from pistachiowell.gateway import hedges, time_reports, times_owner
+from pistachiowell.gateway.report_rounds import RoundSettings
 from pistachiowell.gateway.selection import Selection
 from pistachiowell.gateway.server_crashes import ServerCrashes
 from pistachiowell.platform.standins import (
@@ -56,6 +57,13 @@
     return True
 
 
+async def answer_unsendably(request, stream):
+    """Answers with a head that cannot be passed on."""
+    text = head(request, Content_Length="2", X_Odd="\x01")
+    await stream.send((text + "\r\nno").encode())
+    return True
+
+
 def close_after(delay_s):
     """Returns a script that closes the connection after a time."""
 
@@ -167,7 +175,7 @@
     assert [body for _, _, body in answers[1:]] == [b"ok"] * 4
 
 
-@pytest.mark.parametrize("hedge", [refuse, close_without_answer])
+@pytest.mark.parametrize("hedge", [refuse, close_without_answer, answer_unsendably])
 async def test_failed_hedge_ends_the_first_attempt(hedged_rig, hedge):
     async with hedged_rig(answer_after(SLOW_S, "first"), hedge) as (rig, arrivals):
         status, _, body = await rig.send("/read/a")
@@ -268,8 +276,8 @@
     calm = partial(HedgeSettings, max_transit_s=60.0, max_slow_share=1.0)
     monkeypatch.setattr(hedges, "HedgeSettings", calm)
     monkeypatch.setattr(time_reports, "REPORT_INTERVAL_S", 0.05)
-    monkeypatch.setattr(times_owner, "MIN_INTERVAL_S", 0.05)
-    monkeypatch.setattr(times_owner, "INTERVAL_PER_GATEWAY_S", 0.0)
+    rounds = RoundSettings(0.05, 0.05, interval_per_gateway_s=0.0)
+    monkeypatch.setattr(times_owner, "ROUNDS", rounds)
     scripts = []
 
     async def script(request, stream):
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -20,6 +20,14 @@
 )
 from pistachiowell.routing.credits import CREDIT_POOLS, AbortStream, CreditSettings
 from pistachiowell.routing.engine_rates import EngineRates, RateSettings
+from pistachiowell.routing.engine_table import (
+    NO_LOAD,
+    EngineLoad,
+    EngineRequest,
+    EngineRun,
+    EngineTable,
+    PlacedRequest,
+)
 from pistachiowell.routing.health import HealthTable
 from pistachiowell.routing.hedging import (
     HEDGE_POLICIES,
@@ -35,25 +43,16 @@
     SharedLoads,
 )
 from pistachiowell.routing.pick import PICKERS, Candidate, even_odds, rendezvous
-from pistachiowell.routing.placement import (
-    NO_LOAD,
-    PLACERS,
-    EngineLoad,
-    EngineRequest,
-    EngineRun,
-    EngineTable,
-    PlacedRequest,
-    PlacementSettings,
-)
+from pistachiowell.routing.placement import PLACERS, PlacementSettings
 from pistachiowell.routing.retry import (
     RETRIES,
     AttemptFailure,
     RequestRetries,
     RetryBudget,
-    RetryShare,
-    RetryShareSettings,
     RouteRetries,
 )
+from pistachiowell.routing.retry_share import RetryShare, RetryShareSettings
+from pistachiowell.routing.router_count import RouterCount
 from pistachiowell.routing.settings import RoutingSettings
 from pistachiowell.routing.shared_times import (
     KindSummary,
@@ -121,6 +120,7 @@
     "RetryShare",
     "RetryShareSettings",
     "RouteRetries",
+    "RouterCount",
     "RoutingSettings",
     "SharedLoads",
     "SharedTimes",
--- a/pistachiowell/store/calls.py
+++ b/pistachiowell/store/calls.py
@@ -25,6 +25,7 @@
     StoreThrottled,
     StoreUnavailable,
 )
+from pistachiowell.core.http_connections import SingleAnswerPool
 from pistachiowell.store.era import StoreEra
 
 CONNECT_TIMEOUT_S = 2.0
@@ -32,6 +33,8 @@
 MAX_CONNECTIONS = 16
 # Of all answers that are being read; one may have all of it.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Versions with such an era fit into 63 bits; see ``REVISION_BITS``.
+MAX_ERA_DIGITS = 6
 # TCP keep-alive detects a dead connection within three seconds.
 KEEP_ALIVE_OPTIONS = [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -93,7 +96,7 @@
         self._era_header = era_header
         self.era = StoreEra()
         self._held = HeldBytes(MAX_ANSWER_BYTES)
-        self._pool = httpcore.AsyncConnectionPool(
+        self._pool = SingleAnswerPool(
             max_connections=MAX_CONNECTIONS, socket_options=KEEP_ALIVE_OPTIONS
         )
 
@@ -210,7 +213,8 @@
 
     def _era_of(self, response):
         for name, value in response.headers:
-            if name.lower() == self._era_header and value.isdigit():
+            is_number = value.isdigit() and len(value) <= MAX_ERA_DIGITS
+            if name.lower() == self._era_header and is_number:
                 return int(value)
         return None
 
