--- a/pistachiowell/platform/tests/test_early_answers.py
+++ b/pistachiowell/platform/tests/test_early_answers.py
@@ -5,6 +5,7 @@
 
 from functools import partial
 
+import anyio
 import httpcore
 import httptools
 import pytest
@@ -35,6 +36,7 @@
 RESETS = [reset, reset_later, close_unread, reset_after_end]
 UPLOAD = b"u" * 200_000
 ATTEMPTS = 6
+PLAY_LIMIT_S = 20.0
 
 
 def unframed(body, **headers):
@@ -73,6 +75,15 @@
     return data, error
 
 
+async def until_received(server, send):
+    """Returns the answers to requests, until an early server has had one of them."""
+    answers = []
+    with anyio.fail_after(PLAY_LIMIT_S):
+        while len(answers) < ATTEMPTS or not server.received:
+            answers.append(await send())
+    return answers
+
+
 @pytest.mark.parametrize("end", RESETS)
 @pytest.mark.parametrize("size", [20_000, 200_000, 2_000_000])
 @pytest.mark.parametrize("path", ["/read/a", "/book/a"])
@@ -93,9 +104,10 @@
     async with start_rig() as rig:
         await rig.add_server("desk-2", "desk", answer_whole)
         await start_early(rig, "desk", server)
-        answers = [await rig.send("/read/a", "POST", UPLOAD) for _ in range(ATTEMPTS)]
-    assert server.received
-    assert [(status, body) for status, _, body in answers] == [(200, b"ok")] * ATTEMPTS
+        answers = await until_received(
+            server, lambda: rig.send("/read/a", "POST", UPLOAD)
+        )
+    assert {(status, body) for status, _, body in answers} == {(200, b"ok")}
 
 
 @pytest.mark.parametrize("end", RESETS)
@@ -115,9 +127,8 @@
     async with start_rig() as rig:
         await rig.add_server("pool-2", "pool", stream_events(1, 4))
         await start_early(rig, "pool", server)
-        streams = [await read_stream(rig, "/chat/a") for _ in range(ATTEMPTS)]
-    assert server.received
-    assert streams == [(b"".join(map(event, range(1, 5))), None)] * ATTEMPTS
+        streams = await until_received(server, lambda: read_stream(rig, "/chat/a"))
+    assert set(streams) == {(b"".join(map(event, range(1, 5))), None)}
 
 
 async def test_whole_answer_fails_as_its_server_reads_the_upload_later(start_rig):
