--- a/pistachiowell/core/lingering.py
+++ b/pistachiowell/core/lingering.py
@@ -93,4 +93,4 @@
         """
         if self._timer is not None:
             self._timer.cancel()
-        self._expects_more = bool
+        self._expects_more = lambda: False
