Judge requests beside a change by the limit that they began with

No caller was harmed: on a slower machine these requests began under the changed configuration, whose time limit is 0.1 s, and a stream takes 0.12 s. The test compared with the callers' limit of 1.9 s only.

Each request is now judged by the limit that it began with, which servers are told (the first value that one got), and changes begin only when servers have the first requests whose bodies came at once, so those must be answered under the first configuration on a slow machine as well. A change that shortened the limit of a request under way is still found: its servers were told the longer one.

--- a/pistachiowell/platform/tests/test_changed_configuration.py
+++ b/pistachiowell/platform/tests/test_changed_configuration.py
@@ -17,6 +17,8 @@
 SILENCE_S = 1.1
 CALLS_S = 1.2
 WAIT_LIMIT_S = 1.9
+# The time limit of the routes with shorter times.
+SHORT_LIMIT_S = 0.1
 LAST = 12
 # A connection that is closed sooner after a request may have crossed it.
 LOSS_SLACK_S = 0.2
@@ -93,7 +95,7 @@
 def short_timeouts(document):
     """Shortens all times."""
     for route in document["Routes"]:
-        route["TimeoutMs"] = 100
+        route["TimeoutMs"] = 1000 * SHORT_LIMIT_S
     document["Limits"] |= {"HeaderTimeoutMs": 50, "IdleTimeoutMs": 50}
 
 
@@ -198,6 +200,11 @@
     return received, is_late
 
 
+def id_of(kind, number, count):
+    """Returns the id of a request, whose end draws the point of silence."""
+    return f"{kind}-{number}.{count}-{count + number}"
+
+
 async def call(rig, kind, number, body_delay_s, answers):
     """Sends requests one after the other for some time, on connections that are kept.
 
@@ -211,26 +218,49 @@
             answer = b"HTTP"
             while answer and (not count or anyio.current_time() < end):
                 count += 1
-                request_id = f"{kind}-{number}.{count}-{count + number}"
+                request_id = id_of(kind, number, count)
                 begun_at = anyio.current_time()
                 outcome = await exchange(stream, kind, request_id, body_delay_s)
                 took_s = anyio.current_time() - begun_at
                 answer, is_late = outcome
-                if answer or is_late or was_passed_on(rig, request_id):
+                if answer or is_late or waits_of(rig, request_id):
                     # What its own time limit ends is not lost.
-                    answers[request_id] = is_whole(answer) or took_s >= WAIT_LIMIT_S
+                    answers[request_id] = is_whole(answer) or (
+                        took_s >= time_limit_s_of(rig, request_id)
+                    )
                 if b"connection: close" in answer.lower():
                     answer = b""
                 await anyio.sleep(0.02)
 
 
-def was_passed_on(rig, request_id):
-    """Returns whether a request has reached a server."""
-    return any(
-        request.headers["pistachiowell-attempt-id"] == request_id
+def waits_of(rig, request_id):
+    """Returns the times in seconds that servers were given for a request."""
+    return [
+        int(request.headers["pistachiowell-deadline-ms"]) / 1000
         for server in rig.servers.values()
         for request in server.requests
-    )
+        if request.headers["pistachiowell-attempt-id"] == request_id
+    ]
+
+
+def time_limit_s_of(rig, request_id):
+    """Returns the time limit that a request had when it began.
+
+    What servers were given tells it; later changes must not shorten it.
+    """
+    longest_wait_s = max(waits_of(rig, request_id), default=WAIT_LIMIT_S)
+    return SHORT_LIMIT_S if longest_wait_s <= SHORT_LIMIT_S else WAIT_LIMIT_S
+
+
+async def until_first_requests_are_passed_on(rig):
+    """Waits until servers have the first requests whose bodies came at once."""
+    first = [
+        id_of(kind, number, 1)
+        for kind in KINDS
+        for number, delay_s in enumerate(BODY_DELAYS_S)
+        if not delay_s
+    ]
+    await rig.until(lambda: all(waits_of(rig, request_id) for request_id in first))
 
 
 @pytest.mark.parametrize("change", [*CHANGES, None], ids=lambda c: c and c.__name__)
@@ -248,6 +278,7 @@
                 for number, delay_s in enumerate(BODY_DELAYS_S):
                     group.start_soon(call, rig, kind, number, delay_s, answers)
             await anyio.sleep(0.08)
+            await until_first_requests_are_passed_on(rig)
             if change is None:
                 await register_again(rig, range(6, 14))
             else:
