Open the connections of a test one by one, which came too late together

All 200 were opened in one turn of one event loop, so the last ones were late by the work for all others; no caller is concerned, and no check had been reached. The same work counted as time in which heads held the loop.

The requests are still given up at the same time, 200 of them.

--- a/pistachiowell/gateway/tests/test_heads_without_end.py
+++ b/pistachiowell/gateway/tests/test_heads_without_end.py
@@ -64,14 +64,19 @@
         server.kill()
 
 
-async def give_up(port, late_heads):
-    """Sends a request and gives it up."""
+async def open_connection(port, late_heads):
+    """Returns an open connection whose request can be given up."""
     connection = ServerConnection("127.0.0.1", port)
     connection.on_given_up = lambda stream: late_heads.take(
         SimpleNamespace(id="s1"), "request-1", stream
     )
+    await connection.open()
+    return connection
+
+
+async def give_up(connection):
+    """Sends a request and gives it up."""
     with anyio.CancelScope() as caller:
-        await connection.open()
         # Not before: a late loop would give up a request that was never sent.
         caller.deadline = anyio.current_time() + GIVEN_UP_AFTER_S
         await connection.request("GET", b"/", [(b"Host", b"desk")], b"")
@@ -98,10 +103,13 @@
         late_heads = LateHeads(headers, lambda server, head, told: None)
         async with anyio.create_task_group() as group:
             group.start_soon(late_heads.run)
-            await anyio.sleep(0.02)
+            # One by one: opened at once, the last ones wait longer than they may.
+            connections = [
+                await open_connection(endless_port, late_heads) for _ in range(GIVEN_UP)
+            ]
             async with anyio.create_task_group() as callers:
-                for _ in range(GIVEN_UP):
-                    callers.start_soon(give_up, endless_port, late_heads)
+                for connection in connections:
+                    callers.start_soon(give_up, connection)
                 await anyio.sleep(GIVEN_UP_AFTER_S / 2)
                 begin_measuring(group)
             await anyio.sleep(2 * LATE_HEAD_S)
