Send what a link has queued when it is closed, which its peer never got

Among them are the ends of answers that an agent sends as it stops, so callers of the product's own path got a beginning, or nothing (LOST at a planned end).

A close cancelled the write under way and cleared the queue; and a connection that is closed while its peer still sends is reset, which drops what the peer has not read.

A link that this process closes now sends its queue, ends the stream and reads until the peer ends it too, all in 0.1 s at most; the write under way is not cancelled before. A link whose peer has gone, reads too slowly or sends nonsense is closed at once, as before.

--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+from contextlib import suppress
 
 import anyio
 
@@ -20,6 +21,15 @@
 
 READ_BYTES = 65536
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
+# Longest time in which a link that is closed sends what is queued.
+CLOSE_S = 0.1
+
+_LOST_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    OSError,
+)
 
 _log = part_logger("wire")
 
@@ -34,7 +44,8 @@
 
     Messages to send are queued and written in batches. If the peer reads more slowly
     than this process sends and the queue would exceed ``MAX_QUEUED_BYTES``, the link is
-    closed, so that a stalled peer cannot exhaust the memory of this process.
+    closed, so that a stalled peer cannot exhaust the memory of this process. What is
+    queued when this process closes the link is still sent, for ``CLOSE_S`` at most.
 
     Args:
         stream: An anyio byte stream.
@@ -53,6 +64,7 @@
         "_close_listeners",
         "_closed",
         "_handlers",
+        "_is_lost",
         "_pending_calls",
         "_queue",
         "_queued_bytes",
@@ -77,6 +89,7 @@
         self._queued_bytes = 0
         self._wake_writer = anyio.Event()
         self._closed = anyio.Event()
+        self._is_lost = False
         self.hello = None
         self.unknown_kinds = 0
 
@@ -109,7 +122,7 @@
             raise LinkLost("The link is closed; nothing was sent.")
         data = encode_frame(message, call, self._clock.tick())
         if self._queued_bytes + len(data) > MAX_QUEUED_BYTES:
-            self.close()
+            self._lose()
             raise LinkLost("The peer reads too slowly; the link was closed.")
         self._queue.append(data)
         self._queued_bytes += len(data)
@@ -164,25 +177,39 @@
         for pending in self._pending_calls.values():
             pending.event.set()
 
+    def _lose(self):
+        """Closes the link and sends nothing more."""
+        if not self.closed:
+            self._is_lost = True
+        self.close()
+
     async def run(self):
         """Sends and receives messages until the link is closed or lost."""
+        writing = anyio.CancelScope(shield=True)
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._write_loop, group.cancel_scope)
+                group.start_soon(self._write_loop, writing)
                 group.start_soon(self._read_loop, group)
-                await self._closed.wait()
-                group.cancel_scope.cancel()
+                try:
+                    await self._closed.wait()
+                finally:
+                    self.close()
+                    left_s = 0.0 if self._is_lost else CLOSE_S
+                    writing.deadline = anyio.current_time() + left_s
+                    group.cancel_scope.cancel()
         finally:
             self.close()
             # What refers to the link may outlive it until a garbage collection.
             self._reader = FrameReader()
             self._queue.clear()
+            with anyio.CancelScope(shield=True, deadline=writing.deadline):
+                await self._wait_for_end()
             with anyio.CancelScope(shield=True), anyio.move_on_after(0.1):
                 await self._stream.aclose()
 
     async def _write_loop(self, scope):
-        try:
-            while not self.closed:
+        with scope, suppress(*_LOST_ERRORS):
+            while not self.closed or self._queue:
                 await self._wake_writer.wait()
                 self._wake_writer = anyio.Event()
                 batch = b"".join(self._queue)
@@ -191,9 +218,21 @@
                     await self._stream.send(batch)
                     self._queued_bytes -= len(batch)
                     self._report()
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
-            self.close()
-            scope.cancel()
+            return
+        self._lose()
+
+    async def _wait_for_end(self):
+        """Ends the stream and waits until the peer has ended it as well.
+
+        A connection that is closed while the peer still sends is reset, and the peer
+        loses what it has not read.
+        """
+        # A stream of TLS can't be ended in one direction, but the one below it can.
+        stream = getattr(self._stream, "transport_stream", self._stream)
+        with suppress(*_LOST_ERRORS):
+            await stream.send_eof()
+            while True:
+                await stream.receive(READ_BYTES)
 
     async def _read_loop(self, group):
         try:
@@ -202,17 +241,12 @@
                 for frame in self._reader.feed(data):
                     await self._handle_frame(frame, group)
                 self._report()
-        except (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            OSError,
-        ):
+        except _LOST_ERRORS:
             pass
         except PistachiowellError as error:
             log = _log.debug if self._is_strange else _log.warning
             log("Closing a link after an error in a received message: {}", error)
-        self.close()
+        self._lose()
 
     async def _handle_frame(self, frame, group):
         if self._is_strange:
--- a/pistachiowell/wire/tests/test_link.py
+++ b/pistachiowell/wire/tests/test_link.py
@@ -99,3 +99,102 @@
             assert (await link.call(Ping(1), 5)).table_revision == 7
         await slow.aclose()
         group.cancel_scope.cancel()
+
+
+MESSAGES = 200
+# Together more than the buffers of the kernel hold at once.
+PADDING = "x" * 20_000
+
+
+async def until(condition):
+    """Waits until a condition holds, or for a second."""
+    with anyio.move_on_after(1.0):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+@pytest.fixture
+def listen(clock, free_port):
+    """Returns a function that starts to serve and returns the port and the scope."""
+
+    async def start(group, handlers, on_link):
+        port, scope = free_port(), anyio.CancelScope()
+
+        async def run(*, task_status):
+            with scope:
+                await serve(
+                    "127.0.0.1",
+                    port,
+                    hello("b"),
+                    handlers,
+                    clock,
+                    on_link=on_link,
+                    task_status=task_status,
+                )
+
+        await group.start(run)
+        return port, scope
+
+    return start
+
+
+@pytest.fixture
+def counted():
+    """Returns handlers that count padded messages, and the list of their numbers."""
+    handlers, received = Handlers(), []
+
+    @handlers.on(Failure)
+    async def record(link, message):
+        received.append(message.retry_after_s)
+
+    return handlers, received
+
+
+def send_all(link):
+    """Queues ``MESSAGES`` padded messages."""
+    for number in range(MESSAGES):
+        link.send(Failure("overloaded", PADDING, float(number)))
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("peer_sends", [False, True])
+async def test_messages_queued_at_a_close_are_lost(clock, listen, counted, peer_sends):
+    handlers, received = counted
+    links = []
+    async with anyio.create_task_group() as group:
+        port, _ = await listen(group, handlers, links.append)
+        async with connect("127.0.0.1", port, hello("a"), Handlers(), clock) as link:
+            await until(lambda: links)
+            if peer_sends:
+                send_all(links[0])
+            send_all(link)
+        await until(lambda: len(received) == MESSAGES)
+        group.cancel_scope.cancel()
+    assert received == [float(number) for number in range(MESSAGES)]
+
+
+@pytest.mark.anyio
+async def test_messages_queued_as_a_process_ends_are_lost(clock, listen, counted):
+    handlers, received = counted
+    links = []
+    async with anyio.create_task_group() as group:
+        port, process = await listen(group, Handlers(), links.append)
+        async with connect("127.0.0.1", port, hello("a"), handlers, clock):
+            await until(lambda: links)
+            send_all(links[0])
+            process.cancel()
+            await until(lambda: len(received) == MESSAGES)
+    assert received == [float(number) for number in range(MESSAGES)]
+
+
+@pytest.mark.anyio
+async def test_peer_that_reads_nothing_holds_a_close_up(clock, free_port):
+    port = free_port()
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
+    async with listener:
+        async with connect("127.0.0.1", port, hello("a"), Handlers(), clock) as link:
+            send_all(link)
+            await anyio.sleep(0.05)
+            begun_at = anyio.current_time()
+        took_s = anyio.current_time() - begun_at
+    assert took_s < 3 * link_module.CLOSE_S
