--- a/pistachiowell/core/tests/test_lingering.py
+++ b/pistachiowell/core/tests/test_lingering.py
@@ -34,8 +34,8 @@
 
 
 @pytest.fixture
-async def connection(free_port):
-    """Yields a socket that reads little at a time, connected to a bounded server."""
+async def served(free_port):
+    """Yields a socket that reads little at a time, and the server of its connection."""
     port = free_port()
     server = http_server(
         app,
@@ -52,10 +52,16 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
             sock.settimeout(5.0)
             sock.connect(("127.0.0.1", port))
-            yield sock
+            yield sock, server
         server.should_exit = server.force_exit = True
 
 
+@pytest.fixture
+def connection(served):
+    """Returns a socket that reads little at a time, connected to a bounded server."""
+    return served[0]
+
+
 async def send(sock, data):
     """Sends data; a peer that resets the connection shows in what is read."""
     with suppress(OSError):
@@ -100,3 +106,14 @@
             await anyio.sleep(pause_s)
     assert sent < 20 * LINGER_BYTES
     assert anyio.current_time() - begin < LINGER_S + 2.0
+
+
+async def test_caller_that_has_read_its_answer_holds_a_planned_stop_up(served):
+    sock, server = served
+    await send(sock, EARLY)
+    size = await anyio.to_thread.run_sync(read_slowly, sock)
+    assert size > ANSWER_BYTES
+    # The caller sends no body and does not close; the kernel may be about to tell.
+    await anyio.sleep(LINGER_S / 10)
+    owed = [protocol.owes_answer for protocol in server.server_state.connections]
+    assert owed == [False]
