Split the growth of grants from their holder

One of two checks of a planned stop with the same docstring refers to the other. No behaviour changes; the 70 tests of budgets pass.

--- a/pistachiowell/budgets/holder.py
+++ b/pistachiowell/budgets/holder.py
@@ -3,10 +3,10 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+from pistachiowell.budgets.growth import GrantGrowth, growing_id
 from pistachiowell.budgets.ledger import AccountLedger
 from pistachiowell.budgets.page import (
     CloseGrant,
-    FundGrant,
     LowerGrant,
     MarkEra,
     RecordUse,
@@ -14,12 +14,10 @@
     page_number,
 )
 from pistachiowell.budgets.restoring import Restoration, has_all
-from pistachiowell.budgets.sizing import SizingSettings, wanted_tokens
+from pistachiowell.budgets.sizing import SizingSettings
 from pistachiowell.budgets.stale import OpenReservation
 from pistachiowell.core.ids import new_id
 
-RECALL_HOLD_S = 2.0
-
 
 @dataclass(frozen=True, slots=True)
 class GrantNews:
@@ -76,15 +74,12 @@
         "_by_page",
         "_closing",
         "_fenced",
+        "_fenced_routers",
+        "_growth",
         "_incarnation",
         "_ledgers",
-        "_make_id",
         "_news",
-        "_opening",
         "_pages",
-        "_policy",
-        "_recalled_at",
-        "_fenced_routers",
         "_restoration",
         "_sizing",
         "_unresolved",
@@ -103,15 +98,12 @@
         self._sizing = sizing or SizingSettings()
         self._incarnation = incarnation
         self._pages = pages
-        self._policy = policy
-        self._make_id = make_id
+        self._growth = GrantGrowth(incarnation, policy, make_id, self._sizing)
         self._ledgers = {}
         self._by_page = defaultdict(set)
         self._versions = {}
-        self._opening = {}
         self._closing = {}
         self._unresolved = {}
-        self._recalled_at = {}
         self._fenced_routers = set()
         self._fenced = False
         self._news = {}
@@ -200,7 +192,7 @@
         if self._fenced or self.is_settling(self.page_of(account), now):
             return False
         ledger = self.ledger(account)
-        grant_id = _growing_id(ledger)
+        grant_id = growing_id(ledger)
         left = ledger.grants[grant_id].available_tokens if grant_id else 0
         return max(left, 0) + ledger.free_tokens >= tokens
 
@@ -234,11 +226,11 @@
     def recall(self, account, now):
         """Stops reserving from the idle part of an account's grants.
 
-        The next plan returns the idle part to the page. For ``RECALL_HOLD_S`` the
-        account's grants then grow only by what waiting requests need, so that the
-        returned tokens stay free for other holders.
+        The next plan returns the idle part to the page. For a while the account's
+        grants then grow only by what waiting requests need, so that the returned
+        tokens stay free for other holders.
         """
-        self._recalled_at[account] = now
+        self._growth.record_recall(account, now)
         for grant in self.ledger(account).grants.values():
             grant.ceiling = grant.committed_tokens
 
@@ -261,7 +253,10 @@
         for account in sorted(self._by_page[number]):
             changes += self._plan_reductions(account, self._ledgers[account])
         if may_grow:
-            changes += self._plan_growth(number, now)
+            names = sorted(self._by_page[number])
+            ledgers = {name: self._ledgers[name] for name in names}
+            version = self._versions.get(number, 0)
+            changes += self._growth.plan(ledgers, version, now)
         if changes and may_grow:
             changes.insert(0, MarkEra(self._restoration.era))
         if changes:
@@ -400,7 +395,7 @@
         """
         version = self._versions.get(number)
         return self._restoration.is_due(number, version) or any(
-            self._needs_change(self._ledgers[account], now)
+            self._growth.needs_change(self._ledgers[account], now)
             for account in self._by_page[number]
         )
 
@@ -430,11 +425,7 @@
     def retire_idle(self, account, now):
         """Retires idle grants: the next plan lowers, replaces or closes them.
 
-        Available tokens above ``return_share`` times the target are returned down to
-        the target. A grant older than ``renew_after_s`` is replaced: after an
-        agent crash, grants opened before it cannot be closed by recovery, and short
-        lives keep these few. Without a request for ``close_idle_after_s`` the grants
-        are closed, as another holder may have the demand now.
+        See ``GrantGrowth.retire_idle``.
 
         While a write of the page is in doubt nothing is retired. No page is read or
         written then, and what is planned could not be withdrawn.
@@ -445,32 +436,21 @@
         """
         if self.page_of(account) in self._unresolved:
             return
-        ledger = self.ledger(account)
-        demand = ledger.demand(now)
-        for grant in list(ledger.grants.values()):
-            if grant.draining or demand.need_tokens:
-                continue
-            if ledger.is_inactive(now) and not grant.reservations:
-                grant.draining = True
-                continue
-            wanted = wanted_tokens(self._policy, demand)
-            if grant.available_tokens > self._sizing.return_share * wanted:
-                grant.ceiling = grant.committed_tokens + wanted
-            elif now - grant.opened_at >= self._sizing.renew_after_s:
-                grant.renewing = True
+        self._growth.retire_idle(self.ledger(account), now)
 
     def _apply_grant(self, account, grant_id, grant, now):
         ledger = self.ledger(account)
         known = ledger.grants.get(grant_id)
-        if known is None and self._opening.get(account) != grant_id:
+        is_opening = self._growth.is_opening(account, grant_id)
+        if known is None and not is_opening:
             # A return of the store has brought a closed grant back. What was used under
             # it is not known any more, so its tokens stay charged.
             return
         if known is None or known.amount != grant.amount:
             self._news[grant_id] = GrantNews(account, grant_id, grant.amount)
         ledger.observe(grant_id, grant.amount, now, grant.page_version)
-        if self._opening.get(account) == grant_id:
-            del self._opening[account]
+        if is_opening:
+            self._growth.record_opened(account)
             for other_id, other in ledger.grants.items():
                 other.draining |= other.renewing and other_id != grant_id
 
@@ -512,67 +492,3 @@
             for account in sorted(self._by_page[number])
             for grant_id, grant in self._ledgers[account].grants.items()
         ]
-
-    def _plan_growth(self, number, now):
-        ledgers = {name: self._ledgers[name] for name in sorted(self._by_page[number])}
-        is_due = any(
-            ledger.can_grow(now) or self._is_low(ledger, now, self._sizing.refill_share)
-            for ledger in ledgers.values()
-        )
-        share = self._sizing.refill_together_share
-        return [
-            self._plan_fund(account, ledger, now)
-            for account, ledger in ledgers.items()
-            if ledger.demand(now).need_tokens
-            or (is_due and self._is_low(ledger, now, share))
-        ]
-
-    def _is_low(self, ledger, now, share):
-        """Returns whether an account has too little, or a grant to be replaced."""
-        demand = ledger.demand(now)
-        wanted = wanted_tokens(self._policy, demand)
-        is_low = demand.available_tokens < share * wanted
-        can_grow = demand.free_tokens >= max(demand.smallest_need_tokens, 1)
-        return (is_low and can_grow) or any(
-            g.renewing and not g.draining for g in ledger.grants.values()
-        )
-
-    def _needs_change(self, ledger, now):
-        if ledger.demand(now).need_tokens:
-            return True
-        return self._is_low(ledger, now, self._sizing.refill_share) or any(
-            grant.ceiling is not None or grant.renewing or grant.draining
-            for grant in ledger.grants.values()
-        )
-
-    def _plan_fund(self, account, ledger, now):
-        policy = self._policy
-        if now - self._recalled_at.get(account, -RECALL_HOLD_S) < RECALL_HOLD_S:
-            policy = "exact"
-        grant_id, known = self._growing_grant(account, ledger)
-        demand = ledger.demand_of(grant_id, now)
-        version = self._versions.get(self.page_of(account), 0)
-        return FundGrant(
-            account,
-            grant_id,
-            self._incarnation,
-            known,
-            version,
-            demand,
-            policy,
-        )
-
-    def _growing_grant(self, account, ledger):
-        grant_id = _growing_id(ledger)
-        if grant_id is not None:
-            return grant_id, ledger.grants[grant_id].amount
-        grant_id = self._opening.setdefault(account, self._make_id())
-        return grant_id, 0
-
-
-def _growing_id(ledger):
-    """Returns the id of the open grant that grows next, or None."""
-    for grant_id, grant in ledger.grants.items():
-        if not grant.renewing and not grant.draining and grant.ceiling is None:
-            return grant_id
-    return None
--- a/pistachiowell/gateway/planned_stop.py
+++ b/pistachiowell/gateway/planned_stop.py
@@ -69,15 +69,10 @@
         self._refuses_all = True
 
     def check(self, route, deadline, now):
-        """Checks that a request whose head has come can end before the gateway stops.
-
-        Args:
-            route: The ``Route``.
-            deadline: Time in seconds at which it has to have ended.
-            now: Present time in seconds.
+        """Checks a request whose head has come, as ``check_time`` does.
 
         Raises:
-            Leaving: It cannot, or nothing is begun any more.
+            Leaving: It cannot end in time, or nothing is begun any more.
         """
         if self._refuses_all:
             raise _leaving()
