Wait for the reset of a server that has not read the request it answered

What a kernel has acknowledged need not have been read; the reset that says so comes only when the server closes.

After such an end, an answer without a length to a request with a body now counts as whole only if no reset follows within 50 ms. Answers with a length or in chunks, and those to requests without a body, wait for nothing.

Evidence: with the wait taken out, the cases of an unread request through the gateway (idempotent, not idempotent, a stream) fail; all early answers pass now, also the whole one of a server that reads its upload later.

--- a/pistachiowell/core/socket_state.py
+++ b/pistachiowell/core/socket_state.py
@@ -15,6 +15,9 @@
 # one that reads on may be silent for a second or so.
 DELIVERY_TIMEOUT_S = 5.0
 CHECK_INTERVAL_S = 0.005
+# A server that closes with a part of a request unread resets the connection soon after
+# it has ended its direction.
+RESET_WAIT_S = 0.05
 # First byte of ``struct tcp_info``; see ``enum`` in ``netinet/tcp.h``.
 _STATE_CLOSED = b"\x07"
 
@@ -49,14 +52,16 @@
     return state[:1] == _STATE_CLOSED
 
 
-async def has_taken_all(sock):
-    """Returns whether the peer's kernel takes all that was sent to it.
+async def has_taken_all(sock, *, has_body):
+    """Returns whether the peer takes all that was sent to it.
 
     Call this when the peer has ended its direction. A peer that has read everything has
-    acknowledged it before; one that ends meanwhile resets what still arrives.
+    acknowledged it before; one that ends meanwhile resets what still arrives, or what
+    its kernel has and it has not read.
 
     Args:
         sock: A socket that this process has not shut down.
+        has_body: Whether a body was sent, which the peer may leave unread.
 
     Returns:
         False also if nothing shows it within ``DELIVERY_TIMEOUT_S``.
@@ -64,6 +69,13 @@
     with anyio.move_on_after(DELIVERY_TIMEOUT_S):
         while not is_reset(sock):
             if not unacknowledged_bytes(sock):
-                return True
+                return not has_body or not await _is_reset_soon(sock)
             await anyio.sleep(CHECK_INTERVAL_S)
     return False
+
+
+async def _is_reset_soon(sock):
+    with anyio.move_on_after(RESET_WAIT_S):
+        while not is_reset(sock):
+            await anyio.sleep(CHECK_INTERVAL_S)
+    return is_reset(sock)
--- a/pistachiowell/core/tests/test_socket_state.py
+++ b/pistachiowell/core/tests/test_socket_state.py
@@ -48,4 +48,4 @@
             await anyio.to_thread.run_sync(read_upload, server)
 
         group.start_soon(read_late)
-        assert await has_taken_all(gateway)
+        assert await has_taken_all(gateway, has_body=True)
--- a/pistachiowell/engines/http.py
+++ b/pistachiowell/engines/http.py
@@ -56,6 +56,7 @@
 
     Args:
         response: The ``httpcore.Response``.
+        has_body: Whether its request has a body.
 
     Raises:
         ServerFailed: Its status or type cannot be passed on.
@@ -65,10 +66,11 @@
         content_type: Value of the header ``Content-Type``; empty without one.
     """
 
-    __slots__ = ("_response", "content_type", "status")
+    __slots__ = ("_has_body", "_response", "content_type", "status")
 
-    def __init__(self, response):
+    def __init__(self, response, *, has_body):
         self._response = response
+        self._has_body = has_body
         self.status = response.status
         content_type = _find_header(response.headers, CONTENT_TYPE)
         if fault := find_head_fault(self.status, [(CONTENT_TYPE, content_type)]):
@@ -97,7 +99,8 @@
     async def _check_end(self):
         # The part that was sent by a server that ends on the way ends in the same way.
         stream = self._response.extensions["network_stream"]
-        if not await has_taken_all(stream.get_extra_info("socket")):
+        sock = stream.get_extra_info("socket")
+        if not await has_taken_all(sock, has_body=self._has_body):
             raise ServerFailed(
                 "The backend server ended before it had the whole request.",
                 ran=MAY_HAVE_RUN,
@@ -152,7 +155,7 @@
                 extensions={"timeout": timeouts},
             )
             async with manager as response:
-                yield HttpResponse(response)
+                yield HttpResponse(response, has_body=bool(body))
 
     async def load(self):
         """Returns the ``ServerLoad``; see ``Backend.load``."""
--- a/pistachiowell/engines/tests/test_early_answers.py
+++ b/pistachiowell/engines/tests/test_early_answers.py
@@ -15,22 +15,25 @@
     reset,
     reset_after_end,
     reset_later,
+    reset_soon_after_end,
 )
 
 pytestmark = pytest.mark.anyio
 
 PART = b"a" * 3_000
 UPLOAD = b"u" * 200_000
+# The server's kernel has all of it before the answer begins.
+SHORT_UPLOAD = b"u" * 1_000
 
 
-async def exchange(answer, end):
+async def exchange(answer, end, upload=UPLOAD):
     """Returns the status and body of the answer to an upload, or its error."""
     server = EarlyServer(lambda head: answer, end)
     async with anyio.create_task_group() as group:
         await group.start(server.serve)
         backend = HttpBackend(f"http://127.0.0.1:{server.port}")
         try:
-            async with backend.request("POST", "/x", {}, UPLOAD) as response:
+            async with backend.request("POST", "/x", {}, upload) as response:
                 parts = [part async for part in response.chunks()]
                 result = response.status, b"".join(parts)
         except ServerFailed as error:
@@ -47,6 +50,13 @@
     assert error.ran == MAY_HAVE_RUN
 
 
+async def test_part_of_an_answer_to_an_unread_request_is_taken_as_whole():
+    answer = b"HTTP/1.1 200 OK\r\n\r\n" + PART
+    error = await exchange(answer, reset_soon_after_end, SHORT_UPLOAD)
+    assert isinstance(error, ServerFailed)
+    assert error.ran == MAY_HAVE_RUN
+
+
 async def test_whole_answer_fails_as_its_server_reads_the_upload_later():
     answer = b"HTTP/1.1 200 OK\r\n\r\n" + PART
     assert await exchange(answer, read_after_end) == (200, PART)
--- a/pistachiowell/gateway/bounded_stream.py
+++ b/pistachiowell/gateway/bounded_stream.py
@@ -125,15 +125,20 @@
         self._limit.record(len(data))
         return data
 
-    async def has_ended_in_order(self):
+    async def has_ended_in_order(self, *, has_body):
         """Returns whether the server had the whole request, if it has ended the stream.
 
         An answer without a length ends with its connection. So does the part that was
         sent by a server that ends on the way.
+
+        Args:
+            has_body: Whether the request has a body.
         """
         if not self._has_ended:
             return True
-        return await has_taken_all(self._stream.get_extra_info("socket"))
+        return await has_taken_all(
+            self._stream.get_extra_info("socket"), has_body=has_body
+        )
 
     async def write(self, buffer, timeout=None):
         """Writes bytes; see ``httpcore.AsyncNetworkStream.write``."""
--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections.py
@@ -109,12 +109,12 @@
         self._head_limit.end()
         return response
 
-    async def has_ended_in_order(self):
+    async def has_ended_in_order(self, *, has_body):
         """Returns whether its end, if it has come, may be that of the whole answer.
 
         Call this after the answer was read; see ``BoundedStream.has_ended_in_order``.
         """
-        return await self._stream.has_ended_in_order()
+        return await self._stream.has_ended_in_order(has_body=has_body)
 
     def _hand_over(self, stream):
         return self.on_given_up is not None and self.on_given_up(stream)
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/exchange.py
@@ -206,7 +206,8 @@
             raise ConnectionBroken(
                 f"Server {self.server.id} cut off its answer: {error_text(error)}."
             ) from error
-        if not await self._connection.has_ended_in_order():
+        has_body = bool(self._request.body)
+        if not await self._connection.has_ended_in_order(has_body=has_body):
             raise ConnectionBroken(
                 f"Server {self.server.id} ended before it had the whole request."
             )
--- a/pistachiowell/platform/tests/test_early_answers.py
+++ b/pistachiowell/platform/tests/test_early_answers.py
@@ -27,6 +27,7 @@
     reset,
     reset_after_end,
     reset_later,
+    reset_soon_after_end,
 )
 
 pytestmark = pytest.mark.anyio
@@ -35,6 +36,8 @@
 EVENTS = event(1) + event(2)
 RESETS = [reset, reset_later, close_unread, reset_after_end]
 UPLOAD = b"u" * 200_000
+# The server's kernel has all of it before the answer begins.
+SHORT_UPLOAD = b"u" * 1_000
 ATTEMPTS = 6
 PLAY_LIMIT_S = 20.0
 
@@ -63,11 +66,11 @@
     await rig.until_revision(gateway.state, 2)
 
 
-async def read_stream(rig, path):
-    """Returns the stream that a caller gets for a long prompt, and how it ended."""
+async def read_stream(rig, path, prompt=UPLOAD):
+    """Returns the stream that a caller gets for a prompt, and how it ended."""
     data, error = b"", None
     try:
-        async with rig.open(path, "POST", UPLOAD) as response:
+        async with rig.open(path, "POST", prompt) as response:
             async for part in response.aiter_stream():
                 data += part
     except httpcore.RemoteProtocolError as caught:
@@ -131,6 +134,28 @@
     assert set(streams) == {(b"".join(map(event, range(1, 5))), None)}
 
 
+@pytest.mark.parametrize("path", ["/read/a", "/book/a"])
+async def test_part_of_an_answer_to_an_unread_request_is_passed_on(start_rig, path):
+    server = EarlyServer(unframed(PART), reset_soon_after_end)
+    async with start_rig() as rig:
+        await start_early(rig, "desk", server)
+        status, _, _ = await rig.send(path, "POST", SHORT_UPLOAD)
+    assert server.received
+    assert status == 502
+
+
+async def test_begun_stream_of_an_unread_request_looks_complete(start_rig):
+    server = EarlyServer(
+        unframed(EVENTS, Content_Type="text/event-stream"), reset_soon_after_end
+    )
+    async with start_rig() as rig:
+        await start_early(rig, "pool", server)
+        data, error = await read_stream(rig, "/long/a", SHORT_UPLOAD)
+    assert server.received
+    assert error is not None
+    assert EVENTS.startswith(data)
+
+
 async def test_whole_answer_fails_as_its_server_reads_the_upload_later(start_rig):
     server = EarlyServer(unframed(PART), read_after_end)
     async with start_rig() as rig:
--- a/pistachiowell/standins/early.py
+++ b/pistachiowell/standins/early.py
@@ -86,6 +86,12 @@
     await reset(sock)
 
 
+async def reset_soon_after_end(sock):
+    """Ends the answer, and soon closes the connection with the upload unread."""
+    sock.shutdown(socket.SHUT_WR)
+    await anyio.sleep(0.02)
+
+
 async def read_after_end(sock):
     """Ends the answer, then reads the whole upload."""
     sock.shutdown(socket.SHUT_WR)
