--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -208,18 +208,22 @@
                 await self._stream.aclose()
 
     async def _write_loop(self, scope):
-        with scope, suppress(*_LOST_ERRORS):
-            while not self.closed or self._queue:
-                await self._wake_writer.wait()
-                self._wake_writer = anyio.Event()
-                batch = b"".join(self._queue)
-                self._queue.clear()
-                if batch:
-                    await self._stream.send(batch)
-                    self._queued_bytes -= len(batch)
-                    self._report()
-            return
-        self._lose()
+        with scope:
+            try:
+                while not self.closed or self._queue:
+                    await self._wake_writer.wait()
+                    self._wake_writer = anyio.Event()
+                    await self._write_queue()
+            except _LOST_ERRORS:
+                self._lose()
+
+    async def _write_queue(self):
+        batch = b"".join(self._queue)
+        self._queue.clear()
+        if batch:
+            await self._stream.send(batch)
+            self._queued_bytes -= len(batch)
+            self._report()
 
     async def _wait_for_end(self):
         """Ends the stream and waits until the peer has ended it as well.
