--- a/pistachiowell/wire/tests/test_link.py
+++ b/pistachiowell/wire/tests/test_link.py
@@ -102,7 +102,7 @@
 
 
 MESSAGES = 200
-# Together more than the buffers of the kernel hold at once.
+# Together 4 MB, more than a new connection takes at once.
 PADDING = "x" * 20_000
 
 
