Close links that give way at once, and read on what has arrived

Two findings of a review of links that send their queue at a close.

A link whose own write failed, because its peer had left, dropped the messages that it had read and not handled: 12 of 50 were handled. It now reads to the end of what has arrived, and closes then: 50 of 50. The deadline of a write is set before listeners are called, which could raise.

All three new cases fail on the code before.

--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -193,9 +193,9 @@
                 try:
                     await self._closed.wait()
                 finally:
-                    self.close()
-                    left_s = 0.0 if self._is_lost else CLOSE_S
+                    left_s = CLOSE_S if self._may_finish else 0.0
                     writing.deadline = anyio.current_time() + left_s
+                    self.close()
                     group.cancel_scope.cancel()
         finally:
             self.close()
@@ -207,6 +207,13 @@
             with anyio.CancelScope(shield=True), anyio.move_on_after(0.1):
                 await self._stream.aclose()
 
+    @property
+    def _may_finish(self):
+        """Whether what is queued may be sent though the link is closed."""
+        if self._is_lost or self._is_strange:
+            return False
+        return self._stranger is None or not self._stranger.has_given_way
+
     async def _write_loop(self, scope):
         with scope:
             try:
@@ -215,7 +222,8 @@
                     self._wake_writer = anyio.Event()
                     await self._write_queue()
             except _LOST_ERRORS:
-                self._lose()
+                # The reader closes the link after what has already arrived.
+                self._is_lost = True
 
     async def _write_queue(self):
         batch = b"".join(self._queue)
--- a/pistachiowell/wire/strangers.py
+++ b/pistachiowell/wire/strangers.py
@@ -29,6 +29,7 @@
 
     Attributes:
         checked_bytes: Bytes that were held for it at the last check.
+        has_given_way: Whether it was closed to make room, and may hold nothing more.
     """
 
     __slots__ = (
@@ -38,6 +39,7 @@
         "_scope",
         "_stage",
         "checked_bytes",
+        "has_given_way",
     )
 
     def __init__(self, clients, on_link):
@@ -47,6 +49,7 @@
         self._held_bytes = 0
         self._stage = Stage.silent
         self.checked_bytes = float("inf")
+        self.has_given_way = False
 
     @property
     def unsent_bytes(self):
@@ -84,6 +87,7 @@
     def give_way(self, reason):
         """Closes the connection."""
         del reason
+        self.has_given_way = True
         self._scope.cancel()
 
 
--- a/pistachiowell/wire/tests/test_link.py
+++ b/pistachiowell/wire/tests/test_link.py
@@ -198,3 +198,78 @@
             begun_at = anyio.current_time()
         took_s = anyio.current_time() - begun_at
     assert took_s < 3 * link_module.CLOSE_S
+
+
+@pytest.mark.anyio
+async def test_messages_that_have_arrived_are_dropped_as_their_sender_leaves(
+    clock, listen
+):
+    handlers, received, links = Handlers(), [], []
+
+    @handlers.on(Failure)
+    async def answer_slowly(link, message):
+        received.append(message.retry_after_s)
+        with contextlib.suppress(LinkLost):
+            link.send(Ping(1))
+        await anyio.sleep(0.01)
+
+    async with anyio.create_task_group() as group:
+        port, _ = await listen(group, handlers, links.append)
+        async with connect("127.0.0.1", port, hello("a"), Handlers(), clock) as link:
+            for number in range(50):
+                link.send(Failure("overloaded", "", float(number)))
+        await until(lambda: len(received) == 50)
+        group.cancel_scope.cancel()
+    assert received == [float(number) for number in range(50)]
+
+
+class ClientList:
+    """Takes the place of the ``Clients`` of a process, and closes nothing itself.
+
+    Attributes:
+        connections: The connections that are open.
+    """
+
+    def __init__(self):
+        self.connections = []
+
+    def add(self, connection):
+        self.connections.append(connection)
+
+    def update(self, connection, stage, held_bytes):
+        pass
+
+    def remove(self, connection):
+        self.connections.remove(connection)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_known", [False, True])
+async def test_connection_that_gives_way_stays_open(
+    clock, free_port, monkeypatch, is_known
+):
+    port, clients, links = free_port(), ClientList(), []
+    monkeypatch.setattr(link_module, "CLOSE_S", 30.0)
+
+    async def listen(*, task_status):
+        await serve(
+            "127.0.0.1",
+            port,
+            hello("b"),
+            Handlers(),
+            clock,
+            clients=clients,
+            on_link=links.append,
+            task_status=task_status,
+        )
+
+    async with anyio.create_task_group() as group:
+        await group.start(listen)
+        async with await anyio.connect_tcp("127.0.0.1", port) as peer:
+            if is_known:
+                await peer.send(encode_frame(hello("a"), 0, clock.tick()))
+            await until(lambda: clients.connections and len(links) == is_known)
+            clients.connections[0].give_way("memory")
+            await until(lambda: not clients.connections)
+            assert not clients.connections
+        group.cancel_scope.cancel()
