Count only a lock of another run as a reserved port

Any other error of a lock, such as no room for locks, made the search for a free port endless (found by a review, with an injected error); it is raised now.

--- a/pistachiowell/bench/ports.py
+++ b/pistachiowell/bench/ports.py
@@ -49,7 +49,7 @@
             self._file = self._path.open("ab")
         try:
             fcntl.lockf(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
-        except OSError:
+        except (BlockingIOError, PermissionError):
             return False
         self._ports.append(port)
         if len(self._ports) > self._limit:
