Wait for a reset outside of the limit for what is acknowledged

A server that acknowledged a request late, shortly before 5 s, was taken for one that had not, as the wait for its reset ran into the same limit (by reading).

--- a/pistachiowell/core/socket_state.py
+++ b/pistachiowell/core/socket_state.py
@@ -67,11 +67,11 @@
         False also if nothing shows it within ``DELIVERY_TIMEOUT_S``.
     """
     with anyio.move_on_after(DELIVERY_TIMEOUT_S):
-        while not is_reset(sock):
-            if not unacknowledged_bytes(sock):
-                return not has_body or not await _is_reset_soon(sock)
+        while not is_reset(sock) and unacknowledged_bytes(sock):
             await anyio.sleep(CHECK_INTERVAL_S)
-    return False
+    if is_reset(sock) or unacknowledged_bytes(sock):
+        return False
+    return not has_body or not await _is_reset_soon(sock)
 
 
 async def _is_reset_soon(sock):
