--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -11,6 +11,7 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.web import CallerGoneError, watch_disconnect
 from pistachiowell.gateway.answer_writer import AnswerWriter
+from pistachiowell.gateway.planned_stop import StopRefusal
 from pistachiowell.gateway.request_reader import RequestReader
 from pistachiowell.gateway.run import Usage
 
@@ -90,6 +91,10 @@
 
     async def _send_error(self, head, writer, error, received_at):
         self._runtime.metrics.count(f"refused.{error.code}")
+        fields = {}
+        if isinstance(error, StopRefusal):
+            self._runtime.metrics.count("stop.refused")
+            fields = error.fields
         was_sent = await writer.send_error(error)
         catalog = self._state.catalog
         _log.warning(
@@ -102,6 +107,7 @@
             cause=error.message,
             after_s=round(self._runtime.now() - received_at, 3),
             revision=catalog.revision if catalog else None,
+            **fields,
         )
 
     async def _serve(self, request, receive, writer):
@@ -142,7 +148,7 @@
         if not scope.cancelled_caught:
             return None
         if self._stop.has_ended:
-            return self._stop.error(may_have_run=usage.may_have_run)
+            return self._stop.end_of(request, usage)
         if usage.may_have_run:
             return DeadlineExceeded("The deadline of the request has passed.")
         return Overloaded(
--- a/pistachiowell/gateway/gateway_parts.py
+++ b/pistachiowell/gateway/gateway_parts.py
@@ -135,7 +135,7 @@
             "router", settings, store, reads_load_changes=True
         )
         self.state = GatewayState(settings)
-        self.stop = PlannedStop()
+        self.stop = PlannedStop(runtime.metrics, runtime.now)
         self.gateway_count = GatewayCount(runtime)
         subset = PeerSubset(SubsetSettings())
         self.fleet = Fleet(runtime, self._handlers, (AGENTS,), subset)
--- a/pistachiowell/gateway/messages.py
+++ b/pistachiowell/gateway/messages.py
@@ -88,6 +88,8 @@
         deadline: Time by which the answer must be complete, as the caller then leaves.
         fingerprint: Hash that is the same each time the caller sends this request.
         part_names: Names of the shared parts of its prompt; see ``part_names``.
+        bound_s: Seconds that it may last, by which it was begun in a planned stop; None
+            before one.
     """
 
     head: RequestHead
@@ -99,6 +101,7 @@
     deadline: float
     fingerprint: str
     part_names: tuple = ()
+    bound_s: float | None = None
 
     @property
     def id(self):
--- a/pistachiowell/gateway/planned_stop.py
+++ b/pistachiowell/gateway/planned_stop.py
@@ -7,12 +7,15 @@
 from contextlib import contextmanager
 
 from pistachiowell.core.errors import Leaving, ServerFailed
+from pistachiowell.core.logs import part_logger
 from pistachiowell.routing import UsualWait
 
 # The answers of the requests that are ended have to reach their callers.
 ENDING_S = 0.4
 RETRY_AFTER_S = 0.3
 
+_log = part_logger("gateway")
+
 
 class StoppedRequest(ServerFailed):
     """The gateway stopped while a server ran the request."""
@@ -20,22 +23,58 @@
     closes_connection = True
 
 
+class StopRefusal(Leaving):
+    """A request may last longer than the gateway still runs.
+
+    Args:
+        bound_s: Seconds that the request may last; None if nothing is begun any more.
+        left_s: Seconds that are left for it.
+
+    Attributes:
+        fields: What the log says of it.
+    """
+
+    def __init__(self, bound_s, left_s):
+        super().__init__(
+            "The gateway stops before the request can end.",
+            retry_after_s=RETRY_AFTER_S,
+        )
+        self.fields = {"bound_s": rounded(bound_s), "left_s": rounded(left_s)}
+
+
 class PlannedStop:
     """Refuses what cannot end before the gateway stops, and ends what has not.
 
     A request that must not run twice is begun only if its whole time limit fits; others
     if they usually fit, as they can be sent again.
 
+    Args:
+        metrics: The process's ``Metrics``.
+        now: Function that returns the monotonic time in seconds.
+
     Examples:
-        >>> stop = PlannedStop()
+        >>> from pistachiowell.core.metrics import Metrics
+        >>> stop = PlannedStop(Metrics(), lambda: 0.0)
         >>> stop.has_begun
         False
     """
 
-    __slots__ = ("_durations", "_ends_at", "_has_ended", "_refuses_all", "_scopes")
+    __slots__ = (
+        "_began_at",
+        "_durations",
+        "_ends_at",
+        "_has_ended",
+        "_metrics",
+        "_now",
+        "_refuses_all",
+        "_scopes",
+    )
 
-    def __init__(self):
+    def __init__(self, metrics, now):
+        self._metrics = metrics
+        self._now = now
         self._durations = {}
+        self._began_at = None
         self._ends_at = None
         self._has_ended = False
         self._refuses_all = False
@@ -62,6 +101,7 @@
         Args:
             ends_at: Time in seconds by which all requests will have ended.
         """
+        self._began_at = self._now()
         self._ends_at = ends_at
 
     def refuse_all(self):
@@ -72,10 +112,10 @@
         """Checks a request whose head has come, as ``check_time`` does.
 
         Raises:
-            Leaving: It cannot end in time, or nothing is begun any more.
+            StopRefusal: It cannot end in time, or nothing is begun any more.
         """
         if self._refuses_all:
-            raise _leaving()
+            raise StopRefusal(None, self._ends_at - now)
         self.check_time(route, deadline, now)
 
     def check_time(self, route, deadline, now):
@@ -86,17 +126,24 @@
             deadline: Time in seconds at which it has to have ended.
             now: Present time in seconds.
 
+        Returns:
+            Seconds that it may last; None if the stop has not begun.
+
         Raises:
-            Leaving: It cannot.
+            StopRefusal: It cannot.
         """
         if self._ends_at is None:
-            return
-        ends_at = deadline
+            return None
+        bound_s, left_s = self._bound_s(route, deadline, now), self._ends_at - now
+        if bound_s > left_s:
+            raise StopRefusal(bound_s, left_s)
+        return bound_s
+
+    def _bound_s(self, route, deadline, now):
         if route.is_idempotent or route.has_prompts:
             usual = self._durations.get(route.name)
-            ends_at = now + (usual.bound_s() if usual else 0.0)
-        if ends_at > self._ends_at:
-            raise _leaving()
+            return usual.bound_s() if usual else 0.0
+        return deadline - now
 
     def record_duration(self, route, duration_s):
         """Records how long a request of a ``Route`` took in seconds."""
@@ -117,12 +164,30 @@
         for scope in list(self._scopes):
             scope.cancel()
 
+    def end_of(self, request, usage):
+        """Logs that a request was ended by the stop, and returns its error.
+
+        Args:
+            request: The ``GatewayRequest``.
+            usage: Its ``Usage``.
+        """
+        _log.warning(
+            "Request is ended by the stop.",
+            request=request.id,
+            begun_after_s=rounded(request.received_at - self._began_at),
+            bound_s=rounded(request.bound_s),
+            events=usage.events,
+            may_have_run=usage.may_have_run,
+        )
+        return self.error(may_have_run=usage.may_have_run)
+
     def error(self, *, may_have_run):
         """Returns the error of a request that was ended.
 
         Args:
             may_have_run: Whether a server may have run it.
         """
+        self._metrics.count("stop.ended")
         if may_have_run:
             return StoppedRequest("The gateway stopped before the answer had ended.")
         return Leaving(
@@ -131,8 +196,6 @@
         )
 
 
-def _leaving():
-    return Leaving(
-        "The gateway stops before the request can end.",
-        retry_after_s=RETRY_AFTER_S,
-    )
+def rounded(duration_s):
+    """Returns a duration in seconds as logs say it; None stays None."""
+    return None if duration_s is None else round(duration_s, 3)
--- a/pistachiowell/gateway/request_reader.py
+++ b/pistachiowell/gateway/request_reader.py
@@ -73,7 +73,7 @@
         deadline = received_at + wait_s
         self._stop.check(route, deadline, received_at)
         body = await self._read_body(receive, limits.body_bytes, deadline)
-        self._stop.check_time(route, deadline, self._runtime.now())
+        bound_s = self._stop.check_time(route, deadline, self._runtime.now())
         service = _find_service(catalog, route)
         name = account.name if account else ""
         parts = head.prompt.parts if head.prompt else ()
@@ -87,6 +87,7 @@
             deadline=deadline,
             fingerprint=fingerprint(name, head.target.decode("latin-1"), body),
             part_names=part_names([part for part, _ in parts]),
+            bound_s=bound_s,
         )
 
     def _catalog_in_force(self):
--- a/pistachiowell/platform/tests/test_planned_stop.py
+++ b/pistachiowell/platform/tests/test_planned_stop.py
@@ -12,6 +12,7 @@
 import anyio
 import msgspec
 import pytest
+from loguru import logger
 
 from pistachiowell.platform.standins import answer_whole
 
@@ -33,6 +34,19 @@
     return await answer_whole(request, stream)
 
 
+@pytest.fixture
+def log_fields():
+    """Returns the fields of each line that is logged, by the line's text."""
+    lines = {}
+
+    def keep(message):
+        lines[message.record["message"]] = message.record["extra"]
+
+    sink = logger.add(keep, level="INFO")
+    yield lines
+    logger.remove(sink)
+
+
 @pytest.fixture
 def stopping_rig(start_rig):
     """Returns a context manager with a gateway that gets SIGTERM by ``stop``."""
@@ -120,3 +134,20 @@
         answer = msgspec.json.decode(body)
     assert (status, answer["ran"], answer["error"]) == (503, "no", "leaving")
     assert len(rig.servers["desk-1"].requests) == 1
+
+
+async def test_what_a_stop_ends_or_refuses_is_not_told_from_other_losses(
+    stopping_rig, log_fields
+):
+    async with stopping_rig(never_answer) as rig, anyio.create_task_group() as group:
+        group.start_soon(rig.send, "/read/a")
+        await rig.until(lambda: rig.servers["desk-1"].requests)
+        await stop(rig)
+        await rig.send("/book/b")
+        await rig.until(lambda: rig.gateways[0].metrics.values.get("stop.ended"))
+        refused = log_fields["Request is refused."]
+        ended = log_fields["Request is ended by the stop."]
+        assert refused["bound_s"] > refused["left_s"] > 0
+        assert ended["begun_after_s"] < 0
+        assert (ended["bound_s"], ended["events"]) == (None, 0)
+        assert rig.gateways[0].metrics.values["stop.refused"] == 1
