--- a/pistachiowell/gateway/answer_writer.py
+++ b/pistachiowell/gateway/answer_writer.py
@@ -17,19 +17,26 @@
         send: ASGI send function.
         closes_connection: Function that returns whether answers ask the caller to
             close its connection, as when the process has begun to shut down.
+        now: Function that returns the monotonic time in seconds.
     """
 
-    __slots__ = ("_closes_connection", "_has_started", "_send")
+    __slots__ = ("_closes_connection", "_now", "_send", "_started_at")
 
-    def __init__(self, send, closes_connection):
+    def __init__(self, send, closes_connection, now):
         self._send = send
         self._closes_connection = closes_connection
-        self._has_started = False
+        self._now = now
+        self._started_at = None
 
     @property
     def has_started(self):
         """Whether the caller may have received a part of an answer."""
-        return self._has_started
+        return self._started_at is not None
+
+    @property
+    def started_at(self):
+        """Time at which the answer has started in seconds; None before."""
+        return self._started_at
 
     async def send_chunk(self, head, data):
         """Sends a part of a stream, and the head before the first part.
@@ -38,7 +45,7 @@
             head: The ``AnswerHead`` of the server that sent the part.
             data: The part as bytes.
         """
-        if not self._has_started:
+        if not self.has_started:
             await self._send_head(head.status, head.headers, None)
         await self._send(
             {"type": "http.response.body", "body": data, "more_body": True}
@@ -46,7 +53,7 @@
 
     async def finish(self, head):
         """Finishes a stream, which marks the answer as complete."""
-        if not self._has_started:
+        if not self.has_started:
             await self._send_head(head.status, head.headers, None)
         await self._send({"type": "http.response.body", "body": b""})
 
@@ -67,7 +74,7 @@
         Returns:
             Whether the error was sent.
         """
-        if self._has_started:
+        if self.has_started:
             return False
         body = msgspec.json.encode(
             {"error": str(error.code), "message": error.message, "ran": error.ran}
@@ -88,7 +95,7 @@
             headers.append((b"content-length", b"%d" % length))
         if self._closes_connection() and (b"connection", b"close") not in headers:
             headers.append((b"connection", b"close"))
-        self._has_started = True
+        self._started_at = self._now()
         await self._send(
             {"type": "http.response.start", "status": status, "headers": headers}
         )
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -61,7 +61,9 @@
             return
         received_at = self._runtime.now()
         head = self._codec.read_request_head(scope)
-        writer = AnswerWriter(send, lambda: self._closes_connection(scope))
+        writer = AnswerWriter(
+            send, lambda: self._closes_connection(scope), self._runtime.now
+        )
         self._in_progress += 1
         try:
             request = await self._reader.read(scope, head, receive, received_at)
@@ -163,11 +165,18 @@
         finally:
             used = usage.used_tokens(request)
             self._spending.settle(reservation, used)
+            self._record_duration(request, usage, writer.started_at)
             self._record_end(request, usage, used)
 
+    def _record_duration(self, request, usage, first_at):
+        catalog = self._state.catalog
+        service = catalog.services.get(usage.service) if catalog else None
+        if usage.may_have_run and service is not None:
+            now = self._runtime.now()
+            self._stop.bounds.record(request, service, usage, first_at, now)
+
     def _record_end(self, request, usage, used):
         after_s = self._runtime.now() - request.received_at
-        self._stop.record_duration(request.route, after_s)
         self._runtime.metrics.timing(f"requests.{request.route.kind}", after_s)
         self._runtime.metrics.count("tokens.billed", used)
         _log.info(
--- a/pistachiowell/gateway/messages.py
+++ b/pistachiowell/gateway/messages.py
@@ -88,6 +88,7 @@
         deadline: Time by which the answer must be complete, as the caller then leaves.
         fingerprint: Hash that is the same each time the caller sends this request.
         part_names: Names of the shared parts of its prompt; see ``part_names``.
+        read_at: Time at which its body was complete, in seconds.
         bound_s: Seconds that it may last, by which it was begun in a planned stop; None
             before one.
     """
@@ -101,6 +102,7 @@
     deadline: float
     fingerprint: str
     part_names: tuple = ()
+    read_at: float = 0.0
     bound_s: float | None = None
 
     @property
--- a/pistachiowell/gateway/planned_stop.py
+++ b/pistachiowell/gateway/planned_stop.py
@@ -8,7 +8,7 @@
 
 from pistachiowell.core.errors import Leaving, ServerFailed
 from pistachiowell.core.logs import part_logger
-from pistachiowell.routing import UsualWait
+from pistachiowell.gateway.duration_bounds import DurationBounds
 
 # The answers of the requests that are ended have to reach their callers.
 ENDING_S = 0.4
@@ -45,13 +45,19 @@
 class PlannedStop:
     """Refuses what cannot end before the gateway stops, and ends what has not.
 
-    A request that must not run twice is begun only if its whole time limit fits; others
-    if they usually fit, as they can be sent again.
+    A stream is begun only if the longest answer that its request allows fits, at the
+    slow end of the recent paces, and a request that must not run twice only if its
+    whole time limit does. Streams of which too little is known are taken for very
+    slow, and requests that may run again and are no streams for short: their callers
+    get a whole answer in any case.
 
     Args:
         metrics: The process's ``Metrics``.
         now: Function that returns the monotonic time in seconds.
 
+    Attributes:
+        bounds: The ``DurationBounds``.
+
     Examples:
         >>> from pistachiowell.core.metrics import Metrics
         >>> stop = PlannedStop(Metrics(), lambda: 0.0)
@@ -61,19 +67,19 @@
 
     __slots__ = (
         "_began_at",
-        "_durations",
         "_ends_at",
         "_has_ended",
         "_metrics",
         "_now",
         "_refuses_all",
         "_scopes",
+        "bounds",
     )
 
     def __init__(self, metrics, now):
         self._metrics = metrics
         self._now = now
-        self._durations = {}
+        self.bounds = DurationBounds()
         self._began_at = None
         self._ends_at = None
         self._has_ended = False
@@ -108,7 +114,7 @@
         """Refuses all requests from now on."""
         self._refuses_all = True
 
-    def check(self, route, deadline, now):
+    def check(self, route, prompt, deadline, now):
         """Checks a request whose head has come, as ``check_time`` does.
 
         Raises:
@@ -116,13 +122,14 @@
         """
         if self._refuses_all:
             raise StopRefusal(None, self._ends_at - now)
-        self.check_time(route, deadline, now)
+        self.check_time(route, prompt, deadline, now)
 
-    def check_time(self, route, deadline, now):
+    def check_time(self, route, prompt, deadline, now):
         """Checks that a request whose body has come can end before the gateway stops.
 
         Args:
             route: The ``Route``.
+            prompt: The ``Prompt``; None without one.
             deadline: Time in seconds at which it has to have ended.
             now: Present time in seconds.
 
@@ -134,20 +141,23 @@
         """
         if self._ends_at is None:
             return None
-        bound_s, left_s = self._bound_s(route, deadline, now), self._ends_at - now
+        limit_s = max(0.0, deadline - now)
+        known_s, left_s = self._known_bound_s(route, prompt, now), self._ends_at - now
+        bound_s = limit_s if known_s is None else min(known_s, limit_s)
         if bound_s > left_s:
             raise StopRefusal(bound_s, left_s)
         return bound_s
 
-    def _bound_s(self, route, deadline, now):
-        if route.is_idempotent or route.has_prompts:
-            usual = self._durations.get(route.name)
-            return usual.bound_s() if usual else 0.0
-        return deadline - now
+    def _known_bound_s(self, route, prompt, now):
+        if not (route.has_prompts or route.is_idempotent):
+            return None
+        bound_s = self.bounds.bound_s(route, prompt, now)
+        return self._assumed_bound_s(route, prompt) if bound_s is None else bound_s
 
-    def record_duration(self, route, duration_s):
-        """Records how long a request of a ``Route`` took in seconds."""
-        self._durations.setdefault(route.name, UsualWait()).record(duration_s)
+    def _assumed_bound_s(self, route, prompt):
+        if not route.has_prompts:
+            return 0.0
+        return None if prompt is None else self.bounds.assumed_bound_s(prompt)
 
     @contextmanager
     def tracked(self, scope):
--- a/pistachiowell/gateway/request_reader.py
+++ b/pistachiowell/gateway/request_reader.py
@@ -71,9 +71,10 @@
         if head.wait_limit_s is not None:
             wait_s = min(wait_s, head.wait_limit_s)
         deadline = received_at + wait_s
-        self._stop.check(route, deadline, received_at)
+        self._stop.check(route, head.prompt, deadline, received_at)
         body = await self._read_body(receive, limits.body_bytes, deadline)
-        bound_s = self._stop.check_time(route, deadline, self._runtime.now())
+        read_at = self._runtime.now()
+        bound_s = self._stop.check_time(route, head.prompt, deadline, read_at)
         service = _find_service(catalog, route)
         name = account.name if account else ""
         parts = head.prompt.parts if head.prompt else ()
@@ -87,6 +88,7 @@
             deadline=deadline,
             fingerprint=fingerprint(name, head.target.decode("latin-1"), body),
             part_names=part_names([part for part, _ in parts]),
+            read_at=read_at,
             bound_s=bound_s,
         )
 
--- a/pistachiowell/gateway/run.py
+++ b/pistachiowell/gateway/run.py
@@ -11,14 +11,16 @@
         may_have_run: Whether any server may have started to run it.
         events: Number of events received, including an incomplete one.
         has_unstreamed_answer: Whether an answer was received that is no event stream.
+        service: Name of the service of the latest attempt; None before its end.
     """
 
-    __slots__ = ("events", "has_unstreamed_answer", "may_have_run")
+    __slots__ = ("events", "has_unstreamed_answer", "may_have_run", "service")
 
     def __init__(self):
         self.may_have_run = False
         self.events = 0
         self.has_unstreamed_answer = False
+        self.service = None
 
     def used_tokens(self, request):
         """Returns an upper bound of the tokens that the request has used.
@@ -96,6 +98,7 @@
         """Records what an exchange has used, whatever its end."""
         head, usage, events = exchange.head, self.usage, self.events
         may_have_run = head is None or head.ran
+        usage.service = self.service
         usage.may_have_run |= exchange.may_have_arrived and may_have_run
         usage.events = max(usage.events, events.count)
         if events.pending_bytes:
--- a/pistachiowell/gateway/where.py
+++ b/pistachiowell/gateway/where.py
@@ -137,7 +137,7 @@
         if request.deadline <= now:
             findings.refuse(Overloaded("The deadline of the request has passed."))
         try:
-            self._sources.stop.check(route, request.deadline, now)
+            self._sources.stop.check(route, request.prompt, request.deadline, now)
         except PistachiowellError as error:
             findings.refuse(error)
 
--- a/pistachiowell/platform/tests/test_planned_stop.py
+++ b/pistachiowell/platform/tests/test_planned_stop.py
@@ -14,12 +14,13 @@
 import pytest
 from loguru import logger
 
-from pistachiowell.platform.standins import answer_whole
+from pistachiowell.platform.standins import answer_whole, stream_events
 
 pytestmark = pytest.mark.anyio
 
 GRACE = {"shutdown_timeout_s": 1.0}
 NOTICE_S = 0.1
+STREAMS = 10
 
 
 async def never_answer(request, stream):
@@ -151,3 +152,33 @@
         assert ended["begun_after_s"] < 0
         assert (ended["bound_s"], ended["events"]) == (None, 0)
         assert rig.gateways[0].metrics.values["stop.refused"] == 1
+
+
+async def test_long_stream_after_short_ones_is_cut(start_rig):
+    async with start_rig() as rig:
+        await rig.add_agent("agent-1")
+        await rig.add_server("pool-1", "pool", stream_events(1, 10))
+        await rig.add_gateway(**GRACE)
+        for _ in range(STREAMS):
+            assert (await rig.send_chat())[0] == 200
+        pool = rig.servers["pool-1"]
+        pool.script = stream_events(1, 200)
+        await stop(rig)
+        status, _, body = await rig.send_chat(usage="100,1000")
+        answer = msgspec.json.decode(body)
+        assert (status, answer["ran"], answer["error"]) == (503, "no", "leaving")
+        pool.script = stream_events(1, 10)
+        assert (await rig.send_chat())[0] == 200
+    assert len(pool.requests) == STREAMS + 1
+
+
+async def test_first_stream_of_a_started_gateway_is_cut(start_rig):
+    async with start_rig() as rig:
+        await rig.add_agent("agent-1")
+        await rig.add_server("pool-1", "pool", stream_events(1, 200))
+        await rig.add_gateway(**GRACE)
+        await stop(rig)
+        status, _, body = await rig.send_chat(usage="100,1000")
+        answer = msgspec.json.decode(body)
+        assert (status, answer["ran"], answer["error"]) == (503, "no", "leaving")
+    assert not rig.servers["pool-1"].requests
--- a/pistachiowell/routing/__init__.py
+++ b/pistachiowell/routing/__init__.py
@@ -1,5 +1,6 @@
 """Routing: server selection, ejection, retries, answers, quarantine, credits."""
 
+from pistachiowell.routing.answer_times import AnswerTimes, AnswerTimeSettings
 from pistachiowell.routing.assembly import ASSEMBLERS, Broken, Deliver, Finished
 from pistachiowell.routing.crash_suspects import (
     Crash,
@@ -83,6 +84,8 @@
     "SILENCE_DETECTORS",
     "SPLITTERS",
     "AbortStream",
+    "AnswerTimeSettings",
+    "AnswerTimes",
     "AttemptFailure",
     "Broken",
     "Candidate",
