--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -15,6 +15,7 @@
 from pistachiowell.gateway.forwarding import AnswerForwarder, ServerErrorAnswer
 from pistachiowell.gateway.late_heads import LateHeads
 from pistachiowell.gateway.late_prompts import TooLate
+from pistachiowell.gateway.planned_stop import StopRefusal
 from pistachiowell.gateway.refused_streams import (
     NOT_RUN,
     has_arrived,
@@ -47,6 +48,7 @@
         retry_shares: The ``RetryShares``.
         hedges: The ``Hedges``.
         loop_watch: The ``LoopWatch``.
+        stop: The ``PlannedStop``.
         codec: Codec of heads; see ``pistachiowell.platform.headers``.
         rng: A ``Random``.
     """
@@ -63,6 +65,7 @@
         "_selection",
         "_silence",
         "_splitter",
+        "_stop",
     )
 
     def __init__(
@@ -75,6 +78,7 @@
         retry_shares,
         hedges,
         loop_watch,
+        stop,
         codec,
         rng,
     ):
@@ -85,6 +89,7 @@
         self._crashes = crashes
         self._retry_shares = retry_shares
         self._hedges = hedges
+        self._stop = stop
         self._codec = codec
         self._pool = ConnectionPool(
             runtime.now, loop_watch.deadline, runtime.clients.answers
@@ -128,7 +133,7 @@
             PistachiowellError: There is no complete answer; the caller has received
                 nothing, or a part of a stream that is not continued.
         """
-        run = Run(request, writer, usage)
+        run = Run(request, writer, usage, self._stop)
         run.service = self._choose_service(request)
         while True:
             crashed_servers = self._check_crashes(run)
@@ -136,6 +141,8 @@
             try:
                 await self._run_attempts(run, number, crashed_servers)
                 return
+            except StopRefusal:
+                raise
             except NoRoom as error:
                 if await self._may_send_later(run, error):
                     continue
@@ -341,14 +348,15 @@
         """Sends a request so that its stream goes on after what the caller has."""
         last_id = run.events.last_id or None
         run.events.begin_continuation()
-        await self._send(exchange, attempt, run.request.deadline, last_id)
+        await self._send(run, exchange, attempt, last_id)
 
-    async def _send(self, exchange, attempt, deadline, last_id):
+    async def _send(self, run, exchange, attempt, last_id):
         await exchange.open()
         # The server may have closed itself while the request waited for its connection.
         self._limits.check_open(exchange.server, attempt.age_s)
         sent_at = self._runtime.now()
-        left_s = deadline - sent_at
+        run.check_stop(sent_at)
+        left_s = run.request.deadline - sent_at
         if left_s <= 0:
             raise DeadlineExceeded(
                 "The deadline of the request has passed.", ran=NOT_RUN
--- a/pistachiowell/gateway/gateway_parts.py
+++ b/pistachiowell/gateway/gateway_parts.py
@@ -272,6 +272,7 @@
             self.retry_shares,
             self.hedges,
             self.loop_watch,
+            self.stop,
             self._adapter.heads,
             self._rng,
         )
--- a/pistachiowell/gateway/run.py
+++ b/pistachiowell/gateway/run.py
@@ -45,6 +45,7 @@
         request: The ``GatewayRequest``.
         writer: The ``AnswerWriter``.
         usage: The ``Usage``.
+        stop: The ``PlannedStop``.
         events: Reader of the stream, which attempts at several servers may continue.
         retries: Decides whether the request is sent again.
         running: Number of attempts in progress.
@@ -62,15 +63,17 @@
         "retries",
         "running",
         "service",
+        "stop",
         "tried",
         "usage",
         "writer",
     )
 
-    def __init__(self, request, writer, usage):
+    def __init__(self, request, writer, usage, stop):
         self.request = request
         self.writer = writer
         self.usage = usage
+        self.stop = stop
         prompt = request.prompt
         self.events = EventReader(prompt.max_output_tokens if prompt else None)
         self.retries = RETRIES.find("by_route")(request.route, request.deadline)
@@ -88,6 +91,21 @@
         """
         return 0 if self.writer.has_started else self.request.rank
 
+    def check_stop(self, now):
+        """Checks, just before the request is sent, that it can end in a planned stop.
+
+        Args:
+            now: Present time in seconds.
+
+        Raises:
+            StopRefusal: It cannot, and no server has it yet.
+        """
+        has_begun = self.writer.has_started or self.usage.may_have_run
+        if has_begun or self.running > 1:
+            return
+        request = self.request
+        self.stop.check_time(request.route, request.prompt, request.deadline, now)
+
     def record_start(self, server_id):
         """Records that an attempt goes to a server."""
         self.tried.add(server_id)
--- a/pistachiowell/platform/tests/test_planned_stop.py
+++ b/pistachiowell/platform/tests/test_planned_stop.py
@@ -14,7 +14,7 @@
 import pytest
 from loguru import logger
 
-from pistachiowell.platform.standins import answer_whole, stream_events
+from pistachiowell.platform.standins import answer_whole, refuse, stream_events
 
 pytestmark = pytest.mark.anyio
 
@@ -182,3 +182,22 @@
         answer = msgspec.json.decode(body)
         assert (status, answer["ran"], answer["error"]) == (503, "no", "leaving")
     assert not rig.servers["pool-1"].requests
+
+
+async def test_stream_that_waits_for_a_server_begins_late_in_the_stop(start_rig):
+    async def refuse_in_the_stop(request, stream):
+        # The next attempt gets an answer that outlasts the stop.
+        rig.servers["pool-1"].script = rig.servers["pool-2"].script = long_answer
+        await stop(rig)
+        return await refuse(request, stream)
+
+    long_answer = stream_events(1, 200)
+    async with start_rig() as rig:
+        await rig.add_agent("agent-1")
+        await rig.add_server("pool-1", "pool", refuse_in_the_stop)
+        await rig.add_server("pool-2", "pool", refuse_in_the_stop)
+        await rig.add_gateway(**GRACE)
+        status, _, body = await rig.send_chat(usage="100,1000")
+        answer = msgspec.json.decode(body)
+        assert (status, answer["ran"], answer["error"]) == (503, "no", "leaving")
+        assert sum(len(server.requests) for server in rig.servers.values()) == 1
