--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -106,12 +106,13 @@
     async def leave(self):
         """Stops without cutting off answers that can reach their callers in time.
 
-        Connections that come late are accepted to the end, and their requests refused.
+        Connections that come late are accepted to the end, and their requests begun if
+        they are known to fit.
         """
         parts, settings = self._parts, self._parts.runtime.settings
         self.begin_leaving()
         await anyio.sleep(settings.leaving_notice_s)
-        parts.stop.refuse_all()
+        parts.stop.end_notice()
         parts.caller_servers.close_connections()
         relay = parts.load.relay
         relay.close_idle()
--- a/pistachiowell/gateway/planned_stop.py
+++ b/pistachiowell/gateway/planned_stop.py
@@ -47,9 +47,9 @@
 
     A stream is begun only if the longest answer that its request allows fits, at the
     slow end of the recent paces, and a request that must not run twice only if its
-    whole time limit does. Streams of which too little is known are taken for very
-    slow, and requests that may run again and are no streams for short: their callers
-    get a whole answer in any case.
+    whole time limit does. During the notice, streams of which too little is known are
+    taken for very slow, and requests that may run again and are no streams for short:
+    their callers get a whole answer in any case. After it the time limit counts.
 
     Args:
         metrics: The process's ``Metrics``.
@@ -69,9 +69,9 @@
         "_began_at",
         "_ends_at",
         "_has_ended",
+        "_is_past_notice",
         "_metrics",
         "_now",
-        "_refuses_all",
         "_scopes",
         "bounds",
     )
@@ -83,7 +83,7 @@
         self._began_at = None
         self._ends_at = None
         self._has_ended = False
-        self._refuses_all = False
+        self._is_past_notice = False
         self._scopes = set()
 
     @property
@@ -110,22 +110,12 @@
         self._began_at = self._now()
         self._ends_at = ends_at
 
-    def refuse_all(self):
-        """Refuses all requests from now on."""
-        self._refuses_all = True
+    def end_notice(self):
+        """Begins from now on only what is known to fit."""
+        self._is_past_notice = True
 
     def check(self, route, prompt, deadline, now):
-        """Checks a request whose head has come, as ``check_time`` does.
-
-        Raises:
-            StopRefusal: It cannot end in time, or nothing is begun any more.
-        """
-        if self._refuses_all:
-            raise StopRefusal(None, self._ends_at - now)
-        self.check_time(route, prompt, deadline, now)
-
-    def check_time(self, route, prompt, deadline, now):
-        """Checks that a request whose body has come can end before the gateway stops.
+        """Checks that a request can end before the gateway stops.
 
         Args:
             route: The ``Route``.
@@ -141,6 +131,8 @@
         """
         if self._ends_at is None:
             return None
+        if self._has_ended:
+            raise StopRefusal(None, 0.0)
         limit_s = max(0.0, deadline - now)
         known_s, left_s = self._known_bound_s(route, prompt, now), self._ends_at - now
         bound_s = limit_s if known_s is None else min(known_s, limit_s)
@@ -152,7 +144,9 @@
         if not (route.has_prompts or route.is_idempotent):
             return None
         bound_s = self.bounds.bound_s(route, prompt, now)
-        return self._assumed_bound_s(route, prompt) if bound_s is None else bound_s
+        if bound_s is None and not self._is_past_notice:
+            return self._assumed_bound_s(route, prompt)
+        return bound_s
 
     def _assumed_bound_s(self, route, prompt):
         if not route.has_prompts:
--- a/pistachiowell/platform/tests/test_planned_stop.py
+++ b/pistachiowell/platform/tests/test_planned_stop.py
@@ -20,7 +20,7 @@
 
 GRACE = {"shutdown_timeout_s": 1.0}
 NOTICE_S = 0.1
-STREAMS = 10
+REQUESTS = 10
 
 
 async def never_answer(request, stream):
@@ -159,7 +159,7 @@
         await rig.add_agent("agent-1")
         await rig.add_server("pool-1", "pool", stream_events(1, 10))
         await rig.add_gateway(**GRACE)
-        for _ in range(STREAMS):
+        for _ in range(REQUESTS):
             assert (await rig.send_chat())[0] == 200
         pool = rig.servers["pool-1"]
         pool.script = stream_events(1, 200)
@@ -169,7 +169,7 @@
         assert (status, answer["ran"], answer["error"]) == (503, "no", "leaving")
         pool.script = stream_events(1, 10)
         assert (await rig.send_chat())[0] == 200
-    assert len(pool.requests) == STREAMS + 1
+    assert len(pool.requests) == REQUESTS + 1
 
 
 async def test_first_stream_of_a_started_gateway_is_cut(start_rig):
@@ -201,3 +201,18 @@
         answer = msgspec.json.decode(body)
         assert (status, answer["ran"], answer["error"]) == (503, "no", "leaving")
         assert sum(len(server.requests) for server in rig.servers.values()) == 1
+
+
+async def test_request_that_is_known_to_fit_is_refused_after_the_notice(stopping_rig):
+    async with stopping_rig(answer_whole) as rig, anyio.create_task_group() as group:
+        server = rig.servers["desk-1"]
+        for _ in range(REQUESTS):
+            await rig.send("/read/a")
+        server.script = never_answer
+        group.start_soon(rig.send, "/read/a")
+        await rig.until(lambda: len(server.requests) > REQUESTS)
+        server.script = answer_whole
+        await stop(rig)
+        await anyio.sleep(NOTICE_S + 0.2)
+        status, headers, _ = await rig.send("/read/b")
+        assert (status, headers[b"connection"]) == (200, b"close")
