--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -116,7 +116,7 @@
         parts.caller_servers.close_connections()
         relay = parts.load.relay
         relay.close_idle()
-        with anyio.move_on_after(max(0.0, settings.shutdown_timeout_s - ENDING_S)):
+        with anyio.move_on_after(parts.stop.left_s):
             while self._has_work:
                 await anyio.sleep(STOP_CHECK_INTERVAL_S)
         if self._has_work:
--- a/pistachiowell/gateway/planned_stop.py
+++ b/pistachiowell/gateway/planned_stop.py
@@ -101,6 +101,11 @@
         """Number of requests that have not ended."""
         return len(self._scopes)
 
+    @property
+    def left_s(self):
+        """Seconds until the requests in progress are ended; 0 once it is time."""
+        return max(0.0, self._ends_at - self._now())
+
     def begin(self, ends_at):
         """Begins the stop.
 
--- a/pistachiowell/platform/tests/test_planned_stop.py
+++ b/pistachiowell/platform/tests/test_planned_stop.py
@@ -7,6 +7,7 @@
 
 import os
 import signal
+import time
 from contextlib import asynccontextmanager
 
 import anyio
@@ -216,3 +217,16 @@
         await anyio.sleep(NOTICE_S + 0.2)
         status, headers, _ = await rig.send("/read/b")
         assert (status, headers[b"connection"]) == (200, b"close")
+
+
+async def test_late_event_loop_moves_the_end_of_the_stop_past_the_grace(stopping_rig):
+    async with stopping_rig(never_answer) as rig, anyio.create_task_group() as group:
+        group.start_soon(rig.send, "/read/a")
+        await rig.until(lambda: rig.servers["desk-1"].requests)
+        await stop(rig)
+        stopped_at = time.monotonic()
+        await anyio.sleep(0.05)
+        # The notice passes meanwhile.
+        time.sleep(0.6)
+        await rig.until(lambda: rig.gateways[0].metrics.values.get("stop.ended"))
+        assert time.monotonic() - stopped_at < NOTICE_S + GRACE["shutdown_timeout_s"]
