--- a/pistachiowell/core/clients.py
+++ b/pistachiowell/core/clients.py
@@ -109,7 +109,9 @@
 class Clients:
     """Closes connections that exceed a limit of the process or of time.
 
-    A connection has ``give_way(reason)``, which closes it, and ``unsent_bytes``.
+    A connection has ``give_way(reason)``, which closes it, ``stays_in(stage)``, which
+    reads what has arrived by now and returns whether it has done no more, and
+    ``unsent_bytes``.
 
     Args:
         limits: ``ClientLimits``.
@@ -209,7 +211,8 @@
         )
         for stage, before, reason in timeouts:
             for connection in self._budget.due(stage, before):
-                self.close(connection, reason)
+                if connection.stays_in(stage):
+                    self.close(connection, reason)
         for connection in self._budget.due(Stage.stalled, idle_since):
             self._check_progress(connection, now)
         if len(self._budget) or self._closed:
--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -9,11 +9,13 @@
 from pistachiowell.core.lingering import LingeringTransport
 from pistachiowell.core.read_gate import ReadGate
 from pistachiowell.core.refusals import INVALID, NO_ROOM, TOO_SLOW, refusal
+from pistachiowell.core.socket_state import read_arrived, unread_bytes
 from pistachiowell.core.traffic import ConnectionTraffic, CountedTransport
 
 WRITE_BUFFER_BYTES = 4096
 # The parser sees no more at once, so that a head over the limit is never kept whole.
 PIECE_BYTES = 16_384
+READ_BYTES = 65_536
 # Memory of the objects of one header line, here and in the request to the server.
 LINE_COST_BYTES = 512
 # Key of the ``ConnectionTraffic`` in the scope of a request.
@@ -73,6 +75,7 @@
             self._traffic = None
             self._lingering = None
             self._close_reason = "application"
+            self._is_last = False
             self._is_refused = False
             self._has_crossed = False
             self._opened_at = self._active_at = self.loop.time()
@@ -170,6 +173,8 @@
             self._is_in_head = False
             self._has_ended_part = True
             super().on_headers_complete()
+            if self._is_last:
+                self.cycle.keep_alive = False
 
         def on_body(self, body):
             """Stores a part of a body."""
@@ -256,7 +261,10 @@
             self._close_reason = reason
             stage = self._stage()
             answer = TOO_SLOW if reason.endswith("timeout") else NO_ROOM
-            if stage in (Stage.head, Stage.body) and not self.transport.is_closing():
+            is_refused = stage in (Stage.head, Stage.body) or (
+                stage in (Stage.silent, Stage.idle) and self._unread_bytes > 0
+            )
+            if is_refused and not self.transport.is_closing():
                 self._end(None, answer)
             if self.transport.get_write_buffer_size() or stage is Stage.stalled:
                 self.transport.abort()
@@ -287,7 +295,7 @@
             has_unsent = is_dropping and self.transport.get_write_buffer_size() > 0
             if has_unsent or (self._has_unanswered and not self._is_refused):
                 clients.close_log.record_unanswered(self._close(unread_bytes))
-            elif unread_bytes and self._stage() in (Stage.silent, Stage.idle):
+            elif unread_bytes and self._is_unread_lost:
                 clients.close_log.record_unread(self._close(unread_bytes))
 
         def _close(self, unread_bytes):
@@ -300,19 +308,62 @@
                 now - self._active_at,
             )
 
+        @property
+        def _is_unread_lost(self):
+            """Whether a request was not read, of whose close no answer has told."""
+            return not (
+                self._is_refused
+                or self._is_in_message
+                or self._close_reason == "application"
+            )
+
         @property
         def _has_unanswered(self):
             return self._is_answering or (self._is_in_message and self._is_in_head)
 
         def shutdown(self):
             """Closes the connection after its present answer."""
-            self._close_reason = "stop"
-            super().shutdown()
+            self._is_last = True
+            if not self._is_answering:
+                self._close_idle("stop")
+            else:
+                self.cycle.keep_alive = False
 
         def timeout_keep_alive_handler(self):
             """Closes the connection at the end of its idle time."""
-            self._close_reason = "idle"
-            super().timeout_keep_alive_handler()
+            self._close_idle("idle")
+
+        def stays_in(self, stage):
+            """Reads what has arrived, and returns whether the stage is the same."""
+            return not self._read_arrived() or self._stage() is stage
+
+        def _close_idle(self, reason):
+            """Closes the connection unless a request has arrived, which is answered."""
+            self._read_arrived()
+            if self.transport.is_closing() or self._has_unanswered:
+                return
+            self._close_reason = reason
+            if self._is_in_message:
+                self.transport.close()
+            else:
+                self.transport.close_idle()
+
+        def _read_arrived(self):
+            """Reads what has arrived by now; returns whether anything has."""
+            if self.flow.read_paused or self.transport.is_closing():
+                return False
+            data = read_arrived(self._socket, READ_BYTES)
+            if data:
+                self.data_received(data)
+            return bool(data)
+
+        @property
+        def _unread_bytes(self):
+            return unread_bytes(self._socket)
+
+        @property
+        def _socket(self):
+            return self.transport.get_extra_info("socket")
 
         def _stage(self):
             if self.flow.write_paused:
--- a/pistachiowell/core/lingering.py
+++ b/pistachiowell/core/lingering.py
@@ -9,9 +9,17 @@
 
 import asyncio
 
-from pistachiowell.core.socket_state import unacknowledged_bytes, unread_bytes
+from pistachiowell.core.socket_state import (
+    read_arrived,
+    unacknowledged_bytes,
+    unread_bytes,
+)
 
 LINGER_S = 2.0
+# Time for a peer to notice the end of a connection on which it has nothing to lose.
+IDLE_LINGER_S = 0.5
+# Unread bytes that are dropped before a close in one step.
+DROPPED_BYTES = 262_144
 # The largest body that callers may send, several times over.
 LINGER_BYTES = 16 * 1_048_576
 
@@ -74,19 +82,34 @@
         """Closes the connection once the peer has done so, if that may matter to it."""
         if self.is_closing():
             return
-        self._tell()
-        can_lose = self._expects_more() or self.unsent_bytes
-        if not can_lose or not self._transport.can_write_eof():
+        if self._tell() or self._expects_more() or self.unsent_bytes:
+            self._linger(LINGER_S)
+        else:
+            self._transport.close()
+
+    def close_idle(self):
+        """Closes a connection on which the peer may be about to send.
+
+        A reset in answer to what it sends could reach it before the end of the last
+        answer has been read.
+        """
+        if not self.is_closing():
+            self._tell()
+            self._linger(IDLE_LINGER_S)
+
+    def _linger(self, limit_s):
+        if not self._transport.can_write_eof():
             self._transport.close()
             return
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(LINGER_S, self.close_now)
+        self._timer = loop.call_later(limit_s, self.close_now)
         self._transport.write_eof()
         self._transport.resume_reading()
 
     def close_now(self):
         """Closes the connection after what was written, whatever the peer does."""
-        self._tell()
+        if self._tell():
+            read_arrived(self._transport.get_extra_info("socket"), DROPPED_BYTES)
         if self._timer is not None:
             self._timer.cancel()
         self._transport.close()
@@ -97,10 +120,13 @@
         self._transport.abort()
 
     def _tell(self, *, is_dropping=False):
+        """Calls ``on_close`` and returns the unread bytes at the first call."""
         on_close, self._on_close = self._on_close, None
-        if on_close is not None and not self._transport.is_closing():
-            sock = self._transport.get_extra_info("socket")
-            on_close(unread_bytes(sock), is_dropping)
+        if on_close is None or self._transport.is_closing():
+            return 0
+        size = unread_bytes(self._transport.get_extra_info("socket"))
+        on_close(size, is_dropping)
+        return size
 
     def release(self):
         """Ends the wait, as the connection is lost, and forgets the protocol.
--- a/pistachiowell/core/socket_state.py
+++ b/pistachiowell/core/socket_state.py
@@ -5,6 +5,7 @@
 """
 
 import fcntl
+import os
 import socket
 import sys
 import termios
@@ -46,6 +47,21 @@
     return _queue_bytes(sock, termios.FIONREAD)
 
 
+def read_arrived(sock, max_bytes):
+    """Returns what has arrived by now; empty if nothing has, or after an end.
+
+    The event loop may be late to read it.
+
+    Args:
+        sock: An open socket that does not block.
+        max_bytes: Largest number of bytes to read.
+    """
+    try:
+        return os.read(sock.fileno(), max_bytes)
+    except OSError:
+        return b""
+
+
 def _queue_bytes(sock, queue):
     return int.from_bytes(fcntl.ioctl(sock, queue, bytes(4)), sys.byteorder)
 
--- a/pistachiowell/core/tests/test_unread_requests.py
+++ b/pistachiowell/core/tests/test_unread_requests.py
@@ -7,14 +7,16 @@
 cannot have read them.
 """
 
+import asyncio
 import socket
+import time
 from contextlib import suppress
 
 import anyio
 import pytest
 
 from pistachiowell.core.client_budget import ClientLimits
-from pistachiowell.core.clients import Clients
+from pistachiowell.core.clients import CHECK_INTERVAL_S, Clients
 from pistachiowell.core.http_protocol import bounded_protocol
 from pistachiowell.core.metrics import Metrics
 from pistachiowell.core.web import http_server
@@ -125,3 +127,52 @@
     connection.shutdown()
     assert await rig.receive(sock) == b""
     assert rig.losses == {}
+
+
+@pytest.mark.parametrize(
+    ("reason", "status"), [("stop", b" 200 "), ("connections", b" 503 ")]
+)
+@pytest.mark.parametrize("requests", [0, 1], ids=["new", "kept"])
+async def test_unread_request_is_reset_as_its_connection_closes(
+    rig, requests, reason, status
+):
+    sock, connection = await rig.connect_kept(requests)
+    sock.sendall(REQUEST)
+    if reason == "stop":
+        connection.shutdown()
+    else:
+        rig.clients.close(connection, reason)
+    answer = await rig.receive(sock)
+    assert status in answer
+    assert b"connection: close" in answer
+    assert rig.losses == {}
+
+
+@pytest.mark.parametrize("requests", [0, 1], ids=["new", "kept"])
+async def test_request_is_reset_at_the_end_of_an_idle_time(rig, requests):
+    rig.clients.idle_timeout_s = rig.server.config.timeout_keep_alive = 0.3
+    sock, _ = await rig.connect_kept(requests)
+    # The event loop is late: the request arrives after it has looked for what to read,
+    # and before the timers that are due then.
+    asyncio.get_running_loop().call_later(0.0, sock.sendall, REQUEST)
+    time.sleep(0.3 + 2 * CHECK_INTERVAL_S)
+    assert b" 200 " in await rig.receive(sock, b"0\r\n\r\n")
+
+
+async def test_head_that_comes_in_parts_is_cut_at_a_stop(rig):
+    sock, connection = await rig.connect_kept()
+    sock.sendall(REQUEST[:10])
+    await anyio.sleep(0.1)
+    connection.shutdown()
+    sock.sendall(REQUEST[10:])
+    assert b"connection: close" in await rig.receive(sock)
+
+
+async def test_request_that_crosses_a_close_is_reset(rig):
+    sock, connection = await rig.connect_kept()
+    connection.shutdown()
+    assert await rig.receive(sock) == b""
+    sock.sendall(REQUEST)
+    await anyio.sleep(0.1)
+    assert await rig.receive(sock) == b""
+    assert rig.losses == {"connections.crossed.stop": 1}
--- a/pistachiowell/wire/strangers.py
+++ b/pistachiowell/wire/strangers.py
@@ -84,6 +84,10 @@
             self._stage, self._held_bytes = stage, held_bytes
             self._clients.update(self, stage, held_bytes)
 
+    def stays_in(self, stage):
+        """Returns whether the connection is in a stage; its link reads by itself."""
+        return self._stage is stage
+
     def give_way(self, reason):
         """Closes the connection."""
         del reason
