--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -16,6 +16,8 @@
 # The parser sees no more at once, so that a head over the limit is never kept whole.
 PIECE_BYTES = 16_384
 READ_BYTES = 65_536
+# At a planned stop a connection is closed if nothing has happened on it for so long.
+QUIET_S = 0.5
 # Memory of the objects of one header line, here and in the request to the server.
 LINE_COST_BYTES = 512
 # Key of the ``ConnectionTraffic`` in the scope of a request.
@@ -322,16 +324,45 @@
             return self._is_answering or (self._is_in_message and self._is_in_head)
 
         def shutdown(self):
-            """Closes the connection after its present answer."""
+            """Closes the connection once its last answer has told of it, or when quiet.
+
+            The caller of a connection that was new or in use a moment ago may be about
+            to send, so what comes soon is still answered.
+            """
             self._is_last = True
+            self.timeout_keep_alive = QUIET_S
             if not self._is_answering:
-                self._close_idle("stop")
-            else:
+                self._unset_keepalive_if_required()
+                self.timeout_keep_alive_handler()
+            elif not self.cycle.response_started:
                 self.cycle.keep_alive = False
 
         def timeout_keep_alive_handler(self):
-            """Closes the connection at the end of its idle time."""
-            self._close_idle("idle")
+            """Closes the connection at the end of its idle time, or when quiet."""
+            left_s = self._quiet_left_s()
+            if left_s > 0 and not self.transport.is_closing():
+                self.timeout_keep_alive_task = self.loop.call_later(
+                    left_s, self.timeout_keep_alive_handler
+                )
+            else:
+                self._close_idle("stop" if self._is_last else "idle")
+
+        def set_idle_timeout(self, limit_s):
+            """Applies another idle time in seconds, unless the process stops."""
+            if self._is_last:
+                return
+            self.timeout_keep_alive = limit_s
+            if self.timeout_keep_alive_task is not None:
+                self._unset_keepalive_if_required()
+                self.timeout_keep_alive_task = self.loop.call_later(
+                    limit_s, self.timeout_keep_alive_handler
+                )
+
+        def _quiet_left_s(self):
+            """Returns for how long the caller may be about to send, in seconds."""
+            if not self._is_last:
+                return 0.0
+            return self._active_at + QUIET_S - self.loop.time()
 
         def stays_in(self, stage):
             """Reads what has arrived, and returns whether the stage is the same."""
--- a/pistachiowell/core/tests/test_unread_requests.py
+++ b/pistachiowell/core/tests/test_unread_requests.py
@@ -176,3 +176,11 @@
     await anyio.sleep(0.1)
     assert await rig.receive(sock) == b""
     assert rig.losses == {"connections.crossed.stop": 1}
+
+
+async def test_next_request_after_an_answer_is_cut_at_a_stop(rig):
+    sock, connection = await rig.connect_kept()
+    connection.shutdown()
+    await anyio.sleep(0.1)
+    sock.sendall(REQUEST)
+    assert b"connection: close" in await rig.receive(sock)
--- a/pistachiowell/gateway/caller_servers.py
+++ b/pistachiowell/gateway/caller_servers.py
@@ -87,7 +87,7 @@
                 group.start_soon(server.serve)
 
     def close_connections(self):
-        """Closes idle connections, and the others after their present answer."""
+        """Closes quiet connections, and the others after their next answer."""
         for connection in self.connections:
             connection.shutdown()
 
@@ -102,21 +102,11 @@
             server.should_exit = True
 
     def apply_limits(self, catalog):
-        """Applies the idle timeout of a ``Catalog`` to all connections.
-
-        The server starts the timer of a connection when it becomes idle, so a timer
-        that runs with the old limit is replaced.
-        """
+        """Applies the idle timeout of a ``Catalog`` to all connections."""
         limit_s = min(MAX_KEEP_ALIVE_S, catalog.limits.idle_timeout_s)
         self._runtime.clients.idle_timeout_s = limit_s
         self._runtime.clients.header_timeout_s = catalog.limits.header_timeout_s
         for server in self._servers:
             server.config.timeout_keep_alive = limit_s
         for protocol in self.connections:
-            protocol.timeout_keep_alive = limit_s
-            timer = protocol.timeout_keep_alive_task
-            if timer is not None:
-                timer.cancel()
-                protocol.timeout_keep_alive_task = protocol.loop.call_later(
-                    limit_s, protocol.timeout_keep_alive_handler
-                )
+            protocol.set_idle_timeout(limit_s)
