--- a/pistachiowell/core/clients.py
+++ b/pistachiowell/core/clients.py
@@ -109,9 +109,9 @@
 class Clients:
     """Closes connections that exceed a limit of the process or of time.
 
-    A connection has ``give_way(reason)``, which closes it, ``stays_in(stage)``, which
-    reads what has arrived by now and returns whether it has done no more, and
-    ``unsent_bytes``.
+    A connection has ``give_way(reason)``, which closes it, ``is_overdue(stage)``, which
+    reads what has arrived by now and returns whether it is to be closed for its time in
+    a stage, and ``unsent_bytes``.
 
     Args:
         limits: ``ClientLimits``.
@@ -211,7 +211,7 @@
         )
         for stage, before, reason in timeouts:
             for connection in self._budget.due(stage, before):
-                if connection.stays_in(stage):
+                if connection.is_overdue(stage):
                     self.close(connection, reason)
         for connection in self._budget.due(Stage.stalled, idle_since):
             self._check_progress(connection, now)
--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -6,6 +6,7 @@
 from pistachiowell.core.clients import default_clients
 from pistachiowell.core.close_log import Close
 from pistachiowell.core.connection_order import Stage
+from pistachiowell.core.keep_alive import KEEP_ALIVE, KeepAlivePromise
 from pistachiowell.core.lingering import LingeringTransport
 from pistachiowell.core.read_gate import ReadGate
 from pistachiowell.core.refusals import INVALID, NO_ROOM, TOO_SLOW, refusal
@@ -79,6 +80,7 @@
             self._close_reason = "application"
             self._is_last = False
             self._is_refused = False
+            self._promise = KeepAlivePromise()
             self._has_crossed = False
             self._opened_at = self._active_at = self.loop.time()
             self.checked_bytes = float("inf")
@@ -96,8 +98,14 @@
                 self._is_answering
                 or transport.get_write_buffer_size() > 0
                 or (transport.is_lingering and transport.unsent_bytes > 0)
+                or (self._promise.kept_s > 0 and self._is_awaited)
             )
 
+        @property
+        def _is_awaited(self):
+            """Whether the caller may send on, as an answer has told it."""
+            return not self.transport.is_closing() and self._quiet_left_s() > 0
+
         def _expects_more(self):
             return self._is_in_message or self._has_request_ahead
 
@@ -177,6 +185,8 @@
             super().on_headers_complete()
             if self._is_last:
                 self.cycle.keep_alive = False
+            if self.cycle.keep_alive:
+                self.scope[KEEP_ALIVE] = self._promise
 
         def on_body(self, body):
             """Stores a part of a body."""
@@ -336,6 +346,7 @@
                 self.timeout_keep_alive_handler()
             elif not self.cycle.response_started:
                 self.cycle.keep_alive = False
+                self.scope.pop(KEEP_ALIVE, None)
 
         def timeout_keep_alive_handler(self):
             """Closes the connection at the end of its idle time, or when quiet."""
@@ -360,12 +371,17 @@
 
         def _quiet_left_s(self):
             """Returns for how long the caller may be about to send, in seconds."""
-            if not self._is_last:
-                return 0.0
-            return self._active_at + QUIET_S - self.loop.time()
+            kept_s = self._promise.kept_s
+            quiet_s = max(QUIET_S, kept_s) if self._is_last else kept_s
+            return self._active_at + quiet_s - self.loop.time()
+
+        def is_overdue(self, stage):
+            """Reads what has arrived, and returns whether the stage is the same.
 
-        def stays_in(self, stage):
-            """Reads what has arrived, and returns whether the stage is the same."""
+            A connection that is kept for longer, as its caller was told, is not.
+            """
+            if stage is Stage.idle and self._quiet_left_s() > 0:
+                return False
             return not self._read_arrived() or self._stage() is stage
 
         def _close_idle(self, reason):
--- a/pistachiowell/core/tests/test_unread_requests.py
+++ b/pistachiowell/core/tests/test_unread_requests.py
@@ -16,8 +16,9 @@
 import pytest
 
 from pistachiowell.core.client_budget import ClientLimits
-from pistachiowell.core.clients import CHECK_INTERVAL_S, Clients
+from pistachiowell.core.clients import CHECK_INTERVAL_S, IDLE_SLACK_S, Clients
 from pistachiowell.core.http_protocol import bounded_protocol
+from pistachiowell.core.keep_alive import KeepAliveApp
 from pistachiowell.core.metrics import Metrics
 from pistachiowell.core.web import http_server
 
@@ -28,27 +29,20 @@
 LOSSES = ("connections.crossed", "connections.unread", "connections.unanswered")
 
 
-class App:
-    """ASGI application that counts the requests that it answers."""
-
-    def __init__(self):
-        self.answered = 0
-
-    async def __call__(self, scope, receive, send):
-        """Answers after the whole request; an answer to ``BROKEN`` has no end."""
-        while (await receive())["more_body"]:
-            pass
-        self.answered += 1
-        await send({"type": "http.response.start", "status": 200, "headers": []})
-        is_broken = scope["path"] == "/broken"
-        await send({"type": "http.response.body", "body": b"x", "more_body": is_broken})
+async def app(scope, receive, send):
+    """Answers after the whole request; an answer to ``BROKEN`` has no end."""
+    while (await receive())["more_body"]:
+        pass
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    is_broken = scope["path"] == "/broken"
+    await send({"type": "http.response.body", "body": b"x", "more_body": is_broken})
 
 
 class Rig:
     """A server, and sockets that are connected to it."""
 
     def __init__(self, port):
-        self.metrics, self.app, self.sockets = Metrics(), App(), []
+        self.metrics, self.app, self.sockets = Metrics(), KeepAliveApp(app), []
         self.clients = Clients(ClientLimits(100, 5_000_000), self.metrics)
         protocol = bounded_protocol(65_536, b"{}", self.clients)
         self.server = http_server(self.app, "127.0.0.1", port, http=protocol)
@@ -184,3 +178,17 @@
     await anyio.sleep(0.1)
     sock.sendall(REQUEST)
     assert b"connection: close" in await rig.receive(sock)
+
+
+@pytest.mark.parametrize("end", ["stop", "shorter idle time"])
+async def test_connection_is_closed_before_the_time_that_its_caller_was_told(rig, end):
+    rig.app.announced_s = 1
+    sock, connection = await rig.connect_kept()
+    if end == "stop":
+        connection.shutdown()
+    else:
+        rig.clients.idle_timeout_s = -IDLE_SLACK_S
+        connection.set_idle_timeout(0.1)
+    await anyio.sleep(1.0)
+    sock.sendall(REQUEST)
+    assert b" 200 " in await rig.receive(sock, b"0\r\n\r\n")
--- a/pistachiowell/gateway/caller_servers.py
+++ b/pistachiowell/gateway/caller_servers.py
@@ -4,6 +4,7 @@
 
 from pistachiowell.core.errors import HeadersTooLarge
 from pistachiowell.core.http_protocol import bounded_protocol
+from pistachiowell.core.keep_alive import KeepAliveApp, announced_seconds
 from pistachiowell.core.web import http_server
 from pistachiowell.router.error_documents import error_document
 
@@ -53,14 +54,15 @@
         load: The ``LoadSharing``.
     """
 
-    __slots__ = ("_runtime", "_servers")
+    __slots__ = ("_app", "_runtime", "_servers")
 
     def __init__(self, runtime, app, load):
         self._runtime = runtime
         settings, traffic = runtime.settings, load.traffic
         take_over = load.relay.take_over if load.is_on else None
+        self._app = KeepAliveApp(app)
         self._servers = [
-            make_server(runtime, app, settings.http_address, take_over, traffic)
+            make_server(runtime, self._app, settings.http_address, take_over, traffic)
         ]
         if load.is_on:
             address = f"{settings.peer_host}:{settings.relay_port}"
@@ -102,8 +104,14 @@
             server.should_exit = True
 
     def apply_limits(self, catalog):
-        """Applies the idle timeout of a ``Catalog`` to all connections."""
+        """Applies the idle timeout of a ``Catalog`` to all connections.
+
+        Callers are told no more than the notice of a planned stop, so that none sends
+        on a connection that was idle all the while.
+        """
         limit_s = min(MAX_KEEP_ALIVE_S, catalog.limits.idle_timeout_s)
+        notice_s = self._runtime.settings.leaving_notice_s
+        self._app.announced_s = announced_seconds(min(limit_s, notice_s))
         self._runtime.clients.idle_timeout_s = limit_s
         self._runtime.clients.header_timeout_s = catalog.limits.header_timeout_s
         for server in self._servers:
--- a/pistachiowell/platform/tests/conftest.py
+++ b/pistachiowell/platform/tests/conftest.py
@@ -201,8 +201,7 @@
             peer_port=self._free_port(),
             store_address=self._store_address,
             budget_pages=1,
-            leaving_notice_s=0.1,
-            **settings,
+            **{"leaving_notice_s": 0.1, **settings},
         )
         gateway = Gateway(values, ObjectStore(self._store_address), ADAPTER)
         self._start(name, gateway)
@@ -250,6 +249,26 @@
     @asynccontextmanager
     async def open(self, path, method="GET", body=b"", key=KEY, **headers):
         """Sends a request and yields the open response."""
+        async with (
+            httpcore.AsyncConnectionPool() as pool,
+            self._opened(pool, path, method, body, key, headers) as response,
+        ):
+            yield response
+
+    @asynccontextmanager
+    async def keep(self):
+        """Yields a function like ``send`` that keeps its connection."""
+        async with httpcore.AsyncConnectionPool() as pool:
+
+            async def send(path, method="GET", body=b"", key=KEY, **headers):
+                opened = self._opened(pool, path, method, body, key, headers)
+                async with opened as response:
+                    body = await response.aread()
+                return response.status, dict(response.headers), body
+
+            yield send
+
+    def _opened(self, pool, path, method, body, key, headers):
         self._requests += 1
         fields = {
             "Host": HOST,
@@ -261,13 +280,8 @@
         if body and "Transfer-Encoding" not in fields:
             fields["Content-Length"] = str(len(body))
         pairs = [(n.encode(), v.encode()) for n, v in fields.items()]
-        async with (
-            httpcore.AsyncConnectionPool() as pool,
-            pool.stream(
-                method, f"http://{self.address}{path}", headers=pairs, content=body
-            ) as response,
-        ):
-            yield response
+        url = f"http://{self.address}{path}"
+        return pool.stream(method, url, headers=pairs, content=body)
 
     async def send_chat(self, path="/chat/x", **headers):
         """Sends a request with a prompt of 100 tokens and an answer of at most 50."""
--- a/pistachiowell/platform/tests/test_planned_stop.py
+++ b/pistachiowell/platform/tests/test_planned_stop.py
@@ -230,3 +230,18 @@
         time.sleep(0.6)
         await rig.until(lambda: rig.gateways[0].metrics.values.get("stop.ended"))
         assert time.monotonic() - stopped_at < NOTICE_S + GRACE["shutdown_timeout_s"]
+
+
+async def test_caller_that_keeps_to_its_idle_time_meets_the_close(start_rig):
+    notice_s, told_s = 1.6, 1.0
+    async with start_rig() as rig:
+        await rig.add_server("desk-1", "desk", answer_whole)
+        await rig.add_gateway(leaving_notice_s=notice_s, **GRACE)
+        async with rig.keep() as send:
+            _, headers, _ = await send("/read/a")
+            assert headers[b"keep-alive"] == b"timeout=%d" % told_s
+            await stop(rig)
+            await anyio.sleep(told_s)
+            status, headers, _ = await send("/read/b")
+            assert (status, headers[b"connection"]) == (200, b"close")
+            assert b"keep-alive" not in headers
--- a/pistachiowell/wire/strangers.py
+++ b/pistachiowell/wire/strangers.py
@@ -84,7 +84,7 @@
             self._stage, self._held_bytes = stage, held_bytes
             self._clients.update(self, stage, held_bytes)
 
-    def stays_in(self, stage):
+    def is_overdue(self, stage):
         """Returns whether the connection is in a stage; its link reads by itself."""
         return self._stage is stage
 
