--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -9,7 +9,7 @@
 from pistachiowell.core.keep_alive import KEEP_ALIVE, KeepAlivePromise
 from pistachiowell.core.lingering import LingeringTransport
 from pistachiowell.core.read_gate import ReadGate
-from pistachiowell.core.refusals import INVALID, NO_ROOM, TOO_SLOW, refusal
+from pistachiowell.core.refusals import INVALID, LEAVING, NO_ROOM, TOO_SLOW, refusal
 from pistachiowell.core.socket_state import read_arrived, unread_bytes
 from pistachiowell.core.traffic import ConnectionTraffic, CountedTransport
 
@@ -272,16 +272,26 @@
             """
             self._close_reason = reason
             stage = self._stage()
-            answer = TOO_SLOW if reason.endswith("timeout") else NO_ROOM
-            is_refused = stage in (Stage.head, Stage.body) or (
-                stage in (Stage.silent, Stage.idle) and self._unread_bytes > 0
-            )
-            if is_refused and not self.transport.is_closing():
-                self._end(None, answer)
+            self._refuse_begun(TOO_SLOW if reason.endswith("timeout") else NO_ROOM)
             if self.transport.get_write_buffer_size() or stage is Stage.stalled:
                 self.transport.abort()
             self.transport.close_now()
 
+        def finish(self):
+            """Closes the connection as the process ends; refuses what cannot run."""
+            self._close_reason = "stop"
+            self._refuse_begun(LEAVING)
+            self.transport.close_now()
+
+        def _refuse_begun(self, answer):
+            """Closes the connection with a refusal if a request has begun to come."""
+            if self.transport.is_closing():
+                return
+            stage = self._stage()
+            is_unread = stage in (Stage.silent, Stage.idle) and self._unread_bytes > 0
+            if is_unread or stage in (Stage.head, Stage.body):
+                self._end(None, answer)
+
         def _end(self, reason, answer):
             """Closes the connection at once with an answer of its own."""
             if self.transport.is_closing():
--- a/pistachiowell/core/refusals.py
+++ b/pistachiowell/core/refusals.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from pistachiowell.core.errors import BodyTimeout, InvalidRequest, Overloaded
+from pistachiowell.core.errors import BodyTimeout, InvalidRequest, Leaving, Overloaded
 
 RETRY_AFTER_S = 0.5
 
@@ -41,5 +41,10 @@
     _encode(Overloaded("The process has no room for the request.")),
     b"retry-after: %.3f" % RETRY_AFTER_S,
 )
+LEAVING = refusal(
+    503,
+    _encode(Leaving("The process stops before the request can run.")),
+    b"retry-after: %.3f" % RETRY_AFTER_S,
+)
 INVALID = refusal(400, _encode(InvalidRequest("The request is not valid HTTP.")))
 TOO_SLOW = refusal(408, _encode(BodyTimeout("The request did not arrive in time.")))
--- a/pistachiowell/core/tests/test_unread_requests.py
+++ b/pistachiowell/core/tests/test_unread_requests.py
@@ -20,7 +20,7 @@
 from pistachiowell.core.http_protocol import bounded_protocol
 from pistachiowell.core.keep_alive import KeepAliveApp
 from pistachiowell.core.metrics import Metrics
-from pistachiowell.core.web import http_server
+from pistachiowell.core.web import ACCEPTED_AT_ONCE, http_server
 
 pytestmark = pytest.mark.anyio
 
@@ -192,3 +192,21 @@
     await anyio.sleep(1.0)
     sock.sendall(REQUEST)
     assert b" 200 " in await rig.receive(sock, b"0\r\n\r\n")
+
+
+async def test_connections_that_wait_to_be_accepted_are_reset_at_a_stop(rig):
+    sockets = [rig.connect() for _ in range(ACCEPTED_AT_ONCE + 4)]
+    for sock in sockets:
+        sock.sendall(REQUEST)
+    await rig.server.shutdown()
+    for sock in sockets:
+        assert b"connection: close" in await rig.receive(sock)
+
+
+async def test_request_is_reset_as_the_process_ends(rig):
+    rig.server.config.timeout_graceful_shutdown = 0.0
+    sock, _ = await rig.connect_kept()
+    shutdown = rig.server.shutdown()
+    asyncio.get_running_loop().call_later(0.05, sock.sendall, REQUEST[:10])
+    await shutdown
+    assert b" 503 " in await rig.receive(sock)
--- a/pistachiowell/core/web.py
+++ b/pistachiowell/core/web.py
@@ -1,7 +1,8 @@
 """Embedded HTTP servers, and helpers for their ASGI applications."""
 
+import asyncio
 import socket
-from contextlib import nullcontext
+from contextlib import contextmanager, nullcontext
 
 import uvicorn
 
@@ -11,6 +12,10 @@
 # A gateway of 0.4 cores serves 50 requests a second. Callers that wait longer than
 # a third of a second for their connection are late; others may serve them sooner.
 MAX_WAITING = 16
+# Connections that are accepted as the port is closed; more may come meanwhile.
+ACCEPTED_AT_CLOSE = 4 * MAX_WAITING
+# Time for requests that were cancelled at the end to send their answers.
+CANCEL_S = 0.05
 
 
 class CallerGoneError(Exception):
@@ -31,26 +36,88 @@
         all that wait at once could use up the descriptors of the process.
         """
         await super().startup(sockets)
-        for server in self.servers:
-            for listener in server.sockets:
-                # asyncio's view of a socket has no ``listen``.
-                same = socket.socket(fileno=listener.fileno())
+        for listener in self._listeners:
+            with _same_socket(listener) as same:
                 same.listen(MAX_WAITING)
-                same.detach()
 
+    @property
+    def _listeners(self):
+        return [listener for server in self.servers for listener in server.sockets]
+
+    async def shutdown(self, sockets=None):
+        """Closes the port, and each connection after its present request.
 
-def http_server(app, host, port, *, http="httptools", **options):
+        Connections that wait to be accepted would be reset with the port.
+        """
+        accepted = self._accept_waiting()
+        for server in self.servers:
+            server.close()
+        for sock in accepted:
+            await self._serve_last(sock)
+        await super().shutdown(sockets)
+
+    async def _serve_last(self, sock):
+        loop = asyncio.get_running_loop()
+        _, protocol = await loop.connect_accepted_socket(self._make_protocol, sock)
+        if protocol in self.server_state.connections:
+            protocol.shutdown()
+
+    def _accept_waiting(self):
+        accepted = []
+        for listener in self._listeners:
+            with _same_socket(listener) as same:
+                for _ in range(ACCEPTED_AT_CLOSE):
+                    try:
+                        accepted.append(same.accept()[0])
+                    except OSError:
+                        break  # None waits, or there is no descriptor for it.
+        return accepted
+
+    def _make_protocol(self):
+        return self.config.http_protocol_class(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
+
+class HttpServer(EmbeddedServer):
+    """Server whose connections are refused, not reset, at its end."""
+
+    async def shutdown(self, sockets=None):
+        """Closes the port, and each connection as well as time allows."""
+        await super().shutdown(sockets)
+        if self.server_state.tasks:
+            await asyncio.wait(self.server_state.tasks, timeout=CANCEL_S)
+        for connection in list(self.server_state.connections):
+            connection.finish()
+        # The event loop closes the sockets in its next turn.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+
+@contextmanager
+def _same_socket(view):
+    """Yields the socket of asyncio's view of it, which can do less."""
+    same = socket.socket(fileno=view.fileno())
+    try:
+        yield same
+    finally:
+        same.detach()
+
+
+def http_server(app, host, port, *, http, **options):
     """Returns a server for an ASGI application.
 
     Args:
         app: The ASGI application.
         host: IP address.
         port: TCP port.
-        http: Protocol class or its name in uvicorn.
+        http: Protocol class; see ``bounded_protocol``.
         **options: Further options of ``uvicorn.Config``.
 
     Returns:
-        An ``EmbeddedServer``.
+        An ``HttpServer``.
     """
     config = uvicorn.Config(
         app,
@@ -65,7 +132,7 @@
         backlog=ACCEPTED_AT_ONCE,
         **options,
     )
-    return EmbeddedServer(config)
+    return HttpServer(config)
 
 
 async def read_body(receive, max_bytes):
