--- a/pistachiowell/gateway/relay.py
+++ b/pistachiowell/gateway/relay.py
@@ -81,14 +81,16 @@
     """The connection of the caller.
 
     Attributes:
-        has_request: Whether the caller has sent anything.
+        has_request: Whether anything that the caller has sent was read.
+        serve: Function of the transport that serves the connection here after all.
         traffic: The ``ConnectionTraffic``; None to count no bytes.
     """
 
-    __slots__ = ("_closing", "has_request", "traffic")
+    __slots__ = ("_closing", "has_request", "serve", "traffic")
 
-    def __init__(self, relay):
+    def __init__(self, relay, serve):
         super().__init__(relay)
+        self.serve = serve
         self._closing = None
         self.has_request = False
         self.traffic = relay.link.connection_traffic()
@@ -140,10 +142,10 @@
         super().buffer_updated(nbytes)
 
     def connection_lost(self, exc):
-        """Closes the connection of the caller."""
+        """Ends the connection of the caller, or serves it here after all."""
         del exc
         if self.other is not None:
-            self.other.finish()
+            self._relay.end_relayed(self.other)
 
 
 class ConnectionRelay:
@@ -217,12 +219,13 @@
         address = self._choose()
         if address is None:
             return False
-        caller = CallerSide(self)
+        caller, gateway = CallerSide(self, serve), GatewaySide(self)
+        caller.other, gateway.other = gateway, caller
         caller.connection_made(transport)
         caller.hold()
         transport.set_protocol(caller)
         self._callers.add(caller)
-        task = asyncio.ensure_future(self._connect(caller, address, serve))
+        task = asyncio.ensure_future(self._connect(caller, address))
         self._connecting.add(task)
         task.add_done_callback(self._connecting.discard)
         return True
@@ -232,10 +235,32 @@
         self._has_stopped = True
 
     def close_idle(self):
-        """Closes the relayed connections without a request."""
+        """Serves the relayed connections without a request here.
+
+        One may have arrived that was not read, which is answered so.
+        """
         for caller in list(self._callers):
             if not caller.has_request:
-                caller.transport.abort()
+                self._take_back(caller)
+
+    def end_relayed(self, caller):
+        """Ends the connection of a caller whose other connection has ended."""
+        if caller in self._callers and not caller.has_request:
+            self._take_back(caller)
+        else:
+            caller.finish()
+
+    def _take_back(self, caller):
+        """Serves a connection here, of which nothing was relayed."""
+        self._callers.discard(caller)
+        gateway = caller.other
+        # Its end, which may still come, does not concern the caller any more.
+        gateway.other = None
+        if gateway.transport is not None:
+            gateway.transport.abort()
+        if not caller.transport.is_closing():
+            caller.serve(caller.transport)
+            caller.transport.resume_reading()
 
     def end(self):
         """Closes all relayed connections."""
@@ -246,28 +271,27 @@
         """Forgets a relayed connection that is closed."""
         self._callers.discard(caller)
 
-    async def _connect(self, caller, address, serve):
+    async def _connect(self, caller, address):
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        gateway = GatewaySide(self)
-        gateway.other, caller.other = caller, gateway
+        gateway = caller.other
         try:
             with self._deadline(CONNECT_TIMEOUT_S) as scope:
                 await loop.create_connection(lambda: gateway, host, int(port))
             if scope.cancelled_caught:
                 raise TimeoutError
         except (OSError, OverflowError, TimeoutError, ValueError) as error:
-            # Its end, which may still come, does not concern the caller any more.
-            gateway.other = None
-            self._serve_here(caller, address, serve, error)
+            self._record_unreachable(address, error)
+            if caller in self._callers:
+                self._take_back(caller)
             return
-        if caller.transport.is_closing():
+        if caller not in self._callers or caller.transport.is_closing():
             gateway.transport.abort()
             return
         self._runtime.metrics.count("relay.connections")
         caller.release()
 
-    def _serve_here(self, caller, address, serve, error):
+    def _record_unreachable(self, address, error):
         self._judge(address, error)
         self._runtime.metrics.count("relay.unreachable")
         _log.warning(
@@ -275,10 +299,6 @@
             gateway=address,
             error=str(error) or type(error).__name__,
         )
-        self._callers.discard(caller)
-        if not caller.transport.is_closing():
-            serve(caller.transport)
-            caller.transport.resume_reading()
 
     def _judge(self, address, error):
         """Leaves a gateway out unless this VM's own link delays all connections."""
--- a/pistachiowell/gateway/tests/test_relay.py
+++ b/pistachiowell/gateway/tests/test_relay.py
@@ -64,6 +64,12 @@
         self.end = "abort"
 
 
+def expired(timeout_s):
+    """Returns a cancel scope whose time is over at once."""
+    del timeout_s
+    return move_on_after(0.0)
+
+
 def fake_runtime(now=lambda: 1.0):
     """Returns a runtime with a known network link."""
     settings = SimpleNamespace(link_mbps=5.0)
@@ -82,38 +88,39 @@
         lambda address: None,
         LinkLoad(runtime),
     )
-    caller, gateway = CallerSide(relay), GatewaySide(relay)
+    caller, gateway = CallerSide(relay, lambda transport: None), GatewaySide(relay)
     caller.other, gateway.other = gateway, caller
     for side in (caller, gateway):
         side.connection_made(FakeTransport())
     return caller, gateway
 
 
-class SilentNetwork:
-    """Records the gateways that are left out as connections to them time out."""
+class Network:
+    """Records the gateways that are left out, and what is served here after all.
 
-    def __init__(self, addresses):
+    Args:
+        addresses: The relay addresses, in the order in which they are chosen.
+        deadline: Function that returns a cancel scope for a connection.
+    """
+
+    def __init__(self, addresses, deadline=move_on_after):
         runtime = fake_runtime(anyio.current_time)
         self.left_out = []
         self.served_here = 0
         self.relay = ConnectionRelay(
             runtime,
-            self.expired,
+            deadline,
             400,
             lambda: addresses.pop(0),
             self.left_out.append,
             LinkLoad(runtime),
         )
 
-    @staticmethod
-    def expired(timeout_s):
-        """Returns a cancel scope whose time is over at once."""
-        del timeout_s
-        return move_on_after(0.0)
-
     def connect(self):
-        """Takes over a connection, which no gateway accepts in time."""
-        self.relay.take_over(FakeTransport(), self.serve)
+        """Takes over a connection and returns its transport."""
+        transport = FakeTransport()
+        assert self.relay.take_over(transport, self.serve)
+        return transport
 
     def serve(self, transport):
         """Serves a connection here after all."""
@@ -123,7 +130,7 @@
 
 @pytest.mark.anyio
 async def test_gateway_that_does_not_answer_is_left_out():
-    network = SilentNetwork(["127.0.0.1:9"])
+    network = Network(["127.0.0.1:9"], expired)
     network.connect()
     await anyio.sleep(0.05)
     assert network.left_out == ["127.0.0.1:9"]
@@ -133,7 +140,8 @@
 @pytest.mark.anyio
 async def test_full_link_of_this_vm_leaves_out_no_other_gateway():
     # While the VM's own link was full, all other gateways were left out for seconds.
-    network = SilentNetwork(["127.0.0.1:9", "127.0.0.1:10", "127.0.0.1:11"])
+    addresses = ["127.0.0.1:9", "127.0.0.1:10", "127.0.0.1:11"]
+    network = Network(addresses, expired)
     for _ in range(3):
         network.connect()
     await anyio.sleep(0.05)
@@ -141,6 +149,35 @@
     assert network.served_here == 3
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("state", ["connecting", "connected", "ended there"])
+async def test_unread_request_of_a_relayed_connection_is_lost_at_a_stop(state):
+    ended = anyio.Event()
+
+    async def accept(stream):
+        if state == "ended there":
+            await stream.aclose()
+        await ended.wait()
+
+    async with (
+        await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
+        anyio.create_task_group() as group,
+    ):
+        group.start_soon(listener.serve, accept)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        network = Network([f"127.0.0.1:{port}"])
+        transport = network.connect()
+        if state != "connecting":
+            await anyio.sleep(0.1)
+        if state != "ended there":
+            network.relay.close_idle()
+        await anyio.sleep(0.1)
+        assert (network.served_here, transport.end) == (1, None)
+        assert transport.is_reading
+        ended.set()
+        group.cancel_scope.cancel()
+
+
 def feed(side, data):
     """Lets a side read data."""
     side.get_buffer(-1)[: len(data)] = data
