--- a/pistachiowell/core/tests/test_unread_requests.py
+++ b/pistachiowell/core/tests/test_unread_requests.py
@@ -194,10 +194,13 @@
     assert b" 200 " in await rig.receive(sock, b"0\r\n\r\n")
 
 
-async def test_connections_that_wait_to_be_accepted_are_reset_at_a_stop(rig):
+@pytest.mark.parametrize("turns", range(4))
+async def test_connections_that_wait_to_be_accepted_are_reset_at_a_stop(rig, turns):
     sockets = [rig.connect() for _ in range(ACCEPTED_AT_ONCE + 4)]
     for sock in sockets:
         sock.sendall(REQUEST)
+    for _ in range(turns):
+        await asyncio.sleep(0)
     await rig.server.shutdown()
     for sock in sockets:
         assert b"connection: close" in await rig.receive(sock)
--- a/pistachiowell/core/web.py
+++ b/pistachiowell/core/web.py
@@ -14,6 +14,8 @@
 MAX_WAITING = 16
 # Connections that are accepted as the port is closed; more may come meanwhile.
 ACCEPTED_AT_CLOSE = 4 * MAX_WAITING
+# Turns of the event loop from the call of ``accept`` to the protocol's first method.
+TURNS_OF_ACCEPT = 3
 # Time for requests that were cancelled at the end to send their answers.
 CANCEL_S = 0.05
 
@@ -49,6 +51,7 @@
 
         Connections that wait to be accepted would be reset with the port.
         """
+        await self._stop_accepting()
         accepted = self._accept_waiting()
         for server in self.servers:
             server.close()
@@ -62,6 +65,20 @@
         if protocol in self.server_state.connections:
             protocol.shutdown()
 
+    async def _stop_accepting(self):
+        """Waits for the connections that asyncio has accepted and not begun to serve.
+
+        It drops them, open, if their port is closed before. Their first answer is to
+        tell of the close, so each is told before anything is read.
+        """
+        loop = asyncio.get_running_loop()
+        for listener in self._listeners:
+            loop.remove_reader(listener.fileno())
+        for _ in range(TURNS_OF_ACCEPT):
+            await asyncio.sleep(0)
+            for connection in list(self.server_state.connections):
+                connection.shutdown()
+
     def _accept_waiting(self):
         accepted = []
         for listener in self._listeners:
