--- a/pistachiowell/core/loop_watch.py
+++ b/pistachiowell/core/loop_watch.py
@@ -41,6 +41,7 @@
         "_due_at",
         "_is_busy",
         "_is_measuring",
+        "_late_s",
         "_listeners",
         "_load_listeners",
         "_loop",
@@ -56,10 +57,21 @@
         self._scopes = set()
         self._transit_listeners = []
         self._is_measuring = False
-        self._due_at = 0.0
+        self._due_at = float("inf")
+        self._late_s = 0.0
         self._loop = None
         self._timer = None
 
+    @property
+    def late_s(self):
+        """Seconds by which the loop was late at its last tick, or is late now.
+
+        What is handled now may have arrived so long ago.
+        """
+        if self._loop is None:
+            return 0.0
+        return max(self._late_s, self._loop.time() - self._due_at)
+
     def add_listener(self, function):
         """Registers a function of the present time and the lateness in seconds."""
         self._listeners.append(function)
@@ -114,7 +126,7 @@
 
     def _tick(self):
         now = self._loop.time()
-        late_s = max(0.0, now - self._due_at)
+        self._late_s = late_s = max(0.0, now - self._due_at)
         # First, so that an error in a listener does not end the ticks.
         self._schedule()
         for scope in self._scopes:
--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections.py
@@ -119,13 +119,13 @@
     def _hand_over(self, stream):
         return self.on_given_up is not None and self.on_given_up(stream)
 
-    def mark_idle(self, keep_alive_s, now):
+    def mark_idle(self, keep_alive_s, since):
         """Marks the connection as idle after an answer was read completely.
 
         Args:
             keep_alive_s: Seconds for which the server keeps the connection; see
                 ``AnswerHead``.
-            now: Present time in seconds.
+            since: Earliest time in seconds at which the answer may have arrived.
 
         Returns:
             Whether the connection may carry another request.
@@ -133,7 +133,7 @@
         limit_s = DEFAULT_MAX_IDLE_S
         if keep_alive_s is not None:
             limit_s = min(MAX_IDLE_S, keep_alive_s - IDLE_CLOSE_MARGIN_S)
-        self._reusable_until = now + limit_s
+        self._reusable_until = since + limit_s
         may_carry = limit_s > 0 and self._http.is_idle()
         return may_carry and not has_extra_bytes(self._http)
 
@@ -157,17 +157,22 @@
         deadline: See ``BoundedBackend``.
         held: The ``HeldBytes`` of answers that are kept whole; None for some of its
             own.
+        late_s: Function that returns for how many seconds what is read now may have
+            lain unread; see ``LoopWatch.late_s``.
 
     Attributes:
         opened: Number of connections opened so far.
     """
 
-    __slots__ = ("_deadline", "_held", "_idle", "_now", "opened")
+    __slots__ = ("_deadline", "_held", "_idle", "_late_s", "_now", "opened")
 
-    def __init__(self, now, deadline=anyio.move_on_after, held=None):
+    def __init__(
+        self, now, deadline=anyio.move_on_after, held=None, late_s=lambda: 0.0
+    ):
         self._idle = {}
         self._now = now
         self._deadline = deadline
+        self._late_s = late_s
         self._held = held or HeldBytes(MAX_BUFFERED_BYTES)
         self.opened = 0
 
@@ -209,7 +214,8 @@
             keep_alive_s: Seconds for which the server keeps the connection; see
                 ``AnswerHead``.
         """
-        if connection.mark_idle(keep_alive_s, self._now()):
+        # The server's idle time runs from its answer, however late that is read here.
+        if connection.mark_idle(keep_alive_s, self._now() - self._late_s()):
             key = (server.id, server.host, server.port)
             self._idle.setdefault(key, []).append(connection)
         else:
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/dispatch.py
@@ -92,7 +92,10 @@
         self._stop = stop
         self._codec = codec
         self._pool = ConnectionPool(
-            runtime.now, loop_watch.deadline, runtime.clients.answers
+            runtime.now,
+            loop_watch.deadline,
+            runtime.clients.answers,
+            lambda: loop_watch.late_s,
         )
         self._late_heads = LateHeads(codec, limits.record_closure)
         self._splitter = SPLITTERS.find("smooth")(rng)
