--- a/pistachiowell/core/loop_watch.py
+++ b/pistachiowell/core/loop_watch.py
@@ -18,6 +18,62 @@
 # number of them that is measured.
 TRANSIT_TURNS = 12
 MEASURED_TURNS = 3
+# Longest time for what has arrived by a time limit to be handled after it.
+MAX_HANDLING_S = 0.1
+
+
+@contextmanager
+def time_limit(limit_s):
+    """Cancels the enclosed code at a time limit, once what has arrived was handled.
+
+    A loop that is late reads what has come in time, such as the end of an answer, in
+    the turn in which the limit passes. It gets as many turns as a request takes.
+
+    Args:
+        limit_s: Seconds from now; the code is not begun if they are over.
+
+    Yields:
+        The ``anyio.CancelScope``.
+    """
+    with anyio.CancelScope() as scope:
+        if limit_s <= 0:
+            scope.cancel()
+        timer = _LimitTimer(scope, limit_s)
+        try:
+            yield scope
+        finally:
+            timer.stop()
+
+
+class _LimitTimer:
+    """Cancels a scope some turns of the loop after a time limit.
+
+    Args:
+        scope: The ``anyio.CancelScope``.
+        limit_s: Seconds from now.
+    """
+
+    __slots__ = ("_ends_at", "_handle", "_loop", "_scope")
+
+    def __init__(self, scope, limit_s):
+        self._scope = scope
+        self._loop = asyncio.get_running_loop()
+        self._ends_at = None
+        self._handle = self._loop.call_later(limit_s, self._begin)
+
+    def stop(self):
+        """Ends the timer without effect."""
+        self._handle.cancel()
+
+    def _begin(self):
+        self._ends_at = self._loop.time() + MAX_HANDLING_S
+        self._pass_turn(TRANSIT_TURNS)
+
+    def _pass_turn(self, turns):
+        if turns and self._loop.time() < self._ends_at:
+            self._handle = self._loop.call_soon(self._pass_turn, turns - 1)
+        else:
+            self._scope.cancel()
 
 
 class LoopWatch:
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/app.py
@@ -9,6 +9,7 @@
     PistachiowellError,
 )
 from pistachiowell.core.logs import part_logger
+from pistachiowell.core.loop_watch import time_limit
 from pistachiowell.core.web import CallerGoneError, watch_disconnect
 from pistachiowell.gateway.answer_writer import AnswerWriter
 from pistachiowell.gateway.planned_stop import StopRefusal
@@ -141,7 +142,7 @@
         left_s = request.deadline - self._runtime.now()
         try:
             with (
-                anyio.move_on_after(max(0.0, left_s)) as scope,
+                time_limit(left_s) as scope,
                 self._stop.tracked(scope),
             ):
                 await self._run(request, writer, usage)
