--- a/pistachiowell/moves/tracker.py
+++ b/pistachiowell/moves/tracker.py
@@ -13,6 +13,8 @@
 from pistachiowell.moves.traffic_tokens import TrafficToken, version_weights
 
 START_TIME_STEP_S = 0.1
+# Entries of counts that are kept while no report can be sent.
+MAX_UNREPORTED = 10_000
 
 
 class MoveAttempt:
@@ -112,6 +114,9 @@
     Args:
         row: The ``MoveRow``.
 
+    Attributes:
+        dropped: Number of answers whose counts nobody has taken in time.
+
     Examples:
         >>> from pistachiowell.schema.generated.table import MoveRow
         >>> row = MoveRow("move", "m", "chat", "v1", "v2", "2026-01-01T00:00:00Z")
@@ -129,6 +134,7 @@
     __slots__ = (
         "_circuit_breaker",
         "_counts",
+        "dropped",
         "_traffic_token",
         "_probes_left",
         "_row",
@@ -144,6 +150,7 @@
         self._traffic_token = None
         self._probes_left = 0
         self._counts = defaultdict(int)
+        self.dropped = 0
         self._is_urgent = False
         self._has_tripped = False
         self._sent = [0, 0]
@@ -308,6 +315,8 @@
         """
         step = round(began / START_TIME_STEP_S) * START_TIME_STEP_S
         self._counts[answer, step] += count
+        if len(self._counts) > MAX_UNREPORTED:
+            self.dropped += self._counts.pop(next(iter(self._counts)))
         if answer.is_new and (answer.failed or self._is_probing()):
             self._is_urgent = True
 
@@ -323,6 +332,18 @@
         self._is_urgent = False
         return counts, tripped
 
+    def restore_report(self, counts, tripped):
+        """Takes back what ``drain_report`` has returned and nobody has got.
+
+        Args:
+            counts: The counts.
+            tripped: Whether a circuit breaker has tripped.
+        """
+        for (answer, began), count in counts.items():
+            self.add(answer, began, count)
+        if tripped:
+            self.record_trip()
+
     def apply_traffic_token(self, *, fence, share, probes, valid_until, now):
         """Applies a traffic token unless its holder has been replaced.
 
--- a/pistachiowell/router/move_reports.py
+++ b/pistachiowell/router/move_reports.py
@@ -1,16 +1,19 @@
 """Reports of answers to the holder of a move, answered with traffic tokens."""
 
-from pistachiowell.core.errors import PistachiowellError
+from pistachiowell.core.errors import NotFound, PistachiowellError
 from pistachiowell.core.ids import stable_hash
 from pistachiowell.core.logs import part_logger
 from pistachiowell.moves.traffic_tokens import TRAFFIC_TOKEN_S
 from pistachiowell.router.answer_counts import count_messages, read_counts
+from pistachiowell.router.unconfirmed_counts import UnconfirmedCounts
 from pistachiowell.schema.generated.messages_moves import (
     MoveCounts,
     MovePermit,
     MoveStop,
 )
+from pistachiowell.schema.generated.messages_requests import Failure
 from pistachiowell.tables.watchers import WATCHERS_PER_DATA_CENTRE, ranked
+from pistachiowell.wire.outbox import Inbox
 
 REPORT_TIMEOUT_S = 1.0
 
@@ -26,17 +29,18 @@
 
     Attributes:
         reporters: Links over which other routers have reported here.
-        is_reporting: Whether a report that relays another router's counts is in
-            progress.
+        is_reporting: Whether a report is in progress.
+        dropped: Number of answers whose loss was logged.
     """
 
-    __slots__ = ("_candidate", "_tracker", "is_reporting", "reporters")
+    __slots__ = ("_candidate", "_tracker", "dropped", "is_reporting", "reporters")
 
     def __init__(self, tracker, candidate):
         self._tracker = tracker
         self._candidate = candidate
         self.reporters = set()
         self.is_reporting = False
+        self.dropped = 0
 
     @property
     def tracker(self):
@@ -69,10 +73,20 @@
         find_move: Function that returns the ``OpenMove`` of a name, or None.
     """
 
-    __slots__ = ("_find_move", "_fleet", "_runtime")
+    __slots__ = (
+        "_dropped",
+        "_find_move",
+        "_fleet",
+        "_inbox",
+        "_runtime",
+        "_unconfirmed",
+    )
 
     def __init__(self, runtime, fleet, handlers, find_move):
         self._runtime = runtime
+        self._unconfirmed = UnconfirmedCounts()
+        self._dropped = 0
+        self._inbox = Inbox()
         self._fleet = fleet
         self._find_move = find_move
         handlers.on(MoveCounts)(self._handle_counts)
@@ -82,29 +96,91 @@
         """Reports the counts of an ``OpenMove`` and applies the returned traffic token.
 
         As the holder this router adds the counts to the evidence of its own
-        ``MoveController``. A report that is lost is not repeated: its counts are
-        missing from the evidence, and the traffic token expires if no further report
-        is answered.
+        ``MoveController``. A report without an answer is sent again with the next one,
+        to the same router as long as that is registered; the traffic token expires if
+        no further report is answered. One report is in progress at a time, so two
+        watchers that choose each other as the next hop send nothing back and forth.
 
         Args:
             move: The ``OpenMove``.
         """
-        tracker = move.tracker
+        self._unconfirmed.take_back(move.tracker, self._is_gone)
         if move.controller is not None:
             now = self._runtime.now()
             self._report_to_controller(move)
             self._apply_own_token(move, now)
             return
-        link = self._find_link(move.candidate.holder)
-        if link is None:
+        if move.is_reporting:
             return
-        name, now = tracker.row.name, self._runtime.now
+        move.is_reporting = True
+        try:
+            await self._report_to_next_hop(move)
+        finally:
+            move.is_reporting = False
+        self._log_dropped(move)
+
+    async def send_again(self, move):
+        """Sends again what an earlier next hop may not have got.
+
+        Args:
+            move: The ``OpenMove``.
+        """
+        for receiver in self._unconfirmed.waiting_receivers(move.tracker):
+            peer = self._fleet.router_of(receiver)
+            is_next = peer is self._find_peer(move.candidate.holder)
+            if peer is not None and not (is_next and move.controller is None):
+                await self._send_next(move, peer)
+
+    def discard(self, name):
+        """Discards what has not been confirmed of a move that has ended."""
+        self._unconfirmed.discard(name)
+
+    async def _report_to_next_hop(self, move):
+        """Sends reports until nothing urgent and nothing of before is left."""
+        is_more = True
+        while is_more:
+            peer = self._find_peer(move.candidate.holder)
+            if peer is None:
+                return
+            tracker = move.tracker
+            is_repeat = self._unconfirmed.is_waiting(tracker, peer.record.incarnation)
+            is_sent = await self._send_next(move, peer)
+            is_more = is_sent and (is_repeat or tracker.is_urgent)
+
+    async def _send_next(self, move, peer):
+        """Sends the next report to a peer; returns whether that has it."""
+        tracker, receiver = move.tracker, peer.record.incarnation
+        now = self._runtime.now
+        report = self._unconfirmed.next(tracker, receiver, now())
         try:
-            await report_counts(tracker, name, link, now, REPORT_TIMEOUT_S)
+            await send_counts(tracker, *report, peer.link, now, REPORT_TIMEOUT_S)
         except PistachiowellError as error:
             _log.debug(
-                "A report of move {} was lost; its counts are dropped: {}", name, error
+                "A report of move {} has no answer and is sent again: {}",
+                tracker.row.name,
+                error,
             )
+            return False
+        self._unconfirmed.confirm(tracker, receiver, report[0])
+        return True
+
+    def _is_gone(self, incarnation):
+        routers = self._fleet.routers.values()
+        return all(peer.record.incarnation != incarnation for peer in routers)
+
+    def _log_dropped(self, move):
+        reports = self._unconfirmed.dropped - self._dropped
+        answers = move.tracker.dropped - move.dropped
+        if not reports and not answers:
+            return
+        self._dropped += reports
+        move.dropped += answers
+        _log.warning(
+            "Counts of a move were dropped, as no router took them in time.",
+            move=move.tracker.row.name,
+            reports=reports,
+            answers=answers,
+        )
 
     def send_stop(self, move):
         """Revokes the traffic tokens of all routers that have reported to this one."""
@@ -144,12 +220,12 @@
             now=now,
         )
 
-    def _find_link(self, holder):
-        """Returns the link to the holder, or to a watcher that relays reports."""
+    def _find_peer(self, holder):
+        """Returns the holder or a watcher that relays reports; None without one."""
         routers = {n: p for n, p in self._fleet.routers.items() if p.usable}
         for peer in routers.values():
             if holder and peer.record.incarnation == holder:
-                return peer.link
+                return peer
         settings = self._runtime.settings
         local_names = [
             name
@@ -160,7 +236,7 @@
         if not watchers:
             return None
         chosen = watchers[stable_hash(settings.id) % len(watchers)]
-        return routers[chosen].link
+        return routers[chosen]
 
     async def _handle_counts(self, link, message):
         """Handles a router's report; answers it with a traffic token.
@@ -169,18 +245,27 @@
         """
         move = self._find_move(message.move)
         if move is None:
-            return None
-        now = self._runtime.now()
+            raise NotFound(f"Move {message.move} is not open at this router.")
         move.reporters = {old for old in move.reporters if not old.closed} | {link}
+        was_urgent = move.tracker.is_urgent
+        self._take_counts(move, link, message)
+        # What was urgent before could not be reported; nobody waits for that again.
+        if move.tracker.is_urgent and not was_urgent:
+            await self.report(move)
+        if move.controller is not None:
+            return self._token_from_holder(move, link, message)
+        return self._relayed_token(move)
+
+    def _take_counts(self, move, link, message):
+        """Adds the counts of a report, unless they were added before."""
+        sender = link.hello.incarnation if link.hello else ""
+        if not self._inbox.take((sender, message.move), message.number):
+            return
+        now = self._runtime.now()
         for answer, began, count in read_counts(message.counts, now):
             move.tracker.add(answer, began, count)
         if message.tripped:
             move.tracker.record_trip()
-        if move.tracker.is_urgent:
-            await self._report_unless_reporting(move)
-        if move.controller is not None:
-            return self._token_from_holder(move, link, message)
-        return self._relayed_token(move)
 
     async def _handle_stop(self, link, message):
         del link
@@ -189,20 +274,6 @@
             move.tracker.revoke_traffic_token(message.fence)
             self.send_stop(move)
 
-    async def _report_unless_reporting(self, move):
-        """Reports unless a relaying report is in progress.
-
-        Two watchers may choose each other as the next hop. They would otherwise send
-        the same report back and forth without end.
-        """
-        if move.is_reporting:
-            return
-        move.is_reporting = True
-        try:
-            await self.report(move)
-        finally:
-            move.is_reporting = False
-
     def _token_from_holder(self, move, link, message):
         self._report_to_controller(move)
         reporter = link.hello.id if link.hello else ""
@@ -229,32 +300,36 @@
         )
 
 
-async def report_counts(tracker, move, link, now, timeout_s):
-    """Reports the counts of a tracker and applies the returned traffic token.
+async def send_counts(tracker, number, counts, tripped, link, now, timeout_s):
+    """Sends a report of counts and applies the returned traffic token.
 
     The validity of the token counts from the time at which the report was sent, so
     that it ends no later here than at the process that issued it.
 
     Args:
         tracker: The ``MoveTracker``.
-        move: Name of the move.
-        link: The ``Link`` to the process that answers.
+        number: Number of the report; 0 if it only asks for a token.
+        counts: The counts; see ``MoveTracker.drain_report``.
+        tripped: Whether a circuit breaker has tripped.
+        link: The ``Link`` to the router that answers.
         now: Function that returns the monotonic time in seconds.
         timeout_s: Longest wait for the answer in seconds.
 
     Raises:
-        PistachiowellError: No answer came; the counts are lost.
+        PistachiowellError: No answer came, or the router doesn't know the move.
     """
     sent_at = now()
-    counts, tripped = tracker.drain_report()
     message = MoveCounts(
-        move=move,
+        move=tracker.row.name,
         counts=count_messages(counts, sent_at),
         tripped=tripped,
         probes_left=tracker.probes_left,
         waits=count_messages(tracker.waits(sent_at), sent_at),
+        number=number,
     )
     reply = await link.call(message, timeout_s)
+    if isinstance(reply, Failure) and reply.code == NotFound.code:
+        raise NotFound(reply.message)
     if isinstance(reply, MovePermit):
         tracker.apply_traffic_token(
             fence=reply.fence,
--- a/pistachiowell/router/moves.py
+++ b/pistachiowell/router/moves.py
@@ -123,6 +123,7 @@
             known_row = self._moves[route].tracker.row
             if route not in rows or rows[route].name != known_row.name:
                 del self._moves[route]
+                self._reports.discard(known_row.name)
                 self._cancel_scopes.pop(route).cancel()
         for route, row in rows.items():
             if route not in self._moves:
@@ -135,10 +136,16 @@
         with self._cancel_scopes[route]:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._run_candidate, move.candidate)
+                group.start_soon(self._send_again, move)
                 while True:
                     await self._reports.report(move)
                     await anyio.sleep(self._report_interval_s())
 
+    async def _send_again(self, move):
+        while True:
+            await anyio.sleep(STEP_INTERVAL_S)
+            await self._reports.send_again(move)
+
     def _report_interval_s(self):
         data_centre = self._runtime.settings.data_centre
         routers = self._fleet.routers.values()
