--- a/pistachiowell/agent/agent.py
+++ b/pistachiowell/agent/agent.py
@@ -24,7 +24,13 @@
     register_process,
     unregister_process,
 )
-from pistachiowell.wire import Handlers, LinkTls, serve
+from pistachiowell.wire import (
+    AcknowledgedReports,
+    Handlers,
+    LinkSet,
+    LinkTls,
+    serve,
+)
 from pistachiowell.wire.status import register_status_handlers
 
 LOAD_INTERVAL_S = 0.2
@@ -52,6 +58,7 @@
         "_handlers",
         "_links",
         "_receipts",
+        "_reports",
         "_rows",
         "_runner",
         "_runtime",
@@ -62,11 +69,12 @@
         self._runtime.tls = LinkTls.from_settings(settings)
         self._handlers = Handlers()
         register_status_handlers(self._handlers, self._runtime)
-        self._links = set()
+        self._links = LinkSet()
+        self._reports = AcknowledgedReports(self._runtime, self._links, self._handlers)
         self._rows = Rows(
             self._runtime,
             self._handlers,
-            links=lambda: self._links,
+            links=lambda: self._links.links,
             watches=self._needs_watch,
         )
         self._backend = None
@@ -103,11 +111,7 @@
         self._runtime.metrics.watch("gate.running", lambda: self._gate.running)
         self._runtime.metrics.watch("gate.waiting", lambda: self._gate.waiting)
         crash_detector = CrashDetector(
-            self._runtime,
-            self._handlers,
-            lambda: self._links,
-            self._backend,
-            self._gate,
+            self._runtime, self._reports, self._backend, self._gate
         )
         self._runner = Runner(
             self._runtime,
@@ -129,7 +133,7 @@
         await record_crashed_agent(self._runtime.store, record)
         await register_process(self._runtime.store, "agents", record)
         self._receipts.registered = True
-        group.start_soon(self._receipts.check_routers, lambda: self._links)
+        group.start_soon(self._receipts.check_routers, lambda: self._links.links)
         _log.info(
             "Agent {} is registered for backend server {}.",
             record.id,
@@ -173,14 +177,10 @@
             self._runtime.clock,
             clients=self._runtime.clients,
             tls=self._runtime.tls,
-            on_link=self._add_link,
+            on_link=self._links.add,
             task_status=task_status,
         )
 
-    def _add_link(self, link):
-        self._links.add(link)
-        link.add_close_listener(lambda: self._links.discard(link))
-
     async def _send_load_regularly(self):
         while True:
             self._send_load()
@@ -196,7 +196,7 @@
             leaving=self._runtime.leaving,
             table_revision=self._runtime.table_revision(),
         )
-        for link in list(self._links):
+        for link in self._links.links:
             if not link.closed:
                 link.send(report)
 
--- a/pistachiowell/agent/crashes.py
+++ b/pistachiowell/agent/crashes.py
@@ -5,9 +5,11 @@
 candidate that is in progress at a second crash is quarantined and refused.
 """
 
+from dataclasses import replace
+
 import anyio
 
-from pistachiowell.core.errors import LinkLost, Quarantined, ServerFailed
+from pistachiowell.core.errors import Quarantined, ServerFailed
 from pistachiowell.core.events import EventKind
 from pistachiowell.core.ids import new_id
 from pistachiowell.core.logs import part_logger
@@ -29,26 +31,25 @@
 
     Args:
         runtime: The process's ``Runtime``.
-        handlers: Handlers of the links from routers; this adds its own.
-        links: Function that returns the open links to routers.
+        reports: The ``AcknowledgedReports`` to and from routers.
         backend: The ``Backend``.
         gate: The ``AdmissionGate``.
     """
 
-    __slots__ = ("_backend", "_detection", "_gate", "_ledger", "_links", "_runtime")
+    __slots__ = ("_backend", "_detection", "_gate", "_ledger", "_reports", "_runtime")
 
-    def __init__(self, runtime, handlers, links, backend, gate):
+    def __init__(self, runtime, reports, backend, gate):
         self._runtime = runtime
-        self._links = links
+        self._reports = reports
         self._backend = backend
         self._gate = gate
         self._ledger = CRASH_LEDGERS.find("count")()
         self._detection = CrashDetection(
             self._refuses_connections, self._report_crash, runtime.now
         )
-        handlers.on(CrashReport)(self._handle_report)
-        handlers.on(RequestQuarantined)(self._handle_quarantined)
-        handlers.on(SuspectCleared)(self._handle_cleared)
+        reports.on(CrashReport)(self._handle_report)
+        reports.on(RequestQuarantined)(self._handle_quarantined)
+        reports.on(SuspectCleared)(self._handle_cleared)
 
     def check(self, fingerprint):
         """Returns whether a request must run alone, as a crash candidate.
@@ -109,11 +110,7 @@
         self._runtime.events.add(EventKind.server_crashed, text=server)
         self._record_crash(crash)
         report = CrashReport(crash.crash_id, crash.server, list(candidates))
-        for link in self._links():
-            try:
-                link.send(report)
-            except LinkLost:
-                continue
+        self._reports.broadcast(report, renew=_aged)
 
     async def _handle_report(self, link, message):
         fingerprints = tuple(message.fingerprints)
@@ -137,3 +134,8 @@
     def _refuse(self, fingerprints):
         reason = "this request crashed two backend servers"
         self._gate.refuse_fingerprints(fingerprints, "quarantined", reason)
+
+
+def _aged(report, age_s):
+    """Returns a ``CrashReport`` as it is to be sent some seconds later."""
+    return replace(report, age_s=report.age_s + age_s)
--- a/pistachiowell/agent/tests/test_crashes.py
+++ b/pistachiowell/agent/tests/test_crashes.py
@@ -1,4 +1,7 @@
-"""Guards against a server that stands still and is taken for one that has crashed."""
+"""Guards against a server that stands still and is taken for one that has crashed.
+
+Guards as well against a crash of which a router never hears, as its link is lost.
+"""
 
 from types import SimpleNamespace
 
@@ -9,7 +12,7 @@
 from pistachiowell.agent.crashes import CrashDetector
 from pistachiowell.core.metrics import Metrics
 from pistachiowell.engines import HttpBackend, http
-from pistachiowell.wire import Handlers
+from pistachiowell.wire import AcknowledgedReports, Handlers, LinkSet
 
 pytestmark = pytest.mark.anyio
 
@@ -20,7 +23,8 @@
     monkeypatch.setattr(http, "CONNECT_TIMEOUT_S", 0.1)
     monkeypatch.setattr(crashes, "PROBE_DELAYS_S", (0.0, 0.02))
 
-    async def detect(port):
+    async def detect(port, links=()):
+        detect.link_set = link_set = LinkSet()
         runtime = SimpleNamespace(
             now=anyio.current_time,
             metrics=Metrics(),
@@ -29,7 +33,10 @@
         )
         backend = HttpBackend(f"http://127.0.0.1:{port}")
         gate = SimpleNamespace(refuse_fingerprints=lambda *args: None)
-        detector = CrashDetector(runtime, Handlers(), list, backend, gate)
+        reports = AcknowledgedReports(runtime, link_set, Handlers())
+        detector = CrashDetector(runtime, reports, backend, gate)
+        for link in links:
+            link_set.add(link)
         detector.record_start("r1", "f1")
         return await detector.detect_crash()
 
@@ -55,3 +62,36 @@
 
 async def test_server_without_a_listener_counts_as_crashed(detects, free_port):
     assert await detects(free_port())
+
+
+class Link:
+    """A link to a router that loses all that it has queued."""
+
+    hello = SimpleNamespace(role="router", incarnation="router-1")
+
+    def __init__(self):
+        self.sent = []
+        self._listeners = []
+
+    def add_close_listener(self, function):
+        self._listeners.append(function)
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def lose(self):
+        for listener in self._listeners:
+            listener()
+
+
+async def test_router_never_hears_of_a_crash_as_its_link_is_lost(detects, free_port):
+    lost = Link()
+    assert await detects(free_port(), [lost])
+    assert [report.server for report in lost.sent] == ["s1"]
+    lost.lose()
+    await anyio.sleep(0.1)
+    link = Link()
+    detects.link_set.add(link)
+    [again], [report] = link.sent, lost.sent
+    assert (again.crash_id, again.number) == (report.crash_id, report.number)
+    assert again.age_s >= 0.1
--- a/pistachiowell/router/crash_candidates.py
+++ b/pistachiowell/router/crash_candidates.py
@@ -46,7 +46,8 @@
     Args:
         runtime: The process's ``Runtime``.
         peers: The links to the peers: a ``Fleet``, ``LinkSet`` or ``CrashRelays``.
-        handlers: Handlers of the links to peers; this adds its own.
+        handlers: The ``AcknowledgedReports`` or ``Handlers`` of the links; this adds
+            its own.
         settings: ``CrashSettings``.
         passes_on: Whether peers are told what another peer tells.
         merge_s: Seconds for which reports of peers about one crash are collected, to be
--- a/pistachiowell/router/fleet.py
+++ b/pistachiowell/router/fleet.py
@@ -167,6 +167,11 @@
         """Registers a function to call with each new link."""
         self._link_listeners.append(function)
 
+    def incarnation_of(self, link):
+        """Returns the registered incarnation of a link's peer; None if unknown."""
+        peer = self._by_link.get(link)
+        return peer.record.incarnation if peer is not None else None
+
     def router_of(self, incarnation):
         """Returns the usable ``Peer`` of a router incarnation, or None."""
         return _usable_peer(self._routers, incarnation)
--- a/pistachiowell/router/router.py
+++ b/pistachiowell/router/router.py
@@ -33,7 +33,7 @@
     router_record,
     unregister_process,
 )
-from pistachiowell.wire import Handlers, LinkTls, serve
+from pistachiowell.wire import AcknowledgedReports, Handlers, LinkTls, serve
 from pistachiowell.wire.status import register_status_handlers
 
 _log = part_logger("router")
@@ -82,8 +82,9 @@
         self._recovery = Recovery(
             self._runtime, self._fleet, self._spending, self._record
         )
+        reports = AcknowledgedReports(self._runtime, self._fleet, self._handlers)
         self._crash_candidates = CrashCandidates(
-            self._runtime, self._fleet, self._handlers, CrashSettings()
+            self._runtime, self._fleet, reports, CrashSettings()
         )
         rng = random.Random()
         self._moves = Moves(self._runtime, self._fleet, self._rows, self._handlers, rng)
--- a/pistachiowell/wire/__init__.py
+++ b/pistachiowell/wire/__init__.py
@@ -5,9 +5,11 @@
 from pistachiowell.wire.handlers import Handlers
 from pistachiowell.wire.link import Link
 from pistachiowell.wire.link_set import LinkSet
+from pistachiowell.wire.reports import AcknowledgedReports
 from pistachiowell.wire.tls import LinkTls
 
 __all__ = [
+    "AcknowledgedReports",
     "Frame",
     "FrameReader",
     "Handlers",
--- a/pistachiowell/wire/handlers.py
+++ b/pistachiowell/wire/handlers.py
@@ -9,10 +9,11 @@
     caller as a ``Failure``.
     """
 
-    __slots__ = ("_by_class", "_quick")
+    __slots__ = ("_by_class", "_part_listeners", "_quick")
 
     def __init__(self):
         self._by_class = {}
+        self._part_listeners = []
         self._quick = set()
 
     def on(self, message_class, *, quick=False):
@@ -36,6 +37,18 @@
         """Returns whether the handler of a message is registered as quick."""
         return type(message) in self._quick
 
+    def add_part_listener(self, function):
+        """Registers a function of a link whose received messages are handled.
+
+        It is called once for all messages that have arrived together.
+        """
+        self._part_listeners.append(function)
+
+    def end_part(self, link):
+        """Calls the listeners after the messages that have arrived together."""
+        for listener in self._part_listeners:
+            listener(link)
+
     def find(self, message):
         """Returns the handler of a message, or None."""
         return self._by_class.get(type(message))
--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -250,8 +250,11 @@
         try:
             while True:
                 data = await self._stream.receive(READ_BYTES)
-                for frame in self._reader.feed(data):
-                    await self._handle_frame(frame, group)
+                try:
+                    for frame in self._reader.feed(data):
+                        await self._handle_frame(frame, group)
+                finally:
+                    self._handlers.end_part(self)
                 self._report()
         except _LOST_ERRORS:
             pass
--- a/pistachiowell/wire/link_set.py
+++ b/pistachiowell/wire/link_set.py
@@ -26,6 +26,11 @@
         """The open links, the oldest first."""
         return list(self._links)
 
+    @staticmethod
+    def incarnation_of(link):
+        """Returns the incarnation of the peer at the other end of a link."""
+        return link.hello.incarnation
+
     def add_link_listener(self, function):
         """Registers a function to call with each new link."""
         self._listeners.append(function)
