--- a/pistachiowell/agent/tests/test_crashes.py
+++ b/pistachiowell/agent/tests/test_crashes.py
@@ -13,6 +13,7 @@
 from pistachiowell.core.metrics import Metrics
 from pistachiowell.engines import HttpBackend, http
 from pistachiowell.wire import AcknowledgedReports, Handlers, LinkSet
+from pistachiowell.wire.tests.lossy_links import LossyLink
 
 pytestmark = pytest.mark.anyio
 
@@ -64,33 +65,13 @@
     assert await detects(free_port())
 
 
-class Link:
-    """A link to a router that loses all that it has queued."""
-
-    hello = SimpleNamespace(role="router", incarnation="router-1")
-
-    def __init__(self):
-        self.sent = []
-        self._listeners = []
-
-    def add_close_listener(self, function):
-        self._listeners.append(function)
-
-    def send(self, message):
-        self.sent.append(message)
-
-    def lose(self):
-        for listener in self._listeners:
-            listener()
-
-
 async def test_router_never_hears_of_a_crash_as_its_link_is_lost(detects, free_port):
-    lost = Link()
+    lost = LossyLink("router-1")
     assert await detects(free_port(), [lost])
     assert [report.server for report in lost.sent] == ["s1"]
     lost.lose()
     await anyio.sleep(0.1)
-    link = Link()
+    link = LossyLink("router-1")
     detects.link_set.add(link)
     [again], [report] = link.sent, lost.sent
     assert (again.crash_id, again.number) == (report.crash_id, report.number)
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -40,7 +40,7 @@
     keep_registered,
     unregister_process,
 )
-from pistachiowell.wire import Handlers, LinkSet, serve
+from pistachiowell.wire import AcknowledgedReports, Handlers, LinkSet, serve
 from pistachiowell.wire.status import register_status_handlers
 
 COMPRESSION_LEVEL = 3
@@ -105,6 +105,7 @@
         self._budget_owner = BudgetOwner(
             runtime, state, self._handlers, self._links, is_deputy=is_deputy
         )
+        reports = AcknowledgedReports(runtime, self._links, self._handlers)
         StoreReturns(runtime, self._links, self._handlers)
         self._room_owner = RoomOwner(runtime, self._links, self._handlers)
         self._times_owner = TimesOwner(runtime, self._handlers)
@@ -139,7 +140,7 @@
         )
         cold = ColdServers(runtime, state)
         server_watcher.on_registration = cold.record_registration
-        self._cold_reports = ColdReports(runtime, self._links, cold, self._handlers)
+        self._cold_reports = ColdReports(runtime, reports, cold)
         limits = LimitOwner(runtime, self._links, state, cold, self._handlers)
         closed = closed or ClosedServers(runtime)
         leaving = LeavingServers(self._links, closed, self._handlers)
--- a/pistachiowell/gateway/cold_reports.py
+++ b/pistachiowell/gateway/cold_reports.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from pistachiowell.gateway.cold_servers import encode_cold
+from pistachiowell.gateway.cold_servers import encode_cold, shorten_cold
 from pistachiowell.schema.generated.messages_gateway import ServersCold
 
 MERGE_S = 0.1
@@ -18,21 +18,20 @@
 
     Args:
         runtime: The process's ``Runtime``.
-        links: The ``LinkSet`` of the gateways.
+        reports: The ``AcknowledgedReports`` to and from the gateways.
         cold: The ``ColdServers``.
-        handlers: Handlers of the links to gateways; this registers its own.
     """
 
-    __slots__ = ("_cold", "_has_news", "_links", "_runtime", "_until")
+    __slots__ = ("_cold", "_has_news", "_reports", "_runtime", "_until")
 
-    def __init__(self, runtime, links, cold, handlers):
+    def __init__(self, runtime, reports, cold):
         self._runtime = runtime
-        self._links = links
+        self._reports = reports
         self._cold = cold
         self._has_news = anyio.Event()
         self._until = {}
         cold.on_news = self._record
-        handlers.on(ServersCold, quick=True)(self._handle)
+        reports.on(ServersCold)(self._handle)
 
     async def run(self):
         """Tells the gateways until cancelled."""
@@ -42,9 +41,8 @@
             self._has_news = anyio.Event()
             now, until = self._runtime.now(), self._until
             self._until = {}
-            self._links.broadcast(
-                encode_cold({i: max(0.0, end - now) for i, end in until.items()})
-            )
+            times = {i: max(0.0, end - now) for i, end in until.items()}
+            self._reports.broadcast(encode_cold(times), renew=shorten_cold)
 
     def _record(self, incarnation, left_s):
         self._until[incarnation] = self._runtime.now() + left_s
--- a/pistachiowell/gateway/cold_servers.py
+++ b/pistachiowell/gateway/cold_servers.py
@@ -1,6 +1,7 @@
 """Which servers are cold, as a process knows it, and how many requests they may get."""
 
 import time
+from dataclasses import replace
 
 from pistachiowell.admission import (
     ColdSettings,
@@ -252,3 +253,18 @@
     return ServersCold(
         [ServerCold(i.server, i.started_ms, left_s) for i, left_s in times.items()]
     )
+
+
+def shorten_cold(message, age_s):
+    """Returns a ``ServersCold`` as it is to be sent later; None if nothing is left.
+
+    Args:
+        message: The ``ServersCold``.
+        age_s: Seconds since it was made.
+    """
+    servers = [
+        replace(told, left_s=told.left_s - age_s)
+        for told in message.servers
+        if told.left_s > age_s
+    ]
+    return ServersCold(servers) if servers else None
--- a/pistachiowell/gateway/gateway_parts.py
+++ b/pistachiowell/gateway/gateway_parts.py
@@ -47,7 +47,7 @@
 from pistachiowell.router.crash_candidates import CrashCandidates
 from pistachiowell.router.fleet import AGENTS, Fleet
 from pistachiowell.routing import SHARED_SERVER_CRASHES
-from pistachiowell.wire import Handlers
+from pistachiowell.wire import AcknowledgedReports, Handlers
 
 
 class GatewayParts:
@@ -114,6 +114,7 @@
         "moves",
         "quarantine_fallback",
         "ready_server",
+        "reports",
         "retry_shares",
         "gateway_count",
         "runtime",
@@ -139,6 +140,7 @@
         self.gateway_count = GatewayCount(runtime)
         subset = PeerSubset(SubsetSettings())
         self.fleet = Fleet(runtime, self._handlers, (AGENTS,), subset)
+        self.reports = AcknowledgedReports(runtime, self.fleet, self._handlers)
         self._closed = ClosedServers(runtime)
         self.deputy = Deputy(runtime, self.fleet, self._closed, adapter)
         self.loop_watch = LoopWatch(lambda: bool(self.stop.in_progress))
@@ -181,6 +183,7 @@
             places,
             cold,
             handlers,
+            self.reports,
             lambda: self.gateway_count.count,
             rng,
         )
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/server_limits.py
@@ -10,9 +10,10 @@
 from pistachiowell.core.errors import LinkLost, LinkTimeout, Overloaded
 from pistachiowell.core.logs import part_logger
 from pistachiowell.gateway.closed_servers import incarnation_of
-from pistachiowell.gateway.cold_servers import encode_cold
+from pistachiowell.gateway.cold_servers import encode_cold, shorten_cold
 from pistachiowell.gateway.limit_owner import decode_limit, encode_limit
 from pistachiowell.gateway.ranked_agents import (
+    AGENTS_TOLD,
     lasting_agents,
     ranked_agents,
     tell_agents,
@@ -59,6 +60,7 @@
         places: The ``Places``.
         cold: The ``ColdServers``.
         handlers: Handlers of the links to agents; this registers its own.
+        reports: The ``AcknowledgedReports`` to and from agents.
         gateway_count: Function that returns the number of gateways that may be running.
         rng: A ``Random``.
     """
@@ -71,6 +73,7 @@
         "_full_until",
         "_limits",
         "_places",
+        "_reports",
         "_rng",
         "_gateway_count",
         "_runtime",
@@ -79,13 +82,23 @@
     )
 
     def __init__(
-        self, runtime, fleet, closed, places, cold, handlers, gateway_count, rng
+        self,
+        runtime,
+        fleet,
+        closed,
+        places,
+        cold,
+        handlers,
+        reports,
+        gateway_count,
+        rng,
     ):
         self._runtime = runtime
         self._fleet = fleet
         self._closed = closed
         self._places = places
         self._cold = cold
+        self._reports = reports
         self._gateway_count = gateway_count
         self._rng = rng
         self._settings = RateSettings()
@@ -95,7 +108,7 @@
         self._asks_again_at = {}
         handlers.on(LimitObserved)(self._handle_limit)
         handlers.on(ServerLeaving, quick=True)(self._handle_leaving)
-        handlers.on(ServersCold, quick=True)(self._handle_cold)
+        reports.on(ServersCold)(self._handle_cold)
         runtime.metrics.watch("servers.limited", lambda: len(self._limits.in_force))
 
     def record_answer(self, server, head, sent_at):
@@ -107,8 +120,7 @@
             sent_at: Time at which the request was sent in seconds.
         """
         if self._cold.record_answer(incarnation_of(server), head):
-            message = encode_cold({incarnation_of(server): head.cold_left_s})
-            tell_agents(self._fleet, server.id, message)
+            self._tell_cold(server, head.cold_left_s)
         if head.has_unreadable_limit:
             self._closed.record_unreadable(incarnation_of(server), "limits")
             return
@@ -119,6 +131,15 @@
             message = encode_limit(incarnation, observation, now)
             tell_agents(self._fleet, server.id, message)
 
+    def _tell_cold(self, server, left_s):
+        agents = ranked_agents(self._fleet, server.id)[:AGENTS_TOLD]
+        self._reports.broadcast(
+            encode_cold({incarnation_of(server): left_s}),
+            key=(ServersCold, incarnation_of(server)),
+            renew=shorten_cold,
+            links=[agent.link for agent in agents],
+        )
+
     def record_closure(self, server, head, told):
         """Records whether a server has said that it leaves or wants a pause.
 
--- a/pistachiowell/gateway/tests/test_cold_servers.py
+++ b/pistachiowell/gateway/tests/test_cold_servers.py
@@ -11,8 +11,10 @@
 from pistachiowell.gateway import cold_servers
 from pistachiowell.gateway.cold_reports import ColdReports
 from pistachiowell.gateway.cold_servers import ColdServers, encode_cold
+from pistachiowell.gateway.server_limits import ServerLimits
 from pistachiowell.platform.headers import read_answer_head
-from pistachiowell.wire import Handlers
+from pistachiowell.wire import AcknowledgedReports, Handlers, LinkSet
+from pistachiowell.wire.tests.lossy_links import LossyLink
 
 WALL_S = 1_000_000.0
 
@@ -133,8 +135,11 @@
 async def test_servers_that_are_cold_together_are_told_one_by_one(cold, clock):
     # A gateway that is cut off from the store hears of them from the agents only.
     sent, run = [], (WALL_S - 900) * 1000
-    links = SimpleNamespace(broadcast=sent.append)
-    reports = ColdReports(SimpleNamespace(now=clock.now), links, cold, Handlers())
+    acknowledged = SimpleNamespace(
+        broadcast=lambda message, renew: sent.append(message),
+        on=lambda message_class: lambda function: function,
+    )
+    reports = ColdReports(SimpleNamespace(now=clock.now), acknowledged, cold)
     for left_s in (2.0, 1.9):
         cold.record_registration(server(WALL_S - 900, left_s))
     cold.record_told(encode_cold({Incarnation("d2"): 1.0}))
@@ -147,3 +152,59 @@
     with anyio.move_on_after(0.3):
         await reports.run()
     assert len(sent) == 1
+
+
+@pytest.fixture
+def links():
+    """Returns the links of a process to its peers."""
+    return LinkSet()
+
+
+@pytest.fixture
+def acknowledged(clock, links):
+    runtime = SimpleNamespace(now=clock.now, metrics=Metrics())
+    return AcknowledgedReports(runtime, links, Handlers())
+
+
+@pytest.mark.anyio
+async def test_gateway_never_hears_of_a_cold_server_as_its_link_is_lost(
+    cold, clock, links, acknowledged
+):
+    reports = ColdReports(SimpleNamespace(now=clock.now), acknowledged, cold)
+    lost = LossyLink("gateway-1")
+    links.add(lost)
+    cold.record_registration(server(WALL_S - 900, 2.0))
+    with anyio.move_on_after(0.3):
+        await reports.run()
+    lost.lose()
+    clock.now_s += 0.5
+    link = LossyLink("gateway-1")
+    links.add(link)
+    [first], [again] = lost.sent, link.sent
+    assert again.number == first.number
+    assert [told.left_s for told in again.servers] == [1.5]
+    link.lose()
+    clock.now_s += 1.5
+    late = LossyLink("gateway-1")
+    links.add(late)
+    assert not late.sent
+
+
+def test_agent_never_hears_of_a_cold_server_as_its_link_is_lost(
+    cold, clock, links, acknowledged
+):
+    lost = LossyLink("agent-1")
+    links.add(lost)
+    agent = SimpleNamespace(link=lost, usable=True)
+    fleet = SimpleNamespace(agents={"agent-1": agent})
+    runtime = SimpleNamespace(now=clock.now, metrics=Metrics())
+    limits = ServerLimits(
+        runtime, fleet, None, None, cold, Handlers(), acknowledged, int, None
+    )
+    head = read_answer_head(200, [(b"Pistachiowell-Cold-Ms", b"2000")])
+    limits.record_answer(server(), head, clock.now())
+    lost.lose()
+    link = LossyLink("agent-1")
+    links.add(link)
+    assert link.sent == lost.sent
+    assert [told.left_s for told in link.sent[0].servers] == [2.0]
