--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -106,7 +106,7 @@
             runtime, state, self._handlers, self._links, is_deputy=is_deputy
         )
         reports = AcknowledgedReports(runtime, self._links, self._handlers)
-        StoreReturns(runtime, self._links, self._handlers)
+        StoreReturns(runtime, reports)
         self._room_owner = RoomOwner(runtime, self._links, self._handlers)
         self._times_owner = TimesOwner(runtime, self._handlers)
         self._move_judge = MoveJudge(runtime, self._handlers, adapter.moves)
--- a/pistachiowell/gateway/gateway_parts.py
+++ b/pistachiowell/gateway/gateway_parts.py
@@ -249,7 +249,7 @@
         self.grant_memory = GrantMemory(runtime, fleet, handlers)
         self.grant_memory.on_closed = self.spending.uses.forget
         HolderDirectory(fleet, handlers)
-        StoreReturns(runtime, fleet, handlers)
+        StoreReturns(runtime, self.reports)
 
     def _make_dispatch(self):
         runtime = self.runtime
--- a/pistachiowell/gateway/store_returns.py
+++ b/pistachiowell/gateway/store_returns.py
@@ -2,7 +2,7 @@
 
 A process learns of a return by an answer of the store, and some have to wait for their
 next one. As holders of grants have to write again what was lost, all learn it from the
-first.
+first, also one that has no link just then.
 """
 
 from pistachiowell.schema.generated.messages_budgets import StoreReturned
@@ -13,20 +13,19 @@
 
     Args:
         runtime: The process's ``Runtime``.
-        peers: The ``LinkSet`` or ``Fleet`` with the links to the peers.
-        handlers: Handlers of the links; this registers its own.
+        reports: The ``AcknowledgedReports`` to and from the peers.
     """
 
-    __slots__ = ("_peers", "_runtime")
+    __slots__ = ("_reports", "_runtime")
 
-    def __init__(self, runtime, peers, handlers):
+    def __init__(self, runtime, reports):
         self._runtime = runtime
-        self._peers = peers
+        self._reports = reports
         runtime.store.era.add_listener(self._tell)
-        handlers.on(StoreReturned, quick=True)(self._handle)
+        reports.on(StoreReturned)(self._handle)
 
     def _tell(self, number):
-        self._peers.broadcast(StoreReturned(number))
+        self._reports.broadcast(StoreReturned(number), key=StoreReturned)
 
     async def _handle(self, link, message):
         del link
