--- a/pistachiowell/agent/agent.py
+++ b/pistachiowell/agent/agent.py
@@ -196,9 +196,7 @@
             leaving=self._runtime.leaving,
             table_revision=self._runtime.table_revision(),
         )
-        for link in self._links.links:
-            if not link.closed:
-                link.send(report)
+        self._links.broadcast(report)
 
     def _record(self):
         return agent_record(self._runtime, self._runtime.settings.server)
--- a/pistachiowell/agent/runs.py
+++ b/pistachiowell/agent/runs.py
@@ -3,6 +3,7 @@
 import anyio
 
 from pistachiowell.schema.generated.messages_requests import AnswerChunk
+from pistachiowell.wire import try_send
 
 
 class Run:
@@ -56,9 +57,8 @@
         self._wake.set()
 
     def send(self, message):
-        """Sends a message to the router unless the link is closed."""
-        if not self.link.closed:
-            self.link.send(message)
+        """Sends a message to the router unless the link is closed or too slow."""
+        try_send(self.link, message)
 
     async def send_body(self, data):
         """Sends a part of the body, and waits for credit whenever it is used up."""
--- a/pistachiowell/router/attempts.py
+++ b/pistachiowell/router/attempts.py
@@ -18,6 +18,7 @@
     AnswerStart,
     CancelRequest,
 )
+from pistachiowell.wire import try_send
 
 
 class Attempt:
@@ -70,8 +71,8 @@
     def __exit__(self, *exc_info):
         self._attempts.remove(self)
         self.link.remove_close_listener(self._on_link_closed)
-        if not self._ended and not self.link.closed:
-            self.link.send(CancelRequest(*self.key))
+        if not self._ended:
+            try_send(self.link, CancelRequest(*self.key))
         self._send_stream.close()
         self._receive_stream.close()
 
@@ -128,8 +129,8 @@
         Args:
             size_bytes: Additional credit in bytes; 0 sends nothing.
         """
-        if size_bytes > 0 and not self.link.closed:
-            self.link.send(AnswerCredit(*self.key, size_bytes))
+        if size_bytes > 0:
+            try_send(self.link, AnswerCredit(*self.key, size_bytes))
 
     def _on_link_closed(self):
         self._send_stream.send_nowait(None)
--- a/pistachiowell/router/journal.py
+++ b/pistachiowell/router/journal.py
@@ -12,6 +12,7 @@
 from pistachiowell.schema.generated.messages_budgets import ReceiptsJournaled
 from pistachiowell.schema.generated.objects_budgets import JournalEntry
 from pistachiowell.store.store import ABSENT
+from pistachiowell.wire import try_send
 
 FLUSH_INTERVAL_S = 0.5
 FLEET_WRITES_PER_S = 30.0
@@ -97,9 +98,9 @@
             by_router[entry.router].append(entry.reservation_id)
         links = [peer.link for peer in self._fleet.agents.values()]
         for link in links:
-            if link is not None and not link.closed:
+            if link is not None:
                 for router, ids in by_router.items():
-                    link.send(ReceiptsJournaled(router, ids))
+                    try_send(link, ReceiptsJournaled(router, ids))
 
     async def _write(self, name, entries):
         value = encode_journal(entries)
--- a/pistachiowell/router/move_reports.py
+++ b/pistachiowell/router/move_reports.py
@@ -13,6 +13,7 @@
 )
 from pistachiowell.schema.generated.messages_requests import Failure
 from pistachiowell.tables.watchers import WATCHERS_PER_DATA_CENTRE, ranked
+from pistachiowell.wire import try_send
 from pistachiowell.wire.outbox import Inbox
 
 REPORT_TIMEOUT_S = 1.0
@@ -188,8 +189,8 @@
         fence = move.candidate.fence if move.controller else token.fence if token else 0
         message = MoveStop(move.tracker.row.name, fence)
         for link in move.reporters:
-            if not link.closed:
-                link.send(message)
+            # The token of a router that is not told expires by itself.
+            try_send(link, message)
         move.reporters.clear()
 
     def _report_to_controller(self, move):
--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -328,6 +328,23 @@
             return Failure("internal_fault", "A handler failed.")
 
 
+def try_send(link, message):
+    """Queues a message unless the link is closed, or its peer reads too slowly.
+
+    Args:
+        link: The ``Link``; closed if its peer reads too slowly.
+        message: Instance of a message class.
+
+    Returns:
+        Whether the message was queued. It may still be lost with the link.
+    """
+    try:
+        link.send(message)
+    except LinkLost:
+        return False
+    return True
+
+
 class _PendingCall:
     """A call that waits for its reply.
 
