--- a/pistachiowell/gateway/move_judge.py
+++ b/pistachiowell/gateway/move_judge.py
@@ -13,6 +13,7 @@
 from pistachiowell.moves.trial import TrialEnd, TrialSettings, VersionTrial
 from pistachiowell.router.answer_counts import read_counts
 from pistachiowell.schema.generated.messages_moves import TrialPermit, TrialReport
+from pistachiowell.wire.outbox import Inbox
 
 TICK_INTERVAL_S = 0.2
 
@@ -47,6 +48,7 @@
         "_codec",
         "_ended_orders",
         "_first_seen_at",
+        "_inbox",
         "_ledger",
         "_ordered",
         "_orders",
@@ -62,6 +64,7 @@
         self._orders = {}
         self._ended_orders = {}
         self._first_seen_at = {}
+        self._inbox = Inbox()
         self._trials = {}
         handlers.on(TrialReport, quick=True)(self.handle_report)
 
@@ -106,6 +109,9 @@
     async def handle_report(self, link, message):
         """Handles the ``TrialReport`` of a gateway.
 
+        One that is read after a later one, as it came over an earlier link, tells
+        nothing new: the first report over each link contains all counts.
+
         Returns:
             The ``TrialPermit``; None if there is no such order or it has ended.
         """
@@ -116,11 +122,8 @@
             return None
         now, run = self._runtime.now(), link.hello.incarnation if link.hello else ""
         trial = self._find_trial(order)
-        trial.record_age(message.age_s, now)
-        trial.account.record_total(message.reserved)
-        trial.account.record_sent(run, message.sent_old, message.sent_new, now)
-        trial.record_answers(run, read_counts(message.counts, now), message.is_whole)
-        trial.replace_waits(run, list(read_counts(message.waits, now)), now)
+        if self._inbox.take((run, message.service), message.number):
+            _record_report(trial, run, message, now)
         return TrialPermit(
             service=message.service,
             target=message.target,
@@ -215,6 +218,15 @@
             )
 
 
+def _record_report(trial, run, message, now):
+    """Records a ``TrialReport`` of a run of a gateway in a ``VersionTrial``."""
+    trial.record_age(message.age_s, now)
+    trial.account.record_total(message.reserved)
+    trial.account.record_sent(run, message.sent_old, message.sent_new, now)
+    trial.record_answers(run, read_counts(message.counts, now), message.is_whole)
+    trial.replace_waits(run, list(read_counts(message.waits, now)), now)
+
+
 class _JudgedTrial:
     __slots__ = ("_has_logged_end", "_was_switching", "target", "trial")
 
--- a/pistachiowell/gateway/moves.py
+++ b/pistachiowell/gateway/moves.py
@@ -1,5 +1,6 @@
 """Restricts attempts to the allowed versions and reports trials to their judges."""
 
+import itertools
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
@@ -59,6 +60,7 @@
         "_ended_orders",
         "_fleet",
         "_has_orders",
+        "_numbers",
         "_rng",
         "_runtime",
         "_standings",
@@ -71,6 +73,7 @@
         self._fleet = fleet
         self._rng = rng
         self._has_orders = False
+        self._numbers = itertools.count(1)
         self._started_at = runtime.now()
         self._standings = defaultdict(VersionStandings)
         self._trials = {}
@@ -239,8 +242,9 @@
         if link is None:
             return
         sent_at = self._runtime.now()
+        report = trial.report(link, next(self._numbers), sent_at)
         try:
-            reply = await link.call(trial.report(link, sent_at), REPORT_TIMEOUT_S)
+            reply = await link.call(report, REPORT_TIMEOUT_S)
         except PistachiowellError as error:
             trial.record_lost_report()
             _log.info(
@@ -338,13 +342,14 @@
         is_valid = token is not None and token.is_valid(now)
         return is_valid and self.tracker.sent[1] < self._ceiling
 
-    def report(self, judge, now):
+    def report(self, judge, number, now):
         """Returns the ``TrialReport`` for a judge.
 
         A judge that gets its first report of this gateway gets all counts.
 
         Args:
             judge: The judge.
+            number: Number of the report.
             now: Time in seconds.
         """
         counts, _ = self.tracker.drain_report()
@@ -362,6 +367,7 @@
             sent_new=sent_new,
             age_s=now - self._began,
             reserved=self._reserved,
+            number=number,
         )
 
     def record_lost_report(self):
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/tests/test_moves.py
@@ -12,7 +12,7 @@
 import pytest
 
 from pistachiowell.catalog import BackendServer, ServerRegistry
-from pistachiowell.core.errors import DeadlineExceeded, Overloaded
+from pistachiowell.core.errors import DeadlineExceeded, LinkLost, Overloaded
 from pistachiowell.gateway.move_judge import MoveJudge
 from pistachiowell.gateway.move_orders import MoveOrder, MoveState
 from pistachiowell.gateway.moves import GatewayMoves
@@ -296,6 +296,29 @@
     assert judges <= {"b", "c", "d"}
 
 
+async def test_report_read_after_the_next_one_is_counted_twice():
+    simulation = Simulation()
+    simulation.apply_orders()
+    gateway, fleet = simulation.gateways[0], simulation.fleets[0]
+    link, late = fleet.agents["judge"].link, []
+
+    async def lose(message, timeout_s):
+        del timeout_s
+        late.append(message)
+        raise LinkLost("The link was lost before the reply.")
+
+    await gateway.report()
+    gateway.record_end("desk", SERVERS[0], False, simulation.time - 1.0)
+    link.call = lose
+    await gateway.report()
+    simulation.link_judge(fleet)
+    await gateway.report()
+    # The judge stood still, and reads what the lost link had delivered only now.
+    assert await simulation.judge.handle_report(link, late[0]) is not None
+    counts = simulation.judge.trials["desk"]._counts["run-0"]
+    assert sum(counts.values()) == 1
+
+
 class Streams:
     """Streams to both versions that may last longer than a move.
 
