--- a/pistachiowell/wire/link.py
+++ b/pistachiowell/wire/link.py
@@ -21,8 +21,11 @@
 
 READ_BYTES = 65536
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
-# Longest time in which a link that is closed sends what is queued.
+WRITE_BYTES = 256 * 1024
+# A link that is closed sends what is queued as long as its peer takes or answers some
+# of it within this time, and for the second time at most.
 CLOSE_S = 0.1
+MAX_CLOSE_S = 1.0
 
 _LOST_ERRORS = (
     anyio.BrokenResourceError,
@@ -45,7 +48,8 @@
     Messages to send are queued and written in batches. If the peer reads more slowly
     than this process sends and the queue would exceed ``MAX_QUEUED_BYTES``, the link is
     closed, so that a stalled peer cannot exhaust the memory of this process. What is
-    queued when this process closes the link is still sent, for ``CLOSE_S`` at most.
+    queued when this process closes the link is still sent, for ``CLOSE_S`` if the peer
+    takes nothing of it and ``MAX_CLOSE_S`` at most.
 
     Args:
         stream: An anyio byte stream.
@@ -63,6 +67,7 @@
         "_clock",
         "_close_listeners",
         "_closed",
+        "_closes_by",
         "_handlers",
         "_is_lost",
         "_pending_calls",
@@ -89,6 +94,7 @@
         self._queued_bytes = 0
         self._wake_writer = anyio.Event()
         self._closed = anyio.Event()
+        self._closes_by = None
         self._is_lost = False
         self.hello = None
         self.unknown_kinds = 0
@@ -193,8 +199,9 @@
                 try:
                     await self._closed.wait()
                 finally:
-                    left_s = CLOSE_S if self._may_finish else 0.0
-                    writing.deadline = anyio.current_time() + left_s
+                    left_s = MAX_CLOSE_S if self._may_finish else 0.0
+                    self._closes_by = anyio.current_time() + left_s
+                    self._extend(writing)
                     self.close()
                     group.cancel_scope.cancel()
         finally:
@@ -202,11 +209,16 @@
             # What refers to the link may outlive it until a garbage collection.
             self._reader = FrameReader()
             self._queue.clear()
-            with anyio.CancelScope(shield=True, deadline=writing.deadline):
-                await self._wait_for_end()
+            with anyio.CancelScope(shield=True, deadline=writing.deadline) as ending:
+                await self._wait_for_end(ending)
             with anyio.CancelScope(shield=True), anyio.move_on_after(0.1):
                 await self._stream.aclose()
 
+    def _extend(self, scope):
+        """Lets a scope go on for a while if the link is being closed."""
+        if self._closes_by is not None:
+            scope.deadline = min(anyio.current_time() + CLOSE_S, self._closes_by)
+
     @property
     def _may_finish(self):
         """Whether what is queued may be sent though the link is closed."""
@@ -220,20 +232,22 @@
                 while not self.closed or self._queue:
                     await self._wake_writer.wait()
                     self._wake_writer = anyio.Event()
-                    await self._write_queue()
+                    await self._write_queue(scope)
             except _LOST_ERRORS:
                 # The reader closes the link after what has already arrived.
                 self._is_lost = True
 
-    async def _write_queue(self):
-        batch = b"".join(self._queue)
+    async def _write_queue(self, scope):
+        batch = memoryview(b"".join(self._queue))
         self._queue.clear()
-        if batch:
-            await self._stream.send(batch)
-            self._queued_bytes -= len(batch)
-            self._report()
+        for start in range(0, len(batch), WRITE_BYTES):
+            part = batch[start : start + WRITE_BYTES]
+            await self._stream.send(part)
+            self._queued_bytes -= len(part)
+            self._extend(scope)
+        self._report()
 
-    async def _wait_for_end(self):
+    async def _wait_for_end(self, scope):
         """Ends the stream and waits until the peer has ended it as well.
 
         A connection that is closed while the peer still sends is reset, and the peer
@@ -245,6 +259,7 @@
             await stream.send_eof()
             while True:
                 await stream.receive(READ_BYTES)
+                self._extend(scope)
 
     async def _read_loop(self, group):
         try:
--- a/pistachiowell/wire/tests/test_link.py
+++ b/pistachiowell/wire/tests/test_link.py
@@ -200,6 +200,57 @@
     assert took_s < 3 * link_module.CLOSE_S
 
 
+@pytest.mark.anyio
+async def test_peer_that_sends_without_end_holds_a_close_up(clock, free_port):
+    async def chatter(stream):
+        async with stream:
+            with contextlib.suppress(anyio.BrokenResourceError):
+                while True:
+                    await stream.send(encode_frame(Ping(1), 0, clock.tick()))
+                    await anyio.sleep(0.01)
+
+    port = free_port()
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, chatter)
+        async with connect("127.0.0.1", port, hello("a"), Handlers(), clock):
+            await anyio.sleep(0.05)
+            begun_at = anyio.current_time()
+        took_s = anyio.current_time() - begun_at
+        group.cancel_scope.cancel()
+    assert took_s < 2 * link_module.MAX_CLOSE_S
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("peer_sends", [False, True])
+async def test_peer_that_answers_slowly_loses_the_end_of_a_closed_link(
+    clock, listen, peer_sends
+):
+    handlers, received, links = Handlers(), [], []
+
+    @handlers.on(Failure)
+    async def answer_slowly(link, message):
+        await anyio.sleep(0.005)
+        received.append(message.retry_after_s)
+        with contextlib.suppress(LinkLost):
+            link.send(Ping(1))
+
+    ends = (Handlers(), handlers) if peer_sends else (handlers, Handlers())
+    async with anyio.create_task_group() as group:
+        port, _ = await listen(group, ends[0], links.append)
+        async with connect("127.0.0.1", port, hello("a"), ends[1], clock) as link:
+            await until(lambda: links)
+            sender = links[0] if peer_sends else link
+            for number in range(40):
+                sender.send(Failure("overloaded", PADDING, float(number)))
+            if peer_sends:
+                sender.close()
+                await until(lambda: len(received) == 40)
+        await until(lambda: len(received) == 40)
+        group.cancel_scope.cancel()
+    assert received == [float(number) for number in range(40)]
+
+
 @pytest.mark.anyio
 async def test_messages_that_have_arrived_are_dropped_as_their_sender_leaves(
     clock, listen
