--- a/pistachiowell/standins/early.py
+++ b/pistachiowell/standins/early.py
@@ -57,7 +57,9 @@
             data = b""
             while b"\r\n\r\n" not in data:
                 # One byte more than the head is not read.
-                data += await loop.sock_recv(sock, 1)
+                if not (part := await loop.sock_recv(sock, 1)):
+                    return
+                data += part
             self.received += 1
             await loop.sock_sendall(sock, self._answer(data))
             self.uploads.append(await self._end(sock))
