--- a/pistachiowell/bench/rig.py
+++ b/pistachiowell/bench/rig.py
@@ -21,6 +21,8 @@
 from pistachiowell.bench.rig_programs import STORE, RigPrograms
 
 DEFAULT_WAIT_TIMEOUT_S = 30.0
+# Bounds a hang only; a busy machine starts the programs late.
+START_TIMEOUT_S = 120.0
 POLL_INTERVAL_S = 0.05
 MAX_CONCURRENT_TOP_UPS = 5
 
@@ -101,14 +103,18 @@
         """
         self._programs.add_all()
         self.processes[STORE].start()
-        self.wait_until(lambda: call(self.store_url + "/control").status == 200)
+        self.wait_until(
+            lambda: call(self.store_url + "/control").status == 200,
+            "The store answers.",
+            START_TIMEOUT_S,
+        )
         for process in self.processes.values():
             if process.name != STORE:
                 process.start()
         self.apply([*(self.plan.rows or default_rows(self.plan)), *self.server_rows()])
         with ThreadPoolExecutor(MAX_CONCURRENT_TOP_UPS) as pool:
             list(pool.map(lambda budget: self.credit(*budget), self.plan.accounts))
-        self.wait_ready()
+        self.wait_until(self._started, "All routers are linked.", START_TIMEOUT_S)
 
     def stop(self):
         """Kills all processes of this rig, also paused ones."""
@@ -126,6 +132,12 @@
         """
         self.wait_until(self._ready, "All routers are linked to all agents.")
 
+    def _started(self):
+        for process in self.processes.values():
+            if not process.running:
+                raise RigError(f"{process.name} has ended; see {process.log_path}.")
+        return self._ready()
+
     def _ready(self):
         servers = [spec.name for spec in self.plan.servers]
         up = [name for name in servers if self.processes[name].running]
--- a/pistachiowell/bench/tests/test_rig.py
+++ b/pistachiowell/bench/tests/test_rig.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from pistachiowell.bench.plan import DEFAULT_SERVERS
+from pistachiowell.bench.plan import DEFAULT_SERVERS, ServerSpec
 from pistachiowell.bench.rig import RigTimeoutError
+from pistachiowell.bench.rig_client import RigError
 
 
 def is_answered(rig, **fields):
@@ -56,6 +57,13 @@
         rig.wait_until(lambda: False, "Never.", timeout_s=0.1)
 
 
+def test_start_passes_over_a_program_that_has_ended(make_rig):
+    """A fleet that lacks a program from the start is not given to a test."""
+    broken = ServerSpec("engine-1", "osu", "chat-1", flags=("--no_such_flag",))
+    with pytest.raises(RigError, match="engine-1 has ended"):
+        make_rig(servers=(broken,), routers=(("router-1", "osu"),))
+
+
 def test_stopped_rig_leaves_nothing_running(make_rig):
     """A rig kills all its processes at its end, including a paused one.
 
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -2,10 +2,13 @@
 
 import re
 import time
+from contextlib import suppress
 
 import anyio
+import httpcore
 
 from pistachiowell.platform.evacuations import COLLECTION as EVACUATIONS
+from pistachiowell.platform.headers import READY_PATH
 from pistachiowell.platform.standin_documents import (
     COLD_S,
     changed_configuration,
@@ -25,7 +28,9 @@
 from pistachiowell.soak.program_processes import ProgramProcesses
 from pistachiowell.standins.relay import Relay
 
-START_TIMEOUT_S = 30.0
+# Bounds a hang only; a busy machine starts the programs late.
+START_TIMEOUT_S = 120.0
+START_POLL_S = 0.1
 CHANGE_INTERVAL_S = 0.1
 # Time in which registered programs connect to each other.
 LINK_WAIT_S = 0.7
@@ -74,6 +79,7 @@
         "_gateway_settings",
         "_group",
         "_place_settings",
+        "_ready_urls",
         "_registrations",
         "addresses",
         "closing",
@@ -100,6 +106,7 @@
         self._gateway_settings = {"leaving_notice_s": 0.3, **(gateway_settings or {})}
         self._group = group
         self._free_port = free_port
+        self._ready_urls = {}
         self._registrations = {}
         self.links = {}
         self.processes = ProgramProcesses(directory)
@@ -256,6 +263,7 @@
             port = self.relay_ports[name] = self._free_port()
             settings |= {"relay_port": port, **self._place_settings}
         settings = {k: v for k, v in settings.items() if v is not None}
+        self._ready_urls[name] = f"http://{settings['ready_address']}{READY_PATH}"
         await self._add_program(name, "gateway", settings)
 
     async def _add_program(self, name, role, settings):
@@ -286,11 +294,35 @@
             self.store.delete(EVACUATIONS, name)
 
     async def wait_until_registered(self, count):
-        """Waits until ``count`` programs are registered and have time to connect."""
+        """Waits until the fleet has started, and for the time in which it connects.
+
+        Args:
+            count: Number of programs that register. All gateways are ready then, too.
+
+        Raises:
+            ProgramEndedError: A program has ended; its log has the cause.
+            TimeoutError: The fleet has not started in time.
+        """
         with anyio.fail_after(START_TIMEOUT_S):
             while self._registered_count() < count:
-                await anyio.sleep(0.1)
-            await anyio.sleep(LINK_WAIT_S)
+                self.processes.check_running()
+                await anyio.sleep(START_POLL_S)
+            for name in self._ready_urls:
+                while not await self._is_ready(name):
+                    self.processes.check_running()
+                    await anyio.sleep(START_POLL_S)
+        await anyio.sleep(LINK_WAIT_S)
+
+    async def _is_ready(self, name):
+        """Returns whether a gateway accepts callers and is ready for them."""
+        host, _, port = self.addresses[name].rpartition(":")
+        with suppress(OSError, httpcore.NetworkError, httpcore.ProtocolError):
+            stream = await anyio.connect_tcp(host, int(port))
+            await stream.aclose()
+            async with httpcore.AsyncConnectionPool() as pool:
+                reply = await pool.request("GET", self._ready_urls[name])
+            return reply.status == 200
+        return False
 
     def _registered_count(self):
         return len(self.store.names("agents") + self.store.names("routers"))
--- a/pistachiowell/soak/program_processes.py
+++ b/pistachiowell/soak/program_processes.py
@@ -16,6 +16,10 @@
 RESTART_DELAY_S = 0.3
 
 
+class ProgramEndedError(Exception):
+    """A program has ended that should run; its log has the cause."""
+
+
 class ProgramProcesses:
     """Starts programs as processes, signals them and records unexpected ends.
 
@@ -70,6 +74,17 @@
         self._roles[name] = role
         self._start(name)
 
+    def check_running(self):
+        """Checks that no program has ended.
+
+        Raises:
+            ProgramEndedError: One has; its log has the cause.
+        """
+        for name, process in self._processes.items():
+            if (code := process.poll()) is not None:
+                log = self._directory / f"{name}.log"
+                raise ProgramEndedError(f"{name} has ended ({code}); see {log}.")
+
     def start_if_exited(self, name):
         """Starts the next run of a program whose process has exited."""
         if self._processes[name].poll() is not None:
--- a/pistachiowell/soak/server_processes.py
+++ b/pistachiowell/soak/server_processes.py
@@ -14,7 +14,8 @@
 
 HOST = "127.0.0.1"
 POLL_INTERVAL_S = 0.05
-START_TIMEOUT_S = 20.0
+# Bounds a hang only; a busy machine starts the processes late.
+START_TIMEOUT_S = 120.0
 
 
 class ServerProcesses:
--- a/pistachiowell/store/tests/conftest.py
+++ b/pistachiowell/store/tests/conftest.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-START_TIMEOUT_S = 20.0
+# Bounds a hang only; a busy machine starts the process late.
+START_TIMEOUT_S = 120.0
 
 
 class StoreStandIn:
