--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,10 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+PYTEST := $(BIN)/python -m pytest --durations=20
+# Tests on event loops mostly wait; each fleet of processes occupies several cores.
+LOOP_WORKERS ?= 6
+FLEET_WORKERS ?= 4
 
 .PHONY: setup lint generated-check test quickstart bench format generate
 
@@ -27,8 +31,13 @@
 generated-check: setup
 	$(BIN)/python -W ignore -m pistachiowell.schema.generate --check
 
+# Both parts collect all tests, since the examples of hypothesis depend on what is
+# imported. The second runs also if the first fails.
 test: lint generated-check
-	$(BIN)/python -m pytest
+	failed=0; \
+	$(PYTEST) -m 'not processes' -n $(LOOP_WORKERS) --dist worksteal || failed=1; \
+	$(PYTEST) -m processes -n $(FLEET_WORKERS) --dist loadfile || failed=1; \
+	exit $$failed
 
 quickstart: setup
 	$(BIN)/python bin/quickstart
--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
 """Set-up shared by all tests."""
 
+import gc
 from pathlib import Path
 
 import pytest
@@ -18,7 +19,11 @@
 
 pytest_plugins = ["pistachiowell.bench.fixtures"]
 
-_KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
+_ROOT = Path(__file__).parent
+_KNOWN_RED = _ROOT / "KNOWN-RED.txt"
+# Packages of which most tests start programs, and the fixtures that do so.
+_PROCESS_PACKAGES = [_ROOT / "pistachiowell" / n for n in ("bench", "signals", "soak")]
+_PROCESS_FIXTURES = {"own_rigs", "shared_rigs"}
 
 
 def known_red_entries(text):
@@ -40,14 +45,29 @@
     return free_port
 
 
+def starts_processes(item):
+    """Returns whether a test starts many processes."""
+    in_package = any(item.path.is_relative_to(path) for path in _PROCESS_PACKAGES)
+    return in_package or not _PROCESS_FIXTURES.isdisjoint(item.fixturenames)
+
+
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(items):
-    """Lets the run pass over the failures that KNOWN-RED.txt lists."""
+    """Marks tests with processes; passes over the failures in KNOWN-RED.txt."""
     entries = known_red_entries(_KNOWN_RED.read_text(encoding="utf-8"))
     for item in items:
+        if starts_processes(item):
+            item.add_marker(pytest.mark.processes)
         if item.nodeid in entries:
             item.add_marker(pytest.mark.xfail(reason=entries[item.nodeid]))
 
 
+def pytest_collection_finish():
+    """Leaves all tests out of later garbage collections, which hold event loops up."""
+    gc.collect()
+    gc.freeze()
+
+
 def pytest_terminal_summary(terminalreporter):
     """Prints the entries of KNOWN-RED.txt."""
     text = _KNOWN_RED.read_text(encoding="utf-8")
--- a/pistachiowell/bench/fixtures.py
+++ b/pistachiowell/bench/fixtures.py
@@ -28,22 +28,38 @@
 
 
 @pytest.fixture(scope="module")
-def start_rig(tmp_path_factory):
-    """Returns a function that starts a rig, which is stopped after the module."""
+def shared_rigs():
+    """Holds the rigs of one module and stops them after it."""
     rigs = _Rigs()
-    yield lambda plan=None: rigs.start(plan, tmp_path_factory.mktemp("rig"))
+    yield rigs
     rigs.stop()
 
 
 @pytest.fixture
-def make_rig(tmp_path_factory):
+def own_rigs():
+    """Holds the rigs of one test and stops them after it."""
+    rigs = _Rigs()
+    yield rigs
+    rigs.stop()
+
+
+@pytest.fixture(scope="module")
+def start_rig(shared_rigs, tmp_path_factory):
+    """Returns a function that starts a rig, which is stopped after the module."""
+    return lambda plan=None: shared_rigs.start(plan, tmp_path_factory.mktemp("rig"))
+
+
+@pytest.fixture
+def make_rig(own_rigs, tmp_path_factory):
     """Returns a function that starts a rig, which is stopped after the test.
 
     The function accepts the fields of ``RigPlan`` as keyword arguments.
     """
-    rigs = _Rigs()
-    yield lambda **fields: rigs.start(RigPlan(**fields), tmp_path_factory.mktemp("rig"))
-    rigs.stop()
+
+    def make(**fields):
+        return own_rigs.start(RigPlan(**fields), tmp_path_factory.mktemp("rig"))
+
+    return make
 
 
 @pytest.fixture(scope="module")
