--- a/pistachiowell/routing/answer_times.py
+++ b/pistachiowell/routing/answer_times.py
@@ -9,7 +9,7 @@
 import math
 from dataclasses import dataclass
 
-from pistachiowell.routing.recent_times import RecentTimes
+from pistachiowell.routing.recent_times import RecentTimes, time_bucket
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,7 +20,9 @@
         window_s: Seconds for which answers are remembered.
         min_answers: Number of answers from which on there is a bound.
         min_events: Number of events of a stream from which on it shows a pace.
-        quantile: Share of the waits and of the paces that the bound covers.
+        wait_quantile: Share of the waits that the bound covers.
+        pace_quantile: Share of the events whose pace the bound covers. The pace of a
+            long stream varies less than that of a short one.
         whole_margin: Factor on the longest time of an answer that is no stream, as
             nothing in its request bounds its length.
         assumed_wait_s: Wait for the first part that is assumed of a service of which
@@ -31,7 +33,8 @@
     window_s: float = 30.0
     min_answers: int = 8
     min_events: int = 8
-    quantile: float = 0.99
+    wait_quantile: float = 0.95
+    pace_quantile: float = 0.9
     whole_margin: float = 2.0
     assumed_wait_s: float = 2.0
     assumed_token_s: float = 0.25
@@ -97,7 +100,8 @@
         full_events = _full_events(max_tokens, tokens_per_event)
         self._excess = max(self._excess, events / full_events)
         if events >= self._settings.min_events:
-            self._paces.record(duration_s / (events - 1), now)
+            pace = time_bucket(duration_s / (events - 1))
+            self._paces.add({pace: events}, now)
 
     def record_whole(self, duration_s, now):
         """Records the seconds from a request to the end of an answer without events."""
@@ -112,13 +116,9 @@
         """
         if not (self._is_known(self._waits, now) and self._is_known(self._paces, now)):
             return None
-        quantile = self._settings.quantile
         events = self._excess * _full_events(max_tokens, self._tokens_per_event)
-        wait_s, pace_s = (
-            self._waits.quantile_s(quantile),
-            self._paces.quantile_s(quantile),
-        )
-        return wait_s + events * pace_s
+        wait_s = self._waits.quantile_s(self._settings.wait_quantile)
+        return wait_s + events * self._paces.quantile_s(self._settings.pace_quantile)
 
     def whole_bound_s(self, now):
         """Returns the same for an answer without events."""
