--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -117,6 +117,10 @@
         relay = parts.load.relay
         relay.close_idle()
         with anyio.move_on_after(parts.stop.left_s):
+            # Requests that come meanwhile do not prolong the stop.
+            while parts.stop.has_earlier or relay.in_progress or self.is_deputy:
+                await anyio.sleep(STOP_CHECK_INTERVAL_S)
+            parts.stop.refuse_all()
             while self._has_work:
                 await anyio.sleep(STOP_CHECK_INTERVAL_S)
         if self._has_work:
--- a/pistachiowell/gateway/planned_stop.py
+++ b/pistachiowell/gateway/planned_stop.py
@@ -67,11 +67,13 @@
 
     __slots__ = (
         "_began_at",
+        "_earlier",
         "_ends_at",
         "_has_ended",
         "_is_past_notice",
         "_metrics",
         "_now",
+        "_refuses_all",
         "_scopes",
         "bounds",
     )
@@ -84,7 +86,9 @@
         self._ends_at = None
         self._has_ended = False
         self._is_past_notice = False
+        self._refuses_all = False
         self._scopes = set()
+        self._earlier = frozenset()
 
     @property
     def has_begun(self):
@@ -101,6 +105,11 @@
         """Number of requests that have not ended."""
         return len(self._scopes)
 
+    @property
+    def has_earlier(self):
+        """Whether a request is in progress that came before the end of the notice."""
+        return not self._scopes.isdisjoint(self._earlier)
+
     @property
     def left_s(self):
         """Seconds until the requests in progress are ended; 0 once it is time."""
@@ -116,10 +125,25 @@
         self._ends_at = ends_at
 
     def end_notice(self):
-        """Begins from now on only what is known to fit."""
+        """Begins from now on no stream, and only what is known to fit."""
         self._is_past_notice = True
+        self._earlier = frozenset(self._scopes)
+
+    def refuse_all(self):
+        """Refuses all requests from now on."""
+        self._refuses_all = True
 
     def check(self, route, prompt, deadline, now):
+        """Checks a request whose head has come, as ``check_time`` does.
+
+        Raises:
+            StopRefusal: It cannot end in time, or would prolong the stop.
+        """
+        if self._refuses_all or (self._is_past_notice and route.has_prompts):
+            raise StopRefusal(None, self.left_s)
+        self.check_time(route, prompt, deadline, now)
+
+    def check_time(self, route, prompt, deadline, now):
         """Checks that a request can end before the gateway stops.
 
         Args:
@@ -170,6 +194,7 @@
     def end_requests(self):
         """Ends all requests in progress; ``error`` says how."""
         self._has_ended = True
+        self._refuses_all = True
         for scope in list(self._scopes):
             scope.cancel()
 
--- a/pistachiowell/gateway/request_reader.py
+++ b/pistachiowell/gateway/request_reader.py
@@ -74,7 +74,7 @@
         self._stop.check(route, head.prompt, deadline, received_at)
         body = await self._read_body(receive, limits.body_bytes, deadline)
         read_at = self._runtime.now()
-        bound_s = self._stop.check(route, head.prompt, deadline, read_at)
+        bound_s = self._stop.check_time(route, head.prompt, deadline, read_at)
         service = _find_service(catalog, route)
         name = account.name if account else ""
         parts = head.prompt.parts if head.prompt else ()
--- a/pistachiowell/gateway/run.py
+++ b/pistachiowell/gateway/run.py
@@ -104,7 +104,7 @@
         if has_begun or self.running > 1:
             return
         request = self.request
-        self.stop.check(request.route, request.prompt, request.deadline, now)
+        self.stop.check_time(request.route, request.prompt, request.deadline, now)
 
     def record_start(self, server_id):
         """Records that an attempt goes to a server."""
--- a/pistachiowell/platform/tests/test_planned_stop.py
+++ b/pistachiowell/platform/tests/test_planned_stop.py
@@ -8,9 +8,10 @@
 import os
 import signal
 import time
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import anyio
+import httpcore
 import msgspec
 import pytest
 from loguru import logger
@@ -219,6 +220,26 @@
         assert (status, headers[b"connection"]) == (200, b"close")
 
 
+async def test_requests_after_the_notice_prolong_the_stop(start_rig):
+    async def send_on():
+        with suppress(httpcore.NetworkError, httpcore.RemoteProtocolError):
+            while True:
+                await rig.send("/read/a")
+
+    async with start_rig() as rig:
+        await rig.add_server("desk-1", "desk", answer_after)
+        await rig.add_gateway(shutdown_timeout_s=4.0)
+        for _ in range(REQUESTS):
+            await rig.send("/read/a")
+        async with anyio.create_task_group() as group:
+            await stop(rig)
+            stopped_at = time.monotonic()
+            for _ in range(REQUESTS):
+                group.start_soon(send_on)
+                await anyio.sleep(0.03)
+        assert time.monotonic() - stopped_at < 2.0
+
+
 async def test_late_event_loop_moves_the_end_of_the_stop_past_the_grace(stopping_rig):
     async with stopping_rig(never_answer) as rig, anyio.create_task_group() as group:
         group.start_soon(rig.send, "/read/a")
