--- a/pistachiowell/core/web.py
+++ b/pistachiowell/core/web.py
@@ -9,9 +9,10 @@
 from pistachiowell.core.errors import BodyTooLarge
 
 ACCEPTED_AT_ONCE = 8
-# A gateway of 0.4 cores serves 50 requests a second. Callers that wait longer than
-# a third of a second for their connection are late; others may serve them sooner.
-MAX_WAITING = 16
+# With no room for a connection that its caller takes for open, the kernel resets it,
+# and the request on it, later. Callers that wait for long are late; others may serve
+# them sooner.
+MAX_WAITING = 128
 # Connections that are accepted as the port is closed; more may come meanwhile.
 ACCEPTED_AT_CLOSE = 4 * MAX_WAITING
 # Turns of the event loop from the call of ``accept`` to the protocol's first method.
