--- a/pistachiowell/core/clients.py
+++ b/pistachiowell/core/clients.py
@@ -20,8 +20,8 @@
 MAX_DESCRIPTORS = 1_048_576
 # One answer of the largest size, or four such bodies of requests.
 MIN_HELD_BYTES = 16 * 1024 * 1024
-# The server's own timer closes idle connections at the limit.
-IDLE_SLACK_S = 1.0
+# The server's own timer closes idle connections a second after the limit.
+IDLE_SLACK_S = 2.0
 
 _log = part_logger("clients")
 
--- a/pistachiowell/gateway/caller_servers.py
+++ b/pistachiowell/gateway/caller_servers.py
@@ -10,6 +10,9 @@
 
 MAX_HEADER_BYTES = 65_536
 MAX_KEEP_ALIVE_S = 3600
+# Callers count an idle time from the end of an answer, and their next request takes its
+# time to come.
+IDLE_MARGIN_S = 1.0
 
 
 def split_address(address):
@@ -115,6 +118,6 @@
         self._runtime.clients.idle_timeout_s = limit_s
         self._runtime.clients.header_timeout_s = catalog.limits.header_timeout_s
         for server in self._servers:
-            server.config.timeout_keep_alive = limit_s
+            server.config.timeout_keep_alive = limit_s + IDLE_MARGIN_S
         for protocol in self.connections:
-            protocol.set_idle_timeout(limit_s)
+            protocol.set_idle_timeout(limit_s + IDLE_MARGIN_S)
