--- a/pistachiowell/core/clients.py
+++ b/pistachiowell/core/clients.py
@@ -22,6 +22,8 @@
 MIN_HELD_BYTES = 16 * 1024 * 1024
 # The server's own timer closes idle connections a second after the limit.
 IDLE_SLACK_S = 2.0
+# On a full link packets wait, and are sent again, for longer than a short idle time.
+MIN_STALLED_S = 5.0
 
 _log = part_logger("clients")
 
@@ -121,8 +123,8 @@
         answers: The ``AnswerBytes`` of answers that are read from servers.
         close_log: The ``CloseLog``.
         header_timeout_s: Longest time in seconds for a head or the first message.
-        idle_timeout_s: Longest time in seconds without a request, or without reading an
-            answer.
+        idle_timeout_s: Longest time in seconds without a request; without reading an
+            answer also, but for at least ``MIN_STALLED_S``.
         limits: As above.
     """
 
@@ -213,7 +215,8 @@
             for connection in self._budget.due(stage, before):
                 if connection.is_overdue(stage):
                     self.close(connection, reason)
-        for connection in self._budget.due(Stage.stalled, idle_since):
+        stalled_since = now - max(self.idle_timeout_s, MIN_STALLED_S)
+        for connection in self._budget.due(Stage.stalled, stalled_since):
             self._check_progress(connection, now)
         if len(self._budget) or self._closed:
             self._start_timer()
