--- a/pistachiowell/core/lingering.py
+++ b/pistachiowell/core/lingering.py
@@ -101,9 +101,14 @@
         if not self._transport.can_write_eof():
             self._transport.close()
             return
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The peer has reset the connection.
+            self._transport.abort()
+            return
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(limit_s, self.close_now)
-        self._transport.write_eof()
         self._transport.resume_reading()
 
     def close_now(self):
--- a/pistachiowell/core/tests/test_unread_requests.py
+++ b/pistachiowell/core/tests/test_unread_requests.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import socket
+import struct
 import time
 from contextlib import suppress
 
@@ -17,6 +18,7 @@
 
 from pistachiowell.core.client_budget import ClientLimits
 from pistachiowell.core.clients import CHECK_INTERVAL_S, IDLE_SLACK_S, Clients
+from pistachiowell.core.closing_protocol import QUIET_S
 from pistachiowell.core.http_protocol import bounded_protocol
 from pistachiowell.core.keep_alive import KeepAliveApp
 from pistachiowell.core.metrics import Metrics
@@ -26,6 +28,8 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 BROKEN = b"GET /broken HTTP/1.1\r\nhost: a\r\n\r\n"
+# Lingering for a time of zero: closing resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 LOSSES = ("connections.crossed", "connections.unread", "connections.unanswered")
 
 
@@ -153,6 +157,19 @@
     assert b" 200 " in await rig.receive(sock, b"0\r\n\r\n")
 
 
+async def test_caller_that_resets_its_connection_ends_the_stop(rig):
+    # A connection that another one resets at the same moment is closed as before.
+    (sock, reset), (other, kept) = [await rig.connect_kept() for _ in range(2)]
+    await anyio.sleep(QUIET_S)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.close()
+    for connection in (reset, kept):
+        connection.shutdown()
+    assert await rig.receive(other) == b""
+    await anyio.sleep(0.05)
+    assert reset not in rig.connections
+
+
 async def test_head_that_comes_in_parts_is_cut_at_a_stop(rig):
     sock, connection = await rig.connect_kept()
     sock.sendall(REQUEST[:10])
