--- a/pistachiowell/core/refusals.py
+++ b/pistachiowell/core/refusals.py
@@ -1,10 +1,16 @@
-"""Answers that refuse a request before any application has seen it whole."""
+"""Answers of a process itself, in place of those of an application."""
 
 import http
 
 import msgspec
 
-from pistachiowell.core.errors import BodyTimeout, InvalidRequest, Leaving, Overloaded
+from pistachiowell.core.errors import (
+    BodyTimeout,
+    InvalidRequest,
+    Leaving,
+    Overloaded,
+    ServerFailed,
+)
 
 RETRY_AFTER_S = 0.5
 
@@ -46,5 +52,8 @@
     _encode(Leaving("The process stops before the request can run.")),
     b"retry-after: %.3f" % RETRY_AFTER_S,
 )
+UNANSWERED = refusal(
+    502, _encode(ServerFailed("The process stops before the answer has begun."))
+)
 INVALID = refusal(400, _encode(InvalidRequest("The request is not valid HTTP.")))
 TOO_SLOW = refusal(408, _encode(BodyTimeout("The request did not arrive in time.")))
--- a/pistachiowell/gateway/relay.py
+++ b/pistachiowell/gateway/relay.py
@@ -7,6 +7,7 @@
 
 from pistachiowell.core.lingering import LingeringTransport
 from pistachiowell.core.logs import part_logger
+from pistachiowell.core.refusals import UNANSWERED
 
 # Accepting takes about a millisecond within a data centre. A caller waits for this
 # longer only if the gateway is overloaded or unreachable.
@@ -81,17 +82,19 @@
     """The connection of the caller.
 
     Attributes:
+        has_answer: Whether anything was written to the caller.
         has_request: Whether anything that the caller has sent was read.
         serve: Function of the transport that serves the connection here after all.
         traffic: The ``ConnectionTraffic``; None to count no bytes.
     """
 
-    __slots__ = ("_closing", "has_request", "serve", "traffic")
+    __slots__ = ("_closing", "has_answer", "has_request", "serve", "traffic")
 
     def __init__(self, relay, serve):
         super().__init__(relay)
         self.serve = serve
         self._closing = None
+        self.has_answer = False
         self.has_request = False
         self.traffic = relay.link.connection_traffic()
 
@@ -137,6 +140,7 @@
 
     def buffer_updated(self, nbytes):
         """Passes on a part of the answer."""
+        self.other.has_answer = True
         if self.other.traffic is not None:
             self.other.traffic.add(nbytes)
         super().buffer_updated(nbytes)
@@ -263,9 +267,14 @@
             caller.transport.resume_reading()
 
     def end(self):
-        """Closes all relayed connections."""
+        """Closes all relayed connections, with an error where nothing was answered."""
         for caller in list(self._callers):
-            caller.transport.abort()
+            if caller.has_request and not caller.has_answer:
+                caller.transport.write(UNANSWERED)
+                # Its end ends the connection of the caller after that.
+                caller.other.transport.abort()
+            else:
+                caller.transport.abort()
 
     def remove(self, caller):
         """Forgets a relayed connection that is closed."""
--- a/pistachiowell/gateway/tests/test_relay.py
+++ b/pistachiowell/gateway/tests/test_relay.py
@@ -209,6 +209,37 @@
     assert (gateway.transport.end, caller.transport.end) == ("abort", "close")
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("answer", [b"", b"half of an answer"])
+async def test_end_of_a_stop_leaves_a_relayed_request_without_an_answer(answer):
+    async def accept(stream):
+        async with stream:
+            await anyio.sleep_forever()
+
+    async with (
+        await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
+        anyio.create_task_group() as group,
+    ):
+        group.start_soon(listener.serve, accept)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        network = Network([f"127.0.0.1:{port}"])
+        transport = network.connect()
+        await anyio.sleep(0.1)
+        [caller] = network.relay._callers
+        feed(caller, b"request")
+        if answer:
+            feed(caller.other, answer)
+        network.relay.end()
+        await anyio.sleep(0.05)
+        [written] = transport.written
+        if answer:
+            assert (written, transport.end) == (answer, "abort")
+        else:
+            assert written.startswith(b"HTTP/1.1 502 ")
+            assert transport.end == "close"
+        group.cancel_scope.cancel()
+
+
 def test_relayed_bytes_count_for_the_link_also_if_the_other_gateway_dies(sides):
     caller, gateway = sides
     link = caller._relay.link
