--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PYTEST := $(BIN)/python -m pytest --durations=20
-# Tests on event loops mostly wait; each fleet of processes occupies several cores.
+# Tests on event loops mostly wait; each fleet of processes occupies about a core.
 LOOP_WORKERS ?= 6
 FLEET_WORKERS ?= 4
 
