--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PYTEST := $(BIN)/python -m pytest --durations=20
 # Tests on event loops mostly wait; each fleet of processes occupies about a core.
-LOOP_WORKERS ?= 6
+LOOP_WORKERS ?= 4
 FLEET_WORKERS ?= 4
 
 .PHONY: setup lint generated-check test quickstart bench format generate
