--- a/pistachiowell/core/closing_protocol.py
+++ b/pistachiowell/core/closing_protocol.py
@@ -77,13 +77,16 @@
             self._is_answering
             or transport.get_write_buffer_size() > 0
             or (transport.is_lingering and transport.unsent_bytes > 0)
-            or (self._promise.kept_s > 0 and self._is_awaited)
         )
 
     @property
-    def _is_awaited(self):
+    def is_kept(self):
         """Whether the caller may send on, as an answer has told it."""
-        return not self.transport.is_closing() and self._quiet_left_s() > 0
+        return (
+            self._promise.kept_s > 0
+            and not self.transport.is_closing()
+            and self._quiet_left_s() > 0
+        )
 
     def _expects_more(self):
         return self._is_in_message or self._has_request_ahead
--- a/pistachiowell/gateway/caller_servers.py
+++ b/pistachiowell/gateway/caller_servers.py
@@ -85,6 +85,11 @@
         """Number of connections whose answer was not handed to the kernel whole."""
         return sum(connection.owes_answer for connection in self.connections)
 
+    @property
+    def has_kept(self):
+        """Whether callers were told that an idle connection is kept for now."""
+        return any(connection.is_kept for connection in self.connections)
+
     async def serve(self):
         """Serves until all servers have ended."""
         async with anyio.create_task_group() as group:
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -79,15 +79,19 @@
         return self._parts.dispatch.opened_connections
 
     @property
-    def _has_work(self):
+    def _has_requests(self):
         parts = self._parts
         return (
             parts.stop.in_progress
             or parts.caller_servers.owed_answers
             or parts.load.relay.in_progress
-            or self.is_deputy
         )
 
+    @property
+    def _has_work(self):
+        has_kept = self._parts.caller_servers.has_kept
+        return self._has_requests or has_kept or self.is_deputy
+
     def failures(self, server_id):
         """Returns the failures of a server since its last success or ejection."""
         return self._parts.selection.failures(server_id)
@@ -123,7 +127,7 @@
             parts.stop.refuse_all()
             while self._has_work:
                 await anyio.sleep(STOP_CHECK_INTERVAL_S)
-        if self._has_work:
+        if self._has_requests:
             _log.warning(
                 "Requests are ended as the gateway stops.",
                 requests=parts.stop.in_progress,
--- a/pistachiowell/platform/tests/test_planned_stop.py
+++ b/pistachiowell/platform/tests/test_planned_stop.py
@@ -9,6 +9,7 @@
 import signal
 import time
 from contextlib import asynccontextmanager, suppress
+from functools import partial
 
 import anyio
 import httpcore
@@ -266,3 +267,32 @@
             status, headers, _ = await send("/read/b")
             assert (status, headers[b"connection"]) == (200, b"close")
             assert b"keep-alive" not in headers
+
+
+async def test_idle_connection_is_logged_as_an_answer_that_the_stop_ends(
+    start_rig, log_fields
+):
+    async with start_rig() as rig:
+        await rig.add_agent("agent-1")
+        await rig.add_server("pool-1", "pool", stream_events(1, 100))
+        await rig.add_gateway(leaving_notice_s=0.6, shutdown_timeout_s=1.4)
+        async with rig.keep() as send, anyio.create_task_group() as group:
+            group.start_soon(
+                partial(
+                    send,
+                    "/chat/x",
+                    "POST",
+                    b"prompt",
+                    Pistachiowell_Model="m",
+                    Pistachiowell_Token_Usage="100,500",
+                    Pistachiowell_Prefix_Hash="aa:60,bb:40",
+                )
+            )
+            await rig.until(lambda: rig.servers["pool-1"].requests)
+            # The stream has begun, and its answer has told the caller of an idle time.
+            await anyio.sleep(0.1)
+            await stop(rig)
+            # The caller may send until after the end of the stop.
+            await rig.until(lambda: "Gateway stops." in log_fields)
+        assert "Request has ended." in log_fields
+        assert "Requests are ended as the gateway stops." not in log_fields
