--- a/pistachiowell/bench/gateway_load.py
+++ b/pistachiowell/bench/gateway_load.py
@@ -26,7 +26,7 @@
     room_shares,
 )
 from pistachiowell.core.registry import Registry
-from pistachiowell.gateway.room_owner import TOLD_BUSY
+from pistachiowell.gateway.load import TOLD_BUSY
 
 WAYS = Registry("way to share load")
 
--- a/pistachiowell/bench/hedging.py
+++ b/pistachiowell/bench/hedging.py
@@ -15,7 +15,7 @@
 
 from absl import app
 
-from pistachiowell.gateway.time_reports import REPORT_INTERVAL_S
+from pistachiowell.gateway.load import REPORT_INTERVAL_S
 from pistachiowell.routing import (
     HEDGE_POLICIES,
     HedgeSettings,
--- a/pistachiowell/bench/load_reports.py
+++ b/pistachiowell/bench/load_reports.py
@@ -21,8 +21,7 @@
 from pistachiowell.bench.marginal_costs import REPEATS
 from pistachiowell.catalog import Evacuations
 from pistachiowell.core.clock import Stamp
-from pistachiowell.gateway.agents import LOAD_INTERVAL_S, AgentReports
-from pistachiowell.gateway.load_reports import LoadReporter
+from pistachiowell.gateway.load import LOAD_INTERVAL_S, AgentReports, LoadReporter
 from pistachiowell.routing import (
     REPORT_PACERS,
     EngineRequest,
--- a/pistachiowell/core/tests/test_errors.py
+++ b/pistachiowell/core/tests/test_errors.py
@@ -21,6 +21,6 @@
 @pytest.mark.parametrize("code", list(ErrorCode))
 def test_every_code_is_named_by_a_test_of_what_raises_it(code):
     name = error_class(code).__name__
-    tests = list(PACKAGE.glob("*/tests/test_*.py"))
+    tests = list(PACKAGE.glob("**/tests/test_*.py"))
     texts = [path.read_text(encoding="utf-8") for path in tests]
     assert any(f'"{code}"' in text or name in text for text in texts)
--- a/pistachiowell/core/tests/test_loop_watch.py
+++ b/pistachiowell/core/tests/test_loop_watch.py
@@ -14,7 +14,7 @@
 import pytest
 
 from pistachiowell.core.loop_watch import LoopWatch
-from pistachiowell.gateway.bounded_stream import BoundedBackend, HeadLimit
+from pistachiowell.gateway.connections.bounded_stream import BoundedBackend, HeadLimit
 from pistachiowell.routing import SILENCE_DETECTORS, SilenceSettings
 
 pytestmark = pytest.mark.anyio
--- a/pistachiowell/ctl/commands/where.py
+++ b/pistachiowell/ctl/commands/where.py
@@ -15,7 +15,7 @@
 from pistachiowell.ctl.command import FLAGS, Result, command
 from pistachiowell.ctl.table_files import require_args
 from pistachiowell.ctl.where_text import report_text
-from pistachiowell.gateway.placement_report import PlacementReport
+from pistachiowell.gateway.data import PlacementReport
 
 USAGE = (
     "where PATH|ROUTE --gateway HOST:PORT [--account NAME] [--host HOST]"
--- a/pistachiowell/gateway/agent.py
+++ b/pistachiowell/gateway/agent.py
@@ -7,26 +7,26 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.metrics_page import serve_metrics
 from pistachiowell.core.runtime import Runtime
-from pistachiowell.gateway.budget_owner import BudgetOwner
-from pistachiowell.gateway.closed_servers import ClosedServers
-from pistachiowell.gateway.cold_reports import ColdReports
-from pistachiowell.gateway.cold_servers import ColdServers
-from pistachiowell.gateway.evacuation_watch import EvacuationWatcher
-from pistachiowell.gateway.leaving_servers import LeavingServers
-from pistachiowell.gateway.limit_owner import LimitOwner
-from pistachiowell.gateway.linked_watch import LinkedWatches
-from pistachiowell.gateway.load_reports import LoadReporter
-from pistachiowell.gateway.move_judge import MoveJudge
-from pistachiowell.gateway.places import Places
-from pistachiowell.gateway.room_owner import RoomOwner
-from pistachiowell.gateway.silence_probes import SilenceProbes
-from pistachiowell.gateway.state import GatewayState
-from pistachiowell.gateway.store_returns import StoreReturns
-from pistachiowell.gateway.times_owner import TimesOwner
-from pistachiowell.gateway.watchers import (
+from pistachiowell.gateway.common import GatewayState
+from pistachiowell.gateway.feeds import (
     CatalogWatcher,
+    EvacuationWatcher,
+    LinkedWatches,
     MoveOrderWatcher,
     ServerWatcher,
+    StoreReturns,
+)
+from pistachiowell.gateway.load import LoadReporter, RoomOwner, TimesOwner
+from pistachiowell.gateway.money import BudgetOwner
+from pistachiowell.gateway.moves import MoveJudge
+from pistachiowell.gateway.servers import (
+    ClosedServers,
+    ColdReports,
+    ColdServers,
+    LeavingServers,
+    LimitOwner,
+    Places,
+    SilenceProbes,
 )
 from pistachiowell.router.crash_candidates import CrashCandidates
 from pistachiowell.routing import SHARED_SERVER_CRASHES
--- /dev/null
+++ b/pistachiowell/gateway/common/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room ``common`` of the gateway."""
--- a/pistachiowell/gateway/tests/test_agent_choice.py
+++ b/pistachiowell/gateway/common/tests/test_agent_choice.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from pistachiowell.gateway.ranked_agents import ranked_agents
+from pistachiowell.gateway.common.ranked_agents import ranked_agents
 from pistachiowell.membership import (
     MembershipSettings,
     PeerSubset,
--- a/pistachiowell/gateway/connections.py
+++ b/pistachiowell/gateway/connections/connections.py
@@ -14,7 +14,7 @@
 from pistachiowell.core.body_buffer import BodyBuffer, HeldBytes
 from pistachiowell.core.http_connections import has_extra_bytes
 from pistachiowell.engines import MAX_BODY_BYTES
-from pistachiowell.gateway.bounded_stream import BoundedBackend, HeadLimit
+from pistachiowell.gateway.connections.bounded_stream import BoundedBackend, HeadLimit
 from pistachiowell.store.calls import KEEP_ALIVE_OPTIONS
 
 MAX_IDLE_S = 8.0
--- a/pistachiowell/gateway/exchange.py
+++ b/pistachiowell/gateway/connections/exchange.py
@@ -11,7 +11,7 @@
     Overloaded,
     ServerFailed,
 )
-from pistachiowell.gateway.bounded_stream import EndlessHeadError
+from pistachiowell.gateway.connections.bounded_stream import EndlessHeadError
 from pistachiowell.store.calls import HTTP_ERRORS, error_text
 
 _CONNECT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout)
--- a/pistachiowell/gateway/forwarding.py
+++ b/pistachiowell/gateway/connections/forwarding.py
@@ -1,7 +1,7 @@
 """Forwards the answers of backend servers to callers."""
 
 from pistachiowell.core.errors import AnswerBroken, ServerFailed
-from pistachiowell.gateway.exchange import ConnectionBroken
+from pistachiowell.gateway.connections.exchange import ConnectionBroken
 
 SERVER_ERROR_STATUS = 500
 # Callers send a request again after these, as it has not run and never will.
--- /dev/null
+++ b/pistachiowell/gateway/connections/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room ``connections`` of the gateway."""
--- a/pistachiowell/gateway/tests/test_abandoned_requests.py
+++ b/pistachiowell/gateway/connections/tests/test_abandoned_requests.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from pistachiowell.gateway.connections import ServerConnection
+from pistachiowell.gateway.connections.connections import ServerConnection
 
 pytestmark = pytest.mark.anyio
 
--- a/pistachiowell/gateway/tests/test_late_reuse.py
+++ b/pistachiowell/gateway/connections/tests/test_late_reuse.py
@@ -13,7 +13,7 @@
 
 from pistachiowell.catalog import BackendServer
 from pistachiowell.core.loop_watch import LoopWatch
-from pistachiowell.gateway.connections import ConnectionPool
+from pistachiowell.gateway.connections.connections import ConnectionPool
 
 pytestmark = pytest.mark.anyio
 
--- a/pistachiowell/gateway/tests/test_relay.py
+++ b/pistachiowell/gateway/connections/tests/test_relay.py
@@ -13,8 +13,12 @@
 
 from pistachiowell.core.metrics import Metrics
 from pistachiowell.core.traffic import link_bytes
-from pistachiowell.gateway.link_load import LinkLoad
-from pistachiowell.gateway.relay import CallerSide, ConnectionRelay, GatewaySide
+from pistachiowell.gateway.connections.link_load import LinkLoad
+from pistachiowell.gateway.connections.relay import (
+    CallerSide,
+    ConnectionRelay,
+    GatewaySide,
+)
 
 
 class FakeTransport:
--- a/pistachiowell/gateway/evacuation_watch.py
+++ b/pistachiowell/gateway/feeds/evacuation_watch.py
@@ -8,8 +8,8 @@
 from pistachiowell.admission.cold import MAX_COLD_S
 from pistachiowell.core.errors import STORE_ERRORS
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.cold_servers import longest_cold_s
-from pistachiowell.gateway.watchers import StoreObserver
+from pistachiowell.gateway.feeds.watchers import StoreObserver
+from pistachiowell.gateway.servers import longest_cold_s
 from pistachiowell.schema.generated.messages_gateway import EvacuationEnd
 from pistachiowell.store.era import REVISION_BITS
 from pistachiowell.store.follow import follow_collection
--- a/pistachiowell/gateway/server_feed.py
+++ b/pistachiowell/gateway/feeds/server_feed.py
@@ -9,7 +9,7 @@
 import anyio
 
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.store_fallback import wait_for_stable_agents
+from pistachiowell.gateway.feeds.store_fallback import wait_for_stable_agents
 
 CHECK_INTERVAL_S = 0.25
 LONG_WAIT_S = 25.0
--- /dev/null
+++ b/pistachiowell/gateway/feeds/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room ``feeds`` of the gateway."""
--- a/pistachiowell/gateway/tests/test_evacuation_watch.py
+++ b/pistachiowell/gateway/feeds/tests/test_evacuation_watch.py
@@ -6,12 +6,12 @@
 
 from pistachiowell.catalog import BackendServer, Evacuations, Service
 from pistachiowell.core.metrics import Metrics
-from pistachiowell.gateway.cold_servers import ColdServers
-from pistachiowell.gateway.evacuation_watch import (
+from pistachiowell.gateway.feeds.evacuation_watch import (
     EvacuationWatcher,
     encode_history,
     encode_version,
 )
+from pistachiowell.gateway.servers.cold_servers import ColdServers
 from pistachiowell.platform import evacuations as codec
 from pistachiowell.schema.generated.messages_gateway import AgentReport, EvacuationEnd
 
--- a/pistachiowell/gateway/tests/test_server_feed.py
+++ b/pistachiowell/gateway/feeds/tests/test_server_feed.py
@@ -9,8 +9,12 @@
 import anyio
 import pytest
 
-from pistachiowell.gateway import store_fallback
-from pistachiowell.gateway.server_feed import LONG_WAIT_S, MAX_DIFFERENCE_S, ServerFeed
+from pistachiowell.gateway.feeds import store_fallback
+from pistachiowell.gateway.feeds.server_feed import (
+    LONG_WAIT_S,
+    MAX_DIFFERENCE_S,
+    ServerFeed,
+)
 
 pytestmark = pytest.mark.anyio
 
--- a/pistachiowell/gateway/tests/test_store_fallback.py
+++ b/pistachiowell/gateway/feeds/tests/test_store_fallback.py
@@ -3,8 +3,8 @@
 import anyio
 import pytest
 
-from pistachiowell.gateway import store_fallback
-from pistachiowell.gateway.store_fallback import StoreFallback
+from pistachiowell.gateway.feeds import store_fallback
+from pistachiowell.gateway.feeds.store_fallback import StoreFallback
 
 pytestmark = pytest.mark.anyio
 
--- a/pistachiowell/gateway/tests/test_store_returns.py
+++ b/pistachiowell/gateway/feeds/tests/test_store_returns.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 from pistachiowell.core.metrics import Metrics
-from pistachiowell.gateway.store_returns import StoreReturns
+from pistachiowell.gateway.feeds.store_returns import StoreReturns
 from pistachiowell.schema.generated.messages_budgets import StoreReturned
 from pistachiowell.store.era import StoreEra
 from pistachiowell.wire import AcknowledgedReports, Handlers, LinkSet
--- a/pistachiowell/gateway/gateway.py
+++ b/pistachiowell/gateway/gateway.py
@@ -6,10 +6,10 @@
 
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.metrics_page import serve_metrics
-from pistachiowell.gateway.caller_servers import split_address
+from pistachiowell.gateway.connections import split_address
 from pistachiowell.gateway.gateway_parts import GatewayParts
-from pistachiowell.gateway.planned_stop import ENDING_S
-from pistachiowell.gateway.where_page import WHERE_PATH
+from pistachiowell.gateway.stops import ENDING_S
+from pistachiowell.gateway.where import WHERE_PATH
 from pistachiowell.router.fleet import ROUTERS
 from pistachiowell.signals.watch import SignalWatch
 from pistachiowell.store.registration import (
--- a/pistachiowell/gateway/gateway_parts.py
+++ b/pistachiowell/gateway/gateway_parts.py
@@ -4,45 +4,46 @@
 
 from pistachiowell.core.loop_watch import LoopWatch
 from pistachiowell.core.runtime import Runtime
-from pistachiowell.gateway.agents import AgentReports
-from pistachiowell.gateway.app import GatewayApp
-from pistachiowell.gateway.caller_servers import CallerServers, make_server
-from pistachiowell.gateway.closed_servers import ClosedServers
-from pistachiowell.gateway.cold_servers import ColdServers
-from pistachiowell.gateway.crash_relays import CrashRelays
+from pistachiowell.gateway.common import GatewayState
+from pistachiowell.gateway.connections import CallerServers, ReadyApp, make_server
 from pistachiowell.gateway.deputy import Deputy
-from pistachiowell.gateway.dispatch import Dispatch
-from pistachiowell.gateway.evacuation_watch import EvacuationWatcher
-from pistachiowell.gateway.gateway_count import GatewayCount
-from pistachiowell.gateway.grant_notices import GrantMemory
-from pistachiowell.gateway.hedges import Hedges
-from pistachiowell.gateway.holder_states import HolderDirectory
-from pistachiowell.gateway.load_sharing import LoadSharing
-from pistachiowell.gateway.lost_grants import GrantUseAnswers
-from pistachiowell.gateway.moves import GatewayMoves
-from pistachiowell.gateway.places import Places
-from pistachiowell.gateway.planned_stop import PlannedStop
-from pistachiowell.gateway.ready_app import ReadyApp
-from pistachiowell.gateway.reservation_checks import ReservationAnswers
-from pistachiowell.gateway.retry_shares import RetryShares
-from pistachiowell.gateway.selection import Selection
-from pistachiowell.gateway.selection_parts import SelectionSources
-from pistachiowell.gateway.server_crashes import ServerCrashes
-from pistachiowell.gateway.server_feed import ServerFeed
-from pistachiowell.gateway.server_limits import ServerLimits
-from pistachiowell.gateway.server_states import ServerStates
-from pistachiowell.gateway.silence import SilenceMonitor
-from pistachiowell.gateway.spending import GatewaySpending
-from pistachiowell.gateway.state import GatewayState
-from pistachiowell.gateway.store_fallback import StoreFallback
-from pistachiowell.gateway.store_returns import StoreReturns
-from pistachiowell.gateway.watchers import (
+from pistachiowell.gateway.feeds import (
     CatalogWatcher,
+    EvacuationWatcher,
     MoveOrderWatcher,
+    ServerFeed,
     ServerWatcher,
+    StoreFallback,
+    StoreReturns,
+)
+from pistachiowell.gateway.load import (
+    AgentReports,
+    GatewayCount,
+    LoadSharing,
+    RetryShares,
+)
+from pistachiowell.gateway.money import (
+    GatewaySpending,
+    GrantMemory,
+    GrantUseAnswers,
+    HolderDirectory,
+    ReservationAnswers,
+)
+from pistachiowell.gateway.moves import GatewayMoves
+from pistachiowell.gateway.requests import Dispatch, GatewayApp, Hedges
+from pistachiowell.gateway.selection import Selection, SelectionSources
+from pistachiowell.gateway.servers import (
+    ClosedServers,
+    ColdServers,
+    CrashRelays,
+    Places,
+    ServerCrashes,
+    ServerLimits,
+    ServerStates,
+    SilenceMonitor,
 )
-from pistachiowell.gateway.where import WhereReporter, WhereSources
-from pistachiowell.gateway.where_page import WherePage
+from pistachiowell.gateway.stops import PlannedStop
+from pistachiowell.gateway.where import WherePage, WhereReporter, WhereSources
 from pistachiowell.membership import PeerSubset, SubsetSettings
 from pistachiowell.router.crash_candidates import CrashCandidates
 from pistachiowell.router.fleet import AGENTS, Fleet
--- a/pistachiowell/gateway/agents.py
+++ b/pistachiowell/gateway/load/agents.py
@@ -6,14 +6,14 @@
 
 from pistachiowell.core.errors import LinkLost, LinkTimeout
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.load_reports import (
+from pistachiowell.gateway.common import ranked_agents
+from pistachiowell.gateway.load.load_reports import (
     change_message,
     decode_changes,
     decode_loads,
     encode_load,
     reads_load_changes,
 )
-from pistachiowell.gateway.ranked_agents import ranked_agents
 from pistachiowell.routing import NO_LOAD, LoadDecoder, LoadEncoder
 from pistachiowell.schema.generated.messages_gateway import (
     AgentReport,
--- a/pistachiowell/gateway/load_reports.py
+++ b/pistachiowell/gateway/load/load_reports.py
@@ -8,7 +8,7 @@
 
 from pistachiowell.core.errors import LinkLost, MessageInvalid
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.evacuation_watch import encode_history, encode_version
+from pistachiowell.gateway.feeds import encode_history, encode_version
 from pistachiowell.routing import (
     REPORT_PACERS,
     EncodedLoads,
--- a/pistachiowell/gateway/load_sharing.py
+++ b/pistachiowell/gateway/load/load_sharing.py
@@ -14,9 +14,8 @@
 )
 from pistachiowell.core.http_protocol import TRAFFIC
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.link_load import LinkLoad
-from pistachiowell.gateway.relay import ConnectionRelay
-from pistachiowell.gateway.room_reports import RoomReports
+from pistachiowell.gateway.connections import ConnectionRelay, LinkLoad
+from pistachiowell.gateway.load.room_reports import RoomReports
 
 _log = part_logger("relay")
 
--- a/pistachiowell/gateway/room_owner.py
+++ b/pistachiowell/gateway/load/room_owner.py
@@ -9,7 +9,7 @@
 from pistachiowell.admission import room_shares
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.report_rounds import ReportRounds, RoundSettings
+from pistachiowell.gateway.common import ReportRounds, RoundSettings
 from pistachiowell.schema.generated.messages_gateway import (
     GatewayRoom,
     PeerRoom,
--- a/pistachiowell/gateway/room_reports.py
+++ b/pistachiowell/gateway/load/room_reports.py
@@ -3,7 +3,7 @@
 import anyio
 
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.ranked_agents import tell_agents
+from pistachiowell.gateway.common import tell_agents
 from pistachiowell.schema.generated.messages_gateway import GatewayRoom, PeerRooms
 
 # A report counts for 1.5 s, so each may come 0.7 s late. At 148 bytes each, an agent
--- /dev/null
+++ b/pistachiowell/gateway/load/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room ``load`` of the gateway."""
--- a/pistachiowell/gateway/tests/test_load_reports.py
+++ b/pistachiowell/gateway/load/tests/test_load_reports.py
@@ -11,8 +11,8 @@
 import pytest
 
 from pistachiowell.catalog import Evacuations
-from pistachiowell.gateway.agents import AgentReports
-from pistachiowell.gateway.load_reports import LoadReporter, encode_load
+from pistachiowell.gateway.load.agents import AgentReports
+from pistachiowell.gateway.load.load_reports import LoadReporter, encode_load
 from pistachiowell.routing import NO_LOAD, EngineLoad
 from pistachiowell.schema.generated.messages_gateway import (
     AgentReport,
--- a/pistachiowell/gateway/tests/test_room_reports.py
+++ b/pistachiowell/gateway/load/tests/test_room_reports.py
@@ -10,7 +10,7 @@
 import anyio
 import pytest
 
-from pistachiowell.gateway.room_owner import MAX_TOLD, RoomOwner
+from pistachiowell.gateway.load.room_owner import MAX_TOLD, RoomOwner
 from pistachiowell.schema.generated.messages_gateway import GatewayRoom
 from pistachiowell.wire import Handlers, LinkSet
 
--- a/pistachiowell/gateway/tests/test_time_reports.py
+++ b/pistachiowell/gateway/load/tests/test_time_reports.py
@@ -11,9 +11,9 @@
 import pytest
 
 from pistachiowell.core.metrics import Metrics
-from pistachiowell.gateway import time_reports
-from pistachiowell.gateway.time_reports import TimeReports
-from pistachiowell.gateway.times_owner import TimesOwner
+from pistachiowell.gateway.load import time_reports
+from pistachiowell.gateway.load.time_reports import TimeReports
+from pistachiowell.gateway.load.times_owner import TimesOwner
 from pistachiowell.routing import HEDGE_POLICIES, HedgeSettings
 from pistachiowell.schema.generated.messages_gateway import (
     GatewayTimes,
--- a/pistachiowell/gateway/time_reports.py
+++ b/pistachiowell/gateway/load/time_reports.py
@@ -6,7 +6,7 @@
 import anyio
 
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.ranked_agents import tell_agents
+from pistachiowell.gateway.common import tell_agents
 from pistachiowell.routing import KindSummary
 from pistachiowell.schema.generated.messages_gateway import (
     GatewayTimes,
--- a/pistachiowell/gateway/times_owner.py
+++ b/pistachiowell/gateway/load/times_owner.py
@@ -6,7 +6,7 @@
 
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.report_rounds import ReportRounds, RoundSettings
+from pistachiowell.gateway.common import ReportRounds, RoundSettings
 from pistachiowell.routing import HedgeSettings, KindTimes, TimesSum
 from pistachiowell.schema.generated.messages_gateway import (
     GatewayTimes,
--- a/pistachiowell/gateway/budget_owner.py
+++ b/pistachiowell/gateway/money/budget_owner.py
@@ -27,12 +27,12 @@
     PistachiowellError,
 )
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.grant_notices import GrantTeller, NoticedGrants
-from pistachiowell.gateway.holder_states import HolderStates
-from pistachiowell.gateway.lost_grants import LostGrantRecovery
-from pistachiowell.gateway.refusal_log import RefusalLog
-from pistachiowell.gateway.reservation_checks import ReservationChecks
-from pistachiowell.gateway.served_runs import ServedRunsWriter
+from pistachiowell.gateway.money.grant_notices import GrantTeller, NoticedGrants
+from pistachiowell.gateway.money.holder_states import HolderStates
+from pistachiowell.gateway.money.lost_grants import LostGrantRecovery
+from pistachiowell.gateway.money.refusal_log import RefusalLog
+from pistachiowell.gateway.money.reservation_checks import ReservationChecks
+from pistachiowell.gateway.money.served_runs import ServedRunsWriter
 from pistachiowell.router.grant_pages import GrantPages
 from pistachiowell.schema.generated.messages_budgets import (
     GrantNotice,
--- a/pistachiowell/gateway/grant_notices.py
+++ b/pistachiowell/gateway/money/grant_notices.py
@@ -14,7 +14,7 @@
 from pistachiowell.budgets.page import RestoreClosed, RestoreGrant, page_number
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.ranked_agents import tell_agents
+from pistachiowell.gateway.common import tell_agents
 from pistachiowell.schema.generated.messages_budgets import GrantNotice
 
 # Copies that the store returns from are younger.
--- a/pistachiowell/gateway/spending.py
+++ b/pistachiowell/gateway/money/spending.py
@@ -10,7 +10,7 @@
     error_class,
 )
 from pistachiowell.core.ids import new_id
-from pistachiowell.gateway.ranked_agents import ranked_agents
+from pistachiowell.gateway.common import ranked_agents
 from pistachiowell.router.reservation import Reservation
 from pistachiowell.router.settlements import Settlements
 from pistachiowell.schema.generated.messages_budgets import (
--- /dev/null
+++ b/pistachiowell/gateway/money/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room ``money`` of the gateway."""
--- a/pistachiowell/gateway/tests/test_budget_owner.py
+++ b/pistachiowell/gateway/money/tests/test_budget_owner.py
@@ -21,7 +21,7 @@
 )
 from pistachiowell.core.errors import PistachiowellError
 from pistachiowell.core.runtime import Runtime
-from pistachiowell.gateway.budget_owner import BudgetOwner
+from pistachiowell.gateway.money.budget_owner import BudgetOwner
 from pistachiowell.schema.generated.messages_budgets import (
     ReserveTokens,
     SettleTokens,
--- a/pistachiowell/gateway/tests/test_holder_states.py
+++ b/pistachiowell/gateway/money/tests/test_holder_states.py
@@ -10,7 +10,7 @@
 import pytest
 
 from pistachiowell.core.errors import LinkLost
-from pistachiowell.gateway.holder_states import (
+from pistachiowell.gateway.money.holder_states import (
     STATE_KEPT_S,
     HolderDirectory,
     HolderStates,
--- a/pistachiowell/gateway/tests/test_reservation_checks.py
+++ b/pistachiowell/gateway/money/tests/test_reservation_checks.py
@@ -13,7 +13,7 @@
 from pistachiowell.budgets.page import TopUp, apply_changes
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.metrics import Metrics
-from pistachiowell.gateway.reservation_checks import (
+from pistachiowell.gateway.money.reservation_checks import (
     ReservationAnswers,
     ReservationChecks,
 )
--- a/pistachiowell/gateway/tests/test_served_runs.py
+++ b/pistachiowell/gateway/money/tests/test_served_runs.py
@@ -14,7 +14,7 @@
 from pistachiowell.budgets.lost_runs import LostRuns
 from pistachiowell.budgets.served_runs import COLLECTION, UNLINKED_S
 from pistachiowell.core.errors import OwnerUnready
-from pistachiowell.gateway.served_runs import OUTAGE_CACHE_S, ServedRunsWriter
+from pistachiowell.gateway.money.served_runs import OUTAGE_CACHE_S, ServedRunsWriter
 from pistachiowell.schema.generated.objects_budgets import ServedRuns
 from pistachiowell.store.memory import MemoryStore
 from pistachiowell.wire import LinkSet
--- a/pistachiowell/gateway/move_judge.py
+++ b/pistachiowell/gateway/moves/move_judge.py
@@ -6,8 +6,8 @@
 
 from pistachiowell.core.errors import STORE_ERRORS
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.exposure_ledger import ExposureLedger
-from pistachiowell.gateway.move_orders import MoveState, has_lost_status
+from pistachiowell.gateway.moves.exposure_ledger import ExposureLedger
+from pistachiowell.gateway.moves.move_orders import MoveState, has_lost_status
 from pistachiowell.moves.exposure import ExposureSettings
 from pistachiowell.moves.traffic_tokens import TRAFFIC_TOKEN_S
 from pistachiowell.moves.trial import TrialEnd, TrialSettings, VersionTrial
--- a/pistachiowell/gateway/moves.py
+++ b/pistachiowell/gateway/moves/moves.py
@@ -9,7 +9,7 @@
 from pistachiowell.budgets.page_owner import rank_owners
 from pistachiowell.core.errors import PistachiowellError
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.move_orders import MoveState, has_lost_status
+from pistachiowell.gateway.moves.move_orders import MoveState, has_lost_status
 from pistachiowell.moves.standings import VersionStandings
 from pistachiowell.moves.tracker import MoveTracker
 from pistachiowell.router.answer_counts import count_messages
--- /dev/null
+++ b/pistachiowell/gateway/moves/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room ``moves`` of the gateway."""
--- a/pistachiowell/gateway/tests/test_exposure.py
+++ b/pistachiowell/gateway/moves/tests/test_exposure.py
@@ -12,9 +12,9 @@
 
 import pytest
 
-from pistachiowell.gateway.move_orders import MoveOrder, MoveState
-from pistachiowell.gateway.moves import GatewayMoves
-from pistachiowell.gateway.tests.test_moves import (
+from pistachiowell.gateway.moves.move_orders import MoveOrder, MoveState
+from pistachiowell.gateway.moves.moves import GatewayMoves
+from pistachiowell.gateway.moves.tests.test_moves import (
     DURATION_S,
     SERVERS,
     Simulation,
--- a/pistachiowell/gateway/tests/test_moves.py
+++ b/pistachiowell/gateway/moves/tests/test_moves.py
@@ -13,11 +13,11 @@
 
 from pistachiowell.catalog import BackendServer, ServerRegistry
 from pistachiowell.core.errors import DeadlineExceeded, LinkLost, Overloaded
-from pistachiowell.gateway.move_judge import MoveJudge
-from pistachiowell.gateway.move_orders import MoveOrder, MoveState
-from pistachiowell.gateway.moves import GatewayMoves
-from pistachiowell.gateway.selection import Selection
-from pistachiowell.gateway.selection_parts import SelectionSources
+from pistachiowell.gateway.moves.move_judge import MoveJudge
+from pistachiowell.gateway.moves.move_orders import MoveOrder, MoveState
+from pistachiowell.gateway.moves.moves import GatewayMoves
+from pistachiowell.gateway.selection.selection import Selection
+from pistachiowell.gateway.selection.selection_parts import SelectionSources
 from pistachiowell.moves.evidence import AnswerPhase
 from pistachiowell.store.era import REVISION_BITS
 from pistachiowell.store.memory import ObjectTable
--- a/pistachiowell/gateway/app.py
+++ b/pistachiowell/gateway/requests/app.py
@@ -11,10 +11,10 @@
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.loop_watch import time_limit
 from pistachiowell.core.web import CallerGoneError, watch_disconnect
-from pistachiowell.gateway.answer_writer import AnswerWriter
-from pistachiowell.gateway.planned_stop import StopRefusal
-from pistachiowell.gateway.request_reader import RequestReader
-from pistachiowell.gateway.run import Usage
+from pistachiowell.gateway.requests.answer_writer import AnswerWriter
+from pistachiowell.gateway.requests.request_reader import RequestReader
+from pistachiowell.gateway.requests.run import Usage
+from pistachiowell.gateway.stops import StopRefusal
 
 _log = part_logger("gateway")
 
--- a/pistachiowell/gateway/attempt_records.py
+++ b/pistachiowell/gateway/requests/attempt_records.py
@@ -10,9 +10,8 @@
     PistachiowellError,
 )
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.exchange import NotConnected
-from pistachiowell.gateway.server_limits import ServerClosed
-from pistachiowell.gateway.silence import SilentServer
+from pistachiowell.gateway.connections import NotConnected
+from pistachiowell.gateway.servers import ServerClosed, SilentServer
 from pistachiowell.routing import AttemptFailure
 
 _log = part_logger("dispatch")
--- a/pistachiowell/gateway/dispatch.py
+++ b/pistachiowell/gateway/requests/dispatch.py
@@ -9,22 +9,28 @@
     ServerFailed,
 )
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.attempt_records import attempt_failure, recorded_attempt
-from pistachiowell.gateway.connections import ConnectionPool
-from pistachiowell.gateway.exchange import Exchange
-from pistachiowell.gateway.forwarding import AnswerForwarder, ServerErrorAnswer
-from pistachiowell.gateway.late_heads import LateHeads
-from pistachiowell.gateway.late_prompts import TooLate
-from pistachiowell.gateway.planned_stop import StopRefusal
-from pistachiowell.gateway.refused_streams import (
+from pistachiowell.gateway.connections import (
+    AnswerForwarder,
+    ConnectionPool,
+    Exchange,
+    ServerErrorAnswer,
+)
+from pistachiowell.gateway.requests.attempt_records import (
+    attempt_failure,
+    recorded_attempt,
+)
+from pistachiowell.gateway.requests.late_heads import LateHeads
+from pistachiowell.gateway.requests.refused_streams import (
     NOT_RUN,
     has_arrived,
     has_no_server,
     is_refused_stream,
     wait_for_resend,
 )
-from pistachiowell.gateway.run import Run
-from pistachiowell.gateway.server_limits import NoRoom
+from pistachiowell.gateway.requests.run import Run
+from pistachiowell.gateway.selection import TooLate
+from pistachiowell.gateway.servers import NoRoom
+from pistachiowell.gateway.stops import StopRefusal
 from pistachiowell.routing import SPLITTERS
 
 DEFAULT_RETRY_AFTER_S = 0.3
--- a/pistachiowell/gateway/hedges.py
+++ b/pistachiowell/gateway/requests/hedges.py
@@ -7,10 +7,10 @@
 
 from pistachiowell.core.errors import PistachiowellError
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.attempt_records import attempt_failure
-from pistachiowell.gateway.forwarding import ServerErrorAnswer
-from pistachiowell.gateway.race import Race
-from pistachiowell.gateway.time_reports import TimeReports
+from pistachiowell.gateway.connections import ServerErrorAnswer
+from pistachiowell.gateway.load import TimeReports
+from pistachiowell.gateway.requests.attempt_records import attempt_failure
+from pistachiowell.gateway.requests.race import Race
 from pistachiowell.routing import HEDGE_POLICIES, HedgeDenial, HedgeSettings
 
 _log = part_logger("hedges")
--- a/pistachiowell/gateway/refused_streams.py
+++ b/pistachiowell/gateway/requests/refused_streams.py
@@ -8,8 +8,8 @@
 
 from pistachiowell.core.errors import NoServer
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.exchange import NotConnected
-from pistachiowell.gateway.server_limits import NoRoom, ServerClosed
+from pistachiowell.gateway.connections import NotConnected
+from pistachiowell.gateway.servers import NoRoom, ServerClosed
 
 RESEND_INTERVAL_S = 0.2
 NOT_RUN = "no"
--- a/pistachiowell/gateway/request_reader.py
+++ b/pistachiowell/gateway/requests/request_reader.py
@@ -14,8 +14,8 @@
     Unauthorized,
 )
 from pistachiowell.core.web import read_body
-from pistachiowell.gateway.load_sharing import overload_text
-from pistachiowell.gateway.messages import GatewayRequest, request_rank
+from pistachiowell.gateway.data import GatewayRequest, request_rank
+from pistachiowell.gateway.load import overload_text
 from pistachiowell.routing import fingerprint, part_names
 
 NOT_READY_RETRY_AFTER_S = 0.5
--- a/pistachiowell/gateway/run.py
+++ b/pistachiowell/gateway/requests/run.py
@@ -1,6 +1,6 @@
 """State of one request while it is dispatched."""
 
-from pistachiowell.gateway.events import EventReader
+from pistachiowell.gateway.requests.events import EventReader
 from pistachiowell.routing import RETRIES
 
 
--- /dev/null
+++ b/pistachiowell/gateway/requests/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room ``requests`` of the gateway."""
--- a/pistachiowell/gateway/tests/test_heads_without_end.py
+++ b/pistachiowell/gateway/requests/tests/test_heads_without_end.py
@@ -13,8 +13,8 @@
 import anyio
 import pytest
 
-from pistachiowell.gateway.connections import ServerConnection
-from pistachiowell.gateway.late_heads import LATE_HEAD_S, LateHeads
+from pistachiowell.gateway.connections.connections import ServerConnection
+from pistachiowell.gateway.requests.late_heads import LATE_HEAD_S, LateHeads
 from pistachiowell.platform import headers
 
 pytestmark = pytest.mark.anyio
--- a/pistachiowell/gateway/tests/test_race.py
+++ b/pistachiowell/gateway/requests/tests/test_race.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from pistachiowell.gateway.race import Race
+from pistachiowell.gateway.requests.race import Race
 
 pytestmark = pytest.mark.anyio
 
--- a/pistachiowell/gateway/expected_choice.py
+++ b/pistachiowell/gateway/selection/expected_choice.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 
 from pistachiowell.admission import ClosedBy
-from pistachiowell.gateway.selection_parts import engine_request
-from pistachiowell.gateway.server_filters import ServerFilters
+from pistachiowell.gateway.selection.selection_parts import engine_request
+from pistachiowell.gateway.servers import ServerFilters
 from pistachiowell.routing import even_odds, place_crash_candidate
 
 # Reasons for ``left_out``, which operators read.
--- a/pistachiowell/gateway/late_prompts.py
+++ b/pistachiowell/gateway/selection/late_prompts.py
@@ -1,7 +1,7 @@
 """Refuses, at a gateway, prompts that no engine can begin before their deadline."""
 
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.server_limits import NoRoom
+from pistachiowell.gateway.servers import NoRoom
 from pistachiowell.routing import LateRefusal, LateSettings
 
 TOO_LATE_TEXT = "No server can begin the request in the time that it has left."
--- a/pistachiowell/gateway/selection.py
+++ b/pistachiowell/gateway/selection/selection.py
@@ -1,9 +1,9 @@
 """Selection of the backend server for each attempt of a request."""
 
-from pistachiowell.gateway.attempt import Choice
-from pistachiowell.gateway.selection_parts import engine_request, make_parts
-from pistachiowell.gateway.selection_records import SelectionRecords
-from pistachiowell.gateway.server_filters import ServerFilters
+from pistachiowell.gateway.selection.attempt import Choice
+from pistachiowell.gateway.selection.selection_parts import engine_request, make_parts
+from pistachiowell.gateway.selection.selection_records import SelectionRecords
+from pistachiowell.gateway.servers import ServerFilters
 from pistachiowell.routing import place_crash_candidate
 
 
--- a/pistachiowell/gateway/selection_parts.py
+++ b/pistachiowell/gateway/selection/selection_parts.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, fields
 
-from pistachiowell.gateway.late_prompts import LatePrompts
+from pistachiowell.gateway.selection.late_prompts import LatePrompts
 from pistachiowell.routing import (
     PICKERS,
     PLACERS,
--- a/pistachiowell/gateway/selection_records.py
+++ b/pistachiowell/gateway/selection/selection_records.py
@@ -1,9 +1,9 @@
 """Records the attempts in the state that the choice of a server relies on."""
 
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.attempt import Attempt
-from pistachiowell.gateway.exchange import NotConnected
-from pistachiowell.gateway.server_filters import registration_of
+from pistachiowell.gateway.connections import NotConnected
+from pistachiowell.gateway.selection.attempt import Attempt
+from pistachiowell.gateway.servers import registration_of
 from pistachiowell.routing import EngineRun
 
 # Codes of errors that count against the health of a server.
--- /dev/null
+++ b/pistachiowell/gateway/selection/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room ``selection`` of the gateway."""
--- a/pistachiowell/gateway/tests/test_hedge_choice.py
+++ b/pistachiowell/gateway/selection/tests/test_hedge_choice.py
@@ -9,9 +9,9 @@
 import pytest
 
 from pistachiowell.catalog import BackendServer
-from pistachiowell.gateway.exchange import NotConnected
-from pistachiowell.gateway.selection import Selection
-from pistachiowell.gateway.selection_parts import SelectionSources
+from pistachiowell.gateway.connections.exchange import NotConnected
+from pistachiowell.gateway.selection.selection import Selection
+from pistachiowell.gateway.selection.selection_parts import SelectionSources
 
 SERVERS = [
     BackendServer(f"s{number}", "desk", "127.0.0.1", 80 + number, "east", slots=4)
--- a/pistachiowell/gateway/tests/test_late_prompts.py
+++ b/pistachiowell/gateway/selection/tests/test_late_prompts.py
@@ -10,9 +10,9 @@
 import pytest
 
 from pistachiowell.catalog import BackendServer, EngineLimits
-from pistachiowell.gateway.late_prompts import TooLate
-from pistachiowell.gateway.selection import Selection
-from pistachiowell.gateway.selection_parts import SelectionSources
+from pistachiowell.gateway.selection.late_prompts import TooLate
+from pistachiowell.gateway.selection.selection import Selection
+from pistachiowell.gateway.selection.selection_parts import SelectionSources
 from pistachiowell.routing import EngineLoad
 
 NAMES = ["s0", "s1"]
--- a/pistachiowell/gateway/cold_reports.py
+++ b/pistachiowell/gateway/servers/cold_reports.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from pistachiowell.gateway.cold_servers import encode_cold, shorten_cold
+from pistachiowell.gateway.servers.cold_servers import encode_cold, shorten_cold
 from pistachiowell.schema.generated.messages_gateway import ServersCold
 
 MERGE_S = 0.1
--- a/pistachiowell/gateway/cold_servers.py
+++ b/pistachiowell/gateway/servers/cold_servers.py
@@ -12,7 +12,7 @@
 )
 from pistachiowell.admission.cold import MAX_COLD_S, MAX_SERVERS, STALE_S
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.closed_servers import incarnation_of
+from pistachiowell.gateway.servers.closed_servers import incarnation_of
 from pistachiowell.schema.generated.messages_gateway import ServerCold, ServersCold
 
 DEFAULT_COLD_S = 3.0
--- a/pistachiowell/gateway/crash_relays.py
+++ b/pistachiowell/gateway/servers/crash_relays.py
@@ -2,7 +2,7 @@
 
 from pistachiowell.core.errors import LinkLost
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.ranked_agents import AGENTS_TOLD, ranked_agents
+from pistachiowell.gateway.common import AGENTS_TOLD, ranked_agents
 
 TOPIC = "crashes"
 
--- a/pistachiowell/gateway/server_crashes.py
+++ b/pistachiowell/gateway/servers/server_crashes.py
@@ -8,8 +8,8 @@
 
 from pistachiowell.core.errors import PistachiowellError, Quarantined
 from pistachiowell.engines import CrashDetection
-from pistachiowell.gateway.exchange import ConnectionBroken, NotConnected
-from pistachiowell.gateway.server_limits import ServerClosed
+from pistachiowell.gateway.connections import ConnectionBroken, NotConnected
+from pistachiowell.gateway.servers.server_limits import ServerClosed
 from pistachiowell.routing import PartInProgress
 
 FIRST_SERVER_ERROR_STATUS = 500
--- a/pistachiowell/gateway/server_limits.py
+++ b/pistachiowell/gateway/servers/server_limits.py
@@ -9,15 +9,15 @@
 )
 from pistachiowell.core.errors import LinkLost, LinkTimeout, Overloaded
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.closed_servers import incarnation_of
-from pistachiowell.gateway.cold_servers import encode_cold, shorten_cold
-from pistachiowell.gateway.limit_owner import decode_limit, encode_limit
-from pistachiowell.gateway.ranked_agents import (
+from pistachiowell.gateway.common import (
     AGENTS_TOLD,
     lasting_agents,
     ranked_agents,
     tell_agents,
 )
+from pistachiowell.gateway.servers.closed_servers import incarnation_of
+from pistachiowell.gateway.servers.cold_servers import encode_cold, shorten_cold
+from pistachiowell.gateway.servers.limit_owner import decode_limit, encode_limit
 from pistachiowell.schema.generated.messages_gateway import (
     AskRoom,
     LimitObserved,
--- a/pistachiowell/gateway/server_states.py
+++ b/pistachiowell/gateway/servers/server_states.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from pistachiowell.admission import ClosedBy
-from pistachiowell.gateway.closed_servers import incarnation_of
+from pistachiowell.gateway.servers.closed_servers import incarnation_of
 
 MOST_URGENT = 0
 MAX_DESCRIBED = 5
--- a/pistachiowell/gateway/silence.py
+++ b/pistachiowell/gateway/servers/silence.py
@@ -6,7 +6,7 @@
 
 from pistachiowell.core.errors import ServerFailed
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.ranked_agents import tell_agents
+from pistachiowell.gateway.common import tell_agents
 from pistachiowell.routing import SILENCE_DETECTORS, SilenceSettings
 from pistachiowell.schema.generated.messages_gateway import (
     ServerDoubted,
--- a/pistachiowell/gateway/silence_probes.py
+++ b/pistachiowell/gateway/servers/silence_probes.py
@@ -13,8 +13,7 @@
 
 from pistachiowell.admission import Incarnation
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.bounded_stream import EndlessHeadError
-from pistachiowell.gateway.connections import ServerConnection
+from pistachiowell.gateway.connections import EndlessHeadError, ServerConnection
 from pistachiowell.schema.generated.messages_gateway import (
     ServerDoubted,
     ServerLeaving,
--- /dev/null
+++ b/pistachiowell/gateway/servers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room ``servers`` of the gateway."""
--- a/pistachiowell/gateway/tests/test_closed_servers.py
+++ b/pistachiowell/gateway/servers/tests/test_closed_servers.py
@@ -6,8 +6,8 @@
 
 from pistachiowell.admission import Incarnation
 from pistachiowell.core.metrics import Metrics
-from pistachiowell.gateway import closed_servers
-from pistachiowell.gateway.closed_servers import ClosedServers
+from pistachiowell.gateway.servers import closed_servers
+from pistachiowell.gateway.servers.closed_servers import ClosedServers
 from pistachiowell.platform.headers import read_answer_head
 
 UNREADABLE = read_answer_head(503, [(b"Retry-After", b"soon")])
--- a/pistachiowell/gateway/tests/test_cold_servers.py
+++ b/pistachiowell/gateway/servers/tests/test_cold_servers.py
@@ -8,10 +8,10 @@
 from pistachiowell.admission import Incarnation
 from pistachiowell.catalog import BackendServer, Evacuations, Service
 from pistachiowell.core.metrics import Metrics
-from pistachiowell.gateway import cold_servers
-from pistachiowell.gateway.cold_reports import ColdReports
-from pistachiowell.gateway.cold_servers import ColdServers, encode_cold
-from pistachiowell.gateway.server_limits import ServerLimits
+from pistachiowell.gateway.servers import cold_servers
+from pistachiowell.gateway.servers.cold_reports import ColdReports
+from pistachiowell.gateway.servers.cold_servers import ColdServers, encode_cold
+from pistachiowell.gateway.servers.server_limits import ServerLimits
 from pistachiowell.platform.headers import read_answer_head
 from pistachiowell.wire import AcknowledgedReports, Handlers, LinkSet
 from pistachiowell.wire.tests.lossy_links import LossyLink
--- a/pistachiowell/gateway/tests/test_crash_relays.py
+++ b/pistachiowell/gateway/servers/tests/test_crash_relays.py
@@ -12,7 +12,7 @@
 from pistachiowell.core.errors import LinkLost, Quarantined
 from pistachiowell.core.metrics import Metrics
 from pistachiowell.gateway.agent import CRASH_MERGE_S
-from pistachiowell.gateway.crash_relays import CrashRelays
+from pistachiowell.gateway.servers.crash_relays import CrashRelays
 from pistachiowell.router.crash_candidates import CrashCandidates
 from pistachiowell.routing import SHARED_SERVER_CRASHES
 from pistachiowell.schema.generated.messages_membership import CrashReport
--- a/pistachiowell/gateway/tests/test_crash_watch.py
+++ b/pistachiowell/gateway/servers/tests/test_crash_watch.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pistachiowell.bench.endless import EndlessPeer
-from pistachiowell.gateway.server_crashes import _refuses_connections
+from pistachiowell.gateway.servers.server_crashes import _refuses_connections
 
 MAX_SENT_BYTES = 32_000_000
 
--- a/pistachiowell/gateway/tests/test_server_crashes.py
+++ b/pistachiowell/gateway/servers/tests/test_server_crashes.py
@@ -12,8 +12,8 @@
 import pytest
 
 from pistachiowell.catalog import BackendServer
-from pistachiowell.gateway.exchange import ConnectionBroken, NotConnected
-from pistachiowell.gateway.server_crashes import ServerCrashes
+from pistachiowell.gateway.connections.exchange import ConnectionBroken, NotConnected
+from pistachiowell.gateway.servers.server_crashes import ServerCrashes
 from pistachiowell.routing import PartInProgress
 
 pytestmark = pytest.mark.anyio
--- a/pistachiowell/gateway/tests/test_server_states.py
+++ b/pistachiowell/gateway/servers/tests/test_server_states.py
@@ -7,8 +7,8 @@
 from pistachiowell.admission import ClosedBy, Incarnation
 from pistachiowell.catalog import BackendServer
 from pistachiowell.core.metrics import Metrics
-from pistachiowell.gateway.closed_servers import ClosedServers
-from pistachiowell.gateway.server_states import ServerStates
+from pistachiowell.gateway.servers.closed_servers import ClosedServers
+from pistachiowell.gateway.servers.server_states import ServerStates
 from pistachiowell.platform.headers import read_answer_head
 
 
--- a/pistachiowell/gateway/tests/test_silence.py
+++ b/pistachiowell/gateway/servers/tests/test_silence.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pistachiowell.core.metrics import Metrics
-from pistachiowell.gateway.silence import SilenceMonitor, SilentServer
+from pistachiowell.gateway.servers.silence import SilenceMonitor, SilentServer
 
 pytestmark = pytest.mark.anyio
 
--- a/pistachiowell/gateway/tests/test_silence_probes.py
+++ b/pistachiowell/gateway/servers/tests/test_silence_probes.py
@@ -6,8 +6,8 @@
 import pytest
 
 from pistachiowell.core.metrics import Metrics
-from pistachiowell.gateway.closed_servers import ClosedServers
-from pistachiowell.gateway.silence_probes import SilenceProbes
+from pistachiowell.gateway.servers.closed_servers import ClosedServers
+from pistachiowell.gateway.servers.silence_probes import SilenceProbes
 from pistachiowell.platform import headers
 from pistachiowell.schema.generated.messages_gateway import ServerDoubted, ServerSilent
 from pistachiowell.wire import Handlers
--- a/pistachiowell/gateway/planned_stop.py
+++ b/pistachiowell/gateway/stops/planned_stop.py
@@ -8,7 +8,7 @@
 
 from pistachiowell.core.errors import Leaving, ServerFailed
 from pistachiowell.core.logs import part_logger
-from pistachiowell.gateway.duration_bounds import DurationBounds
+from pistachiowell.gateway.stops.duration_bounds import DurationBounds
 
 # The answers of the requests that are ended have to reach their callers.
 ENDING_S = 0.4
--- a/pistachiowell/gateway/server_reports.py
+++ b/pistachiowell/gateway/where/server_reports.py
@@ -1,8 +1,8 @@
 """What speaks for and against each server, in the words of an operator."""
 
-from pistachiowell.gateway.placement_report import ServerReport
-from pistachiowell.gateway.selection_parts import engine_request
-from pistachiowell.gateway.server_filters import registration_of
+from pistachiowell.gateway.data import ServerReport
+from pistachiowell.gateway.selection import engine_request
+from pistachiowell.gateway.servers import registration_of
 from pistachiowell.routing import Candidate, rendezvous
 
 # A server whose slots are all in use counts as full.
--- a/pistachiowell/gateway/where.py
+++ b/pistachiowell/gateway/where/where.py
@@ -13,24 +13,27 @@
     PistachiowellError,
     Unauthorized,
 )
-from pistachiowell.gateway.load_sharing import overload_text
-from pistachiowell.gateway.messages import request_rank
-from pistachiowell.gateway.placement_report import (
+from pistachiowell.gateway.data import (
     AccountReport,
     GrantReport,
     OverloadReport,
     PlacementReport,
     RouteReport,
+    request_rank,
 )
-from pistachiowell.gateway.spending import NO_OWNER_RETRY_AFTER_S
-from pistachiowell.gateway.where_findings import Findings
-from pistachiowell.gateway.where_request import (
+from pistachiowell.gateway.load import overload_text
+from pistachiowell.gateway.money import NO_OWNER_RETRY_AFTER_S
+from pistachiowell.gateway.where.where_findings import Findings
+from pistachiowell.gateway.where.where_request import (
     find_account,
     find_route,
     make_request,
 )
-from pistachiowell.gateway.where_services import MAX_LISTED_SERVERS, ServiceReports
-from pistachiowell.gateway.where_summary import open_points, outcome_of
+from pistachiowell.gateway.where.where_services import (
+    MAX_LISTED_SERVERS,
+    ServiceReports,
+)
+from pistachiowell.gateway.where.where_summary import open_points, outcome_of
 
 MAX_LISTED_GRANTS = 32
 
--- a/pistachiowell/gateway/where_findings.py
+++ b/pistachiowell/gateway/where/where_findings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from pistachiowell.gateway.placement_report import RefusalReport
+from pistachiowell.gateway.data import RefusalReport
 
 
 @dataclass(slots=True)
--- a/pistachiowell/gateway/where_page.py
+++ b/pistachiowell/gateway/where/where_page.py
@@ -13,7 +13,7 @@
 from pistachiowell.core.errors import InternalFault, Overloaded, PistachiowellError
 from pistachiowell.core.logs import part_logger
 from pistachiowell.core.metrics_page import PageAnswer
-from pistachiowell.gateway.where_question import read_question
+from pistachiowell.gateway.where.where_question import read_question
 
 WHERE_PATH = "/where"
 QUESTIONS_PER_S = 1.0
--- a/pistachiowell/gateway/where_request.py
+++ b/pistachiowell/gateway/where/where_request.py
@@ -1,7 +1,7 @@
 """The request that a question of where it would go stands for."""
 
 from pistachiowell.core.errors import InvalidRequest, NotFound
-from pistachiowell.gateway.messages import GatewayRequest, Prompt, RequestHead
+from pistachiowell.gateway.data import GatewayRequest, Prompt, RequestHead
 from pistachiowell.routing import fingerprint, part_names
 
 # Id of a request whose question gives none.
--- a/pistachiowell/gateway/where_services.py
+++ b/pistachiowell/gateway/where/where_services.py
@@ -4,12 +4,14 @@
 from dataclasses import dataclass
 
 from pistachiowell.core.errors import Overloaded
-from pistachiowell.gateway.expected_choice import ChoiceForecast
-from pistachiowell.gateway.late_prompts import TOO_LATE_TEXT
-from pistachiowell.gateway.placement_report import ServiceReport, VersionReport
-from pistachiowell.gateway.selection_parts import engine_request
-from pistachiowell.gateway.server_filters import ServerFilters
-from pistachiowell.gateway.server_reports import ServerReports
+from pistachiowell.gateway.data import ServiceReport, VersionReport
+from pistachiowell.gateway.selection import (
+    TOO_LATE_TEXT,
+    ChoiceForecast,
+    engine_request,
+)
+from pistachiowell.gateway.servers import ServerFilters
+from pistachiowell.gateway.where.server_reports import ServerReports
 
 # An answer with so many servers has about 25 KB.
 MAX_LISTED_SERVERS = 64
--- a/pistachiowell/gateway/where_summary.py
+++ b/pistachiowell/gateway/where/where_summary.py
@@ -1,6 +1,6 @@
 """Outcome of a ``PlacementReport``, and what it leaves open, as sentences."""
 
-from pistachiowell.gateway.selection_parts import engine_request
+from pistachiowell.gateway.selection import engine_request
 
 
 def outcome_of(request, refusals, odds):
--- a/pistachiowell/platform/headers.py
+++ b/pistachiowell/platform/headers.py
@@ -7,7 +7,7 @@
 
 import re
 
-from pistachiowell.gateway.messages import AnswerHead, Prompt, RequestHead
+from pistachiowell.gateway.data import AnswerHead, Prompt, RequestHead
 
 READY_PATH = "/pistachiowell/readyz"
 
--- a/pistachiowell/platform/moves.py
+++ b/pistachiowell/platform/moves.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from pistachiowell.core.decoding import DECODE_ERRORS
-from pistachiowell.gateway.move_orders import MoveOrder, MoveState
+from pistachiowell.gateway.moves import MoveOrder, MoveState
 
 COLLECTION = "rollouts"
 MAX_DURATION_S = 1e7
--- a/pistachiowell/platform/tests/test_cold_servers.py
+++ b/pistachiowell/platform/tests/test_cold_servers.py
@@ -9,7 +9,9 @@
 import pytest
 
 from pistachiowell.admission import ColdAdmission
-from pistachiowell.gateway import exchange, gateway_count, limit_owner, server_limits
+from pistachiowell.gateway.connections import exchange
+from pistachiowell.gateway.load import gateway_count
+from pistachiowell.gateway.servers import limit_owner, server_limits
 from pistachiowell.platform import configuration as platform_configuration
 from pistachiowell.platform.standins import answer_whole
 from pistachiowell.platform.tests.conftest import configuration
--- a/pistachiowell/platform/tests/test_connection_relay.py
+++ b/pistachiowell/platform/tests/test_connection_relay.py
@@ -12,7 +12,7 @@
 import pytest
 
 from pistachiowell.admission import PeerRooms, RelayShare
-from pistachiowell.gateway import room_owner
+from pistachiowell.gateway.load import room_owner
 from pistachiowell.platform.standins import answer_whole, head
 from pistachiowell.platform.tests.conftest import HOST, KEY
 from pistachiowell.platform.tests.test_refused_uploads import connect, send_body
--- a/pistachiowell/platform/tests/test_decoding.py
+++ b/pistachiowell/platform/tests/test_decoding.py
@@ -7,7 +7,7 @@
 
 from pistachiowell.catalog import RequestKind
 from pistachiowell.core.errors import RowInvalid
-from pistachiowell.gateway.move_orders import MoveState
+from pistachiowell.gateway.moves.move_orders import MoveState
 from pistachiowell.platform.configuration import decode_catalog
 from pistachiowell.platform.headers import read_answer_head, read_request_head
 from pistachiowell.platform.moves import decode_order, encode_state
--- a/pistachiowell/platform/tests/test_evacuations.py
+++ b/pistachiowell/platform/tests/test_evacuations.py
@@ -4,8 +4,9 @@
 import httpcore
 import pytest
 
-from pistachiowell.gateway import exchange, store_fallback
-from pistachiowell.gateway.silence_probes import PROBE_TIMEOUT_S
+from pistachiowell.gateway.connections import exchange
+from pistachiowell.gateway.feeds import store_fallback
+from pistachiowell.gateway.servers.silence_probes import PROBE_TIMEOUT_S
 from pistachiowell.platform.standins import (
     answer_whole,
     close_without_answer,
--- a/pistachiowell/platform/tests/test_gateway.py
+++ b/pistachiowell/platform/tests/test_gateway.py
@@ -8,8 +8,8 @@
 import pytest
 
 from pistachiowell.core.errors import StoreUnavailable
-from pistachiowell.gateway import store_fallback
-from pistachiowell.gateway.gateway_count import MIN_GATEWAYS
+from pistachiowell.gateway.feeds import store_fallback
+from pistachiowell.gateway.load.gateway_count import MIN_GATEWAYS
 from pistachiowell.platform.objects import ObjectStore
 from pistachiowell.platform.standins import (
     SIGNATURE,
--- a/pistachiowell/platform/tests/test_hedges.py
+++ b/pistachiowell/platform/tests/test_hedges.py
@@ -12,10 +12,11 @@
 import pytest
 
 from pistachiowell.admission.overload import FairShareOverload
-from pistachiowell.gateway import hedges, time_reports, times_owner
-from pistachiowell.gateway.report_rounds import RoundSettings
-from pistachiowell.gateway.selection import Selection
-from pistachiowell.gateway.server_crashes import ServerCrashes
+from pistachiowell.gateway.common.report_rounds import RoundSettings
+from pistachiowell.gateway.load import time_reports, times_owner
+from pistachiowell.gateway.requests import hedges
+from pistachiowell.gateway.selection.selection import Selection
+from pistachiowell.gateway.servers.server_crashes import ServerCrashes
 from pistachiowell.platform.standins import (
     answer_whole,
     close_without_answer,
--- a/pistachiowell/platform/tests/test_money.py
+++ b/pistachiowell/platform/tests/test_money.py
@@ -13,7 +13,8 @@
 import pytest
 
 from pistachiowell.budgets import stale
-from pistachiowell.gateway import agent, budget_owner, reservation_checks
+from pistachiowell.gateway import agent
+from pistachiowell.gateway.money import budget_owner, reservation_checks
 from pistachiowell.platform.standins import close_without_answer, refuse, stream_events
 from pistachiowell.platform.tests.conftest import configuration
 
--- a/pistachiowell/platform/tests/test_silent_servers.py
+++ b/pistachiowell/platform/tests/test_silent_servers.py
@@ -8,7 +8,7 @@
 import httpcore
 import pytest
 
-from pistachiowell.gateway.server_crashes import ServerCrashes
+from pistachiowell.gateway.servers.server_crashes import ServerCrashes
 from pistachiowell.platform.standins import chunk, event, head, refuse
 from pistachiowell.platform.tests.conftest import configuration
 
--- a/pistachiowell/platform/tests/test_store_calls.py
+++ b/pistachiowell/platform/tests/test_store_calls.py
@@ -11,7 +11,7 @@
 import anyio
 import pytest
 
-from pistachiowell.gateway import store_fallback
+from pistachiowell.gateway.feeds import store_fallback
 
 pytestmark = pytest.mark.anyio
 
--- a/pistachiowell/platform/tests/test_told_processes.py
+++ b/pistachiowell/platform/tests/test_told_processes.py
@@ -11,7 +11,7 @@
 import pytest
 
 from pistachiowell.gateway import deputy
-from pistachiowell.gateway.bounded_stream import BoundedBackend
+from pistachiowell.gateway.connections.bounded_stream import BoundedBackend
 from pistachiowell.membership import DeputySettings
 from pistachiowell.platform.standins import answer_whole, head
 
--- a/pistachiowell/platform/tests/test_unready_owners.py
+++ b/pistachiowell/platform/tests/test_unready_owners.py
@@ -12,9 +12,9 @@
 import pytest
 
 from pistachiowell.core.errors import BudgetUnreachable, LinkTimeout, OwnerUnready
-from pistachiowell.gateway.agents import AgentReports
-from pistachiowell.gateway.spending import GatewaySpending
-from pistachiowell.gateway.watchers import CatalogWatcher
+from pistachiowell.gateway.feeds.watchers import CatalogWatcher
+from pistachiowell.gateway.load.agents import AgentReports
+from pistachiowell.gateway.money.spending import GatewaySpending
 from pistachiowell.platform.standins import stream_events
 from pistachiowell.platform.tests.conftest import configuration
 from pistachiowell.schema.generated.messages_budgets import ReserveTokens
--- a/pistachiowell/platform/tests/test_where.py
+++ b/pistachiowell/platform/tests/test_where.py
@@ -26,12 +26,12 @@
 from pistachiowell.core.errors import InvalidRequest, NotFound
 from pistachiowell.core.metrics import Metrics
 from pistachiowell.ctl.where_text import report_text
-from pistachiowell.gateway import where, where_page
+from pistachiowell.gateway.data.placement_report import PlacementReport
 from pistachiowell.gateway.gateway import Gateway
-from pistachiowell.gateway.move_orders import MoveOrder, MoveState
-from pistachiowell.gateway.placement_report import PlacementReport
-from pistachiowell.gateway.server_filters import registration_of
-from pistachiowell.gateway.where_question import MAX_QUERY_BYTES, read_question
+from pistachiowell.gateway.moves.move_orders import MoveOrder, MoveState
+from pistachiowell.gateway.servers.server_filters import registration_of
+from pistachiowell.gateway.where import where, where_page
+from pistachiowell.gateway.where.where_question import MAX_QUERY_BYTES, read_question
 from pistachiowell.platform.headers import read_answer_head
 from pistachiowell.platform.objects import ObjectStore
 from pistachiowell.platform.programs import ADAPTER
--- a/pistachiowell/soak/run.py
+++ b/pistachiowell/soak/run.py
@@ -11,7 +11,7 @@
 
 from pistachiowell.bench.ports import free_port
 from pistachiowell.budgets.restoring import SETTLE_S
-from pistachiowell.gateway.events import EVENT_END
+from pistachiowell.gateway.requests import EVENT_END
 from pistachiowell.platform.standin_documents import (
     USAGE_HEADER,
     caller_headers,
