--- a/pistachiowell/core/http_protocol.py
+++ b/pistachiowell/core/http_protocol.py
@@ -5,6 +5,7 @@
 from pistachiowell.core.clients import default_clients
 from pistachiowell.core.closing_protocol import ClosingProtocol
 from pistachiowell.core.connection_order import Stage
+from pistachiowell.core.keep_alive import KEEP_ALIVE
 from pistachiowell.core.read_gate import ReadGate
 from pistachiowell.core.refusals import INVALID, LEAVING, NO_ROOM, TOO_SLOW, refusal
 from pistachiowell.core.traffic import ConnectionTraffic, CountedTransport
@@ -114,6 +115,7 @@
         def _refuse_request_ahead(self):
             self._has_request_ahead = True
             self.cycle.keep_alive = False
+            self.scope.pop(KEEP_ALIVE, None)
             self.flow.shut()
             clients.record_close("pipelined")
             raise _StopParsingError
--- a/pistachiowell/core/tests/test_unread_requests.py
+++ b/pistachiowell/core/tests/test_unread_requests.py
@@ -230,3 +230,12 @@
     asyncio.get_running_loop().call_later(0.05, sock.sendall, REQUEST[:10])
     await shutdown
     assert b" 503 " in await rig.receive(sock)
+
+
+async def test_answer_that_closes_its_connection_announces_an_idle_time(rig):
+    rig.app.announced_s = 1
+    sock = rig.connect()
+    sock.sendall(REQUEST + REQUEST)
+    answer = await rig.receive(sock)
+    assert b"connection: close" in answer
+    assert b"keep-alive:" not in answer
