--- a/pistachiowell/gateway/stops/planned_stop.py
+++ b/pistachiowell/gateway/stops/planned_stop.py
@@ -49,7 +49,8 @@
     slow end of the recent paces, and a request that must not run twice only if its
     whole time limit does. During the notice, streams of which too little is known are
     taken for very slow, and requests that may run again and are no streams for short:
-    their callers get a whole answer in any case. After it the time limit counts.
+    their callers get a whole answer in any case. After it no stream is begun, and the
+    time limit counts where too little is known.
 
     Args:
         metrics: The process's ``Metrics``.
