--- a/pistachiowell/gateway/stops/duration_bounds.py
+++ b/pistachiowell/gateway/stops/duration_bounds.py
@@ -56,7 +56,7 @@
             return times.whole_bound_s(now)
         if prompt is None:
             return None
-        return times.stream_bound_s(prompt.max_output_tokens, now)
+        return times.stream_bound_s(prompt.tokens, prompt.max_output_tokens, now)
 
     def record(self, request, service, usage, first_at, now):
         """Records the end of a request that a server may have run.
@@ -72,15 +72,18 @@
         if not request.route.has_prompts:
             times.record_whole(now - request.read_at, now)
             return
+        prompt = request.prompt
+        if prompt is None:
+            return
         # A stream that never began has waited for at least so long.
         begun_at = now if first_at is None else first_at
-        times.record_wait(begun_at - request.read_at, now)
-        if usage.events and request.prompt is not None:
+        times.record_wait(begun_at - request.read_at, prompt.tokens, now)
+        if usage.events:
             engine = service.engine
             times.record_stream(
                 usage.events,
                 now - begun_at,
-                max_tokens=request.prompt.max_output_tokens,
+                max_tokens=prompt.max_output_tokens,
                 tokens_per_event=engine.tokens_per_event if engine else 1,
                 now=now,
             )
--- a/pistachiowell/routing/answer_times.py
+++ b/pistachiowell/routing/answer_times.py
@@ -21,6 +21,8 @@
         min_answers: Number of answers from which on there is a bound.
         min_events: Number of events of a stream from which on it shows a pace.
         wait_quantile: Share of the waits that the bound covers.
+        wait_tokens: Tokens of a prompt that take as long to read as an answer takes to
+            begin without any.
         pace_quantile: Share of the events whose pace the bound covers. The pace of a
             long stream varies less than that of a short one.
         whole_margin: Factor on the longest time of an answer that is no stream, as
@@ -34,6 +36,7 @@
     min_answers: int = 8
     min_events: int = 8
     wait_quantile: float = 0.95
+    wait_tokens: int = 2_000
     pace_quantile: float = 0.9
     whole_margin: float = 2.0
     assumed_wait_s: float = 2.0
@@ -56,11 +59,11 @@
 
     Examples:
         >>> times = AnswerTimes(AnswerTimeSettings(min_answers=1))
-        >>> times.stream_bound_s(500, 0.0) is None
+        >>> times.stream_bound_s(1_000, 500, 0.0) is None
         True
-        >>> times.record_wait(0.1, 0.0)
+        >>> times.record_wait(0.1, 1_000, 0.0)
         >>> times.record_stream(11, 0.2, max_tokens=100, tokens_per_event=5, now=0.0)
-        >>> 2.1 <= times.stream_bound_s(500, 0.0) <= 2.4
+        >>> 2.1 <= times.stream_bound_s(1_000, 500, 0.0) <= 2.4
         True
     """
 
@@ -81,9 +84,16 @@
         self._tokens_per_event = 1
         self._excess = 1.0
 
-    def record_wait(self, wait_s, now):
-        """Records the wait for the first part of a stream; both are in seconds."""
-        self._waits.record(wait_s, now)
+    def record_wait(self, wait_s, prompt_tokens, now):
+        """Records the wait for the first part of a stream.
+
+        Args:
+            wait_s: The wait in seconds.
+            prompt_tokens: Number of tokens of its prompt.
+            now: Present time in seconds.
+        """
+        per_thousand = 1_000 / (prompt_tokens + self._settings.wait_tokens)
+        self._waits.record(wait_s * per_thousand, now)
 
     def record_stream(self, events, duration_s, *, max_tokens, tokens_per_event, now):
         """Records a stream that has ended, or how far it has come.
@@ -107,18 +117,21 @@
         """Records the seconds from a request to the end of an answer without events."""
         self._whole.record(duration_s, now)
 
-    def stream_bound_s(self, max_tokens, now):
+    def stream_bound_s(self, prompt_tokens, max_tokens, now):
         """Returns the seconds that a stream may last; None if too little is known.
 
         Args:
+            prompt_tokens: Number of tokens of its prompt.
             max_tokens: Number of tokens that its answer cannot exceed.
             now: Present time in seconds.
         """
         if not (self._is_known(self._waits, now) and self._is_known(self._paces, now)):
             return None
+        settings = self._settings
+        thousands = (prompt_tokens + settings.wait_tokens) / 1_000
+        wait_s = thousands * self._waits.quantile_s(settings.wait_quantile)
         events = self._excess * _full_events(max_tokens, self._tokens_per_event)
-        wait_s = self._waits.quantile_s(self._settings.wait_quantile)
-        return wait_s + events * self._paces.quantile_s(self._settings.pace_quantile)
+        return wait_s + events * self._paces.quantile_s(settings.pace_quantile)
 
     def whole_bound_s(self, now):
         """Returns the same for an answer without events."""
--- a/pistachiowell/routing/tests/test_answer_times.py
+++ b/pistachiowell/routing/tests/test_answer_times.py
@@ -10,6 +10,7 @@
 from pistachiowell.routing import AnswerTimes, AnswerTimeSettings, UsualWait
 
 TOKENS_PER_EVENT = 5
+PROMPT_TOKENS = 1_000
 LEFT_S = 4.0
 # Seconds an event at three servers, one of which is slow.
 PACES_S = (0.024, 0.026, 0.06)
@@ -33,14 +34,14 @@
     begun, cut, cut_by_mean = 0, 0, 0
     for max_tokens, events, wait_s, duration_s in draw_streams(rng, 4_000):
         total_s, now = wait_s + duration_s, now + 0.1
-        bound_s = times.stream_bound_s(max_tokens, now)
+        bound_s = times.stream_bound_s(PROMPT_TOKENS, max_tokens, now)
         if bound_s is not None and bound_s <= LEFT_S:
             begun += 1
             cut += total_s > LEFT_S
         if usual.bound_s() is not None and usual.bound_s() <= LEFT_S:
             cut_by_mean += total_s > LEFT_S
         usual.record(total_s)
-        times.record_wait(wait_s, now)
+        times.record_wait(wait_s, PROMPT_TOKENS, now)
         times.record_stream(
             events,
             duration_s,
@@ -60,6 +61,14 @@
 
 def test_events_that_are_not_full_make_more_of_them():
     times = AnswerTimes(AnswerTimeSettings(min_answers=1))
-    times.record_wait(0.001, 0.0)
+    times.record_wait(0.001, PROMPT_TOKENS, 0.0)
     times.record_stream(101, 1.0, max_tokens=101, tokens_per_event=5, now=0.0)
-    assert times.stream_bound_s(500, 0.0) >= 4.8
+    assert times.stream_bound_s(PROMPT_TOKENS, 500, 0.0) >= 4.8
+
+
+def test_prompt_that_is_longer_than_the_recent_ones_takes_no_longer_to_read():
+    times = AnswerTimes(AnswerTimeSettings(min_answers=1))
+    times.record_wait(0.2, 8_000, 0.0)
+    times.record_stream(10, 0.1, max_tokens=50, tokens_per_event=5, now=0.0)
+    bounds_s = [times.stream_bound_s(tokens, 50, 0.0) for tokens in (8_000, 48_000)]
+    assert bounds_s[1] - bounds_s[0] >= 0.75
