--- a/pistachiowell/bench/rig.py
+++ b/pistachiowell/bench/rig.py
@@ -21,7 +21,7 @@
 from pistachiowell.bench.rig_programs import STORE, RigPrograms
 
 DEFAULT_WAIT_TIMEOUT_S = 30.0
-# Bounds a hang only; a busy machine starts the programs late.
+# Bounds a hang only; under load the programs start late.
 START_TIMEOUT_S = 120.0
 POLL_INTERVAL_S = 0.05
 MAX_CONCURRENT_TOP_UPS = 5
--- a/pistachiowell/soak/fleet.py
+++ b/pistachiowell/soak/fleet.py
@@ -28,7 +28,7 @@
 from pistachiowell.soak.program_processes import ProgramProcesses
 from pistachiowell.standins.relay import Relay
 
-# Bounds a hang only; a busy machine starts the programs late.
+# Bounds a hang only; under load the programs start late.
 START_TIMEOUT_S = 120.0
 START_POLL_S = 0.1
 CHANGE_INTERVAL_S = 0.1
--- a/pistachiowell/soak/server_processes.py
+++ b/pistachiowell/soak/server_processes.py
@@ -14,7 +14,7 @@
 
 HOST = "127.0.0.1"
 POLL_INTERVAL_S = 0.05
-# Bounds a hang only; a busy machine starts the processes late.
+# Bounds a hang only; under load the processes start late.
 START_TIMEOUT_S = 120.0
 
 
--- a/pistachiowell/store/tests/conftest.py
+++ b/pistachiowell/store/tests/conftest.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-# Bounds a hang only; a busy machine starts the process late.
+# Bounds a hang only; under load the process starts late.
 START_TIMEOUT_S = 120.0
 
 
